--- /dev/null
+++ b/apps/hickory-node/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder until the first slice.
--- /dev/null
+++ b/crates/platform/src/store.rs
@@ -0,0 +1,149 @@
+//! The key-value service: compare-and-swap, leases and watches.
+
+use derive_more::Display;
+use hickory_unit::size;
+use serde::{Deserialize, Serialize};
+use std::future::Future;
+use std::time::Duration;
+
+/// The greatest value that the service holds.
+pub const VALUE_MAX: size::Bytes = size::Bytes(1 << 20);
+
+/// The revision of a key: the service counts each write to any key.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+/// A lease of the key-value service; keys bound to it go when it lapses.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Lease(pub u64);
+
+/// A key with its value.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The key.
+    pub key: String,
+    /// The value; the service holds text of up to [`VALUE_MAX`].
+    pub value: String,
+    /// The revision of the last write to this key.
+    pub revision: Revision,
+}
+
+/// What must hold for a write to take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Expect {
+    /// No condition.
+    Any,
+    /// The key must not exist.
+    Absent,
+    /// The key's last write must have this revision.
+    At(Revision),
+}
+
+/// A write.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Write {
+    /// The key.
+    pub key: String,
+    /// The new value; `None` removes the key.
+    pub value: Option<String>,
+    /// The condition.
+    pub expect: Expect,
+    /// The lease that the key is bound to, if any.
+    pub lease: Option<Lease>,
+}
+
+/// A change seen by a watch; `value` is `None` where the key was removed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// The key.
+    pub key: String,
+    /// The value after the change.
+    pub value: Option<String>,
+    /// The revision of the change.
+    pub revision: Revision,
+}
+
+/// What a watch returns.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Batch {
+    /// The changes, oldest first.
+    pub events: Vec<Event>,
+    /// The revision to watch from next.
+    pub revision: Revision,
+    /// Set where changes before `revision` are no longer held: list anew.
+    pub compacted: bool,
+}
+
+/// Why a call failed.
+#[derive(Clone, Debug, Display, PartialEq, Eq, derive_more::Error)]
+pub enum Error {
+    /// The condition did not hold; the present entry is given.
+    #[display("the condition does not hold")]
+    #[error(ignore)]
+    Conflict(Option<Entry>),
+    /// The call certainly had no effect: it did not reach the service, or the
+    /// service refused it.
+    #[display("not done: {_0}")]
+    #[error(ignore)]
+    NotDone(String),
+    /// No answer came; a write may have taken effect.
+    #[display("no answer: {_0}")]
+    #[error(ignore)]
+    Unknown(String),
+    /// The lease is not known any more.
+    #[display("the lease has lapsed")]
+    LeaseLapsed,
+}
+
+/// The key-value service.
+///
+/// Each call ends within the adapter's timeout, except [`Store::watch`], which
+/// ends within `wait` plus that timeout.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// Reads a key.
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Entry>, Error>> + Send;
+
+    /// Reads all keys that begin with `prefix`, sorted, with the revision of
+    /// the service at that moment.
+    fn list(
+        &self,
+        prefix: &str,
+    ) -> impl Future<Output = Result<(Vec<Entry>, Revision), Error>> + Send;
+
+    /// Writes or removes a key.
+    fn write(&self, write: Write) -> impl Future<Output = Result<Revision, Error>> + Send;
+
+    /// Waits until a key that begins with `prefix` changes after `after`, at
+    /// most `wait`; an empty batch where nothing changed.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Batch, Error>> + Send;
+
+    /// Opens a lease.
+    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<Lease, Error>> + Send;
+
+    /// Renews a lease for its full time.
+    fn renew(&self, lease: Lease) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Ends a lease and removes its keys.
+    fn revoke(&self, lease: Lease) -> impl Future<Output = Result<(), Error>> + Send;
+}
--- /dev/null
+++ b/crates/unit/src/rate.rs
@@ -0,0 +1,20 @@
+//! Rates.
+
+use crate::size;
+use derive_more::{Display, FromStr};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Tokens per second.
+#[derive(
+    Clone, Copy, Debug, Default, Display, FromStr, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct TokensPerSecond(pub f64);
+
+impl TokensPerSecond {
+    /// How long `tokens` take at this rate; [`Duration::MAX`] at rate zero.
+    pub fn time_for(self, tokens: size::Tokens) -> Duration {
+        Duration::try_from_secs_f64(tokens.0 as f64 / self.0).unwrap_or(Duration::MAX)
+    }
+}
--- /dev/null
+++ b/crates/unit/src/size.rs
@@ -0,0 +1,42 @@
+//! Sizes: tokens and bytes.
+
+use derive_more::{Add, AddAssign, Display, FromStr, Sub, SubAssign, Sum};
+use serde::{Deserialize, Serialize};
+
+macro_rules! size {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq, PartialOrd, Ord, Hash,
+            Add, AddAssign, Sub, SubAssign, Sum, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The difference, zero where `other` is greater.
+            pub fn saturating_sub(self, other: Self) -> Self {
+                Self(self.0.saturating_sub(other.0))
+            }
+        }
+    };
+}
+
+size! {
+    /// Tokens of prompt, of answer, or of KV cache.
+    Tokens
+}
+size! {
+    /// Bytes.
+    Bytes
+}
+
+/// Bytes of prompt text that count as one token where no tokenizer is at hand.
+pub const BYTES_PER_TOKEN: u64 = 4;
+
+impl Tokens {
+    /// The tokens of a text of `bytes` bytes, rounded up.
+    pub fn of_bytes(bytes: Bytes) -> Self {
+        Self(bytes.0.div_ceil(BYTES_PER_TOKEN))
+    }
+}
