--- /dev/null
+++ b/crates/policy/src/fair.rs
@@ -0,0 +1,412 @@
+//! Two-level weighted fair queueing: partner by share, then account by
+//! weight, then class.
+//!
+//! Load: all partners ask for more than the target bears, or one of them
+//! does and the others come and go. Harm prevented: a partner that sends
+//! more requests, or longer ones, takes the share of the others.
+//!
+//! This is start-time fair queueing over work in tokens. Each level keeps a
+//! virtual time; a flow that was idle starts at the virtual time, so it gets
+//! no credit for the past, and a share that its partner does not use is lent
+//! at once and is back with the partner's next ask.
+//!
+//! Long work is charged to a debt that stands beside the flow's start tag.
+//! Long asks are ordered by tag and debt together, short ones by the tag
+//! alone, and each short grant pays off at most its own work again. Without
+//! this an archive review of a million tokens would shut its own partner's
+//! counter staff out until everybody else had used as much; with it they
+//! keep at least half of their share and the debt is still paid.
+
+use crate::cost::Class;
+use hickory_unit::id;
+use std::collections::{BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+/// How long a batch ask may be overtaken by interactive asks of its own
+/// account. Long enough that a burst at the counter goes first, short enough
+/// that reports arrive.
+pub const BATCH_AGE: Duration = Duration::from_secs(10);
+
+/// Kinds of asks that are let in or held back separately.
+const LANES: usize = 4;
+
+/// Fixed-point scale of the tags.
+const SCALE: f64 = 65_536.0;
+
+/// The weight of a flow that has none set, and the least weight.
+const DEFAULT_WEIGHT: f64 = 1.0;
+const LEAST_WEIGHT: f64 = 0.001;
+
+/// The kind of an ask: its class, and whether it is long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lane {
+    /// Who waits.
+    pub class: Class,
+    /// Whether the prompt is long.
+    pub long: bool,
+}
+
+impl Lane {
+    /// All lanes, in the order of their index.
+    pub const ALL: [Self; LANES] = [
+        Self { class: Class::Interactive, long: false },
+        Self { class: Class::Batch, long: false },
+        Self { class: Class::Interactive, long: true },
+        Self { class: Class::Batch, long: true },
+    ];
+
+    fn index(self) -> usize {
+        usize::from(self.long) * 2 + usize::from(self.class == Class::Batch)
+    }
+
+    /// Whether only the asks for which the headroom is kept are in it.
+    pub fn is_short_interactive(self) -> bool {
+        self.index() == 0
+    }
+}
+
+/// A set of lanes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lanes(u8);
+
+impl Lanes {
+    /// Every lane.
+    pub const ALL: Self = Self((1 << LANES) - 1);
+
+    /// The set without `lane`.
+    pub fn without(self, lane: Lane) -> Self {
+        Self(self.0 & !(1 << lane.index()))
+    }
+
+    /// Only the lanes of long asks.
+    pub fn only_long(self) -> Self {
+        Self(self.0 & 0b1100)
+    }
+
+    /// Whether `lane` is in the set.
+    pub fn contains(self, lane: Lane) -> bool {
+        self.has(lane.index())
+    }
+
+    fn has(self, index: usize) -> bool {
+        self.0 & (1 << index) != 0
+    }
+
+    fn of_size(self, long: bool) -> Self {
+        Self(self.0 & if long { 0b1100 } else { 0b0011 })
+    }
+}
+
+/// What a partner or an account has used, and what waits.
+#[derive(Clone, Debug)]
+struct Flow {
+    weight: f64,
+    /// Start tag: the work received, over the weight.
+    tag: u64,
+    /// Long work received that the tag does not hold yet, over the weight.
+    debt: u64,
+    waiting: [u32; LANES],
+    /// Work that waits, short and long.
+    queued_work: [u64; 2],
+}
+
+impl Flow {
+    fn open(weight: f64) -> Self {
+        Self { weight, tag: 0, debt: 0, waiting: [0; LANES], queued_work: [0; 2] }
+    }
+
+    fn key(&self, lane: usize) -> u64 {
+        if lane < 2 { self.tag } else { self.tag.saturating_add(self.debt) }
+    }
+
+    fn waits_short(&self) -> bool {
+        self.waiting[0] + self.waiting[1] > 0
+    }
+
+    fn waits(&self) -> bool {
+        self.waiting.iter().any(|&n| n > 0)
+    }
+
+    /// Moves the tag up to the virtual time; the debt shrinks by as much.
+    fn catch_up(&mut self, virtual_time: u64) {
+        let total = self.tag.saturating_add(self.debt);
+        self.tag = self.tag.max(virtual_time);
+        self.debt = total.saturating_sub(self.tag);
+    }
+
+    fn charge(&mut self, work: u64, long: bool) {
+        let charge = ((work as f64 * SCALE / self.weight) as u64).max(1);
+        if long {
+            self.debt = self.debt.saturating_add(charge);
+            return;
+        }
+        let paid = self.debt.min(charge);
+        self.debt -= paid;
+        self.tag = self.tag.saturating_add(charge).saturating_add(paid);
+    }
+}
+
+/// One level of the hierarchy: flows that wait, by lane and key.
+#[derive(Clone, Debug, Default)]
+struct Level {
+    order: [BTreeSet<(u64, u32)>; LANES],
+    virtual_time: u64,
+}
+
+impl Level {
+    fn enter(&mut self, flow: &mut Flow, index: u32, lane: usize) {
+        let joins = if lane < 2 { !flow.waits_short() } else { !flow.waits() };
+        if joins {
+            self.withdraw(flow, index);
+            flow.catch_up(self.virtual_time);
+        }
+        flow.waiting[lane] += 1;
+        self.insert(flow, index);
+    }
+
+    fn leave(&mut self, flow: &mut Flow, index: u32, lane: usize) {
+        flow.waiting[lane] -= 1;
+        if flow.waiting[lane] == 0 {
+            self.order[lane].remove(&(flow.key(lane), index));
+        }
+    }
+
+    fn charge(&mut self, flow: &mut Flow, index: u32, work: u64, long: bool) {
+        self.withdraw(flow, index);
+        let key = flow.key(if long { 2 } else { 0 });
+        let short_waits = !(self.order[0].is_empty() && self.order[1].is_empty());
+        if !long || !short_waits {
+            self.virtual_time = self.virtual_time.max(key);
+        }
+        flow.charge(work, long);
+        self.insert(flow, index);
+    }
+
+    fn withdraw(&mut self, flow: &Flow, index: u32) {
+        for lane in (0..LANES).filter(|&l| flow.waiting[l] > 0) {
+            self.order[lane].remove(&(flow.key(lane), index));
+        }
+    }
+
+    fn insert(&mut self, flow: &Flow, index: u32) {
+        for lane in (0..LANES).filter(|&l| flow.waiting[l] > 0) {
+            self.order[lane].insert((flow.key(lane), index));
+        }
+    }
+
+    /// The flow with the least key over `lanes`, and whether its turn is one
+    /// for long work. Long goes first where both are equal: a flow's short
+    /// key is never above its long one, so that its long work would else
+    /// wait as long as any of its short work does.
+    fn first(&self, lanes: Lanes) -> Option<(u32, bool)> {
+        let firsts = (0..LANES).filter(|&l| lanes.has(l));
+        let firsts = firsts.filter_map(|l| self.order[l].first().map(|&(key, i)| (key, l < 2, i)));
+        firsts.min().map(|(_, short, index)| (index, !short))
+    }
+}
+
+#[derive(Clone, Debug)]
+struct PartnerFlow {
+    flow: Flow,
+    accounts: Level,
+}
+
+#[derive(Clone, Debug)]
+struct AccountFlow {
+    partner: u32,
+    flow: Flow,
+    /// Tickets grow, so their order is the order of arrival.
+    queues: [BTreeSet<u64>; LANES],
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Item {
+    account: u32,
+    lane: Lane,
+    work: u64,
+    since: Instant,
+}
+
+/// The asks that wait for one target.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    level: Level,
+    partners: Vec<PartnerFlow>,
+    accounts: Vec<AccountFlow>,
+    partner_index: HashMap<id::Partner, u32>,
+    account_index: HashMap<id::Account, u32>,
+    shares: HashMap<id::Partner, f64>,
+    weights: HashMap<id::Account, f64>,
+    items: HashMap<u64, Item>,
+}
+
+impl Queue {
+    /// An empty queue; each partner and account weighs the same.
+    pub fn open() -> Self {
+        Self::default()
+    }
+
+    /// Replaces the partners' shares; what is queued goes on under the new
+    /// ones.
+    pub fn set_shares(&mut self, shares: impl IntoIterator<Item = (id::Partner, f64)>) {
+        self.shares = shares.into_iter().collect();
+        for (partner, &index) in &self.partner_index {
+            self.partners[index as usize].flow.weight = weight_of(&self.shares, partner);
+        }
+    }
+
+    /// Replaces the accounts' weights within their partners.
+    pub fn set_weights(&mut self, weights: impl IntoIterator<Item = (id::Account, f64)>) {
+        self.weights = weights.into_iter().collect();
+        for (account, &index) in &self.account_index {
+            self.accounts[index as usize].flow.weight = weight_of(&self.weights, account);
+        }
+    }
+
+    /// Queues an ask. Tickets must grow from one call to the next.
+    pub fn push(
+        &mut self,
+        now: Instant,
+        (partner, account): (&id::Partner, &id::Account),
+        lane: Lane,
+        work: u64,
+        ticket: u64,
+    ) {
+        let account = self.intern(partner, account);
+        let entry = &mut self.accounts[account as usize];
+        let owner = &mut self.partners[entry.partner as usize];
+        let index = lane.index();
+        owner.accounts.enter(&mut entry.flow, account, index);
+        self.level.enter(&mut owner.flow, entry.partner, index);
+        let size = usize::from(lane.long);
+        entry.flow.queued_work[size] += work;
+        owner.flow.queued_work[size] += work;
+        entry.queues[index].insert(ticket);
+        self.items.insert(ticket, Item { account, lane, work, since: now });
+    }
+
+    /// The ask whose turn it is among the lanes that are let in.
+    pub fn peek(&self, now: Instant, lanes: Lanes) -> Option<(u64, Lane)> {
+        let (partner, long) = self.level.first(lanes)?;
+        let lanes = lanes.of_size(long);
+        let (account, _) = self.partners[partner as usize].accounts.first(lanes)?;
+        let head = |class| {
+            let lane = Lane { class, long };
+            let queue = &self.accounts[account as usize].queues[lane.index()];
+            lanes.contains(lane).then(|| queue.first().map(|&ticket| (ticket, lane))).flatten()
+        };
+        let batch = head(Class::Batch);
+        let overdue = |(ticket, _): &(u64, Lane)| {
+            self.items.get(ticket).is_some_and(|i| now.duration_since(i.since) >= BATCH_AGE)
+        };
+        batch.filter(overdue).or_else(|| head(Class::Interactive)).or(batch)
+    }
+
+    /// Takes an ask out because it is granted, and charges its share.
+    pub fn grant(&mut self, ticket: u64) -> bool {
+        let Some(item) = self.items.get(&ticket).copied() else { return false };
+        let entry = &mut self.accounts[item.account as usize];
+        let owner = &mut self.partners[entry.partner as usize];
+        owner.accounts.charge(&mut entry.flow, item.account, item.work, item.lane.long);
+        self.level.charge(&mut owner.flow, entry.partner, item.work, item.lane.long);
+        self.remove(ticket)
+    }
+
+    /// Takes an ask out without a charge.
+    pub fn remove(&mut self, ticket: u64) -> bool {
+        let Some(item) = self.items.remove(&ticket) else { return false };
+        let entry = &mut self.accounts[item.account as usize];
+        let owner = &mut self.partners[entry.partner as usize];
+        let lane = item.lane.index();
+        entry.queues[lane].remove(&ticket);
+        owner.accounts.leave(&mut entry.flow, item.account, lane);
+        self.level.leave(&mut owner.flow, entry.partner, lane);
+        let size = usize::from(item.lane.long);
+        entry.flow.queued_work[size] -= item.work;
+        owner.flow.queued_work[size] -= item.work;
+        true
+    }
+
+    /// How long an ask has waited.
+    pub fn age(&self, now: Instant, ticket: u64) -> Option<Duration> {
+        self.items.get(&ticket).map(|item| now.duration_since(item.since))
+    }
+
+    /// Asks that wait.
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Asks of a partner that wait.
+    pub fn waiting_of(&self, partner: &id::Partner) -> usize {
+        let flow = self.partner_index.get(partner).map(|&i| &self.partners[i as usize].flow);
+        flow.map_or(0, |flow| flow.waiting.iter().sum::<u32>() as usize)
+    }
+
+    /// The part of the whole that a partner's share is, among the partners
+    /// that wait and itself.
+    pub fn part_of(&self, partner: &id::Partner) -> f64 {
+        let own = weight_of(&self.shares, partner);
+        let others = self.partners.iter().filter(|p| p.flow.waits()).map(|p| p.flow.weight);
+        let waits = self.waiting_of(partner) > 0;
+        own / (others.sum::<f64>() + if waits { 0.0 } else { own })
+    }
+
+    /// Work of one size that waits.
+    pub fn queued_work(&self, long: bool) -> u64 {
+        let size = usize::from(long);
+        self.partners.iter().map(|p| p.flow.queued_work[size]).sum()
+    }
+
+    /// Work that stands before a new ask of `account`, of the same size: what
+    /// the partner or the account has queued over its part of the whole, at
+    /// most all that is queued.
+    pub fn work_ahead(&self, partner: &id::Partner, account: &id::Account, long: bool) -> u64 {
+        let size = usize::from(long);
+        let Some(owner) = self.partner_index.get(partner).map(|&i| &self.partners[i as usize])
+        else {
+            return 0;
+        };
+        let part = self.part_of(partner);
+        let by_partner = owner.flow.queued_work[size] as f64 / part;
+        let entry = self.account_index.get(account).map(|&i| &self.accounts[i as usize].flow);
+        let rivals = owner.accounts.order.iter().map(BTreeSet::len).max().unwrap_or(0).max(1);
+        let own = entry.map_or(0, |flow| flow.queued_work[size]);
+        let by_account = own as f64 * rivals as f64 / part;
+        self.queued_work(long).min(by_partner.min(by_account) as u64)
+    }
+
+    fn intern(&mut self, partner: &id::Partner, account: &id::Account) -> u32 {
+        let owner = self.intern_partner(partner);
+        if let Some(&index) = self.account_index.get(account)
+            && self.accounts[index as usize].partner == owner
+        {
+            return index;
+        }
+        let flow = Flow::open(weight_of(&self.weights, account));
+        let index = self.accounts.len() as u32;
+        self.accounts.push(AccountFlow { partner: owner, flow, queues: Default::default() });
+        self.account_index.insert(account.clone(), index);
+        index
+    }
+
+    fn intern_partner(&mut self, partner: &id::Partner) -> u32 {
+        if let Some(&index) = self.partner_index.get(partner) {
+            return index;
+        }
+        let flow = Flow::open(weight_of(&self.shares, partner));
+        let index = self.partners.len() as u32;
+        self.partners.push(PartnerFlow { flow, accounts: Level::default() });
+        self.partner_index.insert(partner.clone(), index);
+        index
+    }
+}
+
+fn weight_of<K: std::hash::Hash + Eq>(weights: &HashMap<K, f64>, key: &K) -> f64 {
+    weights.get(key).copied().unwrap_or(DEFAULT_WEIGHT).max(LEAST_WEIGHT)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,7 +3,12 @@
 //!
 //! The modules stand in the order in which a request meets them.
 
+pub mod ask;
 pub mod cost;
+pub mod fair;
 pub mod limit;
+pub mod pace;
 pub mod place;
+pub mod ramp;
 pub mod refuse;
+pub mod room;
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -1,114 +1,261 @@
-//! The limit that a target's owner keeps on it.
+//! The limit that a target's owner keeps on it: who may send now, who waits,
+//! and who is refused.
 //!
-//! First slice: a bound on streams and KV memory with a first-in, first-out
-//! queue; fair shares, the ramp after a start and headroom come next.
+//! Load: all nodes ask for the same target at once, short and long work
+//! mixed, while the target warms up, changes owner or leaves. Harm prevented:
+//! a target holds more than it bears and fails all that runs on it, or an ask
+//! waits for what can't come before its deadline. Room is granted by
+//! [`crate::room`] under the bound of [`crate::ramp`], in the order of
+//! [`crate::fair`].
 
-use crate::cost::{Class, Cost};
+pub use crate::ask::{Answer, Ask, Capacity, Observed, Outcome, Ticket, priority_of};
+use crate::fair::{Lanes, Queue};
+use crate::pace::Pace;
+use crate::ramp::{Cold, Ramp};
 use crate::refuse::Reason;
+use crate::room::{Bound, Claim, Full, Room};
 use hickory_unit::{id, size};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-/// What a target bears.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Capacity {
-    /// Streams (or calls) at once.
-    pub streams: u32,
-    /// KV cache.
-    pub kv: size::Tokens,
-    /// Prompt tokens a second.
-    pub prefill_rate: u64,
-}
+/// A permit's life, counted by the asker from the moment it sent the ask. A
+/// new owner waits this long before its first grant, so that no permit of the
+/// former owner that it knows nothing of can still be used.
+pub const PERMIT_LIFE: Duration = Duration::from_secs(2);
+
+/// How long after its deadline a permit's room is kept: the sender cancels at
+/// the deadline, and the cancel takes this long at most where it gets through
+/// at all. Without an end, an owner that never hears of the outcome would
+/// lose the room for good.
+pub const GRACE: Duration = Duration::from_secs(2);
+
+/// Asks that wait at most. At the least work of an ask, about 10 ms of an
+/// engine, more could not start within the greatest usual deadline.
+pub const QUEUE_BOUND: usize = 4_096;
 
-/// A request for a permit.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Ask {
-    /// The partner whose share pays.
-    pub partner: id::Partner,
-    /// The account.
-    pub account: id::Account,
-    /// Who waits.
-    pub class: Class,
-    /// What it weighs.
-    pub cost: Cost,
-    /// When the request must have ended.
-    pub deadline: Instant,
-    /// Runs beside no other request.
-    pub alone: bool,
-    /// Answer at once, never queue.
-    pub urgent: bool,
+/// How long a long ask waits before room is held for it, and a suspect
+/// before other grants stop: shorter, and each long ask would idle slots that
+/// short ones could use; longer, and it would starve behind them.
+const CLAIM_AFTER: Duration = Duration::from_secs(1);
+
+/// The least time that a refused caller is told to stay away.
+const RETRY_LEAST: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    ask: Ask,
+    /// The last moment at which a start is in time.
+    latest: Instant,
 }
 
-/// Names an ask or the permit it became.
-pub type Ticket = u64;
-
-/// The answer to an ask.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// Send now.
-    Granted(Ticket),
-    /// Wait; [`Limiter::poll`] will name the ticket.
-    Queued(Ticket),
-    /// Never here; come back after the time given.
-    Refused(Reason, Duration),
+#[derive(Clone, Debug)]
+struct Grant {
+    ask: Ask,
+    at: Instant,
+    /// The time to the first token that was to be expected.
+    expected: Duration,
 }
 
 /// The permits and the queue of one target.
 #[derive(Debug)]
 pub struct Limiter {
     capacity: Capacity,
-    granted: BTreeMap<Ticket, Ask>,
-    queue: VecDeque<(Ticket, Ask)>,
+    ramp: Ramp,
+    room: Room,
+    pace: Pace,
+    queue: Queue,
+    asks: HashMap<Ticket, Waiting>,
+    alone: VecDeque<(Ticket, Instant)>,
+    granted: HashMap<Ticket, Grant>,
+    expiry: BTreeSet<(Instant, Ticket)>,
+    latest: BTreeSet<(Instant, Ticket)>,
+    now: Option<Instant>,
+    hold: Option<Instant>,
+    confirmed: bool,
+    accepting: bool,
+    queue_bound: usize,
     next: Ticket,
 }
 
 impl Limiter {
-    /// A limiter with nothing granted.
+    /// A limiter for a cold target, with nothing granted.
     pub fn open(capacity: Capacity) -> Self {
-        Self { capacity, granted: BTreeMap::new(), queue: VecDeque::new(), next: 1 }
+        Self {
+            ramp: Ramp::open(capacity.streams),
+            pace: Pace::open(capacity.prefill_rate, capacity.streams),
+            capacity,
+            room: Room::default(),
+            queue: Queue::open(),
+            asks: HashMap::new(),
+            alone: VecDeque::new(),
+            granted: HashMap::new(),
+            expiry: BTreeSet::new(),
+            latest: BTreeSet::new(),
+            now: None,
+            hold: None,
+            confirmed: true,
+            accepting: true,
+            queue_bound: QUEUE_BOUND,
+            next: 1,
+        }
+    }
+
+    /// As `open`, for an owner that takes the target over: nothing is granted
+    /// within one permit life.
+    pub fn open_after_owner(now: Instant, capacity: Capacity) -> Self {
+        let hold = Some(now + PERMIT_LIFE);
+        Self { hold, ..Self::open(capacity) }
+    }
+
+    /// Sets how many asks may wait.
+    pub fn set_queue_bound(&mut self, bound: usize) {
+        self.queue_bound = bound;
+    }
+
+    /// Replaces the partners' shares.
+    pub fn set_shares(&mut self, shares: impl IntoIterator<Item = (id::Partner, f64)>) {
+        self.queue.set_shares(shares);
+    }
+
+    /// Replaces the accounts' weights within their partners.
+    pub fn set_weights(&mut self, weights: impl IntoIterator<Item = (id::Account, f64)>) {
+        self.queue.set_weights(weights);
+    }
+
+    /// Says whether the owner's lease is confirmed. While it is not, another
+    /// owner may grant too: each keeps to half, so that both together stay
+    /// within the bound.
+    pub fn set_confirmed(&mut self, now: Instant, confirmed: bool) {
+        self.advance(now);
+        self.confirmed = confirmed;
+    }
+
+    /// Says whether the target takes new work. Where its zone is out, it
+    /// leaves or its owner drains, the asks that wait are refused at once, so
+    /// that their nodes can go elsewhere while there is time.
+    pub fn set_accepting(&mut self, now: Instant, accepting: bool) -> Vec<(Ticket, Reason)> {
+        self.advance(now);
+        self.accepting = accepting;
+        if accepting {
+            return Vec::new();
+        }
+        let mut tickets: Vec<Ticket> = self.asks.keys().copied().collect();
+        tickets.sort_unstable();
+        for &ticket in &tickets {
+            self.forget(ticket);
+        }
+        tickets.into_iter().map(|ticket| (ticket, Reason::NoTarget)).collect()
+    }
+
+    /// Takes in a load report; says why the target ramps anew, if it does.
+    pub fn observe(&mut self, now: Instant, observed: &Observed) -> Option<Cold> {
+        self.advance(now);
+        self.room.set_foreign(observed.foreign, observed.foreign_kv);
+        for (ticket, left) in &observed.prefill_left {
+            if let Some(grant) = self.granted.get(ticket) {
+                self.room.correct(*ticket, grant.ask.lane(), *left, self.capacity.prefill_rate);
+            }
+        }
+        self.ramp.observe(now, observed.sample)
     }
 
     /// Asks for a permit.
+    ///
+    /// Refused at once is what can't end before its deadline by what stands
+    /// before it: the caller can use its time elsewhere, and the queue holds
+    /// only work that will be of use.
     pub fn ask(&mut self, now: Instant, ask: Ask) -> Answer {
+        self.advance(now);
         if ask.deadline <= now {
             return Answer::Refused(Reason::Deadline, Duration::ZERO);
         }
         if ask.cost.kv() > self.capacity.kv {
             return Answer::Refused(Reason::TooLong, Duration::ZERO);
         }
+        if !self.accepting {
+            return Answer::Refused(Reason::NoTarget, Duration::ZERO);
+        }
+        if let Some(refusal) = self.refuse_late(now, &ask) {
+            return refusal;
+        }
         let ticket = self.next;
+        let urgent = ask.urgent;
         self.next += 1;
-        if self.queue.is_empty() && self.fits(&ask) {
-            self.granted.insert(ticket, ask);
+        self.enqueue(now, ticket, ask);
+        if self.next_grant(now) == Some(ticket) {
+            self.grant(now, ticket);
             return Answer::Granted(ticket);
         }
-        self.queue.push_back((ticket, ask));
+        if urgent {
+            self.forget(ticket);
+            return Answer::Refused(Reason::Overloaded, RETRY_LEAST);
+        }
         Answer::Queued(ticket)
     }
 
     /// Grants what fits now, and gives up on what can't be in time.
     pub fn poll(&mut self, now: Instant) -> Vec<(Ticket, Result<(), Reason>)> {
+        self.advance(now);
         let mut answers = Vec::new();
-        while let Some((_, ask)) = self.queue.front() {
-            let late = ask.deadline <= now;
-            if !late && !self.fits(ask) {
+        while let Some(&(latest, ticket)) = self.latest.first() {
+            if latest > now {
                 break;
             }
-            if let Some((ticket, ask)) = self.queue.pop_front() {
-                let answer = if late { Err(Reason::Deadline) } else { Ok(()) };
-                answers.push((ticket, answer));
-                if !late {
-                    self.granted.insert(ticket, ask);
-                }
-            }
+            self.forget(ticket);
+            answers.push((ticket, Err(Reason::Deadline)));
+        }
+        while let Some(ticket) = self.next_grant(now) {
+            self.grant(now, ticket);
+            answers.push((ticket, Ok(())));
         }
         answers
     }
 
-    /// Takes back a permit, or takes an ask out of the queue.
+    /// When [`Self::poll`] may have something new to say, if nothing else
+    /// happens before.
+    pub fn next_poll(&self, now: Instant) -> Option<Instant> {
+        if self.asks.is_empty() {
+            return self.expiry.first().map(|&(at, _)| at);
+        }
+        let latest = self.latest.first().map(|&(at, _)| at);
+        let tick = now + Duration::from_millis(5);
+        latest.into_iter().chain([tick.max(self.hold.unwrap_or(tick))]).min()
+    }
+
+    /// Notes that the first token of a permit's work came.
+    pub fn start(&mut self, now: Instant, ticket: Ticket) {
+        self.advance(now);
+        if let Some(grant) = self.granted.get(&ticket) {
+            self.room.start(ticket, grant.ask.lane());
+        }
+    }
+
+    /// Takes back a permit, or takes an ask out of the queue, where nothing
+    /// is known of how it went.
     pub fn finish(&mut self, ticket: Ticket) {
-        self.granted.remove(&ticket);
-        self.queue.retain(|(queued, _)| *queued != ticket);
+        self.forget(ticket);
+        self.release(ticket);
+    }
+
+    /// Takes back a permit and learns from how its work went; says why the
+    /// target ramps anew, if it does.
+    pub fn settle(&mut self, now: Instant, ticket: Ticket, outcome: Outcome) -> Option<Cold> {
+        self.advance(now);
+        self.forget(ticket);
+        let grant = self.release(ticket)?;
+        match outcome {
+            Outcome::Dropped => None,
+            Outcome::Failed => {
+                self.ramp.fail(now);
+                None
+            }
+            Outcome::Whole(first_token) => {
+                let first = first_token.unwrap_or(grant.expected);
+                let decode = now.saturating_duration_since(grant.at).saturating_sub(first);
+                self.pace.learn_decode(grant.ask.cost.decode, decode);
+                self.ramp.succeed(now, first_token.map(|took| (took, grant.expected)))
+            }
+        }
     }
 
     /// Streams granted.
@@ -118,22 +265,178 @@
 
     /// Asks that wait.
     pub fn waiting(&self) -> usize {
-        self.queue.len()
+        self.asks.len()
     }
 
     /// KV cache granted.
     pub fn kv_granted(&self) -> size::Tokens {
-        self.granted.values().map(|ask| ask.cost.kv()).sum()
+        self.granted.values().map(|grant| grant.ask.cost.kv()).sum()
+    }
+
+    /// KV cache in use, what others granted with it.
+    pub fn kv_used(&self) -> size::Tokens {
+        size::Tokens(self.room.kv())
     }
 
-    /// Prompt tokens granted or queued.
+    /// Prompt tokens granted and not prefilled by estimate, or queued.
     pub fn prefill_queued(&self) -> size::Tokens {
-        let queued = self.queue.iter().map(|(_, ask)| ask);
-        self.granted.values().chain(queued).map(|ask| ask.cost.prefill).sum()
+        self.prefill_queued_of(false) + self.prefill_queued_of(true)
+    }
+
+    /// As [`Self::prefill_queued`], of short or of long work only.
+    pub fn prefill_queued_of(&self, long: bool) -> size::Tokens {
+        let queued = self.queue.queued_work(long);
+        size::Tokens(self.room.in_flight(long) as u64 + queued)
+    }
+
+    /// Streams that the target may hold at present.
+    pub fn bound(&self) -> u32 {
+        self.present_bound().slots
+    }
+
+    /// The part of the full bound that the ramp has opened, from 0 to 1.
+    pub fn level(&self) -> f64 {
+        self.ramp.level()
+    }
+
+    /// Whether the target takes new work.
+    pub fn accepting(&self) -> bool {
+        self.accepting
+    }
+
+    fn present_bound(&self) -> Bound {
+        let halves = if self.confirmed { 1 } else { 2 };
+        Bound {
+            slots: self.ramp.bound() / halves,
+            kv: size::Tokens(self.capacity.kv.0 / u64::from(halves)),
+            prefill_rate: self.pace.prefill_rate(),
+        }
+    }
+
+    fn advance(&mut self, now: Instant) {
+        self.now = Some(now);
+        self.room.drain(now, self.pace.prefill_rate());
+        let waits = [false, true].map(|long| self.queue.queued_work(long) > 0);
+        self.pace.advance(now, waits);
+        while let Some(&(at, ticket)) = self.expiry.first() {
+            if at > now {
+                break;
+            }
+            self.release(ticket);
+        }
+    }
+
+    fn refuse_late(&self, now: Instant, ask: &Ask) -> Option<Answer> {
+        let long = ask.cost.is_long();
+        let ahead = self.queue.work_ahead(&ask.partner, &ask.account, long);
+        let hold = self.hold.map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+        let wait = hold + self.pace.time_for(ahead + self.room.in_flight(long) as u64, long);
+        let late = (now + wait + self.pace.time_of(ask.cost)).checked_duration_since(ask.deadline);
+        if let Some(late) = late.filter(|late| !late.is_zero()) {
+            return Some(Answer::Refused(Reason::Overloaded, late.max(RETRY_LEAST)));
+        }
+        // A partner that fills the queue may not shut the others out of it:
+        // past the bound only partners below their part of it are let in.
+        let own = self.queue.waiting_of(&ask.partner) as f64;
+        let full = self.asks.len() >= self.queue_bound;
+        let over = own >= self.queue_bound as f64 * self.queue.part_of(&ask.partner);
+        (full && (over || self.asks.len() >= 2 * self.queue_bound))
+            .then(|| Answer::Refused(Reason::Overloaded, wait.max(RETRY_LEAST)))
+    }
+
+    fn enqueue(&mut self, now: Instant, ticket: Ticket, ask: Ask) {
+        let time = self.pace.time_of(ask.cost);
+        let latest = ask.deadline.checked_sub(time).unwrap_or(now).max(now);
+        self.latest.insert((latest, ticket));
+        if ask.alone {
+            self.alone.push_back((ticket, now));
+        } else {
+            let flow = (&ask.partner, &ask.account);
+            self.queue.push(now, flow, ask.lane(), ask.cost.work(), ticket);
+        }
+        self.asks.insert(ticket, Waiting { ask, latest });
+    }
+
+    /// The ticket that may be granted now, by the fair order over the lanes
+    /// that have room.
+    fn next_grant(&self, now: Instant) -> Option<Ticket> {
+        if !self.accepting || self.hold.is_some_and(|until| now < until) {
+            return None;
+        }
+        if self.granted.values().next().is_some_and(|grant| grant.ask.alone) {
+            return None;
+        }
+        let bound = self.present_bound();
+        if let Some(&(ticket, since)) = self.alone.front() {
+            if self.room.slots() == 0 && bound.slots > 0 {
+                return Some(ticket);
+            }
+            // Grants stop only after a while: a target that drains for each
+            // suspect at once would let one caller idle it at will.
+            if now.saturating_duration_since(since) >= CLAIM_AFTER {
+                return None;
+            }
+        }
+        self.next_beside(now, bound)
+    }
+
+    fn next_beside(&self, now: Instant, bound: Bound) -> Option<Ticket> {
+        let claim = self.claim(now, bound);
+        let mut lanes = Lanes::ALL;
+        while let Some((ticket, lane)) = self.queue.peek(now, lanes) {
+            let cost = self.asks.get(&ticket)?.ask.cost;
+            if self.room.fits(bound, lane, cost, claim).is_ok() {
+                return Some(ticket);
+            }
+            lanes = lanes.without(lane);
+        }
+        None
+    }
+
+    /// The room held for the long ask whose turn it is, once it has waited
+    /// for slots or memory that short work keeps taking as it comes free.
+    fn claim(&self, now: Instant, bound: Bound) -> Claim {
+        let waits = self.queue.peek(now, Lanes::ALL.only_long()).and_then(|(ticket, lane)| {
+            let old = self.queue.age(now, ticket)? >= CLAIM_AFTER;
+            old.then_some((self.asks.get(&ticket)?.ask.cost, lane))
+        });
+        let Some((cost, lane)) = waits else { return Claim::default() };
+        match self.room.fits(bound, lane, cost, Claim::default()) {
+            Err(Full::Slots | Full::Memory) => Claim { slots: 1, kv: cost.kv() },
+            Ok(()) | Err(Full::Prefill) => Claim::default(),
+        }
+    }
+
+    fn grant(&mut self, now: Instant, ticket: Ticket) {
+        self.queue.grant(ticket);
+        let Some(ask) = self.forget(ticket) else { return };
+        if !self.queue.is_empty() {
+            self.pace.grant(ask.cost.work(), ask.cost.is_long());
+        }
+        let ahead =
+            size::Tokens(self.room.in_flight(false) as u64 + self.room.in_flight(true) as u64);
+        let expected = self.pace.first_token(ask.cost.prefill + ahead);
+        self.room.add(ticket, ask.lane(), ask.cost);
+        self.expiry.insert((ask.deadline + GRACE, ticket));
+        self.granted.insert(ticket, Grant { ask, at: now, expected });
+    }
+
+    /// Takes an ask out of the queue.
+    fn forget(&mut self, ticket: Ticket) -> Option<Ask> {
+        let Waiting { ask, latest } = self.asks.remove(&ticket)?;
+        self.queue.remove(ticket);
+        if ask.alone {
+            self.alone.retain(|&(queued, _)| queued != ticket);
+        }
+        self.latest.remove(&(latest, ticket));
+        Some(ask)
     }
 
-    fn fits(&self, ask: &Ask) -> bool {
-        self.granted.len() < self.capacity.streams as usize
-            && self.kv_granted() + ask.cost.kv() <= self.capacity.kv
+    /// Takes a permit back.
+    fn release(&mut self, ticket: Ticket) -> Option<Grant> {
+        let grant = self.granted.remove(&ticket)?;
+        self.room.remove(ticket, grant.ask.lane(), grant.ask.cost);
+        self.expiry.remove(&(grant.ask.deadline + GRACE, ticket));
+        Some(grant)
     }
 }
--- /dev/null
+++ b/crates/policy/src/pace.rs
@@ -0,0 +1,121 @@
+//! How fast a target works, learned from what passes through it.
+//!
+//! Load: a queue grows and asks carry deadlines. Harm prevented: an ask waits
+//! for nothing, or is refused although there is time. The estimates start at
+//! what the target reports and follow what is measured.
+
+use crate::cost::Cost;
+use hickory_unit::{rate, size};
+use std::time::{Duration, Instant};
+
+/// The part of the reported prefill rate that is left beside decode steps.
+/// A full batch takes about a quarter of the time of a step.
+const PREFILL_PART: f64 = 0.75;
+
+/// The time between two tokens of a stream before any was measured.
+const TOKEN_TIME: Duration = Duration::from_millis(15);
+
+/// Time constants over which the rate of a queue is measured, short and
+/// long: many times what one ask of that size takes.
+const WINDOWS: [f64; 2] = [2.0, 10.0];
+
+/// The least rate that is believed, as a part of the first estimate: a target
+/// that stood still for a while must not refuse all that comes after.
+const LEAST_PART: f64 = 0.05;
+
+/// Calls a second that one slot of a plain service is first taken to do.
+const CALLS_PER_SLOT: f64 = 20.0;
+
+/// The weight of a new measurement against the old.
+const NEW: f64 = 0.3;
+
+/// The learned rates of one target.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    reported: u64,
+    token_time: Duration,
+    /// The first estimate of work a second.
+    first: f64,
+    /// Work that left the queue while asks waited, decayed over the window;
+    /// short and long.
+    granted: [f64; 2],
+    advanced: Option<Instant>,
+}
+
+impl Pace {
+    /// What a target does that reports to prefill `prefill_rate` tokens a
+    /// second and to bear `slots` streams; rate zero is a plain service.
+    pub fn open(prefill_rate: u64, slots: u32) -> Self {
+        let first = match prefill_rate {
+            0 => f64::from(slots.max(1)) * CALLS_PER_SLOT,
+            rate => rate as f64 * PREFILL_PART,
+        };
+        Self {
+            reported: prefill_rate,
+            token_time: TOKEN_TIME,
+            first,
+            granted: WINDOWS.map(|window| first * window),
+            advanced: None,
+        }
+    }
+
+    /// Prompt tokens a second beside the decode of other streams.
+    pub fn prefill_rate(&self) -> u64 {
+        (self.reported as f64 * PREFILL_PART) as u64
+    }
+
+    /// The time a first token takes with `tokens` to prefill up to it.
+    pub fn first_token(&self, tokens: size::Tokens) -> Duration {
+        rate::TokensPerSecond(self.prefill_rate().max(1) as f64).time_for(tokens) + self.token_time
+    }
+
+    /// The time that work of this cost takes once it is granted. Work without
+    /// tokens is a call of a plain service, of which nothing is known.
+    pub fn time_of(&self, cost: Cost) -> Duration {
+        if cost.kv().0 == 0 {
+            return Duration::ZERO;
+        }
+        let steps = u32::try_from(cost.decode.0).unwrap_or(u32::MAX);
+        self.first_token(cost.prefill).saturating_add(self.token_time.saturating_mul(steps))
+    }
+
+    /// The time until `work` has left the queue.
+    pub fn time_for(&self, work: u64, long: bool) -> Duration {
+        let size = usize::from(long);
+        let measured = self.granted[size] / WINDOWS[size];
+        let rate = measured.max(self.first * LEAST_PART);
+        rate::TokensPerSecond(rate).time_for(size::Tokens(work))
+    }
+
+    /// Notes work that left the queue.
+    pub fn grant(&mut self, work: u64, long: bool) {
+        self.granted[usize::from(long)] += work as f64;
+    }
+
+    /// Learns the time between tokens from a stream that is whole.
+    pub fn learn_decode(&mut self, tokens: size::Tokens, took: Duration) {
+        if tokens.0 < 2 {
+            return;
+        }
+        let measured = took.as_secs_f64() / (tokens.0 - 1) as f64;
+        let token_time = self.token_time.as_secs_f64() * (1.0 - NEW) + measured * NEW;
+        self.token_time = Duration::from_secs_f64(token_time);
+    }
+
+    /// Lets time pass. Only time in which asks of a size wait counts for its
+    /// rate: what an idle target was given says nothing of what it can do.
+    pub fn advance(&mut self, now: Instant, waits: [bool; 2]) {
+        let since = self.advanced.replace(now).unwrap_or(now);
+        let passed = now.saturating_duration_since(since).as_secs_f64();
+        for (size, granted) in self.granted.iter_mut().enumerate() {
+            let decay = (-passed / WINDOWS[size]).exp();
+            let rest = self.first * WINDOWS[size];
+            *granted = match waits[size] {
+                true => *granted * decay,
+                // Back towards the first estimate, so that one bad spell is
+                // not held against the next one.
+                false => rest + (*granted - rest) * decay,
+            };
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/room.rs
@@ -0,0 +1,243 @@
+//! What one target has room for, and the headroom kept for short work.
+//!
+//! Load: long prompts, batch work and short interactive asks meet on one
+//! engine. Harm prevented: work that may wait takes the last stream slot, the
+//! last KV memory or the whole prefill, and a person's short question waits
+//! for seconds. So bulk work (long or batch) is let into a part of the slots
+//! and the memory only, one long prefill runs at a time, and short prefill is
+//! handed to the engine no faster than it works it off, so that the queue
+//! stands at the owner, where shares are kept, and not in the engine.
+
+use crate::cost::Cost;
+use crate::fair::Lane;
+use hickory_unit::size;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// One of this many stream slots and KV tokens is kept for short interactive
+/// asks. An eighth serves a burst of a third of a second at the rates that
+/// engines reach, and costs bulk work little, since it is bound by prefill.
+const HEADROOM: u32 = 8;
+
+/// One of this many stream slots may hold long work: its KV memory is used
+/// up before, and slots that decode for long slow each step for all.
+const LONG_SLOTS: u32 = 4;
+
+/// Prefill work that is handed to the engine ahead of time. It covers two of
+/// the engine's steps and the way there and back; more would queue in the
+/// engine out of reach of shares and deadlines.
+const WINDOW: Duration = Duration::from_millis(150);
+
+/// The part of the prefill rate that a long prefill keeps while short work
+/// saturates an engine that honours priorities strictly: long work must
+/// arrive.
+const LONG_FLOOR: f64 = 0.25;
+
+/// How far a load report may lag behind.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+
+/// Why an ask has no room now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Full {
+    /// No stream slot.
+    Slots,
+    /// No KV memory.
+    Memory,
+    /// Enough prefill is in flight.
+    Prefill,
+}
+
+/// What the target bears at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bound {
+    /// Streams.
+    pub slots: u32,
+    /// KV memory.
+    pub kv: size::Tokens,
+    /// Prompt tokens a second.
+    pub prefill_rate: u64,
+}
+
+/// Room held for a long ask that has waited too long for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Claim {
+    /// Slots.
+    pub slots: u32,
+    /// KV memory.
+    pub kv: size::Tokens,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Use {
+    slots: u32,
+    kv: u64,
+}
+
+/// A prefill in flight, by estimate.
+#[derive(Clone, Copy, Debug)]
+struct Prefill {
+    ticket: u64,
+    left: f64,
+}
+
+/// What is in use on one target.
+#[derive(Clone, Debug, Default)]
+pub struct Room {
+    short: Use,
+    bulk: Use,
+    long: u32,
+    foreign: Use,
+    /// Prefills in flight, short and long, in the order of their grants.
+    prefills: [VecDeque<Prefill>; 2],
+    drained: Option<Instant>,
+}
+
+impl Room {
+    /// Whether an ask fits.
+    pub fn fits(&self, bound: Bound, lane: Lane, cost: Cost, claim: Claim) -> Result<(), Full> {
+        let kv = cost.kv().0;
+        if self.slots() >= bound.slots {
+            return Err(Full::Slots);
+        }
+        if self.kv() + kv > bound.kv.0 {
+            return Err(Full::Memory);
+        }
+        if lane.is_short_interactive() {
+            self.fits_claim(bound, kv, claim)?;
+        } else {
+            self.fits_bulk(bound, lane, kv)?;
+            if !lane.long {
+                self.fits_claim(bound, kv, claim)?;
+            }
+        }
+        self.fits_prefill(bound, lane, cost)
+    }
+
+    /// Bulk work leaves the headroom free, but one piece of it is let in
+    /// where no other runs: an ask as large as the memory would else never
+    /// run, and a target of one slot would take none.
+    fn fits_bulk(&self, bound: Bound, lane: Lane, kv: u64) -> Result<(), Full> {
+        if self.bulk.slots == 0 {
+            return Ok(());
+        }
+        let slots = bound.slots - bound.slots / HEADROOM;
+        if self.bulk.slots >= slots || (lane.long && self.long >= (bound.slots / LONG_SLOTS).max(1))
+        {
+            return Err(Full::Slots);
+        }
+        if self.bulk.kv + kv > bound.kv.0 - bound.kv.0 / u64::from(HEADROOM) {
+            return Err(Full::Memory);
+        }
+        Ok(())
+    }
+
+    /// Short work leaves what a long ask has claimed, down to the headroom.
+    fn fits_claim(&self, bound: Bound, kv: u64, claim: Claim) -> Result<(), Full> {
+        if claim == Claim::default() {
+            return Ok(());
+        }
+        let slots = bound.slots.saturating_sub(self.bulk.slots + claim.slots);
+        if self.short.slots >= slots.max(bound.slots / HEADROOM) {
+            return Err(Full::Slots);
+        }
+        let memory = bound.kv.0.saturating_sub(self.bulk.kv + claim.kv.0);
+        if self.short.kv + kv > memory.max(bound.kv.0 / u64::from(HEADROOM)) {
+            return Err(Full::Memory);
+        }
+        Ok(())
+    }
+
+    fn fits_prefill(&self, bound: Bound, lane: Lane, cost: Cost) -> Result<(), Full> {
+        let in_flight = self.in_flight(lane.long);
+        if in_flight == 0.0 {
+            return Ok(());
+        }
+        let window = bound.prefill_rate as f64 * WINDOW.as_secs_f64();
+        if lane.long || in_flight + cost.prefill.0 as f64 > window {
+            return Err(Full::Prefill);
+        }
+        Ok(())
+    }
+
+    /// Takes room.
+    pub fn add(&mut self, ticket: u64, lane: Lane, cost: Cost) {
+        let used = if lane.is_short_interactive() { &mut self.short } else { &mut self.bulk };
+        used.slots += 1;
+        used.kv += cost.kv().0;
+        self.long += u32::from(lane.long);
+        if cost.prefill.0 > 0 {
+            let prefill = Prefill { ticket, left: cost.prefill.0 as f64 };
+            self.prefills[usize::from(lane.long)].push_back(prefill);
+        }
+    }
+
+    /// Gives room back.
+    pub fn remove(&mut self, ticket: u64, lane: Lane, cost: Cost) {
+        let used = if lane.is_short_interactive() { &mut self.short } else { &mut self.bulk };
+        used.slots -= 1;
+        used.kv -= cost.kv().0;
+        self.long -= u32::from(lane.long);
+        self.start(ticket, lane);
+    }
+
+    /// The first token came: the prefill is over.
+    pub fn start(&mut self, ticket: u64, lane: Lane) {
+        self.prefills[usize::from(lane.long)].retain(|p| p.ticket != ticket);
+    }
+
+    /// Works the prefills in flight off by estimate: the short ones first, as
+    /// engines that honour priorities do, but for the floor of the long one.
+    pub fn drain(&mut self, now: Instant, prefill_rate: u64) {
+        let since = self.drained.replace(now).unwrap_or(now);
+        let budget = prefill_rate as f64 * now.saturating_duration_since(since).as_secs_f64();
+        let floor = if self.prefills[1].is_empty() { 0.0 } else { LONG_FLOOR };
+        let left = work_off(&mut self.prefills[0], budget * (1.0 - floor));
+        work_off(&mut self.prefills[1], budget * floor + left);
+    }
+
+    /// Corrects the estimate of one prefill by a load report, which lags: by
+    /// now the engine may have done as much more as it does in that time.
+    pub fn correct(&mut self, ticket: u64, lane: Lane, reported: size::Tokens, rate: u64) {
+        if reported.0 == 0 {
+            return self.start(ticket, lane);
+        }
+        let least = reported.0 as f64 - rate as f64 * REPORT_LAG.as_secs_f64();
+        let found = self.prefills[usize::from(lane.long)].iter_mut().find(|p| p.ticket == ticket);
+        if let Some(prefill) = found {
+            prefill.left = prefill.left.max(least);
+        }
+    }
+
+    /// Sets what runs there that this owner did not grant.
+    pub fn set_foreign(&mut self, slots: u32, kv: size::Tokens) {
+        self.foreign = Use { slots, kv: kv.0 };
+    }
+
+    /// Slots in use.
+    pub fn slots(&self) -> u32 {
+        self.short.slots + self.bulk.slots + self.foreign.slots
+    }
+
+    /// KV memory in use.
+    pub fn kv(&self) -> u64 {
+        self.short.kv + self.bulk.kv + self.foreign.kv
+    }
+
+    /// Prompt tokens in flight of one size, by estimate.
+    pub fn in_flight(&self, long: bool) -> f64 {
+        self.prefills[usize::from(long)].iter().map(|p| p.left).sum()
+    }
+}
+
+/// Takes `budget` tokens off the queue's front; returns what is left of it.
+fn work_off(prefills: &mut VecDeque<Prefill>, mut budget: f64) -> f64 {
+    while let Some(first) = prefills.front_mut() {
+        if first.left > budget {
+            first.left -= budget;
+            return 0.0;
+        }
+        budget -= first.left;
+        prefills.pop_front();
+    }
+    budget
+}
--- /dev/null
+++ b/crates/policy/tests/fair.rs
@@ -0,0 +1,232 @@
+//! Weighted fair queueing by partner, account and class.
+
+mod common;
+
+use common::ms;
+use hickory_policy::cost::Class;
+use hickory_policy::fair::{BATCH_AGE, Lane, Lanes, Queue};
+use hickory_unit::id;
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+const SHORT: Lane = Lane { class: Class::Interactive, long: false };
+const SHORT_BATCH: Lane = Lane { class: Class::Batch, long: false };
+const LONG: Lane = Lane { class: Class::Interactive, long: true };
+
+/// A queue that counts the work that each partner got.
+struct Bench {
+    queue: Queue,
+    now: Instant,
+    next: u64,
+    of: BTreeMap<u64, (&'static str, Lane, u64)>,
+    got: BTreeMap<&'static str, u64>,
+}
+
+impl Bench {
+    fn open(shares: &[(&str, f64)]) -> Self {
+        let mut queue = Queue::open();
+        queue.set_shares(shares.iter().map(|&(name, share)| (name.into(), share)));
+        let now = Instant::now();
+        Self { queue, now, next: 0, of: BTreeMap::new(), got: BTreeMap::new() }
+    }
+
+    fn push(&mut self, partner: &'static str, lane: Lane, work: u64) {
+        self.next += 1;
+        let flow = (id::Partner::from(partner), id::Account::from(partner));
+        self.queue.push(self.now, (&flow.0, &flow.1), lane, work, self.next);
+        self.of.insert(self.next, (partner, lane, work));
+    }
+
+    /// Serves the next ask and queues another of its kind.
+    fn turn(&mut self) -> (&'static str, Lane, u64) {
+        let (ticket, _) = self.queue.peek(self.now, Lanes::ALL).expect("work waits");
+        assert!(self.queue.grant(ticket));
+        let (partner, lane, work) = self.of.remove(&ticket).expect("granted twice");
+        *self.got.entry(partner).or_default() += work;
+        self.push(partner, lane, work);
+        (partner, lane, work)
+    }
+
+    fn serve(&mut self) {
+        self.turn();
+    }
+
+    fn part(&self, partner: &str) -> f64 {
+        self.got[partner] as f64 / self.got.values().sum::<u64>() as f64
+    }
+}
+
+/// Saturation with a skewed mix: the partner with the small share sends ten
+/// times as many requests, each a tenth as long. Work, not requests, is
+/// shared.
+#[test]
+fn shares_hold_whatever_the_size_of_requests() {
+    let mut bench = Bench::open(&[("mawe", 3.0), ("caucao", 1.0)]);
+    bench.push("mawe", SHORT, 10_000);
+    (0..10).for_each(|_| bench.push("caucao", SHORT, 1_000));
+    (0..2_000).for_each(|_| bench.serve());
+    assert!((bench.part("mawe") - 0.75).abs() < 0.02, "{}", bench.part("mawe"));
+}
+
+/// The shares are renegotiated while both partners are backlogged: what is
+/// served from then on follows the new ones.
+#[test]
+fn replaced_shares_govern_what_is_queued() {
+    let mut bench = Bench::open(&[("mawe", 3.0), ("caucao", 1.0)]);
+    bench.push("mawe", SHORT, 1_000);
+    bench.push("caucao", SHORT, 1_000);
+    (0..1_000).for_each(|_| bench.serve());
+    bench.got.clear();
+    bench.queue.set_shares([("mawe".into(), 1.0), ("caucao".into(), 3.0)]);
+    (0..1_000).for_each(|_| bench.serve());
+    assert!((bench.part("caucao") - 0.75).abs() < 0.02, "{}", bench.part("caucao"));
+}
+
+/// One partner used the whole target while the other was idle. When the other
+/// is back it gets its share from the first turn, and no more than that: it
+/// does not collect what it left unused.
+#[test]
+fn lent_share_is_back_at_once_without_credit() {
+    let mut bench = Bench::open(&[("mawe", 1.0), ("caucao", 1.0)]);
+    bench.push("mawe", SHORT, 1_000);
+    (0..500).for_each(|_| bench.serve());
+    bench.push("caucao", SHORT, 1_000);
+    bench.got.clear();
+    let first: Vec<_> = (0..10).map(|_| bench.turn().0).collect();
+    assert_eq!(first.iter().filter(|&&p| p == "caucao").count(), 5, "{first:?}");
+}
+
+/// A partner's archive review of a million tokens and its counter staff share
+/// one share. The staff keeps at least half of what the share gives while the
+/// review is paid off; the other partner still gets its half over all, and
+/// the next review comes.
+#[test]
+fn long_work_does_not_shut_out_its_own_partner() {
+    let mut bench = Bench::open(&[("mawe", 1.0), ("caucao", 1.0)]);
+    bench.push("mawe", LONG, 1_000_000);
+    bench.push("mawe", SHORT, 1_000);
+    bench.push("caucao", SHORT, 1_000);
+    let (mut review, mut staff, mut rival) = (0, 0, 0);
+    for _ in 0..1_000 {
+        match bench.turn() {
+            ("mawe", LONG, _) => review += 1,
+            ("mawe", ..) => staff += 1,
+            _ => rival += 1,
+        }
+    }
+    assert_eq!(review, 1);
+    assert!(staff * 2 >= rival - 2, "{staff} of the staff beside {rival} of the rival");
+    for _ in 0..20_000 {
+        bench.serve();
+    }
+    assert!(bench.got["mawe"] > 5_000_000, "no other review came");
+    assert!((bench.part("mawe") - 0.5).abs() < 0.05, "{}", bench.part("mawe"));
+}
+
+/// Interactive asks of the account come without end. Its batch asks wait, but
+/// not past the age bound: the report arrives.
+#[test]
+fn batch_is_overtaken_only_up_to_its_age() {
+    let mut bench = Bench::open(&[]);
+    bench.push("mawe", SHORT_BATCH, 1_000);
+    bench.push("mawe", SHORT, 1_000);
+    let mut turns = 0;
+    while bench.turn().1 != SHORT_BATCH {
+        bench.now += ms(100);
+        turns += 1;
+        assert!(turns < 1_000, "the batch ask starved");
+    }
+    assert_eq!(turns, BATCH_AGE.as_millis() / 100);
+}
+
+/// A lane without room does not hold up the others: the flow whose turn it is
+/// in a blocked lane is passed over and keeps its place.
+#[test]
+fn blocked_lane_is_passed_over() {
+    let mut bench = Bench::open(&[]);
+    bench.push("mawe", LONG, 100_000);
+    bench.push("caucao", SHORT, 1_000);
+    let open = Lanes::ALL.without(LONG);
+    assert_eq!(bench.queue.peek(bench.now, open).map(|(t, _)| t), Some(2));
+    assert!(bench.queue.grant(2));
+    assert_eq!(bench.queue.peek(bench.now, open), None);
+    assert_eq!(bench.queue.peek(bench.now, Lanes::ALL).map(|(t, _)| t), Some(1));
+}
+
+/// An account moves to the other partner by a release note while it has asks
+/// queued: the old ones stay charged to the old partner, the new ones to the
+/// new one, and none is lost.
+#[test]
+fn account_changes_partner() {
+    let mut queue = Queue::open();
+    let account = id::Account::from("shop");
+    let now = Instant::now();
+    queue.push(now, (&"mawe".into(), &account), SHORT, 1, 1);
+    queue.push(now, (&"caucao".into(), &account), SHORT, 1, 2);
+    assert_eq!(queue.waiting_of(&"mawe".into()), 1);
+    assert!(queue.grant(1) && queue.grant(2));
+    assert!(queue.is_empty());
+}
+
+proptest! {
+    /// Under any arrival and departure, each ask comes out once, and none
+    /// is lost.
+    #[test]
+    fn no_ask_is_lost_or_served_twice(ops in prop::collection::vec((0u8..4, 0usize..4, 0usize..5, 1u64..50_000), 1..400)) {
+        let partners = ["a", "b", "c"].map(id::Partner::from);
+        let mut queue = Queue::open();
+        queue.set_shares([(partners[0].clone(), 3.0), (partners[1].clone(), 0.5)]);
+        let mut now = Instant::now();
+        let mut waiting = BTreeSet::new();
+        for (i, (op, lane, who, work)) in ops.into_iter().enumerate() {
+            now += Duration::from_millis(work % 700);
+            if op < 2 {
+                let partner = &partners[who % 3];
+                let account = id::Account::from(format!("{}-{}", partner, who / 3).as_str());
+                queue.push(now, (partner, &account), Lane::ALL[lane], work, i as u64);
+                waiting.insert(i as u64);
+            } else if op == 2 {
+                let lanes = Lanes::ALL.without(Lane::ALL[lane]);
+                if let Some((ticket, got)) = queue.peek(now, lanes) {
+                    prop_assert!(lanes.contains(got));
+                    prop_assert!(queue.grant(ticket));
+                    prop_assert!(waiting.remove(&ticket));
+                }
+            } else if let Some(&ticket) = waiting.first() {
+                prop_assert!(queue.remove(ticket));
+                waiting.remove(&ticket);
+            }
+            prop_assert_eq!(queue.len(), waiting.len());
+        }
+        while let Some((ticket, _)) = queue.peek(now, Lanes::ALL) {
+            prop_assert!(queue.grant(ticket) && !queue.grant(ticket));
+            prop_assert!(waiting.remove(&ticket));
+        }
+        prop_assert!(waiting.is_empty());
+    }
+
+    /// Backlogged partners of any shares, with short requests of any size,
+    /// differ from their shares by no more than the greatest requests.
+    #[test]
+    fn share_error_is_bounded(
+        shares in prop::collection::vec(1u64..20, 2..6),
+        sizes in prop::collection::vec(100u64..30_000, 6),
+    ) {
+        const NAMES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+        let named: Vec<_> = shares.iter().zip(NAMES).map(|(&s, n)| (n, s as f64)).collect();
+        let mut bench = Bench::open(&named);
+        for (i, &(name, _)) in named.iter().enumerate() {
+            bench.push(name, SHORT, sizes[i]);
+        }
+        let total = 10_000_000;
+        while bench.got.values().sum::<u64>() < total {
+            bench.turn();
+        }
+        let sum: f64 = named.iter().map(|&(_, s)| s).sum();
+        for (name, share) in named {
+            let error = (bench.part(name) - share / sum).abs();
+            prop_assert!(error < 0.02, "{}: {} off", name, error);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/limit.rs
@@ -0,0 +1,358 @@
+//! The owner's limit on a target, seen from callers.
+
+mod common;
+
+use common::{CAPACITY, ask, batch, cost, granted, ms, observed, ticket, warm};
+use hickory_policy::cost::Class;
+use hickory_policy::fair::BATCH_AGE;
+use hickory_policy::limit::{
+    Answer, Ask, Capacity, GRACE, Limiter, Observed, Outcome, PERMIT_LIFE,
+};
+use hickory_policy::refuse::Reason;
+use hickory_unit::size;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// A target with four slots, bound by slots and not by prefill.
+const NARROW: Capacity =
+    Capacity { streams: 4, kv: size::Tokens(450_000), prefill_rate: 4_000_000 };
+
+/// Two owners that can't see each other grant on the same target, both with
+/// an unconfirmed lease. Together they must stay within what it bears, also
+/// where the bound is odd.
+#[test]
+fn unconfirmed_owner_keeps_to_half() {
+    for streams in [1, 2, 5, 64] {
+        let capacity = Capacity { streams, ..NARROW };
+        let start = Instant::now();
+        let mut total = 0;
+        for _ in 0..2 {
+            let (now, mut owner) = warm(start, capacity);
+            owner.set_confirmed(now, false);
+            for _ in 0..100 {
+                owner.ask(now, ask(now, "mawe", 10));
+            }
+            total += owner.running();
+        }
+        assert!(total <= streams as usize, "{total} streams on {streams} slots");
+        assert!(total + 1 >= streams as usize);
+    }
+}
+
+/// A node takes over from an owner that is paused, not dead. Permits that the
+/// paused owner granted last may still be used for one permit life, so the
+/// new owner grants nothing before, and the asks that wait get theirs then.
+#[test]
+fn new_owner_waits_one_permit_life() {
+    let now = Instant::now();
+    let mut limiter = Limiter::open_after_owner(now, CAPACITY);
+    let waits = ticket(limiter.ask(now, ask(now, "mawe", 500)));
+    assert_eq!(granted(&mut limiter, now + PERMIT_LIFE - ms(1)), []);
+    assert_eq!(granted(&mut limiter, now + PERMIT_LIFE), [waits]);
+}
+
+/// The load report shows streams that a former owner granted. They run on,
+/// and count against the bound until they are gone.
+#[test]
+fn streams_of_a_former_owner_count() {
+    let (now, mut limiter) = warm(Instant::now(), NARROW);
+    let foreign = Observed { foreign: 3, foreign_kv: size::Tokens(1_000), ..observed(1, 100) };
+    limiter.observe(now, &foreign);
+    limiter.ask(now, ask(now, "mawe", 10));
+    let waits = ticket(limiter.ask(now, ask(now, "mawe", 10)));
+    assert_eq!((limiter.running(), limiter.waiting()), (1, 1));
+    limiter.observe(now + ms(10), &observed(1, 100));
+    assert_eq!(granted(&mut limiter, now + ms(10)), [waits]);
+}
+
+/// The outcome of a stream never reaches the owner: its node died. The room
+/// comes back at the deadline and grace, not earlier and not never.
+#[test]
+fn permit_without_outcome_expires() {
+    let (now, mut limiter) = warm(Instant::now(), NARROW);
+    let short = Ask { deadline: now + ms(3_000), ..ask(now, "mawe", 10) };
+    for _ in 0..4 {
+        limiter.ask(now, short.clone());
+    }
+    let waits = ticket(limiter.ask(now, ask(now, "mawe", 10)));
+    assert_eq!(granted(&mut limiter, now + ms(2_999) + GRACE), []);
+    assert_eq!(granted(&mut limiter, now + ms(3_000) + GRACE), [waits]);
+}
+
+/// A suspect of a crash asks to run alone beside a busy target. It must run
+/// beside no other stream, neither those before nor those after it, and the
+/// innocent asks behind it go on when it has ended.
+#[test]
+fn alone_runs_beside_no_other() {
+    let (now, mut limiter) = warm(Instant::now(), NARROW);
+    let before = ticket(limiter.ask(now, ask(now, "mawe", 10)));
+    let suspect = ticket(limiter.ask(now, Ask { alone: true, ..ask(now, "mawe", 10) }));
+    let now = now + ms(1_500);
+    let behind = ticket(limiter.ask(now, ask(now, "caucao", 10)));
+    assert_eq!(granted(&mut limiter, now), [], "the suspect has waited long enough");
+    limiter.finish(before);
+    assert_eq!(granted(&mut limiter, now), [suspect]);
+    assert_eq!(granted(&mut limiter, now + ms(100)), []);
+    limiter.finish(suspect);
+    assert_eq!(granted(&mut limiter, now + ms(100)), [behind]);
+}
+
+/// Operators take the zone out while asks wait here: all of them are answered
+/// at once, so that their nodes can go to another zone, nothing new is taken,
+/// and when the zone is back the target serves again.
+#[test]
+fn target_that_stops_accepting_answers_its_queue() {
+    let (now, mut limiter) = warm(Instant::now(), NARROW);
+    let tickets: Vec<_> = (0..9).map(|_| ticket(limiter.ask(now, ask(now, "mawe", 10)))).collect();
+    let refused = limiter.set_accepting(now, false);
+    assert_eq!(refused, tickets[4..].iter().map(|&t| (t, Reason::NoTarget)).collect::<Vec<_>>());
+    let answer = limiter.ask(now, ask(now, "mawe", 10));
+    assert_eq!(answer, Answer::Refused(Reason::NoTarget, Duration::ZERO));
+    assert_eq!(limiter.running(), 4, "what runs is not cut");
+    tickets[..4].iter().for_each(|&t| limiter.finish(t));
+    assert_eq!(granted(&mut limiter, now), []);
+    limiter.set_accepting(now, true);
+    assert!(matches!(limiter.ask(now, ask(now, "mawe", 10)), Answer::Granted(_)));
+}
+
+/// At about twice the load the target bears, callers with 3 s of time are
+/// refused when they ask, not after they waited, and are told how long to
+/// stay away; the target stays busy all the while.
+#[test]
+fn hopeless_ask_is_refused_at_once() {
+    let (mut now, mut limiter) = warm(Instant::now(), CAPACITY);
+    let mut running: Vec<(Instant, u64)> = Vec::new();
+    let (mut late, mut early, mut whole) = (0, 0, 0);
+    for _ in 0..4_000 {
+        now += ms(5);
+        // 60,000 prompt tokens a second, where the engine has 30,000.
+        let ask = Ask { deadline: now + ms(3_000), ..ask(now, "mawe", 300) };
+        match limiter.ask(now, ask) {
+            Answer::Granted(t) => running.push((now, t)),
+            Answer::Queued(_) => {}
+            Answer::Refused(reason, wait) => {
+                assert_eq!(reason, Reason::Overloaded);
+                assert!(wait >= ms(500) && wait < ms(10_000), "{wait:?}");
+                early += 1;
+            }
+        }
+        for (t, answer) in limiter.poll(now) {
+            match answer {
+                Ok(()) => running.push((now, t)),
+                Err(_) => late += 1,
+            }
+        }
+        let ended = running.iter().filter(|(at, _)| now >= *at + ms(480)).count();
+        for (_, t) in running.drain(..ended) {
+            limiter.settle(now, t, Outcome::Whole(None));
+            whole += 1;
+        }
+    }
+    assert!(early > 1_000 && late * 20 <= early, "{late} late beside {early} early");
+    assert!(whole > 1_800, "{whole} of 2,000 that 20 s had room for");
+}
+
+/// One partner fills the queue. The other is still let in up to its part, and
+/// an urgent ask is never queued.
+#[test]
+fn flooding_partner_does_not_shut_out_the_other() {
+    let (now, mut limiter) = warm(Instant::now(), NARROW);
+    limiter.set_queue_bound(100);
+    let flood = (0..300).map(|_| limiter.ask(now, ask(now, "mawe", 10)));
+    let refused = flood.filter(|a| matches!(a, Answer::Refused(Reason::Overloaded, _))).count();
+    assert_eq!((refused, limiter.waiting()), (196, 100));
+    assert!(matches!(limiter.ask(now, ask(now, "caucao", 10)), Answer::Queued(_)));
+    let urgent = Ask { urgent: true, ..ask(now, "caucao", 10) };
+    assert!(matches!(limiter.ask(now, urgent), Answer::Refused(Reason::Overloaded, _)));
+    assert_eq!(limiter.waiting(), 101);
+}
+
+/// Reports of 90,000 tokens fill what they may of an engine, and batch work
+/// its slots; a person's question of a thousand tokens finds a slot, memory
+/// and prefill at once.
+#[test]
+fn bulk_work_leaves_room_for_short() {
+    for (size, running) in [(90_000, 4), (600, 56)] {
+        let (start, mut limiter) = warm(Instant::now(), CAPACITY);
+        let deadline = start + Duration::from_secs(3_600);
+        for _ in 0..100 {
+            limiter.ask(start, Ask { deadline, ..batch(start, "mawe", size) });
+        }
+        let mut now = start;
+        for _ in 0..600 {
+            now += ms(50);
+            limiter.poll(now);
+        }
+        assert_eq!(limiter.running(), running);
+        let question = ask(now, "caucao", 1_000);
+        assert!(matches!(limiter.ask(now, question), Answer::Granted(_)));
+    }
+}
+
+/// Short work keeps all memory busy: one ends and one comes every 25 ms. A
+/// long ask would never find its memory free at one moment; after a while
+/// room is held for it, and the short ones still run in the headroom.
+#[test]
+fn long_ask_gets_its_room_under_short_load() {
+    let capacity = Capacity { kv: size::Tokens(100_000), streams: 64, ..NARROW };
+    let (mut now, mut limiter) = warm(Instant::now(), capacity);
+    let short = |now| ask(now, "caucao", 2_400);
+    let mut running: std::collections::VecDeque<_> =
+        (0..41).map(|_| ticket(limiter.ask(now, short(now)))).collect();
+    let Answer::Queued(long) = limiter.ask(now, ask(now, "mawe", 60_000)) else {
+        panic!("the memory is full")
+    };
+    let asked = now;
+    let mut short_runs = 0;
+    loop {
+        now += ms(25);
+        assert!(now < asked + ms(5_000), "the long ask starved");
+        limiter.ask(now, short(now));
+        let got = granted(&mut limiter, now);
+        if got.contains(&long) {
+            break;
+        }
+        short_runs += got.len();
+        running.extend(got);
+        if let Some(t) = running.pop_front() {
+            limiter.settle(now, t, Outcome::Whole(None));
+        }
+    }
+    assert!(short_runs > 30);
+}
+
+/// One target is slow: it takes four times as long as it reports. Asks that
+/// could not end in time are refused by what was measured, not by the report.
+#[test]
+fn slow_target_refuses_by_its_measured_pace() {
+    let (mut now, mut limiter) = warm(Instant::now(), CAPACITY);
+    let mut running: Vec<(Instant, u64)> = Vec::new();
+    let mut late = 0;
+    let mut refused = 0;
+    for _ in 0..4_000 {
+        now += ms(10);
+        let ask = Ask { deadline: now + ms(8_000), ..ask(now, "mawe", 400) };
+        match limiter.ask(now, ask) {
+            Answer::Granted(t) => running.push((now, t)),
+            Answer::Queued(_) => {}
+            Answer::Refused(..) => refused += 1,
+        }
+        for (t, answer) in limiter.poll(now) {
+            match answer {
+                Ok(()) => running.push((now, t)),
+                Err(_) => late += 1,
+            }
+        }
+        // 64 slots of 2 s each: 32 a second where 100 arrive.
+        let ended = running.iter().filter(|(at, _)| now >= *at + ms(2_000)).count();
+        for (_, t) in running.drain(..ended) {
+            limiter.settle(now, t, Outcome::Whole(None));
+        }
+    }
+    assert!(refused > 0 && late * 10 <= refused, "{late} late beside {refused} refused");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Whatever comes in whatever order: granted streams and memory stay
+    /// within the bound that held at the grant, each ticket is answered once,
+    /// and in the end nothing is held.
+    #[test]
+    fn limiter_never_exceeds_its_bound(ops in prop::collection::vec((0u8..10, 0usize..8, 1u64..90_000), 1..300)) {
+        let capacity = Capacity { streams: 6, kv: size::Tokens(100_000), prefill_rate: 40_000 };
+        let mut now = Instant::now();
+        let mut limiter = Limiter::open(capacity);
+        let mut queued: BTreeMap<u64, Ask> = BTreeMap::new();
+        let mut running: BTreeMap<u64, Ask> = BTreeMap::new();
+        for (op, which, size) in ops {
+            now += ms(size % 900);
+            running.retain(|_, ask| ask.deadline + GRACE > now);
+            let before = running.len();
+            match op {
+                0..=4 => {
+                    let ask = Ask {
+                        cost: cost(size, size % 100),
+                        class: if which % 2 == 0 { Class::Interactive } else { Class::Batch },
+                        alone: which == 7,
+                        urgent: which == 6,
+                        deadline: now + ms(size % 40_000),
+                        ..ask(now, ["a", "b", "c"][which % 3], 0)
+                    };
+                    match limiter.ask(now, ask.clone()) {
+                        Answer::Granted(t) => prop_assert!(running.insert(t, ask).is_none()),
+                        Answer::Queued(t) => prop_assert!(!ask.urgent && queued.insert(t, ask).is_none()),
+                        Answer::Refused(..) => {}
+                    }
+                }
+                5 => {
+                    let key = running.keys().nth(which).copied();
+                    if let Some(t) = key {
+                        running.remove(&t);
+                        limiter.settle(now, t, Outcome::Whole(None));
+                    }
+                }
+                6 => {
+                    if let Some(t) = queued.keys().nth(which).copied() {
+                        queued.remove(&t);
+                        limiter.finish(t);
+                    }
+                }
+                7 => drop(limiter.observe(now, &observed(which as u64 / 7, (size % 101) as u8))),
+                8 => limiter.set_confirmed(now, which % 2 == 0),
+                _ => {
+                    for (t, _) in limiter.set_accepting(now, which % 4 != 0) {
+                        prop_assert!(queued.remove(&t).is_some());
+                    }
+                }
+            }
+            for (t, answer) in limiter.poll(now) {
+                let ask = queued.remove(&t);
+                prop_assert!(ask.is_some(), "answered twice");
+                if answer.is_ok() {
+                    running.insert(t, ask.unwrap());
+                }
+            }
+            prop_assert_eq!((limiter.running(), limiter.waiting()), (running.len(), queued.len()));
+            prop_assert!(running.len() <= before.max(limiter.bound() as usize));
+            let kv: size::Tokens = running.values().map(|ask| ask.cost.kv()).sum();
+            prop_assert!(kv <= capacity.kv);
+            prop_assert!(running.len() <= 1 || running.values().all(|ask| !ask.alone));
+        }
+        now += Duration::from_secs(50);
+        limiter.poll(now);
+        prop_assert_eq!((limiter.running(), limiter.waiting()), (0, 0));
+        prop_assert_eq!(limiter.prefill_queued(), size::Tokens(0));
+    }
+
+    /// A batch ask with time enough starts by its age bound and one turn,
+    /// however many interactive asks of its account come.
+    #[test]
+    fn batch_starts_by_its_age(load in 1usize..6, size in 100u64..4_000) {
+        let (mut now, mut limiter) = warm(Instant::now(), NARROW);
+        let mut running = std::collections::VecDeque::new();
+        let mut ask_for = |limiter: &mut Limiter, now, ask| match limiter.ask(now, ask) {
+            Answer::Granted(t) => running.push_back(t),
+            Answer::Queued(_) | Answer::Refused(..) => {}
+        };
+        (0..8).for_each(|_| ask_for(&mut limiter, now, ask(now, "mawe", size)));
+        let asked = now;
+        let waits = ticket(limiter.ask(now, batch(now, "mawe", size)));
+        loop {
+            now += ms(100);
+            prop_assert!(now <= asked + BATCH_AGE + ms(1_000), "the batch ask starved");
+            for _ in 0..load {
+                limiter.ask(now, ask(now, "mawe", size));
+            }
+            if let Some(t) = running.pop_front() {
+                limiter.settle(now, t, Outcome::Whole(None));
+            }
+            let got = granted(&mut limiter, now);
+            if got.contains(&waits) {
+                break;
+            }
+            running.extend(got);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/ramp.rs
@@ -0,0 +1,121 @@
+//! Slow start: a cold target's bound, seen from callers that send all at once.
+
+mod common;
+
+use common::{ask, granted, ms, observed, sample, ticket, warm};
+use hickory_policy::limit::{Answer, Limiter, Outcome};
+use hickory_policy::ramp::{COLD_BOUND, Cold, Ramp};
+use std::time::{Duration, Instant};
+
+/// Callers of all nodes send 200 requests at a target that has just started.
+/// It bears the part of its streams that it reports as warmth, 10 points
+/// more each second. Without the ramp all 64 would arrive at once, it would
+/// fall over, and every one of them would fail.
+#[test]
+fn burst_on_cold_target_stays_under_its_warmth() {
+    let mut now = Instant::now();
+    let mut limiter = Limiter::open(common::CAPACITY);
+    let mut running: Vec<(Instant, u64)> = Vec::new();
+    let mut started = 0;
+    for _ in 0..200 {
+        if let Answer::Granted(t) = limiter.ask(now, ask(now, "mawe", 500)) {
+            running.push((now, t));
+        }
+    }
+    for tick in 0_u64..600 {
+        let warmth = (5 + tick / 50 * 10).min(100) as u8;
+        if tick % 50 == 0 {
+            limiter.observe(now, &observed(1, warmth));
+        }
+        running.extend(granted(&mut limiter, now).into_iter().map(|t| (now, t)));
+        let bears = (64 * usize::from(warmth) / 100).max(COLD_BOUND as usize);
+        assert!(running.len() <= bears, "{} streams at warmth {warmth}", running.len());
+        now += ms(20);
+        let (ended, rest): (Vec<_>, Vec<_>) =
+            running.into_iter().partition(|&(at, _)| now >= at + ms(400));
+        running = rest;
+        started += ended.len();
+        for (_, t) in ended {
+            limiter.settle(now, t, Outcome::Whole(Some(ms(30))));
+        }
+    }
+    assert_eq!((started, limiter.waiting()), (200, 0));
+}
+
+/// A new owner takes over a target that has been warm for long: it opens half
+/// of what the target reports at once, so that a change of owner costs
+/// callers no more than that, and the rest within seconds.
+#[test]
+fn new_owner_of_warm_target_opens_half() {
+    let now = Instant::now();
+    let mut ramp = Ramp::open(64);
+    ramp.observe(now, sample(1, 100));
+    assert_eq!(ramp.bound(), 32);
+    ramp.observe(now + ms(1_000), sample(1, 100));
+    assert_eq!(ramp.bound(), 64);
+}
+
+/// A warm target restarts between two reports, or loses its warmth within
+/// the same incarnation: callers must not meet it with the full bound.
+#[test]
+fn restart_and_fall_of_warmth_ramp_anew() {
+    for (next, cold) in [(sample(2, 10), Cold::Restarted), (sample(1, 40), Cold::WarmthFell)] {
+        let now = Instant::now();
+        let mut ramp = Ramp::open(64);
+        ramp.observe(now, sample(1, 100));
+        ramp.observe(now + ms(1_000), sample(1, 100));
+        assert_eq!(ramp.observe(now + ms(2_000), next), Some(cold));
+        assert_eq!(ramp.bound(), COLD_BOUND);
+    }
+}
+
+/// The report still says warm, but first tokens take ten times as long: the
+/// third in a row closes the bound; one late token alone does not.
+#[test]
+fn leap_of_first_token_ramps_anew() {
+    let now = Instant::now();
+    let mut ramp = Ramp::open(64);
+    ramp.observe(now, sample(1, 100));
+    let late = Some((ms(900), ms(90)));
+    let fine = Some((ms(90), ms(90)));
+    let seen = [late, fine, late, late, late].map(|first| ramp.succeed(now, first));
+    assert_eq!(seen, [None, None, None, None, Some(Cold::LatencyLeapt)]);
+    assert_eq!(ramp.bound(), 8);
+}
+
+/// The prefix cache served half of the tokens and now serves none: the
+/// engine lost it. Gaps in the counters (small samples) decide nothing.
+#[test]
+fn vanished_cache_hits_ramp_anew() {
+    let mut now = Instant::now();
+    let mut ramp = Ramp::open(64);
+    let mut last = sample(1, 100);
+    for _ in 0..4 {
+        ramp.observe(now, last);
+        last.cache_hits += 50_000;
+        last.cache_misses += 50_000;
+        now += Duration::from_secs(1);
+    }
+    last.cache_hits -= 50_000;
+    last.cache_misses -= 40_000;
+    assert_eq!(ramp.observe(now, last), None, "10,000 tokens are too few to judge");
+    last.cache_misses += 60_000;
+    assert_eq!(ramp.observe(now, last), Some(Cold::CacheEmptied));
+    assert_eq!(ramp.bound(), 16);
+}
+
+/// A failure halves the bound. The target then reports that it is cold: the
+/// bound starts over, and with time alone it never passes the reported part.
+#[test]
+fn failure_halves_the_bound() {
+    let (now, mut limiter) = warm(Instant::now(), common::CAPACITY);
+    let t = ticket(limiter.ask(now, ask(now, "mawe", 500)));
+    limiter.settle(now, t, Outcome::Failed);
+    assert_eq!(limiter.bound(), 32);
+    limiter.observe(now, &observed(1, 30));
+    assert_eq!(limiter.bound(), COLD_BOUND);
+    for second in 1..60 {
+        limiter.observe(now + Duration::from_secs(second), &observed(1, 30));
+    }
+    assert_eq!(limiter.bound(), 64 * 30 / 100);
+}
