--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -19,20 +19,19 @@
 }
 
 struct PermitAsk {
-  request @0 :Text;
-  attempt @1 :UInt32;
-  target @2 :Text;
-  partner @3 :Text;
-  account @4 :Text;
-  batch @5 :Bool;       # may wait; else interactive
-  cost @6 :Cost;
-  weights @7 :Weights;
-  timeLeftMs @8 :UInt64;
-  alone @9 :Bool;       # a suspect runs beside no other request
-  fingerprint @10 :UInt64;
-  prefix @11 :UInt64;   # hash of the prompt's leading blocks
-  service @12 :Bool;    # a call of a plain service: weighs one slot
-  urgent @13 :Bool;     # reserved beside others, all or none: answer at once
+  stream @0 :Text;      # names request, attempt, sender and deadline
+  target @1 :Text;
+  partner @2 :Text;
+  account @3 :Text;
+  batch @4 :Bool;       # may wait; else interactive
+  cost @5 :Cost;
+  weights @6 :Weights;
+  timeLeftMs @7 :UInt64;
+  alone @8 :Bool;       # a suspect runs beside no other request
+  fingerprint @9 :UInt64;
+  prefix @10 :UInt64;   # hash of the prompt's leading blocks
+  service @11 :Bool;    # a call of a plain service: weighs one slot
+  urgent @12 :Bool;     # reserved beside others, all or none: answer at once
 }
 
 struct Permit {
@@ -126,4 +125,7 @@
   outcome @2 (outcome :Outcome) -> ();
   release @3 () -> (document :Document);
   owners @4 () -> (document :Document);
+  adopt @5 (target :Text, stream :Text, node :Text) -> (answer :PermitAnswer);
+  # The asking node serves the rest of a stream that another node opened: the
+  # owner counts it as the asker's and no longer as one to be cancelled.
 }
--- /dev/null
+++ b/crates/wire/src/link.rs
@@ -0,0 +1,546 @@
+//! Connections between nodes.
+//!
+//! Cap'n Proto objects can't leave their thread, so one thread keeps all
+//! links; the rest of the node talks to it through a channel. A link whose
+//! call times out is closed and the next call opens a new one: a connection
+//! that something between the hosts has forgotten stays silent for good
+//! while new ones work, so the old connection says nothing of the peer.
+
+use crate::codec;
+use crate::message::{Adopt, Ask, Document, Gossip, Outcome, Permit, Refusal};
+use crate::peer_capnp::{login, peer};
+use crate::proof::{Key, Side, is_same, make_nonce};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use derive_more::Display;
+use futures::AsyncReadExt;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::LocalSet;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+use tokio_util::sync::CancellationToken;
+
+/// How long connecting and the mutual proof may take.
+const LOGIN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why a call to a peer brought no answer.
+#[derive(Clone, Debug, Display, PartialEq, Eq, derive_more::Error)]
+pub enum Error {
+    /// No connection could be made.
+    #[display("can't connect: {_0}")]
+    #[error(ignore)]
+    Connect(String),
+    /// The connection broke, or the answer did not come in time.
+    #[display("no answer: {_0}")]
+    #[error(ignore)]
+    NoAnswer(String),
+    /// This node is closing its links.
+    #[display("closed")]
+    Closed,
+}
+
+/// What a node answers to its peers.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Takes in a peer's gossip and answers with its own.
+    fn exchange(&self, gossip: Gossip) -> Gossip;
+
+    /// Grants or refuses a permit. The future is dropped when the asker no
+    /// longer waits, which takes the ask out of the queue.
+    fn permit(&self, ask: Ask) -> impl Future<Output = Result<Permit, Refusal>> + Send;
+
+    /// Takes in the end of a permitted attempt.
+    fn outcome(&self, outcome: Outcome);
+
+    /// Takes over a stream for the asking node.
+    fn adopt(&self, adopt: Adopt) -> Result<Permit, Refusal>;
+
+    /// The configuration in force.
+    fn release(&self) -> Option<Document>;
+
+    /// The ownership table known.
+    fn owners(&self) -> Option<Document>;
+}
+
+/// The links of a node: a server for its peers and clients to them.
+#[derive(Clone, Debug)]
+pub struct Links {
+    calls: mpsc::UnboundedSender<Call>,
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+}
+
+#[derive(Debug)]
+enum Call {
+    Exchange(SocketAddr, Gossip, oneshot::Sender<Result<Gossip, Error>>),
+    Permit(SocketAddr, Box<Ask>, oneshot::Sender<Result<Result<Permit, Refusal>, Error>>),
+    Outcome(SocketAddr, Box<Outcome>, oneshot::Sender<Result<(), Error>>),
+    Release(SocketAddr, oneshot::Sender<Result<Option<Document>, Error>>),
+    Owners(SocketAddr, oneshot::Sender<Result<Option<Document>, Error>>),
+    Adopt(SocketAddr, Box<Adopt>, oneshot::Sender<Result<Result<Permit, Refusal>, Error>>),
+    Probe(SocketAddr, oneshot::Sender<Result<(), Error>>),
+    Close(SocketAddr),
+}
+
+impl Links {
+    /// Binds the peers' address and starts the thread of the links.
+    pub fn bind<H: Handler>(address: SocketAddr, key: Key, handler: H) -> std::io::Result<Self> {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let (calls, inbox) = mpsc::unbounded_channel();
+        let (stop, stopped) = watch::channel(false);
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        std::thread::Builder::new().name("links".into()).spawn(move || {
+            let local = LocalSet::new();
+            runtime.block_on(local.run_until(run(listener, key, handler, inbox, stopped)));
+        })?;
+        Ok(Self { calls, address, stop })
+    }
+
+    /// Where peers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Exchanges gossip with a peer; a silent link is closed.
+    pub async fn exchange(
+        &self,
+        to: SocketAddr,
+        gossip: Gossip,
+        timeout: Duration,
+    ) -> Result<Gossip, Error> {
+        self.call(to, timeout, |answer| Call::Exchange(to, gossip, answer)).await
+    }
+
+    /// Asks the owner at `to` for a permit, and waits as long as `timeout`;
+    /// dropping the future withdraws the ask.
+    pub async fn permit(
+        &self,
+        to: SocketAddr,
+        ask: Ask,
+        timeout: Duration,
+    ) -> Result<Result<Permit, Refusal>, Error> {
+        let (answer, wait) = oneshot::channel();
+        let call = Call::Permit(to, Box::new(ask), answer);
+        self.calls.send(call).map_err(|_| Error::Closed)?;
+        match tokio::time::timeout(timeout, wait).await {
+            Ok(answer) => answer.unwrap_or(Err(Error::Closed)),
+            Err(_) => Err(Error::NoAnswer("timeout".into())),
+        }
+    }
+
+    /// Tells the owner how a permitted attempt ended.
+    pub async fn outcome(
+        &self,
+        to: SocketAddr,
+        outcome: Outcome,
+        timeout: Duration,
+    ) -> Result<(), Error> {
+        self.call(to, timeout, |answer| Call::Outcome(to, Box::new(outcome), answer)).await
+    }
+
+    /// Fetches the configuration that a peer has in force.
+    pub async fn release(
+        &self,
+        to: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Option<Document>, Error> {
+        self.call(to, timeout, |answer| Call::Release(to, answer)).await
+    }
+
+    /// Fetches the ownership table that a peer knows.
+    pub async fn owners(
+        &self,
+        to: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Option<Document>, Error> {
+        self.call(to, timeout, |answer| Call::Owners(to, answer)).await
+    }
+
+    /// Tells the owner that this node serves the rest of a stream that another
+    /// node opened.
+    pub async fn adopt(
+        &self,
+        to: SocketAddr,
+        adopt: Adopt,
+        timeout: Duration,
+    ) -> Result<Result<Permit, Refusal>, Error> {
+        self.call(to, timeout, |answer| Call::Adopt(to, Box::new(adopt), answer)).await
+    }
+
+    /// Whether a new connection to the peer can be made and proves itself.
+    pub async fn probe(&self, to: SocketAddr, timeout: Duration) -> Result<(), Error> {
+        self.call(to, timeout, |answer| Call::Probe(to, answer)).await
+    }
+
+    /// Closes all links and the server.
+    pub fn close(&self) {
+        self.stop.send_replace(true);
+    }
+
+    async fn call<T>(
+        &self,
+        to: SocketAddr,
+        timeout: Duration,
+        make: impl FnOnce(oneshot::Sender<Result<T, Error>>) -> Call,
+    ) -> Result<T, Error> {
+        let (answer, wait) = oneshot::channel();
+        self.calls.send(make(answer)).map_err(|_| Error::Closed)?;
+        match tokio::time::timeout(timeout, wait).await {
+            Ok(answer) => answer.unwrap_or(Err(Error::Closed)),
+            Err(_) => {
+                let _ = self.calls.send(Call::Close(to));
+                Err(Error::NoAnswer("timeout".into()))
+            }
+        }
+    }
+}
+
+async fn run<H: Handler>(
+    listener: std::net::TcpListener,
+    key: Key,
+    handler: H,
+    mut inbox: mpsc::UnboundedReceiver<Call>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let Ok(listener) = TcpListener::from_std(listener) else { return };
+    let accepted_stop = stopped.clone();
+    let clients = Rc::new(Clients { key: key.clone(), open: RefCell::default() });
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let (key, handler) = (key.clone(), handler.clone());
+                    let stopped = accepted_stop.clone();
+                    tokio::task::spawn_local(serve(stream, key, handler, stopped));
+                }
+                // Out of file descriptors, most likely: let some be closed.
+                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+            },
+            call = inbox.recv() => match call {
+                Some(call) => {
+                    let clients = clients.clone();
+                    tokio::task::spawn_local(async move { clients.handle(call).await });
+                }
+                None => return,
+            },
+            _ = stopped.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
+/// The client side of the links, one a peer.
+struct Clients {
+    key: Key,
+    open: RefCell<HashMap<SocketAddr, Rc<Link>>>,
+}
+
+/// One connection to a peer.
+#[derive(Default)]
+struct Link {
+    peer: tokio::sync::OnceCell<peer::Client>,
+    task: RefCell<Option<tokio::task::AbortHandle>>,
+    closed: CancellationToken,
+}
+
+impl Clients {
+    async fn handle(self: Rc<Self>, call: Call) {
+        match call {
+            Call::Close(to) => self.close(to),
+            Call::Exchange(to, gossip, answer) => {
+                let run = async |peer: peer::Client| {
+                    let mut request = peer.exchange_request();
+                    codec::write_gossip(&gossip, request.get().init_gossip());
+                    let response = request.send().promise.await.map_err(no_answer)?;
+                    let gossip = response.get().and_then(|r| r.get_gossip()).map_err(no_answer)?;
+                    codec::read_gossip(gossip).map_err(no_answer)
+                };
+                self.answer(to, answer, run).await;
+            }
+            Call::Permit(to, ask, answer) => {
+                let run = async |peer: peer::Client| {
+                    let mut request = peer.permit_request();
+                    codec::write_ask(&ask, request.get().init_ask());
+                    let response = request.send().promise.await.map_err(no_answer)?;
+                    let found = response.get().and_then(|r| r.get_answer()).map_err(no_answer)?;
+                    codec::read_answer(found).map_err(no_answer)
+                };
+                self.answer(to, answer, run).await;
+            }
+            Call::Outcome(to, outcome, answer) => {
+                let run = async |peer: peer::Client| {
+                    let mut request = peer.outcome_request();
+                    codec::write_outcome(&outcome, request.get().init_outcome());
+                    request.send().promise.await.map_err(no_answer).map(drop)
+                };
+                self.answer(to, answer, run).await;
+            }
+            Call::Release(to, answer) => {
+                let run = async |peer: peer::Client| {
+                    let request = peer.release_request();
+                    let response = request.send().promise.await.map_err(no_answer)?;
+                    let found = response.get().and_then(|r| r.get_document());
+                    codec::read_document(found.map_err(no_answer)?).map_err(no_answer)
+                };
+                self.answer(to, answer, run).await;
+            }
+            Call::Owners(to, answer) => {
+                let run = async |peer: peer::Client| {
+                    let request = peer.owners_request();
+                    let response = request.send().promise.await.map_err(no_answer)?;
+                    let found = response.get().and_then(|r| r.get_document());
+                    codec::read_document(found.map_err(no_answer)?).map_err(no_answer)
+                };
+                self.answer(to, answer, run).await;
+            }
+            Call::Adopt(to, adopt, answer) => {
+                let run = async |peer: peer::Client| {
+                    let mut request = peer.adopt_request();
+                    request.get().set_target(adopt.target.as_str());
+                    request.get().set_stream(adopt.stream.to_string());
+                    request.get().set_node(adopt.node.as_str());
+                    let response = request.send().promise.await.map_err(no_answer)?;
+                    let found = response.get().and_then(|r| r.get_answer()).map_err(no_answer)?;
+                    codec::read_answer(found).map_err(no_answer)
+                };
+                self.answer(to, answer, run).await;
+            }
+            Call::Probe(to, mut answer) => {
+                let link = Link::default();
+                tokio::select! {
+                    made = link.open(to, &self.key) => {
+                        let _ = answer.send(made.map(drop));
+                    }
+                    () = answer.closed() => {}
+                }
+                link.close();
+            }
+        }
+    }
+
+    /// Runs a call until its answer is there, its link is closed, or no one
+    /// waits for it any more.
+    async fn answer<T>(
+        &self,
+        to: SocketAddr,
+        mut answer: oneshot::Sender<Result<T, Error>>,
+        run: impl AsyncFnOnce(peer::Client) -> Result<T, Error>,
+    ) {
+        let link = self.open.borrow_mut().entry(to).or_default().clone();
+        let call = async {
+            let peer = link.open(to, &self.key).await?.clone();
+            run(peer).await
+        };
+        let result = tokio::select! {
+            result = call => result,
+            // The library leaves promises of an aborted system pending for
+            // good, so the end of the link has to be waited for beside them.
+            () = link.closed.cancelled() => Err(Error::NoAnswer("link closed".into())),
+            () = answer.closed() => return,
+        };
+        let is_open = self.open.borrow().get(&to).is_some_and(|open| Rc::ptr_eq(open, &link));
+        if result.is_err() && is_open {
+            self.close(to);
+        }
+        let _ = answer.send(result);
+    }
+
+    fn close(&self, to: SocketAddr) {
+        if let Some(link) = self.open.borrow_mut().remove(&to) {
+            link.close();
+        }
+    }
+}
+
+impl Link {
+    fn close(&self) {
+        self.closed.cancel();
+        if let Some(task) = self.task.borrow_mut().take() {
+            task.abort();
+        }
+    }
+
+    async fn open(&self, to: SocketAddr, key: &Key) -> Result<&peer::Client, Error> {
+        let login = self.peer.get_or_try_init(|| async {
+            let stream = TcpStream::connect(to).await.map_err(cant_connect)?;
+            stream.set_nodelay(true).map_err(cant_connect)?;
+            let mut system = make_system(stream, rpc_twoparty_capnp::Side::Client, None);
+            let login: login::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+            let task = tokio::task::spawn_local(async move {
+                let _ = system.await;
+            });
+            *self.task.borrow_mut() = Some(task.abort_handle());
+            log_in(login, key).await
+        });
+        tokio::time::timeout(LOGIN_TIMEOUT, login)
+            .await
+            .map_err(|_| Error::Connect("timeout".into()))?
+    }
+}
+
+async fn log_in(login: login::Client, key: &Key) -> Result<peer::Client, Error> {
+    let nonce = make_nonce();
+    let mut request = login.challenge_request();
+    request.get().set_nonce(&nonce);
+    let response = request.send().promise.await.map_err(cant_connect)?;
+    let challenge = response.get().map_err(cant_connect)?;
+    let theirs = challenge.get_nonce().map_err(cant_connect)?;
+    let proof = challenge.get_proof().map_err(cant_connect)?;
+    if !is_same(proof, key.prove(Side::Answerer, &nonce, theirs)) {
+        return Err(Error::Connect("the peer does not have the fleet's key".into()));
+    }
+    let mut request = login.enter_request();
+    request.get().set_proof(key.prove(Side::Asker, &nonce, theirs).as_bytes());
+    let response = request.send().promise.await.map_err(cant_connect)?;
+    response.get().and_then(|r| r.get_peer()).map_err(cant_connect)
+}
+
+fn make_system(
+    stream: TcpStream,
+    side: rpc_twoparty_capnp::Side,
+    bootstrap: Option<capnp::capability::Client>,
+) -> RpcSystem<rpc_twoparty_capnp::Side> {
+    let (reader, writer) = stream.compat().split();
+    let reader = futures::io::BufReader::new(reader);
+    let writer = futures::io::BufWriter::new(writer);
+    let network = twoparty::VatNetwork::new(reader, writer, side, Default::default());
+    RpcSystem::new(Box::new(network), bootstrap)
+}
+
+async fn serve<H: Handler>(
+    stream: TcpStream,
+    key: Key,
+    handler: H,
+    mut stopped: watch::Receiver<bool>,
+) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let login = Login { key, handler, nonces: RefCell::default() };
+    let login: login::Client = capnp_rpc::new_client(login);
+    let system = make_system(stream, rpc_twoparty_capnp::Side::Server, Some(login.client));
+    tokio::select! {
+        _ = system => {}
+        _ = stopped.wait_for(|stop| *stop) => {}
+    }
+}
+
+/// The first object of a connection: proves both sides.
+struct Login<H> {
+    key: Key,
+    handler: H,
+    nonces: RefCell<Option<(Vec<u8>, [u8; 16])>>,
+}
+
+impl<H: Handler> login::Server for Login<H> {
+    async fn challenge(
+        self: Rc<Self>,
+        params: login::ChallengeParams,
+        mut results: login::ChallengeResults,
+    ) -> Result<(), capnp::Error> {
+        let theirs = params.get()?.get_nonce()?.to_vec();
+        let nonce = make_nonce();
+        let proof = self.key.prove(Side::Answerer, &theirs, &nonce);
+        results.get().set_nonce(&nonce);
+        results.get().set_proof(proof.as_bytes());
+        *self.nonces.borrow_mut() = Some((theirs, nonce));
+        Ok(())
+    }
+
+    async fn enter(
+        self: Rc<Self>,
+        params: login::EnterParams,
+        mut results: login::EnterResults,
+    ) -> Result<(), capnp::Error> {
+        let denied = || capnp::Error::failed("proof does not hold".into());
+        let (theirs, nonce) = self.nonces.borrow_mut().take().ok_or_else(denied)?;
+        let wanted = self.key.prove(Side::Asker, &theirs, &nonce);
+        if !is_same(params.get()?.get_proof()?, wanted) {
+            return Err(denied());
+        }
+        results.get().set_peer(capnp_rpc::new_client(Peer(self.handler.clone())));
+        Ok(())
+    }
+}
+
+/// What a proved peer may call.
+struct Peer<H>(H);
+
+impl<H: Handler> peer::Server for Peer<H> {
+    async fn exchange(
+        self: Rc<Self>,
+        params: peer::ExchangeParams,
+        mut results: peer::ExchangeResults,
+    ) -> Result<(), capnp::Error> {
+        let gossip = codec::read_gossip(params.get()?.get_gossip()?)?;
+        codec::write_gossip(&self.0.exchange(gossip), results.get().init_gossip());
+        Ok(())
+    }
+
+    async fn permit(
+        self: Rc<Self>,
+        params: peer::PermitParams,
+        mut results: peer::PermitResults,
+    ) -> Result<(), capnp::Error> {
+        let ask = codec::read_ask(params.get()?.get_ask()?)?;
+        let answer = self.0.permit(ask).await;
+        codec::write_answer(&answer, results.get().init_answer());
+        Ok(())
+    }
+
+    async fn outcome(
+        self: Rc<Self>,
+        params: peer::OutcomeParams,
+        _: peer::OutcomeResults,
+    ) -> Result<(), capnp::Error> {
+        let outcome = codec::read_outcome(params.get()?.get_outcome()?)?;
+        self.0.outcome(outcome);
+        Ok(())
+    }
+
+    async fn adopt(
+        self: Rc<Self>,
+        params: peer::AdoptParams,
+        mut results: peer::AdoptResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let answer = self.0.adopt(Adopt {
+            target: codec::read_text(params.get_target())?.into(),
+            stream: codec::read_stream(params.get_stream())?,
+            node: codec::read_text(params.get_node())?.into(),
+        });
+        codec::write_answer(&answer, results.get().init_answer());
+        Ok(())
+    }
+
+    async fn release(
+        self: Rc<Self>,
+        _: peer::ReleaseParams,
+        mut results: peer::ReleaseResults,
+    ) -> Result<(), capnp::Error> {
+        codec::write_document(self.0.release().as_ref(), results.get().init_document());
+        Ok(())
+    }
+
+    async fn owners(
+        self: Rc<Self>,
+        _: peer::OwnersParams,
+        mut results: peer::OwnersResults,
+    ) -> Result<(), capnp::Error> {
+        codec::write_document(self.0.owners().as_ref(), results.get().init_document());
+        Ok(())
+    }
+}
+
+fn cant_connect(error: impl std::fmt::Display) -> Error {
+    Error::Connect(error.to_string())
+}
+
+fn no_answer(error: capnp::Error) -> Error {
+    Error::NoAnswer(error.to_string())
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -28,10 +28,9 @@
 /// A question to a target's owner: may this attempt be sent?
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ask {
-    /// The request.
-    pub request: id::Request,
-    /// The attempt, from 0.
-    pub attempt: u32,
+    /// Names the request, the attempt, the sender and the deadline, and will
+    /// name the stream on the target.
+    pub stream: id::Stream,
     /// The target.
     pub target: id::Target,
     /// The partner whose share pays.
@@ -188,3 +187,14 @@
     /// Its text.
     pub text: String,
 }
+
+/// A node's notice that it serves the rest of a stream another node opened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Adopt {
+    /// The target that holds the stream.
+    pub target: id::Target,
+    /// The stream.
+    pub stream: id::Stream,
+    /// The node that now serves it.
+    pub node: id::Node,
+}
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -604,18 +604,14 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_request(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_request(&self) -> bool {
+        pub fn has_stream(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_attempt(self) -> u32 {
-            self.reader.get_data_field::<u32>(0)
-        }
-        #[inline]
         pub fn get_target(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
@@ -641,7 +637,7 @@
         }
         #[inline]
         pub fn get_batch(self) -> bool {
-            self.reader.get_bool_field(32)
+            self.reader.get_bool_field(0)
         }
         #[inline]
         pub fn get_cost(self) -> ::capnp::Result<crate::peer_capnp::cost::Reader<'a>> {
@@ -665,7 +661,7 @@
         }
         #[inline]
         pub fn get_alone(self) -> bool {
-            self.reader.get_bool_field(33)
+            self.reader.get_bool_field(1)
         }
         #[inline]
         pub fn get_fingerprint(self) -> u64 {
@@ -677,11 +673,11 @@
         }
         #[inline]
         pub fn get_service(self) -> bool {
-            self.reader.get_bool_field(34)
+            self.reader.get_bool_field(2)
         }
         #[inline]
         pub fn get_urgent(self) -> bool {
-            self.reader.get_bool_field(35)
+            self.reader.get_bool_field(3)
         }
     }
 
@@ -738,30 +734,22 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_request(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_request(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_stream(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_request(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_stream(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_request(&self) -> bool {
+        pub fn has_stream(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_attempt(self) -> u32 {
-            self.builder.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn set_attempt(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(0, value);
-        }
-        #[inline]
         pub fn get_target(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
@@ -811,11 +799,11 @@
         }
         #[inline]
         pub fn get_batch(self) -> bool {
-            self.builder.get_bool_field(32)
+            self.builder.get_bool_field(0)
         }
         #[inline]
         pub fn set_batch(&mut self, value: bool)  {
-            self.builder.set_bool_field(32, value);
+            self.builder.set_bool_field(0, value);
         }
         #[inline]
         pub fn get_cost(self) -> ::capnp::Result<crate::peer_capnp::cost::Builder<'a>> {
@@ -859,11 +847,11 @@
         }
         #[inline]
         pub fn get_alone(self) -> bool {
-            self.builder.get_bool_field(33)
+            self.builder.get_bool_field(1)
         }
         #[inline]
         pub fn set_alone(&mut self, value: bool)  {
-            self.builder.set_bool_field(33, value);
+            self.builder.set_bool_field(1, value);
         }
         #[inline]
         pub fn get_fingerprint(self) -> u64 {
@@ -883,19 +871,19 @@
         }
         #[inline]
         pub fn get_service(self) -> bool {
-            self.builder.get_bool_field(34)
+            self.builder.get_bool_field(2)
         }
         #[inline]
         pub fn set_service(&mut self, value: bool)  {
-            self.builder.set_bool_field(34, value);
+            self.builder.set_bool_field(2, value);
         }
         #[inline]
         pub fn get_urgent(self) -> bool {
-            self.builder.get_bool_field(35)
+            self.builder.get_bool_field(3)
         }
         #[inline]
         pub fn set_urgent(&mut self, value: bool)  {
-            self.builder.set_bool_field(35, value);
+            self.builder.set_bool_field(3, value);
         }
     }
 
@@ -914,7 +902,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 229] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 214] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(117, 89, 85, 73, 3, 70, 58, 149),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
@@ -924,113 +912,106 @@
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 101, 114, 109, 105),
             ::capnp::word(116, 65, 115, 107, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 32, 0, 0, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 33, 0, 0, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(11, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(13, 0, 0, 0, 35, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 116, 114, 101, 97, 109, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1038,14 +1019,6 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 116, 116, 101, 109, 112, 116, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1148,19 +1121,18 @@
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                6 => <crate::peer_capnp::cost::Owned as ::capnp::introspect::Introspect>::introspect(),
-                7 => <crate::peer_capnp::weights::Owned as ::capnp::introspect::Introspect>::introspect(),
-                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                9 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <crate::peer_capnp::cost::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::peer_capnp::weights::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 12 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                13 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1174,9 +1146,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,9,1,5,6,10,3,11,0,12,2,8,13,7];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,8,4,5,9,2,10,11,0,1,7,12,6];
         pub(crate) const TYPE_ID: u64 = 0x953a_4603_4955_5975;
     }
 }
@@ -4948,6 +4920,8 @@
     pub type ReleaseResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::release_results::Owned>;
     pub type OwnersParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::owners_params::Owned>;
     pub type OwnersResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::owners_results::Owned>;
+    pub type AdoptParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::adopt_params::Owned>;
+    pub type AdoptResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::adopt_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -5012,6 +4986,9 @@
         pub fn owners_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::owners_params::Owned,crate::peer_capnp::peer::owners_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn adopt_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::adopt_params::Owned,crate::peer_capnp::peer::adopt_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn exchange(self: ::capnp::capability::Rc<Self>, _: ExchangeParams<>, _: ExchangeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::exchange not implemented".to_string()))) }
@@ -5019,6 +4996,7 @@
         fn outcome(self: ::capnp::capability::Rc<Self>, _: OutcomeParams<>, _: OutcomeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::outcome not implemented".to_string()))) }
         fn release(self: ::capnp::capability::Rc<Self>, _: ReleaseParams<>, _: ReleaseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::release not implemented".to_string()))) }
         fn owners(self: ::capnp::capability::Rc<Self>, _: OwnersParams<>, _: OwnersResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::owners not implemented".to_string()))) }
+        fn adopt(self: ::capnp::capability::Rc<Self>, _: AdoptParams<>, _: AdoptResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::adopt not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -5053,6 +5031,7 @@
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::outcome(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::release(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::owners(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::adopt(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -7025,4 +7004,501 @@
             pub(crate) const TYPE_ID: u64 = 0x816d_5b65_1b32_a511;
         }
     }
+
+    pub mod adopt_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_target(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_target(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_stream(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn get_node(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_node(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 3 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_target(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_target(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_target(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_target(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_stream(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_stream(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_stream(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_stream(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn get_node(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_node(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_node(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(2).init_text(size)
+            }
+            #[inline]
+            pub fn has_node(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(171, 242, 181, 65, 105, 79, 196, 244),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(97, 100, 111, 112, 116, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 114, 101, 97, 109, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+            pub(crate) const TYPE_ID: u64 = 0xf4c4_4f69_41b5_f2ab;
+        }
+    }
+
+    pub mod adopt_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_answer(self) -> ::capnp::Result<crate::peer_capnp::permit_answer::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_answer(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_answer(self) -> ::capnp::Result<crate::peer_capnp::permit_answer::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_answer(&mut self, value: crate::peer_capnp::permit_answer::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_answer(self, ) -> crate::peer_capnp::permit_answer::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_answer(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_answer(&self) -> crate::peer_capnp::permit_answer::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(69, 73, 150, 28, 188, 0, 130, 195),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(97, 100, 111, 112, 116, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 110, 115, 119, 101, 114, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(67, 234, 6, 161, 86, 85, 246, 179),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::peer_capnp::permit_answer::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xc382_00bc_1c96_4945;
+        }
+    }
 }
--- /dev/null
+++ b/crates/wire/src/proof.rs
@@ -0,0 +1,71 @@
+//! How nodes prove the fleet's key to each other.
+//!
+//! Each side hashes both nonces under the key. The role stands in the hash,
+//! so that an answer can't be reflected as a question.
+
+use std::str::FromStr;
+
+/// Bytes of a nonce.
+const NONCE_LEN: usize = 16;
+
+/// The key that all nodes of a fleet share.
+#[derive(Clone)]
+pub struct Key([u8; 32]);
+
+impl std::fmt::Debug for Key {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Key(..)")
+    }
+}
+
+/// A key that is not 32 bytes in hexadecimal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("a fleet key is 64 hexadecimal digits")]
+pub struct Malformed;
+
+impl FromStr for Key {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        let hash = blake3::Hash::from_hex(text).map_err(|_| Malformed)?;
+        Ok(Self(*hash.as_bytes()))
+    }
+}
+
+/// Which side of a connection proves itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Side {
+    /// The side that connected.
+    Asker,
+    /// The side that was connected to.
+    Answerer,
+}
+
+impl Key {
+    /// A keyed hash of `text`, to seal what callers hand back later.
+    pub fn seal(&self, text: &str) -> blake3::Hash {
+        blake3::keyed_hash(&self.0, text.as_bytes())
+    }
+
+    pub(crate) fn prove(&self, side: Side, asker: &[u8], answerer: &[u8]) -> blake3::Hash {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        hasher.update(match side {
+            Side::Asker => b"peer asker",
+            Side::Answerer => b"peer answr",
+        });
+        hasher.update(&(asker.len() as u64).to_le_bytes());
+        hasher.update(asker);
+        hasher.update(answerer);
+        hasher.finalize()
+    }
+}
+
+/// A fresh nonce.
+pub(crate) fn make_nonce() -> [u8; NONCE_LEN] {
+    rand::random()
+}
+
+/// Compares in constant time.
+pub(crate) fn is_same(proof: &[u8], wanted: blake3::Hash) -> bool {
+    <[u8; 32]>::try_from(proof).is_ok_and(|proof| blake3::Hash::from(proof) == wanted)
+}
