--- /dev/null
+++ b/crates/node/src/parse.rs
@@ -0,0 +1,226 @@
+//! Reads what callers send: headers, tokens and bodies, into typed requests.
+//!
+//! Whatever is wrong becomes a [`Refusal`] that says `ran: no` and names the
+//! place; nothing here panics or waits.
+
+use hickory_policy::cost::{Class, Cost};
+use hickory_policy::refuse::{Ran, Reason, Refusal};
+use hickory_release::configuration::Configuration;
+use hickory_target::engine::Weights;
+use hickory_unit::{id, size};
+use http::HeaderMap;
+use serde::Deserialize;
+use std::time::{Duration, Instant};
+
+/// The greatest body taken: a million tokens of prompt, with room for JSON's
+/// escapes.
+pub(crate) const BODY_MAX: size::Bytes = size::Bytes(16 << 20);
+
+/// The time a request has when its caller names none.
+const TIME_LEFT_DEFAULT: Duration = Duration::from_secs(60);
+
+/// The longest time a request may ask for; also what bounds a planned stop.
+pub(crate) const TIME_LEFT_MAX: Duration = Duration::from_secs(3600);
+
+/// The most tokens that may be asked for.
+const TOKENS_MAX: u64 = 100_000;
+
+/// Leading bytes of a prompt that decide its prefix affinity: a prefix of this
+/// length is worth sending to where it is cached, a shorter one is cheap to
+/// prefill anew.
+const PREFIX_LEN: usize = 1024;
+
+/// The header with the time that is left, in milliseconds.
+pub(crate) const TIME_LEFT: &str = "x-time-left-ms";
+
+/// The header with the idempotency key.
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// A caller who proved who it is.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    pub(crate) account: id::Account,
+    pub(crate) partner: id::Partner,
+}
+
+/// A completion to run.
+#[derive(Clone, Debug)]
+pub(crate) struct Completion {
+    pub(crate) request: id::Request,
+    pub(crate) caller: Caller,
+    pub(crate) weights: Weights,
+    pub(crate) prompt: String,
+    pub(crate) cost: Cost,
+    pub(crate) class: Class,
+    pub(crate) streamed: bool,
+    pub(crate) deadline: Instant,
+    pub(crate) deadline_ms: u64,
+    pub(crate) fingerprint: u64,
+    pub(crate) prefix: u64,
+}
+
+/// The body of a completion, as callers send it.
+#[derive(Debug, Deserialize)]
+struct Body {
+    model: id::Model,
+    #[serde(default)]
+    version: Option<id::Version>,
+    #[serde(default)]
+    adapter: Option<id::Adapter>,
+    prompt: String,
+    #[serde(default = "default_max_tokens")]
+    max_tokens: u64,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    class: ClassName,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum ClassName {
+    #[default]
+    Interactive,
+    Batch,
+}
+
+fn default_max_tokens() -> u64 {
+    16
+}
+
+/// A refusal of something that never ran.
+pub(crate) fn refuse(reason: Reason, detail: impl Into<String>) -> Refusal {
+    Refusal { reason, ran: Ran::No, retry_after: None, detail: detail.into() }
+}
+
+/// Finds the account that the bearer token belongs to.
+pub(crate) fn parse_caller(
+    headers: &HeaderMap,
+    configuration: &Configuration,
+) -> Result<Caller, Refusal> {
+    let token = headers
+        .get(http::header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .ok_or_else(|| refuse(Reason::Unauthenticated, "header authorization: no bearer token"))?;
+    let (account, entry) = configuration
+        .find_account(token.trim())
+        .ok_or_else(|| refuse(Reason::Unauthenticated, "the token belongs to no account"))?;
+    Ok(Caller { account: account.clone(), partner: entry.partner.clone() })
+}
+
+/// Reads the time that the caller leaves for the answer.
+pub(crate) fn parse_time_left(headers: &HeaderMap) -> Result<Duration, Refusal> {
+    let Some(value) = headers.get(TIME_LEFT) else { return Ok(TIME_LEFT_DEFAULT) };
+    let bad = |what: &str| refuse(Reason::BadDeadline, format!("header {TIME_LEFT}: {what}"));
+    let text = value.to_str().map_err(|_| bad("not text"))?;
+    let millis: u64 = text.trim().parse().map_err(|_| bad("not a number of milliseconds"))?;
+    let time = Duration::from_millis(millis);
+    if time.is_zero() || time > TIME_LEFT_MAX {
+        return Err(bad(&format!("must be from 1 to {}", TIME_LEFT_MAX.as_millis())));
+    }
+    Ok(time)
+}
+
+/// Reads an idempotency key: a UUIDv7, whose own time tells how old it is.
+pub(crate) fn parse_key(headers: &HeaderMap) -> Result<Option<uuid::Uuid>, Refusal> {
+    let Some(value) = headers.get(IDEMPOTENCY_KEY) else { return Ok(None) };
+    let bad = || refuse(Reason::BadKey, format!("header {IDEMPOTENCY_KEY}: not a UUIDv7"));
+    let text = value.to_str().map_err(|_| bad())?;
+    let key = uuid::Uuid::try_parse(text.trim()).map_err(|_| bad())?;
+    match key.get_version() {
+        Some(uuid::Version::SortRand) => Ok(Some(key)),
+        _ => Err(bad()),
+    }
+}
+
+/// When a request comes in: the moments its deadline is counted from.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Arrival {
+    pub(crate) now: Instant,
+    pub(crate) wall_ms: u64,
+}
+
+/// Reads a completion and checks that the account may have it.
+pub(crate) fn parse_completion(
+    arrival: Arrival,
+    caller: Caller,
+    time_left: Duration,
+    body: &[u8],
+    configuration: &Configuration,
+) -> Result<Completion, Refusal> {
+    let body: Body = serde_json::from_slice(body)
+        .map_err(|e| refuse(Reason::Malformed, format!("body: {e}")))?;
+    if body.prompt.is_empty() {
+        return Err(refuse(Reason::Malformed, "body: prompt: empty"));
+    }
+    if body.max_tokens == 0 || body.max_tokens > TOKENS_MAX {
+        let detail = format!("body: max_tokens: must be from 1 to {TOKENS_MAX}");
+        return Err(refuse(Reason::Malformed, detail));
+    }
+    let weights = parse_weights(&body, &caller, configuration)?;
+    let prefill = size::Tokens::of_bytes(size::Bytes(body.prompt.len() as u64));
+    let prefix = &body.prompt.as_bytes()[..body.prompt.len().min(PREFIX_LEN)];
+    Ok(Completion {
+        request: id::Request(uuid::Uuid::now_v7()),
+        fingerprint: hash_parts(&[caller.account.as_str().as_bytes(), body.prompt.as_bytes()]),
+        prefix: hash_parts(&[weights.model.as_str().as_bytes(), prefix]),
+        caller,
+        weights,
+        cost: Cost { prefill, decode: size::Tokens(body.max_tokens) },
+        prompt: body.prompt,
+        class: match body.class {
+            ClassName::Interactive => Class::Interactive,
+            ClassName::Batch => Class::Batch,
+        },
+        streamed: body.stream,
+        deadline: arrival.now + time_left,
+        deadline_ms: arrival.wall_ms + time_left.as_millis() as u64,
+    })
+}
+
+fn parse_weights(
+    body: &Body,
+    caller: &Caller,
+    configuration: &Configuration,
+) -> Result<Weights, Refusal> {
+    let missing = |what: &str, name: &str| {
+        refuse(Reason::NotFound, format!("body: {what}: no {what} {name:?}"))
+    };
+    let model = configuration
+        .models
+        .get(&body.model)
+        .ok_or_else(|| missing("model", body.model.as_str()))?;
+    let account = configuration.accounts.get(&caller.account);
+    if !account.is_some_and(|account| account.models.contains(&body.model)) {
+        let detail = format!("body: model: account {} may not use it", caller.account);
+        return Err(refuse(Reason::Forbidden, detail));
+    }
+    let version = body.version.as_ref().unwrap_or(&model.current);
+    if !model.versions.contains_key(version) {
+        return Err(missing("version", version.as_str()));
+    }
+    if let Some(adapter) = &body.adapter
+        && !model.adapters.contains_key(adapter)
+    {
+        return Err(missing("adapter", adapter.as_str()));
+    }
+    Ok(Weights {
+        model: body.model.clone(),
+        version: version.clone(),
+        adapter: body.adapter.clone(),
+    })
+}
+
+/// A hash of byte strings, each with its length, so that they can't run into
+/// each other.
+pub(crate) fn hash_parts(parts: &[&[u8]]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -60,7 +60,8 @@
     cancelled @1;
     targetDied @2;   # the connection broke and a new one could not be made
     notSent @3;
-    lost @4;         # may still run on the target: the owner sweeps it
+    lost @4;         # may still run on the target: the owner cancels it
+    left @5;         # the caller went; another node may take the stream up
   }
   target @0 :Text;
   permit @1 :UInt64;
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -144,6 +144,7 @@
         Ending::TargetDied => Kind::TargetDied,
         Ending::NotSent => Kind::NotSent,
         Ending::Lost => Kind::Lost,
+        Ending::Left => Kind::Left,
     });
     to.set_first_token_ms(outcome.first_token.map_or(0, |time| millis(time).max(1)));
     if let Some(stream) = &outcome.stream {
@@ -165,6 +166,7 @@
             Kind::TargetDied => Ending::TargetDied,
             Kind::NotSent => Ending::NotSent,
             Kind::Lost => Ending::Lost,
+            Kind::Left => Ending::Left,
         },
         first_token: (first_token_ms > 0).then(|| Duration::from_millis(first_token_ms)),
         stream: match stream.is_empty() {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -94,8 +94,11 @@
     TargetDied,
     /// No byte went to the target.
     NotSent,
-    /// It may still run on the target; the owner sweeps it.
+    /// It may still run on the target; the owner cancels it.
     Lost,
+    /// The caller's connection went; another node may take the stream up, and
+    /// the owner cancels it if none does.
+    Left,
 }
 
 /// The end of a permitted attempt, told to the target's owner.
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -2347,6 +2347,7 @@
         TargetDied = 2,
         NotSent = 3,
         Lost = 4,
+        Left = 5,
     }
 
     impl ::capnp::introspect::Introspect for Kind {
@@ -2364,6 +2365,7 @@
                 2 => ::core::result::Result::Ok(Self::TargetDied),
                 3 => ::core::result::Result::Ok(Self::NotSent),
                 4 => ::core::result::Result::Ok(Self::Lost),
+                5 => ::core::result::Result::Ok(Self::Left),
                 n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
             }
         }
@@ -2376,7 +2378,7 @@
         const TYPE_ID: u64 = 0x804b_6bc2_ff76_3e41u64;
     }
     mod kind {
-    pub(crate) static ENCODED_NODE: [::capnp::Word; 40] = [
+    pub(crate) static ENCODED_NODE: [::capnp::Word; 44] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(65, 62, 118, 255, 194, 107, 75, 128),
         ::capnp::word(19, 0, 0, 0, 2, 0, 0, 0),
@@ -2386,28 +2388,31 @@
         ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
         ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 127, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 151, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 79, 117, 116, 99, 111),
         ::capnp::word(109, 101, 46, 75, 105, 110, 100, 0),
         ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-        ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(24, 0, 0, 0, 1, 0, 2, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(53, 0, 0, 0, 74, 0, 0, 0),
+        ::capnp::word(65, 0, 0, 0, 74, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(49, 0, 0, 0, 82, 0, 0, 0),
+        ::capnp::word(61, 0, 0, 0, 82, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(45, 0, 0, 0, 90, 0, 0, 0),
+        ::capnp::word(57, 0, 0, 0, 90, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(53, 0, 0, 0, 66, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(33, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(37, 0, 0, 0, 42, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(102, 105, 110, 105, 115, 104, 101, 100),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2417,6 +2422,7 @@
         ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
         ::capnp::word(110, 111, 116, 83, 101, 110, 116, 0),
         ::capnp::word(108, 111, 115, 116, 0, 0, 0, 0),
+        ::capnp::word(108, 101, 102, 116, 0, 0, 0, 0),
     ];
     pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
         ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
