Telemetry and the administration API, thin

Logs (log4rs, JSON lines with the subject of each line as key-values) and metrics (prometheus; every series resolved at the start, so that counting is one atomic addition) get a package, and so does the API for operators.

The API is served by oxhttp over a Control that the node implements.

--- /dev/null
+++ b/crates/admin/src/route.rs
@@ -0,0 +1,253 @@
+//! From a request to its answer.
+
+use crate::control::{Control, Failure};
+use crate::problem::{self, Code, Problem};
+use crate::view;
+use hickory_release::note::{self, Note};
+use hickory_unit::id;
+use oxhttp::model::header::{
+    ALLOW, AUTHORIZATION, CONTENT_TYPE, ETAG, HeaderName, IF_MATCH, WWW_AUTHENTICATE,
+};
+use oxhttp::model::{Body, Method, Request, Response, StatusCode};
+use serde::Serialize;
+use std::io::Read;
+
+/// The greatest body: a note can't usefully be greater than the configuration
+/// it makes, which the platform bounds to one mebibyte.
+const BODY_MAX: u64 = 1 << 20;
+
+/// The media type that Prometheus asks for.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
+
+/// What the API serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Route<'a> {
+    Accept,
+    Operation(&'a str),
+    Configuration,
+    Nodes,
+    Targets,
+    Owners,
+    Drain,
+    Metrics,
+    Health,
+}
+
+impl<'a> Route<'a> {
+    fn parse(path: &'a str) -> Option<Self> {
+        Some(match path {
+            "/v1/admin/releases" => Self::Accept,
+            "/v1/admin/configuration" => Self::Configuration,
+            "/v1/admin/nodes" => Self::Nodes,
+            "/v1/admin/targets" => Self::Targets,
+            "/v1/admin/owners" => Self::Owners,
+            "/v1/admin/drain" => Self::Drain,
+            "/metrics" => Self::Metrics,
+            "/health" => Self::Health,
+            _ => Self::Operation(path.strip_prefix("/v1/admin/releases/")?),
+        })
+    }
+
+    fn method(self) -> Method {
+        match self {
+            Self::Accept | Self::Drain => Method::POST,
+            _ => Method::GET,
+        }
+    }
+
+    fn is_open(self) -> bool {
+        matches!(self, Self::Metrics | Self::Health)
+    }
+}
+
+/// Answers a request.
+pub(crate) fn answer<C: Control>(control: &C, request: &mut Request<Body>) -> Response<Body> {
+    match serve(control, request) {
+        Ok(response) => response,
+        Err(problem) => render_problem(&problem),
+    }
+}
+
+fn serve<C: Control>(
+    control: &C,
+    request: &mut Request<Body>,
+) -> Result<Response<Body>, Box<Problem>> {
+    let path = request.uri().path().to_owned();
+    let route = Route::parse(&path);
+    // Without a token not even the paths that exist can be told apart.
+    if !route.is_some_and(Route::is_open) && !is_authorized(control, request) {
+        return Err(fail(Code::Unauthorized, "an operator's token is needed"));
+    }
+    let route = route.ok_or_else(|| fail(Code::NotFound, "no such path"))?;
+    if *request.method() != route.method() {
+        return Err(fail(Code::BadMethod, format!("use {}", route.method())));
+    }
+    match route {
+        Route::Accept => accept(control, request),
+        Route::Operation(operation) => find_operation(control, operation),
+        Route::Configuration => show_configuration(control),
+        Route::Nodes => Ok(render_json(200, &control.nodes())),
+        Route::Targets => Ok(render_json(200, &control.targets())),
+        Route::Owners => Ok(render_json(200, &control.owners())),
+        Route::Drain => {
+            control.drain();
+            Ok(render_json(202, &control.health()))
+        }
+        Route::Metrics => Ok(render(200, METRICS_TYPE, control.metrics())),
+        Route::Health => {
+            let health = control.health();
+            Ok(render_json(if health.ready { 200 } else { 503 }, &health))
+        }
+    }
+}
+
+fn is_authorized<C: Control>(control: &C, request: &Request<Body>) -> bool {
+    read_header(request, AUTHORIZATION)
+        .and_then(|value| value.split_once(' '))
+        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"))
+        .is_some_and(|(_, token)| control.is_operator(token.trim()))
+}
+
+fn accept<C: Control>(
+    control: &C,
+    request: &mut Request<Body>,
+) -> Result<Response<Body>, Box<Problem>> {
+    let expected = read_expected(request)?;
+    let text = read_body(request)?;
+    let mut note = note::parse_note(&text).map_err(fail_invalid)?;
+    if let Some(expected) = expected {
+        check_expected(expected, &note)?;
+    }
+    if note.operation.is_empty() {
+        note.operation = uuid::Uuid::now_v7().to_string();
+    }
+    let operation = note.operation.clone();
+    match control.accept(&note) {
+        Ok(accepted) => {
+            let repeated = accepted.repeated;
+            let version = accepted.version;
+            let mut response = render_json(200, &view::Accepted { version, operation, repeated });
+            set_version(&mut response, version);
+            Ok(response)
+        }
+        Err(failure) => Err(describe_failure(failure, operation)),
+    }
+}
+
+fn describe_failure(failure: Failure, operation: String) -> Box<Problem> {
+    let mut problem = match failure {
+        Failure::Conflict(present) => {
+            let mut problem =
+                fail(Code::Conflict, format!("the present version is {present}; write against it"));
+            problem.present = Some(present);
+            problem
+        }
+        Failure::Invalid(findings) => fail_invalid(findings),
+        Failure::Unavailable(detail) => fail(Code::Unavailable, detail),
+        Failure::Unknown(detail) => fail(Code::Unknown, detail),
+    };
+    problem.operation = Some(operation);
+    problem
+}
+
+fn find_operation<C: Control>(
+    control: &C,
+    operation: &str,
+) -> Result<Response<Body>, Box<Problem>> {
+    let found = control
+        .find_operation(operation)
+        .map_err(|failure| describe_failure(failure, operation.to_owned()))?;
+    let version = found.ok_or_else(|| fail(Code::NotFound, "no such operation is kept"))?;
+    let operation = operation.to_owned();
+    Ok(render_json(200, &view::Accepted { version, operation, repeated: true }))
+}
+
+fn show_configuration<C: Control>(control: &C) -> Result<Response<Body>, Box<Problem>> {
+    let configuration =
+        control.configuration().ok_or_else(|| fail(Code::NotReady, "no configuration yet"))?;
+    let mut response = render_json(200, &*configuration);
+    set_version(&mut response, configuration.version);
+    Ok(response)
+}
+
+/// The version in `If-Match`, if the header is there.
+fn read_expected(request: &Request<Body>) -> Result<Option<id::Release>, Box<Problem>> {
+    let Some(value) = request.headers().get(IF_MATCH) else {
+        return Ok(None);
+    };
+    let version = value.to_str().ok().and_then(|text| text.trim().trim_matches('"').parse().ok());
+    version.map(Some).ok_or_else(|| fail(Code::BadHeader, "If-Match is no version in quotes"))
+}
+
+fn check_expected(expected: id::Release, note: &Note) -> Result<(), Box<Problem>> {
+    if expected == note.against {
+        return Ok(());
+    }
+    let detail = format!("If-Match says {expected}, the note is against {}", note.against);
+    Err(fail(Code::BadHeader, detail))
+}
+
+fn read_body(request: &mut Request<Body>) -> Result<String, Box<Problem>> {
+    let mut text = Vec::new();
+    request
+        .body_mut()
+        .take(BODY_MAX + 1)
+        .read_to_end(&mut text)
+        .map_err(|error| fail(Code::Incomplete, format!("the body broke off: {error}")))?;
+    if text.len() as u64 > BODY_MAX {
+        return Err(fail(Code::TooLarge, format!("the body is over {BODY_MAX} bytes")));
+    }
+    String::from_utf8(text).map_err(|_| fail(Code::Invalid, "the body is not UTF-8"))
+}
+
+fn read_header(request: &Request<Body>, name: HeaderName) -> Option<&str> {
+    request.headers().get(name)?.to_str().ok()
+}
+
+fn fail(code: Code, detail: impl Into<String>) -> Box<Problem> {
+    Box::new(Problem::new(code, detail))
+}
+
+fn fail_invalid(findings: Vec<hickory_unit::finding::Finding>) -> Box<Problem> {
+    let mut problem = fail(Code::Invalid, format!("{} findings", findings.len()));
+    problem.findings = findings;
+    problem
+}
+
+/// A problem as a response.
+pub(crate) fn render_problem(problem: &Problem) -> Response<Body> {
+    let text = serde_json::to_string(problem).unwrap_or_default();
+    let mut response = render(problem.status, problem::MEDIA_TYPE, text);
+    let extra = match problem.code {
+        Code::Unauthorized => Some((WWW_AUTHENTICATE, "Bearer")),
+        Code::BadMethod => Some((ALLOW, problem.detail.trim_start_matches("use "))),
+        _ => None,
+    };
+    if let Some((name, value)) = extra
+        && let Ok(value) = value.parse()
+    {
+        response.headers_mut().insert(name, value);
+    }
+    response
+}
+
+fn render_json<T: Serialize>(status: u16, document: &T) -> Response<Body> {
+    match serde_json::to_string(document) {
+        Ok(text) => render(status, "application/json", text),
+        Err(error) => render(500, "text/plain", error.to_string()),
+    }
+}
+
+fn render(status: u16, media_type: &'static str, text: String) -> Response<Body> {
+    let mut response = Response::new(Body::from(text));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    response.headers_mut().insert(CONTENT_TYPE, media_type.parse().expect("a constant"));
+    response
+}
+
+/// Sets the entity tag to the version.
+fn set_version(response: &mut Response<Body>, version: id::Release) {
+    if let Ok(value) = format!("\"{version}\"").parse() {
+        response.headers_mut().insert(ETAG, value);
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,5 @@
+//! Logs as JSON lines and metrics in the Prometheus text format.
+
+pub mod label;
+pub mod logs;
+pub mod metrics;
--- /dev/null
+++ b/crates/telemetry/src/logs.rs
@@ -0,0 +1,85 @@
+//! Logs as JSON lines.
+
+use hickory_unit::id;
+use log::kv::{self, Key, Source, Value, VisitSource};
+use log::{Level, LevelFilter, Record};
+use log4rs::append::Append;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::file::FileAppender;
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::json::JsonEncoder;
+use std::path::Path;
+
+/// The name of the only appender.
+const APPENDER: &str = "lines";
+
+/// Opens the process's log: JSON lines on standard error, or appended to
+/// `file` where one is given. Fails where the file can't be opened or a log
+/// is open already.
+pub fn open(level: LevelFilter, file: Option<&Path>) -> eyre::Result<log4rs::Handle> {
+    let encoder = Box::new(JsonEncoder::new());
+    let appender: Box<dyn Append> = match file {
+        Some(path) => Box::new(FileAppender::builder().encoder(encoder).build(path)?),
+        None => {
+            Box::new(ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build())
+        }
+    };
+    let config = Config::builder()
+        .appender(Appender::builder().build(APPENDER, appender))
+        .build(Root::builder().appender(APPENDER).build(level))?;
+    Ok(log4rs::init_config(config)?)
+}
+
+/// What a log line is about; what is unknown is left out of the line.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Subject {
+    /// The request.
+    pub request: Option<id::Request>,
+    /// The attempt within it.
+    pub attempt: Option<u32>,
+    /// The client account.
+    pub account: Option<id::Account>,
+    /// The target.
+    pub target: Option<id::Target>,
+    /// The availability zone.
+    pub zone: Option<id::Zone>,
+}
+
+impl Subject {
+    /// Writes a line; `module` names where it comes from, as in
+    /// `module_path!()`.
+    pub fn log(&self, level: Level, module: &str, message: std::fmt::Arguments<'_>) {
+        if level > log::max_level() {
+            return;
+        }
+        let record = Record::builder()
+            .level(level)
+            .target(module)
+            .module_path(Some(module))
+            .args(message)
+            .key_values(self)
+            .build();
+        log::logger().log(&record);
+    }
+}
+
+impl Source for Subject {
+    fn visit<'kvs>(&'kvs self, visitor: &mut dyn VisitSource<'kvs>) -> Result<(), kv::Error> {
+        if let Some(request) = &self.request {
+            visitor.visit_pair(Key::from_str("request"), Value::from_display(request))?;
+        }
+        if let Some(attempt) = self.attempt {
+            visitor.visit_pair(Key::from_str("attempt"), Value::from(attempt))?;
+        }
+        if let Some(account) = &self.account {
+            visitor.visit_pair(Key::from_str("account"), Value::from(account.as_str()))?;
+        }
+        if let Some(target) = &self.target {
+            visitor.visit_pair(Key::from_str("target"), Value::from(target.as_str()))?;
+        }
+        if let Some(zone) = &self.zone {
+            visitor.visit_pair(Key::from_str("zone"), Value::from(zone.as_str()))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,341 @@
+//! The metrics of a node.
+//!
+//! Every series is resolved once, when the metrics are opened: counting on
+//! the request path is one atomic addition, with no lock and no map.
+
+use crate::label::{
+    Call, CallResult, Claim, Direction, Length, Order, Orphan, Ownership, Permit, Work,
+};
+use derive_more::Display;
+use hickory_policy::refuse::{Ran, Reason, Retry};
+use hickory_unit::{id, size};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+use std::time::Duration;
+
+/// Bounds in seconds of the time to first token: from a cached short prompt
+/// on loopback to a prompt of a million tokens on a busy fleet.
+const FIRST_TOKEN_BOUNDS: &[f64] = &[
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.71, 1.0, 1.5, 2.5, 5.0, 10.0, 20.0, 40.0,
+    80.0, 160.0, 320.0, 640.0,
+];
+
+/// Bounds in seconds of a wait for a permit.
+const PERMIT_BOUNDS: &[f64] =
+    &[0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0];
+
+/// Bounds in seconds of a call to the platform, which answers in
+/// milliseconds and is given up on after a second by default.
+const CALL_BOUNDS: &[f64] = &[0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
+
+/// A registration that failed: a metric's name stands twice or is malformed.
+#[derive(Debug, Display, derive_more::Error, derive_more::From)]
+#[display("metrics: {_0}")]
+pub struct Error(prometheus::Error);
+
+/// The metrics of one node; a clone counts into the same series.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    refusals: Vec<[IntCounter; 2]>,
+    retries: Vec<IntCounter>,
+    admitted: Vec<IntCounter>,
+    in_flight: Vec<IntGauge>,
+    first_token: Vec<Histogram>,
+    permit_wait: Histogram,
+    tokens: Vec<IntCounter>,
+    platform_calls: Vec<Vec<IntCounter>>,
+    platform_seconds: Vec<Histogram>,
+    ownership: Vec<IntCounter>,
+    owned: IntGauge,
+    permits: Vec<IntCounter>,
+    orphans: Vec<IntCounter>,
+    claims: Vec<IntCounter>,
+    orders: Vec<IntCounter>,
+    quarantines: IntCounter,
+    target_deaths: IntCounter,
+    configuration: IntGauge,
+    peers: IntGauge,
+}
+
+impl Metrics {
+    /// Opens metrics with all series at zero.
+    pub fn open() -> Result<Self, Error> {
+        let registry = Registry::new_custom(Some("hickory".to_owned()), None)?;
+        let r = &registry;
+        Ok(Self {
+            refusals: open_refusals(r)?,
+            retries: open_counters(
+                r,
+                "retries_total",
+                "Attempts made again",
+                "reason",
+                Retry::ALL,
+            )?,
+            admitted: open_counters(r, "requests_total", "Requests admitted", "work", Work::ALL)?,
+            in_flight: open_gauges(
+                r,
+                "requests_in_flight",
+                "Requests admitted and not yet ended",
+                "work",
+                Work::ALL,
+            )?,
+            first_token: open_histograms(
+                r,
+                ("first_token_seconds", "Time from a request to its first token"),
+                "prompt",
+                Length::ALL,
+                FIRST_TOKEN_BOUNDS,
+            )?,
+            permit_wait: open_histogram(
+                r,
+                ("permit_wait_seconds", "Time from asking for a permit to having it"),
+                PERMIT_BOUNDS,
+            )?,
+            tokens: open_counters(r, "tokens_total", "Tokens", "direction", Direction::ALL)?,
+            platform_calls: open_calls(r)?,
+            platform_seconds: open_histograms(
+                r,
+                ("platform_call_seconds", "Time that a call to the platform took"),
+                "call",
+                Call::ALL,
+                CALL_BOUNDS,
+            )?,
+            ownership: open_counters(
+                r,
+                "ownership_changes_total",
+                "Changes of the ownership of targets at this node",
+                "change",
+                Ownership::ALL,
+            )?,
+            owned: open_gauge(r, "targets_owned", "Targets that this node owns")?,
+            permits: open_counters(
+                r,
+                "permits_total",
+                "Answers to asks for a permit, as owner",
+                "answer",
+                Permit::ALL,
+            )?,
+            orphans: open_counters(
+                r,
+                "orphans_swept_total",
+                "What was released on targets because no caller was left",
+                "kind",
+                Orphan::ALL,
+            )?,
+            claims: open_counters(
+                r,
+                "claims_total",
+                "Claims for calls that run at most once",
+                "result",
+                Claim::ALL,
+            )?,
+            orders: open_counters(r, "orders_total", "Orders to engines", "result", Order::ALL)?,
+            quarantines: open_counter(
+                r,
+                "quarantines_total",
+                "Requests quarantined because targets died while they ran",
+            )?,
+            target_deaths: open_counter(
+                r,
+                "target_deaths_total",
+                "Targets found dead by this node as owner",
+            )?,
+            configuration: open_gauge(
+                r,
+                "configuration_version",
+                "Version of the configuration in force",
+            )?,
+            peers: open_gauge(r, "peers_connected", "Nodes that this node has a link to")?,
+            registry,
+        })
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: Reason, ran: Ran) {
+        self.refusals[reason as usize][ran as usize].inc();
+    }
+
+    /// Counts an attempt made again.
+    pub fn retried(&self, reason: Retry) {
+        self.retries[reason as usize].inc();
+    }
+
+    /// Counts an admitted request, in flight until the guard is dropped.
+    pub fn begin(&self, work: Work) -> InFlight {
+        self.admitted[work as usize].inc();
+        let gauge = self.in_flight[work as usize].clone();
+        gauge.inc();
+        InFlight(gauge)
+    }
+
+    /// Notes the time to a first token.
+    pub fn first_token(&self, prompt: size::Tokens, time: Duration) {
+        self.first_token[Length::of(prompt) as usize].observe(time.as_secs_f64());
+    }
+
+    /// Notes the time from asking for a permit to having it.
+    pub fn permit_waited(&self, time: Duration) {
+        self.permit_wait.observe(time.as_secs_f64());
+    }
+
+    /// Counts tokens.
+    pub fn tokens(&self, direction: Direction, tokens: size::Tokens) {
+        self.tokens[direction as usize].inc_by(tokens.0);
+    }
+
+    /// Counts a call to the platform.
+    pub fn platform_called(&self, call: Call, result: CallResult, time: Duration) {
+        self.platform_calls[call as usize][result as usize].inc();
+        self.platform_seconds[call as usize].observe(time.as_secs_f64());
+    }
+
+    /// Counts a change of ownership.
+    pub fn owner_changed(&self, change: Ownership) {
+        self.ownership[change as usize].inc();
+    }
+
+    /// Sets how many targets this node owns.
+    pub fn owned(&self, targets: usize) {
+        self.owned.set(targets as i64);
+    }
+
+    /// Counts an answer to an ask for a permit.
+    pub fn permit(&self, answer: Permit) {
+        self.permits[answer as usize].inc();
+    }
+
+    /// Counts something released by a sweep.
+    pub fn swept(&self, kind: Orphan) {
+        self.orphans[kind as usize].inc();
+    }
+
+    /// Counts a claim.
+    pub fn claimed(&self, result: Claim) {
+        self.claims[result as usize].inc();
+    }
+
+    /// Counts an order to an engine.
+    pub fn ordered(&self, result: Order) {
+        self.orders[result as usize].inc();
+    }
+
+    /// Counts a quarantine.
+    pub fn quarantined(&self) {
+        self.quarantines.inc();
+    }
+
+    /// Counts the death of a target.
+    pub fn target_died(&self) {
+        self.target_deaths.inc();
+    }
+
+    /// Sets the version of the configuration in force.
+    pub fn configuration(&self, version: id::Release) {
+        self.configuration.set(version.0 as i64);
+    }
+
+    /// Sets how many peers this node has a link to.
+    pub fn peers(&self, connected: usize) {
+        self.peers.set(connected as i64);
+    }
+
+    /// All series in the Prometheus text format.
+    pub fn render(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+}
+
+/// A request in flight; ends when dropped.
+#[derive(Debug)]
+pub struct InFlight(IntGauge);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+fn open_counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, Error> {
+    let counter = IntCounter::new(name, help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+fn open_gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, Error> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
+fn open_histogram(
+    registry: &Registry,
+    (name, help): (&str, &str),
+    bounds: &[f64],
+) -> Result<Histogram, Error> {
+    let opts = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+    let histogram = Histogram::with_opts(opts)?;
+    registry.register(Box::new(histogram.clone()))?;
+    Ok(histogram)
+}
+
+/// One counter for each value of a label, in the order of the values.
+fn open_counters<L: std::fmt::Display>(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+    values: &[L],
+) -> Result<Vec<IntCounter>, Error> {
+    let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(counters.clone()))?;
+    Ok(values.iter().map(|v| counters.with_label_values(&[&v.to_string()])).collect())
+}
+
+fn open_gauges<L: std::fmt::Display>(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+    values: &[L],
+) -> Result<Vec<IntGauge>, Error> {
+    let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(gauges.clone()))?;
+    Ok(values.iter().map(|v| gauges.with_label_values(&[&v.to_string()])).collect())
+}
+
+fn open_histograms<L: std::fmt::Display>(
+    registry: &Registry,
+    (name, help): (&str, &str),
+    label: &str,
+    values: &[L],
+    bounds: &[f64],
+) -> Result<Vec<Histogram>, Error> {
+    let opts = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+    let histograms = HistogramVec::new(opts, &[label])?;
+    registry.register(Box::new(histograms.clone()))?;
+    Ok(values.iter().map(|v| histograms.with_label_values(&[&v.to_string()])).collect())
+}
+
+fn open_refusals(registry: &Registry) -> Result<Vec<[IntCounter; 2]>, Error> {
+    let opts = Opts::new("refusals_total", "Requests refused, by reason and whether they ran");
+    let refusals = IntCounterVec::new(opts, &["reason", "ran"])?;
+    registry.register(Box::new(refusals.clone()))?;
+    let open = |reason: &Reason, ran: Ran| {
+        refusals.with_label_values(&[reason.to_string(), ran.to_string()])
+    };
+    Ok(Reason::ALL.iter().map(|r| [open(r, Ran::No), open(r, Ran::Unknown)]).collect())
+}
+
+fn open_calls(registry: &Registry) -> Result<Vec<Vec<IntCounter>>, Error> {
+    let opts = Opts::new("platform_calls_total", "Calls to the platform, by kind and result");
+    let calls = IntCounterVec::new(opts, &["call", "result"])?;
+    registry.register(Box::new(calls.clone()))?;
+    let open = |call: &Call, result: &CallResult| {
+        calls.with_label_values(&[call.to_string(), result.to_string()])
+    };
+    let results = |call: &Call| CallResult::ALL.iter().map(|r| open(call, r)).collect();
+    Ok(Call::ALL.iter().map(results).collect())
+}
--- /dev/null
+++ b/crates/telemetry/tests/metrics.rs
@@ -0,0 +1,83 @@
+//! What the metrics show, and to whom they cost what.
+
+use hickory_policy::refuse::{Ran, Reason, Retry};
+use hickory_telemetry::label::{Call, CallResult, Length, Work};
+use hickory_telemetry::metrics::Metrics;
+use hickory_unit::size;
+use std::time::Duration;
+
+fn value(text: &str, series: &str) -> Option<f64> {
+    text.lines().find_map(|line| line.strip_prefix(series)?.trim().parse().ok())
+}
+
+#[test]
+fn every_refusal_and_retry_reason_has_its_series_from_the_start() {
+    let text = Metrics::open().unwrap().render();
+    for reason in Reason::ALL {
+        for ran in ["no", "unknown"] {
+            let series = format!(r#"hickory_refusals_total{{ran="{ran}",reason="{reason}"}}"#);
+            assert_eq!(value(&text, &series), Some(0.0), "{series}");
+        }
+    }
+    for reason in Retry::ALL {
+        let series = format!(r#"hickory_retries_total{{reason="{reason}"}}"#);
+        assert_eq!(value(&text, &series), Some(0.0), "{series}");
+    }
+}
+
+#[test]
+fn each_reason_counts_into_its_own_series() {
+    for (index, reason) in Reason::ALL.iter().enumerate() {
+        let metrics = Metrics::open().unwrap();
+        metrics.refused(*reason, Ran::Unknown);
+        let text = metrics.render();
+        let counted: Vec<&str> = text
+            .lines()
+            .filter(|line| line.starts_with("hickory_refusals_total{") && line.ends_with(" 1"))
+            .collect();
+        let expected = format!(r#"hickory_refusals_total{{ran="unknown",reason="{reason}"}} 1"#);
+        assert_eq!(counted, [expected], "reason {index}");
+    }
+    for reason in Retry::ALL {
+        let metrics = Metrics::open().unwrap();
+        metrics.retried(*reason);
+        let series = format!(r#"hickory_retries_total{{reason="{reason}"}}"#);
+        assert_eq!(value(&metrics.render(), &series), Some(1.0));
+    }
+}
+
+#[test]
+fn each_call_and_result_counts_into_its_own_series() {
+    for call in Call::ALL {
+        for result in CallResult::ALL {
+            let metrics = Metrics::open().unwrap();
+            metrics.platform_called(*call, *result, Duration::from_millis(3));
+            let series =
+                format!(r#"hickory_platform_calls_total{{call="{call}",result="{result}"}}"#);
+            assert_eq!(value(&metrics.render(), &series), Some(1.0));
+        }
+    }
+}
+
+#[test]
+fn a_request_is_in_flight_until_its_guard_drops() {
+    let metrics = Metrics::open().unwrap();
+    let series = r#"hickory_requests_in_flight{work="completion"}"#;
+    let guard = metrics.begin(Work::Completion);
+    assert_eq!(value(&metrics.render(), series), Some(1.0));
+    drop(guard);
+    assert_eq!(value(&metrics.render(), series), Some(0.0));
+    assert_eq!(value(&metrics.render(), r#"hickory_requests_total{work="completion"}"#), Some(1.0));
+}
+
+#[test]
+fn first_tokens_are_kept_apart_by_prompt_length() {
+    let metrics = Metrics::open().unwrap();
+    let lengths = [1_000, 10_000, 100_000, 1_000_000];
+    for (length, class) in lengths.into_iter().zip(Length::ALL) {
+        assert_eq!(Length::of(size::Tokens(length)), *class);
+        metrics.first_token(size::Tokens(length), Duration::from_millis(250));
+        let series = format!(r#"hickory_first_token_seconds_count{{prompt="{class}"}}"#);
+        assert_eq!(value(&metrics.render(), &series), Some(1.0));
+    }
+}
