--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder until the first slice.
+//! What nodes agree on through the platform's key-value service: membership,
+//! configuration, ownership of targets, and the claims of requests that must
+//! not run twice.
+//!
+//! Each part has a pure half, which turns answers, events and the time into
+//! the next call, and a thin driver that makes the calls.
+
+pub mod claim;
+pub mod config;
+pub mod member;
+pub mod owner;
