--- /dev/null
+++ b/crates/node/src/complete.rs
@@ -0,0 +1,192 @@
+//! Running a completion: attempts, each with leave from a target's owner,
+//! until the answer is whole or given up on.
+//!
+//! A completion runs in a task of its own and hands [`Piece`]s to whoever
+//! writes to the caller; when that side is dropped, the caller is gone.
+
+use crate::core::{Active, Core};
+use crate::parse::{Completion, refuse};
+use crate::permit::{self, Leave, Want};
+use crate::relay::{self, End, Relay};
+use crate::seal::Position;
+use crate::view::Need;
+use compact_str::CompactString;
+use hickory_policy::refuse::{Ran, Reason, Refusal, Retry};
+use hickory_target::Error;
+use hickory_target::engine::{Engines, Generate, Priority};
+use hickory_telemetry::label::{Direction, Work};
+use hickory_unit::{id, size};
+use hickory_wire::message::Ending;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Attempts at one completion. Two targets may fail under it by bad luck; at a
+/// third failure the request itself is the likelier cause.
+const ATTEMPTS_MAX: u32 = 3;
+
+/// Pieces that wait for a slow caller before the engine's stream is left to
+/// wait as well.
+const PIECES_AHEAD: usize = 256;
+
+/// What a completion brings.
+#[derive(Clone, Debug)]
+pub(crate) enum Piece {
+    /// A token, with the caller's position after it.
+    Token(Position, CompactString),
+    /// The whole answer has been given; it has this many tokens.
+    End(u64),
+    /// It is given up on.
+    Refused(Refusal),
+}
+
+/// Starts a completion.
+pub(crate) fn spawn(core: &Arc<Core>, completion: Completion) -> mpsc::Receiver<Piece> {
+    let (out, pieces) = mpsc::channel(PIECES_AHEAD);
+    let core = core.clone();
+    tokio::spawn(async move {
+        let _active = Active::begin(&core);
+        let _in_flight = core.metrics.begin(Work::Completion);
+        let run = Run { core: &core, completion: &completion, out, delivered: 0, sent: false };
+        run.run().await;
+    });
+    pieces
+}
+
+/// One completion under way.
+struct Run<'a> {
+    core: &'a Arc<Core>,
+    completion: &'a Completion,
+    out: mpsc::Sender<Piece>,
+    delivered: u64,
+    /// Whether bytes went to any target.
+    sent: bool,
+}
+
+/// How an attempt ended.
+enum Attempt {
+    /// The answer is whole.
+    Whole(u64),
+    /// Another target may do it.
+    Again(Retry),
+    /// The caller is gone; nothing is left to do.
+    Gone,
+    /// It is given up on.
+    Refused(Refusal),
+}
+
+impl Run<'_> {
+    async fn run(mut self) {
+        let mut excluded: Vec<id::Target> = Vec::new();
+        for attempt in 0..ATTEMPTS_MAX {
+            match self.attempt(attempt, &mut excluded).await {
+                Attempt::Whole(count) => {
+                    let prompt = self.completion.cost.prefill;
+                    self.core.metrics.tokens(Direction::Prompt, prompt);
+                    self.core.metrics.tokens(Direction::Answer, size::Tokens(count));
+                    let _ = self.out.send(Piece::End(count)).await;
+                    return;
+                }
+                Attempt::Again(reason) => self.core.metrics.retried(reason),
+                Attempt::Gone => return,
+                Attempt::Refused(refusal) => return self.refuse(refusal).await,
+            }
+        }
+        let refusal = refuse(Reason::TargetFailed, "the targets failed that it was sent to");
+        self.refuse(refusal).await;
+    }
+
+    async fn refuse(self, mut refusal: Refusal) {
+        if self.sent {
+            refusal.ran = Ran::Unknown;
+        }
+        let _ = self.out.send(Piece::Refused(refusal)).await;
+    }
+
+    async fn attempt(&mut self, attempt: u32, excluded: &mut Vec<id::Target>) -> Attempt {
+        let c = self.completion;
+        let stream = permit::name_stream(self.core, c.request, attempt, c.deadline_ms);
+        let want = Want {
+            need: Need::Weights(&c.weights),
+            stream: &stream,
+            partner: &c.caller.partner,
+            account: &c.caller.account,
+            class: c.class,
+            cost: c.cost,
+            deadline: c.deadline,
+            fingerprint: c.fingerprint,
+            prefix: c.prefix,
+        };
+        let obtained = tokio::select! {
+            obtained = permit::obtain(self.core, &want, excluded) => obtained,
+            () = self.out.closed() => return Attempt::Gone,
+        };
+        let leave = match obtained {
+            Ok(leave) => leave,
+            Err(refusal) => return Attempt::Refused(refusal),
+        };
+        excluded.push(leave.target.clone());
+        let end = self.send(&leave).await;
+        self.settle(&leave, end)
+    }
+
+    /// Sends the attempt and relays its tokens.
+    async fn send(&mut self, leave: &Leave) -> (End, Option<Duration>) {
+        let c = self.completion;
+        let generate = Generate {
+            stream: leave.stream.clone(),
+            weights: c.weights.clone(),
+            prompt: c.prompt.clone(),
+            max_tokens: c.cost.decode,
+            priority: Priority(leave.permit.priority),
+            import: None,
+            prefill_only: None,
+            from: self.delivered,
+        };
+        let mut relay = Relay {
+            core: self.core,
+            address: leave.address,
+            target: &leave.target,
+            stream: &leave.stream,
+            deadline: c.deadline,
+            first: relay::first_token_limit(self.core, leave.expected),
+            out: &self.out,
+            delivered: self.delivered,
+            first_token: None,
+        };
+        let began = self.core.now();
+        let end = match relay.open(self.core.targets.generate(leave.address, &generate)).await {
+            Ok(tokens) => relay.run(tokens).await,
+            Err(end) => end,
+        };
+        self.delivered = relay.delivered;
+        let first_token = relay.first_token.map(|at| at - began);
+        if let Some(time) = first_token {
+            self.core.metrics.first_token(c.cost.prefill, time);
+        }
+        (end, first_token)
+    }
+
+    /// Tells the owner how the attempt ended and decides what comes next.
+    fn settle(&mut self, leave: &Leave, (end, first_token): (End, Option<Duration>)) -> Attempt {
+        if !matches!(end, End::Failed(Error::NotSent(_) | Error::Refused(_))) {
+            self.sent = true;
+        }
+        let (ending, attempt) = match end {
+            End::Whole(count) => (Ending::Finished, Attempt::Whole(count)),
+            End::Gone => (Ending::Left, Attempt::Gone),
+            End::Deadline => {
+                let refusal = refuse(Reason::Deadline, "the deadline passed while it ran");
+                (Ending::Lost, Attempt::Refused(refusal))
+            }
+            End::Stalled => (Ending::Lost, Attempt::Again(Retry::Stalled)),
+            End::Died => (Ending::TargetDied, Attempt::Again(Retry::TargetFailed)),
+            End::Failed(Error::NotSent(_)) => (Ending::NotSent, Attempt::Again(Retry::NotSent)),
+            End::Failed(Error::Refused(_)) => (Ending::NotSent, Attempt::Again(Retry::Refused)),
+            End::Failed(_) => (Ending::Lost, Attempt::Again(Retry::TargetFailed)),
+        };
+        let (target, permit) = (&leave.target, &leave.permit);
+        permit::give_back(self.core, target, permit, &leave.stream, ending, first_token);
+        attempt
+    }
+}
--- /dev/null
+++ b/crates/node/src/core.rs
@@ -0,0 +1,118 @@
+//! What the parts of a node share.
+
+use crate::seat::Seats;
+use crate::view::View;
+use hickory_platform::http::Platform;
+use hickory_release::configuration::Configuration;
+use hickory_settings::Node as Settings;
+use hickory_state::claim::Ledger;
+use hickory_state::config::Keeper;
+use hickory_state::member::{Info, Member};
+use hickory_state::owner::{Owners, Probe};
+use hickory_target::http::Targets;
+use hickory_telemetry::metrics::Metrics;
+use hickory_unit::clock::{Clock, System};
+use hickory_unit::id;
+use hickory_wire::link::Links;
+use hickory_wire::proof::Key;
+use std::sync::atomic::AtomicUsize;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// How long a new connection to a peer may take to prove that it is alive.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Where a node stands in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Stage {
+    /// Serves, and is named to callers.
+    Serving,
+    /// Serves who still comes, but is not named any more.
+    Draining,
+    /// Takes nothing more.
+    Closed,
+}
+
+/// Probes peers over the links, once these are there.
+#[derive(Clone, Debug)]
+pub(crate) struct LinkProbe(pub(crate) Arc<OnceLock<Links>>);
+
+impl Probe for LinkProbe {
+    async fn alive(&self, node: &Info) -> bool {
+        match self.0.get() {
+            Some(links) => links.probe(node.peers, PROBE_TIMEOUT).await.is_ok(),
+            None => false,
+        }
+    }
+}
+
+/// What the parts of a node share.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) settings: Settings,
+    pub(crate) key: Key,
+    pub(crate) incarnation: id::Incarnation,
+    pub(crate) clock: System,
+    pub(crate) platform: Platform,
+    pub(crate) targets: Targets,
+    pub(crate) links: Arc<OnceLock<Links>>,
+    pub(crate) member: Member<Platform, System>,
+    pub(crate) keeper: Keeper<Platform, System>,
+    pub(crate) owners: Owners<Platform, System, LinkProbe>,
+    pub(crate) ledger: Ledger<Platform, System>,
+    pub(crate) view: View,
+    pub(crate) seats: Seats,
+    pub(crate) metrics: Metrics,
+    pub(crate) stage: watch::Sender<Stage>,
+    pub(crate) active: AtomicUsize,
+}
+
+impl Core {
+    pub(crate) fn me(&self) -> &id::Node {
+        &self.settings.node
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    pub(crate) fn stage(&self) -> Stage {
+        *self.stage.borrow()
+    }
+
+    pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.keeper.current()
+    }
+
+    pub(crate) fn time(&self, millis: u64) -> Duration {
+        Duration::from_millis(millis)
+    }
+
+    /// Life of a permit, from the moment it is asked for.
+    pub(crate) fn permit_life(&self) -> Duration {
+        self.time(self.settings.times.permit_ms)
+    }
+
+    /// How long a call to a peer may take.
+    pub(crate) fn peer_timeout(&self) -> Duration {
+        self.permit_life()
+    }
+}
+
+/// Counts a request as active while it lives.
+#[derive(Debug)]
+pub(crate) struct Active(Arc<Core>);
+
+impl Active {
+    pub(crate) fn begin(core: &Arc<Core>) -> Self {
+        core.active.fetch_add(1, std::sync::atomic::Ordering::AcqRel);
+        Self(core.clone())
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, std::sync::atomic::Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/node/src/drive.rs
@@ -0,0 +1,198 @@
+//! The owner's loops over its targets: read load reports, grant what fits,
+//! cancel what nobody stands for, give orders.
+
+use crate::core::Core;
+use crate::seat;
+use hickory_platform::host::{Host, Kind};
+use hickory_policy::limit::Capacity;
+use hickory_release::configuration::Configuration;
+use hickory_state::owner::Terms;
+use hickory_target::Error;
+use hickory_target::engine::{Cancelled, Engines, Order, Report, Weights};
+use hickory_target::service::{self, Services};
+use hickory_unit::{id, size};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Between two looks at which targets are owned.
+const OWNED_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Failed reads of a load report after which a target gets no new work: one
+/// may be a hiccup, and three take less than the bound on new work to a
+/// target that is gone.
+const MISSED_MAX: u32 = 3;
+
+/// Follows the ownership: one task for each owned target.
+pub(crate) async fn follow_owned(core: Arc<Core>) {
+    let mut running: HashMap<id::Target, (id::Epoch, tokio::task::AbortHandle)> = HashMap::new();
+    let mut changed = core.owners.changed();
+    loop {
+        let owned = core.owners.owned();
+        running.retain(|target, (epoch, task)| {
+            let kept = owned.iter().any(|o| o.target == *target && o.epoch == *epoch);
+            if !kept {
+                task.abort();
+            }
+            kept
+        });
+        core.seats
+            .retain(|target, epoch| owned.iter().any(|o| o.target == *target && o.epoch == epoch));
+        for owned in owned {
+            if running.contains_key(&owned.target) {
+                continue;
+            }
+            core.seats.open(&owned.target, owned.epoch);
+            let task = tokio::spawn(drive(core.clone(), owned.target.clone(), owned.epoch));
+            running.insert(owned.target, (owned.epoch, task.abort_handle()));
+        }
+        let _ = tokio::time::timeout(OWNED_INTERVAL, changed.changed()).await;
+    }
+}
+
+/// Drives one owned target until it is not owned any more.
+async fn drive(core: Arc<Core>, target: id::Target, epoch: id::Epoch) {
+    let interval = core.time(core.settings.times.report_ms);
+    let mut missed = 0;
+    loop {
+        if let Some(host) = core.view.hosts().get(&target) {
+            let read = match &host.kind {
+                Kind::Engine => drive_engine(&core, host, epoch).await,
+                Kind::Service(_) => drive_service(&core, host).await,
+            };
+            missed = if read { 0 } else { missed + 1 };
+            update_accepting(&core, host, missed < MISSED_MAX);
+        }
+        let (life, resume) = (core.permit_life(), core.time(core.settings.times.resume_ms));
+        let now = core.now();
+        core.seats.with(&target, |seat| {
+            seat.sweep(now, life, resume);
+            seat.poll(now, life);
+        });
+        tokio::time::sleep(interval).await;
+    }
+}
+
+/// Whether the target takes new work, as far as its owner knows.
+fn update_accepting(core: &Core, host: &Host, answers: bool) {
+    let configuration = core.configuration();
+    let in_service =
+        configuration.is_some_and(|configuration| core.view.may_send(&host.target, &configuration));
+    let owned = core.owners.owned();
+    let terms = owned.iter().find(|owned| owned.target == host.target).map(|owned| owned.terms);
+    let waited = !matches!(terms, None | Some(Terms::Wait(_)));
+    core.seats.with(&host.target, |seat| {
+        let known = seat.capacity.streams > 0;
+        seat.accepting = answers && in_service && waited && known;
+    });
+}
+
+async fn drive_engine(core: &Core, host: &Host, epoch: id::Epoch) -> bool {
+    let Ok(report) = Engines::report(&core.targets, host.address).await else { return false };
+    take_report(core, &host.target, &report);
+    cancel_orphans(core, host).await;
+    if let Some(configuration) = core.configuration() {
+        give_orders(core, host, epoch, &report, &configuration).await;
+    }
+    true
+}
+
+fn take_report(core: &Core, target: &id::Target, report: &Report) {
+    let now = core.now();
+    let wall_ms = seat::wall_ms(core);
+    let nodes = core.member.nodes();
+    let confirmed = core.member.confirmed(now);
+    let held: Vec<id::Stream> = report.streams.iter().map(|held| held.stream.clone()).collect();
+    core.seats.with(target, |seat| {
+        if seat.incarnation.is_some_and(|known| known != report.incarnation) {
+            seat.restarted(now);
+        }
+        seat.incarnation = Some(report.incarnation);
+        seat.kv_used = report.kv_used;
+        seat.kv_capacity = report.kv_capacity;
+        seat.ready = report
+            .loaded
+            .iter()
+            .filter(|loaded| loaded.ready)
+            .map(|loaded| crate::permit::to_wire(&loaded.weights))
+            .collect();
+        seat.set_capacity(Capacity {
+            streams: report.streams_max,
+            kv: report.kv_capacity,
+            prefill_rate: report.prefill_rate,
+        });
+        // The list of nodes says nothing while the platform can't be reached.
+        let is_live = |node: &id::Node| !confirmed || nodes.contains_key(node);
+        seat.mark_gone(now, is_live);
+        seat.sweep_held(wall_ms, &held, is_live);
+    });
+}
+
+async fn cancel_orphans(core: &Core, host: &Host) {
+    let cancels = core.seats.with(&host.target, |seat| seat.take_cancels()).unwrap_or_default();
+    for stream in cancels {
+        let cancelled = core.targets.cancel(host.address, &stream).await;
+        let now = core.now();
+        core.seats.with(&host.target, |seat| match cancelled {
+            Ok(Cancelled::NeverBegun | Cancelled::Stopped | Cancelled::Ended)
+            | Err(Error::NotFound) => seat.cancelled(now, &stream),
+            Err(_) => seat.cancel_again(stream),
+        });
+    }
+}
+
+/// Compares what the engine holds with what is wanted and orders the
+/// difference. Orders are idempotent and follow from the present state, so a
+/// late order of a former owner is undone by the next comparison.
+async fn give_orders(
+    core: &Core,
+    host: &Host,
+    epoch: id::Epoch,
+    report: &Report,
+    configuration: &Configuration,
+) {
+    for weights in wanted_weights(configuration) {
+        if !report.loaded.iter().any(|loaded| loaded.weights == weights) {
+            let _ = core.targets.order(host.address, epoch, &Order::Load(weights)).await;
+        }
+    }
+}
+
+fn wanted_weights(configuration: &Configuration) -> Vec<Weights> {
+    let weights = |model: &id::Model, version: &id::Version, adapter: Option<&id::Adapter>| {
+        Weights { model: model.clone(), version: version.clone(), adapter: adapter.cloned() }
+    };
+    let models = configuration.models.iter();
+    models
+        .flat_map(|(name, model)| {
+            let plain = std::iter::once(weights(name, &model.current, None));
+            let adapters = model.adapters.keys();
+            plain.chain(adapters.map(|adapter| weights(name, &model.current, Some(adapter))))
+        })
+        .collect()
+}
+
+async fn drive_service(core: &Core, host: &Host) -> bool {
+    let report: Result<service::Report, Error> =
+        Services::report(&core.targets, host.address).await;
+    let Ok(report) = report else { return false };
+    let now = core.now();
+    core.seats.with(&host.target, |seat| {
+        if seat.incarnation.is_some_and(|known| known != report.incarnation) {
+            seat.restarted(now);
+        }
+        seat.incarnation = Some(report.incarnation);
+        // A call weighs one slot and no KV cache.
+        seat.kv_capacity = size::Tokens(u64::from(u32::MAX));
+        seat.set_capacity(Capacity {
+            streams: report.calls_max,
+            kv: seat.kv_capacity,
+            prefill_rate: u64::from(u32::MAX),
+        });
+        // Nothing is held on a service: a cancel has nothing to do.
+        for stream in seat.take_cancels() {
+            seat.cancelled(now, &stream);
+        }
+    });
+    true
+}
--- /dev/null
+++ b/crates/node/src/permit.rs
@@ -0,0 +1,281 @@
+//! Getting leave to send: choose a target, ask its owner, check once more.
+
+use crate::core::Core;
+use crate::parse::refuse;
+use crate::seat::{self, QUEUED};
+use crate::view::Need;
+use hickory_policy::cost::{Class, Cost};
+use hickory_policy::place::rank_targets;
+use hickory_policy::refuse::{Reason, Refusal, Retry};
+use hickory_target::engine;
+use hickory_unit::clock::Clock;
+use hickory_unit::{id, size};
+use hickory_wire::link;
+use hickory_wire::message::{self, Ask, Ending, Outcome, Permit};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Targets that are asked for one attempt. Each answer of "queue too long"
+/// tells that placement was wrong by what it did not yet know; after three,
+/// the fleet is full rather than the choice unlucky.
+const ASKS_MAX: usize = 4;
+
+/// When to come back where no target takes work at all.
+const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
+
+/// How often an outcome is told to an owner that does not answer; after that
+/// its own sweep finds the end by the deadline within the stream's id.
+const OUTCOME_TRIES: u32 = 3;
+
+/// What an attempt needs.
+#[derive(Clone, Debug)]
+pub(crate) struct Want<'a> {
+    pub(crate) need: Need<'a>,
+    pub(crate) stream: &'a id::Stream,
+    pub(crate) partner: &'a id::Partner,
+    pub(crate) account: &'a id::Account,
+    pub(crate) class: Class,
+    pub(crate) cost: Cost,
+    pub(crate) deadline: Instant,
+    pub(crate) fingerprint: u64,
+    pub(crate) prefix: u64,
+}
+
+/// Leave to send one attempt to one target.
+#[derive(Clone, Debug)]
+pub(crate) struct Leave {
+    pub(crate) target: id::Target,
+    pub(crate) address: SocketAddr,
+    pub(crate) permit: Permit,
+    pub(crate) stream: id::Stream,
+    /// Time until the first token by what is known of the target.
+    pub(crate) expected: Duration,
+}
+
+pub(crate) fn to_wire(weights: &engine::Weights) -> message::Weights {
+    message::Weights {
+        model: weights.model.clone(),
+        version: weights.version.clone(),
+        adapter: weights.adapter.clone(),
+    }
+}
+
+/// Gets leave for an attempt, or the refusal that is final for it.
+pub(crate) async fn obtain(
+    core: &Core,
+    want: &Want<'_>,
+    excluded: &[id::Target],
+) -> Result<Leave, Refusal> {
+    let mut tried = excluded.to_vec();
+    let mut refusal: Option<Refusal> = None;
+    for _ in 0..ASKS_MAX {
+        let now = core.now();
+        if now >= want.deadline {
+            return Err(refuse(Reason::Deadline, "the deadline passed before it could be sent"));
+        }
+        let configuration =
+            core.configuration().ok_or_else(|| refuse(Reason::NotReady, "no configuration yet"))?;
+        let candidates = core.view.candidates(now, want.need, &configuration, &tried);
+        let Some(best) = rank_targets(want.cost, &candidates).first().copied() else { break };
+        let target = best.target.clone();
+        let expected = hickory_policy::place::estimate_first_token(want.cost, best);
+        tried.push(target.clone());
+        match ask_owner(core, want, &target).await {
+            Ok(permit) => {
+                let hosts = core.view.hosts();
+                // The owner may be cut off from the platform and not know that
+                // the zone is out: this node looks for itself before it sends.
+                let fresh = core.configuration().unwrap_or(configuration);
+                let host = hosts.get(&target).filter(|_| core.view.may_send(&target, &fresh));
+                let Some(host) = host else {
+                    let ending = Ending::NotSent;
+                    give_back(core, &target, &permit, want.stream, ending, None);
+                    continue;
+                };
+                core.view.note_sent(&target, want.cost);
+                let (address, stream) = (host.address, want.stream.clone());
+                return Ok(Leave { target, address, permit, stream, expected });
+            }
+            Err(Some(refused)) => {
+                core.metrics.retried(Retry::QueueLong);
+                let sooner = refusal.as_ref().is_none_or(|r| refused.retry_after < r.retry_after);
+                if sooner {
+                    refusal = Some(refused);
+                }
+            }
+            Err(None) => {}
+        }
+    }
+    Err(refusal.unwrap_or_else(|| Refusal {
+        retry_after: Some(NO_TARGET_RETRY),
+        ..refuse(Reason::NoTarget, "no target that may run it takes work at present")
+    }))
+}
+
+/// Asks the owner of `target` until it grants or refuses; `None` where the
+/// owner can't be asked.
+async fn ask_owner(
+    core: &Core,
+    want: &Want<'_>,
+    target: &id::Target,
+) -> Result<Permit, Option<Refusal>> {
+    loop {
+        let asked = core.now();
+        let Some(time_left) = want.deadline.checked_duration_since(asked) else {
+            return Err(Some(refuse(Reason::Deadline, "the deadline passed in the queue")));
+        };
+        let ask = make_ask(want, target, time_left);
+        let answer = match send_ask(core, &ask).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                core.metrics.retried(Retry::OwnerSilent);
+                return Err(None);
+            }
+        };
+        match answer {
+            Ok(permit) if core.now() < asked + permit.life => {
+                core.metrics.permit_waited(core.now() - asked);
+                return Ok(permit);
+            }
+            Ok(permit) => {
+                core.metrics.retried(Retry::StalePermit);
+                give_back(core, target, &permit, want.stream, Ending::NotSent, None);
+            }
+            Err(refused) if refused.reason == QUEUED => {}
+            Err(refused) if refused.not_owner => {
+                core.metrics.retried(Retry::NotOwner);
+                return Err(None);
+            }
+            Err(refused) => {
+                let reason = Reason::parse(&refused.reason).unwrap_or(Reason::Overloaded);
+                let detail = format!("target {target} takes no more");
+                let retry_after = Some(refused.retry_after);
+                return Err(Some(Refusal { retry_after, ..refuse(reason, detail) }));
+            }
+        }
+    }
+}
+
+fn make_ask(want: &Want<'_>, target: &id::Target, time_left: Duration) -> Ask {
+    Ask {
+        stream: want.stream.clone(),
+        target: target.clone(),
+        partner: want.partner.clone(),
+        account: want.account.clone(),
+        batch: want.class == Class::Batch,
+        cost: message::Cost {
+            prefill: want.cost.prefill,
+            decode: want.cost.decode,
+            kv: want.cost.kv(),
+        },
+        weights: match want.need {
+            Need::Weights(weights) => Some(to_wire(weights)),
+            Need::Service(_) => None,
+        },
+        time_left,
+        alone: false,
+        fingerprint: want.fingerprint,
+        prefix: want.prefix,
+        urgent: false,
+    }
+}
+
+/// Where the owner of a target listens.
+enum Owner {
+    /// It is this node.
+    Here,
+    /// It is a peer.
+    There(SocketAddr),
+}
+
+fn find_owner(core: &Core, target: &id::Target) -> Option<Owner> {
+    let owner = core.owners.owner(target)?;
+    if owner.node == *core.me() {
+        return Some(Owner::Here);
+    }
+    core.member.nodes().get(&owner.node).map(|info| Owner::There(info.peers))
+}
+
+fn no_owner() -> link::Error {
+    link::Error::Connect("no owner known".into())
+}
+
+async fn send_ask(core: &Core, ask: &Ask) -> Result<Result<Permit, message::Refusal>, link::Error> {
+    match find_owner(core, &ask.target).ok_or_else(no_owner)? {
+        Owner::Here => Ok(seat::permit(core, ask).await),
+        Owner::There(address) => {
+            let links = core.links.get().ok_or(link::Error::Closed)?;
+            links.permit(address, ask.clone(), core.peer_timeout()).await
+        }
+    }
+}
+
+/// Tells the owner of `target` that this node serves the rest of a stream.
+pub(crate) async fn adopt(core: &Core, adopt: message::Adopt) -> Result<Permit, Refusal> {
+    let lost = || refuse(Reason::StreamLost, "no target holds the stream any more");
+    let answer = match find_owner(core, &adopt.target).ok_or_else(lost)? {
+        Owner::Here => seat::adopt(core, &adopt),
+        Owner::There(address) => {
+            let links = core.links.get().ok_or_else(lost)?;
+            let answer = links.adopt(address, adopt, core.peer_timeout()).await;
+            answer.map_err(|_| Refusal {
+                retry_after: Some(core.permit_life()),
+                ..refuse(Reason::NoOwner, "the target's owner can't be reached")
+            })?
+        }
+    };
+    answer.map_err(|_| lost())
+}
+
+/// Tells the owner how an attempt ended, without waiting for it.
+pub(crate) fn give_back(
+    core: &Core,
+    target: &id::Target,
+    permit: &Permit,
+    stream: &id::Stream,
+    ending: Ending,
+    first_token: Option<Duration>,
+) {
+    let outcome = Outcome {
+        target: target.clone(),
+        permit: permit.id,
+        epoch: permit.epoch,
+        ending,
+        first_token,
+        stream: Some(stream.clone()),
+    };
+    match find_owner(core, target) {
+        Some(Owner::Here) => seat::end(core, &outcome),
+        Some(Owner::There(address)) => {
+            let Some(links) = core.links.get().cloned() else { return };
+            let timeout = core.peer_timeout();
+            tokio::spawn(async move {
+                for _ in 0..OUTCOME_TRIES {
+                    if links.outcome(address, outcome.clone(), timeout).await.is_ok() {
+                        return;
+                    }
+                }
+            });
+        }
+        None => {}
+    }
+}
+
+/// The id of an attempt's stream.
+pub(crate) fn name_stream(
+    core: &Arc<Core>,
+    request: id::Request,
+    attempt: u32,
+    deadline_ms: u64,
+) -> id::Stream {
+    id::Stream { request, attempt, sender: core.me().clone(), deadline_ms }
+}
+
+/// A cost of one slot, for calls of plain services.
+pub(crate) const ONE_SLOT: Cost = Cost { prefill: size::Tokens(0), decode: size::Tokens(0) };
+
+/// Milliseconds of wall-clock time.
+pub(crate) fn wall_ms(core: &Core) -> u64 {
+    core.clock.wall_ms()
+}
--- a/crates/node/src/reply.rs
+++ b/crates/node/src/reply.rs
@@ -95,10 +95,8 @@
     let mut response = Response::new(Body::Whole(Some(encode_problem(refusal).into())));
     *response.status_mut() = status;
     let headers = response.headers_mut();
-    headers.insert(
-        header::CONTENT_TYPE,
-        header::HeaderValue::from_static("application/problem+json"),
-    );
+    headers
+        .insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/problem+json"));
     if let Some(time) = refusal.retry_after {
         let seconds = time.as_millis().div_ceil(1000).max(1) as u64;
         headers.insert(header::RETRY_AFTER, seconds.into());
@@ -120,8 +118,7 @@
 pub(crate) fn answer_events(events: mpsc::Receiver<Bytes>) -> Response<Body> {
     let mut response = Response::new(Body::Events(events));
     let headers = response.headers_mut();
-    headers
-        .insert(header::CONTENT_TYPE, header::HeaderValue::from_static("text/event-stream"));
+    headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("text/event-stream"));
     headers.insert(header::CACHE_CONTROL, header::HeaderValue::from_static("no-store"));
     response
 }
@@ -215,10 +212,8 @@
             object: "text_completion",
             model: &self.model,
             choices: [Choice { index: 0, text, finish_reason }],
-            usage: count.map(|completion_tokens| Usage {
-                prompt_tokens: self.prompt,
-                completion_tokens,
-            }),
+            usage: count
+                .map(|completion_tokens| Usage { prompt_tokens: self.prompt, completion_tokens }),
         }
     }
 }
--- /dev/null
+++ b/crates/node/src/serve.rs
@@ -0,0 +1,317 @@
+//! The callers' interface over HTTP.
+//!
+//! hyper serves it and not oxhttp, which holds a stream's tokens back until
+//! its buffer is full or the answer ends (measured, see docs/DESIGN.md).
+
+use crate::call::{self, Call};
+use crate::complete::{self, Piece};
+use crate::core::{Core, Stage};
+use crate::entry::answer_entry;
+use crate::parse::{
+    Arrival, BODY_MAX, parse_caller, parse_completion, parse_key, parse_time_left, refuse,
+};
+use crate::reply::{self, Body, Encoder};
+use crate::seal::{self, Position};
+use crate::{permit, resume};
+use bytes::Bytes;
+use compact_str::CompactString;
+use hickory_policy::refuse::{Reason, Refusal};
+use hickory_release::configuration::Configuration;
+use hickory_unit::{id, size};
+use http::{HeaderValue, Method, Request, Response, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+/// How long a caller may take to send its headers: a connection that sends
+/// none would otherwise be held for good.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long a caller may take over its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How long sent bytes may stay without an acknowledgement before the kernel
+/// closes the connection: what lies between the ends may have forgotten it.
+const USER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Events written ahead of a slow caller.
+const EVENTS_AHEAD: usize = 64;
+
+/// Accepts callers until the node is closed.
+pub(crate) async fn serve(core: Arc<Core>, listener: TcpListener) {
+    let mut stage = core.stage.subscribe();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(serve_connection(core.clone(), stream));
+                }
+                // Out of file descriptors, most likely: let some be closed.
+                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+            },
+            _ = stage.wait_for(|stage| *stage == Stage::Closed) => return,
+        }
+    }
+}
+
+async fn serve_connection(core: Arc<Core>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+    let mut stage = core.stage.subscribe();
+    let service = hyper::service::service_fn(move |request| answer(core.clone(), request));
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stage.wait_for(|stage| *stage == Stage::Closed) => {}
+    }
+    // The answer under way is finished, and no further request is read.
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+async fn answer(core: Arc<Core>, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+    let mut response = match route(&core, request).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            core.metrics.refused(refusal.reason, refusal.ran);
+            reply::answer_refusal(&refusal)
+        }
+    };
+    if core.stage() != Stage::Serving {
+        // Makes a caller with a kept connection ask again where to go.
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+async fn route(core: &Arc<Core>, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+    let path = request.uri().path().to_owned();
+    let mut segments = path.trim_start_matches('/').splitn(4, '/');
+    let parts =
+        (segments.next(), segments.next(), segments.next(), segments.next().unwrap_or_default());
+    match parts {
+        (Some("v1"), Some("entry"), None, _) => {
+            require_method(&request, &Method::GET)?;
+            let entry = answer_entry(core);
+            let entry = entry.ok_or_else(|| refuse(Reason::Draining, "no node takes callers"))?;
+            Ok(reply::answer_json(&entry))
+        }
+        (Some("v1"), Some("completions"), None, _) => {
+            require_method(&request, &Method::POST)?;
+            answer_completion(core, request).await
+        }
+        (Some("v1"), Some("requests"), Some(name), "") => {
+            require_method(&request, &Method::GET)?;
+            answer_resume(core, &request, name).await
+        }
+        (Some("v1"), Some("services"), Some(name), rest) => {
+            require_method(&request, &Method::POST)?;
+            let (name, rest) = (id::Service::from(name), format!("/{rest}"));
+            answer_call(core, request, name, rest).await
+        }
+        _ => Err(refuse(Reason::NotFound, format!("path: no {path}"))),
+    }
+}
+
+fn require_method<B>(request: &Request<B>, method: &Method) -> Result<(), Refusal> {
+    match request.method() == method {
+        true => Ok(()),
+        false => Err(refuse(Reason::BadMethod, format!("method: this path takes {method}"))),
+    }
+}
+
+fn require_configuration(core: &Core) -> Result<Arc<Configuration>, Refusal> {
+    core.configuration().ok_or_else(|| Refusal {
+        retry_after: Some(Duration::from_secs(1)),
+        ..refuse(Reason::NotReady, "this node has no configuration yet")
+    })
+}
+
+async fn read_body(body: Incoming) -> Result<Bytes, Refusal> {
+    let too_large = || refuse(Reason::TooLarge, format!("body: more than {BODY_MAX} bytes"));
+    if body_hint(&body) > BODY_MAX.0 {
+        return Err(too_large());
+    }
+    let read = Limited::new(body, BODY_MAX.0 as usize).collect();
+    match tokio::time::timeout(BODY_TIMEOUT, read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(too_large()),
+        Ok(Err(e)) => Err(refuse(Reason::Malformed, format!("body: {e}"))),
+        Err(_) => Err(refuse(Reason::Malformed, "body: did not come in time")),
+    }
+}
+
+fn body_hint(body: &Incoming) -> u64 {
+    hyper::body::Body::size_hint(body).lower()
+}
+
+async fn answer_completion(
+    core: &Arc<Core>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    let arrival = Arrival { now: core.now(), wall_ms: permit::wall_ms(core) };
+    let configuration = require_configuration(core)?;
+    let (head, body) = request.into_parts();
+    let caller = parse_caller(&head.headers, &configuration)?;
+    let time_left = parse_time_left(&head.headers)?;
+    let body = read_body(body).await?;
+    let completion = parse_completion(arrival, caller, time_left, &body, &configuration)?;
+    let encoder = Encoder {
+        request: completion.request,
+        account: completion.caller.account.clone(),
+        model: CompactString::from(completion.weights.model.as_str()),
+        prompt: completion.cost.prefill,
+        key: core.key.clone(),
+    };
+    let streamed = completion.streamed;
+    let pieces = complete::spawn(core, completion);
+    match streamed {
+        true => answer_streamed(core, encoder, pieces).await,
+        false => answer_whole(encoder, pieces).await,
+    }
+}
+
+async fn answer_resume(
+    core: &Arc<Core>,
+    request: &Request<Incoming>,
+    name: &str,
+) -> Result<Response<Body>, Refusal> {
+    let configuration = require_configuration(core)?;
+    let caller = parse_caller(request.headers(), &configuration)?;
+    let position = parse_position(core, request, &caller.account, name)?;
+    let encoder = Encoder {
+        request: position.stream.request,
+        account: caller.account,
+        model: CompactString::default(),
+        prompt: size::Tokens(0),
+        key: core.key.clone(),
+    };
+    answer_streamed(core, encoder, resume::spawn(core, position)).await
+}
+
+fn parse_position(
+    core: &Core,
+    request: &Request<Incoming>,
+    account: &id::Account,
+    name: &str,
+) -> Result<Position, Refusal> {
+    let bad = || refuse(Reason::BadHeader, "header last-event-id: not an id of this stream");
+    let sealed = request.headers().get("last-event-id").ok_or_else(bad)?;
+    let sealed = sealed.to_str().map_err(|_| bad())?;
+    let position = seal::open_position(&core.key, account, sealed).ok_or_else(bad)?;
+    if position.stream.request.to_string() != name {
+        return Err(bad());
+    }
+    Ok(position)
+}
+
+/// Answers with a stream of events. Its status waits for the first piece, so
+/// that a refusal keeps its own.
+async fn answer_streamed(
+    core: &Arc<Core>,
+    encoder: Encoder,
+    mut pieces: mpsc::Receiver<Piece>,
+) -> Result<Response<Body>, Refusal> {
+    let first = match pieces.recv().await {
+        Some(Piece::Refused(refusal)) => return Err(refusal),
+        Some(piece) => piece,
+        None => return Err(refuse(Reason::TargetFailed, "ended without an answer")),
+    };
+    let (events, body) = mpsc::channel(EVENTS_AHEAD);
+    let request = encoder.request;
+    tokio::spawn(write_events(core.clone(), encoder, first, pieces, events));
+    let mut response = reply::answer_events(body);
+    if let Ok(value) = HeaderValue::from_str(&request.to_string()) {
+        response.headers_mut().insert("x-request-id", value);
+    }
+    Ok(response)
+}
+
+async fn write_events(
+    core: Arc<Core>,
+    encoder: Encoder,
+    first: Piece,
+    mut pieces: mpsc::Receiver<Piece>,
+    events: mpsc::Sender<Bytes>,
+) {
+    let mut next = Some(first);
+    while let Some(piece) = next {
+        let (event, last) = match &piece {
+            Piece::Token(position, text) => (encoder.encode_token(position, text), false),
+            Piece::End(count) => (encoder.encode_end(*count), true),
+            Piece::Refused(refusal) => {
+                core.metrics.refused(refusal.reason, refusal.ran);
+                (encoder.encode_failure(refusal), true)
+            }
+        };
+        if events.send(event).await.is_err() || last {
+            return;
+        }
+        next = tokio::select! {
+            piece = pieces.recv() => piece,
+            () = events.closed() => None,
+        };
+    }
+}
+
+async fn answer_whole(
+    encoder: Encoder,
+    mut pieces: mpsc::Receiver<Piece>,
+) -> Result<Response<Body>, Refusal> {
+    let mut text = String::new();
+    while let Some(piece) = pieces.recv().await {
+        match piece {
+            Piece::Token(_, token) => text.push_str(&token),
+            Piece::End(count) => return Ok(encoder.answer_whole(&text, count)),
+            Piece::Refused(refusal) => return Err(refusal),
+        }
+    }
+    Err(refuse(Reason::TargetFailed, "ended without an answer"))
+}
+
+async fn answer_call(
+    core: &Arc<Core>,
+    request: Request<Incoming>,
+    service: id::Service,
+    path: String,
+) -> Result<Response<Body>, Refusal> {
+    let arrival = Arrival { now: core.now(), wall_ms: permit::wall_ms(core) };
+    let configuration = require_configuration(core)?;
+    let (head, body) = request.into_parts();
+    let caller = parse_caller(&head.headers, &configuration)?;
+    let time_left = parse_time_left(&head.headers)?;
+    let key = parse_key(&head.headers)?;
+    let entry = configuration
+        .services
+        .get(&service)
+        .ok_or_else(|| refuse(Reason::NotFound, format!("path: no service {service}")))?;
+    let account = configuration.accounts.get(&caller.account);
+    if !account.is_some_and(|account| account.services.contains(&service)) {
+        let detail = format!("path: account {} may not call {service}", caller.account);
+        return Err(refuse(Reason::Forbidden, detail));
+    }
+    let call = Call {
+        once: entry.once.contains(&path),
+        body: read_body(body).await?,
+        caller,
+        service,
+        path,
+        key,
+        deadline: arrival.now + time_left,
+        deadline_ms: arrival.wall_ms + time_left.as_millis() as u64,
+    };
+    let reply = call::run(core, call).await?;
+    let mut response = Response::new(Body::Whole(Some(reply.body)));
+    *response.status_mut() =
+        http::StatusCode::from_u16(reply.status).unwrap_or(http::StatusCode::BAD_GATEWAY);
+    Ok(response)
+}
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -87,9 +87,12 @@
 }
 
 impl Links {
-    /// Binds the peers' address and starts the thread of the links.
-    pub fn bind<H: Handler>(address: SocketAddr, key: Key, handler: H) -> std::io::Result<Self> {
-        let listener = std::net::TcpListener::bind(address)?;
+    /// Serves peers on `listener` and starts the thread of the links.
+    pub fn spawn<H: Handler>(
+        listener: std::net::TcpListener,
+        key: Key,
+        handler: H,
+    ) -> std::io::Result<Self> {
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let (calls, inbox) = mpsc::unbounded_channel();
