Stand-ins of the platform and the targets, thin, over real sockets

The nodes need something to run against, and other packages' tests need a key-value service without sockets. Every stand-in shares one HTTP server whose socket can be frozen, silenced, cut or killed.

--- /dev/null
+++ b/crates/standin/src/fault.rs
@@ -0,0 +1,257 @@
+//! Faults between a stand-in and its clients, switched on by request.
+//!
+//! They act on the socket or on whole calls and know nothing of what the
+//! stand-in serves.
+
+use hickory_unit::clock::{self, Clock};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::task::Waker;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// Whether the process of a stand-in lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub(crate) enum Life {
+    /// It listens.
+    #[default]
+    Up,
+    /// It is dead: its port is closed.
+    Down,
+    /// It is gone for good.
+    Stopped,
+}
+
+/// What goes wrong with a call as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Loss {
+    /// The call is cut before it takes effect.
+    Call,
+    /// The call takes effect, and the connection is cut before the answer.
+    Answer,
+}
+
+#[derive(Debug)]
+struct Rule {
+    path: String,
+    loss: Loss,
+    left: u32,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    delay: Duration,
+    rules: Vec<Rule>,
+    wakers: HashMap<u64, Vec<Waker>>,
+    seen: Life,
+    frozen_since: Option<Instant>,
+    frozen: Duration,
+}
+
+#[derive(Debug)]
+struct Inner {
+    frozen: AtomicBool,
+    silent_below: AtomicU64,
+    next_connection: AtomicU64,
+    incarnation: AtomicU64,
+    state: Mutex<State>,
+    settled: Condvar,
+    life: watch::Sender<Life>,
+    cut_below: watch::Sender<u64>,
+    thawed: watch::Sender<bool>,
+}
+
+/// The switches of one stand-in; clones act on the same one.
+#[derive(Clone, Debug)]
+pub struct Faults {
+    inner: Arc<Inner>,
+}
+
+impl Faults {
+    pub(crate) fn none() -> Self {
+        let inner = Inner {
+            frozen: AtomicBool::new(false),
+            silent_below: AtomicU64::new(0),
+            next_connection: AtomicU64::new(0),
+            incarnation: AtomicU64::new(clock::System.wall_ms() << 8),
+            state: Mutex::default(),
+            settled: Condvar::new(),
+            life: watch::Sender::new(Life::Up),
+            cut_below: watch::Sender::new(0),
+            thawed: watch::Sender::new(true),
+        };
+        Self { inner: Arc::new(inner) }
+    }
+
+    /// Kills the process: open connections are cut and the port is closed
+    /// when this returns.
+    pub fn kill(&self) {
+        self.switch(Life::Down);
+    }
+
+    /// Starts the process again as a new incarnation, on the same port; it
+    /// listens when this returns.
+    pub fn restart(&self) {
+        self.kill();
+        self.inner.incarnation.fetch_add(1, Ordering::SeqCst);
+        self.thaw();
+        self.switch(Life::Up);
+    }
+
+    /// Kills the process and starts it again after `time`.
+    pub fn down_for(&self, time: Duration) {
+        self.kill();
+        let faults = self.clone();
+        crate::server::runtime().spawn(async move {
+            tokio::time::sleep(time).await;
+            let _ = tokio::task::spawn_blocking(move || faults.restart()).await;
+        });
+    }
+
+    /// Freezes the process: connections are accepted, nothing is said and
+    /// nothing is done.
+    pub fn freeze(&self) {
+        self.lock().frozen_since.get_or_insert_with(Instant::now);
+        self.inner.frozen.store(true, Ordering::SeqCst);
+        self.inner.thawed.send_replace(false);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.inner.frozen.store(false, Ordering::SeqCst);
+        self.inner.thawed.send_replace(true);
+        let mut state = self.lock();
+        let since = state.frozen_since.take();
+        state.frozen += since.map_or(Duration::ZERO, |since| since.elapsed());
+        let wakers = std::mem::take(&mut state.wakers);
+        drop(state);
+        wakers.into_values().flatten().for_each(Waker::wake);
+    }
+
+    /// Makes each call take `delay` longer; zero ends it.
+    pub fn slow(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+
+    /// Loses the next `count` calls, or their answers, whose path begins with
+    /// `path`.
+    pub fn lose(&self, loss: Loss, path: &str, count: u32) {
+        self.lock().rules.push(Rule { path: path.into(), loss, left: count });
+    }
+
+    /// Cuts all open connections; new ones work.
+    pub fn cut(&self) {
+        self.inner.cut_below.send_replace(self.inner.next_connection.load(Ordering::SeqCst));
+    }
+
+    /// Makes all open connections silent for good, without closing them; new
+    /// ones work.
+    pub fn silence(&self) {
+        let next = self.inner.next_connection.load(Ordering::SeqCst);
+        self.inner.silent_below.store(next, Ordering::SeqCst);
+    }
+
+    /// Ends slowness and losses and thaws; a dead process stays dead.
+    pub fn clear(&self) {
+        let mut state = self.lock();
+        state.delay = Duration::ZERO;
+        state.rules.clear();
+        drop(state);
+        self.thaw();
+    }
+
+    /// The incarnation of the process; differs after each restart.
+    pub fn incarnation(&self) -> hickory_unit::id::Incarnation {
+        hickory_unit::id::Incarnation(self.inner.incarnation.load(Ordering::SeqCst))
+    }
+
+    /// The time as the process sees it: it stands still while frozen.
+    pub(crate) fn now(&self) -> Instant {
+        let state = self.lock();
+        state.frozen_since.unwrap_or_else(Instant::now) - state.frozen
+    }
+
+    pub(crate) fn stop(&self) {
+        self.inner.life.send_replace(Life::Stopped);
+    }
+
+    pub(crate) fn life(&self) -> watch::Receiver<Life> {
+        self.inner.life.subscribe()
+    }
+
+    pub(crate) fn next_connection(&self) -> u64 {
+        self.inner.next_connection.fetch_add(1, Ordering::SeqCst)
+    }
+
+    /// Ends when connection `number` is cut.
+    pub(crate) async fn wait_cut(&self, number: u64) {
+        let mut cut = self.inner.cut_below.subscribe();
+        let _ = cut.wait_for(|below| number < *below).await;
+    }
+
+    /// Ends when the process is not frozen.
+    pub(crate) async fn wait_thawed(&self) {
+        let mut thawed = self.inner.thawed.subscribe();
+        let _ = thawed.wait_for(|thawed| *thawed).await;
+    }
+
+    /// Whether connection `number` may say nothing now; it is woken when it
+    /// may again.
+    pub(crate) fn blocks(&self, number: u64, waker: &Waker) -> bool {
+        if number < self.inner.silent_below.load(Ordering::SeqCst) {
+            return true;
+        }
+        if !self.inner.frozen.load(Ordering::SeqCst) {
+            return false;
+        }
+        let mut state = self.lock();
+        // Checked again under the lock: a thaw in between has taken the
+        // wakers already, and this one would wait for good.
+        if !self.inner.frozen.load(Ordering::SeqCst) {
+            return false;
+        }
+        let wakers = state.wakers.entry(number).or_default();
+        if !wakers.iter().any(|known| known.will_wake(waker)) {
+            wakers.push(waker.clone());
+        }
+        true
+    }
+
+    pub(crate) fn delay(&self) -> Duration {
+        self.lock().delay
+    }
+
+    /// Takes the loss that is due for a call to `path`.
+    pub(crate) fn take_loss(&self, path: &str) -> Option<Loss> {
+        let mut state = self.lock();
+        let rule = state.rules.iter_mut().find(|r| r.left > 0 && path.starts_with(&r.path))?;
+        rule.left -= 1;
+        let loss = rule.loss;
+        state.rules.retain(|rule| rule.left > 0);
+        Some(loss)
+    }
+
+    /// Says that the accept loop has done what `life` asks.
+    pub(crate) fn settle(&self, life: Life) {
+        self.lock().seen = life;
+        self.inner.settled.notify_all();
+    }
+
+    fn switch(&self, life: Life) {
+        if *self.inner.life.borrow() == Life::Stopped {
+            return;
+        }
+        self.inner.life.send_replace(life);
+        let mut state = self.lock();
+        while state.seen != life && state.seen != Life::Stopped {
+            state = self.inner.settled.wait(state).unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.inner.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/hosts.rs
@@ -0,0 +1,86 @@
+//! The host list, which lags behind.
+
+use crate::server::{self, Call, Reply};
+use hickory_platform::host::{Host, Standing};
+use hickory_unit::id;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+#[derive(Debug, Default)]
+struct State {
+    lag: Duration,
+    /// What was set, and when; the front is what callers see.
+    past: VecDeque<(Instant, Vec<Host>)>,
+}
+
+/// The host list.
+#[derive(Clone, Debug, Default)]
+pub struct List {
+    state: Arc<Mutex<State>>,
+}
+
+impl List {
+    /// Sets the whole list; callers see it after the lag.
+    pub fn set(&self, hosts: Vec<Host>) {
+        self.lock().past.push_back((Instant::now(), hosts));
+    }
+
+    /// Sets how far the list lags behind.
+    pub fn set_lag(&self, lag: Duration) {
+        self.lock().lag = lag;
+    }
+
+    /// Changes the standing of one target.
+    pub fn stand(&self, target: &id::Target, standing: Standing) {
+        let mut hosts = self.newest();
+        hosts.iter_mut().filter(|host| host.target == *target).for_each(|h| h.standing = standing);
+        self.set(hosts);
+    }
+
+    /// Takes a target off the list.
+    pub fn remove(&self, target: &id::Target) {
+        let mut hosts = self.newest();
+        hosts.retain(|host| host.target != *target);
+        self.set(hosts);
+    }
+
+    /// The list without the lag.
+    pub fn newest(&self) -> Vec<Host> {
+        self.lock().past.back().map(|(_, hosts)| hosts.clone()).unwrap_or_default()
+    }
+
+    /// The list as callers see it now.
+    pub fn seen(&self) -> Vec<Host> {
+        let mut state = self.lock();
+        let lag = state.lag;
+        while state.past.get(1).is_some_and(|(set, _)| set.elapsed() >= lag) {
+            state.past.pop_front();
+        }
+        state.past.front().map(|(_, hosts)| hosts.clone()).unwrap_or_default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A running host list.
+pub type Handle = server::Handle<List>;
+
+/// Serves `hosts`, with no lag at first.
+pub fn spawn(listen: SocketAddr, hosts: Vec<Host>) -> std::io::Result<Handle> {
+    let list = List::default();
+    list.set(hosts);
+    server::spawn(listen, list)
+}
+
+impl server::Service for List {
+    async fn call(&self, call: Call) -> Reply {
+        match call.path.as_str() {
+            "/hosts" => Reply::json(&self.seen()),
+            _ => Reply::status(405, "no such call"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/memory.rs
@@ -0,0 +1,119 @@
+//! The key-value service within a process, for tests without sockets.
+
+use crate::store::Shared;
+use hickory_platform::store::{Batch, Entry, Error, Lease, Revision, Store, Write};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// What goes wrong with the calls of one [`Memory`].
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Every call ends at once without effect.
+    pub down: bool,
+    /// Every call ends without an answer and without effect.
+    pub silent: bool,
+    /// So many of the next writes take effect, and their answers are lost.
+    pub lose_answers: u32,
+    /// So many of the next writes are lost before they take effect, and the
+    /// caller can't tell.
+    pub lose_writes: u32,
+    /// Each call takes this long.
+    pub delay: Duration,
+}
+
+/// One client's view of a key-value service that lives in the process; views
+/// made by [`Memory::join`] share the state but not the faults.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    shared: Shared,
+    faults: Arc<Mutex<Faults>>,
+}
+
+impl Memory {
+    /// Another client of the same service, with faults of its own.
+    pub fn join(&self) -> Self {
+        Self { shared: self.shared.clone(), faults: Arc::default() }
+    }
+
+    /// Changes the faults of this client and of its clones.
+    pub fn set(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.lock());
+    }
+
+    /// The service itself, past all faults.
+    pub fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Faults> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn enter(&self) -> Result<(), Error> {
+        let faults = self.lock().clone();
+        if !faults.delay.is_zero() {
+            tokio::time::sleep(faults.delay).await;
+        }
+        if faults.down {
+            return Err(Error::NotDone("down".into()));
+        }
+        if faults.silent {
+            return Err(Error::Unknown("timeout".into()));
+        }
+        Ok(())
+    }
+
+    fn take(&self, count: impl FnOnce(&mut Faults) -> &mut u32) -> bool {
+        let mut faults = self.lock();
+        let left = count(&mut faults);
+        let some = *left > 0;
+        *left = left.saturating_sub(1);
+        some
+    }
+}
+
+impl Store for Memory {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
+        self.enter().await?;
+        Ok(self.shared.with(|core, now| core.get(now, key)))
+    }
+
+    async fn list(&self, prefix: &str) -> Result<(Vec<Entry>, Revision), Error> {
+        self.enter().await?;
+        Ok(self.shared.with(|core, now| core.list(now, prefix)))
+    }
+
+    async fn write(&self, write: Write) -> Result<Revision, Error> {
+        self.enter().await?;
+        if self.take(|faults| &mut faults.lose_writes) {
+            return Err(Error::Unknown("cut".into()));
+        }
+        let result = self.shared.with(|core, now| core.write(now, write));
+        if self.take(|faults| &mut faults.lose_answers) {
+            return Err(Error::Unknown("cut".into()));
+        }
+        result
+    }
+
+    async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Batch, Error> {
+        self.enter().await?;
+        let batch = self.shared.watch(prefix, after, wait).await;
+        self.enter().await?;
+        Ok(batch)
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
+        self.enter().await?;
+        Ok(self.shared.with(|core, now| core.grant(now, ttl)))
+    }
+
+    async fn renew(&self, lease: Lease) -> Result<(), Error> {
+        self.enter().await?;
+        self.shared.with(|core, now| core.renew(now, lease))
+    }
+
+    async fn revoke(&self, lease: Lease) -> Result<(), Error> {
+        self.enter().await?;
+        self.shared.with(|core, now| core.revoke(now, lease))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,367 @@
+//! The HTTP server that all stand-ins share, with the faults at its socket.
+
+use crate::fault::{Faults, Life, Loss};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::OnceLock;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+/// Threads of the runtime: enough for a small fleet beside the tests that use
+/// it on the same machine.
+const THREADS: usize = 3;
+
+/// Pieces of a streamed body that wait for a slow reader.
+const STREAM_BUFFER: usize = 64;
+
+/// A call, read whole.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The method.
+    pub method: http::Method,
+    /// The path, without the query.
+    pub path: String,
+    query: String,
+    /// The headers.
+    pub headers: http::HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// A value of the query, unescaped; empty where absent.
+    pub fn query(&self, name: &str) -> String {
+        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        let found = pairs.into_iter().find(|(key, _)| *key == name);
+        found.map(|(_, value)| unescape(value)).unwrap_or_default()
+    }
+
+    /// The body as JSON, or the reply to a body that is not.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
+        serde_json::from_slice(&self.body).map_err(|e| Reply::status(400, &e.to_string()))
+    }
+}
+
+fn unescape(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        rest = tail;
+        let code = tail.get(..2).and_then(|two| std::str::from_utf8(two).ok());
+        let code = code.and_then(|two| u8::from_str_radix(two, 16).ok());
+        match (first, code) {
+            (b'%', Some(code)) => {
+                bytes.push(code);
+                rest = &tail[2..];
+            }
+            _ => bytes.push(*first),
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// The body of a reply.
+#[derive(Debug)]
+pub enum Content {
+    /// Known whole.
+    Whole(Option<Bytes>),
+    /// Sent piece by piece; cut when the sender is dropped without
+    /// [`Piece::End`].
+    Stream(mpsc::Receiver<Piece>),
+}
+
+/// A piece of a streamed body.
+#[derive(Debug)]
+pub enum Piece {
+    /// Bytes.
+    Data(Bytes),
+    /// The body is whole.
+    End,
+}
+
+/// A body that broke off.
+#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error)]
+#[display("cut")]
+pub struct Cut;
+
+impl Body for Content {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(pieces) => pieces.poll_recv(cx).map(|piece| match piece {
+                Some(Piece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Piece::End) => None,
+                None => Some(Err(Cut)),
+            }),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+}
+
+/// The answer to a call.
+#[derive(Debug)]
+pub struct Reply {
+    status: u16,
+    content: Content,
+}
+
+impl Reply {
+    /// 200 with a JSON document.
+    pub fn json<T: Serialize>(value: &T) -> Self {
+        let body = serde_json::to_vec(value).unwrap_or_default();
+        Self { status: 200, content: Content::Whole(Some(body.into())) }
+    }
+
+    /// A status with a line of text.
+    pub fn status(status: u16, text: &str) -> Self {
+        Self { status, content: Content::Whole(Some(Bytes::copy_from_slice(text.as_bytes()))) }
+    }
+
+    /// 200 with a body that is sent piece by piece.
+    pub fn stream() -> (mpsc::Sender<Piece>, Self) {
+        let (send, receive) = mpsc::channel(STREAM_BUFFER);
+        (send, Self { status: 200, content: Content::Stream(receive) })
+    }
+
+    /// The same with another status.
+    pub fn with_status(self, status: u16) -> Self {
+        Self { status, ..self }
+    }
+}
+
+/// What a stand-in does with a call.
+pub trait Service: Clone + Send + Sync + 'static {
+    /// Answers a call.
+    fn call(&self, call: Call) -> impl Future<Output = Reply> + Send;
+
+    /// Starts a new incarnation after a kill: what the process held in memory
+    /// is gone.
+    fn restart(&self, _faults: &Faults) {}
+}
+
+/// A running stand-in; stops when dropped.
+#[derive(Debug)]
+pub struct Handle<S> {
+    address: SocketAddr,
+    faults: Faults,
+    service: S,
+}
+
+impl<S> Handle<S> {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The switches of its faults.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// What it serves, past all faults.
+    pub fn service(&self) -> &S {
+        &self.service
+    }
+}
+
+impl<S> Drop for Handle<S> {
+    fn drop(&mut self) {
+        self.faults.stop();
+    }
+}
+
+/// The runtime of all stand-ins of the process.
+pub(crate) fn runtime() -> &'static Runtime {
+    static RUNTIME: OnceLock<Runtime> = OnceLock::new();
+    RUNTIME.get_or_init(|| {
+        tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(THREADS)
+            .thread_name("standin")
+            .enable_all()
+            .build()
+            .expect("threads and sockets for the stand-ins")
+    })
+}
+
+/// Listens at `listen` (port 0: any) and serves.
+pub(crate) fn spawn<S: Service>(listen: SocketAddr, service: S) -> std::io::Result<Handle<S>> {
+    spawn_with(listen, service, Faults::none())
+}
+
+/// The same with switches made before.
+pub(crate) fn spawn_with<S: Service>(
+    listen: SocketAddr,
+    service: S,
+    faults: Faults,
+) -> std::io::Result<Handle<S>> {
+    let _context = runtime().enter();
+    let listener = bind(listen)?;
+    let address = listener.local_addr()?;
+    runtime().spawn(run(listener, address, service.clone(), faults.clone()));
+    Ok(Handle { address, faults, service })
+}
+
+fn bind(listen: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(listen)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
+async fn run<S: Service>(listener: TcpListener, address: SocketAddr, service: S, faults: Faults) {
+    let mut life = faults.life();
+    let mut listener = Some(listener);
+    let mut connections = JoinSet::new();
+    loop {
+        let now = *life.borrow_and_update();
+        match (now, &listener) {
+            (Life::Up, None) => {
+                service.restart(&faults);
+                listener = rebind(address).await;
+            }
+            (Life::Down | Life::Stopped, _) => {
+                listener = None;
+                connections.shutdown().await;
+            }
+            (Life::Up, Some(_)) => {}
+        }
+        faults.settle(now);
+        if now == Life::Stopped {
+            return;
+        }
+        match &listener {
+            Some(listener) => {
+                tokio::select! {
+                    _ = life.changed() => {}
+                    accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                        connections.spawn(serve(stream, service.clone(), faults.clone()));
+                    },
+                    Some(_) = connections.join_next(), if !connections.is_empty() => {}
+                }
+            }
+            None => {
+                let _ = life.changed().await;
+            }
+        }
+    }
+}
+
+/// Listens again on the port of the dead process.
+async fn rebind(address: SocketAddr) -> Option<TcpListener> {
+    loop {
+        match bind(address) {
+            Ok(listener) => return Some(listener),
+            // Another socket may hold the port as its own end of a connection
+            // for a moment; it is given back within milliseconds.
+            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(5)).await,
+        }
+    }
+}
+
+async fn serve<S: Service>(stream: TcpStream, service: S, faults: Faults) {
+    let number = faults.next_connection();
+    let _ = stream.set_nodelay(true);
+    let gated = Gated { stream, number, faults: faults.clone() };
+    let handler = hyper::service::service_fn(|request| handle(request, &service, &faults));
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .half_close(false)
+        .serve_connection(TokioIo::new(gated), handler);
+    tokio::select! {
+        _ = connection => {}
+        () = faults.wait_cut(number) => {}
+    }
+}
+
+async fn handle<S: Service>(
+    request: http::Request<Incoming>,
+    service: &S,
+    faults: &Faults,
+) -> Result<http::Response<Content>, Cut> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
+    faults.wait_thawed().await;
+    let path = parts.uri.path().to_owned();
+    let query = parts.uri.query().unwrap_or_default().to_owned();
+    let call = Call { method: parts.method, path, query, headers: parts.headers, body };
+    let delay = faults.delay();
+    if !delay.is_zero() {
+        tokio::time::sleep(delay).await;
+    }
+    let loss = faults.take_loss(&call.path);
+    if loss == Some(Loss::Call) {
+        return Err(Cut);
+    }
+    let reply = service.call(call).await;
+    if loss == Some(Loss::Answer) {
+        return Err(Cut);
+    }
+    let mut response = http::Response::new(reply.content);
+    *response.status_mut() = http::StatusCode::from_u16(reply.status).unwrap_or_default();
+    Ok(response)
+}
+
+/// A socket that says nothing while its stand-in is frozen, or for good once
+/// it was silenced.
+struct Gated {
+    stream: TcpStream,
+    number: u64,
+    faults: Faults,
+}
+
+impl AsyncRead for Gated {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        if self.faults.blocks(self.number, cx.waker()) {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Gated {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        if self.faults.blocks(self.number, cx.waker()) {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        if self.faults.blocks(self.number, cx.waker()) {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
