Read documents in JSON with comments with every finding

serde stops at the first error, without the path of the field. A reader over jsonc-parser's syntax tree goes on after each finding and keeps the lines of all fields, so that later checks of the typed value have places as well. Only comments and trailing commas go beyond JSON: what another tool reads differently is refused.

--- /dev/null
+++ b/crates/document/src/lib.rs
@@ -0,0 +1,111 @@
+//! Documents in JSON with comments, read with every finding and its place.
+//!
+//! `serde` stops at the first thing that is wrong. Operators who send a long
+//! note, or start many hosts with one settings file, need all of them at
+//! once. [`read::Read`] walks the syntax tree of `jsonc-parser` instead and
+//! goes on after each finding.
+//!
+//! ```
+//! use hickory_document::{field::Fields, read::{Node, Read}, read_document};
+//! use hickory_unit::finding::Finding;
+//!
+//! struct Point {
+//!     x: u32,
+//!     y: u32,
+//! }
+//!
+//! impl Read for Point {
+//!     fn read(node: &Node<'_>, findings: &mut Vec<Finding>) -> Option<Self> {
+//!         let mut fields = Fields::open(node, findings)?;
+//!         let x = fields.required("x");
+//!         let y = fields.required("y");
+//!         fields.close();
+//!         Some(Self { x: x?, y: y? })
+//!     }
+//! }
+//!
+//! let reading = read_document::<Point>("{ \"x\": true, // wrong\n \"z\": 1 }");
+//! let lines: Vec<String> = reading.findings.iter().map(|f| f.to_string()).collect();
+//! assert_eq!(
+//!     lines,
+//!     [
+//!         "line 1: x: expected an integer from 0 to 4294967295, found a boolean",
+//!         "line 1: y: is missing",
+//!         "line 2: z: unknown field",
+//!     ],
+//! );
+//! ```
+
+pub mod field;
+pub mod place;
+pub mod read;
+
+use hickory_unit::finding::Finding;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use place::{Lines, Places};
+use read::{Node, Read};
+
+/// The path of the document itself.
+pub const ROOT: &str = "document";
+
+/// What came of reading a document.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reading<T> {
+    /// What could be read, also beside findings.
+    pub value: Option<T>,
+    /// All that is wrong, by line.
+    pub findings: Vec<Finding>,
+    /// Where each field stands, for findings of later checks.
+    pub places: Places,
+}
+
+impl<T> Reading<T> {
+    /// The value, where nothing is wrong.
+    pub fn into_result(self) -> Result<T, Vec<Finding>> {
+        match self.value {
+            Some(value) if self.findings.is_empty() => Ok(value),
+            _ => Err(self.findings),
+        }
+    }
+}
+
+/// Reads a document.
+pub fn read_document<T: Read>(text: &str) -> Reading<T> {
+    match parse_to_ast(text, &CollectOptions::default(), &parse_options()) {
+        Ok(parsed) => match &parsed.value {
+            Some(root) => read_root(text, root),
+            None => fail(1, "is empty".to_owned()),
+        },
+        Err(error) => fail(error.line_display(), error.kind().to_string()),
+    }
+}
+
+fn read_root<T: Read>(text: &str, root: &jsonc_parser::ast::Value<'_>) -> Reading<T> {
+    let lines = Lines::of(text);
+    let mut findings = Vec::new();
+    let value = T::read(&Node::root(root, &lines), &mut findings);
+    findings.sort();
+    Reading { value, findings, places: Places::of(root, &lines) }
+}
+
+fn fail<T>(line: usize, message: String) -> Reading<T> {
+    let findings = vec![Finding { line, field: ROOT.to_owned(), message }];
+    Reading { value: None, findings, places: Places::default() }
+}
+
+/// JSON with comments and trailing commas, and nothing looser: a note that
+/// another tool reads differently must not be accepted.
+fn parse_options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
