--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -49,7 +49,7 @@
     let core = core.clone();
     let task = tokio::spawn(async move {
         let _active = Active::begin(&core);
-        let _in_flight = core.metrics.begin(Work::Call);
+        let _in_flight = core.metrics.begin(Work::Service);
         match (call.once, call.key) {
             (true, Some(key)) => run_once(&core, &call, key).await,
             (true, None) => {
