A request is served end to end by separate processes

Callers ask any node for an address, connect there and get a streamed answer; each target's owner grants leave to send. Proofs with three node processes over stand-ins: whole path, planned stop of one and of two nodes, a killed node whose caller resumes elsewhere, a caller who hangs up.

Found on the way: a resume through another node failed while the dead node's targets had no owner (the stream ended before the takeover, then nobody knew it). Ruled out: a lost stream on the engine; it answered a direct resume. The engine is now asked at once and the owner is told beside that; a new owner leaves a stream that nobody stands for alone for the time of a resume. Before: 'never came: the stream is taken up' (30 s); after: passes.

--- /dev/null
+++ b/apps/hickory-node/tests/proofs/death.rs
@@ -0,0 +1,46 @@
+//! Nodes that die or freeze: callers resume through another node, and engines
+//! get their memory back.
+
+use crate::support::{Scene, eventually, expected, options};
+
+/// The caller's node is killed in the middle of a stream. The caller connects
+/// to another node with the id of the last event it saw and gets the rest: no
+/// token twice, none missing. The engine's memory is free afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_node_loses_no_token() {
+    let mut options = options();
+    options.engine.model.speed = 0.2;
+    let mut scene = Scene::start(3, options).await;
+    let prompt = "the season report of all agencies";
+    let mut stream = scene.complete(scene.nodes[0].callers, prompt, 60).await.unwrap();
+    for _ in 0..5 {
+        assert!(stream.next().await);
+    }
+    scene.nodes[0].kill();
+    while stream.next().await {}
+    let mut text = stream.text.clone();
+    let at = scene.nodes[1].callers;
+    let mut rest = eventually("the stream is taken up", || async {
+        let rest = scene.resume(at, &stream.request, &stream.event).await.ok()?;
+        (rest.status == 200).then_some(rest)
+    })
+    .await;
+    rest.rest().await;
+    text.push_str(&rest.text);
+    assert_eq!(text, expected(prompt, 60));
+    eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
+}
+
+/// The caller hangs up and never comes back: the stream is cancelled on the
+/// engine once the time for a resume is over, well before its deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_without_caller_is_cancelled() {
+    let mut options = options();
+    options.engine.model.speed = 0.1;
+    let scene = Scene::start(2, options).await;
+    let mut stream = scene.complete(scene.nodes[0].callers, "hang up", 5_000).await.unwrap();
+    assert!(stream.next().await);
+    assert!(scene.kv_used() > 0);
+    drop(stream);
+    eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
+}
--- /dev/null
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -0,0 +1,8 @@
+//! Proofs between processes: real nodes and stand-ins on loopback, under the
+//! failures that the brief names. Waits are on conditions, never on guessed
+//! times.
+
+mod death;
+mod path;
+mod stop;
+mod support;
--- /dev/null
+++ b/apps/hickory-node/tests/proofs/stop.rs
@@ -0,0 +1,54 @@
+//! Every planned stop is a graceful shutdown that cuts off no request.
+
+use crate::support::{Scene, expected, options};
+use rustix::process::Signal;
+
+/// A caller is in the middle of a stream when its node gets SIGTERM; a second
+/// caller still has the node's address and connects during the stop. Both get
+/// their whole answers, and the process ends with status 0.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_request() {
+    let mut options = options();
+    options.engine.model.speed = 1.0;
+    let mut scene = Scene::start(3, options).await;
+    let at = scene.nodes[0].callers;
+    let mut first = scene.complete(at, "a long review of the archive", 80).await.unwrap();
+    assert!(first.next().await);
+    scene.nodes[0].signal(Signal::TERM);
+    let mut second = scene.complete(at, "asked at a kept address", 5).await.unwrap();
+    second.rest().await;
+    assert_eq!(second.text, expected("asked at a kept address", 5));
+    first.rest().await;
+    assert_eq!(first.text, expected("a long review of the archive", 80));
+    assert!(first.done && second.done);
+    assert!(scene.nodes[0].exited().await.success());
+}
+
+/// Two nodes of three are stopped at once under streams; the third takes their
+/// targets over. No stream is cut, both end with status 0, and the third
+/// still serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_planned_stops_at_once_cut_no_request() {
+    let mut options = options();
+    options.engine.model.speed = 2.0;
+    let mut scene = Scene::start(3, options).await;
+    let mut streams = Vec::new();
+    for (i, node) in scene.nodes.iter().enumerate().take(2) {
+        let prompt = format!("stream {i}");
+        let mut stream = scene.complete(node.callers, &prompt, 60).await.unwrap();
+        assert!(stream.next().await);
+        streams.push((prompt, stream));
+    }
+    scene.nodes[0].signal(Signal::TERM);
+    scene.nodes[1].signal(Signal::TERM);
+    for (prompt, stream) in &mut streams {
+        stream.rest().await;
+        assert_eq!(stream.text, expected(prompt, 60));
+    }
+    assert!(scene.nodes[0].exited().await.success());
+    assert!(scene.nodes[1].exited().await.success());
+    scene.ready(&scene.nodes[2], 5).await;
+    let mut last = scene.complete(scene.nodes[2].callers, "still here?", 5).await.unwrap();
+    last.rest().await;
+    assert_eq!(last.text, expected("still here?", 5));
+}
--- /dev/null
+++ b/apps/hickory-node/tests/proofs/support.rs
@@ -0,0 +1,388 @@
+//! A small fleet: stand-ins in this process, nodes as processes of their own,
+//! ended by id when the test ends.
+
+use bytes::Bytes;
+use hickory_model::answer::Answer;
+use hickory_release::configuration::digest_token;
+use hickory_standin::fleet::{self, Fleet};
+use hickory_target::engine::Weights;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::future::Future;
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+/// The bound of every wait on a condition. It only ends a test that has
+/// failed; none passes or fails by how long something took below it.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+pub const OPERATOR: &str = "operator-token";
+pub const ACCOUNT: &str = "account-token";
+pub const MODEL: &str = "colour";
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+
+/// A fleet of nodes with the stand-ins before and behind them.
+pub struct Scene {
+    pub standins: Fleet,
+    pub nodes: Vec<Node>,
+    pub http: Http,
+}
+
+/// A node process.
+pub struct Node {
+    pub callers: SocketAddr,
+    pub admin: SocketAddr,
+    child: Child,
+}
+
+#[derive(Deserialize)]
+struct Ready {
+    callers: SocketAddr,
+    admin: SocketAddr,
+}
+
+/// Waits until `check` brings a value.
+pub async fn eventually<T, F: Future<Output = Option<T>>>(
+    what: &str,
+    mut check: impl FnMut() -> F,
+) -> T {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(value) = check().await {
+            return value;
+        }
+        assert!(Instant::now() < end, "never came: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+pub fn weights() -> Weights {
+    Weights { model: MODEL.into(), version: "1".into(), adapter: None }
+}
+
+/// Stand-ins that run faster than real ones, so that tests are short.
+pub fn options() -> fleet::Options {
+    let mut options = fleet::Options::default();
+    options.engine.model.speed = 20.0;
+    options.engine.loaded = vec![weights()];
+    options
+}
+
+/// Times of a node that suit a test: everything soon, nothing in a hurry.
+pub fn times() -> Value {
+    json!({
+        "lease_ms": 1500, "permit_ms": 500, "gossip_ms": 100, "report_ms": 50,
+        "hosts_ms": 100, "entry_keep_ms": 500, "resume_ms": 1500, "progress_ms": 1500,
+        "platform_ms": 500,
+    })
+}
+
+impl Node {
+    pub fn start(name: &str, zone: &str, standins: &Fleet, times: &Value) -> Self {
+        let platform = standins.platform();
+        let settings = json!({
+            "node": name,
+            "zone": zone,
+            "callers": "127.0.0.1:0",
+            "admin": "127.0.0.1:0",
+            "peers": "127.0.0.1:0",
+            "platform": {
+                "store": platform.store, "hosts": platform.hosts, "weights": platform.weights,
+            },
+            "fleet_key": "2a".repeat(32),
+            "first_operator": digest_token(OPERATOR),
+            "times": times,
+        });
+        let mut child = Command::new(env!("CARGO_BIN_EXE_hickory-node"))
+            .args(["--log", "warn", "/dev/stdin"])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the node starts");
+        let mut stdin = child.stdin.take().expect("stdin is piped");
+        stdin.write_all(settings.to_string().as_bytes()).expect("settings are read");
+        drop(stdin);
+        let mut line = String::new();
+        let stdout = child.stdout.take().expect("stdout is piped");
+        BufReader::new(stdout).read_line(&mut line).expect("the node says that it is ready");
+        let ready: Ready = serde_json::from_str(&line).expect("the node's line is JSON");
+        Self { callers: ready.callers, admin: ready.admin, child }
+    }
+
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let id = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(id, signal).expect("the node can be signalled");
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the node can be killed");
+        self.child.wait().expect("the node has ended");
+    }
+
+    /// Waits for the process to end by itself.
+    pub async fn exited(&mut self) -> ExitStatus {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the node can be waited for") {
+                return status;
+            }
+            assert!(Instant::now() < end, "the node never ended");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A note that sets the usual tests up.
+pub fn first_note() -> Value {
+    json!({
+        "against": 0,
+        "operation": uuid::Uuid::now_v7().to_string(),
+        "added": {
+            "partners": { "mawe": { "share": 1.0 } },
+            "models": {
+                MODEL: { "current": "1", "versions": { "1": { "bytes": 1_000_000 } } },
+            },
+            "services": { "orders": { "once": ["/place"] } },
+            "accounts": {
+                "shop": {
+                    "partner": "mawe", "token_digest": digest_token(ACCOUNT),
+                    "models": [MODEL], "services": ["orders"],
+                },
+            },
+            "zones": { "a": {}, "b": {}, "c": {} },
+            "operators": [digest_token(OPERATOR)],
+        },
+    })
+}
+
+impl Scene {
+    /// Starts stand-ins and `count` nodes and waits until every node can send
+    /// work to every target.
+    pub async fn start(count: usize, options: fleet::Options) -> Self {
+        let targets = options.engines + options.replicas;
+        let standins = Fleet::spawn(options).expect("the stand-ins start");
+        let nodes = (0..count)
+            .map(|i| Node::start(&format!("node-{i}"), ["a", "b", "c"][i % 3], &standins, &times()))
+            .collect();
+        let http = Client::builder(TokioExecutor::new()).build_http();
+        let scene = Self { standins, nodes, http };
+        scene.accept(&first_note()).await;
+        for node in &scene.nodes {
+            scene.ready(node, targets).await;
+        }
+        scene
+    }
+
+    pub async fn get(&self, at: SocketAddr, path: &str, token: &str) -> Option<Value> {
+        let request = http::Request::get(format!("http://{at}{path}"))
+            .header("authorization", format!("Bearer {token}"))
+            .body(Full::default())
+            .expect("the request is well-formed");
+        let response = self.http.request(request).await.ok()?;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Waits until a node knows `count` targets that take work.
+    pub async fn ready(&self, node: &Node, count: usize) {
+        eventually("all targets take work", || async {
+            let targets = self.get(node.admin, "/v1/admin/targets", OPERATOR).await?;
+            let accepting =
+                targets.as_array()?.iter().filter(|t| t["accepting"] == json!(true)).count();
+            (accepting == count).then_some(())
+        })
+        .await;
+    }
+
+    /// Sends a note to the first node and waits until it is in force on all.
+    pub async fn accept(&self, note: &Value) {
+        let (status, answer) = self.post_note(&self.nodes[0], note).await;
+        assert_eq!(status, 200, "{answer}");
+        let version = answer["version"].clone();
+        for node in &self.nodes {
+            eventually("the note is in force", || async {
+                let health = self.get(node.admin, "/health", OPERATOR).await?;
+                (health["version"] == version).then_some(())
+            })
+            .await;
+        }
+    }
+
+    pub async fn post_note(&self, node: &Node, note: &Value) -> (u16, Value) {
+        let request = http::Request::post(format!("http://{}/v1/admin/releases", node.admin))
+            .header("authorization", format!("Bearer {OPERATOR}"))
+            .body(Full::from(note.to_string()))
+            .expect("the request is well-formed");
+        let response = self.http.request(request).await.expect("the node answers");
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await.expect("the answer is whole");
+        (status, serde_json::from_slice(&body.to_bytes()).unwrap_or(Value::Null))
+    }
+
+    /// Asks for a streamed completion.
+    pub async fn complete(
+        &self,
+        at: SocketAddr,
+        prompt: &str,
+        max_tokens: u64,
+    ) -> Result<Stream, hyper_util::client::legacy::Error> {
+        let body = json!({
+            "model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": true,
+        });
+        let request = http::Request::post(format!("http://{at}/v1/completions"))
+            .header("authorization", format!("Bearer {ACCOUNT}"))
+            .body(Full::from(body.to_string()))
+            .expect("the request is well-formed");
+        Ok(Stream::of(self.http.request(request).await?))
+    }
+
+    /// Takes up a stream through any node.
+    pub async fn resume(
+        &self,
+        at: SocketAddr,
+        request: &str,
+        event: &str,
+    ) -> Result<Stream, hyper_util::client::legacy::Error> {
+        let request = http::Request::get(format!("http://{at}/v1/requests/{request}"))
+            .header("authorization", format!("Bearer {ACCOUNT}"))
+            .header("last-event-id", event)
+            .body(Full::default())
+            .expect("the request is well-formed");
+        Ok(Stream::of(self.http.request(request).await?))
+    }
+
+    /// Calls the plain service.
+    pub async fn call(
+        &self,
+        at: SocketAddr,
+        path: &str,
+        key: &str,
+        time_left: Duration,
+    ) -> Option<(u16, Value)> {
+        let request = http::Request::post(format!("http://{at}/v1/services/orders{path}"))
+            .header("authorization", format!("Bearer {ACCOUNT}"))
+            .header("idempotency-key", key)
+            .header("x-time-left-ms", time_left.as_millis().to_string())
+            .body(Full::from("{}"))
+            .expect("the request is well-formed");
+        let response = self.http.request(request).await.ok()?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        Some((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+    }
+
+    /// How often calls with `key` ran; all replicas share their books.
+    pub fn runs(&self, key: &str) -> u32 {
+        self.standins.replicas[0].service().runs().of(key)
+    }
+
+    /// KV cache that all engines hold.
+    pub fn kv_used(&self) -> u64 {
+        self.standins.engines.iter().map(|engine| engine.service().kv_used().0).sum()
+    }
+}
+
+/// A streamed answer.
+pub struct Stream {
+    pub status: u16,
+    pub request: String,
+    body: Incoming,
+    buffer: Vec<u8>,
+    /// The text so far.
+    pub text: String,
+    /// The id of the last event.
+    pub event: String,
+    /// Whether the explicit end came.
+    pub done: bool,
+    /// The problem that ended the stream, or that refused it.
+    pub problem: Option<Value>,
+}
+
+impl Stream {
+    fn of(response: http::Response<Incoming>) -> Self {
+        let request = response.headers().get("x-request-id");
+        let request = request.and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
+        let status = response.status().as_u16();
+        Self {
+            status,
+            request,
+            body: response.into_body(),
+            buffer: Vec::new(),
+            text: String::new(),
+            event: String::new(),
+            done: false,
+            problem: None,
+        }
+    }
+
+    /// Reads the next event; false at the end or a cut.
+    pub async fn next(&mut self) -> bool {
+        loop {
+            if let Some(end) = self.buffer.windows(2).position(|w| w == b"\n\n") {
+                let event: Vec<u8> = self.buffer.drain(..end + 2).collect();
+                self.take(&String::from_utf8(event).expect("events are text"));
+                return true;
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buffer.extend_from_slice(&data);
+                    }
+                }
+                Some(Err(_)) | None => return false,
+            }
+        }
+    }
+
+    fn take(&mut self, event: &str) {
+        let failed = event.lines().any(|line| line == "event: error");
+        for line in event.lines() {
+            if let Some(id) = line.strip_prefix("id: ") {
+                self.event = id.to_owned();
+            }
+            let Some(data) = line.strip_prefix("data: ") else { continue };
+            if data == "[DONE]" {
+                self.done = true;
+            } else if let Ok(value) = serde_json::from_str::<Value>(data) {
+                match failed {
+                    true => self.problem = Some(value),
+                    false => {
+                        self.text.push_str(value["choices"][0]["text"].as_str().unwrap_or(""));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads to the end.
+    pub async fn rest(&mut self) {
+        if self.status != 200 {
+            while let Some(Ok(frame)) = self.body.frame().await {
+                self.buffer.extend_from_slice(&frame.into_data().unwrap_or_default());
+            }
+            self.problem = serde_json::from_slice(&self.buffer).ok();
+            return;
+        }
+        while self.next().await {}
+    }
+}
+
+/// The text that a prompt must be answered with.
+pub fn expected(prompt: &str, tokens: u64) -> String {
+    Answer::of(prompt).text(tokens)
+}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -134,6 +134,7 @@
             node: self.core.me().clone(),
             ready: configuration.is_some() && self.core.stage() == Stage::Serving,
             draining: self.core.stage() != Stage::Serving,
+            platform: self.core.member.confirmed(self.core.now()),
             version: configuration.map_or(id::Release(0), |c| c.version),
         }
     }
--- a/crates/node/src/drive.rs
+++ b/crates/node/src/drive.rs
@@ -100,6 +100,7 @@
 fn take_report(core: &Core, target: &id::Target, report: &Report) {
     let now = core.now();
     let wall_ms = seat::wall_ms(core);
+    let resume = core.time(core.settings.times.resume_ms);
     let nodes = core.member.nodes();
     let confirmed = core.member.confirmed(now);
     let held: Vec<id::Stream> = report.streams.iter().map(|held| held.stream.clone()).collect();
@@ -124,7 +125,7 @@
         // The list of nodes says nothing while the platform can't be reached.
         let is_live = |node: &id::Node| !confirmed || nodes.contains_key(node);
         seat.mark_gone(now, is_live);
-        seat.sweep_held(wall_ms, &held, is_live);
+        seat.sweep_held(now, wall_ms, resume, &held, is_live);
     });
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -58,7 +58,8 @@
 #[derive(Clone, Debug)]
 pub struct Node {
     core: Arc<Core>,
-    admin: SocketAddr,
+    /// Serves operators until the last clone of the node is dropped.
+    admin: Arc<hickory_admin::server::Handle<admin::Desk>>,
 }
 
 impl Node {
@@ -77,7 +78,7 @@
         settings.peers = peers.local_addr()?;
         let core = Arc::new(open_core(settings, key)?);
         let desk = admin::Desk { core: core.clone(), runtime: tokio::runtime::Handle::current() };
-        let admin = hickory_admin::Server::spawn(core.settings.admin, Arc::new(desk))?.address();
+        let admin = hickory_admin::Server::spawn(core.settings.admin, Arc::new(desk))?;
         let links = Links::spawn(peers, core.key.clone(), peers::Desk(Arc::downgrade(&core)))?;
         let _ = core.links.set(links.clone());
         tokio::spawn(peers::follow_hosts(core.clone()));
@@ -86,7 +87,7 @@
         tokio::spawn(drain::follow(core.clone()));
         let listener = tokio::net::TcpListener::from_std(callers)?;
         tokio::spawn(serve::serve(core.clone(), listener));
-        Ok(Self { core, admin })
+        Ok(Self { core, admin: Arc::new(admin) })
     }
 
     /// Where callers connect.
@@ -96,7 +97,7 @@
 
     /// Where operators connect.
     pub fn admin(&self) -> SocketAddr {
-        self.admin
+        self.admin.address()
     }
 
     /// Where other nodes connect.
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -211,21 +211,26 @@
     }
 }
 
-/// Tells the owner of `target` that this node serves the rest of a stream.
+/// Tells the owner of a target that this node serves the rest of a stream.
 pub(crate) async fn adopt(core: &Core, adopt: message::Adopt) -> Result<Permit, Refusal> {
-    let lost = || refuse(Reason::StreamLost, "no target holds the stream any more");
-    let answer = match find_owner(core, &adopt.target).ok_or_else(lost)? {
+    // The owner may have gone with the caller's node: its successor, once it
+    // is there, finds the stream on the target.
+    let no_owner = || Refusal {
+        retry_after: Some(core.permit_life()),
+        ..refuse(Reason::NoOwner, "the target has no owner at present")
+    };
+    let answer = match find_owner(core, &adopt.target).ok_or_else(no_owner)? {
         Owner::Here => seat::adopt(core, &adopt),
         Owner::There(address) => {
-            let links = core.links.get().ok_or_else(lost)?;
+            let links = core.links.get().ok_or_else(no_owner)?;
             let answer = links.adopt(address, adopt, core.peer_timeout()).await;
-            answer.map_err(|_| Refusal {
-                retry_after: Some(core.permit_life()),
-                ..refuse(Reason::NoOwner, "the target's owner can't be reached")
-            })?
+            answer.map_err(|_| no_owner())?
         }
     };
-    answer.map_err(|_| lost())
+    answer.map_err(|refused| match refused.not_owner {
+        true => no_owner(),
+        false => refuse(Reason::StreamLost, "no target holds the stream any more"),
+    })
 }
 
 /// Tells the owner how an attempt ended, without waiting for it.
--- a/crates/node/src/resume.rs
+++ b/crates/node/src/resume.rs
@@ -8,7 +8,7 @@
 use crate::seal::Position;
 use hickory_policy::refuse::{Ran, Reason, Refusal};
 use hickory_target::engine::Engines;
-use hickory_wire::message::{Adopt, Ending};
+use hickory_wire::message::{Adopt, Ending, Permit};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -17,7 +17,12 @@
 const PIECES_AHEAD: usize = 256;
 
 /// Takes the stream up after `position`. Only the deadline in the stream's id
-/// bounds it; the owner is told, so that it does not cancel the stream.
+/// bounds it.
+///
+/// The engine is asked at once, whether or not the target has an owner: it
+/// may have died with the caller's node. The owner is told beside that, so
+/// that it does not cancel a stream that somebody reads again; a successor
+/// leaves it alone for longer than it takes to be told.
 pub(crate) fn spawn(core: &Arc<Core>, position: Position) -> mpsc::Receiver<Piece> {
     let (out, pieces) = mpsc::channel(PIECES_AHEAD);
     let core = core.clone();
@@ -39,9 +44,6 @@
     }
     let hosts = core.view.hosts();
     let address = hosts.get(&position.target).ok_or_else(lost)?.address;
-    let (target, stream) = (position.target.clone(), position.stream.clone());
-    let adopt = Adopt { target, stream, node: core.me().clone() };
-    let permit = permit::adopt(core, adopt).await?;
     let mut relay = Relay {
         core,
         address,
@@ -53,10 +55,17 @@
         delivered: position.seq,
         first_token: None,
     };
-    let resume = core.targets.resume(address, &position.stream, position.seq);
-    let end = match relay.open(resume).await {
-        Ok(tokens) => relay.run(tokens).await,
-        Err(end) => end,
+    let relaying = async {
+        let resume = core.targets.resume(address, &position.stream, position.seq);
+        match relay.open(resume).await {
+            Ok(tokens) => relay.run(tokens).await,
+            Err(end) => end,
+        }
+    };
+    let mut relaying = std::pin::pin!(relaying);
+    let (end, permit) = tokio::select! {
+        end = relaying.as_mut() => (end, None),
+        permit = adopt(core, position) => (relaying.await, permit),
     };
     let (ending, result) = match end {
         End::Whole(count) => {
@@ -68,6 +77,22 @@
         End::Died => (Ending::TargetDied, Err(lost())),
         End::Stalled | End::Failed(_) => (Ending::Lost, Err(lost())),
     };
-    permit::give_back(core, &position.target, &permit, &position.stream, ending, None);
+    if let Some(permit) = permit {
+        permit::give_back(core, &position.target, &permit, &position.stream, ending, None);
+    }
     result
 }
+
+/// Tells the owner, as soon as there is one, that this node serves the rest.
+async fn adopt(core: &Core, position: &Position) -> Option<Permit> {
+    let (target, stream) = (position.target.clone(), position.stream.clone());
+    let adopt = Adopt { target, stream, node: core.me().clone() };
+    loop {
+        match permit::adopt(core, adopt.clone()).await {
+            Ok(permit) => return Some(permit),
+            // The stream has ended, and the target keeps only its answer.
+            Err(refusal) if refusal.reason == Reason::StreamLost => return None,
+            Err(_) => tokio::time::sleep(core.permit_life() / 4).await,
+        }
+    }
+}
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -11,7 +11,7 @@
 use hickory_unit::clock::Clock;
 use hickory_unit::{id, size};
 use hickory_wire::message::{Adopt, Ask, Ending, Outcome, Permit, Refusal, State, Weights};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
@@ -52,9 +52,24 @@
     permits: HashMap<Ticket, Granted>,
     waiting: HashMap<id::Stream, Waiting>,
     ended: HashMap<id::Stream, Instant>,
+    foreign: HashMap<id::Stream, Foreign>,
+    adopted: Ticket,
     cancels: Vec<id::Stream>,
 }
 
+/// A stream that the target holds and this owner did not grant: a former
+/// owner did.
+#[derive(Clone, Copy, Debug)]
+struct Foreign {
+    /// When it was first seen without anybody who stands for it.
+    alone: Option<Instant>,
+}
+
+/// Permits for adopted streams are numbered from here, out of the way of the
+/// limiter's own: these streams are not its to count, they stand in the load
+/// report.
+const ADOPTED_FIRST: Ticket = 1 << 63;
+
 /// A permit that is out.
 #[derive(Clone, Debug)]
 struct Granted {
@@ -165,8 +180,15 @@
 /// Takes a stream over for the asking node.
 pub(crate) fn adopt(core: &Core, adopt: &Adopt) -> Result<Permit, Refusal> {
     let life = core.permit_life();
-    let taken = core.seats.with(&adopt.target, |seat| seat.adopt(adopt, life));
-    taken.ok_or_else(refuse_not_owner)?.ok_or_else(|| refuse(Reason::StreamLost, Duration::ZERO))
+    let left = adopt.stream.deadline_ms.saturating_sub(wall_ms(core));
+    let until = core.now() + Duration::from_millis(left);
+    let taken = core.seats.with(&adopt.target, |seat| match seat.incarnation {
+        Some(_) => Ok(seat.adopt(adopt, until, life)),
+        // A new owner does not know yet what the target holds.
+        None => Err(refuse_not_owner()),
+    });
+    let taken = taken.ok_or_else(refuse_not_owner)??;
+    taken.ok_or_else(|| refuse(Reason::StreamLost, Duration::ZERO))
 }
 
 /// Takes in how a permitted attempt ended.
@@ -197,6 +219,8 @@
             permits: HashMap::new(),
             waiting: HashMap::new(),
             ended: HashMap::new(),
+            foreign: HashMap::new(),
+            adopted: ADOPTED_FIRST,
             cancels: Vec::new(),
         }
     }
@@ -276,21 +300,29 @@
         }
     }
 
-    fn adopt(&mut self, adopt: &Adopt, life: Duration) -> Option<Permit> {
+    fn adopt(&mut self, adopt: &Adopt, until: Instant, life: Duration) -> Option<Permit> {
         let found = self.permits.iter_mut().find(|(_, granted)| granted.stream == adopt.stream);
-        let (ticket, granted) = found?;
-        granted.left = None;
-        granted.node = adopt.node.clone();
-        Some(Permit { id: *ticket, epoch: self.epoch, life, priority: 0 })
+        let id = match found {
+            Some((ticket, granted)) => {
+                granted.left = None;
+                granted.node = adopt.node.clone();
+                *ticket
+            }
+            None => {
+                self.foreign.remove(&adopt.stream)?;
+                self.adopted += 1;
+                let mut granted = Granted::to(adopt.stream.clone(), until, None);
+                granted.node = adopt.node.clone();
+                self.permits.insert(self.adopted, granted);
+                self.adopted
+            }
+        };
+        Some(Permit { id, epoch: self.epoch, life, priority: 0 })
     }
 
     fn end(&mut self, now: Instant, outcome: &Outcome) {
         if outcome.epoch != self.epoch {
-            // A permit of a former owner: its stream stands in the report and
-            // is counted and swept from there.
-            if let (Ending::Lost, Some(stream)) = (outcome.ending, &outcome.stream) {
-                self.cancels.push(stream.clone());
-            }
+            self.end_foreign(now, outcome);
             return;
         }
         match outcome.ending {
@@ -313,6 +345,22 @@
         self.poll(now, Duration::from_secs(1));
     }
 
+    /// A permit of a former owner ended: its stream stands in the report and
+    /// is counted and swept from there.
+    fn end_foreign(&mut self, now: Instant, outcome: &Outcome) {
+        let Some(stream) = &outcome.stream else { return };
+        match outcome.ending {
+            Ending::Lost => self.cancels.push(stream.clone()),
+            Ending::Left => {
+                self.foreign.insert(stream.clone(), Foreign { alone: Some(now) });
+            }
+            Ending::Finished | Ending::Cancelled | Ending::NotSent | Ending::TargetDied => {
+                self.foreign.remove(stream);
+                self.ended.insert(stream.clone(), now);
+            }
+        }
+    }
+
     fn give_back(&mut self, now: Instant, ticket: Ticket) {
         self.limiter.finish(ticket);
         if let Some(granted) = self.permits.remove(&ticket) {
@@ -342,23 +390,34 @@
         self.ended.retain(|_, at| now.saturating_duration_since(*at) < REPORT_LAG);
     }
 
-    /// Finds among the streams that a target holds those that nobody stands
-    /// for: their deadline is past, or their node is gone.
+    /// Takes in which streams the target holds, and finds those that nobody
+    /// stands for: their deadline is past, or their node is gone and none has
+    /// taken them up for the time of a resume.
     pub(crate) fn sweep_held(
         &mut self,
+        now: Instant,
         wall_ms: u64,
+        resume: Duration,
         held: &[id::Stream],
         is_live: impl Fn(&id::Node) -> bool,
     ) {
+        let granted: HashSet<&id::Stream> = self.permits.values().map(|g| &g.stream).collect();
+        let ended = &self.ended;
+        let is_foreign =
+            |stream: &&id::Stream| !granted.contains(stream) && !ended.contains_key(stream);
+        let known = std::mem::take(&mut self.foreign);
+        for stream in held.iter().filter(is_foreign) {
+            let before = known.get(stream).and_then(|foreign| foreign.alone);
+            let alone = before.or_else(|| (!is_live(&stream.sender)).then_some(now));
+            self.foreign.insert(stream.clone(), Foreign { alone });
+        }
         let grace = SWEEP_GRACE.as_millis() as u64;
-        let known: std::collections::HashSet<&id::Stream> =
-            self.permits.values().map(|granted| &granted.stream).collect();
-        let orphans = held.iter().filter(|stream| {
+        let orphans = self.foreign.iter().filter(|(stream, foreign)| {
             let overdue = stream.deadline_ms + grace < wall_ms;
-            overdue || (!known.contains(stream) && !is_live(&stream.sender))
+            let alone = foreign.alone.is_some_and(|at| now.saturating_duration_since(at) > resume);
+            overdue || alone
         });
-        let orphans: Vec<id::Stream> = orphans.cloned().collect();
-        self.cancels.extend(orphans);
+        self.cancels.extend(orphans.map(|(stream, _)| stream.clone()));
     }
 
     /// Marks what gone nodes served, as if their callers had left: another
@@ -385,6 +444,9 @@
         if let Some(ticket) = found.map(|(ticket, _)| *ticket) {
             self.give_back(now, ticket);
         }
+        if self.foreign.remove(stream).is_some() {
+            self.ended.insert(stream.clone(), now);
+        }
     }
 
     /// The target did not answer a cancel: tried again.
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -26,7 +26,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// How long a caller may take to send its headers: a connection that sends
 /// none would otherwise be held for good.
@@ -54,11 +54,15 @@
                 // Out of file descriptors, most likely: let some be closed.
                 Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
             },
-            _ = stage.wait_for(|stage| *stage == Stage::Closed) => return,
+            () = wait_closed(&mut stage) => return,
         }
     }
 }
 
+async fn wait_closed(stage: &mut watch::Receiver<Stage>) {
+    let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
+}
+
 async fn serve_connection(core: Arc<Core>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
@@ -71,7 +75,7 @@
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = stage.wait_for(|stage| *stage == Stage::Closed) => {}
+        () = wait_closed(&mut stage) => {}
     }
     // The answer under way is finished, and no further request is read.
     connection.as_mut().graceful_shutdown();
