State: membership with renewals that the fleet's size bounds

A fixed renewal interval would spend the service's whole write budget on leases at 380 nodes; the time to live now grows with the fleet. A lease counts as valid from when its renewal was sent, and a process whose name another has taken gives way for good. Following keys is shared: list, bounded watch, list anew after a gap, never an older revision.

--- /dev/null
+++ b/crates/state/src/follow.rs
@@ -0,0 +1,171 @@
+//! Following keys of the service: list once, then watch.
+//!
+//! [`Follower`] decides the next call and keeps the view; [`run`] makes the
+//! calls.
+
+use crate::retry::Backoff;
+use hickory_platform::store::{Batch, Entry, Error, Revision, Store};
+use hickory_unit::clock::Clock;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+const FAILURE_WAIT: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+
+/// Between two lists, though the watch reports nothing amiss: whatever a
+/// watch has missed is found by then.
+const LIST_EVERY: Duration = Duration::from_secs(300);
+
+/// What is followed, and how.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// The prefix of the keys.
+    pub prefix: String,
+    /// How long a watch may wait. Bounded, since one whose connection went
+    /// silent would otherwise never end, and since its end confirms the view.
+    pub wait: Duration,
+    /// Watches go out again at random within this time after a change.
+    ///
+    /// Load: 380 nodes whose watches all end at one change. They come back
+    /// spread, and take the next changes together.
+    pub spread: Duration,
+}
+
+/// A call to the service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Read all keys.
+    List,
+    /// Wait for changes.
+    Watch {
+        /// Changes after this revision.
+        after: Revision,
+        /// How long to wait.
+        wait: Duration,
+    },
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// To [`Call::List`].
+    Listed(Result<(Vec<Entry>, Revision), Error>),
+    /// To [`Call::Watch`].
+    Watched(Result<Batch, Error>),
+}
+
+/// What an answer brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// Whether the view changed.
+    pub changed: bool,
+    /// Whether the service confirmed the view.
+    pub confirmed: bool,
+    /// How long to wait before the next call.
+    pub pause: Duration,
+}
+
+/// The view of the keys with a prefix.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    options: Options,
+    view: BTreeMap<String, Entry>,
+    after: Revision,
+    listed: Option<Instant>,
+    failures: Backoff,
+}
+
+impl Follower {
+    /// A view of nothing.
+    pub fn open(options: Options, seed: u64) -> Self {
+        let failures = Backoff::open(FAILURE_WAIT.0, FAILURE_WAIT.1, seed);
+        Self { options, view: BTreeMap::new(), after: Revision(0), listed: None, failures }
+    }
+
+    /// The keys as last seen.
+    pub fn view(&self) -> &BTreeMap<String, Entry> {
+        &self.view
+    }
+
+    /// The next call.
+    pub fn next(&self, now: Instant) -> Call {
+        match self.listed {
+            Some(at) if now < at + LIST_EVERY => {
+                Call::Watch { after: self.after, wait: self.options.wait }
+            }
+            _ => Call::List,
+        }
+    }
+
+    /// Takes the answer to a call.
+    pub fn answered(&mut self, now: Instant, reply: Reply) -> Step {
+        match reply {
+            Reply::Listed(Ok((entries, revision))) if revision >= self.after => {
+                self.failures.reset();
+                self.listed = Some(now);
+                self.after = revision;
+                let entries = entries.into_iter().map(|entry| (entry.key.clone(), entry));
+                let before = std::mem::replace(&mut self.view, entries.collect());
+                let changed = before != self.view;
+                self.step(changed)
+            }
+            Reply::Watched(Ok(batch)) if batch.compacted => {
+                self.listed = None;
+                Step { changed: false, confirmed: false, pause: Duration::ZERO }
+            }
+            Reply::Watched(Ok(batch)) if batch.revision >= self.after => {
+                self.failures.reset();
+                self.after = batch.revision;
+                let changed = batch.events.into_iter().map(|event| self.apply(event));
+                let changed = changed.fold(false, |any, one| any | one);
+                self.step(changed)
+            }
+            // An answer from before what was seen already comes from a replica
+            // that lags: it neither changes nor confirms anything.
+            _ => Step { changed: false, confirmed: false, pause: self.failures.fail() },
+        }
+    }
+
+    fn step(&mut self, changed: bool) -> Step {
+        let spread = if changed { self.options.spread } else { Duration::ZERO };
+        Step { changed, confirmed: true, pause: self.failures.spread(spread) }
+    }
+
+    fn apply(&mut self, event: hickory_platform::store::Event) -> bool {
+        let known = self.view.get(&event.key).map_or(Revision(0), |entry| entry.revision);
+        if event.revision <= known {
+            return false;
+        }
+        match event.value {
+            Some(value) => {
+                let entry = Entry { key: event.key.clone(), value, revision: event.revision };
+                self.view.insert(event.key, entry);
+                true
+            }
+            None => self.view.remove(&event.key).is_some(),
+        }
+    }
+}
+
+/// Follows until `take` says to stop. It is told of each step, with the time
+/// at which the call was sent: what the answer says held then or later.
+pub(crate) async fn run<S: Store, C: Clock>(
+    store: S,
+    clock: C,
+    mut follower: Follower,
+    mut take: impl FnMut(&Follower, Step, Instant) -> bool,
+) {
+    loop {
+        let sent = clock.now();
+        let reply = match follower.next(sent) {
+            Call::List => Reply::Listed(store.list(&follower.options.prefix).await),
+            Call::Watch { after, wait } => {
+                Reply::Watched(store.watch(&follower.options.prefix, after, wait).await)
+            }
+        };
+        let step = follower.answered(clock.now(), reply);
+        if !take(&follower, step, sent) {
+            return;
+        }
+        tokio::time::sleep(step.pause).await;
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,7 +7,9 @@
 
 pub mod claim;
 pub mod config;
+pub mod follow;
 pub mod group;
+pub mod lease;
 pub mod member;
 pub mod owner;
 pub mod page;
--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -1,6 +1,10 @@
 //! Membership: a lease and a registration for each node.
+//!
+//! The decisions stand in [`crate::lease`] and [`crate::follow`].
 
-use hickory_platform::store::{Error, Expect, Lease, Store, Write};
+use crate::follow::{self, Follower};
+use crate::lease::{Call, Keeper, Reply};
+use hickory_platform::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
 use serde::{Deserialize, Serialize};
@@ -8,11 +12,15 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// The prefix of the registrations.
 pub const PREFIX: &str = "nodes/";
 
+/// Watches of the registrations: one call in ten seconds and node at rest.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+const WATCH_SPREAD: Duration = Duration::from_millis(300);
+
 /// What a node tells of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Info {
@@ -35,12 +43,24 @@
 /// The nodes by name.
 pub type Nodes = BTreeMap<id::Node, Info>;
 
+/// What is known of the registrations, for decisions that rest on them.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// The registered nodes.
+    pub nodes: Arc<Nodes>,
+    /// Whether this node's own lease is certainly valid.
+    pub confirmed: bool,
+    /// When this node's registration under its present lease was sent.
+    pub registered_at: Option<Instant>,
+    /// When the service last confirmed the registrations, by when its call
+    /// was sent.
+    pub seen_at: Option<Instant>,
+}
+
 #[derive(Debug)]
 struct Shared {
-    me: Info,
-    ttl: Duration,
-    lease: Option<Lease>,
-    confirmed_until: Option<Instant>,
+    keeper: Keeper,
+    seen_at: Option<Instant>,
     left: bool,
 }
 
@@ -50,17 +70,22 @@
     store: S,
     clock: C,
     shared: Arc<Mutex<Shared>>,
-    nodes: watch::Receiver<Arc<Nodes>>,
+    nodes: watch::Sender<Arc<Nodes>>,
+    wake: Arc<Notify>,
 }
 
 impl<S: Store, C: Clock> Member<S, C> {
     /// Registers the node and keeps its lease until the handle says it leaves.
+    /// The lease lives for `ttl`, longer where the fleet is large.
     pub fn spawn(store: S, clock: C, info: Info, ttl: Duration) -> Self {
-        let (sender, nodes) = watch::channel(Arc::default());
-        let shared = Shared { me: info, ttl, lease: None, confirmed_until: None, left: false };
-        let member = Self { store, clock, shared: Arc::new(Mutex::new(shared)), nodes };
+        let seed = uuid::Uuid::new_v4().as_u128() as u64;
+        let keeper = Keeper::open(info, ttl, seed);
+        let shared = Shared { keeper, seen_at: None, left: false };
+        let (nodes, _) = watch::channel(Arc::default());
+        let wake = Arc::default();
+        let member = Self { store, clock, shared: Arc::new(Mutex::new(shared)), nodes, wake };
         tokio::spawn(member.clone().keep_lease());
-        tokio::spawn(member.clone().keep_view(sender));
+        tokio::spawn(member.clone().keep_view(seed));
         member
     }
 
@@ -70,7 +95,7 @@
 
     /// What this node tells of itself.
     pub fn me(&self) -> Info {
-        self.lock().me.clone()
+        self.lock().keeper.me().clone()
     }
 
     /// The registered nodes, as last seen.
@@ -80,18 +105,31 @@
 
     /// Told of each change of [`Member::nodes`].
     pub fn changed(&self) -> watch::Receiver<Arc<Nodes>> {
-        self.nodes.clone()
+        self.nodes.subscribe()
     }
 
     /// Whether this node's lease is certainly valid at `now`.
     pub fn confirmed(&self, now: Instant) -> bool {
-        self.lock().confirmed_until.is_some_and(|until| now < until)
+        let shared = self.lock();
+        !shared.left && shared.keeper.confirmed(now)
+    }
+
+    /// What is known of the registrations at `now`.
+    pub fn view(&self, now: Instant) -> View {
+        let nodes = self.nodes();
+        let shared = self.lock();
+        View {
+            nodes,
+            confirmed: !shared.left && shared.keeper.confirmed(now),
+            registered_at: shared.keeper.registered_at(),
+            seen_at: shared.seen_at,
+        }
     }
 
     /// Tells the others that this node is stopping.
     pub async fn set_draining(&self) {
-        self.lock().me.draining = true;
-        let _ = self.register().await;
+        self.lock().keeper.set_draining();
+        self.wake.notify_one();
     }
 
     /// Ends the registration.
@@ -99,80 +137,79 @@
         let lease = {
             let mut shared = self.lock();
             shared.left = true;
-            shared.confirmed_until = None;
-            shared.lease.take()
+            shared.keeper.lease()
         };
+        self.wake.notify_one();
         if let Some(lease) = lease {
             let _ = self.store.revoke(lease).await;
         }
     }
 
-    async fn register(&self) -> Result<(), Error> {
-        let (me, lease, ttl) = {
-            let shared = self.lock();
-            (shared.me.clone(), shared.lease, shared.ttl)
-        };
-        let sent = self.clock.now();
-        let lease = match lease {
-            Some(lease) => lease,
-            None => self.store.grant(ttl).await?,
-        };
-        let write = Write {
-            key: format!("{PREFIX}{}", me.node),
-            value: serde_json::to_string(&me).ok(),
-            expect: Expect::Any,
-            lease: Some(lease),
-        };
-        self.store.write(write).await?;
-        let mut shared = self.lock();
-        if shared.lease.is_none() {
-            shared.confirmed_until = Some(sent + ttl * 3 / 4);
-        }
-        shared.lease = Some(lease);
-        Ok(())
-    }
-
     async fn keep_lease(self) {
         loop {
-            let (lease, ttl, left) = {
-                let shared = self.lock();
-                (shared.lease, shared.ttl, shared.left)
+            let now = self.clock.now();
+            let (call, wake) = {
+                let mut shared = self.lock();
+                if shared.left {
+                    return;
+                }
+                (shared.keeper.next(now), shared.keeper.wake(now))
             };
-            if left {
+            let Some(wake) = wake else {
+                log::error!(node:% = self.me().node; "another process has this node's name");
                 return;
+            };
+            if let Some(call) = call {
+                let reply = self.call(call).await;
+                self.lock().keeper.answered(self.clock.now(), now, reply);
+            } else {
+                let wait = wake.saturating_duration_since(now);
+                let _ = tokio::time::timeout(wait, self.wake.notified()).await;
             }
-            let sent = self.clock.now();
-            match lease {
-                None => {
-                    let _ = self.register().await;
-                }
-                Some(lease) => match self.store.renew(lease).await {
-                    Ok(()) => self.lock().confirmed_until = Some(sent + ttl * 3 / 4),
-                    Err(Error::LeaseLapsed) => {
-                        let mut shared = self.lock();
-                        shared.lease = None;
-                        shared.confirmed_until = None;
-                        continue;
-                    }
-                    Err(_) => {}
-                },
-            }
-            tokio::time::sleep(ttl / 3).await;
         }
     }
 
-    async fn keep_view(self, sender: watch::Sender<Arc<Nodes>>) {
-        while !self.lock().left {
-            if let Ok((entries, revision)) = self.store.list(PREFIX).await {
-                let nodes: Nodes = entries
-                    .iter()
-                    .filter_map(|entry| serde_json::from_str::<Info>(&entry.value).ok())
-                    .map(|info| (info.node.clone(), info))
-                    .collect();
-                sender.send_replace(Arc::new(nodes));
-                let _ = self.store.watch(PREFIX, revision, Duration::from_secs(5)).await;
+    async fn call(&self, call: Call) -> Reply {
+        match call {
+            Call::Grant(ttl) => Reply::Granted(self.store.grant(ttl).await),
+            Call::Register(write) => Reply::Registered(self.store.write(write).await),
+            Call::Renew(lease) => Reply::Renewed(self.store.renew(lease).await),
+        }
+    }
+
+    async fn keep_view(self, seed: u64) {
+        let options =
+            follow::Options { prefix: PREFIX.into(), wait: WATCH_WAIT, spread: WATCH_SPREAD };
+        let follower = Follower::open(options, seed ^ 2);
+        let member = self.clone();
+        follow::run(self.store, self.clock, follower, move |follower, step, sent| {
+            if step.changed {
+                member.take_view(follower);
+            }
+            let mut shared = member.lock();
+            if step.confirmed {
+                shared.seen_at = Some(sent);
+            }
+            !shared.left
+        })
+        .await;
+    }
+
+    fn take_view(&self, follower: &Follower) {
+        let read = |entry: &hickory_platform::store::Entry| {
+            let info = serde_json::from_str::<Info>(&entry.value).ok()?;
+            Some((info, entry.revision))
+        };
+        let seen: Vec<_> = follower.view().values().filter_map(read).collect();
+        let mut shared = self.lock();
+        shared.keeper.set_fleet(seen.len());
+        for (info, revision) in &seen {
+            if info.node == shared.keeper.me().node {
+                shared.keeper.see(info.incarnation, *revision);
             }
-            tokio::time::sleep(Duration::from_millis(100)).await;
         }
+        drop(shared);
+        let nodes = seen.into_iter().map(|(info, _)| (info.node.clone(), info)).collect();
+        self.nodes.send_replace(Arc::new(nodes));
     }
 }
--- a/crates/state/tests/claim.rs
+++ b/crates/state/tests/claim.rs
@@ -6,19 +6,17 @@
 //! `run` makes calls until there are none.
 
 use goldenscript::Context;
-use hickory_platform::store::{Error, Write};
+use hickory_platform::store::{Error, Expect, Write};
+use hickory_standin::store::Core;
 use hickory_state::claim::{Answer, Claim};
 use hickory_state::group::{Call, End, Group, Reply};
 use hickory_state::page::{Options, Outcome, find_page};
 use hickory_unit::clock::{Clock, Manual};
-use service::Service;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::time::{Duration, Instant};
 use uuid::Uuid;
 
-mod service;
-
 #[derive(goldenscript::Command)]
 enum Command {
     /// Moves the clock.
@@ -62,7 +60,7 @@
 
 struct Runner {
     clock: Manual,
-    service: Service,
+    service: Core,
     nodes: BTreeMap<String, Node>,
     late: Vec<Write>,
     runs: BTreeMap<String, u32>,
@@ -82,7 +80,7 @@
     fn open() -> Self {
         Self {
             clock: Manual::start(),
-            service: Service::default(),
+            service: Core::default(),
             nodes: BTreeMap::new(),
             late: Vec::new(),
             runs: BTreeMap::new(),
@@ -94,18 +92,17 @@
     fn call(&mut self, name: &str, lost: Option<&str>, slow: u64) -> Option<String> {
         let now = self.clock.now();
         let wall = self.clock.wall_ms();
-        self.service.lapse(now);
         let group = self.nodes.get_mut(name)?.group.as_mut()?;
         let call = group.next(now, wall)?;
         let unknown = || Error::Unknown("lost".into());
         let (text, reply) = match (call, lost) {
-            (Call::Get, None) => ("get", Reply::Got(Ok(self.service.get("ledger/0/1440")))),
+            (Call::Get, None) => ("get", Reply::Got(Ok(self.service.get(now, "ledger/0/1440")))),
             (Call::Get, Some(_)) => ("get", Reply::Got(Err(unknown()))),
             (Call::Grant(ttl), _) => ("grant", Reply::Granted(Ok(self.service.grant(now, ttl)))),
             (Call::Write(write), lost) => {
                 let reply = match lost {
-                    None => self.service.write(now, &write),
-                    Some("answer") => self.service.write(now, &write).and(Err(unknown())),
+                    None => self.service.write(now, write),
+                    Some("answer") => self.service.write(now, write).and(Err(unknown())),
                     Some("late") => {
                         self.late.push(write);
                         Err(unknown())
@@ -194,9 +191,13 @@
             }
             Command::Arrive => {
                 let write = self.late.pop().ok_or("nothing is late")?;
-                writeln!(output, "late write: {:?}", self.service.write(now, &write).is_ok())?;
+                writeln!(output, "late write: {:?}", self.service.write(now, write).is_ok())?;
+            }
+            Command::Lose => {
+                let key = "ledger/0/1440".into();
+                let gone = Write { key, value: None, expect: Expect::Any, lease: None };
+                self.service.write(now, gone)?;
             }
-            Command::Lose => self.service.keys.clear(),
             Command::Send(key) => {
                 if node.claims.get(key).is_some_and(|claim| claim.begin(now)) {
                     let runs = self.runs.entry(key.clone()).or_default();
@@ -216,9 +217,8 @@
                 node.names.insert(ticket, key.clone());
             }
             Command::Show => {
-                self.service.lapse(now);
-                for (key, (entry, _)) in &self.service.keys {
-                    writeln!(output, "{key} at {}: {}", entry.revision, entry.value)?;
+                for entry in self.service.list(now, "").0 {
+                    writeln!(output, "{} at {}: {}", entry.key, entry.revision, entry.value)?;
                 }
             }
         }
--- a/crates/state/tests/claim_walk.rs
+++ b/crates/state/tests/claim_walk.rs
@@ -2,17 +2,15 @@
 //! what the scripts do not name: pauses, lost and late calls, lapsed leases.
 
 use hickory_platform::store::{Entry, Error, Write};
+use hickory_standin::store::Core;
 use hickory_state::claim::{Answer, Claim};
 use hickory_state::group::{Call, End, Group, Reply};
 use hickory_state::page::{Options, Outcome, find_page};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use service::Service;
 use std::time::{Duration, Instant};
 use uuid::Uuid;
 
-mod service;
-
 /// Seeds walked; each takes some 0.1 ms.
 const SEEDS: u64 = 20_000;
 
@@ -41,7 +39,7 @@
     random: SmallRng,
     now: Instant,
     wall_ms: u64,
-    service: Service,
+    service: Core,
     late: Vec<Write>,
     /// What was read last, for a stale read.
     read: Option<Entry>,
@@ -67,7 +65,7 @@
         Self {
             now: Instant::now(),
             wall_ms: MINUTE * 60_000 + 59_000,
-            service: Service::default(),
+            service: Core::default(),
             late: Vec::new(),
             read: None,
             nodes: nodes.collect(),
@@ -85,11 +83,11 @@
                 let step = steps[self.random.random_range(0..steps.len())];
                 self.now += Duration::from_millis(step);
                 self.wall_ms += step;
-                self.service.lapse(self.now);
+                self.service.expire(self.now);
             }
             1 if !self.late.is_empty() => {
                 let write = self.late.swap_remove(self.random.random_range(0..self.late.len()));
-                let _ = self.service.write(self.now, &write);
+                let _ = self.service.write(self.now, write);
             }
             2..=4 => self.move_attempt(index),
             _ => self.move_call(index),
@@ -144,20 +142,20 @@
         let unknown = Err(Error::Unknown("lost".into()));
         node.open = Some(match call {
             Call::Get => {
-                let fresh = self.service.get(&format!("ledger/0/{MINUTE}"));
+                let fresh = self.service.get(self.now, &format!("ledger/0/{MINUTE}"));
                 let stale = std::mem::replace(&mut self.read, fresh.clone());
                 Reply::Got(Ok(if self.random.random_bool(0.2) { stale } else { fresh }))
             }
             Call::Grant(ttl) => Reply::Granted(Ok(self.service.grant(self.now, ttl))),
             Call::Write(write) => Reply::Wrote(match self.random.random_range(0..6) {
-                0 => self.service.write(self.now, &write).and(unknown),
+                0 => self.service.write(self.now, write).and(unknown),
                 1 => unknown,
                 2 => {
                     self.late.push(write);
                     unknown
                 }
                 3 => Err(Error::NotDone("down".into())),
-                _ => self.service.write(self.now, &write),
+                _ => self.service.write(self.now, write),
             }),
         });
     }
