--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -1,146 +1,123 @@
 //! A model engine in steps: prefill in chunks by priority, then one token a
 //! step for each stream of the batch.
 
-use hickory_target::engine::{Cancelled, Priority};
+use crate::batch::{Key, Run, Stall, Step, plan_step};
+use crate::event::Log;
+use crate::handle::Kept;
+pub use crate::job::{Counts, Failure, Job, Progress, Refused, State};
+use crate::loading::{Fetch, Shelf};
+use crate::memory::Memory;
+use crate::prefix::BLOCK;
+use crate::seen::Seen;
+use crate::warmth::Warmth;
+use hickory_target::engine::{CacheEvent, Cancelled, Handle, Held, Order, Report, Role, Weights};
 use hickory_unit::{id, size};
-use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
-
-/// What an engine bears and how fast it is when warm.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Options {
-    /// KV cache capacity.
-    pub kv_capacity: size::Tokens,
-    /// Prompt tokens prefilled a second.
-    pub prefill_rate: u64,
-    /// Streams in the batch at once.
-    pub streams_max: u32,
-    /// Prompt tokens prefilled at most in one step.
-    pub chunk: size::Tokens,
-    /// Time of a step that decodes one stream.
-    pub step: Duration,
-    /// Time that each further stream adds to a step.
-    pub step_stream: Duration,
-    /// Time divided by this, so that tests run fast.
-    pub speed: f64,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            kv_capacity: size::Tokens(450_000),
-            prefill_rate: 40_000,
-            streams_max: 64,
-            chunk: size::Tokens(2_048),
-            step: Duration::from_millis(12),
-            step_stream: Duration::from_micros(150),
-            speed: 1.0,
-        }
-    }
-}
-
-/// Work for the engine.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Job {
-    /// The stream.
-    pub stream: id::Stream,
-    /// Tokens of the prompt.
-    pub prompt: size::Tokens,
-    /// Tokens to generate.
-    pub max_tokens: size::Tokens,
-    /// The greater goes first.
-    pub priority: Priority,
-}
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Instant;
 
-/// Why the engine does not begin a stream.
-#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq, derive_more::Error)]
-pub enum Refused {
-    /// The prompt and its answer are greater than the KV cache.
-    #[display("too long")]
-    TooLong,
-    /// A stream with this id has begun before.
-    #[display("known")]
-    Known,
-    /// The stream was cancelled before it came.
-    #[display("cancelled before it began")]
-    Cancelled,
-}
+pub use crate::option::Options;
 
-/// How far a stream is.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum State {
-    /// Waits for room in the batch.
-    Waiting,
-    /// In the batch.
-    Running,
-    /// Whole.
-    Ended,
-}
+/// Reports kept in the time by which a report lags.
+const REPORTS_A_LAG: u32 = 4;
 
-/// How far a stream is, and what it brought.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Progress {
-    /// How far it is.
-    pub state: State,
-    /// Tokens generated.
-    pub generated: u64,
-}
-
-#[derive(Debug)]
-struct Run {
-    job: Job,
-    order: u64,
-    state: State,
-    prefill_left: u64,
-    generated: u64,
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    Waiting(Key),
+    Running(Key),
+    Done(Progress),
 }
 
 /// The engine.
 #[derive(Debug)]
 pub struct Engine {
-    options: Options,
-    runs: BTreeMap<id::Stream, Run>,
-    refused: BTreeSet<id::Stream>,
+    pub(crate) options: Options,
+    incarnation: id::Incarnation,
+    waiting: BTreeMap<Key, Run>,
+    batch: BTreeMap<Key, Run>,
+    places: HashMap<id::Stream, Place>,
+    ended: VecDeque<(Instant, id::Stream)>,
+    past: Seen,
+    refused: Seen,
+    pub(crate) memory: Memory,
+    pub(crate) handles: BTreeMap<Handle, Kept>,
+    shelf: Shelf,
+    role: Role,
+    fence: id::Epoch,
+    warmth: Warmth,
+    pub(crate) log: Log,
+    reports: VecDeque<(Instant, Report)>,
     order: u64,
     step: Option<Step>,
-}
-
-/// The step that runs: what it will have done when it ends.
-#[derive(Debug)]
-struct Step {
-    ends: Instant,
-    prefill: Vec<(id::Stream, u64)>,
-    decode: Vec<id::Stream>,
+    stall: Stall,
+    crashed: bool,
+    counts: Counts,
 }
 
 impl Engine {
-    /// An idle engine.
-    pub fn open(options: Options) -> Self {
-        let (runs, refused) = (BTreeMap::new(), BTreeSet::new());
-        Self { options, runs, refused, order: 0, step: None }
+    /// An idle engine that has just started.
+    pub fn open(now: Instant, incarnation: id::Incarnation, options: Options) -> Self {
+        let mut engine = Self {
+            incarnation,
+            waiting: BTreeMap::new(),
+            batch: BTreeMap::new(),
+            places: HashMap::new(),
+            ended: VecDeque::new(),
+            past: Seen::default(),
+            refused: Seen::default(),
+            memory: Memory::open(options.kv_capacity.0),
+            handles: BTreeMap::new(),
+            shelf: Shelf::open(&options),
+            role: Role::Both,
+            fence: id::Epoch(0),
+            warmth: Warmth::open(now, &options),
+            log: Log::open(options.event_gap),
+            reports: VecDeque::new(),
+            order: 0,
+            step: None,
+            stall: Stall::None,
+            crashed: false,
+            counts: Counts::default(),
+            options,
+        };
+        engine.reports.push_back((now, engine.take_report()));
+        engine
     }
 
     /// Takes a stream into the queue.
     pub fn begin(&mut self, now: Instant, job: Job) -> Result<(), Refused> {
         self.advance(now);
-        if job.prompt + job.max_tokens > self.options.kv_capacity {
-            return Err(Refused::TooLong);
-        }
-        if self.refused.contains(&job.stream) {
-            return Err(Refused::Cancelled);
-        }
-        if self.runs.contains_key(&job.stream) {
-            return Err(Refused::Known);
+        let covered = self.check(&job)?;
+        let held = self.waiting.len() + self.batch.len() + 1;
+        if self.warmth.is_over(held as u32, &self.options) {
+            self.counts.overloads += 1;
+            if self.options.falls_over && !self.warmth.is_unnoticed(now, &self.options) {
+                self.crashed = true;
+                return Err(Refused::Crashed);
+            }
         }
         self.order += 1;
+        let prompt = job.prompt.0.max(1);
+        let key = (Reverse(job.priority), self.order);
+        if let Some(kept) = job.import.as_ref().and_then(|handle| self.handles.get_mut(handle)) {
+            kept.users += 1;
+        }
         let run = Run {
-            order: self.order,
-            state: State::Waiting,
-            prefill_left: job.prompt.0,
+            stream: job.stream.clone(),
+            weights: job.weights,
+            prompt,
+            max_tokens: if job.keep.is_some() { 0 } else { job.max_tokens.0 },
+            blocks: job.blocks,
+            import: job.import,
+            keep: job.keep,
+            crash: job.crash,
+            shared: 0,
+            reserved: 0,
+            prefill_left: (prompt - covered).max(1),
             generated: 0,
-            job,
         };
-        self.runs.insert(run.job.stream.clone(), run);
+        self.places.insert(job.stream, Place::Waiting(key));
+        self.waiting.insert(key, run);
         self.start_step(now);
         Ok(())
     }
@@ -148,121 +125,349 @@
     /// Stops a stream and frees its memory.
     pub fn cancel(&mut self, now: Instant, stream: &id::Stream) -> Cancelled {
         self.advance(now);
-        match self.runs.remove(stream) {
-            Some(run) if run.state == State::Ended => Cancelled::Ended,
-            Some(_) => Cancelled::Stopped,
+        let stopped = match self.places.get(stream) {
+            Some(Place::Done(_)) => None,
+            Some(Place::Waiting(key)) => self.waiting.remove(key),
+            Some(Place::Running(key)) => self.batch.remove(key),
+            None if self.past.contains(stream) => None,
             None => {
                 self.refused.insert(stream.clone());
-                Cancelled::NeverBegun
+                return Cancelled::NeverBegun;
             }
+        };
+        self.places.remove(stream);
+        self.past.insert(stream.clone());
+        match stopped {
+            Some(run) => {
+                self.free(run);
+                self.start_step(now);
+                Cancelled::Stopped
+            }
+            None => Cancelled::Ended,
         }
     }
 
     /// Runs the steps that end by `now`.
     pub fn advance(&mut self, now: Instant) {
+        if self.crashed {
+            return;
+        }
         while let Some(step) = self.step.take_if(|step| step.ends <= now) {
             let ends = step.ends;
+            self.warmth.pass(ends, true, &self.options);
             self.end_step(step);
+            if self.crashed {
+                return;
+            }
             self.start_step(ends);
+            self.note_report(ends);
         }
+        self.warmth.pass(now, self.step.is_some(), &self.options);
+        self.start_step(now);
+        self.note_report(now);
+        self.forget(now);
     }
 
     /// When the running step ends; `None` where the engine is idle.
     pub fn next_step(&self) -> Option<Instant> {
-        self.step.as_ref().map(|step| step.ends)
+        self.step.as_ref().filter(|_| !self.crashed).map(|step| step.ends)
     }
 
-    /// How far a stream is.
+    /// How far a stream is; `None` where it is not held, or ended too long
+    /// ago.
     pub fn progress(&self, stream: &id::Stream) -> Option<Progress> {
-        let run = self.runs.get(stream)?;
-        Some(Progress { state: run.state.clone(), generated: run.generated })
+        match self.places.get(stream)? {
+            Place::Waiting(_) => Some(Progress { state: State::Waiting, generated: 0 }),
+            Place::Running(key) => {
+                let generated = self.batch.get(key)?.generated;
+                Some(Progress { state: State::Running, generated })
+            }
+            Place::Done(progress) => Some(*progress),
+        }
+    }
+
+    /// Whether the engine has crashed; it does nothing more then.
+    pub fn is_crashed(&self) -> bool {
+        self.crashed
+    }
+
+    /// The load report, which lags behind.
+    pub fn report(&mut self, now: Instant) -> Report {
+        self.advance(now);
+        let lag = self.options.report_lag;
+        if lag.is_zero() {
+            return self.take_report();
+        }
+        self.note_report(now);
+        let seen = self.reports.iter().rev().find(|(at, _)| *at + lag <= now);
+        let seen = seen.or(self.reports.front()).map(|(_, report)| report.clone());
+        seen.unwrap_or_else(|| self.take_report())
+    }
+
+    /// Keeps what a later, lagging report will show.
+    fn note_report(&mut self, now: Instant) {
+        let every = self.options.report_lag / REPORTS_A_LAG;
+        let last = self.reports.back().map(|(at, _)| *at);
+        if last.is_some_and(|last| now < last + every) || every.is_zero() {
+            return;
+        }
+        self.reports.push_back((now, self.take_report()));
+        if self.reports.len() > 2 * REPORTS_A_LAG as usize {
+            self.reports.pop_front();
+        }
+    }
+
+    /// The load report as it is now.
+    pub fn take_report(&self) -> Report {
+        let runs = self.batch.values().chain(self.waiting.values());
+        Report {
+            incarnation: self.incarnation,
+            kv_capacity: self.options.kv_capacity,
+            kv_used: self.kv_used(),
+            prefill_rate: self.options.prefill_rate,
+            streams_max: self.options.streams_max,
+            warmth: self.warmth.level(),
+            streams: runs.map(report_run).collect(),
+            handles: self.handles.keys().cloned().collect(),
+            pins: self.memory.pins(),
+            loaded: self.shelf.list(),
+            role: self.role,
+            fence: self.options.fencing.then_some(self.fence),
+            cache_hits: self.counts.cache_hits,
+            cache_misses: self.counts.cache_misses,
+        }
+    }
+
+    /// The cache events after number `after` that are due.
+    pub fn cache_events(&self, now: Instant, after: u64) -> Vec<CacheEvent> {
+        self.log.list(now, after, self.options.event_lag)
     }
 
-    /// Streams held, ended ones left out, with KV cache and prefill left.
-    pub fn held(&self) -> Vec<hickory_target::engine::Held> {
-        let live = self.runs.values().filter(|run| run.state != State::Ended);
-        live.map(|run| hickory_target::engine::Held {
-            stream: run.job.stream.clone(),
-            kv: run.job.prompt + run.job.max_tokens,
-            prefill_left: size::Tokens(run.prefill_left),
-        })
-        .collect()
+    /// Does what an order says; gives what must be read before weights can
+    /// serve.
+    pub fn order(
+        &mut self,
+        now: Instant,
+        fence: id::Epoch,
+        order: &Order,
+    ) -> Result<Option<Fetch>, Refused> {
+        self.advance(now);
+        if self.options.fencing && fence < self.fence {
+            return Err(Refused::Stale);
+        }
+        self.fence = self.fence.max(fence);
+        match order {
+            Order::Load(weights) => {
+                return self.shelf.load(weights, &self.options).map_err(|_| Refused::NoRoom);
+            }
+            Order::Unload(weights) => self.unload(now, weights),
+            Order::Role(role) => self.role = *role,
+            Order::Pin(prefix) => self.memory.pin(*prefix),
+            Order::Unpin(prefix) => self.memory.unpin(*prefix),
+        }
+        Ok(None)
     }
 
-    /// KV cache in use.
+    /// Says that weights have been read.
+    pub fn finish_load(&mut self, weights: &Weights) {
+        self.shelf.finish(weights);
+    }
+
+    /// Whether weights are held or being loaded.
+    pub fn holds_weights(&self, weights: &Weights) -> bool {
+        self.shelf.holds(weights)
+    }
+
+    /// Turns cold without a word: slow again, and the prefix cache is gone.
+    pub fn turn_cold(&mut self, now: Instant) {
+        self.advance(now);
+        self.warmth.turn_cold(now);
+        self.memory.clear_cache();
+    }
+
+    /// Stops streams from moving on, or lets them again.
+    pub fn set_stall(&mut self, now: Instant, stall: Stall) {
+        self.advance(now);
+        self.stall = stall;
+        self.start_step(now);
+    }
+
+    /// KV memory in use by streams, handles and pins.
     pub fn kv_used(&self) -> size::Tokens {
-        let running = self.runs.values().filter(|run| run.state == State::Running);
-        running.map(|run| run.job.prompt + run.job.max_tokens).sum()
+        size::Tokens(self.memory.used())
+    }
+
+    /// Streams that run or wait.
+    pub fn streams(&self) -> usize {
+        self.batch.len() + self.waiting.len()
+    }
+
+    /// Streams, running and waiting, that it bears now.
+    pub fn bears(&self) -> u32 {
+        self.warmth.streams(&self.options)
+    }
+
+    /// What went on since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
     }
 
-    fn admit(&mut self) {
-        let mut waiting: Vec<_> = self
-            .runs
-            .values()
-            .filter(|run| run.state == State::Waiting)
-            .map(|run| (std::cmp::Reverse(run.job.priority), run.order, run.job.stream.clone()))
-            .collect();
-        waiting.sort();
-        for (_, _, stream) in waiting {
-            let running = self.runs.values().filter(|r| r.state == State::Running).count();
-            let used = self.kv_used();
-            let Some(run) = self.runs.get_mut(&stream) else { continue };
-            let room = used + run.job.prompt + run.job.max_tokens <= self.options.kv_capacity;
-            if !room || running >= self.options.streams_max as usize {
-                break;
+    /// Whether a job may begin; gives the leading tokens that its import
+    /// covers.
+    fn check(&self, job: &Job) -> Result<u64, Refused> {
+        if self.crashed {
+            return Err(Refused::Crashed);
+        }
+        if self.refused.contains(&job.stream) {
+            return Err(Refused::Cancelled);
+        }
+        if self.places.contains_key(&job.stream) || self.past.contains(&job.stream) {
+            return Err(Refused::Known);
+        }
+        if job.keep.as_ref().is_some_and(|handle| self.handles.contains_key(handle)) {
+            return Err(Refused::Known);
+        }
+        if !self.shelf.is_ready(&job.weights) {
+            return Err(Refused::NotLoaded);
+        }
+        let (covered, own) = match &job.import {
+            Some(handle) => self.count_covered(handle, job).ok_or(Refused::NoHandle)?,
+            None => (0, 0),
+        };
+        let prefill = job.prompt.0 - covered;
+        let wrong = match self.role {
+            Role::Both => false,
+            Role::Prefill => job.keep.is_none(),
+            Role::Decode => job.keep.is_some() || prefill > self.options.chunk.0,
+        };
+        if wrong {
+            return Err(Refused::Role);
+        }
+        let decode = if job.keep.is_some() { 0 } else { job.max_tokens.0 };
+        if own + prefill + decode > self.options.kv_capacity.0 {
+            return Err(Refused::TooLong);
+        }
+        Ok(covered)
+    }
+
+    /// Takes streams from the queue into the batch, in order. The first that
+    /// does not fit holds up those behind it, as engines do to be fair.
+    fn admit(&mut self, now: Instant) {
+        while self.batch.len() < self.options.streams_max as usize {
+            let Some(mut entry) = self.waiting.first_entry() else { return };
+            let run = entry.get_mut();
+            let cached = self.memory.count_cached(&run.blocks);
+            let skipped = cached as u64 * BLOCK.0;
+            let (shared, reserved) = match run.is_shared() {
+                true => (cached, run.prompt - skipped + run.max_tokens),
+                false => (0, run.prefill_left + run.max_tokens),
+            };
+            if !self.memory.reserve(now, &run.blocks[..shared], reserved, &mut self.log) {
+                return;
             }
-            run.state = State::Running;
+            run.shared = shared;
+            run.reserved = reserved;
+            let before = run.prefill_left;
+            run.prefill_left = before.min((run.prompt - skipped).max(1));
+            self.counts.cache_hits += before - run.prefill_left;
+            self.counts.cache_misses += run.prefill_left;
+            let (key, run) = entry.remove_entry();
+            self.places.insert(run.stream.clone(), Place::Running(key));
+            self.batch.insert(key, run);
         }
     }
 
-    fn start_step(&mut self, now: Instant) {
-        if self.step.is_some() {
+    pub(crate) fn start_step(&mut self, now: Instant) {
+        if self.step.is_some() || self.crashed {
             return;
         }
-        self.admit();
-        let mut running: Vec<_> =
-            self.runs.values().filter(|run| run.state == State::Running).collect();
-        running.sort_by_key(|run| (std::cmp::Reverse(run.job.priority), run.order));
-        let mut budget = self.options.chunk.0;
-        let mut step = Step { ends: now, prefill: Vec::new(), decode: Vec::new() };
-        for run in running {
+        self.admit(now);
+        let speed = self.warmth.speed(&self.options);
+        self.step = plan_step(now, &self.batch, self.stall, speed, &self.options);
+    }
+
+    fn end_step(&mut self, step: Step) {
+        let at = step.ends;
+        for (key, chunk) in step.prefill {
+            let Some(run) = self.batch.get_mut(&key) else { continue };
+            run.prefill_left -= chunk;
+            if run.crash {
+                self.crashed = true;
+                return;
+            }
             if run.prefill_left == 0 {
-                step.decode.push(run.job.stream.clone());
-            } else if budget > 0 {
-                let chunk = run.prefill_left.min(budget);
-                budget -= chunk;
-                step.prefill.push((run.job.stream.clone(), chunk));
+                self.end_prefill(at, key);
             }
         }
-        if step.decode.is_empty() && step.prefill.is_empty() {
-            return;
+        for key in step.decode {
+            let Some(run) = self.batch.get_mut(&key) else { continue };
+            run.generated += 1;
+            self.counts.generated += 1;
+            if run.generated >= run.max_tokens {
+                self.end_run(at, key, State::Ended);
+            }
         }
-        step.ends = now + self.step_time(self.options.chunk.0 - budget, step.decode.len());
-        self.step = Some(step);
     }
 
-    fn step_time(&self, prefill: u64, decode: usize) -> Duration {
-        let chunk = prefill as f64 / self.options.prefill_rate as f64;
-        let batch = match decode {
-            0 => Duration::ZERO,
-            n => self.options.step + self.options.step_stream * (n as u32 - 1),
-        };
-        Duration::from_secs_f64((chunk + batch.as_secs_f64()) / self.options.speed)
+    /// Shares the prefilled blocks, and ends a stream that wants no tokens.
+    fn end_prefill(&mut self, now: Instant, key: Key) {
+        let Some(run) = self.batch.get_mut(&key) else { return };
+        if run.is_shared() {
+            self.memory.share(now, &run.blocks, run.shared, &mut self.log);
+            run.reserved -= (run.blocks.len() - run.shared) as u64 * BLOCK.0;
+            run.shared = run.blocks.len();
+        }
+        if run.max_tokens == 0 {
+            self.end_run(now, key, State::Ended);
+        }
     }
 
-    fn end_step(&mut self, step: Step) {
-        for (stream, chunk) in step.prefill {
-            if let Some(run) = self.runs.get_mut(&stream) {
-                run.prefill_left -= chunk;
-            }
+    fn end_run(&mut self, now: Instant, key: Key, state: State) {
+        let removed = self.batch.remove(&key).or_else(|| self.waiting.remove(&key));
+        let Some(mut run) = removed else { return };
+        let progress = Progress { state, generated: run.generated };
+        self.places.insert(run.stream.clone(), Place::Done(progress));
+        self.past.insert(run.stream.clone());
+        self.ended.push_back((now, run.stream.clone()));
+        if state == State::Ended && run.keep.is_some() {
+            self.keep(now, &mut run);
         }
-        for stream in step.decode {
-            if let Some(run) = self.runs.get_mut(&stream) {
-                run.generated += 1;
-                if run.generated >= run.job.max_tokens.0 {
-                    run.state = State::Ended;
-                }
-            }
+        self.free(run);
+    }
+
+    fn free(&mut self, run: Run) {
+        self.memory.release(&run.blocks[..run.shared], run.reserved);
+        if let Some(handle) = run.import {
+            self.leave(&handle);
+            self.collect(handle);
+        }
+    }
+
+    fn unload(&mut self, now: Instant, weights: &Weights) {
+        self.shelf.unload(weights);
+        self.fail(now, Failure::Unloaded, |run| run.weights == *weights);
+    }
+
+    pub(crate) fn fail(&mut self, now: Instant, failure: Failure, which: impl Fn(&Run) -> bool) {
+        let all = self.batch.iter().chain(self.waiting.iter());
+        let keys: Vec<Key> = all.filter(|(_, run)| which(run)).map(|(key, _)| *key).collect();
+        for key in keys {
+            self.end_run(now, key, State::Failed(failure));
         }
     }
+
+    fn forget(&mut self, now: Instant) {
+        let keep = self.options.keep_ended;
+        while let Some((_, stream)) = self.ended.pop_front_if(|(at, _)| *at + keep <= now) {
+            self.places.remove(&stream);
+        }
+    }
+}
+
+fn report_run(run: &Run) -> Held {
+    Held {
+        stream: run.stream.clone(),
+        kv: size::Tokens(run.prompt + run.max_tokens),
+        prefill_left: size::Tokens(run.prefill_left),
+    }
 }
--- /dev/null
+++ b/crates/model/src/event.rs
@@ -0,0 +1,42 @@
+//! Cache events, which come late and with gaps.
+
+use hickory_target::engine::CacheEvent;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Events kept for callers; older ones are lost to them.
+const KEPT: usize = 10_000;
+
+/// The log of one engine's cache events.
+#[derive(Debug)]
+pub struct Log {
+    events: VecDeque<(Instant, CacheEvent)>,
+    seq: u64,
+    gap: u64,
+}
+
+impl Log {
+    /// An empty log that loses each `gap`-th event; 0 for none.
+    pub fn open(gap: u64) -> Self {
+        Self { events: VecDeque::new(), seq: 0, gap }
+    }
+
+    /// Adds an event.
+    pub fn push(&mut self, now: Instant, prefix: u64, stored: bool) {
+        self.seq += 1;
+        if self.gap > 0 && self.seq.is_multiple_of(self.gap) {
+            return;
+        }
+        self.events.push_back((now, CacheEvent { seq: self.seq, prefix, stored }));
+        if self.events.len() > KEPT {
+            self.events.pop_front();
+        }
+    }
+
+    /// The events after number `after` that are older than `lag`.
+    pub fn list(&self, now: Instant, after: u64, lag: Duration) -> Vec<CacheEvent> {
+        let first = self.events.partition_point(|(_, event)| event.seq <= after);
+        let due = self.events.iter().skip(first).take_while(|(at, _)| *at + lag <= now);
+        due.map(|(_, event)| event.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/model/src/pipe.rs
@@ -0,0 +1,38 @@
+//! The rate limit of the weight store.
+
+use hickory_unit::size;
+use std::time::{Duration, Instant};
+
+/// The reads of a weight store: they share one rate in the order in which
+/// they come, and only so many may run at once.
+#[derive(Clone, Debug)]
+pub struct Pipe {
+    bytes_per_second: size::Bytes,
+    reads_max: usize,
+    /// When each running read ends, oldest first.
+    ends: Vec<Instant>,
+}
+
+/// As many reads run as may.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Busy;
+
+impl Pipe {
+    /// A pipe with no reads.
+    pub fn open(bytes_per_second: size::Bytes, reads_max: usize) -> Self {
+        Self { bytes_per_second, reads_max, ends: Vec::new() }
+    }
+
+    /// Begins a read; gives the time until it ends.
+    pub fn read(&mut self, now: Instant, bytes: size::Bytes) -> Result<Duration, Busy> {
+        self.ends.retain(|end| *end > now);
+        if self.ends.len() >= self.reads_max {
+            return Err(Busy);
+        }
+        let rate = self.bytes_per_second.0.max(1) as f64;
+        let own = Duration::from_secs_f64(bytes.0 as f64 / rate);
+        let end = self.ends.last().copied().unwrap_or(now) + own;
+        self.ends.push(end);
+        Ok(end - now)
+    }
+}
--- /dev/null
+++ b/crates/model/src/transfer.rs
@@ -0,0 +1,143 @@
+//! KV caches that an engine keeps, exports and imports.
+
+use crate::batch::Run;
+use crate::engine::Engine;
+use crate::handle::{Export, Kept, Link};
+use crate::job::{Failure, Job, Refused};
+use crate::prefix::BLOCK;
+use hickory_target::engine::Handle;
+use hickory_unit::size;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+impl Engine {
+    /// Describes a held KV cache to another engine.
+    pub fn export(&self, handle: &Handle) -> Option<Export> {
+        let kept = self.handles.get(handle).filter(|kept| kept.is_usable())?;
+        Some(kept.export.clone())
+    }
+
+    /// Begins to copy the KV cache that `export` describes, or links it where
+    /// it is greater than half of the memory; gives the time that the copy
+    /// takes, after which [`Engine::finish_import`] is due.
+    pub fn import(
+        &mut self,
+        now: Instant,
+        handle: &Handle,
+        mut export: Export,
+        from: SocketAddr,
+    ) -> Result<Duration, Refused> {
+        self.advance(now);
+        if self.handles.contains_key(handle) {
+            return Ok(Duration::ZERO);
+        }
+        if export.own.0 > self.options.kv_capacity.0 / 2 {
+            export.own = size::Tokens(0);
+            export.links.push(Link { at: from, handle: handle.clone() });
+        }
+        let own = export.own.0;
+        if !self.memory.reserve(now, &[], own, &mut self.log) {
+            return Err(Refused::NoRoom);
+        }
+        let seconds = own as f64 / self.options.transfer_rate.max(1) as f64;
+        let kept =
+            Kept { export, base: None, reserved: own, users: 0, dropped: false, arriving: own > 0 };
+        self.handles.insert(handle.clone(), kept);
+        Ok(self.options.scale(Duration::from_secs_f64(seconds)))
+    }
+
+    /// Says that a copy has arrived.
+    pub fn finish_import(&mut self, handle: &Handle) {
+        if let Some(kept) = self.handles.get_mut(handle) {
+            kept.arriving = false;
+        }
+    }
+
+    /// Drops a held KV cache; it goes with its last user.
+    pub fn drop_handle(&mut self, now: Instant, handle: &Handle) {
+        self.advance(now);
+        if let Some(kept) = self.handles.get_mut(handle) {
+            kept.dropped = true;
+        }
+        self.collect(handle.clone());
+        self.start_step(now);
+    }
+
+    /// The links that running and waiting streams need.
+    pub fn links(&self) -> Vec<Link> {
+        let used = self.handles.values().filter(|kept| kept.users > 0);
+        used.flat_map(|kept| kept.export.links.iter().cloned()).collect()
+    }
+
+    /// Says that a linked KV cache is gone: the streams that use it fail.
+    pub fn lose_link(&mut self, now: Instant, lost: &Handle) {
+        self.advance(now);
+        let has = |kept: &Kept| kept.export.links.iter().any(|link| link.handle == *lost);
+        let broken: Vec<Handle> =
+            self.handles.iter().filter(|(_, kept)| has(kept)).map(|(h, _)| h.clone()).collect();
+        let uses = |run: &Run| run.import.as_ref().is_some_and(|h| broken.contains(h));
+        self.fail(now, Failure::PartLost, uses);
+        self.start_step(now);
+    }
+
+    /// The leading tokens of a job's prompt that a held KV cache covers, and
+    /// the tokens of it that lie here; `None` where the cache is not held, or
+    /// is of another prompt.
+    pub(crate) fn count_covered(&self, handle: &Handle, job: &Job) -> Option<(u64, u64)> {
+        let kept = self.handles.get(handle).filter(|kept| kept.is_usable())?;
+        let covers = kept.export.covers.0;
+        let last = (covers / BLOCK.0).checked_sub(1);
+        let block = last.and_then(|last| job.blocks.get(last as usize)).copied();
+        let same = job.blocks.is_empty() || block == kept.export.last_block;
+        (covers <= job.prompt.0 && same).then_some((covers, kept.export.own.0))
+    }
+
+    /// Keeps the KV cache of a prefilled prompt under its handle; what the
+    /// stream had reserved goes over to the handle.
+    pub(crate) fn keep(&mut self, now: Instant, run: &mut Run) {
+        // Another stream may have kept its own under the same handle while
+        // this one was prefilled; the first stays, for streams may use it.
+        let handle = run.keep.clone().filter(|handle| !self.handles.contains_key(handle));
+        let Some(handle) = handle else { return };
+        let base = run.import.as_ref().and_then(|import| self.handles.get_mut(import));
+        let (below, links) = match base {
+            Some(base) => {
+                base.users += 1;
+                (base.export.own.0, base.export.links.clone())
+            }
+            None => (0, Vec::new()),
+        };
+        let reserved = std::mem::take(&mut run.reserved);
+        let last_block = run.blocks.last().copied();
+        let (own, covers) = (size::Tokens(reserved + below), size::Tokens(run.prompt));
+        let export = Export { own, covers, last_block, links };
+        let base = run.import.clone();
+        let kept = Kept { export, base, reserved, users: 0, dropped: false, arriving: false };
+        self.handles.insert(handle, kept);
+        self.memory.offer(now, &run.blocks, &mut self.log);
+    }
+
+    /// Frees a dropped KV cache that nothing uses, and what it was based on.
+    pub(crate) fn collect(&mut self, handle: Handle) {
+        let mut next = Some(handle);
+        while let Some(handle) = next.take() {
+            let gone = |kept: &Kept| kept.dropped && kept.users == 0;
+            if !self.handles.get(&handle).is_some_and(gone) {
+                return;
+            }
+            let Some(kept) = self.handles.remove(&handle) else { return };
+            self.memory.release(&[], kept.reserved);
+            if let Some(base) = kept.base {
+                self.leave(&base);
+                next = Some(base);
+            }
+        }
+    }
+
+    /// Says that one user of a KV cache is gone.
+    pub(crate) fn leave(&mut self, handle: &Handle) {
+        if let Some(kept) = self.handles.get_mut(handle) {
+            kept.users -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/tests/cache.rs
@@ -0,0 +1,117 @@
+//! The prefix cache, pins, and cache events.
+
+mod common;
+
+use common::{Bench, job, job_of, options, text};
+use hickory_model::engine::Options;
+use hickory_model::prefix::{self, BLOCK};
+use hickory_target::engine::{CacheEvent, Order};
+use hickory_unit::{id, size};
+use std::time::Duration;
+
+const FENCE: id::Epoch = id::Epoch(1);
+
+fn small(blocks: u64) -> Options {
+    let kv_capacity = size::Tokens(blocks * BLOCK.0);
+    Options { kv_capacity, event_lag: Duration::ZERO, event_gap: 0, ..options() }
+}
+
+fn run(bench: &mut Bench, number: u128, prompt: &str) -> u64 {
+    let before = bench.engine.counts().cache_hits;
+    bench.begin(job_of(number, prompt, 1));
+    bench.run_to_end(number);
+    bench.engine.counts().cache_hits - before
+}
+
+#[test]
+fn hashes_name_prompts_up_to_the_end_of_a_block() {
+    let long = text('a', 3) + "tail";
+    let hashes = prefix::hash_blocks(&long);
+    assert_eq!(hashes.len(), 3);
+    assert_eq!(prefix::hash_blocks(&text('a', 2)), hashes[..2]);
+    assert_ne!(hashes[0], hashes[1]);
+    assert!(prefix::hash_blocks(&text('b', 3)).iter().all(|hash| !hashes.contains(hash)));
+}
+
+#[test]
+fn second_prompt_skips_the_shared_prefix() {
+    let mut bench = Bench::open(small(100));
+    let prompt = text('a', 10);
+    assert_eq!(run(&mut bench, 1, &prompt), 0);
+    assert_eq!(run(&mut bench, 2, &(prompt.clone() + "more")), 10 * BLOCK.0);
+    assert_eq!(run(&mut bench, 3, &(text('a', 5) + &text('b', 5))), 5 * BLOCK.0);
+    assert_eq!(bench.used(), 0, "what only the cache holds is not in use");
+}
+
+#[test]
+fn least_recently_used_prefix_is_evicted_first() {
+    let mut bench = Bench::open(small(25));
+    run(&mut bench, 1, &text('a', 10));
+    run(&mut bench, 2, &text('b', 10));
+    run(&mut bench, 3, &text('a', 10));
+    run(&mut bench, 4, &text('c', 10));
+    assert!(run(&mut bench, 5, &text('a', 10)) > 9 * BLOCK.0);
+    assert!(run(&mut bench, 6, &text('b', 10)) < 10 * BLOCK.0);
+}
+
+#[test]
+fn streams_take_memory_from_the_cache() {
+    let mut bench = Bench::open(small(20));
+    run(&mut bench, 1, &text('a', 15));
+    bench.begin(job(2, 15 * BLOCK.0, 1));
+    bench.run_to_end(2);
+    assert!(run(&mut bench, 3, &text('a', 15)) <= 5 * BLOCK.0);
+}
+
+#[test]
+fn pinned_prefix_stays_until_it_is_released() {
+    let mut bench = Bench::open(small(30));
+    let pinned = prefix::hash_blocks(&text('a', 10))[9];
+    bench.engine.order(bench.now, FENCE, &Order::Pin(pinned)).unwrap();
+    assert_eq!(bench.used(), 0, "not there yet");
+    run(&mut bench, 1, &text('a', 10));
+    assert_eq!(bench.used(), 10 * BLOCK.0);
+    run(&mut bench, 2, &text('b', 19));
+    run(&mut bench, 3, &text('c', 19));
+    assert_eq!(run(&mut bench, 4, &text('a', 10)), 10 * BLOCK.0 - 1);
+    assert_eq!(bench.engine.take_report().pins, vec![pinned]);
+    bench.engine.order(bench.now, FENCE, &Order::Unpin(pinned)).unwrap();
+    assert_eq!((bench.used(), bench.engine.take_report().pins.len()), (0, 0));
+}
+
+#[test]
+fn turning_cold_loses_the_cache() {
+    let mut bench = Bench::open(small(100));
+    run(&mut bench, 1, &text('a', 10));
+    bench.engine.turn_cold(bench.now);
+    assert_eq!(run(&mut bench, 2, &text('a', 10)), 0);
+}
+
+#[test]
+fn events_tell_of_stores_and_evictions() {
+    let mut bench = Bench::open(small(12));
+    run(&mut bench, 1, &text('a', 10));
+    run(&mut bench, 2, &text('b', 10));
+    let events = bench.engine.cache_events(bench.now, 0);
+    let (a, b) = (prefix::hash_blocks(&text('a', 10)), prefix::hash_blocks(&text('b', 10)));
+    let stored = |hashes: &[u64]| hashes.iter().all(|h| has(&events, *h, true));
+    assert!(stored(&a) && stored(&b));
+    assert!(has(&events, a[9], false), "the last block of the older prompt goes first");
+    let last = events.last().unwrap().seq;
+    assert!(bench.engine.cache_events(bench.now, last).is_empty());
+}
+
+fn has(events: &[CacheEvent], prefix: u64, stored: bool) -> bool {
+    events.iter().any(|event| event.prefix == prefix && event.stored == stored)
+}
+
+#[test]
+fn events_come_late_and_with_gaps() {
+    let late = Options { event_lag: Duration::from_secs(60), event_gap: 4, ..small(100) };
+    let mut bench = Bench::open(late);
+    run(&mut bench, 1, &text('a', 10));
+    assert!(bench.engine.cache_events(bench.now, 0).is_empty());
+    bench.pass(Duration::from_secs(60));
+    let seqs: Vec<u64> = bench.engine.cache_events(bench.now, 0).iter().map(|e| e.seq).collect();
+    assert_eq!(seqs, [1, 2, 3, 5, 6, 7, 9, 10]);
+}
--- /dev/null
+++ b/crates/model/tests/common/mod.rs
@@ -0,0 +1,110 @@
+//! An engine on a clock that moves by its own steps.
+#![allow(dead_code)]
+
+use hickory_model::engine::{Engine, Job, Options, Progress, State};
+use hickory_model::prefix;
+use hickory_target::engine::{Handle, Priority, Weights};
+use hickory_unit::{id, size};
+use std::time::{Duration, Instant};
+use uuid::Uuid;
+
+pub struct Bench {
+    pub engine: Engine,
+    pub now: Instant,
+    start: Instant,
+}
+
+pub fn weights() -> Weights {
+    Weights { model: "m".into(), version: "1".into(), adapter: None }
+}
+
+pub fn options() -> Options {
+    Options { loaded: vec![weights()], report_lag: Duration::ZERO, ..Options::default() }
+}
+
+pub fn stream(number: u128) -> id::Stream {
+    let request = id::Request(Uuid::from_u128(number));
+    id::Stream { request, attempt: 0, sender: "node-a".into(), deadline_ms: 0 }
+}
+
+pub fn handle(number: u128, part: u32) -> Handle {
+    Handle { stream: stream(number), part }
+}
+
+/// A job whose prompt shares no prefix with another one.
+pub fn job(number: u128, prompt: u64, max_tokens: u64) -> Job {
+    Job {
+        stream: stream(number),
+        weights: weights(),
+        prompt: size::Tokens(prompt),
+        blocks: Vec::new(),
+        max_tokens: size::Tokens(max_tokens),
+        priority: Priority(1),
+        import: None,
+        keep: None,
+        crash: false,
+    }
+}
+
+/// A job with the given prompt text.
+pub fn job_of(number: u128, prompt: &str, max_tokens: u64) -> Job {
+    let tokens = size::Tokens::of_bytes(size::Bytes(prompt.len() as u64));
+    Job { blocks: prefix::hash_blocks(prompt), ..job(number, tokens.0, max_tokens) }
+}
+
+/// A text of `blocks` blocks; texts with another `seed` differ from the start.
+pub fn text(seed: char, blocks: usize) -> String {
+    seed.to_string().repeat(blocks * prefix::BLOCK_BYTES)
+}
+
+impl Bench {
+    pub fn open(options: Options) -> Self {
+        let now = Instant::now();
+        let engine = Engine::open(now, id::Incarnation(1), options);
+        Self { engine, now, start: now }
+    }
+
+    pub fn begin(&mut self, job: Job) {
+        self.engine.begin(self.now, job).expect("begins");
+    }
+
+    /// Moves the clock on by `time`.
+    pub fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.engine.advance(self.now);
+    }
+
+    /// Moves the clock on step by step until `done`; panics when the engine
+    /// has nothing to do before that.
+    pub fn run_until(&mut self, done: impl Fn(&Engine) -> bool) -> Duration {
+        while !done(&self.engine) {
+            self.now = self.engine.next_step().expect("work left");
+            self.engine.advance(self.now);
+        }
+        self.now - self.start
+    }
+
+    pub fn run_to_end(&mut self, number: u128) -> Duration {
+        self.run_until(|engine| engine.progress(&stream(number)).is_none_or(is_done))
+    }
+
+    pub fn run_to_first_token(&mut self, number: u128) -> Duration {
+        self.run_until(|engine| generated(engine, number) > 0)
+    }
+
+    pub fn state(&self, number: u128) -> Option<State> {
+        self.engine.progress(&stream(number)).map(|progress| progress.state)
+    }
+
+    pub fn used(&self) -> u64 {
+        self.engine.kv_used().0
+    }
+}
+
+fn is_done(progress: Progress) -> bool {
+    !matches!(progress.state, State::Waiting | State::Running)
+}
+
+pub fn generated(engine: &Engine, number: u128) -> u64 {
+    engine.progress(&stream(number)).map_or(0, |progress| progress.generated)
+}
--- /dev/null
+++ b/crates/model/tests/walk.rs
@@ -0,0 +1,112 @@
+//! Random walks: whatever is asked of an engine, its memory is never
+//! overbooked, and all of it is free once everything was given back.
+
+mod common;
+
+use common::{Bench, handle, job_of, options, stream, text};
+use hickory_model::engine::{Job, Options};
+use hickory_model::prefix;
+use hickory_target::engine::{Order, Priority};
+use hickory_unit::{id, size};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+enum Act {
+    Begin { number: u8, seed: u8, blocks: u8, max: u8, priority: u8, import: u8, keep: u8 },
+    Cancel(u8),
+    Drop(u8),
+    Pin(u8, u8),
+    Unpin(u8, u8),
+    TurnCold,
+    Pass(u16),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    let begin = (0..20_u8, 0..3_u8, 0..12_u8, 0..40_u8, 0..3_u8, 0..6_u8, 0..6_u8);
+    prop_oneof![
+        6 => begin.prop_map(|(number, seed, blocks, max, priority, import, keep)| {
+            Act::Begin { number, seed, blocks, max, priority, import, keep }
+        }),
+        2 => (0..20_u8).prop_map(Act::Cancel),
+        1 => (0..3_u8).prop_map(Act::Drop),
+        1 => (0..3_u8, 1..12_u8).prop_map(|(seed, blocks)| Act::Pin(seed, blocks)),
+        1 => (0..3_u8, 1..12_u8).prop_map(|(seed, blocks)| Act::Unpin(seed, blocks)),
+        1 => Just(Act::TurnCold),
+        6 => (0..2_000_u16).prop_map(Act::Pass),
+    ]
+}
+
+fn prompt(seed: u8, blocks: u8) -> String {
+    text(['a', 'b', 'c'][seed as usize], blocks as usize)
+}
+
+fn pin_of(seed: u8, blocks: u8) -> u64 {
+    prefix::hash_blocks(&prompt(seed, blocks))[blocks as usize - 1]
+}
+
+fn apply(bench: &mut Bench, act: Act) {
+    let (now, fence) = (bench.now, id::Epoch(1));
+    match act {
+        Act::Begin { number, seed, blocks, max, priority, import, keep } => {
+            let held = |n: u8| (n < 3).then(|| handle(u128::from(n), 0));
+            let job = Job {
+                priority: Priority(priority),
+                import: held(import),
+                keep: held(keep),
+                ..job_of(number.into(), &prompt(seed, blocks), max.into())
+            };
+            let _ = bench.engine.begin(now, job);
+        }
+        Act::Cancel(number) => {
+            bench.engine.cancel(now, &stream(number.into()));
+        }
+        Act::Drop(number) => bench.engine.drop_handle(now, &handle(number.into(), 0)),
+        Act::Pin(seed, blocks) => {
+            let _ = bench.engine.order(now, fence, &Order::Pin(pin_of(seed, blocks)));
+        }
+        Act::Unpin(seed, blocks) => {
+            let _ = bench.engine.order(now, fence, &Order::Unpin(pin_of(seed, blocks)));
+        }
+        Act::TurnCold => bench.engine.turn_cold(now),
+        Act::Pass(millis) => bench.pass(Duration::from_millis(millis.into())),
+    }
+}
+
+fn give_all_back(bench: &mut Bench) {
+    (0..20).for_each(|number| apply(bench, Act::Cancel(number)));
+    (0..3).for_each(|number| apply(bench, Act::Drop(number)));
+    for seed in 0..3 {
+        (1..12).for_each(|blocks| apply(bench, Act::Unpin(seed, blocks)));
+    }
+}
+
+/// The same walks on each run.
+fn config() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(7);
+    ProptestConfig {
+        cases: 1_000,
+        rng_seed,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn memory_is_never_overbooked_and_comes_back(acts in prop::collection::vec(act(), 1..60)) {
+        let kv_capacity = size::Tokens(20 * prefix::BLOCK.0);
+        let options = Options { kv_capacity, streams_max: 4, falls_over: false, ..options() };
+        let mut bench = Bench::open(options);
+        for act in acts {
+            apply(&mut bench, act);
+            prop_assert!(bench.used() <= kv_capacity.0);
+        }
+        give_all_back(&mut bench);
+        prop_assert_eq!(bench.used(), 0);
+        prop_assert_eq!(bench.engine.streams(), 0);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/control.rs
@@ -0,0 +1,60 @@
+//! Switches faults over HTTP, also of stand-ins that are dead or frozen.
+
+use crate::fault::{Faults, Switch};
+use crate::server::{self, Call, Reply, Service};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Applies a switch to one stand-in; `false` where it has no such fault.
+type Apply = Arc<dyn Fn(&Switch) -> bool + Send + Sync>;
+
+/// The switchboard: `POST /fault/{name}` with a [`Switch`] as JSON.
+#[derive(Clone, Default)]
+pub struct Board {
+    all: Arc<BTreeMap<String, Apply>>,
+}
+
+/// A running switchboard.
+pub type Handle = server::Handle<Board>;
+
+impl Board {
+    /// Adds a stand-in under `name`.
+    pub fn add<S: Service>(&mut self, name: &str, handle: &server::Handle<S>) {
+        let (faults, service) = (handle.faults().clone(), handle.service().clone());
+        let apply: Apply = Arc::new(move |switch: &Switch| apply_switch(&faults, &service, switch));
+        let mut all = (*self.all).clone();
+        all.insert(name.to_owned(), apply);
+        self.all = Arc::new(all);
+    }
+
+    /// Serves the switchboard.
+    pub fn spawn(self, listen: SocketAddr) -> std::io::Result<Handle> {
+        server::spawn(listen, self)
+    }
+}
+
+impl Service for Board {
+    async fn call(&self, call: Call) -> Reply {
+        let name = call.path.strip_prefix("/fault/").unwrap_or_default();
+        let Some(apply) = self.all.get(name).cloned() else {
+            return Reply::status(404, "no such stand-in");
+        };
+        match call.json::<Switch>() {
+            Ok(switch) => confirm(tokio::task::spawn_blocking(move || apply(&switch)).await),
+            Err(reply) => reply,
+        }
+    }
+}
+
+fn confirm(applied: Result<bool, tokio::task::JoinError>) -> Reply {
+    match applied {
+        Ok(true) => Reply::json(&()),
+        _ => Reply::status(422, "this stand-in has no such fault"),
+    }
+}
+
+/// Applies a switch; may block until a port is closed or open again.
+pub(crate) fn apply_switch<S: Service>(faults: &Faults, service: &S, switch: &Switch) -> bool {
+    faults.apply(switch) || service.switch(switch)
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,37 +1,49 @@
 //! A model engine: the cost model behind HTTP.
 
-use crate::fault::{Faults, Life};
-use crate::server::{self, Call, Piece, Reply};
-use hickory_model::answer::Answer;
-use hickory_model::engine::{Engine, Job, Options as Model, Refused, State};
-use hickory_target::engine::{Event, Generate, Loaded, Report, Role, Weights};
+use crate::fault::{Faults, Life, Switch};
+use crate::peer::Peers;
+use crate::reader::Readers;
+use crate::server::{self, Call, Reply};
+use hickory_model::batch::Stall;
+use hickory_model::engine::{Engine, Job, Options as Model, Refused};
+use hickory_model::loading::Fetch;
+use hickory_target::engine::{Generate, Handle as Cache};
 use hickory_target::http::{Fenced, Import, Resume};
 use hickory_unit::{id, size};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::{Notify, mpsc, watch};
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+
+/// How often an engine looks whether the linked KV caches that its streams
+/// use are still held by other engines.
+const LINK_CHECK: Duration = Duration::from_millis(50);
+
+/// How long an engine waits before it asks a busy weight store again.
+const WEIGHTS_RETRY: Duration = Duration::from_millis(50);
 
 /// How an engine behaves.
 #[derive(Clone, Debug, Default)]
 pub struct Options {
-    /// The cost model.
+    /// The cost model. After a restart the engine is cold, whatever the
+    /// warmth given here for its first start.
     pub model: Model,
-    /// Weights that are loaded at the start.
-    pub loaded: Vec<Weights>,
-}
-
-#[derive(Debug)]
-struct Held {
-    engine: Engine,
-    answers: HashMap<id::Stream, Reader>,
+    /// Where weights are read from; without one they are there at once.
+    pub weights: Option<SocketAddr>,
+    /// When it starts again after a crash; never without.
+    pub restart_after: Option<Duration>,
+    /// It crashes when it runs a prompt that contains this.
+    pub crash_marker: Option<String>,
 }
 
-/// Who reads a stream: the last that came; one before it is cut.
+/// What an engine process holds in memory.
 #[derive(Debug)]
-struct Reader {
-    answer: Answer,
-    number: u64,
+pub(crate) struct Held {
+    pub(crate) engine: Engine,
+    pub(crate) readers: Readers,
+    crash_marker: Option<String>,
+    /// Whether the crash of `engine` has been acted on.
+    crash_seen: bool,
 }
 
 #[derive(Debug)]
@@ -41,6 +53,7 @@
     held: Mutex<Held>,
     ticked: watch::Sender<u64>,
     work: Notify,
+    peers: Peers,
 }
 
 /// An engine.
@@ -55,23 +68,51 @@
 /// Serves an engine.
 pub fn spawn(listen: SocketAddr, options: Options) -> std::io::Result<Handle> {
     let faults = Faults::none();
-    let held = Held { engine: Engine::open(options.model.clone()), answers: HashMap::new() };
+    let engine = Engine::open(faults.now(), faults.incarnation(), options.model.clone());
+    let crash_marker = options.crash_marker.clone();
+    let held = Held { engine, readers: Readers::default(), crash_marker, crash_seen: false };
     let inner = Inner {
         options,
         faults: faults.clone(),
         held: Mutex::new(held),
         ticked: watch::Sender::new(0),
         work: Notify::new(),
+        peers: Peers::open(),
     };
     let machine = Machine { inner: Arc::new(inner) };
+    let handle = server::spawn_with(listen, machine.clone(), faults)?;
     server::runtime().spawn(machine.clone().step());
-    server::spawn_with(listen, machine, faults)
+    server::runtime().spawn(machine.check_links());
+    Ok(handle)
 }
 
 impl Machine {
-    /// Tokens that the streams of the engine hold now, without lag.
+    /// Calls `act` on the cost model, past all faults and without lag.
+    pub fn with_engine<T>(&self, act: impl FnOnce(&mut Engine) -> T) -> T {
+        act(&mut self.lock().engine)
+    }
+
+    /// KV memory in use by streams, handles and pins now.
     pub fn kv_used(&self) -> size::Tokens {
-        self.lock().engine.kv_used()
+        self.with_engine(|engine| engine.kv_used())
+    }
+
+    /// Sets the text by which a prompt crashes the engine that runs it.
+    pub fn set_crash_marker(&self, marker: Option<String>) {
+        self.lock().crash_marker = marker;
+    }
+
+    /// Turns cold without a word.
+    pub fn turn_cold(&self) {
+        let now = self.inner.faults.now();
+        self.with_engine(|engine| engine.turn_cold(now));
+    }
+
+    /// Stops the streams from moving on, or lets them again.
+    pub fn stall(&self, stall: Stall) {
+        let now = self.inner.faults.now();
+        self.with_engine(|engine| engine.set_stall(now, stall));
+        self.inner.work.notify_one();
     }
 
     /// Runs the steps of the cost model as their time comes.
@@ -85,6 +126,7 @@
                 held.engine.advance(now);
                 held.engine.next_step()
             };
+            self.die_if_crashed();
             self.inner.ticked.send_modify(|tick| *tick += 1);
             let sleep = async {
                 match next {
@@ -102,181 +144,208 @@
         }
     }
 
+    /// Fails the streams whose KV cache lies partly on an engine that is
+    /// gone, or that has dropped it.
+    async fn check_links(self) {
+        let life = self.inner.faults.life();
+        while *life.borrow() != Life::Stopped {
+            tokio::time::sleep(LINK_CHECK).await;
+            self.inner.faults.wait_thawed().await;
+            for link in self.with_engine(|engine| engine.links()) {
+                if self.inner.peers.export(link.at, &link.handle).await.is_none() {
+                    let now = self.inner.faults.now();
+                    self.with_engine(|engine| engine.lose_link(now, &link.handle));
+                    self.inner.work.notify_one();
+                }
+            }
+        }
+    }
+
+    fn die_if_crashed(&self) {
+        let mut held = self.lock();
+        let crashed = held.engine.is_crashed() && !held.crash_seen;
+        held.crash_seen |= crashed;
+        drop(held);
+        if crashed {
+            self.inner.faults.crash(self.inner.options.restart_after);
+        }
+    }
+
     fn generate(&self, generate: &Generate) -> Reply {
-        let stream = &generate.stream;
-        let job = Job {
-            stream: stream.clone(),
-            prompt: size::Tokens::of_bytes(size::Bytes(generate.prompt.len() as u64)),
-            max_tokens: generate.max_tokens,
-            priority: generate.priority,
-        };
-        let answer = Answer::of(&generate.prompt);
+        let mut job = Job::of(generate);
         let mut held = self.lock();
+        let marker = held.crash_marker.as_deref();
+        job.crash = marker.is_some_and(|marker| generate.prompt.contains(marker));
         if let Err(refused) = held.engine.begin(self.inner.faults.now(), job) {
+            drop(held);
+            self.die_if_crashed();
             return refuse(refused);
         }
-        held.answers.insert(stream.clone(), Reader { answer, number: 0 });
+        let Held { engine, readers, .. } = &mut *held;
+        readers.add(generate, engine);
         drop(held);
         self.inner.work.notify_one();
-        self.read(stream, generate.from)
+        self.read(&generate.stream, generate.from)
     }
 
     fn read(&self, stream: &id::Stream, from: u64) -> Reply {
-        let mut held = self.lock();
-        let Some(reader) = held.answers.get_mut(stream) else {
+        let Some(number) = self.lock().readers.supersede(stream) else {
             return Reply::status(404, "no such stream");
         };
-        reader.number += 1;
-        let number = reader.number;
-        drop(held);
         let (pieces, reply) = Reply::stream();
-        tokio::spawn(self.clone().pump(stream.clone(), number, from, pieces));
+        let pump = crate::reader::pump(self.clone(), stream.clone(), number, from, pieces);
+        tokio::spawn(pump);
         reply
     }
 
-    /// Sends the tokens of a stream as they come, until its end, until a
-    /// later reader takes over, or until the connection is gone; the stream
-    /// itself lives on.
-    async fn pump(
-        self,
-        stream: id::Stream,
-        number: u64,
-        mut from: u64,
-        pieces: mpsc::Sender<Piece>,
-    ) {
-        let mut ticked = self.inner.ticked.subscribe();
-        loop {
-            ticked.mark_unchanged();
-            let (lines, next, last) = self.take_lines(&stream, number, from);
-            from = next;
-            if !lines.is_empty() && pieces.send(Piece::Data(lines.into())).await.is_err() {
-                return;
+    fn cancel(&self, stream: &id::Stream) -> Reply {
+        let mut held = self.lock();
+        let cancelled = held.engine.cancel(self.inner.faults.now(), stream);
+        held.readers.remove(stream);
+        drop(held);
+        self.inner.work.notify_one();
+        self.inner.ticked.send_modify(|tick| *tick += 1);
+        Reply::json(&cancelled)
+    }
+
+    fn order(&self, fenced: &Fenced) -> Reply {
+        let now = self.inner.faults.now();
+        let done = self.with_engine(|engine| engine.order(now, fenced.fence, &fenced.order));
+        self.inner.work.notify_one();
+        match done {
+            Ok(None) => Reply::json(&()),
+            Ok(Some(fetch)) => {
+                server::runtime().spawn(self.clone().fetch(fetch));
+                Reply::json(&())
             }
-            match last {
-                Last::No => {}
-                Last::End => {
-                    let _ = pieces.send(Piece::End).await;
+            Err(refused) => refuse(refused),
+        }
+    }
+
+    /// Reads weights from the weight store, until they are there or no longer
+    /// wanted.
+    async fn fetch(self, fetch: Fetch) {
+        let incarnation = self.inner.faults.incarnation();
+        if let Some(at) = self.inner.options.weights {
+            while !self.inner.peers.read_weights(at, fetch.bytes).await {
+                tokio::time::sleep(WEIGHTS_RETRY).await;
+                let wanted = self.with_engine(|engine| engine.holds_weights(&fetch.weights));
+                if !wanted || self.inner.faults.incarnation() != incarnation {
                     return;
                 }
-                Last::Cut => return,
-            }
-            tokio::select! {
-                _ = ticked.changed() => {}
-                () = pieces.closed() => return,
             }
         }
+        self.inner.faults.wait_thawed().await;
+        if self.inner.faults.incarnation() == incarnation {
+            self.with_engine(|engine| engine.finish_load(&fetch.weights));
+        }
     }
 
-    fn take_lines(&self, stream: &id::Stream, number: u64, from: u64) -> (Vec<u8>, u64, Last) {
-        let held = self.lock();
-        let mut lines = Vec::new();
-        let Some(reader) = held.answers.get(stream) else {
-            put_line(&mut lines, &Event::Failed { reason: "cancelled".into() });
-            return (lines, from, Last::End);
+    async fn import(&self, import: &Import) -> Reply {
+        let Some(export) = self.inner.peers.export(import.from, &import.handle).await else {
+            return Reply::status(404, "no such KV cache");
         };
-        let Some(progress) = held.engine.progress(stream) else {
-            return (lines, from, Last::Cut);
+        let (now, incarnation) = (self.inner.faults.now(), self.inner.faults.incarnation());
+        let begun =
+            self.with_engine(|engine| engine.import(now, &import.handle, export, import.from));
+        let time = match begun {
+            Ok(time) => time,
+            Err(refused) => return refuse(refused),
         };
-        if reader.number != number {
-            return (lines, from, Last::Cut);
-        }
-        for seq in from..progress.generated {
-            put_line(&mut lines, &Event::Token { seq, text: reader.answer.token(seq) });
+        // A task of its own: the copy arrives also when the caller that asked
+        // for it has gone, and would else be half there for good.
+        let copy = self.clone().finish_import(import.handle.clone(), time, incarnation);
+        match tokio::spawn(copy).await {
+            Ok(true) => Reply::json(&()),
+            _ => Reply::cut(),
         }
-        let ended = progress.state == State::Ended;
-        if ended {
-            put_line(&mut lines, &Event::End { count: progress.generated });
+    }
+
+    async fn finish_import(self, handle: Cache, time: Duration, start: id::Incarnation) -> bool {
+        tokio::time::sleep(time).await;
+        self.inner.faults.wait_thawed().await;
+        let same = self.inner.faults.incarnation() == start;
+        if same {
+            self.with_engine(|engine| engine.finish_import(&handle));
         }
-        let last = if ended { Last::End } else { Last::No };
-        (lines, progress.generated.max(from), last)
+        same
     }
 
-    fn cancel(&self, stream: &id::Stream) -> Reply {
-        let mut held = self.lock();
-        let cancelled = held.engine.cancel(self.inner.faults.now(), stream);
-        held.answers.remove(stream);
-        drop(held);
+    fn drop_handle(&self, handle: &Cache) -> Reply {
+        let now = self.inner.faults.now();
+        self.with_engine(|engine| engine.drop_handle(now, handle));
         self.inner.work.notify_one();
-        Reply::json(&cancelled)
+        Reply::json(&())
     }
 
-    fn report(&self) -> Report {
-        let held = self.lock();
-        let model = &self.inner.options.model;
-        let loaded = self.inner.options.loaded.iter().cloned();
-        Report {
-            incarnation: self.inner.faults.incarnation(),
-            kv_capacity: model.kv_capacity,
-            kv_used: held.engine.kv_used(),
-            prefill_rate: model.prefill_rate,
-            streams_max: model.streams_max,
-            warmth: 100,
-            streams: held.engine.held(),
-            handles: Vec::new(),
-            pins: Vec::new(),
-            loaded: loaded.map(|weights| Loaded { weights, ready: true }).collect(),
-            role: Role::Both,
-            fence: None,
-            cache_hits: 0,
-            cache_misses: 0,
+    fn export(&self, handle: &Cache) -> Reply {
+        match self.with_engine(|engine| engine.export(handle)) {
+            Some(export) => Reply::json(&export),
+            None => Reply::status(404, "no such KV cache"),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Held> {
-        self.inner.held.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(crate) fn ticked(&self) -> watch::Receiver<u64> {
+        self.inner.ticked.subscribe()
     }
-}
-
-/// Whether lines were the last ones.
-enum Last {
-    No,
-    End,
-    Cut,
-}
 
-fn put_line(lines: &mut Vec<u8>, event: &Event) {
-    if serde_json::to_writer(&mut *lines, event).is_ok() {
-        lines.push(b'\n');
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Held> {
+        self.inner.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 fn refuse(refused: Refused) -> Reply {
-    Reply::status(422, &refused.to_string())
+    match refused {
+        Refused::Stale => Reply::status(409, &refused.to_string()),
+        Refused::Crashed => Reply::cut(),
+        _ => Reply::status(422, &refused.to_string()),
+    }
 }
 
 impl server::Service for Machine {
     async fn call(&self, call: Call) -> Reply {
+        let now = self.inner.faults.now();
         match (call.method.as_str(), call.path.as_str()) {
-            ("POST", "/v1/generate") => match call.json::<Generate>() {
-                Ok(generate) => self.generate(&generate),
-                Err(reply) => reply,
-            },
-            ("POST", "/v1/resume") => match call.json::<Resume>() {
-                Ok(resume) => self.read(&resume.stream, resume.from),
-                Err(reply) => reply,
-            },
-            ("POST", "/v1/cancel") => match call.json::<id::Stream>() {
-                Ok(stream) => self.cancel(&stream),
-                Err(reply) => reply,
-            },
-            ("GET", "/v1/report") => Reply::json(&self.report()),
-            ("GET", "/v1/cache-events") => Reply::json(&[(); 0]),
-            ("POST", "/v1/order") => match call.json::<Fenced>() {
-                Ok(_) => Reply::json(&()),
-                Err(reply) => reply,
-            },
+            ("POST", "/v1/generate") => call.answer(|body| self.generate(&body)),
+            ("POST", "/v1/resume") => {
+                call.answer(|body: Resume| self.read(&body.stream, body.from))
+            }
+            ("POST", "/v1/cancel") => call.answer(|body| self.cancel(&body)),
+            ("GET", "/v1/report") => Reply::json(&self.with_engine(|engine| engine.report(now))),
+            ("GET", "/v1/cache-events") => {
+                let after = call.query("after").parse().unwrap_or(0);
+                Reply::json(&self.with_engine(|engine| engine.cache_events(now, after)))
+            }
+            ("POST", "/v1/order") => call.answer(|body| self.order(&body)),
             ("POST", "/v1/import") => match call.json::<Import>() {
-                Ok(_) => Reply::status(404, "no such handle"),
+                Ok(import) => self.import(&import).await,
                 Err(reply) => reply,
             },
-            ("POST", "/v1/drop") => Reply::json(&()),
+            ("POST", "/v1/export") => call.answer(|body| self.export(&body)),
+            ("POST", "/v1/drop") => call.answer(|body| self.drop_handle(&body)),
             _ => Reply::status(405, "no such call"),
         }
     }
 
-    fn restart(&self, _faults: &Faults) {
+    fn restart(&self, faults: &Faults) {
+        let model = Model { warmth: 0, ..self.inner.options.model.clone() };
         let mut held = self.lock();
-        held.engine = Engine::open(self.inner.options.model.clone());
-        held.answers.clear();
+        held.engine = Engine::open(faults.now(), faults.incarnation(), model);
+        held.readers = Readers::default();
+        held.crash_seen = false;
+        drop(held);
+        self.inner.work.notify_one();
+    }
+
+    fn switch(&self, switch: &Switch) -> bool {
+        match switch {
+            Switch::TurnCold => self.turn_cold(),
+            Switch::Stall { after } => {
+                self.stall(after.map_or(Stall::None, Stall::After));
+            }
+            Switch::CrashMarker(marker) => self.set_crash_marker(marker.clone()),
+            _ => return false,
+        }
+        true
     }
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -3,7 +3,9 @@
 //! They act on the socket or on whole calls and know nothing of what the
 //! stand-in serves.
 
+use hickory_platform::host::Standing;
 use hickory_unit::clock::{self, Clock};
+use hickory_unit::id;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -32,6 +34,66 @@
     Call,
     /// The call takes effect, and the connection is cut before the answer.
     Answer,
+    /// The call takes effect, and no answer comes on the open connection.
+    Silence,
+}
+
+/// A fault to switch on or off, as `POST /fault` takes it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Switch {
+    /// [`Faults::kill`].
+    Kill,
+    /// [`Faults::restart`].
+    Restart,
+    /// [`Faults::down_for`], in milliseconds.
+    DownForMs(u64),
+    /// [`Faults::freeze`].
+    Freeze,
+    /// [`Faults::thaw`].
+    Thaw,
+    /// [`Faults::slow`], in milliseconds.
+    SlowMs(u64),
+    /// [`Faults::lose`].
+    Lose {
+        /// What is lost.
+        loss: Loss,
+        /// How the path of the calls begins.
+        path: String,
+        /// How many calls.
+        count: u32,
+    },
+    /// [`Faults::cut`].
+    Cut,
+    /// [`Faults::silence`].
+    Silence,
+    /// [`Faults::clear`].
+    Clear,
+    /// Engine or replica: it is cold again, without a word.
+    TurnCold,
+    /// Engine: streams stop to move after so many tokens (0: before the
+    /// first); `null` lets them move again.
+    Stall {
+        /// Tokens after which they stop.
+        after: Option<u64>,
+    },
+    /// Engine: a prompt that contains this crashes the engine that runs it.
+    CrashMarker(Option<String>),
+    /// Key-value service: reads show the state of now until switched off.
+    Stale(bool),
+    /// Key-value service: forget the changes so far.
+    Compact,
+    /// Host list: how far it lags behind, in milliseconds.
+    LagMs(u64),
+    /// Host list: the standing of a target.
+    Stand {
+        /// The target.
+        target: id::Target,
+        /// Its standing.
+        standing: Standing,
+    },
+    /// Host list: a target goes off the list.
+    Unlist(id::Target),
 }
 
 #[derive(Debug)]
@@ -111,6 +173,34 @@
         });
     }
 
+    /// Kills the process from within its own runtime, and starts it again
+    /// after a while where one is given.
+    pub(crate) fn crash(&self, restart_after: Option<Duration>) {
+        let faults = self.clone();
+        crate::server::runtime().spawn_blocking(move || match restart_after {
+            Some(time) => faults.down_for(time),
+            None => faults.kill(),
+        });
+    }
+
+    /// Applies a switch that every stand-in has; `false` for another one.
+    pub(crate) fn apply(&self, switch: &Switch) -> bool {
+        match switch {
+            Switch::Kill => self.kill(),
+            Switch::Restart => self.restart(),
+            Switch::DownForMs(time) => self.down_for(Duration::from_millis(*time)),
+            Switch::Freeze => self.freeze(),
+            Switch::Thaw => self.thaw(),
+            Switch::SlowMs(delay) => self.slow(Duration::from_millis(*delay)),
+            Switch::Lose { loss, path, count } => self.lose(*loss, path, *count),
+            Switch::Cut => self.cut(),
+            Switch::Silence => self.silence(),
+            Switch::Clear => self.clear(),
+            _ => return false,
+        }
+        true
+    }
+
     /// Freezes the process: connections are accepted, nothing is said and
     /// nothing is done.
     pub fn freeze(&self) {
@@ -142,6 +232,17 @@
         self.lock().rules.push(Rule { path: path.into(), loss, left: count });
     }
 
+    /// Lets the next `count` writes of a key-value service take effect and
+    /// loses their answers.
+    pub fn lose_write_answers(&self, count: u32) {
+        self.lose(Loss::Answer, "/kv/write", count);
+    }
+
+    /// Loses the next `count` cancels of an engine before they take effect.
+    pub fn lose_cancels(&self, count: u32) {
+        self.lose(Loss::Call, "/v1/cancel", count);
+    }
+
     /// Cuts all open connections; new ones work.
     pub fn cut(&self) {
         self.inner.cut_below.send_replace(self.inner.next_connection.load(Ordering::SeqCst));
@@ -164,8 +265,8 @@
     }
 
     /// The incarnation of the process; differs after each restart.
-    pub fn incarnation(&self) -> hickory_unit::id::Incarnation {
-        hickory_unit::id::Incarnation(self.inner.incarnation.load(Ordering::SeqCst))
+    pub fn incarnation(&self) -> id::Incarnation {
+        id::Incarnation(self.inner.incarnation.load(Ordering::SeqCst))
     }
 
     /// The time as the process sees it: it stands still while frozen.
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -63,8 +63,12 @@
     pub fn spawn(options: Options) -> std::io::Result<Self> {
         let any = SocketAddr::new(options.listen, 0);
         let weights = weights::spawn(any, options.weights)?;
+        let engine = engine::Options {
+            weights: Some(options.engine.weights.unwrap_or(weights.address())),
+            ..options.engine.clone()
+        };
         let engines: Vec<_> = (0..options.engines)
-            .map(|_| engine::spawn(any, options.engine.clone()))
+            .map(|_| engine::spawn(any, engine.clone()))
             .collect::<Result<_, _>>()?;
         let replicas: Vec<_> = (0..options.replicas)
             .map(|_| service::spawn(any, options.replica.clone()))
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -1,5 +1,6 @@
 //! The host list, which lags behind.
 
+use crate::fault::Switch;
 use crate::server::{self, Call, Reply};
 use hickory_platform::host::{Host, Standing};
 use hickory_unit::id;
@@ -83,4 +84,14 @@
             _ => Reply::status(405, "no such call"),
         }
     }
+
+    fn switch(&self, switch: &Switch) -> bool {
+        match switch {
+            Switch::LagMs(lag) => self.set_lag(Duration::from_millis(*lag)),
+            Switch::Stand { target, standing } => self.stand(target, *standing),
+            Switch::Unlist(target) => self.remove(target),
+            _ => return false,
+        }
+        true
+    }
 }
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -1,6 +1,6 @@
 //! The key-value service within a process, for tests without sockets.
 
-use crate::store::Shared;
+use crate::store::{Shared, Snapshot};
 use hickory_platform::store::{Batch, Entry, Error, Lease, Revision, Store, Write};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -19,6 +19,8 @@
     pub lose_writes: u32,
     /// Each call takes this long.
     pub delay: Duration,
+    /// Gets and lists show this; see [`Memory::set_stale`].
+    pub stale: Option<Snapshot>,
 }
 
 /// One client's view of a key-value service that lives in the process; views
@@ -40,6 +42,13 @@
         change(&mut self.lock());
     }
 
+    /// Makes the reads of this client show the state of now until switched
+    /// off.
+    pub fn set_stale(&self, stale: bool) {
+        let snapshot = stale.then(|| self.shared.with(|core, now| core.snapshot(now)));
+        self.set(|faults| faults.stale = snapshot);
+    }
+
     /// The service itself, past all faults.
     pub fn shared(&self) -> &Shared {
         &self.shared
@@ -50,14 +59,18 @@
     }
 
     async fn enter(&self) -> Result<(), Error> {
-        let faults = self.lock().clone();
-        if !faults.delay.is_zero() {
-            tokio::time::sleep(faults.delay).await;
+        let delay = self.lock().delay;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
         }
-        if faults.down {
+        let (down, silent) = {
+            let faults = self.lock();
+            (faults.down, faults.silent)
+        };
+        if down {
             return Err(Error::NotDone("down".into()));
         }
-        if faults.silent {
+        if silent {
             return Err(Error::Unknown("timeout".into()));
         }
         Ok(())
@@ -75,12 +88,18 @@
 impl Store for Memory {
     async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
         self.enter().await?;
-        Ok(self.shared.with(|core, now| core.get(now, key)))
+        if let Some(snapshot) = &self.lock().stale {
+            return Ok(snapshot.get(key));
+        }
+        Ok(self.shared.get(key))
     }
 
     async fn list(&self, prefix: &str) -> Result<(Vec<Entry>, Revision), Error> {
         self.enter().await?;
-        Ok(self.shared.with(|core, now| core.list(now, prefix)))
+        if let Some(snapshot) = &self.lock().stale {
+            return Ok(snapshot.list(prefix));
+        }
+        Ok(self.shared.list(prefix))
     }
 
     async fn write(&self, write: Write) -> Result<Revision, Error> {
@@ -88,7 +107,7 @@
         if self.take(|faults| &mut faults.lose_writes) {
             return Err(Error::Unknown("cut".into()));
         }
-        let result = self.shared.with(|core, now| core.write(now, write));
+        let result = self.shared.write(write);
         if self.take(|faults| &mut faults.lose_answers) {
             return Err(Error::Unknown("cut".into()));
         }
@@ -104,16 +123,16 @@
 
     async fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
         self.enter().await?;
-        Ok(self.shared.with(|core, now| core.grant(now, ttl)))
+        Ok(self.shared.grant(ttl))
     }
 
     async fn renew(&self, lease: Lease) -> Result<(), Error> {
         self.enter().await?;
-        self.shared.with(|core, now| core.renew(now, lease))
+        self.shared.renew(lease)
     }
 
     async fn revoke(&self, lease: Lease) -> Result<(), Error> {
         self.enter().await?;
-        self.shared.with(|core, now| core.revoke(now, lease))
+        self.shared.revoke(lease)
     }
 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,6 +1,7 @@
 //! The HTTP server that all stand-ins share, with the faults at its socket.
 
-use crate::fault::{Faults, Life, Loss};
+use crate::control::apply_switch;
+use crate::fault::{Faults, Life, Loss, Switch};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
@@ -12,6 +13,7 @@
 use std::pin::Pin;
 use std::sync::OnceLock;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
@@ -22,6 +24,9 @@
 /// it on the same machine.
 const THREADS: usize = 3;
 
+/// Time for the answer to a switch to go out before it is applied.
+const SWITCH_DELAY: Duration = Duration::from_millis(10);
+
 /// Pieces of a streamed body that wait for a slow reader.
 const STREAM_BUFFER: usize = 64;
 
@@ -51,6 +56,14 @@
     pub fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
         serde_json::from_slice(&self.body).map_err(|e| Reply::status(400, &e.to_string()))
     }
+
+    /// Answers with `act` on the body as JSON.
+    pub(crate) fn answer<T: DeserializeOwned>(&self, act: impl FnOnce(T) -> Reply) -> Reply {
+        match self.json() {
+            Ok(body) => act(body),
+            Err(reply) => reply,
+        }
+    }
 }
 
 fn unescape(text: &str) -> String {
@@ -123,24 +136,34 @@
 pub struct Reply {
     status: u16,
     content: Content,
+    cut: bool,
 }
 
 impl Reply {
     /// 200 with a JSON document.
     pub fn json<T: Serialize>(value: &T) -> Self {
         let body = serde_json::to_vec(value).unwrap_or_default();
-        Self { status: 200, content: Content::Whole(Some(body.into())) }
+        Self::whole(200, body.into())
     }
 
     /// A status with a line of text.
     pub fn status(status: u16, text: &str) -> Self {
-        Self { status, content: Content::Whole(Some(Bytes::copy_from_slice(text.as_bytes()))) }
+        Self::whole(status, Bytes::copy_from_slice(text.as_bytes()))
     }
 
     /// 200 with a body that is sent piece by piece.
     pub fn stream() -> (mpsc::Sender<Piece>, Self) {
         let (send, receive) = mpsc::channel(STREAM_BUFFER);
-        (send, Self { status: 200, content: Content::Stream(receive) })
+        (send, Self { status: 200, content: Content::Stream(receive), cut: false })
+    }
+
+    /// No answer: the connection is cut.
+    pub fn cut() -> Self {
+        Self { status: 0, content: Content::Whole(None), cut: true }
+    }
+
+    fn whole(status: u16, body: Bytes) -> Self {
+        Self { status, content: Content::Whole(Some(body)), cut: false }
     }
 
     /// The same with another status.
@@ -157,6 +180,12 @@
     /// Starts a new incarnation after a kill: what the process held in memory
     /// is gone.
     fn restart(&self, _faults: &Faults) {}
+
+    /// Applies a fault that only this stand-in has; `false` where it has no
+    /// such fault.
+    fn switch(&self, _switch: &Switch) -> bool {
+        false
+    }
 }
 
 /// A running stand-in; stops when dropped.
@@ -272,7 +301,7 @@
             Ok(listener) => return Some(listener),
             // Another socket may hold the port as its own end of a connection
             // for a moment; it is given back within milliseconds.
-            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(5)).await,
+            Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
         }
     }
 }
@@ -304,6 +333,9 @@
     let path = parts.uri.path().to_owned();
     let query = parts.uri.query().unwrap_or_default().to_owned();
     let call = Call { method: parts.method, path, query, headers: parts.headers, body };
+    if call.path == "/fault" {
+        return Ok(respond(call.answer(|switch| switch_soon(faults, service, switch))));
+    }
     let delay = faults.delay();
     if !delay.is_zero() {
         tokio::time::sleep(delay).await;
@@ -313,12 +345,29 @@
         return Err(Cut);
     }
     let reply = service.call(call).await;
-    if loss == Some(Loss::Answer) {
-        return Err(Cut);
+    match loss {
+        Some(Loss::Silence) => std::future::pending().await,
+        Some(Loss::Answer) => Err(Cut),
+        _ if reply.cut => Err(Cut),
+        _ => Ok(respond(reply)),
     }
+}
+
+/// Applies a switch that came to the stand-in itself, a moment later, so that
+/// the answer is out before a kill or a freeze.
+fn switch_soon<S: Service>(faults: &Faults, service: &S, switch: Switch) -> Reply {
+    let (faults, service) = (faults.clone(), service.clone());
+    tokio::spawn(async move {
+        tokio::time::sleep(SWITCH_DELAY).await;
+        tokio::task::spawn_blocking(move || apply_switch(&faults, &service, &switch)).await
+    });
+    Reply::json(&()).with_status(202)
+}
+
+fn respond(reply: Reply) -> http::Response<Content> {
     let mut response = http::Response::new(reply.content);
     *response.status_mut() = http::StatusCode::from_u16(reply.status).unwrap_or_default();
-    Ok(response)
+    response
 }
 
 /// A socket that says nothing while its stand-in is frozen, or for good once
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,11 +1,14 @@
 //! A replica of a plain service, which counts the runs of its calls.
 
+use crate::fault::{Faults, Switch};
 use crate::server::{self, Call, Reply};
+use hickory_model::option::Options as Model;
+use hickory_model::warmth::Warmth;
 use hickory_target::service::Report;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// How a replica behaves.
@@ -15,13 +18,34 @@
     pub time: Duration,
     /// Calls that it bears at once.
     pub calls_max: u32,
+    /// How warm it is at its first start, from 0 to 100; 0 after a restart.
+    pub warmth: u8,
+    /// Time from cold to warm under work.
+    pub warm_time: Duration,
+    /// Whether it crashes when it is given more than it bears while not warm.
+    pub falls_over: bool,
     /// Where the runs are counted; replicas of one service share it.
     pub runs: Runs,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { time: Duration::from_millis(1), calls_max: 64, runs: Runs::default() }
+        Self {
+            time: Duration::from_millis(1),
+            calls_max: 64,
+            warmth: 100,
+            warm_time: Duration::from_secs(10),
+            falls_over: true,
+            runs: Runs::default(),
+        }
+    }
+}
+
+impl Options {
+    /// The part of an engine's options by which a replica warms.
+    fn model(&self, warmth: u8) -> Model {
+        let (streams_max, warm_time) = (self.calls_max, self.warm_time);
+        Model { streams_max, warm_time, warmth, ..Model::default() }
     }
 }
 
@@ -46,7 +70,7 @@
         *self.lock().entry(key.to_owned()).or_default() += 1;
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, u32>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, u32>> {
         self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -56,7 +80,8 @@
 pub struct Replica {
     options: Options,
     running: Arc<AtomicU32>,
-    faults: crate::fault::Faults,
+    faults: Faults,
+    warmth: Arc<Mutex<(Warmth, Model)>>,
 }
 
 /// A running replica.
@@ -64,8 +89,10 @@
 
 /// Serves a replica.
 pub fn spawn(listen: SocketAddr, options: Options) -> std::io::Result<Handle> {
-    let faults = crate::fault::Faults::none();
-    let replica = Replica { options, running: Arc::default(), faults: faults.clone() };
+    let faults = Faults::none();
+    let model = options.model(options.warmth);
+    let warmth = Arc::new(Mutex::new((Warmth::open(faults.now(), &model), model)));
+    let replica = Replica { options, running: Arc::default(), faults: faults.clone(), warmth };
     server::spawn_with(listen, replica, faults)
 }
 
@@ -81,18 +108,43 @@
         if let Some(key) = key {
             self.options.runs.add(key);
         }
-        let _running = Running::enter(&self.running);
-        tokio::time::sleep(self.options.time).await;
+        let running = Running::enter(&self.running);
+        let Some(speed) = self.warm_up(running.1) else {
+            self.faults.crash(None);
+            return Reply::cut();
+        };
+        tokio::time::sleep(self.options.time.div_f64(speed)).await;
         let body = String::from_utf8_lossy(&call.body).into_owned();
         Reply::json(&Echo { path: call.path, key: key.map(str::to_owned), body })
     }
 
+    /// Turns cold without a word.
+    pub fn turn_cold(&self) {
+        let now = self.faults.now();
+        self.lock_warmth().0.turn_cold(now);
+    }
+
+    /// The part of its speed that it has with `running` calls; `None` where
+    /// it falls over.
+    fn warm_up(&self, running: u32) -> Option<f64> {
+        let now = self.faults.now();
+        let (warmth, model) = &mut *self.lock_warmth();
+        warmth.pass(now, running > 1, model);
+        let over = warmth.is_over(running, model) && !warmth.is_unnoticed(now, model);
+        (!over || !self.options.falls_over).then(|| warmth.speed(model))
+    }
+
+    fn lock_warmth(&self) -> MutexGuard<'_, (Warmth, Model)> {
+        self.warmth.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn report(&self) -> Report {
+        self.warm_up(self.running.load(Ordering::SeqCst));
         Report {
             incarnation: self.faults.incarnation(),
             running: self.running.load(Ordering::SeqCst),
             calls_max: self.options.calls_max,
-            warmth: 100,
+            warmth: self.lock_warmth().0.level(),
         }
     }
 }
@@ -108,12 +160,13 @@
     pub body: String,
 }
 
-struct Running<'a>(&'a AtomicU32);
+/// A call that runs, with the number of calls running then.
+struct Running<'a>(&'a AtomicU32, u32);
 
 impl<'a> Running<'a> {
     fn enter(count: &'a AtomicU32) -> Self {
-        count.fetch_add(1, Ordering::SeqCst);
-        Self(count)
+        let running = count.fetch_add(1, Ordering::SeqCst) + 1;
+        Self(count, running)
     }
 }
 
@@ -132,4 +185,17 @@
             _ => Reply::status(405, "no such call"),
         }
     }
+
+    fn restart(&self, faults: &Faults) {
+        let model = self.options.model(0);
+        *self.lock_warmth() = (Warmth::open(faults.now(), &model), model);
+    }
+
+    fn switch(&self, switch: &Switch) -> bool {
+        let known = *switch == Switch::TurnCold;
+        if known {
+            self.turn_cold();
+        }
+        known
+    }
 }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,5 +1,6 @@
 //! The key-value service: its core, and its server.
 
+use crate::fault::Switch;
 use crate::server::{self, Reply};
 use hickory_platform::http::{Grant, Listing};
 use hickory_platform::store::{
@@ -7,7 +8,7 @@
 };
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
@@ -19,7 +20,7 @@
 /// The state of the key-value service, without input or output.
 #[derive(Debug, Default)]
 pub struct Core {
-    entries: BTreeMap<String, (Entry, Option<Lease>)>,
+    entries: Entries,
     leases: BTreeMap<u64, Held>,
     history: VecDeque<Event>,
     revision: u64,
@@ -43,9 +44,13 @@
     /// Reads all keys that begin with `prefix`.
     pub fn list(&mut self, now: Instant, prefix: &str) -> (Vec<Entry>, Revision) {
         self.expire(now);
-        let from = self.entries.range(prefix.to_owned()..);
-        let found = from.take_while(|(key, _)| key.starts_with(prefix));
-        (found.map(|(_, (entry, _))| entry.clone()).collect(), self.revision())
+        (list_entries(&self.entries, prefix), self.revision())
+    }
+
+    /// The entries as they are now.
+    pub fn snapshot(&mut self, now: Instant) -> Snapshot {
+        self.expire(now);
+        Snapshot { entries: self.entries.clone(), revision: self.revision() }
     }
 
     /// Writes or removes a key.
@@ -166,31 +171,133 @@
     }
 }
 
+type Entries = BTreeMap<String, (Entry, Option<Lease>)>;
+
+fn list_entries(entries: &Entries, prefix: &str) -> Vec<Entry> {
+    let from = entries.range(prefix.to_owned()..);
+    let found = from.take_while(|(key, _)| key.starts_with(prefix));
+    found.map(|(_, (entry, _))| entry.clone()).collect()
+}
+
+/// The entries at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    entries: Entries,
+    revision: Revision,
+}
+
+impl Snapshot {
+    /// Reads a key.
+    pub fn get(&self, key: &str) -> Option<Entry> {
+        self.entries.get(key).map(|(entry, _)| entry.clone())
+    }
+
+    /// Reads all keys that begin with `prefix`.
+    pub fn list(&self, prefix: &str) -> (Vec<Entry>, Revision) {
+        (list_entries(&self.entries, prefix), self.revision)
+    }
+}
+
+/// Calls that a key-value service has had; a waiting watch counts as one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Counts {
+    /// Gets and lists.
+    pub reads: u64,
+    /// Writes.
+    pub writes: u64,
+    /// Watches.
+    pub watches: u64,
+    /// Grants, renewals and revocations of leases.
+    pub leases: u64,
+}
+
 /// A core that tasks share, with a wake-up for watches.
 #[derive(Clone, Debug)]
 pub struct Shared {
     core: Arc<Mutex<Core>>,
     written: watch::Sender<u64>,
+    stale: Arc<Mutex<Option<Snapshot>>>,
+    counts: Arc<Mutex<Counts>>,
 }
 
 impl Default for Shared {
     fn default() -> Self {
-        Self { core: Arc::default(), written: watch::Sender::new(0) }
+        let written = watch::Sender::new(0);
+        Self { core: Arc::default(), written, stale: Arc::default(), counts: Arc::default() }
     }
 }
 
 impl Shared {
     /// Calls `act` on the core at the present time.
     pub fn with<T>(&self, act: impl FnOnce(&mut Core, Instant) -> T) -> T {
-        let mut core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut core = lock(&self.core);
         let result = act(&mut core, Instant::now());
         let revision = core.revision().0;
         self.written.send_if_modified(|seen| std::mem::replace(seen, revision) != revision);
         result
     }
 
+    /// Makes reads show the state of now until switched off; writes and
+    /// watches go on.
+    pub fn set_stale(&self, stale: bool) {
+        let snapshot = stale.then(|| self.with(Core::snapshot));
+        *lock(&self.stale) = snapshot;
+    }
+
+    /// The calls so far.
+    pub fn counts(&self) -> Counts {
+        *lock(&self.counts)
+    }
+
+    fn count(&self, add: impl FnOnce(&mut Counts)) {
+        add(&mut lock(&self.counts));
+    }
+
+    /// Reads a key.
+    pub fn get(&self, key: &str) -> Option<Entry> {
+        self.count(|counts| counts.reads += 1);
+        if let Some(snapshot) = &*lock(&self.stale) {
+            return snapshot.get(key);
+        }
+        self.with(|core, now| core.get(now, key))
+    }
+
+    /// Reads all keys that begin with `prefix`.
+    pub fn list(&self, prefix: &str) -> (Vec<Entry>, Revision) {
+        self.count(|counts| counts.reads += 1);
+        if let Some(snapshot) = &*lock(&self.stale) {
+            return snapshot.list(prefix);
+        }
+        self.with(|core, now| core.list(now, prefix))
+    }
+
+    /// Writes or removes a key.
+    pub fn write(&self, write: Write) -> Result<Revision, Error> {
+        self.count(|counts| counts.writes += 1);
+        self.with(|core, now| core.write(now, write))
+    }
+
+    /// Opens a lease.
+    pub fn grant(&self, ttl: Duration) -> Lease {
+        self.count(|counts| counts.leases += 1);
+        self.with(|core, now| core.grant(now, ttl))
+    }
+
+    /// Renews a lease for its full time.
+    pub fn renew(&self, lease: Lease) -> Result<(), Error> {
+        self.count(|counts| counts.leases += 1);
+        self.with(|core, now| core.renew(now, lease))
+    }
+
+    /// Ends a lease and removes its keys.
+    pub fn revoke(&self, lease: Lease) -> Result<(), Error> {
+        self.count(|counts| counts.leases += 1);
+        self.with(|core, now| core.revoke(now, lease))
+    }
+
     /// Waits at most `wait` for changes after `after`.
     pub async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Batch {
+        self.count(|counts| counts.watches += 1);
         let mut written = self.written.subscribe();
         let until = tokio::time::Instant::now() + wait;
         loop {
@@ -224,42 +331,39 @@
 impl server::Service for Shared {
     async fn call(&self, call: server::Call) -> Reply {
         match (call.method.as_str(), call.path.as_str()) {
-            ("GET", "/kv/get") => {
-                let key = call.query("key");
-                Reply::json(&self.with(|core, now| core.get(now, &key)))
-            }
+            ("GET", "/kv/get") => Reply::json(&self.get(&call.query("key"))),
             ("GET", "/kv/list") => {
-                let prefix = call.query("prefix");
-                let (entries, revision) = self.with(|core, now| core.list(now, &prefix));
+                let (entries, revision) = self.list(&call.query("prefix"));
                 Reply::json(&Listing { entries, revision })
             }
-            ("POST", "/kv/write") => match call.json::<Write>() {
-                Ok(write) => answer(self.with(|core, now| core.write(now, write))),
-                Err(reply) => reply,
-            },
+            ("POST", "/kv/write") => call.answer(|write| answer(self.write(write))),
             ("GET", "/kv/watch") => {
                 let after = Revision(call.query("after").parse().unwrap_or(0));
                 let wait = Duration::from_millis(call.query("wait_ms").parse().unwrap_or(0));
                 Reply::json(&self.watch(&call.query("prefix"), after, wait).await)
             }
-            ("POST", "/lease/grant") => match call.json::<Grant>() {
-                Ok(grant) => {
-                    let ttl = Duration::from_millis(grant.ttl_ms);
-                    Reply::json(&self.with(|core, now| core.grant(now, ttl)))
-                }
-                Err(reply) => reply,
-            },
-            ("POST", "/lease/renew") => match call.json::<Lease>() {
-                Ok(lease) => answer(self.with(|core, now| core.renew(now, lease))),
-                Err(reply) => reply,
-            },
-            ("POST", "/lease/revoke") => match call.json::<Lease>() {
-                Ok(lease) => answer(self.with(|core, now| core.revoke(now, lease))),
-                Err(reply) => reply,
-            },
+            ("POST", "/lease/grant") => call.answer(|grant: Grant| {
+                Reply::json(&self.grant(Duration::from_millis(grant.ttl_ms)))
+            }),
+            ("POST", "/lease/renew") => call.answer(|lease| answer(self.renew(lease))),
+            ("POST", "/lease/revoke") => call.answer(|lease| answer(self.revoke(lease))),
+            ("GET", "/counts") => Reply::json(&self.counts()),
             _ => Reply::status(405, "no such call"),
         }
     }
+
+    fn switch(&self, switch: &Switch) -> bool {
+        match switch {
+            Switch::Stale(stale) => self.set_stale(*stale),
+            Switch::Compact => self.with(|core, _| core.compact()),
+            _ => return false,
+        }
+        true
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 fn answer<T: serde::Serialize>(result: Result<T, Error>) -> Reply {
