--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -7,7 +7,7 @@
 use hickory_model::batch::Stall;
 use hickory_model::engine::{Engine, Job, Options as Model, Refused};
 use hickory_model::loading::Fetch;
-use hickory_target::engine::{Generate, Handle as Cache};
+use hickory_target::engine::{Generate, Handle as Cache, Weights};
 use hickory_target::http::{Fenced, Import, Resume};
 use hickory_unit::{id, size};
 use std::net::SocketAddr;
@@ -28,6 +28,8 @@
     /// The cost model. After a restart the engine is cold, whatever the
     /// warmth given here for its first start.
     pub model: Model,
+    /// Weights held at the start, beside those that the cost model names.
+    pub loaded: Vec<Weights>,
     /// Where weights are read from; without one they are there at once.
     pub weights: Option<SocketAddr>,
     /// When it starts again after a crash; never without.
@@ -66,7 +68,8 @@
 pub type Handle = server::Handle<Machine>;
 
 /// Serves an engine.
-pub fn spawn(listen: SocketAddr, options: Options) -> std::io::Result<Handle> {
+pub fn spawn(listen: SocketAddr, mut options: Options) -> std::io::Result<Handle> {
+    options.model.loaded.append(&mut options.loaded);
     let faults = Faults::none();
     let engine = Engine::open(faults.now(), faults.incarnation(), options.model.clone());
     let crash_marker = options.crash_marker.clone();
--- a/crates/standin/tests/fleet.rs
+++ b/crates/standin/tests/fleet.rs
@@ -36,7 +36,7 @@
 fn options() -> Options {
     let mut options = Options::default();
     options.engine.model.speed = 100.0;
-    options.engine.model.loaded = vec![generate("", 0).weights];
+    options.engine.loaded = vec![generate("", 0).weights];
     options
 }
 
