Release notes and settings checked whole, each finding with its place

Both reported one error of serde, without line or field, and a note was merged without any check: an account could name a partner that does not exist, and a name that was added could overwrite an entry.

Notes: values by themselves when read; existence, references, tokens used twice and the size of the whole against the present configuration. Settings: types, names, addresses, secrets, ranges and times that contradict each other; what is odd but works is a warning.

A field that can't be read is stood in for by a default, so that those beside it are checked as well; later findings about it are dropped.

--- a/crates/admin/src/route.rs
+++ b/crates/admin/src/route.rs
@@ -3,7 +3,7 @@
 use crate::control::{Control, Failure};
 use crate::problem::{self, Code, Problem};
 use crate::view;
-use hickory_release::note::{self, Note};
+use hickory_release::note::{self, Draft, Note};
 use hickory_unit::id;
 use oxhttp::model::header::{
     ALLOW, AUTHORIZATION, CONTENT_TYPE, ETAG, HeaderName, IF_MATCH, WWW_AUTHENTICATE,
@@ -114,7 +114,7 @@
 ) -> Result<Response<Body>, Box<Problem>> {
     let expected = read_expected(request)?;
     let text = read_body(request)?;
-    let mut note = note::parse_note(&text).map_err(fail_invalid)?;
+    let Draft { mut note, places } = note::parse_draft(&text).map_err(fail_invalid)?;
     if let Some(expected) = expected {
         check_expected(expected, &note)?;
     }
@@ -130,7 +130,11 @@
             set_version(&mut response, version);
             Ok(response)
         }
-        Err(failure) => Err(describe_failure(failure, operation)),
+        Err(failure) => {
+            let mut problem = describe_failure(failure, operation);
+            places.locate(&mut problem.findings);
+            Err(problem)
+        }
     }
 }
 
--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -29,7 +29,7 @@
 //! assert_eq!(
 //!     lines,
 //!     [
-//!         "line 1: x: expected an integer from 0 to 4294967295, found a boolean",
+//!         "line 1: x: expected an integer from 0 to 4294967295, found true",
 //!         "line 1: y: is missing",
 //!         "line 2: z: unknown field",
 //!     ],
@@ -39,6 +39,7 @@
 pub mod field;
 pub mod place;
 pub mod read;
+pub mod rule;
 
 use hickory_unit::finding::Finding;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
@@ -60,6 +61,25 @@
 }
 
 impl<T> Reading<T> {
+    /// Adds findings of later checks, and fills in their lines.
+    ///
+    /// A field that has a finding, or stands within one that has, gets no
+    /// second one: what could not be read is stood in for by a default, and a
+    /// finding about that default would mislead.
+    pub fn extend(&mut self, later: Vec<Finding>) {
+        let known = &self.findings;
+        let mut later: Vec<Finding> =
+            later.into_iter().filter(|finding| !is_known(known, &finding.field)).collect();
+        self.places.locate(&mut later);
+        self.findings.append(&mut later);
+        self.findings.sort();
+    }
+
+    /// Whether a field, or what it stands in, has a finding.
+    pub fn is_known(&self, field: &str) -> bool {
+        is_known(&self.findings, field)
+    }
+
     /// The value, where nothing is wrong.
     pub fn into_result(self) -> Result<T, Vec<Finding>> {
         match self.value {
@@ -80,6 +100,14 @@
     }
 }
 
+fn is_known(findings: &[Finding], field: &str) -> bool {
+    findings.iter().any(|known| {
+        field
+            .strip_prefix(known.field.as_str())
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', '[']))
+    })
+}
+
 fn read_root<T: Read>(text: &str, root: &jsonc_parser::ast::Value<'_>) -> Reading<T> {
     let lines = Lines::of(text);
     let mut findings = Vec::new();
--- a/crates/document/src/read.rs
+++ b/crates/document/src/read.rs
@@ -11,6 +11,9 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+/// Characters of a wrong value that a finding shows.
+const SHOWN_MAX: usize = 32;
+
 /// A value with its place.
 #[derive(Clone, Debug)]
 pub struct Node<'a> {
@@ -49,17 +52,22 @@
     }
 }
 
-fn describe(value: &Value<'_>) -> &'static str {
+fn describe(value: &Value<'_>) -> String {
     match value {
-        Value::StringLit(_) => "a text",
-        Value::NumberLit(_) => "another number",
-        Value::BooleanLit(_) => "a boolean",
-        Value::Object(_) => "an object",
-        Value::Array(_) => "an array",
-        Value::NullKeyword(_) => "null",
+        Value::StringLit(text) => format!("the text {:?}", shorten(&text.value)),
+        Value::NumberLit(number) => format!("the number {}", shorten(number.value)),
+        Value::BooleanLit(literal) => literal.value.to_string(),
+        Value::Object(_) => "an object".to_owned(),
+        Value::Array(_) => "an array".to_owned(),
+        Value::NullKeyword(_) => "null".to_owned(),
     }
 }
 
+/// The beginning of a text, so that a finding stays on one line.
+fn shorten(text: &str) -> &str {
+    text.char_indices().nth(SHOWN_MAX).map_or(text, |(end, _)| &text[..end])
+}
+
 /// A type that can be read from a document.
 pub trait Read: Sized {
     /// Reads the value, or says all that is wrong with it.
--- /dev/null
+++ b/crates/release/src/check.rs
@@ -0,0 +1,265 @@
+//! What must hold of a note and of the configuration it makes.
+
+use crate::configuration::{Account, BYTES_MAX, Configuration, Model, Service, Weight};
+use crate::note::{Entries, Note};
+use hickory_document::rule::{check_digest, check_name};
+use hickory_unit::finding::Finding;
+use hickory_unit::id;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Display;
+
+/// The longest path of a plain service.
+const PATH_MAX: usize = 256;
+
+/// The greatest share or weight: sums over all accounts stay exact enough.
+const SHARE_MAX: f64 = 1e9;
+
+/// All that is wrong with a note by itself.
+pub(crate) fn check_values(note: &Note) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    if !note.operation.is_empty() {
+        check_name("operation", &note.operation, &mut findings);
+    }
+    for (part, entries) in [("added", &note.added), ("changed", &note.changed)] {
+        check_entries(part, entries, &mut findings);
+    }
+    if !note.changed.operators.is_empty() {
+        findings
+            .push(Finding::at("changed.operators", "can't be changed, only added and withdrawn"));
+    }
+    findings
+}
+
+fn check_entries(part: &str, entries: &Entries, findings: &mut Vec<Finding>) {
+    macro_rules! check_names {
+        ($($section:ident)*) => {$(
+            for name in entries.$section.keys() {
+                let path = format!("{part}.{}.{name}", stringify!($section));
+                check_name(&path, name.as_str(), findings);
+            }
+        )*};
+    }
+    check_names!(partners accounts models zones services targets);
+    for (name, partner) in &entries.partners {
+        check_share(&format!("{part}.partners.{name}.share"), partner.share, findings);
+    }
+    for (name, account) in &entries.accounts {
+        check_account(&format!("{part}.accounts.{name}"), account, findings);
+    }
+    for (name, model) in &entries.models {
+        check_model(&format!("{part}.models.{name}"), model, findings);
+    }
+    for (name, service) in &entries.services {
+        check_service(&format!("{part}.services.{name}"), service, findings);
+    }
+    for digest in &entries.operators {
+        check_digest(&format!("{part}.operators.{digest}"), digest, findings);
+    }
+}
+
+fn check_account(path: &str, account: &Account, findings: &mut Vec<Finding>) {
+    check_share(&format!("{path}.weight"), account.weight, findings);
+    check_digest(&format!("{path}.token_digest"), &account.token_digest, findings);
+}
+
+fn check_model(path: &str, model: &Model, findings: &mut Vec<Finding>) {
+    if model.versions.is_empty() {
+        findings.push(Finding::at(format!("{path}.versions"), "must not be empty"));
+    } else if !model.versions.contains_key(&model.current) {
+        let message = format!("{} is not among the versions", model.current);
+        findings.push(Finding::at(format!("{path}.current"), message));
+    }
+    check_weights(&format!("{path}.versions"), &model.versions, findings);
+    check_weights(&format!("{path}.adapters"), &model.adapters, findings);
+}
+
+fn check_weights<K: Display>(
+    path: &str,
+    weights: &BTreeMap<K, Weight>,
+    findings: &mut Vec<Finding>,
+) {
+    for (name, weight) in weights {
+        let path = format!("{path}.{name}");
+        check_name(&path, &name.to_string(), findings);
+        if weight.bytes.0 == 0 {
+            findings.push(Finding::at(format!("{path}.bytes"), "must be greater than 0"));
+        }
+    }
+}
+
+fn check_service(path: &str, service: &Service, findings: &mut Vec<Finding>) {
+    let well_formed = |call: &str| {
+        call.starts_with('/')
+            && call.len() <= PATH_MAX
+            && call.bytes().all(|b| b.is_ascii_graphic() && !matches!(b, b'?' | b'#'))
+    };
+    for call in service.once.iter().filter(|call| !well_formed(call)) {
+        let message = format!(
+            "expected a path with a leading slash, without query, of at most {PATH_MAX} characters"
+        );
+        findings.push(Finding::at(format!("{path}.once.{call}"), message));
+    }
+}
+
+fn check_share(path: &str, share: f64, findings: &mut Vec<Finding>) {
+    if !(share > 0.0 && share <= SHARE_MAX) {
+        findings.push(Finding::at(path, format!("must be greater than 0 and at most {SHARE_MAX}")));
+    }
+}
+
+/// What is added must be new; what is changed or withdrawn must be there.
+pub(crate) fn check_existence(present: &Configuration, note: &Note, findings: &mut Vec<Finding>) {
+    macro_rules! check {
+        ($($section:ident)*) => {$(
+            check_section(
+                stringify!($section),
+                |name| present.$section.contains_key(name),
+                note.added.$section.keys(),
+                note.changed.$section.keys(),
+                &note.withdrawn.$section,
+                findings,
+            );
+        )*};
+    }
+    check!(partners accounts models zones services targets);
+    check_section(
+        "operators",
+        |digest| present.operators.contains(digest),
+        note.added.operators.iter(),
+        std::iter::empty(),
+        &note.withdrawn.operators,
+        findings,
+    );
+}
+
+fn check_section<'a, K: Ord + Display + 'a>(
+    section: &str,
+    exists: impl Fn(&K) -> bool,
+    added: impl Iterator<Item = &'a K>,
+    changed: impl Iterator<Item = &'a K>,
+    withdrawn: &'a BTreeSet<K>,
+    findings: &mut Vec<Finding>,
+) {
+    let mut push = |part: &str, name: &K, message: &str| {
+        findings.push(Finding::at(format!("{part}.{section}.{name}"), message));
+    };
+    for name in added.filter(|name| exists(name)) {
+        push("added", name, "exists already");
+    }
+    for name in changed {
+        if !exists(name) {
+            push("changed", name, "does not exist");
+        }
+        if withdrawn.contains(name) {
+            push("changed", name, "is withdrawn by the same note");
+        }
+    }
+    for name in withdrawn.iter().filter(|name| !exists(name)) {
+        push("withdrawn", name, "does not exist");
+    }
+}
+
+/// What entries name must be there in the configuration that the note makes.
+pub(crate) fn check_references(next: &Configuration, note: &Note, findings: &mut Vec<Finding>) {
+    for (name, account) in &next.accounts {
+        let reference = Reference { note, name };
+        if !next.partners.contains_key(&account.partner) {
+            let withdrawn = note.withdrawn.partners.contains(&account.partner);
+            findings.push(reference.missing(
+                "partner",
+                "",
+                "partners",
+                &account.partner,
+                withdrawn,
+            ));
+        }
+        for model in account.models.iter().filter(|model| !next.models.contains_key(*model)) {
+            let withdrawn = note.withdrawn.models.contains(model);
+            findings.push(reference.missing("models", model.as_str(), "models", model, withdrawn));
+        }
+        for service in account.services.iter().filter(|name| !next.services.contains_key(*name)) {
+            let withdrawn = note.withdrawn.services.contains(service);
+            let field = service.as_str();
+            findings.push(reference.missing("services", field, "services", service, withdrawn));
+        }
+    }
+}
+
+/// A token must tell its account.
+pub(crate) fn check_tokens(next: &Configuration, note: &Note, findings: &mut Vec<Finding>) {
+    let mut owners: BTreeMap<&str, &id::Account> = BTreeMap::new();
+    for (name, account) in &next.accounts {
+        let Some(other) = owners.insert(&account.token_digest, name) else {
+            continue;
+        };
+        // One of the two is in the note: the present configuration is sound.
+        let both = [(name, other), (other, name)];
+        for (name, other) in both {
+            if let Some(part) = find_part(note, name) {
+                let field = format!("{part}.accounts.{name}.token_digest");
+                findings.push(Finding::at(field, format!("is the token of account {other}")));
+                break;
+            }
+        }
+    }
+}
+
+/// The part of a note that has an account.
+fn find_part(note: &Note, name: &id::Account) -> Option<&'static str> {
+    if note.added.accounts.contains_key(name) {
+        Some("added")
+    } else if note.changed.accounts.contains_key(name) {
+        Some("changed")
+    } else {
+        None
+    }
+}
+
+/// Someone must be left who can accept the next note.
+pub(crate) fn check_operators(next: &Configuration, note: &Note, findings: &mut Vec<Finding>) {
+    if next.operators.is_empty() {
+        let part = if note.withdrawn.operators.is_empty() { "added" } else { "withdrawn" };
+        let message = "no operator would be left; nobody could accept the next note";
+        findings.push(Finding::at(format!("{part}.operators"), message));
+    }
+}
+
+/// An account whose entry names something that is not there.
+struct Reference<'a> {
+    note: &'a Note,
+    name: &'a id::Account,
+}
+
+impl Reference<'_> {
+    /// The finding stands at the account where the note has it, else at what
+    /// the note withdraws from under it.
+    fn missing(
+        &self,
+        field: &str,
+        element: &str,
+        section: &str,
+        missing: &impl Display,
+        withdrawn: bool,
+    ) -> Finding {
+        let name = self.name;
+        let Some(part) = find_part(self.note, name) else {
+            let path = format!("withdrawn.{section}.{missing}");
+            return Finding::at(path, format!("account {name} still uses it"));
+        };
+        let dot = if element.is_empty() { "" } else { "." };
+        let path = format!("{part}.accounts.{name}.{field}{dot}{element}");
+        let why = if withdrawn { "is withdrawn by the same note" } else { "does not exist" };
+        Finding::at(path, format!("{missing} {why}"))
+    }
+}
+
+/// The whole must fit into one value of the platform's service.
+pub(crate) fn check_size(next: &Configuration, findings: &mut Vec<Finding>) {
+    let bytes = next.bytes();
+    if bytes > BYTES_MAX {
+        let message = format!(
+            "the configuration would have {bytes} bytes; the platform holds at most {BYTES_MAX}"
+        );
+        findings.push(Finding::at(hickory_document::ROOT, message));
+    }
+}
--- a/crates/release/src/configuration.rs
+++ b/crates/release/src/configuration.rs
@@ -4,6 +4,10 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// The greatest configuration as JSON: it is one value of the platform's
+/// key-value service, which holds values of up to this size.
+pub const BYTES_MAX: size::Bytes = size::Bytes(1 << 20);
+
 /// All that governs, as the last accepted release note left it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
@@ -55,7 +59,7 @@
     pub services: BTreeSet<id::Service>,
 }
 
-fn one() -> f64 {
+pub(crate) fn one() -> f64 {
     1.0
 }
 
@@ -108,6 +112,24 @@
 }
 
 impl Configuration {
+    /// The version that an operation made; `None` where it had no effect, or
+    /// is older than what is kept.
+    ///
+    /// Each accepted note adds one version and one operation, so that the
+    /// operation's place from the end tells its version.
+    pub fn find_operation(&self, operation: &str) -> Option<id::Release> {
+        if operation.is_empty() {
+            return None;
+        }
+        let later = self.operations.iter().rev().position(|known| known == operation)?;
+        Some(id::Release(self.version.0.saturating_sub(later as u64)))
+    }
+
+    /// The size as JSON.
+    pub fn bytes(&self) -> size::Bytes {
+        size::Bytes(serde_json::to_string(self).map_or(u64::MAX, |text| text.len() as u64))
+    }
+
     /// Whether operators have taken the zone out.
     pub fn zone_out(&self, zone: &id::Zone) -> bool {
         self.zones.get(zone).is_some_and(|zone| zone.out)
--- a/crates/release/src/note.rs
+++ b/crates/release/src/note.rs
@@ -1,12 +1,16 @@
 //! Release notes: what operators add, change and withdraw.
 
+use crate::check;
 use crate::configuration::{Account, Configuration, Model, Partner, Service, Target, Zone};
+use hickory_document::place::Places;
 use hickory_unit::finding::Finding;
 use hickory_unit::id;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// How many operation ids the configuration keeps.
+/// How many operation ids the configuration keeps. An operator who got no
+/// answer reads them within minutes; at 910 changes a day 64 last for more
+/// than an hour.
 const OPERATIONS_KEPT: usize = 64;
 
 /// A release note.
@@ -69,35 +73,65 @@
     pub operators: BTreeSet<String>,
 }
 
-/// Reads a note from JSON with comments.
+/// A note as it was written, with the lines of its fields.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Draft {
+    /// The note.
+    pub note: Note,
+    /// Where its fields stand, for findings that need the configuration.
+    pub places: Places,
+}
+
+/// Reads a note from JSON with comments, with every finding that can be made
+/// without the configuration.
+pub fn parse_draft(text: &str) -> Result<Draft, Vec<Finding>> {
+    let mut reading = hickory_document::read_document::<Note>(text);
+    let later = reading.value.as_ref().map(check::check_values).unwrap_or_default();
+    reading.extend(later);
+    let places = std::mem::take(&mut reading.places);
+    reading.into_result().map(|note| Draft { note, places })
+}
+
+/// Reads a note from JSON with comments; see [`parse_draft`].
 pub fn parse_note(text: &str) -> Result<Note, Vec<Finding>> {
-    jsonc_parser::parse_to_serde_value::<Note>(text, &Default::default()).map_err(|error| {
-        vec![Finding { line: 0, field: String::new(), message: error.to_string() }]
-    })
+    parse_draft(text).map(|draft| draft.note)
 }
 
 /// The configuration that a note makes of `present`, or all that is wrong.
+///
+/// The findings have no lines; [`Draft::places`] fills them in.
 pub fn apply_note(present: &Configuration, note: &Note) -> Result<Configuration, Vec<Finding>> {
+    let (next, findings) = check_note(present, note);
+    if findings.is_empty() { Ok(next) } else { Err(findings) }
+}
+
+/// The configuration that a note would make, beside all that is wrong.
+pub(crate) fn check_note(present: &Configuration, note: &Note) -> (Configuration, Vec<Finding>) {
+    let mut findings = check::check_values(note);
+    check::check_existence(present, note, &mut findings);
+    let next = merge_note(present, note);
+    check::check_references(&next, note, &mut findings);
+    check::check_tokens(&next, note, &mut findings);
+    check::check_size(&next, &mut findings);
+    findings.sort();
+    (next, findings)
+}
+
+fn merge_note(present: &Configuration, note: &Note) -> Configuration {
     let mut next = present.clone();
     next.version = id::Release(present.version.0 + 1);
     next.operations.push(note.operation.clone());
     let surplus = next.operations.len().saturating_sub(OPERATIONS_KEPT);
     next.operations.drain(..surplus);
-    for entries in [&note.added, &note.changed] {
-        next.partners.extend(entries.partners.clone());
-        next.accounts.extend(entries.accounts.clone());
-        next.models.extend(entries.models.clone());
-        next.zones.extend(entries.zones.clone());
-        next.services.extend(entries.services.clone());
-        next.targets.extend(entries.targets.clone());
-        next.operators.extend(entries.operators.clone());
+    macro_rules! merge {
+        ($($section:ident)*) => {$(
+            next.$section.extend(note.added.$section.clone());
+            next.$section.extend(note.changed.$section.clone());
+            next.$section.retain(|name, _| !note.withdrawn.$section.contains(name));
+        )*};
     }
-    next.partners.retain(|name, _| !note.withdrawn.partners.contains(name));
-    next.accounts.retain(|name, _| !note.withdrawn.accounts.contains(name));
-    next.models.retain(|name, _| !note.withdrawn.models.contains(name));
-    next.zones.retain(|name, _| !note.withdrawn.zones.contains(name));
-    next.services.retain(|name, _| !note.withdrawn.services.contains(name));
-    next.targets.retain(|name, _| !note.withdrawn.targets.contains(name));
+    merge!(partners accounts models zones services targets);
+    next.operators.extend(note.added.operators.clone());
     next.operators.retain(|name| !note.withdrawn.operators.contains(name));
-    Ok(next)
+    next
 }
--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,227 @@
+//! What must hold of settings beyond their types.
+
+use crate::node::{Node, Times};
+use derive_more::Display;
+use hickory_document::read_document;
+use hickory_document::rule::{HEX_LENGTH, check_digest, check_name, is_hex};
+use hickory_unit::finding::Finding;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// A field of [`Times`] and the range that it may lie in.
+struct Range {
+    name: &'static str,
+    read: fn(&Times) -> u64,
+    least: u64,
+    most: u64,
+}
+
+impl Range {
+    fn field(&self) -> String {
+        format!("times.{}", self.name)
+    }
+}
+
+/// The bounds keep a node from flooding the platform or its targets at the
+/// one end, and from noticing faults too late to end requests in time at the
+/// other.
+const RANGES: &[Range] = &[
+    Range { name: "lease_ms", read: |t| t.lease_ms, least: 500, most: 60_000 },
+    Range { name: "permit_ms", read: |t| t.permit_ms, least: 50, most: 10_000 },
+    Range { name: "gossip_ms", read: |t| t.gossip_ms, least: 20, most: 5_000 },
+    Range { name: "report_ms", read: |t| t.report_ms, least: 20, most: 5_000 },
+    Range { name: "hosts_ms", read: |t| t.hosts_ms, least: 50, most: 30_000 },
+    Range { name: "entry_keep_ms", read: |t| t.entry_keep_ms, least: 100, most: 600_000 },
+    Range { name: "resume_ms", read: |t| t.resume_ms, least: 0, most: 60_000 },
+    Range { name: "progress_ms", read: |t| t.progress_ms, least: 100, most: 600_000 },
+    Range { name: "drain_ms", read: |t| t.drain_ms, least: 100, most: 3_600_000 },
+    Range { name: "platform_ms", read: |t| t.platform_ms, least: 50, most: 30_000 },
+];
+
+/// All that a check of settings found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Check {
+    /// The settings, where nothing is wrong.
+    pub node: Option<Node>,
+    /// What keeps a node from starting.
+    pub findings: Vec<Finding>,
+    /// What a node starts with, though it is probably not meant.
+    pub warnings: Vec<Finding>,
+}
+
+/// Settings that a node can't start with: each finding on a line of its own,
+/// with file, line and field.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Error)]
+pub struct Invalid {
+    /// The file.
+    pub file: PathBuf,
+    /// What is wrong.
+    pub findings: Vec<Finding>,
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let file = self.file.display();
+        let count = self.findings.len();
+        write!(f, "{file}: {count} findings")?;
+        self.findings.iter().try_for_each(|finding| write!(f, "\n{}", finding.in_file(&file)))
+    }
+}
+
+/// Why settings could not be opened.
+#[derive(Debug, Display, derive_more::Error)]
+pub enum OpenError {
+    /// The file can't be read.
+    #[display("{}: {error}", file.display())]
+    Unreadable {
+        /// The file.
+        file: PathBuf,
+        /// Why.
+        #[error(source)]
+        error: std::io::Error,
+    },
+    /// The file is invalid.
+    #[display("{_0}")]
+    Invalid(#[error(source)] Invalid),
+}
+
+/// Reads the settings of a node from a file.
+pub fn open(file: &Path) -> Result<Node, OpenError> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| OpenError::Unreadable { file: file.to_owned(), error })?;
+    let invalid = |findings| OpenError::Invalid(Invalid { file: file.to_owned(), findings });
+    parse_node(&text).map_err(invalid)
+}
+
+/// Reads settings from JSON with comments, with every finding.
+pub fn parse_node(text: &str) -> Result<Node, Vec<Finding>> {
+    let check = check_node(text);
+    check.node.ok_or(check.findings)
+}
+
+/// Checks settings, with every finding and warning.
+pub fn check_node(text: &str) -> Check {
+    let mut reading = read_document::<Node>(text);
+    let mut later = Vec::new();
+    let mut warnings = Vec::new();
+    if let Some(node) = &reading.value {
+        check_name("node", node.node.as_str(), &mut later);
+        check_name("zone", node.zone.as_str(), &mut later);
+        check_addresses(node, &mut later, &mut warnings);
+        check_secrets(node, &mut later, &mut warnings);
+        check_ranges(&node.times, &mut later);
+        // A time that can't be read would be compared by its default.
+        if !RANGES.iter().any(|range| reading.is_known(&range.field())) {
+            check_contradictions(&node.times, &mut later, &mut warnings);
+        }
+    }
+    reading.extend(later);
+    reading.places.locate(&mut warnings);
+    match reading.into_result() {
+        Ok(node) => Check { node: Some(node), findings: Vec::new(), warnings },
+        Err(findings) => Check { node: None, findings, warnings },
+    }
+}
+
+fn check_addresses(node: &Node, findings: &mut Vec<Finding>, warnings: &mut Vec<Finding>) {
+    let listeners = [("callers", node.callers), ("admin", node.admin), ("peers", node.peers)];
+    let services = [
+        ("platform.store", node.platform.store),
+        ("platform.hosts", node.platform.hosts),
+        ("platform.weights", node.platform.weights),
+    ];
+    for (field, address) in listeners.iter().chain(&services) {
+        if address.port() == 0 {
+            findings.push(Finding::at(*field, "the port must not be 0"));
+        }
+        // Callers and other nodes are told these addresses.
+        if address.ip().is_unspecified() && *field != "admin" {
+            findings.push(Finding::at(*field, "must be an address that others can connect to"));
+        }
+    }
+    for (index, (field, address)) in listeners.iter().enumerate() {
+        for (other, taken) in &listeners[..index] {
+            if overlaps(*address, *taken) {
+                findings.push(Finding::at(*field, format!("{address} is the address of {other}")));
+            }
+        }
+        for (other, taken) in &services {
+            if address == taken {
+                findings.push(Finding::at(*other, format!("{taken} is the address of {field}")));
+            }
+        }
+    }
+    let remote = services.iter().any(|(_, address)| !address.ip().is_loopback());
+    for (field, address) in listeners.iter().filter(|_| remote) {
+        if address.ip().is_loopback() && *field != "admin" {
+            warnings.push(Finding::at(*field, "only this host can connect to a loopback address"));
+        }
+    }
+}
+
+/// Whether two listeners would stand in each other's way.
+fn overlaps(one: SocketAddr, other: SocketAddr) -> bool {
+    let (a, b) = (one.ip(), other.ip());
+    one.port() == other.port()
+        && one.port() != 0
+        && (a == b || a.is_unspecified() || b.is_unspecified())
+}
+
+fn check_secrets(node: &Node, findings: &mut Vec<Finding>, warnings: &mut Vec<Finding>) {
+    if !is_hex(&node.fleet_key) {
+        let message = format!("expected 32 bytes: {HEX_LENGTH} hexadecimal digits");
+        findings.push(Finding::at("fleet_key", message));
+    } else if node.fleet_key.bytes().all(|digit| Some(digit) == node.fleet_key.bytes().next()) {
+        warnings.push(Finding::at("fleet_key", "is one digit repeated; draw it at random"));
+    }
+    if let Some(digest) = &node.first_operator {
+        check_digest("first_operator", digest, findings);
+    }
+}
+
+fn check_ranges(times: &Times, findings: &mut Vec<Finding>) {
+    for range in RANGES {
+        let time = (range.read)(times);
+        if time < range.least || time > range.most {
+            let message = format!("must be from {} to {}", range.least, range.most);
+            findings.push(Finding::at(range.field(), message));
+        }
+    }
+}
+
+/// Times that contradict each other. Each would break a guarantee without
+/// any error at run time, so that a node must not start with them.
+fn check_contradictions(times: &Times, findings: &mut Vec<Finding>, warnings: &mut Vec<Finding>) {
+    // A new owner waits for one permit's life after the old lease: permits
+    // must not outlive the lease under which they are given.
+    if times.permit_ms >= times.lease_ms {
+        let message = format!("must be less than lease_ms ({})", times.lease_ms);
+        findings.push(Finding::at("times.permit_ms", message));
+    }
+    // One slow call must leave time to renew the lease by another.
+    if times.platform_ms.saturating_mul(2) > times.lease_ms {
+        let message = format!("must be at most half of lease_ms ({})", times.lease_ms);
+        findings.push(Finding::at("times.platform_ms", message));
+    }
+    // Nodes that hear of each other less often than a lease lasts would take
+    // a live owner for gone.
+    if times.gossip_ms >= times.lease_ms {
+        let message = format!("must be less than lease_ms ({})", times.lease_ms);
+        findings.push(Finding::at("times.gossip_ms", message));
+    }
+    // A stopping node serves the callers that keep its address.
+    if times.entry_keep_ms > times.drain_ms {
+        let message = format!("must be at most drain_ms ({})", times.drain_ms);
+        findings.push(Finding::at("times.entry_keep_ms", message));
+    }
+    if times.report_ms > times.permit_ms {
+        let message = "load is reported less often than a permit lives; a target that turns \
+                       cold is noticed late";
+        warnings.push(Finding::at("times.report_ms", message));
+    }
+    if times.resume_ms > times.drain_ms {
+        let message = "a planned stop ends before a stream's caller may come back";
+        warnings.push(Finding::at("times.resume_ms", message));
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/settings.rs
@@ -0,0 +1,59 @@
+//! Settings under `data/` with what is said of them.
+
+use hickory_settings::{Check, OpenError, Times, check_node, open};
+use std::fmt::Write;
+use std::path::{Path, PathBuf};
+
+fn data() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/data")
+}
+
+#[test]
+fn every_finding_and_warning_is_reported_with_its_place() {
+    let mut files: Vec<PathBuf> =
+        std::fs::read_dir(data()).unwrap().map(|entry| entry.unwrap().path()).collect();
+    files.sort();
+    let mut report = String::new();
+    for file in files {
+        let name = file.file_name().unwrap().to_string_lossy().into_owned();
+        let Check { node, findings, warnings } =
+            check_node(&std::fs::read_to_string(&file).unwrap());
+        assert_eq!(node.is_some(), findings.is_empty(), "{name}");
+        writeln!(report, "{name}: {}", if node.is_some() { "good" } else { "bad" }).unwrap();
+        for finding in findings {
+            writeln!(report, "  {}", finding.in_file(&name)).unwrap();
+        }
+        for warning in warnings {
+            writeln!(report, "  warning: {}", warning.in_file(&name)).unwrap();
+        }
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn all_that_is_set_arrives() {
+    insta::assert_debug_snapshot!(open(&data().join("whole.jsonc")).unwrap());
+}
+
+#[test]
+fn what_is_left_out_has_its_default() {
+    let node = open(&data().join("good.jsonc")).unwrap();
+    assert_eq!(node.times, Times::default());
+    assert_eq!(node.logs, Default::default());
+    assert_eq!(node.first_operator, None);
+}
+
+#[test]
+fn an_error_names_the_file_on_each_line() {
+    let file = data().join("contradictions.jsonc");
+    let text = open(&file).unwrap_err().to_string();
+    let mut lines = text.lines();
+    assert_eq!(lines.next(), Some(format!("{}: 4 findings", file.display()).as_str()));
+    assert!(lines.all(|line| line.starts_with(&format!("{}:", file.display()))), "{text}");
+}
+
+#[test]
+fn a_file_that_is_not_there_is_told_apart() {
+    let error = open(Path::new("/nowhere/settings.jsonc")).unwrap_err();
+    assert!(matches!(error, OpenError::Unreadable { .. }), "{error}");
+}
--- a/crates/unit/src/finding.rs
+++ b/crates/unit/src/finding.rs
@@ -14,3 +14,15 @@
     /// What is wrong.
     pub message: String,
 }
+
+impl Finding {
+    /// A finding without a line, for checks that do not see the text.
+    pub fn at(field: impl Into<String>, message: impl Into<String>) -> Self {
+        Self { line: 0, field: field.into(), message: message.into() }
+    }
+
+    /// The finding with its file, as compilers print theirs.
+    pub fn in_file(&self, file: &impl std::fmt::Display) -> String {
+        format!("{file}:{}: {}: {}", self.line, self.field, self.message)
+    }
+}
