The operators' command line, and the contract of their API

Of several nodes the next one is asked when one does not answer. An accept whose answer was lost is read back by its operation id before it is sent again under the same id; a conflict after a lost answer is looked through for that id. A zone is retried after a conflict only while the notes in between left it alone.

The contract tests run tables of calls and faults over a control in memory.

--- /dev/null
+++ b/apps/hickory/src/failure.rs
@@ -0,0 +1,107 @@
+//! Why a command failed, and the exit code that scripts see.
+
+use hickory_admin::problem::{Code, Problem};
+use hickory_unit::finding::{self, Finding};
+use hickory_unit::id;
+
+/// Why a command failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// A file can't be read, or an answer not understood.
+    Local(String),
+    /// Wrong usage that the parser of arguments does not see.
+    Usage(String),
+    /// The configuration has changed since it was looked at.
+    Conflict {
+        /// The present version.
+        present: Option<id::Release>,
+        /// What a person reads.
+        detail: String,
+    },
+    /// A document is invalid.
+    Invalid {
+        /// The file.
+        file: String,
+        /// All that is wrong.
+        findings: Vec<Finding>,
+    },
+    /// No node answered; each with the reason.
+    Unreachable(Vec<String>),
+    /// No token, or one that is no operator's.
+    Unauthorized(String),
+    /// The answer was lost, and reading back did not settle it.
+    Unknown {
+        /// The operation's id.
+        operation: String,
+        /// What a person reads.
+        detail: String,
+    },
+    /// The platform can't be reached; nothing was done.
+    Unavailable(String),
+    /// The node refused for another reason.
+    Refused(String),
+}
+
+impl Failure {
+    /// The exit code.
+    pub(crate) fn code(&self) -> u8 {
+        match self {
+            Self::Local(_) => 1,
+            Self::Usage(_) => 2,
+            Self::Conflict { .. } => 3,
+            Self::Invalid { .. } => 4,
+            Self::Unreachable(_) => 5,
+            Self::Unauthorized(_) => 6,
+            Self::Unknown { .. } => 7,
+            Self::Unavailable(_) => 8,
+            Self::Refused(_) => 9,
+        }
+    }
+
+    /// The failure's name in JSON output.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::Local(_) => "local",
+            Self::Usage(_) => "usage",
+            Self::Conflict { .. } => "conflict",
+            Self::Invalid { .. } => "invalid",
+            Self::Unreachable(_) => "unreachable",
+            Self::Unauthorized(_) => "unauthorized",
+            Self::Unknown { .. } => "unknown",
+            Self::Unavailable(_) => "unavailable",
+            Self::Refused(_) => "refused",
+        }
+    }
+
+    /// What a person reads; one line, except for findings.
+    pub(crate) fn detail(&self) -> String {
+        match self {
+            Self::Local(detail)
+            | Self::Usage(detail)
+            | Self::Unauthorized(detail)
+            | Self::Unavailable(detail)
+            | Self::Refused(detail)
+            | Self::Conflict { detail, .. } => detail.clone(),
+            Self::Invalid { file, findings } => format!("{file}: {}", finding::count(findings)),
+            Self::Unreachable(reasons) => format!("no node answered: {}", reasons.join("; ")),
+            Self::Unknown { operation, detail } => {
+                format!("{detail}; ask later with: hickory release find {operation}")
+            }
+        }
+    }
+}
+
+/// The failure that a problem document tells of; `file` names what was sent.
+pub(crate) fn read_problem(problem: Problem, file: &str) -> Failure {
+    let Problem { code, detail, present, operation, findings, .. } = problem;
+    match code {
+        Code::Unauthorized => Failure::Unauthorized(detail),
+        Code::Conflict => Failure::Conflict { present, detail },
+        Code::Invalid => Failure::Invalid { file: file.to_owned(), findings },
+        Code::Unavailable | Code::NotReady => Failure::Unavailable(detail),
+        Code::Unknown => Failure::Unknown { operation: operation.unwrap_or_default(), detail },
+        Code::NotFound | Code::BadMethod | Code::BadHeader | Code::TooLarge | Code::Incomplete => {
+            Failure::Refused(format!("{code}: {detail}"))
+        }
+    }
+}
--- /dev/null
+++ b/apps/hickory/src/zone.rs
@@ -0,0 +1,74 @@
+//! Zones out of service and back.
+
+use crate::accept::{await_version, draw_note, read_configuration, send_note};
+use crate::client::Client;
+use crate::failure::Failure;
+use crate::print;
+use hickory_release::configuration::{Configuration, Zone};
+use hickory_unit::finding::Finding;
+use hickory_unit::id;
+
+/// Conflicts that are met with another try. Operators race each other, but a
+/// zone's outage must not wait for the end of a long row of other notes.
+const TRIES: usize = 8;
+
+/// Takes a zone out, or brings it back.
+///
+/// A conflict is met with another try only while the notes in between have
+/// left the zone as it was when the operator asked: what another operator has
+/// decided about this zone since is for people to settle.
+pub(crate) fn run(client: &Client, name: &str, out: bool, json: bool) -> Result<(), Failure> {
+    let zone = id::Zone::from(name);
+    let mut present = read_configuration(client)?;
+    let seen = find_zone(&present, &zone)?;
+    if seen.out == out {
+        print::print_zone(name, out, present.version, &[], json);
+        return Ok(());
+    }
+    let mut conflicts = Vec::new();
+    let mut note = draw_note(present.version);
+    note.changed.zones.insert(zone.clone(), Zone { out });
+    while conflicts.len() < TRIES {
+        note.against = present.version;
+        match send_note(client, &note) {
+            Ok(accepted) => {
+                print::print_zone(name, out, accepted.version, &conflicts, json);
+                return Ok(());
+            }
+            Err(Failure::Conflict { present: Some(version), .. }) => {
+                conflicts.push(version);
+                present = await_version(client, version)?;
+                check_untouched(&present, &zone, seen)?;
+            }
+            Err(failure) => return Err(failure),
+        }
+    }
+    let detail = format!("gave up after {TRIES} conflicts; zone {zone} is unchanged");
+    Err(Failure::Conflict { present: Some(present.version), detail })
+}
+
+fn find_zone(configuration: &Configuration, zone: &id::Zone) -> Result<Zone, Failure> {
+    configuration.zones.get(zone).copied().ok_or_else(|| {
+        let known: Vec<&str> = configuration.zones.keys().map(id::Zone::as_str).collect();
+        let message = format!("no such zone; there are: {}", known.join(", "));
+        let findings = vec![Finding::at(format!("zones.{zone}"), message)];
+        Failure::Invalid { file: "configuration".to_owned(), findings }
+    })
+}
+
+fn check_untouched(present: &Configuration, zone: &id::Zone, seen: Zone) -> Result<(), Failure> {
+    if present.zones.get(zone) == Some(&seen) {
+        return Ok(());
+    }
+    let state = match present.zones.get(zone) {
+        None => "withdrawn",
+        Some(Zone { out: true }) => "out of service",
+        Some(Zone { out: false }) => "in service",
+    };
+    let version = present.version;
+    let detail = format!(
+        "another note has touched zone {zone}, which is {state} in version {version}; \
+         nothing was done"
+    );
+    Err(Failure::Conflict { present: Some(version), detail })
+}
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -14,3 +14,6 @@
 pub mod view;
 
 pub use server::{Handle, Server};
+
+/// The header that names the operation of a note which does not name its own.
+pub const OPERATION_HEADER: &str = "idempotency-key";
--- /dev/null
+++ b/crates/admin/tests/contract.rs
@@ -0,0 +1,235 @@
+//! The contract of the administration API, over a control in memory.
+
+mod fake;
+
+use fake::{Fake, Fault, Platform, TOKEN};
+use hickory_admin::{Handle, Server};
+use oxhttp::model::{Body, Method, Request};
+use std::fmt::Write as _;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+
+const FIRST: &str = include_str!("data/first.jsonc");
+
+/// One call, and what goes wrong meanwhile.
+struct Case {
+    name: &'static str,
+    method: Method,
+    path: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    body: &'static str,
+    fault: Option<Fault>,
+}
+
+const AUTHORIZED: (&str, &str) = ("authorization", "Bearer operator-token");
+const RELEASES: &str = "/v1/admin/releases";
+
+fn get(name: &'static str, path: &'static str) -> Case {
+    Case { name, method: Method::GET, path, headers: &[AUTHORIZED], body: "", fault: None }
+}
+
+fn accept(name: &'static str, body: &'static str) -> Case {
+    Case { name, method: Method::POST, path: RELEASES, headers: &[AUTHORIZED], body, fault: None }
+}
+
+fn spawn(platform: &Arc<Platform>) -> (Arc<Fake>, Handle<Fake>) {
+    let fake = Fake::open(platform, []);
+    let address = "127.0.0.1:0".parse().unwrap();
+    let handle = Server::spawn(address, Arc::clone(&fake)).unwrap();
+    (fake, handle)
+}
+
+/// The answer as text: status, the headers that matter, and the body.
+fn call(address: SocketAddr, case: &Case, body: impl Into<Body>) -> String {
+    let mut request = Request::builder()
+        .method(case.method.clone())
+        .uri(format!("http://{address}{}", case.path));
+    for (name, value) in case.headers {
+        request = request.header(*name, *value);
+    }
+    let response = oxhttp::Client::new().request(request.body(body.into()).unwrap()).unwrap();
+    let mut text = response.status().as_u16().to_string();
+    for name in ["content-type", "etag", "www-authenticate", "allow"] {
+        if let Some(value) = response.headers().get(name) {
+            write!(text, " {name}={}", value.to_str().unwrap()).unwrap();
+        }
+    }
+    write!(text, "\n    {}", response.into_body().to_string().unwrap().trim_end()).unwrap();
+    text
+}
+
+/// Runs the cases in order on one node, and writes down what came back.
+fn report(platform: &Arc<Platform>, cases: &[Case]) -> String {
+    let (fake, handle) = spawn(platform);
+    let mut report = String::new();
+    for case in cases {
+        case.fault.iter().cloned().for_each(|fault| fake.fail(fault));
+        let answer = call(handle.address(), case, case.body);
+        writeln!(report, "{}: {} {} -> {answer}", case.name, case.method, case.path).unwrap();
+    }
+    report
+}
+
+#[test]
+fn nobody_without_an_operators_token_gets_in() {
+    let bare =
+        |name, method, path, headers| Case { name, method, path, headers, body: "", fault: None };
+    let cases = [
+        bare("none", Method::GET, "/v1/admin/nodes", &[]),
+        bare("empty", Method::GET, "/v1/admin/nodes", &[("authorization", "")]),
+        bare("no scheme", Method::GET, "/v1/admin/nodes", &[("authorization", TOKEN)]),
+        bare("basic", Method::GET, "/v1/admin/nodes", &[("authorization", "Basic operator-token")]),
+        bare("wrong", Method::GET, "/v1/admin/nodes", &[("authorization", "Bearer operator-toke")]),
+        bare("blank", Method::GET, "/v1/admin/nodes", &[("authorization", "Bearer ")]),
+        bare("accept", Method::POST, RELEASES, &[]),
+        bare("find", Method::GET, "/v1/admin/releases/op-first", &[]),
+        bare("configuration", Method::GET, "/v1/admin/configuration", &[]),
+        bare("targets", Method::GET, "/v1/admin/targets", &[]),
+        bare("owners", Method::GET, "/v1/admin/owners", &[]),
+        bare("drain", Method::POST, "/v1/admin/drain", &[]),
+        bare("unknown path", Method::GET, "/v1/secret", &[]),
+        bare("health is open", Method::GET, "/health", &[]),
+        bare("metrics are open", Method::GET, "/metrics", &[]),
+        bare(
+            "case",
+            Method::GET,
+            "/v1/admin/owners",
+            &[("authorization", "bearer operator-token")],
+        ),
+    ];
+    insta::assert_snapshot!(report(&Platform::open(FIRST), &cases));
+}
+
+#[test]
+fn what_is_shown() {
+    let cases = [
+        get("nodes", "/v1/admin/nodes"),
+        get("targets", "/v1/admin/targets"),
+        get("owners", "/v1/admin/owners"),
+        get("configuration", "/v1/admin/configuration"),
+        get("operation", "/v1/admin/releases/op-first"),
+        get("unknown operation", "/v1/admin/releases/op-never"),
+        get("unknown path", "/v1/admin/nowhere"),
+        get("wrong method", RELEASES),
+        Case { method: Method::DELETE, ..get("wrong method", "/v1/admin/configuration") },
+        Case { method: Method::POST, ..get("drain", "/v1/admin/drain") },
+        get("health while draining", "/health"),
+    ];
+    insta::assert_snapshot!(report(&Platform::open(FIRST), &cases));
+}
+
+#[test]
+fn a_node_without_a_configuration_says_so() {
+    let cases = [
+        get("configuration", "/v1/admin/configuration"),
+        get("health", "/health"),
+        accept("first note", FIRST),
+        get("health", "/health"),
+    ];
+    insta::assert_snapshot!(report(&Arc::default(), &cases));
+}
+
+#[test]
+fn notes_and_their_faults() {
+    const OUT: &str = r#"{ "against": 1, "operation": "op-out",
+  "changed": { "zones": { "nairobi-a": { "out": true } } } }"#;
+    const SHARE: &str = r#"{ "against": 2, "operation": "op-share", // renegotiated
+  "changed": { "partners": { "mawe": { "share": 2 } } } }"#;
+    const INVALID: &str = "{ \"against\": 2, \"operation\": \"op-bad\",\n\
+        \"added\": { \"zones\": { \"nairobi-a\": {} } },\n\
+        \"withdrawn\": { \"models\": [\"advice\"],\n\"partners\": [\"nobody\"] } }";
+    const IF_MATCH_1: &[(&str, &str)] = &[AUTHORIZED, ("if-match", "\"1\"")];
+    const IF_MATCH_9: &[(&str, &str)] = &[AUTHORIZED, ("if-match", "\"9\"")];
+    const IF_MATCH_BAD: &[(&str, &str)] = &[AUTHORIZED, ("if-match", "latest")];
+    const KEY: &[(&str, &str)] = &[AUTHORIZED, ("idempotency-key", "op-by-header")];
+    const KEY_BAD: &[(&str, &str)] = &[AUTHORIZED, ("idempotency-key", "a b")];
+    const EMPTY: &str = r#"{ "against": 3 }"#;
+    let cases = [
+        accept("empty body", ""),
+        accept("not JSON", "release it!"),
+        accept("unknown fields", "{\n\"against\": 1,\n\"ad\": {},\n\"changd\": {} }"),
+        Case { headers: IF_MATCH_9, ..accept("If-Match contradicts", OUT) },
+        Case { headers: IF_MATCH_BAD, ..accept("If-Match is no version", OUT) },
+        Case { fault: Some(Fault::Unavailable), ..accept("platform down", OUT) },
+        Case { fault: Some(Fault::LostBefore), ..accept("lost, not written", OUT) },
+        get("not there", "/v1/admin/releases/op-out"),
+        Case { fault: Some(Fault::LostAfter), ..accept("lost, written", OUT) },
+        get("there", "/v1/admin/releases/op-out"),
+        Case { headers: IF_MATCH_1, ..accept("repeated", OUT) },
+        accept("stale", r#"{ "against": 1, "operation": "op-stale" }"#),
+        accept("invalid", INVALID),
+        Case {
+            fault: Some(Fault::Race(SHARE)),
+            ..accept("raced", r#"{ "against": 2, "operation": "op-late" }"#)
+        },
+        Case { headers: KEY_BAD, ..accept("operation by a bad header", EMPTY) },
+        Case { headers: KEY, ..accept("operation by header", EMPTY) },
+        Case { headers: KEY, ..accept("repeated by header", EMPTY) },
+        get("at last", "/v1/admin/configuration"),
+    ];
+    insta::assert_snapshot!(report(&Platform::open(FIRST), &cases));
+}
+
+#[test]
+fn bodies_out_of_bounds_are_refused() {
+    let platform = Platform::open(FIRST);
+    let (fake, handle) = spawn(&platform);
+    let case = accept("bounds", "");
+    let large = format!("{{ \"against\": 1 }}{}", " ".repeat(1 << 20));
+    assert!(call(handle.address(), &case, large).contains("\"code\":\"too-large\""));
+    let binary = vec![b'{', 0xff, 0xfe, b'}'];
+    assert!(call(handle.address(), &case, binary).contains("not UTF-8"));
+    let deep = "[".repeat(500_000);
+    assert!(call(handle.address(), &case, deep).starts_with("422"));
+    assert_eq!(fake.accepts(), 0);
+    assert_eq!(platform.configuration().version.0, 1);
+}
+
+// The operator's connection breaks while the note is being sent. The server
+// sees the end of the connection before the end of the body; what came so far
+// is a note by itself, which must not be accepted in place of the whole one.
+// The library answers such a request on its own, with status 400 or 500.
+#[test]
+fn a_note_that_breaks_off_is_not_accepted() {
+    let platform = Platform::open(FIRST);
+    let (fake, handle) = spawn(&platform);
+    let note = r#"{ "against": 1, "operation": "op-cut" }"#;
+    let length = note.len();
+    let cuts = [
+        format!("content-length: {}\r\n\r\n{note}", length + 10),
+        format!("transfer-encoding: chunked\r\n\r\n{length:x}\r\n{note}\r\n"),
+        format!("transfer-encoding: chunked\r\n\r\n{:x}\r\n{note}", length + 10),
+    ];
+    for cut in cuts {
+        let mut stream = TcpStream::connect(handle.address()).unwrap();
+        let head = format!("POST {RELEASES} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {TOKEN}");
+        write!(stream, "{head}\r\n{cut}").unwrap();
+        stream.shutdown(Shutdown::Write).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        let status = answer.split(' ').nth(1).unwrap();
+        assert!(["400", "500"].contains(&status), "{cut}: {answer}");
+    }
+    assert_eq!(fake.accepts(), 0);
+    assert_eq!(platform.configuration().version.0, 1);
+}
+
+// A node that is gone within a process that goes on (tests, the demo) must
+// not be kept alive by its administration server, which can't stop listening.
+#[test]
+fn a_dropped_handle_lets_go_of_the_control() {
+    let (fake, handle) = spawn(&Platform::open(FIRST));
+    let address = handle.address();
+    drop(handle);
+    assert!(call(address, &get("after", "/health"), "").contains("the node has stopped"));
+    assert_eq!(Arc::strong_count(&fake), 1);
+}
+
+#[test]
+fn an_address_in_use_is_an_error() {
+    let platform = Platform::open(FIRST);
+    let (_, handle) = spawn(&platform);
+    let taken = Server::spawn(handle.address(), Fake::open(&platform, []));
+    assert!(taken.is_err());
+}
--- a/crates/release/src/accept.rs
+++ b/crates/release/src/accept.rs
@@ -44,7 +44,8 @@
     if note.operation.is_empty() {
         findings.push(missing_operation());
     }
-    check_operators(&next, note, &mut findings);
+    check_operators(present, &next, &mut findings);
+    findings.sort();
     match findings.is_empty() {
         true => Ok(Acceptance::Next(Box::new(next))),
         false => Err(Rejection::Invalid(findings)),
--- a/crates/release/src/check.rs
+++ b/crates/release/src/check.rs
@@ -215,12 +215,15 @@
     }
 }
 
-/// Someone must be left who can accept the next note.
-pub(crate) fn check_operators(next: &Configuration, note: &Note, findings: &mut Vec<Finding>) {
-    if next.operators.is_empty() {
-        let part = if note.withdrawn.operators.is_empty() { "added" } else { "withdrawn" };
-        let message = "no operator would be left; nobody could accept the next note";
-        findings.push(Finding::at(format!("{part}.operators"), message));
+/// The last operator stays: without one, the token of the nodes' settings,
+/// meant for the first note only, would be good again.
+pub(crate) fn check_operators(
+    present: &Configuration,
+    next: &Configuration,
+    findings: &mut Vec<Finding>,
+) {
+    if next.operators.is_empty() && !present.operators.is_empty() {
+        findings.push(Finding::at("withdrawn.operators", "no operator would be left"));
     }
 }
 
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -4,7 +4,7 @@
 use derive_more::Display;
 use hickory_document::read_document;
 use hickory_document::rule::{HEX_LENGTH, check_digest, check_name, is_hex};
-use hickory_unit::finding::Finding;
+use hickory_unit::finding::{self, Finding};
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -63,8 +63,7 @@
 impl fmt::Display for Invalid {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let file = self.file.display();
-        let count = self.findings.len();
-        write!(f, "{file}: {count} findings")?;
+        write!(f, "{file}: {}", finding::count(&self.findings))?;
         self.findings.iter().try_for_each(|finding| write!(f, "\n{}", finding.in_file(&file)))
     }
 }
--- a/crates/unit/src/finding.rs
+++ b/crates/unit/src/finding.rs
@@ -26,3 +26,11 @@
         format!("{file}:{}: {}: {}", self.line, self.field, self.message)
     }
 }
+
+/// How many findings there are, as text.
+pub fn count(findings: &[Finding]) -> String {
+    match findings.len() {
+        1 => "1 finding".to_owned(),
+        count => format!("{count} findings"),
+    }
+}
