Measure streamed HTTP through oxhttp's and hyper's servers

A streamed token must leave the node before the next one is made, or time to first token is lost. oxhttp's server gathers 1,024 bytes a chunk and flushes a 16 KiB buffer only at the end of a response. The test shows the trap by the order of events: the source makes its second token only once the reader has the first; with oxhttp this never comes, with hyper it always does.

--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder until the first slice.
+//! Seeded callers and the experiments that measure a fleet.
+
+pub mod experiment;
+pub mod sheet;
+pub mod stream_server;
--- /dev/null
+++ b/crates/load/tests/stream_server.rs
@@ -0,0 +1,73 @@
+//! Which HTTP server lets a streamed token out before the next one is made.
+
+use bytes::Bytes;
+use crossbeam::channel::{Receiver, Sender, unbounded};
+use hickory_load::stream_server::{self, Server, Source};
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    Made(u32),
+    Seen,
+    GaveUp,
+}
+
+/// Makes the second token only after the reader has seen the first.
+struct Handshake {
+    made: u32,
+    steps: Sender<Step>,
+    seen: Receiver<()>,
+    patience: Duration,
+}
+
+impl Source for Handshake {
+    fn next_token(&mut self) -> Option<Bytes> {
+        if self.made == 1 && self.seen.recv_timeout(self.patience).is_err() {
+            self.steps.send(Step::GaveUp).ok()?;
+        }
+        if self.made == 2 {
+            return None;
+        }
+        self.steps.send(Step::Made(self.made)).ok()?;
+        self.made += 1;
+        Some(Bytes::from_static(b"data: token\n\n"))
+    }
+}
+
+fn record_steps(server: Server, patience: Duration) -> Vec<Step> {
+    let (steps, recorded) = unbounded();
+    let (ack, seen) = unbounded();
+    let source = Handshake { made: 0, steps: steps.clone(), seen, patience };
+    let address = stream_server::spawn_server(server, source).expect("server");
+    let mut first = true;
+    stream_server::read_answer(address, |answer| {
+        if first && !stream_server::split_body(answer).is_empty() {
+            first = false;
+            steps.send(Step::Seen).expect("step");
+            // The source may have given up and gone.
+            ack.send(()).ok();
+        }
+    })
+    .expect("answer");
+    drop(steps);
+    recorded.try_iter().collect()
+}
+
+/// The caller sees nothing of a streamed answer until its end. The source
+/// makes a token and waits until the reader has it; oxhttp's server keeps it
+/// in a chunk of at least 1,024 bytes within a 16 KiB buffer that it flushes
+/// only at the end, so the source waits in vain, however long: the patience
+/// only bounds the test, a longer one changes nothing.
+#[test]
+fn oxhttp_holds_the_first_token_back_until_the_answer_ends() {
+    let steps = record_steps(Server::Oxhttp, Duration::from_millis(500));
+    assert_eq!(steps, [Step::Made(0), Step::GaveUp, Step::Made(1), Step::Seen]);
+}
+
+/// With hyper the caller sees the first token while the answer is still being
+/// made: the source gets its acknowledgement and never gives up.
+#[test]
+fn hyper_lets_each_token_out_at_once() {
+    let steps = record_steps(Server::Hyper, Duration::from_secs(15));
+    assert_eq!(steps, [Step::Made(0), Step::Seen, Step::Made(1)]);
+}
