--- /dev/null
+++ b/crates/load/src/sse.rs
@@ -0,0 +1,81 @@
+//! Server-sent events, as the WHATWG HTML standard has them.
+
+use compact_str::CompactString;
+use derive_more::{Display, Error};
+
+/// Bytes that one event may have: a token is far below, and a server that
+/// never ends an event must not take the caller's memory.
+pub const EVENT_MAX: usize = 1 << 20;
+
+/// One event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Event {
+    /// The last id that the stream has set.
+    pub id: Option<CompactString>,
+    /// The type; empty where the stream sets none.
+    pub kind: CompactString,
+    /// The data, its lines joined by a line feed.
+    pub data: String,
+}
+
+/// An event is longer than [`EVENT_MAX`].
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Error)]
+#[display("an event is longer than {EVENT_MAX} bytes")]
+pub struct Overlong;
+
+/// Splits a byte stream into events, whatever the chunks it comes in.
+#[derive(Debug, Default)]
+pub struct Parser {
+    line: Vec<u8>,
+    after_return: bool,
+    event: Event,
+    has_data: bool,
+}
+
+impl Parser {
+    /// Takes a chunk in and returns the events that it completes.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Vec<Event>, Overlong> {
+        let mut events = Vec::new();
+        for byte in chunk {
+            let after_return = std::mem::replace(&mut self.after_return, *byte == b'\r');
+            match byte {
+                b'\n' if after_return => {}
+                b'\n' | b'\r' => events.extend(self.end_line()),
+                _ => self.line.push(*byte),
+            }
+            if self.line.len() + self.event.data.len() > EVENT_MAX {
+                return Err(Overlong);
+            }
+        }
+        Ok(events)
+    }
+
+    fn end_line(&mut self) -> Option<Event> {
+        let line = std::mem::take(&mut self.line);
+        let line = String::from_utf8_lossy(&line);
+        if line.is_empty() {
+            return self.end_event();
+        }
+        let (field, value) = line.split_once(':').unwrap_or((&line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "id" => self.event.id = Some(value.into()),
+            "event" => self.event.kind = value.into(),
+            "data" => {
+                if std::mem::replace(&mut self.has_data, true) {
+                    self.event.data.push('\n');
+                }
+                self.event.data.push_str(value);
+            }
+            _ => {}
+        }
+        None
+    }
+
+    /// An event without data is none, but its id stays in force.
+    fn end_event(&mut self) -> Option<Event> {
+        let next = Event { id: self.event.id.clone(), ..Event::default() };
+        let event = std::mem::replace(&mut self.event, next);
+        std::mem::take(&mut self.has_data).then_some(event)
+    }
+}
--- /dev/null
+++ b/crates/load/tests/mix.rs
@@ -0,0 +1,75 @@
+//! The workload is a function of its seed.
+
+use hickory_load::mix::{self, Arrival, Class, Length, Options, Part, Work};
+use hickory_unit::size;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const ACCOUNTS: usize = 10;
+
+fn options(seed: u64) -> Options {
+    Options::mixed(seed, Duration::from_secs(60), 50.0)
+}
+
+#[test]
+fn the_same_seed_gives_the_same_requests() {
+    let plan = mix::plan_requests(&options(7), ACCOUNTS);
+    assert_eq!(plan, mix::plan_requests(&options(7), ACCOUNTS));
+    assert_ne!(plan, mix::plan_requests(&options(8), ACCOUNTS));
+}
+
+#[test]
+fn a_further_part_leaves_the_others_requests_as_they_were() {
+    let alone = Options {
+        parts: vec![Part::of(Length::Short, Class::Interactive, 20.0)],
+        ..Options::empty(3, Duration::from_secs(30))
+    };
+    let mut beside = alone.clone();
+    beside.parts.push(Part::of(Length::Long, Class::Batch, 1.0));
+    let short = |options: &Options| -> Vec<_> {
+        let plan = mix::plan_requests(options, ACCOUNTS).into_iter();
+        plan.filter(|request| matches!(request.work, Work::Completion { part, .. } if part.length == Length::Short))
+            .collect()
+    };
+    assert_eq!(short(&alone), short(&beside));
+}
+
+#[test]
+fn arrivals_keep_the_rate_and_the_order() {
+    for arrival in [Arrival::Poisson, Arrival::Bursts(10)] {
+        let plan = mix::plan_requests(&Options { arrival, ..options(1) }, ACCOUNTS);
+        assert!((2_500..3_500).contains(&plan.len()), "{arrival:?}: {}", plan.len());
+        assert!(plan.is_sorted_by_key(|request| request.at));
+        assert!(plan.iter().all(|request| request.at < Duration::from_secs(60)));
+    }
+}
+
+#[test]
+fn bursts_come_together() {
+    let plan =
+        mix::plan_requests(&Options { arrival: Arrival::Bursts(10), ..options(1) }, ACCOUNTS);
+    let mut together = BTreeMap::<Duration, usize>::new();
+    plan.iter().for_each(|request| *together.entry(request.at).or_default() += 1);
+    assert!(together.values().all(|count| count % 10 == 0));
+}
+
+#[test]
+fn skew_prefers_the_first_accounts() {
+    let count = |skew: f64, account: usize| {
+        let plan = mix::plan_requests(&Options { skew, ..options(1) }, ACCOUNTS);
+        plan.iter().filter(|request| request.account == account).count()
+    };
+    assert!(count(1.0, 0) > 5 * count(1.0, 9));
+    assert!(count(0.0, 0) < 2 * count(0.0, 9));
+}
+
+#[test]
+fn a_prompt_has_its_length_and_no_shared_beginning() {
+    for length in Length::ALL {
+        let prompt = mix::write_prompt(1, length.tokens());
+        let bytes = size::Bytes(prompt.len() as u64);
+        assert_eq!(size::Tokens::of_bytes(bytes), length.tokens());
+    }
+    let [one, two] = [1, 2].map(|salt| mix::write_prompt(salt, size::Tokens(1_000)));
+    assert_ne!(one[..64], two[..64]);
+}
