Callers, open-loop runs and their report

A caller keeps the address that a node names, goes to alternates when it is dead, checks each token of a stream, takes a cut stream up through another node after its last event, and sends again only what did not run or may be repeated; an order keeps its key. Times count from the intended send time: with a closed loop a slow fleet would slow its own measurement down. Tests run against a scripted node.

--- /dev/null
+++ b/crates/load/src/spread.rs
@@ -0,0 +1,69 @@
+//! The spread of a measured time.
+
+use hdrhistogram::Histogram;
+use serde::ser::SerializeStruct;
+use serde::{Serialize, Serializer};
+use std::time::Duration;
+
+/// The longest time told apart, in microseconds: an hour, the greatest
+/// deadline a request may have.
+const LONGEST_US: u64 = 3_600_000_000;
+
+/// Significant digits kept.
+const DIGITS: u8 = 3;
+
+/// A histogram of times with microsecond steps.
+#[derive(Clone, Debug)]
+pub struct Spread(Histogram<u64>);
+
+impl Default for Spread {
+    fn default() -> Self {
+        Self(Histogram::new_with_bounds(1, LONGEST_US, DIGITS).expect("constant bounds are valid"))
+    }
+}
+
+impl Spread {
+    /// Adds a time.
+    pub fn record(&mut self, time: Duration) {
+        self.0.saturating_record((time.as_micros() as u64).max(1));
+    }
+
+    /// Times added.
+    pub fn count(&self) -> u64 {
+        self.0.len()
+    }
+
+    /// The time in milliseconds that the share `quantile` of all is at most;
+    /// NaN where there is none.
+    pub fn quantile_ms(&self, quantile: f64) -> f64 {
+        match self.0.is_empty() {
+            true => f64::NAN,
+            false => self.0.value_at_quantile(quantile) as f64 / 1e3,
+        }
+    }
+
+    /// The longest time in milliseconds.
+    pub fn max_ms(&self) -> f64 {
+        self.0.max() as f64 / 1e3
+    }
+}
+
+impl FromIterator<Duration> for Spread {
+    fn from_iter<I: IntoIterator<Item = Duration>>(times: I) -> Self {
+        let mut spread = Self::default();
+        times.into_iter().for_each(|time| spread.record(time));
+        spread
+    }
+}
+
+impl Serialize for Spread {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut quantiles = serializer.serialize_struct("Spread", 5)?;
+        quantiles.serialize_field("count", &self.count())?;
+        quantiles.serialize_field("p50_ms", &self.quantile_ms(0.50))?;
+        quantiles.serialize_field("p95_ms", &self.quantile_ms(0.95))?;
+        quantiles.serialize_field("p99_ms", &self.quantile_ms(0.99))?;
+        quantiles.serialize_field("max_ms", &self.max_ms())?;
+        quantiles.end()
+    }
+}
--- /dev/null
+++ b/crates/load/tests/fake/mod.rs
@@ -0,0 +1,115 @@
+//! A scripted node: answers each request with raw bytes and closes.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+
+/// A request as the node saw it.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Method and path.
+    pub line: String,
+    /// The head in lower case.
+    pub head: String,
+    /// The body.
+    pub body: String,
+}
+
+impl Seen {
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines();
+        lines.filter_map(|line| line.split_once(": ")).find(|(key, _)| *key == name).map(|it| it.1)
+    }
+}
+
+/// A running scripted node.
+#[derive(Clone)]
+pub struct Node {
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl Node {
+    /// Serves with `answer`, which gets the request and its number from 0,
+    /// counted without those for the entry.
+    pub fn spawn(answer: impl Fn(&Seen, usize) -> String + Send + 'static) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
+        let address = listener.local_addr().expect("address");
+        let node = Self { address, seen: Arc::default() };
+        let seen = node.seen.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let request = read_request(&stream);
+                let mut seen = seen.lock().expect("lock");
+                let number = seen.iter().filter(|seen| seen.line != "GET /v1/entry").count();
+                seen.push(request.clone());
+                drop(seen);
+                let text = answer(&request, number);
+                (&stream).write_all(text.as_bytes()).ok();
+            }
+        });
+        node
+    }
+
+    /// The requests so far, without those for the entry.
+    pub fn seen(&self) -> Vec<Seen> {
+        let seen = self.seen.lock().expect("lock");
+        seen.iter().filter(|seen| seen.line != "GET /v1/entry").cloned().collect()
+    }
+
+    /// Times that the entry was asked for.
+    pub fn entries_asked(&self) -> usize {
+        let seen = self.seen.lock().expect("lock");
+        seen.iter().filter(|seen| seen.line == "GET /v1/entry").count()
+    }
+}
+
+fn read_request(stream: &TcpStream) -> Seen {
+    let mut reader = BufReader::new(stream);
+    let mut head = String::new();
+    while reader.read_line(&mut head).unwrap_or(0) > 2 {}
+    let line = head.lines().next().unwrap_or_default();
+    let line = line.trim_end_matches(" HTTP/1.1").to_owned();
+    let mut seen = Seen { line, head: head.to_lowercase(), body: String::new() };
+    let length = seen.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    reader.take(length).read_to_string(&mut seen.body).ok();
+    seen
+}
+
+/// A response that ends with its connection.
+pub fn respond(status: u16, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status} X\r\nconnection: close\r\n{headers}\r\n{body}")
+}
+
+/// The answer to which address to use.
+pub fn entry(address: SocketAddr, alternates: &[SocketAddr]) -> String {
+    let alternates: Vec<_> = alternates.iter().map(|at| format!("{:?}", at.to_string())).collect();
+    let alternates = alternates.join(",");
+    let body =
+        format!("{{\"address\":\"{address}\",\"alternates\":[{alternates}],\"keep_ms\":60000}}");
+    respond(200, "content-type: application/json\r\n", &body)
+}
+
+/// An event with one token.
+pub fn token(seq: u64, text: &str) -> String {
+    format!("id: {seq}\ndata: {{\"choices\":[{{\"text\":{text:?},\"finish_reason\":null}}]}}\n\n")
+}
+
+/// The explicit end of a stream.
+pub fn end(count: u64) -> String {
+    format!(
+        "data: {{\"choices\":[{{\"text\":\"\",\"finish_reason\":\"length\"}}],\
+         \"usage\":{{\"prompt_tokens\":1,\"completion_tokens\":{count}}}}}\n\ndata: [DONE]\n\n"
+    )
+}
+
+/// A refusal.
+pub fn problem(status: u16, reason: &str, ran: &str, retry_after_ms: Option<u64>) -> String {
+    let retry = retry_after_ms.map(|ms| format!(",\"retry_after_ms\":{ms}")).unwrap_or_default();
+    let body = format!("{{\"reason\":\"{reason}\",\"ran\":\"{ran}\"{retry}}}");
+    respond(status, "content-type: application/problem+json\r\n", &body)
+}
+
+/// The head of a streamed answer.
+pub const STREAM: &str = "content-type: text/event-stream\r\nx-request-id: r1\r\n";
