--- a/apps/hickory-load/src/main.rs
+++ b/apps/hickory-load/src/main.rs
@@ -1,52 +1,44 @@
 //! Callers and experiments against a hickoryrun fleet.
 
-use clap::{Parser, Subcommand};
-use eyre::Result;
+mod options;
+
+use clap::Parser;
+use eyre::{Result, WrapErr};
 use hickory_load::experiment::{self, Name};
+use hickory_load::run;
+use options::{Arguments, Command, Run};
 use std::process::ExitCode;
 
-/// Seeded callers against a fleet, and the experiments that measure one.
-///
-/// Exit codes: 0 done (an experiment that misses a goal is done too and says
-/// so), 1 could not be run, 2 bad arguments, 3 an answer was wrong or lost.
-#[derive(Debug, Parser)]
-#[command(name = "hickory-load", version)]
-struct Arguments {
-    #[command(subcommand)]
-    command: Command,
-}
+/// A request neither got its whole answer nor a refusal.
+const EXIT_LOST: u8 = 3;
+
+/// A measured figure misses its goal, and the caller asked to be told.
+const EXIT_MISSED: u8 = 4;
 
-#[derive(Debug, Subcommand)]
-enum Command {
-    /// Runs one experiment on processes or threads of its own and prints its
-    /// figures.
-    Experiment {
-        /// Which.
-        #[arg(value_parser = parse_name)]
-        name: Name,
-        /// Seed of the workload: the same seed gives the same requests.
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-        /// Print JSON in place of a table.
-        #[arg(long)]
-        json: bool,
-    },
+fn main() -> Result<ExitCode> {
+    match Arguments::parse().command {
+        Command::Run(run) => send_workload(run),
+        Command::Experiment { name, seed, json, strict } => measure(name, seed, json, strict),
+    }
 }
 
-fn parse_name(text: &str) -> Result<Name, String> {
-    let known = || Name::ALL.iter().map(Name::to_string).collect::<Vec<_>>().join(", ");
-    Name::parse(text).ok_or_else(|| format!("no such experiment; there are: {}", known()))
+fn send_workload(arguments: Run) -> Result<ExitCode> {
+    let options = arguments.plan()?;
+    let json = arguments.json;
+    let report = run::run(options, arguments.entries, arguments.tokens).wrap_err("callers")?;
+    match json {
+        true => println!("{}", serde_json::to_string_pretty(&report)?),
+        false => print!("{report}"),
+    }
+    Ok(if report.lost() > 0 { ExitCode::from(EXIT_LOST) } else { ExitCode::SUCCESS })
 }
 
-fn main() -> Result<ExitCode> {
-    match Arguments::parse().command {
-        Command::Experiment { name, seed, json } => {
-            let sheet = experiment::run_experiment(name, seed)?;
-            match json {
-                true => println!("{}", serde_json::to_string_pretty(&sheet)?),
-                false => print!("{sheet}"),
-            }
-            Ok(ExitCode::SUCCESS)
-        }
+fn measure(name: Name, seed: u64, json: bool, strict: bool) -> Result<ExitCode> {
+    let sheet = experiment::run_experiment(name, seed)?;
+    match json {
+        true => println!("{}", serde_json::to_string_pretty(&sheet)?),
+        false => print!("{sheet}"),
     }
+    let missed = sheet.figures.iter().any(|figure| figure.met == Some(false));
+    Ok(if strict && missed { ExitCode::from(EXIT_MISSED) } else { ExitCode::SUCCESS })
 }
--- /dev/null
+++ b/apps/hickory-load/src/options.rs
@@ -0,0 +1,175 @@
+//! The command line.
+
+use clap::{Args, Parser, Subcommand};
+use eyre::{Result, ensure};
+use hickory_load::experiment::Name;
+use hickory_load::mix::{Arrival, Calls, Class, Length, Options, Part};
+use hickory_load::run::Credential;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Seeded callers against a fleet, and the experiments that measure one.
+///
+/// Exit codes: 0 done; 1 could not be run; 2 bad arguments; 3 (run) a request
+/// neither got its whole answer nor a refusal; 4 (experiment --strict) a
+/// figure misses its goal.
+#[derive(Debug, Parser)]
+#[command(name = "hickory-load", version)]
+pub(crate) struct Arguments {
+    #[command(subcommand)]
+    pub(crate) command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Sends a seeded workload to a fleet and prints what the callers saw.
+    Run(Run),
+    /// Runs one experiment on processes of its own and prints its figures.
+    ///
+    /// Nodes are started from the `hickory-node` program that lies beside this
+    /// one; build all programs first. Every process is ended by its id.
+    Experiment {
+        /// Which: stream-server, short-beside-long, first-token, zone, shares,
+        /// overload, relay, control-cost or config.
+        #[arg(value_parser = parse_name)]
+        name: Name,
+        /// Seed of the workload: the same seed gives the same requests.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Print JSON in place of a table.
+        #[arg(long)]
+        json: bool,
+        /// Exit with 4 where a figure misses its goal.
+        #[arg(long)]
+        strict: bool,
+    },
+}
+
+#[derive(Debug, Args)]
+pub(crate) struct Run {
+    /// A node to ask which address to use; give several.
+    #[arg(long = "entry", required = true, value_name = "IP:PORT")]
+    pub(crate) entries: Vec<SocketAddr>,
+    /// An account and its token; give several, the one that sends most first.
+    #[arg(long = "token", required = true, value_name = "ACCOUNT=TOKEN", value_parser = parse_token)]
+    pub(crate) tokens: Vec<Credential>,
+    /// Seed of the workload: the same seed gives the same requests.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Seconds in which requests are sent.
+    #[arg(long, default_value_t = 10.0)]
+    seconds: f64,
+    /// A part of the workload: prompt length (1k, 10k, 100k, 1M), class
+    /// (interactive, batch) and requests a second, as in 1k:interactive:20;
+    /// give several. Without any, a mix of all lengths at 20 requests a second.
+    #[arg(long = "part", value_name = "LENGTH:CLASS:RATE", value_parser = parse_part)]
+    parts: Vec<Part>,
+    /// Calls of a plain service: service and path, requests a second, and once
+    /// or many for whether a call must not be repeated, as in
+    /// orders/place:2:once; give several.
+    #[arg(long = "calls", value_name = "SERVICE/PATH:RATE:once|many", value_parser = parse_calls)]
+    calls: Vec<Calls>,
+    /// Requests that arrive together, at the same mean rate; 1 is Poisson.
+    #[arg(long, default_value_t = 1)]
+    burst: u32,
+    /// Tokens of each answer; by class where not given.
+    #[arg(long)]
+    max_tokens: Option<u64>,
+    /// Seconds that each request may take; by class where not given.
+    #[arg(long)]
+    deadline: Option<f64>,
+    /// The model asked for.
+    #[arg(long, default_value = "oak")]
+    model: String,
+    /// Skew over the accounts: the i-th sends with weight 1/i^skew.
+    #[arg(long, default_value_t = 1.0)]
+    skew: f64,
+    /// Share of the callers that hang up in mid-stream, 0 to 1.
+    #[arg(long, default_value_t = 0.0)]
+    hang_up: f64,
+    /// Times that a refused or broken request is sent again.
+    #[arg(long, default_value_t = 3)]
+    resends: u32,
+    /// Caller processes to imitate, each with an entry address of its own.
+    #[arg(long, default_value_t = 16)]
+    callers: u32,
+    /// Print JSON in place of a table.
+    #[arg(long)]
+    pub(crate) json: bool,
+}
+
+impl Run {
+    /// The workload that the arguments describe.
+    pub(crate) fn plan(&self) -> Result<Options> {
+        ensure!((0.0..=1.0).contains(&self.hang_up), "--hang-up: between 0 and 1");
+        let duration = Duration::try_from_secs_f64(self.seconds)?;
+        let deadline = self.deadline.map(Duration::try_from_secs_f64).transpose()?;
+        let mut options = Options::mixed(self.seed, duration, 20.0);
+        if !self.parts.is_empty() || !self.calls.is_empty() {
+            options.parts.clone_from(&self.parts);
+        }
+        for part in &mut options.parts {
+            part.max_tokens = self.max_tokens.unwrap_or(part.max_tokens);
+            part.deadline = deadline.unwrap_or(part.deadline);
+            if self.burst > 1 {
+                part.arrival = Arrival::Bursts(self.burst);
+            }
+        }
+        options.calls.clone_from(&self.calls);
+        options.model.clone_from(&self.model);
+        options.skew = self.skew;
+        options.hang_up = self.hang_up;
+        options.resends = self.resends;
+        options.callers = self.callers;
+        Ok(options)
+    }
+}
+
+fn parse_name(text: &str) -> Result<Name, String> {
+    let known = || Name::ALL.iter().map(Name::to_string).collect::<Vec<_>>().join(", ");
+    Name::parse(text).ok_or_else(|| format!("no such experiment; there are: {}", known()))
+}
+
+fn parse_token(text: &str) -> Result<Credential, String> {
+    let (account, token) = text.split_once('=').ok_or("write account=token")?;
+    Ok(Credential { account: account.into(), token: token.into() })
+}
+
+fn parse_part(text: &str) -> Result<Part, String> {
+    let words: Vec<_> = text.split(':').collect();
+    let [length, class, rate] = words[..] else {
+        return Err("write length:class:rate".into());
+    };
+    let length = Length::ALL.iter().find(|known| known.to_string() == length);
+    let class = [Class::Interactive, Class::Batch].into_iter().find(|c| c.to_string() == class);
+    Ok(Part::of(
+        *length.ok_or("the length is 1k, 10k, 100k or 1M")?,
+        class.ok_or("the class is interactive or batch")?,
+        parse_rate(rate)?,
+    ))
+}
+
+fn parse_calls(text: &str) -> Result<Calls, String> {
+    let words: Vec<_> = text.split(':').collect();
+    let [target, rate, repeat] = words[..] else {
+        return Err("write service/path:rate:once or service/path:rate:many".into());
+    };
+    let (service, path) = target.split_once('/').ok_or("write service/path")?;
+    let once = match repeat {
+        "once" => true,
+        "many" => false,
+        _ => return Err("a call is made once or many times".into()),
+    };
+    Ok(Calls {
+        service: service.into(),
+        path: format!("/{path}"),
+        rate: parse_rate(rate)?,
+        once,
+        deadline: Duration::from_secs(10),
+    })
+}
+
+fn parse_rate(text: &str) -> Result<f64, String> {
+    let rate = text.parse::<f64>().ok().filter(|rate| rate.is_finite() && *rate >= 0.0);
+    rate.ok_or_else(|| "the rate is a number of requests a second".into())
+}
--- /dev/null
+++ b/crates/load/src/configuration.rs
@@ -0,0 +1,60 @@
+//! Time until a note is in force on nine nodes.
+
+use crate::fleet::{self, Fleet};
+use crate::sheet::{Goal, Sheet};
+use crate::spread::Spread;
+use eyre::{Result, ensure};
+use hickory_release::configuration::Partner;
+use hickory_release::note::Entries;
+use hickory_unit::id;
+use std::time::{Duration, Instant};
+
+/// Notes accepted one after the other.
+const NOTES: u32 = 30;
+
+/// Pause between two notes.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Between two looks at a node.
+const LOOK_INTERVAL: Duration = Duration::from_millis(2);
+
+/// How long a note may take at most.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Measures nine nodes.
+pub(crate) async fn measure(sheet: &mut Sheet) -> Result<()> {
+    let options = fleet::Options { nodes: 9, engines: 3, ..fleet::Options::default() };
+    let fleet = Fleet::open(options).await?;
+    let (mut answered, mut everywhere) = (Spread::default(), Spread::default());
+    for number in 0..NOTES {
+        let share = 0.4 + 0.005 * f64::from(number);
+        let partners = [("mawe".into(), Partner { share })].into();
+        let start = Instant::now();
+        let version = fleet.change(Entries { partners, ..Entries::default() }).await?;
+        answered.record(start.elapsed());
+        wait_version(&fleet, version).await?;
+        everywhere.record(start.elapsed());
+        tokio::time::sleep(PAUSE).await;
+    }
+    sheet.add("note answered p50", answered.quantile_ms(0.50), "ms");
+    sheet.add("note answered max", answered.max_ms(), "ms");
+    sheet.add("in force on nine nodes p50", everywhere.quantile_ms(0.50), "ms");
+    sheet.add("in force on nine nodes p95", everywhere.quantile_ms(0.95), "ms");
+    let max = everywhere.max_ms();
+    sheet.judge("in force on nine nodes max", max, "ms", Goal::AtMost(1_000.0));
+    sheet.note(format!(
+        "{NOTES} notes, from before the present one is read until all nodes show it"
+    ));
+    Ok(())
+}
+
+async fn wait_version(fleet: &Fleet, version: id::Release) -> Result<()> {
+    let start = Instant::now();
+    for node in 0..fleet.nodes.len() {
+        while fleet.version(node).await? < version {
+            ensure!(start.elapsed() < TIMEOUT, "node {node} lacks version {version}");
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/load/src/control_cost.rs
@@ -0,0 +1,113 @@
+//! What control costs a node, at 3, 6 and 9 nodes, idle and under load.
+
+use crate::experiment::send;
+use crate::fleet::{self, Fleet};
+use crate::mix::{Calls, Class, Length, Options, Part};
+use crate::process::Usage;
+use crate::sheet::{Goal, Sheet};
+use crate::socket::{self, Traffic};
+use eyre::Result;
+use std::time::{Duration, Instant};
+
+/// How long each state is measured.
+const MEASURED: Duration = Duration::from_secs(8);
+
+/// Time for the ownership of targets to settle.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// The letter's budget for control: share of a core, memory, bytes a second.
+const CORE_PERCENT: f64 = 2.1;
+const MEMORY_MB: f64 = 32.0;
+const BYTES_PER_SECOND: f64 = 5_000.0;
+
+/// Targets a node, so that only the number of nodes changes.
+const ENGINES_PER_NODE: usize = 2;
+
+/// Requests a second a node, as the letter has them.
+const RATE_PER_NODE: f64 = 34.0;
+
+#[derive(Clone, Debug)]
+struct Reading {
+    at: Instant,
+    usage: Vec<Usage>,
+    traffic: Vec<Traffic>,
+    calls: f64,
+}
+
+/// Measures all sizes.
+pub(crate) async fn measure(sheet: &mut Sheet) -> Result<()> {
+    for nodes in [3, 6, 9] {
+        let engines = nodes * ENGINES_PER_NODE;
+        let options = fleet::Options { nodes, engines, ..fleet::Options::default() };
+        let fleet = Fleet::open(options).await?;
+        tokio::time::sleep(SETTLE).await;
+        let before = read(&fleet).await?;
+        tokio::time::sleep(MEASURED).await;
+        let after = read(&fleet).await?;
+        add_cost(sheet, &format!("{nodes} nodes idle"), &before, &after, true);
+        let options = plan(sheet.seed, nodes as f64);
+        let before = read(&fleet).await?;
+        let samples = send(&fleet, &options).await;
+        let after = read(&fleet).await?;
+        let label = format!("{nodes} nodes under load");
+        add_cost(sheet, &label, &before, &after, false);
+        let whole = samples.iter().filter(|s| s.outcome.end == crate::outcome::End::Whole).count();
+        sheet.add(format!("{label}: whole of sent"), whole as f64 / samples.len() as f64, "");
+    }
+    sheet.note("2 engines and 34 completions of 1k prompts a second for each node, 1 order");
+    sheet.note("bytes: sent and received on sockets still open at the end, by what they lead to");
+    Ok(())
+}
+
+fn plan(seed: u64, nodes: f64) -> Options {
+    let parts = vec![Part::of(Length::Short, Class::Interactive, RATE_PER_NODE * nodes)];
+    let order = Calls {
+        service: "orders".into(),
+        path: "/place".into(),
+        rate: nodes,
+        once: true,
+        deadline: Duration::from_secs(5),
+    };
+    Options { parts, calls: vec![order], ..Options::empty(seed, MEASURED) }
+}
+
+async fn read(fleet: &Fleet) -> Result<Reading> {
+    let usage: Vec<_> =
+        fleet.nodes.iter().map(|node| node.process.usage()).collect::<Result<_>>()?;
+    let traffic = socket::read_traffic(fleet)?;
+    let mut calls = 0.0;
+    for node in 0..fleet.nodes.len() {
+        calls += fleet.read_metric(node, "hickory_platform_calls_total").await?;
+    }
+    Ok(Reading { at: Instant::now(), usage, traffic, calls })
+}
+
+/// Adds means over the nodes, and the greatest where it matters.
+fn add_cost(sheet: &mut Sheet, label: &str, before: &Reading, after: &Reading, idle: bool) {
+    let seconds = (after.at - before.at).as_secs_f64();
+    let nodes = after.usage.len() as f64;
+    let used = after.usage.iter().zip(&before.usage);
+    let cpu: f64 = used.map(|(after, before)| after.cpu_seconds - before.cpu_seconds).sum();
+    let percent = cpu / seconds / nodes * 100.0;
+    let resident = after.usage.iter().map(|usage| usage.resident).max().unwrap_or(0) as f64 / 1e6;
+    let rate = |pick: fn(&Traffic) -> u64| {
+        let pairs = after.traffic.iter().zip(&before.traffic);
+        let bytes: u64 = pairs.map(|(a, b)| pick(a).saturating_sub(pick(b))).sum();
+        bytes as f64 / seconds / nodes
+    };
+    let name = |what: &str| format!("{label}: {what}");
+    let (peers, platform) = (rate(|t| t.peers), rate(|t| t.platform));
+    sheet.add(name("bytes with peers a node"), peers, "B/s");
+    sheet.add(name("bytes with the platform a node"), platform, "B/s");
+    sheet.add(name("bytes with targets a node"), rate(|t| t.targets), "B/s");
+    let calls = (after.calls - before.calls) / seconds;
+    sheet.add(name("calls to the platform, all nodes"), calls, "1/s");
+    if idle {
+        let control = peers + platform + rate(|t| t.targets);
+        sheet.judge(name("control bytes"), control, "B/s", Goal::AtMost(BYTES_PER_SECOND));
+        sheet.judge(name("processor"), percent, "% of a core", Goal::AtMost(CORE_PERCENT));
+    } else {
+        sheet.add(name("processor, with the answers"), percent, "% of a core");
+    }
+    sheet.judge(name("resident memory, greatest"), resident, "MB", Goal::AtMost(MEMORY_MB));
+}
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -1,22 +1,67 @@
-//! The experiments by name.
+//! The experiments by name, and what they share.
 
+use crate::fleet::{Fleet, Options, Policy};
+use crate::mix;
+use crate::outcome::{End, Kind, Sample};
+use crate::report::Report;
 use crate::sheet::Sheet;
-use crate::stream_server;
+use crate::spread::Spread;
+use crate::{
+    configuration, control_cost, first_token, overload, process, relay, share, short_beside_long,
+    stream_server, zone_change,
+};
 use derive_more::Display;
-use eyre::Result;
+use eyre::{Result, bail};
 use std::time::Duration;
 
+/// How long an experiment may take: all its processes are ended then.
+const TIMEOUT: Duration = Duration::from_secs(240);
+
 /// An experiment.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Name {
     /// A stream of 100 tokens over 2 s through oxhttp's and hyper's servers.
     #[display("stream-server")]
     StreamServer,
+    /// Short requests alone and beside a burst of long ones.
+    #[display("short-beside-long")]
+    ShortBesideLong,
+    /// Time to first token by prompt length in a mixed load.
+    #[display("first-token")]
+    FirstToken,
+    /// A zone leaves and returns under load.
+    #[display("zone")]
+    Zone,
+    /// What each partner gets under saturation.
+    #[display("shares")]
+    Shares,
+    /// Goodput at twice the capacity.
+    #[display("overload")]
+    Overload,
+    /// What the layer adds to the first token, and tokens relayed by a core.
+    #[display("relay")]
+    Relay,
+    /// Control traffic, processor time and memory at 3, 6 and 9 nodes.
+    #[display("control-cost")]
+    ControlCost,
+    /// Time until a note is in force on nine nodes.
+    #[display("config")]
+    Configuration,
 }
 
 impl Name {
     /// All experiments.
-    pub const ALL: &[Self] = &[Self::StreamServer];
+    pub const ALL: &[Self] = &[
+        Self::StreamServer,
+        Self::ShortBesideLong,
+        Self::FirstToken,
+        Self::Zone,
+        Self::Shares,
+        Self::Overload,
+        Self::Relay,
+        Self::ControlCost,
+        Self::Configuration,
+    ];
 
     /// The experiment with the given name.
     pub fn parse(text: &str) -> Option<Self> {
@@ -24,11 +69,32 @@
     }
 }
 
-/// Runs an experiment.
+/// Runs an experiment; ends every process it started, whatever happens.
 pub fn run_experiment(name: Name, seed: u64) -> Result<Sheet> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let measured = runtime.block_on(async {
+        tokio::select! {
+            measured = tokio::time::timeout(TIMEOUT, measure(name, seed)) => measured,
+            _ = tokio::signal::ctrl_c() => bail!("interrupted"),
+        }
+        .unwrap_or_else(|_| bail!("not done within {} s", TIMEOUT.as_secs()))
+    });
+    process::end_all();
+    measured
+}
+
+async fn measure(name: Name, seed: u64) -> Result<Sheet> {
     let mut sheet = Sheet::open(&name.to_string(), seed);
     match name {
         Name::StreamServer => measure_stream_server(&mut sheet)?,
+        Name::ShortBesideLong => short_beside_long::measure(&mut sheet).await?,
+        Name::FirstToken => first_token::measure(&mut sheet).await?,
+        Name::Zone => zone_change::measure(&mut sheet).await?,
+        Name::Shares => share::measure(&mut sheet).await?,
+        Name::Overload => overload::measure(&mut sheet).await?,
+        Name::Relay => relay::measure(&mut sheet).await?,
+        Name::ControlCost => control_cost::measure(&mut sheet).await?,
+        Name::Configuration => configuration::measure(&mut sheet).await?,
     }
     Ok(sheet.close())
 }
@@ -47,3 +113,59 @@
     sheet.note("100 tokens, one each 20 ms; no seed is used");
     Ok(())
 }
+
+/// The policies that experiments compare: the product's first.
+pub(crate) const POLICIES: [Policy; 3] = [Policy::Fair, Policy::Fifo, Policy::LeastLoaded];
+
+/// Opens a fleet with a policy; `None`, and a note, where the node can't be
+/// started with it.
+pub(crate) async fn open_fleet(
+    sheet: &mut Sheet,
+    options: Options,
+    policy: Policy,
+) -> Result<Option<Fleet>> {
+    match Fleet::open(Options { policy, ..options }).await {
+        Ok(fleet) => Ok(Some(fleet)),
+        Err(error) if policy == Policy::Fair => Err(error),
+        Err(error) => {
+            sheet.note(format!("baseline {policy} not measured: {error:#}"));
+            Ok(None)
+        }
+    }
+}
+
+/// Sends a workload through a fleet's nodes.
+pub(crate) async fn send(fleet: &Fleet, options: &mix::Options) -> Vec<Sample> {
+    crate::run::drive(options.clone(), fleet.entries(), fleet.credentials.clone()).await
+}
+
+/// First tokens of the samples of one kind that were due within a time.
+pub(crate) fn spread_first_tokens(
+    samples: &[Sample],
+    kind: Kind,
+    due: std::ops::Range<Duration>,
+) -> Spread {
+    let chosen = samples.iter().filter(|s| s.kind == kind && due.contains(&s.at));
+    chosen.filter_map(|sample| sample.outcome.first_token).collect()
+}
+
+/// Adds what did not end whole, so that no figure hides a lost request.
+pub(crate) fn add_ends(sheet: &mut Sheet, label: &str, options: &mix::Options, samples: &[Sample]) {
+    let report = Report::of(options, &[], samples);
+    sheet.add(format!("{label}: requests"), report.sent as f64, "");
+    for (end, count) in &report.ends {
+        sheet.add(format!("{label}: {end}"), *count as f64, "");
+    }
+    for (reason, count) in &report.refusals {
+        let (not_run, unknown) = (count.not_run, count.unknown);
+        sheet.note(format!("{label}: refused {reason}: {not_run} not run, {unknown} unknown"));
+    }
+    for (cause, count) in &report.failures {
+        sheet.note(format!("{label}: {cause}: {count}"));
+    }
+}
+
+/// Whether a request neither got its answer nor a refusal.
+pub(crate) fn is_lost(sample: &Sample) -> bool {
+    !matches!(sample.outcome.end, End::Whole | End::Refused(_) | End::HungUp)
+}
--- /dev/null
+++ b/crates/load/src/first_token.rs
@@ -0,0 +1,64 @@
+//! Time to first token by prompt length in a mixed load.
+
+use crate::experiment::{POLICIES, add_ends, open_fleet, send, spread_first_tokens};
+use crate::fleet;
+use crate::mix::{Arrival, Class, Length, Options, Part};
+use crate::outcome::Kind;
+use crate::sheet::Sheet;
+use eyre::Result;
+use hickory_model::engine::Options as Engine;
+use std::time::Duration;
+
+/// How long requests are sent.
+const DURATION: Duration = Duration::from_secs(20);
+
+/// Engines run this much faster than the model's clock, so that a million
+/// tokens pass within the run.
+const SPEED: f64 = 4.0;
+
+const QUANTILES: [(&str, f64); 3] = [("p50", 0.50), ("p95", 0.95), ("p99", 0.99)];
+
+/// Measures all policies.
+pub(crate) async fn measure(sheet: &mut Sheet) -> Result<()> {
+    let mut fair = Vec::new();
+    for policy in POLICIES {
+        let engine = Engine { speed: SPEED, ..Engine::default() };
+        let options = fleet::Options { engine, ..fleet::Options::default() };
+        let Some(fleet) = open_fleet(sheet, options, policy).await? else { continue };
+        let options = plan(sheet.seed);
+        let samples = send(&fleet, &options).await;
+        drop(fleet);
+        for length in Length::ALL {
+            let kind = Kind::Completion(*length);
+            let spread = spread_first_tokens(&samples, kind, Duration::ZERO..DURATION);
+            for (quantile, at) in QUANTILES {
+                let name = format!("first token {length} {quantile}");
+                let value = spread.quantile_ms(at);
+                sheet.add(format!("{policy}: {name}"), value, "ms");
+                let base = fair.iter().find(|(known, _)| *known == name).map(|(_, value)| *value);
+                match base {
+                    Some(base) => sheet.add(format!("{name}, {policy} / fair"), value / base, "x"),
+                    None => fair.push((name, value)),
+                }
+            }
+        }
+        add_ends(sheet, &policy.to_string(), &options, &samples);
+    }
+    sheet.note(format!("6 engines, each at {SPEED} times 40k prompt tokens a second"));
+    Ok(())
+}
+
+/// About half of what six engines prefill, and two prompts of a million.
+fn plan(seed: u64) -> Options {
+    let part = Part::of;
+    let mut huge = part(Length::Huge, Class::Batch, 0.0);
+    huge.arrival = Arrival::Once(2);
+    huge.from = Duration::from_secs(2);
+    let parts = vec![
+        part(Length::Short, Class::Interactive, 60.0),
+        part(Length::Middle, Class::Interactive, 8.0),
+        part(Length::Long, Class::Batch, 2.0),
+        huge,
+    ];
+    Options { parts, ..Options::empty(seed, DURATION) }
+}
--- /dev/null
+++ b/crates/load/src/fleet.rs
@@ -0,0 +1,353 @@
+//! A small fleet for an experiment: node processes over stand-ins.
+//!
+//! The nodes are real processes on loopback with ports of their own choice.
+//! The platform and the targets are stand-ins on threads of this process, so
+//! that an experiment can look into them without a lag.
+
+use crate::http::{self, Http};
+use crate::process::Process;
+use crate::run::Credential;
+use bytes::Bytes;
+use eyre::{Context, Result, bail, ensure};
+use hickory_model::engine::Options as Engine;
+use hickory_release::configuration::{
+    Account, Configuration, Model, Partner, Service, Weight, Zone, digest_token,
+};
+use hickory_release::note::{Entries, Note};
+use hickory_standin::fleet::Fleet as Standins;
+use hickory_standin::{engine, fleet as standins, service};
+use hickory_target::engine::Weights;
+use hickory_unit::{id, size};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// The model that every fleet serves.
+pub const MODEL: &str = "oak";
+
+/// The operator's token.
+const OPERATOR: &str = "operator-of-the-experiment";
+
+/// The key by which the nodes know each other.
+const FLEET_KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+/// How long a fleet may take until it serves.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Between two looks at whether a condition holds.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// The policy that nodes follow.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum Policy {
+    /// Fair shares, headroom, ramps: the product.
+    #[display("fair")]
+    Fair,
+    /// First in, first out, targets in turn: a baseline.
+    #[display("fifo")]
+    Fifo,
+    /// The target with the least load by its lagging report: a baseline.
+    #[display("least_loaded")]
+    LeastLoaded,
+}
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Nodes, spread over the zones in turn; at most 9.
+    pub nodes: usize,
+    /// Engines, spread over the zones in turn.
+    pub engines: usize,
+    /// How each engine behaves.
+    pub engine: Engine,
+    /// Replicas of the plain service `orders`.
+    pub replicas: usize,
+    /// The partners with their shares and their number of accounts.
+    pub partners: Vec<(&'static str, f64, usize)>,
+    /// The policy.
+    pub policy: Policy,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            nodes: 3,
+            engines: 6,
+            engine: Engine::default(),
+            replicas: 3,
+            partners: vec![("mawe", 0.6, 5), ("caucao", 0.4, 5)],
+            policy: Policy::Fair,
+        }
+    }
+}
+
+/// A node process.
+#[derive(Debug)]
+pub struct Node {
+    /// The process.
+    pub process: Process,
+    /// Where it listens.
+    pub address: Address,
+}
+
+/// Where a node listens, as it prints when it is ready.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Address {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators and metrics.
+    pub admin: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+}
+
+/// A running fleet; ended when dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The nodes; ended before the stand-ins.
+    pub nodes: Vec<Node>,
+    /// The platform and the targets.
+    pub standins: Standins,
+    /// The accounts, those of the first partner first.
+    pub credentials: Vec<Credential>,
+    http: Http,
+    folder: PathBuf,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until each node has the first note and every
+    /// target takes work.
+    pub async fn open(options: Options) -> Result<Self> {
+        ensure!(options.nodes <= 9, "an experiment starts at most nine nodes");
+        let standins = open_standins(&options)?;
+        let folder = open_folder()?;
+        let http = Http::open();
+        let credentials = name_credentials(&options);
+        let mut fleet = Self { nodes: Vec::new(), standins, credentials, http, folder };
+        for index in 0..options.nodes {
+            let node = fleet.start_node(index, options.policy)?;
+            fleet.nodes.push(node);
+        }
+        let note = write_first_note(&options, &fleet.credentials);
+        fleet.accept_first(&note).await?;
+        fleet.wait_ready(options.engines + options.replicas).await?;
+        Ok(fleet)
+    }
+
+    /// The addresses of the nodes for callers.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|node| node.address.callers).collect()
+    }
+
+    /// The address of one node for operators.
+    pub fn admin(&self) -> SocketAddr {
+        self.nodes[0].address.admin
+    }
+
+    /// Sends a note that changes entries of the present configuration, and
+    /// returns its version.
+    pub async fn change(&self, changed: Entries) -> Result<id::Release> {
+        let present = self.read_json::<Configuration>(0, "/v1/admin/configuration").await?;
+        let note = Note { against: present.version, changed, ..Note::default() };
+        self.accept(&note).await
+    }
+
+    /// Takes a zone out of service, or back in.
+    pub async fn set_zone(&self, zone: &str, out: bool) -> Result<id::Release> {
+        let zones = [(zone.into(), Zone { out })].into();
+        self.change(Entries { zones, ..Entries::default() }).await
+    }
+
+    /// Reads a document of a node's administration API.
+    pub async fn read_json<T: for<'a> Deserialize<'a>>(
+        &self,
+        node: usize,
+        path: &str,
+    ) -> Result<T> {
+        let body = self.ask_admin(node, "GET", path, Bytes::new()).await?;
+        Ok(serde_json::from_slice(&body)?)
+    }
+
+    /// The sum of a node's counters whose name and labels begin with `prefix`.
+    pub async fn read_metric(&self, node: usize, prefix: &str) -> Result<f64> {
+        let body = self.ask_admin(node, "GET", "/metrics", Bytes::new()).await?;
+        let text = String::from_utf8_lossy(&body);
+        let lines = text.lines().filter(|line| line.starts_with(prefix));
+        Ok(lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum())
+    }
+
+    /// The version in force on a node.
+    pub async fn version(&self, node: usize) -> Result<id::Release> {
+        #[derive(Deserialize)]
+        struct Health {
+            version: id::Release,
+        }
+        let at = self.nodes[node].address.admin;
+        let (_, body) = self.http.get_text(at, "/health").await?;
+        Ok(serde_json::from_slice::<Health>(&body)?.version)
+    }
+
+    /// Accepts a note through the first node.
+    pub async fn accept(&self, note: &Note) -> Result<id::Release> {
+        #[derive(Deserialize)]
+        struct Accepted {
+            version: id::Release,
+        }
+        let note = Bytes::from(serde_json::to_vec(note)?);
+        let body = self.ask_admin(0, "POST", "/v1/admin/releases", note).await?;
+        Ok(serde_json::from_slice::<Accepted>(&body)?.version)
+    }
+
+    async fn ask_admin(&self, node: usize, method: &str, path: &str, body: Bytes) -> Result<Bytes> {
+        let at = self.nodes[node].address.admin;
+        let headers = [
+            ("authorization", format!("Bearer {OPERATOR}")),
+            ("content-type", "application/json".to_owned()),
+        ];
+        let response = self.http.send(at, method, path, &headers, body).await?;
+        let status = response.status();
+        let body = http::read_body(response.into_body()).await?;
+        ensure!(status == 200, "{method} {path}: {status} {}", String::from_utf8_lossy(&body));
+        Ok(body)
+    }
+
+    fn start_node(&self, index: usize, policy: Policy) -> Result<Node> {
+        let settings = self.folder.join(format!("node-{index}.json"));
+        std::fs::write(&settings, write_settings(&self.standins, index, policy))?;
+        let errors = self.folder.join(format!("node-{index}.log"));
+        let path = settings.to_string_lossy();
+        let binary = crate::process::find_binary("hickory-node")?;
+        let started = Process::spawn(&binary, &[&path, "--log", "warn"], &errors);
+        let (process, line) = started.with_context(|| read_tail(&errors))?;
+        let address = serde_json::from_str(&line).with_context(|| format!("node says {line:?}"))?;
+        Ok(Node { process, address })
+    }
+
+    /// The key-value service may not be reached yet when nodes start.
+    async fn accept_first(&self, note: &Note) -> Result<()> {
+        let start = Instant::now();
+        loop {
+            match self.accept(note).await {
+                Ok(_) => return Ok(()),
+                Err(error) if start.elapsed() > READY_TIMEOUT => return Err(error),
+                Err(_) => tokio::time::sleep(LOOK_INTERVAL * 10).await,
+            }
+        }
+    }
+
+    async fn wait_ready(&self, targets: usize) -> Result<()> {
+        #[derive(Deserialize)]
+        struct Target {
+            accepting: bool,
+        }
+        let start = Instant::now();
+        for node in 0..self.nodes.len() {
+            loop {
+                let seen = self.read_json::<Vec<Target>>(node, "/v1/admin/targets").await;
+                let accepting = seen.iter().flatten().filter(|target| target.accepting).count();
+                let version = self.version(node).await;
+                if accepting == targets && version.is_ok_and(|v| v > id::Release(0)) {
+                    break;
+                }
+                if start.elapsed() > READY_TIMEOUT {
+                    bail!("node {node} sees {accepting} of {targets} targets take work");
+                }
+                tokio::time::sleep(LOOK_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.nodes.clear();
+        std::fs::remove_dir_all(&self.folder).ok();
+    }
+}
+
+fn open_folder() -> Result<PathBuf> {
+    let name = format!("hickory-load-{}", uuid::Uuid::now_v7());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir(&folder)?;
+    Ok(folder)
+}
+
+fn read_tail(log: &Path) -> String {
+    let text = std::fs::read_to_string(log).unwrap_or_default();
+    text.lines().rev().take(3).collect::<Vec<_>>().join("\n")
+}
+
+fn open_standins(options: &Options) -> Result<Standins> {
+    let weights = Weights { model: MODEL.into(), version: "1".into(), adapter: None };
+    Ok(Standins::spawn(standins::Options {
+        engines: options.engines,
+        engine: engine::Options { model: options.engine.clone(), loaded: vec![weights] },
+        replicas: options.replicas,
+        replica: service::Options::default(),
+        ..standins::Options::default()
+    })?)
+}
+
+fn name_credentials(options: &Options) -> Vec<Credential> {
+    let partners = options.partners.iter();
+    partners
+        .flat_map(|(partner, _, accounts)| (0..*accounts).map(move |i| format!("{partner}-{i}")))
+        .map(|name| Credential { token: format!("token-of-{name}"), account: name.as_str().into() })
+        .collect()
+}
+
+fn write_settings(standins: &Standins, index: usize, policy: Policy) -> String {
+    let zone = ["a", "b", "c"][index % 3];
+    let platform = standins.platform();
+    let operator = digest_token(OPERATOR);
+    let policy = match policy {
+        Policy::Fair => String::new(),
+        baseline => format!(r#", "policy": "{baseline}""#),
+    };
+    format!(
+        r#"{{ "node": "node-{index}", "zone": "{zone}", "callers": "127.0.0.1:0",
+  "admin": "127.0.0.1:0", "peers": "127.0.0.1:0",
+  "platform": {{ "store": "{}", "hosts": "{}", "weights": "{}" }},
+  "fleet_key": "{FLEET_KEY}", "first_operator": "{operator}"{policy} }}"#,
+        platform.store, platform.hosts, platform.weights
+    )
+}
+
+fn write_first_note(options: &Options, credentials: &[Credential]) -> Note {
+    let weight = Weight { bytes: size::Bytes(16_000_000_000) };
+    let model = Model {
+        current: "1".into(),
+        versions: [(id::Version::from("1"), weight)].into(),
+        adapters: [].into(),
+    };
+    let orders = Service { once: ["/place".to_owned()].into() };
+    let partner_of = |name: &str| {
+        let prefix = |partner: &str| name.starts_with(&format!("{partner}-"));
+        options.partners.iter().map(|(partner, ..)| *partner).find(|p| prefix(p)).unwrap_or("")
+    };
+    let accounts = credentials.iter().map(|credential| {
+        let account = Account {
+            partner: partner_of(credential.account.as_str()).into(),
+            token_digest: digest_token(&credential.token),
+            weight: 1.0,
+            models: [MODEL.into()].into(),
+            services: ["orders".into()].into(),
+        };
+        (credential.account.clone(), account)
+    });
+    let partners = options.partners.iter();
+    let added = Entries {
+        partners: partners
+            .map(|(name, share, _)| ((*name).into(), Partner { share: *share }))
+            .collect(),
+        accounts: accounts.collect(),
+        models: [(MODEL.into(), model)].into(),
+        zones: ["a", "b", "c"].map(|zone| (zone.into(), Zone { out: false })).into(),
+        services: [("orders".into(), orders)].into(),
+        operators: [digest_token(OPERATOR)].into(),
+        ..Entries::default()
+    };
+    Note { added, ..Note::default() }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,21 +1,33 @@
 //! Seeded callers and the experiments that measure a fleet.
 //!
-//! [`mix::plan_requests`] makes the workload, [`run::run`] sends it in an open
-//! loop and [`report::Report`] sums up what the callers saw.
+//! [`mix::plan_requests`] makes the workload, [`run::run()`] sends it in an
+//! open loop and [`report::Report`] sums up what the callers saw.
+//! [`experiment`] starts small fleets of processes and measures them.
 
 pub mod call;
 pub mod caller;
+mod configuration;
 pub mod content;
+mod control_cost;
 pub mod entry;
 pub mod experiment;
+mod first_token;
+pub mod fleet;
 pub mod http;
 pub mod mix;
 pub mod outcome;
+mod overload;
+pub mod process;
+mod relay;
 pub mod report;
 pub mod run;
+mod share;
 pub mod sheet;
+mod short_beside_long;
+pub mod socket;
 pub mod spread;
 pub mod sse;
-pub(crate) mod stream;
+mod stream;
 pub mod stream_server;
 pub mod wire;
+mod zone_change;
--- a/crates/load/src/mix.rs
+++ b/crates/load/src/mix.rs
@@ -69,6 +69,9 @@
     /// In bursts of this many at once, the bursts independently of each
     /// other, at the same mean rate.
     Bursts(u32),
+    /// This many at once when the part begins, and none after; the rate plays
+    /// no role.
+    Once(u32),
 }
 
 /// A part of the workload: one kind of completion with its own arrivals.
@@ -80,12 +83,17 @@
     pub class: Class,
     /// Mean requests a second.
     pub rate: f64,
+    /// How they arrive.
+    pub arrival: Arrival,
     /// Tokens to generate.
     pub max_tokens: u64,
     /// Time that each request may take.
     pub deadline: Duration,
     /// When the part begins, from the start of the run.
     pub from: Duration,
+    /// The accounts that send it, the first and the one after the last, drawn
+    /// by the skew; `None` for all.
+    pub accounts: Option<(usize, usize)>,
 }
 
 impl Part {
@@ -98,7 +106,8 @@
             Class::Batch => (64, 120),
         };
         let deadline = Duration::from_secs(seconds);
-        Self { length, class, rate, max_tokens, deadline, from: Duration::ZERO }
+        let (arrival, from) = (Arrival::Poisson, Duration::ZERO);
+        Self { length, class, rate, arrival, max_tokens, deadline, from, accounts: None }
     }
 }
 
@@ -124,8 +133,6 @@
     pub seed: u64,
     /// How long requests are sent.
     pub duration: Duration,
-    /// How they arrive.
-    pub arrival: Arrival,
     /// The model asked for.
     pub model: String,
     /// The completions.
@@ -162,7 +169,6 @@
         Self {
             seed,
             duration,
-            arrival: Arrival::Poisson,
             model: "oak".into(),
             parts: Vec::new(),
             calls: Vec::new(),
@@ -213,14 +219,15 @@
     let mut plan = Vec::new();
     for (index, part) in options.parts.iter().enumerate() {
         let mut random = seed_stream(options.seed, index as u64);
-        for at in plan_arrivals(options, part.rate, part.from, &mut random) {
+        for at in plan_arrivals(options, part.arrival, part.rate, part.from, &mut random) {
             let work = draw_completion(options, *part, &mut random);
             plan.push(draw_request(options, at, work, &weights, &mut random));
         }
     }
     for (index, calls) in options.calls.iter().enumerate() {
         let mut random = seed_stream(options.seed, 1_000 + index as u64);
-        for at in plan_arrivals(options, calls.rate, Duration::ZERO, &mut random) {
+        for at in plan_arrivals(options, Arrival::Poisson, calls.rate, Duration::ZERO, &mut random)
+        {
             plan.push(draw_request(options, at, Work::Call(index), &weights, &mut random));
         }
     }
@@ -239,7 +246,11 @@
     weights: &[f64],
     random: &mut StdRng,
 ) -> Request {
-    let account = draw_index(weights, random);
+    let (first, end) = match work {
+        Work::Completion { part, .. } => part.accounts.unwrap_or((0, weights.len())),
+        Work::Call(_) => (0, weights.len()),
+    };
+    let account = first + draw_index(&weights[first..end], random);
     Request { at, account, caller: random.random_range(0..options.callers.max(1)), work }
 }
 
@@ -251,13 +262,15 @@
 
 fn plan_arrivals(
     options: &Options,
+    arrival: Arrival,
     rate: f64,
     from: Duration,
     random: &mut StdRng,
 ) -> Vec<Duration> {
-    let size = match options.arrival {
+    let size = match arrival {
         Arrival::Poisson => 1,
         Arrival::Bursts(size) => size.max(1),
+        Arrival::Once(count) => return vec![from; count as usize],
     };
     if rate <= 0.0 {
         return Vec::new();
--- /dev/null
+++ b/crates/load/src/overload.rs
@@ -0,0 +1,86 @@
+//! Goodput at twice the capacity.
+
+use crate::experiment::{POLICIES, add_ends, open_fleet, send};
+use crate::fleet::{self, Policy};
+use crate::mix::{Arrival, Class, Length, Options, Part};
+use crate::outcome::{End, Sample};
+use crate::sheet::{Goal, Sheet};
+use crate::spread::Spread;
+use eyre::Result;
+use std::time::Duration;
+
+/// How long requests are sent.
+const DURATION: Duration = Duration::from_secs(16);
+
+/// Before this, queues fill and nothing is counted.
+const COUNTED_FROM: Duration = Duration::from_secs(4);
+
+/// Requests that measure the capacity, all at once.
+const CAPACITY_BURST: u32 = 240;
+
+/// Time that each request may take.
+const DEADLINE: Duration = Duration::from_secs(4);
+
+/// Measures all policies.
+pub(crate) async fn measure(sheet: &mut Sheet) -> Result<()> {
+    let capacity = measure_capacity(sheet).await?;
+    sheet.add("capacity", capacity, "requests/s");
+    for policy in POLICIES {
+        let options = fleet::Options::default();
+        let Some(fleet) = open_fleet(sheet, options, policy).await? else { continue };
+        let options = plan(sheet.seed, 2.0 * capacity);
+        let samples = send(&fleet, &options).await;
+        drop(fleet);
+        judge(sheet, policy, &samples, capacity);
+        add_ends(sheet, &policy.to_string(), &options, &samples);
+    }
+    sheet.note("prompts of 10k tokens, answers of 16; capacity: a burst with a long deadline");
+    sheet.note("goodput: whole answers that ended in time, by when they ended");
+    Ok(())
+}
+
+fn judge(sheet: &mut Sheet, policy: Policy, samples: &[Sample], capacity: f64) {
+    let ended = |s: &&Sample| (COUNTED_FROM..DURATION).contains(&(s.at + s.outcome.time));
+    let whole = samples.iter().filter(ended).filter(|s| s.outcome.end == End::Whole).count();
+    let goodput = whole as f64 / (DURATION - COUNTED_FROM).as_secs_f64();
+    let refused = samples.iter().filter(|s| matches!(s.outcome.end, End::Refused(_)));
+    let refusal: Spread = refused.map(|sample| sample.outcome.time).collect();
+    let name = |what: &str| format!("{policy}: {what}");
+    sheet.add(name("goodput"), goodput, "requests/s");
+    let ratio = goodput / capacity;
+    match policy {
+        Policy::Fair => sheet.judge(name("goodput / capacity"), ratio, "x", Goal::AtLeast(0.95)),
+        _ => sheet.add(name("goodput / capacity"), ratio, "x"),
+    }
+    sheet.add(name("refused after p50"), refusal.quantile_ms(0.50), "ms");
+    sheet.add(name("refused after p95"), refusal.quantile_ms(0.95), "ms");
+    sheet.add(name("refused after max"), refusal.max_ms(), "ms");
+}
+
+async fn measure_capacity(sheet: &mut Sheet) -> Result<f64> {
+    let fleet = fleet::Fleet::open(fleet::Options::default()).await?;
+    let mut part = request();
+    part.arrival = Arrival::Once(CAPACITY_BURST);
+    part.deadline = Duration::from_secs(60);
+    let parts = vec![part];
+    let options = Options { parts, ..Options::empty(sheet.seed, Duration::from_secs(1)) };
+    let samples = send(&fleet, &options).await;
+    let whole: Vec<_> = samples.iter().filter(|s| s.outcome.end == End::Whole).collect();
+    let last = whole.iter().map(|s| s.outcome.time).max().unwrap_or(Duration::MAX);
+    if whole.len() < samples.len() {
+        add_ends(sheet, "capacity", &options, &samples);
+    }
+    Ok(whole.len() as f64 / last.as_secs_f64())
+}
+
+fn request() -> Part {
+    let mut part = Part::of(Length::Middle, Class::Interactive, 0.0);
+    part.max_tokens = 16;
+    part.deadline = DEADLINE;
+    part
+}
+
+fn plan(seed: u64, rate: f64) -> Options {
+    let parts = vec![Part { rate, ..request() }];
+    Options { parts, resends: 0, ..Options::empty(seed, DURATION) }
+}
--- /dev/null
+++ b/crates/load/src/relay.rs
@@ -0,0 +1,123 @@
+//! What the layer costs: time added to the first token, and tokens that one
+//! core relays.
+
+use crate::caller::{Caller, Completion};
+use crate::experiment::send;
+use crate::fleet::{self, Fleet};
+use crate::mix::{self, Class, Length, Options, Part};
+use crate::outcome::{End, Sample};
+use crate::sheet::{Goal, Sheet};
+use crate::spread::Spread;
+use eyre::{Context, ContextCompat, Result, ensure};
+use futures::StreamExt;
+use hickory_model::engine::Options as Engine;
+use hickory_target::engine::{Engines, Event, Generate, Priority, Weights};
+use hickory_target::http::Targets;
+use hickory_unit::clock::{Clock, System};
+use hickory_unit::{id, size};
+use std::time::{Duration, Instant};
+use uuid::Uuid;
+
+/// Pairs of requests, one straight to an engine and one through a node.
+const PAIRS: u64 = 300;
+
+/// Tokens of each answer in the pairs.
+const PAIR_TOKENS: u64 = 4;
+
+/// How long streams are relayed to find what a core can do.
+const RELAY_FOR: Duration = Duration::from_secs(10);
+
+/// Tokens of each relayed answer.
+const RELAY_TOKENS: u64 = 400;
+
+/// Measures both.
+pub(crate) async fn measure(sheet: &mut Sheet) -> Result<()> {
+    measure_added(sheet).await?;
+    measure_core(sheet).await
+}
+
+/// Both kinds alternate, so that what else runs on the machine meets both.
+async fn measure_added(sheet: &mut Sheet) -> Result<()> {
+    let options = fleet::Options { nodes: 3, engines: 3, ..fleet::Options::default() };
+    let fleet = Fleet::open(options).await?;
+    let caller = Caller::open(fleet.entries(), 0);
+    let targets = Targets::open(Duration::from_secs(5));
+    let (mut direct, mut through) = (Spread::default(), Spread::default());
+    for pair in 0..PAIRS {
+        let prompt = mix::write_prompt(2 * pair, Length::Short.tokens());
+        direct.record(time_direct(&fleet, &targets, pair, prompt).await?);
+        let prompt = mix::write_prompt(2 * pair + 1, Length::Short.tokens());
+        let token = &fleet.credentials[0].token;
+        let ask =
+            Completion::of_prompt(token, fleet::MODEL, &prompt, PAIR_TOKENS, Class::Interactive);
+        let outcome = caller.complete(&ask, Instant::now()).await;
+        ensure!(outcome.end == End::Whole, "through a node: {:?}", outcome.end);
+        through.record(outcome.first_token.context("no first token")?);
+    }
+    for (quantile, at) in [("p50", 0.50), ("p95", 0.95), ("p99", 0.99)] {
+        let (direct, through) = (direct.quantile_ms(at), through.quantile_ms(at));
+        sheet.add(format!("first token direct {quantile}"), direct, "ms");
+        sheet.add(format!("first token through a node {quantile}"), through, "ms");
+        let added = through - direct;
+        match quantile {
+            "p95" => sheet.judge("first token added p95", added, "ms", Goal::AtMost(3.0)),
+            _ => sheet.add(format!("first token added {quantile}"), added, "ms"),
+        }
+    }
+    sheet.note(format!("{PAIRS} alternating pairs of 1k prompts, one at a time, 3 nodes"));
+    Ok(())
+}
+
+async fn time_direct(
+    fleet: &Fleet,
+    targets: &Targets,
+    pair: u64,
+    prompt: String,
+) -> Result<Duration> {
+    let engine = &fleet.standins.engines[pair as usize % fleet.standins.engines.len()];
+    let deadline_ms = System.wall_ms() + 10_000;
+    let request = id::Request(Uuid::now_v7());
+    let generate = Generate {
+        stream: id::Stream { request, attempt: 0, sender: "direct".into(), deadline_ms },
+        weights: Weights { model: fleet::MODEL.into(), version: "1".into(), adapter: None },
+        prompt,
+        max_tokens: size::Tokens(PAIR_TOKENS),
+        priority: Priority(200),
+        import: None,
+        prefill_only: None,
+        from: 0,
+    };
+    let start = Instant::now();
+    let mut tokens = targets.generate(engine.address(), &generate).await?;
+    let first = tokens.next().await.context("an empty answer")??;
+    let time = start.elapsed();
+    ensure!(matches!(first, Event::Token { .. }), "direct: {first:?}");
+    while let Some(event) = tokens.next().await {
+        event.context("direct")?;
+    }
+    Ok(time)
+}
+
+/// One node relays many streams; its processor time is divided by the tokens.
+async fn measure_core(sheet: &mut Sheet) -> Result<()> {
+    let engine = Engine { speed: 4.0, ..Engine::default() };
+    let options = fleet::Options { nodes: 1, engines: 8, engine, ..fleet::Options::default() };
+    let fleet = Fleet::open(options).await?;
+    let mut part = Part::of(Length::Short, Class::Interactive, 120.0);
+    part.max_tokens = RELAY_TOKENS;
+    let options =
+        Options { parts: vec![part], resends: 0, ..Options::empty(sheet.seed, RELAY_FOR) };
+    let (start, before) = (Instant::now(), fleet.nodes[0].process.usage()?);
+    let samples = send(&fleet, &options).await;
+    let cpu = fleet.nodes[0].process.usage()?.cpu_seconds - before.cpu_seconds;
+    let seconds = start.elapsed().as_secs_f64();
+    let tokens: u64 = samples.iter().map(|sample| sample.outcome.tokens).sum();
+    sheet.add("tokens relayed", tokens as f64 / seconds, "tokens/s");
+    sheet.add("processor time of the node", cpu / seconds, "cores");
+    sheet.add("tokens relayed for one core", tokens as f64 / cpu, "tokens/s");
+    let whole = samples.iter().filter(|s: &&Sample| s.outcome.end == End::Whole).count();
+    sheet.add("streams whole", whole as f64, "");
+    sheet.add("streams sent", samples.len() as f64, "");
+    sheet.note("tokens for one core: by processor time; the node was not saturated");
+    Ok(())
+}
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -201,12 +201,11 @@
             }
         }
         if let Some(calls) = self.kinds.get("call") {
-            let (p50, p95) =
-                (calls.whole_answer.quantile_ms(0.5), calls.whole_answer.quantile_ms(0.95));
+            let times = write_quantiles(&calls.whole_answer, &[0.50, 0.95]);
             writeln!(f)?;
             writeln!(
                 f,
-                "calls: {} sent, {} whole, answer ms p50 {p50:.1}, p95 {p95:.1}",
+                "calls: {} sent, {} whole, answer ms p50/p95 {times}",
                 calls.sent, calls.whole
             )?;
         }
@@ -223,13 +222,20 @@
 }
 
 fn write_kind(f: &mut fmt::Formatter<'_>, name: &str, kind: &Kinds) -> fmt::Result {
-    let first = |quantile| kind.first_token.quantile_ms(quantile);
-    let between = |quantile| kind.between_tokens.quantile_ms(quantile);
-    let first = format!("{:.1} / {:.1} / {:.1}", first(0.50), first(0.95), first(0.99));
-    let between = format!("{:.1} / {:.1}", between(0.50), between(0.95));
+    let first = write_quantiles(&kind.first_token, &[0.50, 0.95, 0.99]);
+    let between = write_quantiles(&kind.between_tokens, &[0.50, 0.95]);
     writeln!(f, "{name:<6} {:>6} {:>6}  {first:>30}  {between:>19}", kind.sent, kind.whole)
 }
 
+/// The quantiles in milliseconds; dashes where nothing was measured.
+fn write_quantiles(spread: &Spread, quantiles: &[f64]) -> String {
+    let show = |quantile: &f64| match spread.count() {
+        0 => "-".to_owned(),
+        _ => format!("{:.1}", spread.quantile_ms(*quantile)),
+    };
+    quantiles.iter().map(show).collect::<Vec<_>>().join(" / ")
+}
+
 fn write_counts(f: &mut fmt::Formatter<'_>, report: &Report) -> fmt::Result {
     writeln!(f)?;
     let ends: Vec<_> = report.ends.iter().map(|(end, count)| format!("{end} {count}")).collect();
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -51,22 +51,23 @@
     entries: Vec<SocketAddr>,
     tokens: Vec<Credential>,
 ) -> std::io::Result<Vec<Sample>> {
-    let plan = mix::plan_requests(options, tokens.len());
-    let options = Arc::new(options.clone());
+    let options = options.clone();
     // A thread of its own: a runtime can't be entered from within another.
     let driver = std::thread::spawn(move || -> std::io::Result<Vec<Sample>> {
         let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-        Ok(runtime.block_on(send_plan(options, plan, entries, tokens)))
+        Ok(runtime.block_on(drive(options, entries, tokens)))
     });
     driver.join().unwrap_or_else(|panic| std::panic::resume_unwind(panic))
 }
 
-async fn send_plan(
-    options: Arc<Options>,
-    plan: Vec<Request>,
+/// As [`collect`], on the current executor.
+pub async fn drive(
+    options: Options,
     entries: Vec<SocketAddr>,
     tokens: Vec<Credential>,
 ) -> Vec<Sample> {
+    let plan = mix::plan_requests(&options, tokens.len());
+    let options = Arc::new(options);
     let tokens = Arc::new(tokens);
     let callers: Vec<_> = (0..options.callers.max(1) as usize)
         .map(|index| Arc::new(Caller::open(entries.clone(), index)))
--- /dev/null
+++ b/crates/load/src/share.rs
@@ -0,0 +1,110 @@
+//! What each partner gets of a saturated fleet.
+
+use crate::experiment::{POLICIES, add_ends, open_fleet, send};
+use crate::fleet::{self, Fleet, Policy};
+use crate::mix::{Class, Length, Options, Part};
+use crate::outcome::{Kind, Sample};
+use crate::sheet::{Goal, Sheet};
+use eyre::Result;
+use hickory_release::configuration::Partner;
+use hickory_release::note::Entries;
+use std::time::Duration;
+
+/// Shares at first; each partner has [`ACCOUNTS`] accounts and asks for as
+/// much as the whole fleet can do.
+const FIRST: [(&str, f64, usize); 2] = [("mawe", 0.7, ACCOUNTS), ("caucao", 0.3, ACCOUNTS)];
+
+const ACCOUNTS: usize = 3;
+
+/// When a note turns the shares round.
+const TURN_AT: Duration = Duration::from_secs(16);
+
+/// How long requests are sent.
+const DURATION: Duration = Duration::from_secs(30);
+
+/// What is measured with the first shares: after the queues have filled.
+const BEFORE: (f64, f64) = (5.0, 15.0);
+
+/// What is measured with the turned shares.
+const AFTER: (f64, f64) = (19.0, 29.0);
+
+/// Measures all policies.
+pub(crate) async fn measure(sheet: &mut Sheet) -> Result<()> {
+    for policy in POLICIES {
+        let options = fleet::Options { partners: FIRST.to_vec(), ..fleet::Options::default() };
+        let Some(fleet) = open_fleet(sheet, options, policy).await? else { continue };
+        let options = plan(sheet.seed);
+        let (samples, turned) = tokio::join!(send(&fleet, &options), turn_shares(&fleet));
+        turned?;
+        drop(fleet);
+        judge(sheet, policy, "first shares", &samples, BEFORE, 0.7);
+        judge(sheet, policy, "turned shares", &samples, AFTER, 0.3);
+        add_ends(sheet, &policy.to_string(), &options, &samples);
+    }
+    sheet.note("service: prompt and answer tokens of answers, spread from first token to end");
+    Ok(())
+}
+
+fn judge(
+    sheet: &mut Sheet,
+    policy: Policy,
+    phase: &str,
+    samples: &[Sample],
+    window: (f64, f64),
+    share: f64,
+) {
+    let mawe = measure_service(samples, window, 0..ACCOUNTS);
+    let caucao = measure_service(samples, window, ACCOUNTS..2 * ACCOUNTS);
+    let got = mawe / (mawe + caucao);
+    let seconds = window.1 - window.0;
+    sheet.add(format!("{policy}: {phase}: service"), (mawe + caucao) / seconds, "tokens/s");
+    sheet.add(format!("{policy}: {phase}: mawe got"), got * 100.0, "%");
+    let name = format!("{policy}: {phase}: share error");
+    let error = (got - share).abs() * 100.0;
+    match policy {
+        Policy::Fair => sheet.judge(name, error, "%", Goal::AtMost(2.0)),
+        _ => sheet.add(name, error, "%"),
+    }
+}
+
+/// Tokens served within the window: the prompt when the first token comes,
+/// the answer spread evenly up to its end.
+fn measure_service(
+    samples: &[Sample],
+    (from, to): (f64, f64),
+    accounts: std::ops::Range<usize>,
+) -> f64 {
+    let served = samples.iter().filter(|sample| accounts.contains(&sample.account));
+    served
+        .map(|sample| {
+            let Kind::Completion(length) = sample.kind else { return 0.0 };
+            let Some(first) = sample.outcome.first_token else { return 0.0 };
+            let first = (sample.at + first).as_secs_f64();
+            let end = (sample.at + sample.outcome.time).as_secs_f64();
+            let within = (end.min(to) - first.max(from)).max(0.0) / (end - first).max(1e-9);
+            let prompt = if (from..to).contains(&first) { length.tokens().0 as f64 } else { 0.0 };
+            prompt + sample.outcome.tokens as f64 * within
+        })
+        .sum()
+}
+
+/// Each partner asks for 10k prompts at the rate of the whole fleet.
+fn plan(seed: u64) -> Options {
+    let part = |first: usize| {
+        let mut part = Part::of(Length::Middle, Class::Interactive, 24.0);
+        part.accounts = Some((first, first + ACCOUNTS));
+        part.max_tokens = 16;
+        part.deadline = Duration::from_secs(4);
+        part
+    };
+    let parts = vec![part(0), part(ACCOUNTS)];
+    Options { parts, skew: 0.0, resends: 0, ..Options::empty(seed, DURATION) }
+}
+
+async fn turn_shares(fleet: &Fleet) -> Result<()> {
+    tokio::time::sleep(TURN_AT).await;
+    let partners =
+        FIRST.iter().map(|(name, share, _)| ((*name).into(), Partner { share: 1.0 - share }));
+    fleet.change(Entries { partners: partners.collect(), ..Entries::default() }).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/load/src/short_beside_long.rs
@@ -0,0 +1,95 @@
+//! Short requests alone, then beside a burst of long ones.
+//!
+//! The long burst is more than the fleet can prefill while it is measured, so
+//! what the short requests gain is taken from the long ones, and shows in the
+//! time the last long answer takes.
+
+use crate::experiment::{POLICIES, add_ends, open_fleet, send, spread_first_tokens};
+use crate::fleet::{self, Policy};
+use crate::mix::{Arrival, Class, Length, Options, Part};
+use crate::outcome::{End, Kind, Sample};
+use crate::sheet::{Goal, Sheet};
+use eyre::Result;
+use std::time::Duration;
+
+/// When the long requests are sent.
+const BURST_AT: Duration = Duration::from_secs(8);
+
+/// How many: 32 of 100k tokens take six engines 13 s at 40k tokens a second.
+const BURST: u32 = 32;
+
+/// How long short requests are sent.
+const DURATION: Duration = Duration::from_secs(20);
+
+/// Short requests a second: an eighth of what six engines prefill.
+const SHORT_RATE: f64 = 30.0;
+
+#[derive(Clone, Copy)]
+struct Measured {
+    slowdown: f64,
+    beside: f64,
+    long_rate: f64,
+}
+
+/// Measures all policies.
+pub(crate) async fn measure(sheet: &mut Sheet) -> Result<()> {
+    let mut fair = None;
+    for policy in POLICIES {
+        let Some(measured) = measure_policy(sheet, policy).await? else { continue };
+        match fair {
+            None => fair = Some(measured),
+            Some(fair) => compare(sheet, policy, fair, measured),
+        }
+    }
+    sheet.note("long throughput: prompt tokens of whole 100k answers by the time to the last");
+    Ok(())
+}
+
+fn compare(sheet: &mut Sheet, policy: Policy, fair: Measured, base: Measured) {
+    let name = |what: &str| format!("{what}, {policy} / fair");
+    sheet.add(name("slowdown p95"), base.slowdown / fair.slowdown, "x");
+    sheet.add(name("first token 1k beside long p95"), base.beside / fair.beside, "x");
+    let kept = fair.long_rate / base.long_rate;
+    sheet.judge(format!("long throughput, fair / {policy}"), kept, "x", Goal::AtLeast(0.9));
+}
+
+async fn measure_policy(sheet: &mut Sheet, policy: Policy) -> Result<Option<Measured>> {
+    let Some(fleet) = open_fleet(sheet, fleet::Options::default(), policy).await? else {
+        return Ok(None);
+    };
+    let options = plan(sheet.seed);
+    let samples = send(&fleet, &options).await;
+    drop(fleet);
+    let short = Kind::Completion(Length::Short);
+    let alone = spread_first_tokens(&samples, short, Duration::ZERO..BURST_AT);
+    let beside = spread_first_tokens(&samples, short, BURST_AT..DURATION);
+    let slowdown = beside.quantile_ms(0.95) / alone.quantile_ms(0.95);
+    let long_rate = measure_long(&samples);
+    let name = |what: &str| format!("{policy}: {what}");
+    sheet.add(name("first token 1k alone p50"), alone.quantile_ms(0.50), "ms");
+    sheet.add(name("first token 1k alone p95"), alone.quantile_ms(0.95), "ms");
+    sheet.add(name("first token 1k beside long p50"), beside.quantile_ms(0.50), "ms");
+    sheet.add(name("first token 1k beside long p95"), beside.quantile_ms(0.95), "ms");
+    match policy {
+        Policy::Fair => sheet.judge(name("slowdown p95"), slowdown, "x", Goal::AtMost(1.2)),
+        _ => sheet.add(name("slowdown p95"), slowdown, "x"),
+    }
+    sheet.add(name("long throughput"), long_rate, "tokens/s");
+    add_ends(sheet, &policy.to_string(), &options, &samples);
+    Ok(Some(Measured { slowdown, beside: beside.quantile_ms(0.95), long_rate }))
+}
+
+fn plan(seed: u64) -> Options {
+    let mut long = Part::of(Length::Long, Class::Batch, 0.0);
+    long.arrival = Arrival::Once(BURST);
+    long.from = BURST_AT;
+    let parts = vec![Part::of(Length::Short, Class::Interactive, SHORT_RATE), long];
+    Options { parts, skew: 0.0, ..Options::empty(seed, DURATION) }
+}
+
+fn measure_long(samples: &[Sample]) -> f64 {
+    let long = samples.iter().filter(|s| s.kind == Kind::Completion(Length::Long));
+    let whole: Vec<_> = long.filter(|s| s.outcome.end == End::Whole).collect();
+    let last = whole.iter().map(|s| s.outcome.time).max().unwrap_or(Duration::MAX);
+    whole.len() as f64 * Length::Long.tokens().0 as f64 / last.as_secs_f64()
+}
--- /dev/null
+++ b/crates/load/src/zone_change.rs
@@ -0,0 +1,125 @@
+//! A zone leaves and returns under load.
+
+use crate::experiment::{add_ends, is_lost, open_fleet, send, spread_first_tokens};
+use crate::fleet::{self, Fleet, Policy};
+use crate::mix::{Calls, Class, Length, Options, Part};
+use crate::outcome::{End, Kind};
+use crate::sheet::{Goal, Sheet};
+use eyre::Result;
+use hickory_target::engine::Engines;
+use hickory_target::http::Targets;
+use hickory_unit::id;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// When the zone is taken out.
+const OUT_AT: Duration = Duration::from_secs(7);
+
+/// When it is taken back in.
+const BACK_AT: Duration = Duration::from_secs(14);
+
+/// How long requests are sent.
+const DURATION: Duration = Duration::from_secs(21);
+
+/// The zone.
+const ZONE: &str = "a";
+
+/// Between two looks at the engines of the zone.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Measures the product's policy; the baselines differ in placement only.
+pub(crate) async fn measure(sheet: &mut Sheet) -> Result<()> {
+    let options = fleet::Options { engines: 9, ..fleet::Options::default() };
+    let Some(fleet) = open_fleet(sheet, options, Policy::Fair).await? else { return Ok(()) };
+    let options = plan(sheet.seed);
+    let (samples, changed) = tokio::join!(send(&fleet, &options), change_zone(&fleet));
+    let changed = changed?;
+    let short = Kind::Completion(Length::Short);
+    let before = spread_first_tokens(&samples, short, Duration::ZERO..OUT_AT);
+    let out = spread_first_tokens(&samples, short, OUT_AT..BACK_AT);
+    let back = spread_first_tokens(&samples, short, BACK_AT..DURATION);
+    sheet.add("first token 1k before p50", before.quantile_ms(0.50), "ms");
+    sheet.add("first token 1k before p95", before.quantile_ms(0.95), "ms");
+    sheet.add("first token 1k while out p95", out.quantile_ms(0.95), "ms");
+    sheet.add("first token 1k after return p95", back.quantile_ms(0.95), "ms");
+    let ratio =
+        |spread: &crate::spread::Spread| spread.quantile_ms(0.95) / before.quantile_ms(0.95);
+    sheet.judge("p95 while out / before", ratio(&out), "x", Goal::AtMost(1.5));
+    sheet.judge("p95 after return / before", ratio(&back), "x", Goal::AtMost(1.5));
+    let lost = samples.iter().filter(|sample| is_lost(sample)).count();
+    let refused = samples.iter().filter(|s| matches!(s.outcome.end, End::Refused(_))).count();
+    sheet.judge("requests lost", lost as f64, "", Goal::AtMost(0.0));
+    sheet.judge("requests refused", refused as f64, "", Goal::AtMost(0.0));
+    let last = changed.last_new.as_secs_f64();
+    sheet.judge("last new work in the zone after the note", last, "s", Goal::AtMost(3.0));
+    sheet.add("streams begun in the zone after the note", changed.begun as f64, "");
+    sheet.add("first new work in the zone after its return", changed.first_back, "s");
+    add_ends(sheet, "all", &options, &samples);
+    sheet.note("9 engines in 3 zones at a third of their rate; orders run beside");
+    Ok(())
+}
+
+fn plan(seed: u64) -> Options {
+    let parts = vec![
+        Part::of(Length::Short, Class::Interactive, 60.0),
+        Part::of(Length::Middle, Class::Interactive, 6.0),
+    ];
+    let order = Calls {
+        service: "orders".into(),
+        path: "/place".into(),
+        rate: 5.0,
+        once: true,
+        deadline: Duration::from_secs(10),
+    };
+    Options { parts, calls: vec![order], ..Options::empty(seed, DURATION) }
+}
+
+struct Changed {
+    last_new: Duration,
+    begun: usize,
+    first_back: f64,
+}
+
+async fn change_zone(fleet: &Fleet) -> Result<Changed> {
+    let start = Instant::now();
+    let engines = list_engines(fleet);
+    let targets = Targets::open(Duration::from_secs(1));
+    tokio::time::sleep_until((start + OUT_AT).into()).await;
+    let accepted = Instant::now();
+    fleet.set_zone(ZONE, true).await?;
+    let mut seen = HashSet::new();
+    look(&targets, &engines, &mut seen).await;
+    let mut changed = Changed { last_new: Duration::ZERO, begun: 0, first_back: f64::NAN };
+    while start.elapsed() < BACK_AT {
+        let new = look(&targets, &engines, &mut seen).await;
+        if new > 0 {
+            changed.begun += new;
+            changed.last_new = accepted.elapsed();
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+    let returned = Instant::now();
+    fleet.set_zone(ZONE, false).await?;
+    while start.elapsed() < DURATION && changed.first_back.is_nan() {
+        if look(&targets, &engines, &mut seen).await > 0 {
+            changed.first_back = returned.elapsed().as_secs_f64();
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+    Ok(changed)
+}
+
+fn list_engines(fleet: &Fleet) -> Vec<SocketAddr> {
+    let engines = fleet.standins.engines.iter().map(|engine| engine.address());
+    // Targets are spread over three zones in turn: every third is in the first.
+    engines.step_by(3).collect()
+}
+
+/// Counts the streams on the engines that were not seen before.
+async fn look(targets: &Targets, engines: &[SocketAddr], seen: &mut HashSet<id::Stream>) -> usize {
+    let reports = engines.iter().map(|engine| targets.report(*engine));
+    let reports = futures::future::join_all(reports).await;
+    let streams = reports.into_iter().flatten().flat_map(|report| report.streams);
+    streams.filter(|held| seen.insert(held.stream.clone())).count()
+}
--- a/crates/load/tests/mix.rs
+++ b/crates/load/tests/mix.rs
@@ -11,6 +11,12 @@
     Options::mixed(seed, Duration::from_secs(60), 50.0)
 }
 
+fn with_arrival(arrival: Arrival) -> Options {
+    let mut options = options(1);
+    options.parts.iter_mut().for_each(|part| part.arrival = arrival);
+    options
+}
+
 #[test]
 fn the_same_seed_gives_the_same_requests() {
     let plan = mix::plan_requests(&options(7), ACCOUNTS);
@@ -37,7 +43,7 @@
 #[test]
 fn arrivals_keep_the_rate_and_the_order() {
     for arrival in [Arrival::Poisson, Arrival::Bursts(10)] {
-        let plan = mix::plan_requests(&Options { arrival, ..options(1) }, ACCOUNTS);
+        let plan = mix::plan_requests(&with_arrival(arrival), ACCOUNTS);
         assert!((2_500..3_500).contains(&plan.len()), "{arrival:?}: {}", plan.len());
         assert!(plan.is_sorted_by_key(|request| request.at));
         assert!(plan.iter().all(|request| request.at < Duration::from_secs(60)));
@@ -46,8 +52,7 @@
 
 #[test]
 fn bursts_come_together() {
-    let plan =
-        mix::plan_requests(&Options { arrival: Arrival::Bursts(10), ..options(1) }, ACCOUNTS);
+    let plan = mix::plan_requests(&with_arrival(Arrival::Bursts(10)), ACCOUNTS);
     let mut together = BTreeMap::<Duration, usize>::new();
     plan.iter().for_each(|request| *together.entry(request.at).or_default() += 1);
     assert!(together.values().all(|count| count % 10 == 0));
@@ -73,3 +78,16 @@
     let [one, two] = [1, 2].map(|salt| mix::write_prompt(salt, size::Tokens(1_000)));
     assert_ne!(one[..64], two[..64]);
 }
+
+#[test]
+fn a_part_keeps_to_its_accounts_and_its_beginning() {
+    let from = Duration::from_secs(5);
+    let mut part = Part::of(Length::Long, Class::Batch, 0.0);
+    part.arrival = Arrival::Once(40);
+    part.accounts = Some((3, 5));
+    part.from = from;
+    let options = Options { parts: vec![part], ..Options::empty(1, Duration::from_secs(9)) };
+    let plan = mix::plan_requests(&options, ACCOUNTS);
+    assert_eq!(plan.len(), 40);
+    assert!(plan.iter().all(|request| request.at == from && (3..5).contains(&request.account)));
+}
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -21,12 +21,8 @@
 fn burst(size: u32) -> Options {
     let mut part = Part::of(Length::Short, Class::Interactive, f64::from(size));
     part.max_tokens = 2;
-    Options {
-        parts: vec![part],
-        arrival: Arrival::Bursts(size),
-        resends: 0,
-        ..Options::empty(11, Duration::from_secs(2))
-    }
+    part.arrival = Arrival::Bursts(size);
+    Options { parts: vec![part], resends: 0, ..Options::empty(11, Duration::from_secs(2)) }
 }
 
 /// Answers completions one after the other, as the prompt in the body demands.
--- /dev/null
+++ b/crates/load/tests/socket.rs
@@ -0,0 +1,33 @@
+//! Reading the kernel's byte counts of connections.
+
+use hickory_load::socket::{Connection, parse_connections};
+
+/// Two connections of `ss -tinpH`: one that has sent nothing yet prints no
+/// count of sent bytes, one of another user's process names no process.
+const PRINTED: &str = "\
+ESTAB 0      284    127.0.0.1:40267 127.0.0.1:55506 users:((\"hickory-node\",pid=28755,fd=25))
+\t bbr wscale:10,10 rto:212 bytes_sent:383620 bytes_acked:383336 bytes_received:326688 segs_out:1330
+ESTAB 0      0      127.0.0.1:56340 127.0.0.1:43121 users:((\"hickory-node\",pid=28760,fd=24))
+\t bbr wscale:10,10 rto:208 bytes_acked:1 segs_out:2
+ESTAB 0      0      127.0.0.1:1 127.0.0.1:2
+";
+
+#[test]
+fn bytes_are_summed_by_connection_and_process() {
+    let at = |text: &str| text.parse().expect("address");
+    let expected = [
+        Connection {
+            pid: 28_755,
+            local: at("127.0.0.1:40267"),
+            remote: at("127.0.0.1:55506"),
+            bytes: 383_620 + 326_688,
+        },
+        Connection {
+            pid: 28_760,
+            local: at("127.0.0.1:56340"),
+            remote: at("127.0.0.1:43121"),
+            bytes: 0,
+        },
+    ];
+    assert_eq!(parse_connections(PRINTED), expected);
+}
