Listeners may take a free port

Settings with port 0 were findings since the checks came in, while the node documents that port 0 takes a free one and prints it; the proofs between processes rely on it. It is a warning for the three listeners and stays a finding for the platform's services, which nobody could connect to.

--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -283,7 +283,11 @@
     let weights = Weights { model: MODEL.into(), version: "1".into(), adapter: None };
     Ok(Standins::spawn(standins::Options {
         engines: options.engines,
-        engine: engine::Options { model: options.engine.clone(), loaded: vec![weights] },
+        engine: engine::Options {
+            model: options.engine.clone(),
+            loaded: vec![weights],
+            ..engine::Options::default()
+        },
         replicas: options.replicas,
         replica: service::Options::default(),
         ..standins::Options::default()
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -115,6 +115,8 @@
             check_contradictions(&node.times, &mut later, &mut warnings);
         }
     }
+    // What stands in for a field that can't be read is no choice of anybody's.
+    warnings.retain(|warning| !reading.is_known(&warning.field));
     reading.extend(later);
     reading.places.locate(&mut warnings);
     match reading.into_result() {
@@ -130,10 +132,15 @@
         ("platform.hosts", node.platform.hosts),
         ("platform.weights", node.platform.weights),
     ];
+    // A listener may take any free port, which the node prints when it is
+    // ready; a service of the platform can't be found at port 0.
+    for (field, _) in listeners.iter().filter(|(_, address)| address.port() == 0) {
+        warnings.push(Finding::at(*field, "port 0: another port is taken at each start"));
+    }
+    for (field, _) in services.iter().filter(|(_, address)| address.port() == 0) {
+        findings.push(Finding::at(*field, "the port must not be 0"));
+    }
     for (field, address) in listeners.iter().chain(&services) {
-        if address.port() == 0 {
-            findings.push(Finding::at(*field, "the port must not be 0"));
-        }
         // Callers and other nodes are told these addresses.
         if address.ip().is_unspecified() && *field != "admin" {
             findings.push(Finding::at(*field, "must be an address that others can connect to"));
