Command line before nodes that fail, fall silent and race

Processes of hickory against several fake nodes over one fake platform: lost answers before and after the write, a node that is dead, mute or silent after the write, a platform that is down, operators who race.

--- a/apps/hickory/src/client.rs
+++ b/apps/hickory/src/client.rs
@@ -129,6 +129,7 @@
 fn describe_silence(error: io::Error) -> Silence {
     match error.kind() {
         ErrorKind::ConnectionRefused
+        | ErrorKind::InvalidInput
         | ErrorKind::HostUnreachable
         | ErrorKind::NetworkUnreachable => Silence::NotSent(error.to_string()),
         ErrorKind::WouldBlock | ErrorKind::TimedOut => Silence::Lost("timeout".to_owned()),
--- /dev/null
+++ b/apps/hickory/tests/fleet.rs
@@ -0,0 +1,268 @@
+//! Commands before nodes that answer, fail, fall silent and race.
+
+#[path = "../../../crates/admin/tests/fake/mod.rs"]
+mod fake;
+mod run;
+
+use fake::{Fake, Fault, Platform, TOKEN};
+use hickory_admin::{Handle, Server};
+use run::run;
+use socket2::{Domain, Socket, Type};
+use std::fmt::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+const FIRST: &str = include_str!("../../../crates/admin/tests/data/first.jsonc");
+
+const ACCEPT: &[&str] = &["release", "accept", "note.jsonc"];
+
+/// Another operator's note that leaves all zones alone.
+const OTHER_SHARE: &str =
+    r#"{ "against": 1, "changed": { "partners": { "caucao": { "share": 5 } } } }"#;
+/// Another operator's note that takes the same zone out.
+const SAME_ZONE: &str =
+    r#"{ "against": 1, "changed": { "zones": { "nairobi-a": { "out": true } } } }"#;
+/// Another operator's note that withdraws it.
+const NO_ZONE: &str = r#"{ "against": 1, "withdrawn": { "zones": ["nairobi-a"] } }"#;
+
+/// A node that the command line is told of.
+#[derive(Clone)]
+enum Node {
+    /// Answers, with these faults at its next accepts.
+    Up(Vec<Fault>),
+    /// Nothing listens there.
+    Dead,
+    /// Takes connections and never answers.
+    Mute,
+}
+
+/// The time that a node has to answer where none falls silent: out of reach.
+const LONG: &str = "60000";
+/// The same where one does; the others answer within it many times over.
+const SHORT: &str = "2000";
+
+struct Scenario {
+    name: &'static str,
+    nodes: Vec<Node>,
+    timeout: &'static str,
+    args: &'static [&'static str],
+}
+
+fn one(name: &'static str, args: &'static [&'static str]) -> Scenario {
+    many(name, vec![up([])], args)
+}
+
+fn many(name: &'static str, nodes: Vec<Node>, args: &'static [&'static str]) -> Scenario {
+    Scenario { name, nodes, timeout: LONG, args }
+}
+
+fn silent(name: &'static str, nodes: Vec<Node>, args: &'static [&'static str]) -> Scenario {
+    Scenario { name, nodes, timeout: SHORT, args }
+}
+
+fn up(faults: impl IntoIterator<Item = Fault>) -> Node {
+    Node::Up(faults.into_iter().collect())
+}
+
+/// What keeps a node's address as it is for the time of a scenario.
+enum Guard {
+    Up(Arc<Fake>, Handle<Fake>),
+    Dead(Socket),
+    Mute(TcpListener),
+}
+
+impl Guard {
+    fn open(platform: &Arc<Platform>, node: Node) -> Self {
+        match node {
+            Node::Up(faults) => {
+                let fake = Fake::open(platform, faults);
+                let address = "127.0.0.1:0".parse().unwrap();
+                let handle = Server::spawn(address, Arc::clone(&fake)).unwrap();
+                Self::Up(fake, handle)
+            }
+            Node::Dead => Self::Dead(bind_without_listening()),
+            Node::Mute => Self::Mute(TcpListener::bind("127.0.0.1:0").unwrap()),
+        }
+    }
+
+    fn address(&self) -> String {
+        match self {
+            Self::Up(_, handle) => handle.address().to_string(),
+            Self::Dead(socket) => socket.local_addr().unwrap().as_socket().unwrap().to_string(),
+            Self::Mute(listener) => listener.local_addr().unwrap().to_string(),
+        }
+    }
+
+    fn accepts(&self) -> usize {
+        match self {
+            Self::Up(fake, _) => fake.accepts(),
+            _ => 0,
+        }
+    }
+}
+
+/// An address that refuses connections for as long as the socket is held.
+fn bind_without_listening() -> Socket {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let address: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    socket.bind(&address.into()).unwrap();
+    socket
+}
+
+/// Runs one scenario on a platform of its own, and writes down what the
+/// operator sees, how many notes each node got, and what is in force.
+fn play(scenario: Scenario, report: &mut String) {
+    let platform = Platform::open(FIRST);
+    let guards: Vec<Guard> =
+        scenario.nodes.into_iter().map(|node| Guard::open(&platform, node)).collect();
+    let addresses: Vec<String> = guards.iter().map(Guard::address).collect();
+    let mut args = Vec::from(scenario.args);
+    args.extend(["--timeout-ms", scenario.timeout]);
+    addresses.iter().for_each(|address| args.extend(["--node", address]));
+    let mut output = run(&args, &[("HICKORY_TOKEN", TOKEN)]);
+    output.command = scenario.args.join(" ");
+    let mut text = output.to_string();
+    for (index, address) in addresses.iter().enumerate() {
+        text = text.replace(address, &format!("NODE-{}", index + 1));
+    }
+    let accepts: Vec<usize> = guards.iter().map(Guard::accepts).collect();
+    let configuration = platform.configuration();
+    let operations = configuration.operations.iter().map(|o| hide_random(o)).collect::<Vec<_>>();
+    writeln!(report, "## {}\n{}", scenario.name, hide_random(&text)).unwrap();
+    writeln!(report, "notes {accepts:?}, version {}: {operations:?}\n", configuration.version)
+        .unwrap();
+    for guard in &guards {
+        if let Guard::Up(fake, _) = guard {
+            fake.release();
+        }
+    }
+}
+
+/// Operation ids that were drawn are UUIDs; their five groups are hidden.
+fn hide_random(text: &str) -> String {
+    let is_random = |word: &str| word.len() == 36 && word.matches('-').count() == 4;
+    let hide = |word: &str| if is_random(word) { "RANDOM".to_owned() } else { word.to_owned() };
+    text.split('\n')
+        .map(|line| line.split(' ').map(hide).collect::<Vec<_>>().join(" "))
+        .collect::<Vec<_>>()
+        .join("\n")
+}
+
+fn play_all(scenarios: impl IntoIterator<Item = Scenario>) -> String {
+    let mut report = String::new();
+    scenarios.into_iter().for_each(|scenario| play(scenario, &mut report));
+    report
+}
+
+#[test]
+fn what_is_shown() {
+    let report = play_all([
+        one("nodes", &["nodes"]),
+        one("nodes as JSON", &["--json", "nodes"]),
+        one("targets", &["targets"]),
+        one("owners", &["owners"]),
+        one("owners as JSON", &["--json", "owners"]),
+        one("configuration", &["release", "show"]),
+        one("drain", &["drain"]),
+        many("the first node is dead", vec![Node::Dead, up([])], &["owners"]),
+        many("all nodes are dead", vec![Node::Dead, Node::Dead], &["owners"]),
+        many("the node to drain is dead", vec![Node::Dead], &["drain"]),
+    ]);
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn notes_are_accepted_compared_and_refused() {
+    let report = play_all([
+        one("accept", &["release", "accept", "note.jsonc"]),
+        one("accept as JSON", &["--json", "release", "accept", "note.jsonc"]),
+        one("diff", &["release", "diff", "note.jsonc"]),
+        one("diff as JSON", &["--json", "release", "diff", "note.jsonc"]),
+        one("diff of a stale note", &["release", "diff", "note_stale.jsonc"]),
+        one("diff of an invalid note", &["release", "diff", "note_reference.jsonc"]),
+        one("stale", &["release", "accept", "note_stale.jsonc"]),
+        one("stale as JSON", &["--json", "release", "accept", "note_stale.jsonc"]),
+        one("wrong by itself", &["release", "accept", "note_shape.jsonc"]),
+        one("wrong against the configuration", &["release", "accept", "note_reference.jsonc"]),
+        one("find", &["release", "find", "op-first"]),
+        one("find in vain", &["release", "find", "op-never"]),
+    ]);
+    insta::assert_snapshot!(report);
+}
+
+// The operator sees that a note is accepted, once, whichever answer is lost.
+// Sent again without reading back, the note would meet its own version and be
+// told of as a conflict, or, under a new id, be accepted twice.
+#[test]
+fn a_note_whose_answer_is_lost_is_accepted_once() {
+    let report = play_all([
+        many("the platform's answer is lost after the write", vec![up([Fault::LostAfter])], ACCEPT),
+        many("the write is lost", vec![up([Fault::LostBefore])], ACCEPT),
+        many("the write is lost, then the node", vec![up([Fault::LostBefore]), Node::Dead], ACCEPT),
+        many(
+            "lost on both nodes, written by the second",
+            vec![up([Fault::LostBefore]), up([Fault::LostAfter])],
+            ACCEPT,
+        ),
+        many("the platform is down at one node", vec![up([Fault::Unavailable]), up([])], ACCEPT),
+        many("the platform is down", vec![up([Fault::Unavailable, Fault::Unavailable])], ACCEPT),
+        many("all nodes are dead", vec![Node::Dead, Node::Dead], ACCEPT),
+        many(
+            "lost, and another note gets in",
+            vec![up([Fault::LostBefore]), up([Fault::Race(OTHER_SHARE)])],
+            ACCEPT,
+        ),
+        many(
+            "lost, and takes effect while it is sent again",
+            vec![up([Fault::LostBefore]), up([Fault::Overtaken])],
+            ACCEPT,
+        ),
+    ]);
+    insta::assert_snapshot!(report);
+}
+
+// Two operators race. One takes a zone out at short notice while another
+// changes something else: the zone's note must go through. Where the other
+// one changed this very zone, nobody's decision may be undone unseen.
+#[test]
+fn a_zone_is_tried_again_only_while_others_leave_it_alone() {
+    const OUT: &[&str] = &["zone", "out", "nairobi-a"];
+    let report = play_all([
+        one("out", OUT),
+        one("out as JSON", &["--json", "zone", "out", "nairobi-a"]),
+        one("back while it is in service", &["zone", "back", "nairobi-a"]),
+        one("unknown", &["zone", "out", "atlantis"]),
+        many("another note gets in", vec![up([Fault::Race(OTHER_SHARE)])], OUT),
+        many(
+            "two others get in",
+            vec![up([Fault::Race(OTHER_SHARE), Fault::Race(OTHER_SHARE)])],
+            OUT,
+        ),
+        many("others never cease", vec![up(vec![Fault::Race(OTHER_SHARE); 20])], OUT),
+        many("another one takes it out", vec![up([Fault::Race(SAME_ZONE)])], OUT),
+        many("another one withdraws it", vec![up([Fault::Race(NO_ZONE)])], OUT),
+        many("the answer is lost", vec![up([Fault::LostAfter])], OUT),
+        many("the platform is down", vec![up(vec![Fault::Unavailable; 2])], OUT),
+    ]);
+    insta::assert_snapshot!(report);
+}
+
+// A node takes the connection and never says anything: it is frozen, or
+// something between the two ends has lost track of the connection. The
+// operator waits for no longer than the timeout and is served by the next.
+#[test]
+fn a_node_that_never_answers_is_given_up_on() {
+    let report = play_all([
+        silent("the first of two is mute", vec![Node::Mute, up([])], &["owners"]),
+        silent("the note is written, and no answer comes", vec![up([Fault::Silent])], ACCEPT),
+        silent("the same, before two", vec![up([Fault::Silent]), up([])], ACCEPT),
+        silent("the first is mute", vec![Node::Mute, up([])], ACCEPT),
+    ]);
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn a_note_sent_to_a_node_that_never_answers_may_have_been_accepted() {
+    let report = play_all([silent("the only node is mute", vec![Node::Mute], ACCEPT)]);
+    insta::assert_snapshot!(report);
+}
--- /dev/null
+++ b/apps/hickory/tests/offline.rs
@@ -0,0 +1,70 @@
+//! Commands that need no fleet.
+
+mod run;
+
+use run::run;
+use std::fmt::Write;
+
+#[test]
+fn files_are_checked_with_every_finding() {
+    let mut report = String::new();
+    for args in [
+        &["check", "settings", "settings.jsonc"][..],
+        &["check", "settings", "settings_bad.jsonc"],
+        &["check", "settings", "settings_odd.jsonc"],
+        &["--json", "check", "settings", "settings_bad.jsonc"],
+        &["--json", "check", "settings", "settings_odd.jsonc"],
+        &["check", "settings", "nowhere.jsonc"],
+        &["check", "release", "note.jsonc"],
+        &["check", "release", "note_shape.jsonc"],
+        &["--json", "check", "release", "note_shape.jsonc"],
+    ] {
+        writeln!(report, "{}", run(args, &[])).unwrap();
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn wrong_usage_has_its_exit_code() {
+    let mut report = String::new();
+    let token = [("HICKORY_TOKEN", "operator-token")];
+    for (args, env) in [
+        (&["nodes"][..], &token[..]),
+        (&["--node", "127.0.0.1:1", "nodes"], &[]),
+        (&["--node", "127.0.0.1:1", "nodes"], &[("HICKORY_TOKEN", "two words")]),
+        (&["--node", "127.0.0.1:1", "--token-file", "nowhere", "nodes"], &[]),
+        (&["--node", "127.0.0.1:1", "--node", "127.0.0.1:2", "drain"], &token),
+        (&["--node", "localhost", "nodes"], &token),
+        (&["--timeout-ms", "0", "nodes"], &token),
+        (&["relase"], &[]),
+        (&[], &[]),
+    ] {
+        let output = run(args, env);
+        // The parser's texts are its own; only the exit code is ours.
+        let shown =
+            if output.code == Some(2) { output.command_and_code() } else { output.to_string() };
+        writeln!(report, "{shown}").unwrap();
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn help_tells_of_commands_and_exit_codes() {
+    let help = run(&["--help"], &[]).stdout;
+    insta::assert_snapshot!(help);
+}
+
+#[test]
+fn a_new_token_goes_with_its_digest() {
+    let new = run(&["token", "new"], &[]);
+    assert_eq!(new.code, Some(0));
+    let mut words = new.stdout.split_whitespace();
+    assert_eq!(words.next(), Some("token"));
+    let token = words.next().unwrap();
+    assert_eq!(words.next(), Some("digest"));
+    let digest = words.next().unwrap();
+    assert_eq!((token.len(), digest.len()), (64, 64));
+    let again = run(&["token", "digest"], &[("HICKORY_TOKEN", token)]);
+    assert_eq!(again.stdout.trim(), digest);
+    assert_ne!(run(&["token", "new"], &[]).stdout, new.stdout);
+}
--- /dev/null
+++ b/apps/hickory/tests/run/mod.rs
@@ -0,0 +1,52 @@
+//! Runs the command line as a process.
+
+use std::fmt;
+use std::path::Path;
+use std::process::{Command, Stdio};
+
+/// What a run left.
+#[derive(Debug)]
+pub struct Output {
+    pub command: String,
+    pub code: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl Output {
+    /// The command and its exit code alone.
+    pub fn command_and_code(&self) -> String {
+        format!("$ hickory {}\nexit {}\n", self.command, self.code.unwrap_or(-1))
+    }
+}
+
+impl fmt::Display for Output {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.command_and_code())?;
+        for (name, text) in [("stdout", &self.stdout), ("stderr", &self.stderr)] {
+            for line in text.lines() {
+                writeln!(f, "{name}| {line}")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Runs in the directory of the test data, with nothing of the environment
+/// but `env`.
+pub fn run(args: &[&str], env: &[(&str, &str)]) -> Output {
+    let output = Command::new(env!("CARGO_BIN_EXE_hickory"))
+        .args(args)
+        .env_clear()
+        .envs(env.iter().copied())
+        .current_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data"))
+        .stdin(Stdio::null())
+        .output()
+        .unwrap();
+    Output {
+        command: args.join(" "),
+        code: output.status.code(),
+        stdout: String::from_utf8(output.stdout).unwrap(),
+        stderr: String::from_utf8(output.stderr).unwrap(),
+    }
+}
--- a/crates/admin/tests/fake/mod.rs
+++ b/crates/admin/tests/fake/mod.rs
@@ -24,6 +24,9 @@
     LostBefore,
     /// The write takes effect, and the node never answers the operator.
     Silent,
+    /// The same note, lost earlier, takes effect just before; the node sees
+    /// only that its write meets another version.
+    Overtaken,
     /// Another operator's note gets in first.
     Race(&'static str),
 }
@@ -58,6 +61,13 @@
         self.configuration.lock().unwrap().clone()
     }
 
+    /// Accepts another operator's note, whatever the present version is.
+    pub fn race(&self, mut note: Note) -> Result<Accepted, Failure> {
+        note.against = self.configuration().version;
+        note.operation = format!("op-race-{}", note.against);
+        self.write(&note)
+    }
+
     /// Accepts a note.
     pub fn write(&self, note: &Note) -> Result<Accepted, Failure> {
         let mut present = self.configuration.lock().unwrap();
@@ -138,8 +148,12 @@
                 self.wait();
                 accepted
             }
+            Some(Fault::Overtaken) => {
+                let accepted = self.platform.write(note)?;
+                Err(Failure::Conflict(accepted.version))
+            }
             Some(Fault::Race(other)) => {
-                self.platform.write(&parse_note(other).unwrap())?;
+                self.platform.race(parse_note(other).unwrap())?;
                 self.platform.write(note)
             }
         }
--- a/crates/unit/src/finding.rs
+++ b/crates/unit/src/finding.rs
@@ -21,9 +21,14 @@
         Self { line: 0, field: field.into(), message: message.into() }
     }
 
-    /// The finding with its file, as compilers print theirs.
+    /// The finding with its file, as compilers print theirs; a line that is
+    /// not known is left out.
     pub fn in_file(&self, file: &impl std::fmt::Display) -> String {
-        format!("{file}:{}: {}: {}", self.line, self.field, self.message)
+        let Self { line, field, message } = self;
+        match line {
+            0 => format!("{file}: {field}: {message}"),
+            line => format!("{file}:{line}: {field}: {message}"),
+        }
     }
 }
 
