--- a/crates/release/src/check.rs
+++ b/crates/release/src/check.rs
@@ -223,7 +223,8 @@
     findings: &mut Vec<Finding>,
 ) {
     if next.operators.is_empty() && !present.operators.is_empty() {
-        findings.push(Finding::at("withdrawn.operators", "no operator would be left"));
+        let message = "no operator would be left; nobody could accept the next note";
+        findings.push(Finding::at("withdrawn.operators", message));
     }
 }
 
