HTTP client of the adapters: sends once, says what a failure means

The pooled client library answered every failure but a refused connect with 'unknown', held on to silent connections (each cost a further call its timeout), and its retry of reused connections could only be trusted, not seen. Both adapters carried the same code.

A small package now pools hyper connections itself: a timeout before the first byte is 'not sent', only a call of which nothing was written goes to another connection, a failure closes the idle connections to that address, and streams have a connection of their own. A 5xx answer no longer counts as 'not done', and a conflict that can't be read no longer looks like an absent key.

--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,202 @@
+//! HTTP calls with pooled connections, and what a failed call means.
+//!
+//! What a caller may do after a failure (send again, call it not run) hangs
+//! on whether a byte of the call can have reached the other end, so that is
+//! what [`Error`] tells apart. A call is never sent twice: only one that was
+//! not begun to be written, because a pooled connection turned out closed, is
+//! written to another connection.
+
+mod pool;
+
+use bytes::Bytes;
+use derive_more::Display;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use pool::Pool;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Why a call failed, by what the other end can have seen of it.
+#[derive(Clone, Debug, Display, PartialEq, Eq, derive_more::Error)]
+pub enum Error {
+    /// No byte of the call was written.
+    #[display("not sent: {_0}")]
+    #[error(ignore)]
+    NotSent(String),
+    /// Bytes may have arrived, and no whole answer came.
+    #[display("no answer: {_0}")]
+    #[error(ignore)]
+    Unknown(String),
+}
+
+/// A call.
+#[derive(Clone, Debug)]
+pub struct Call<'a> {
+    /// The method.
+    pub method: http::Method,
+    /// The path with its query.
+    pub path: &'a str,
+    /// The idempotency key, sent as a header.
+    pub key: Option<&'a str>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: http::StatusCode,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A client; clones share its connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: Arc<Pool>,
+    connect_timeout: Duration,
+}
+
+/// A connection that carries one call at a time.
+type Connection = SendRequest<Full<Bytes>>;
+
+impl Client {
+    /// A client without connections.
+    pub fn open(connect_timeout: Duration) -> Self {
+        Self { pool: Arc::default(), connect_timeout }
+    }
+
+    /// Makes a call and reads the answer whole, within `timeout`.
+    ///
+    /// The connection is used again only after an answer that came whole and
+    /// in time, so that a late answer is never taken for that of a later
+    /// call. A failure also closes the idle connections to `at`: whatever
+    /// made one of them silent has likely silenced the others, and each would
+    /// cost a further call its timeout.
+    pub async fn exchange(
+        &self,
+        at: SocketAddr,
+        call: Call<'_>,
+        timeout: Duration,
+    ) -> Result<Answer, Error> {
+        let written = AtomicBool::new(false);
+        let exchange = self.exchange_on_any(at, call, &written);
+        let result = match tokio::time::timeout(timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) if written.load(Ordering::Relaxed) => Err(Error::Unknown("timeout".into())),
+            Err(_) => Err(Error::NotSent("timeout".into())),
+        };
+        if result.is_err() {
+            self.pool.clear(at);
+        }
+        result
+    }
+
+    /// Makes a call over a connection of its own and gives the answer as soon
+    /// as its head is there; dropping the answer closes the connection. The
+    /// caller bounds the time.
+    pub async fn open_stream(
+        &self,
+        at: SocketAddr,
+        call: Call<'_>,
+    ) -> Result<http::Response<Incoming>, Error> {
+        let mut connection = self.connect(at).await?;
+        let request = make_request(at, call)?;
+        connection.try_send_request(request).await.map_err(|mut failure| {
+            let text = failure.error().to_string();
+            match failure.take_message() {
+                Some(_) => Error::NotSent(text),
+                None => Error::Unknown(text),
+            }
+        })
+    }
+
+    async fn exchange_on_any(
+        &self,
+        at: SocketAddr,
+        call: Call<'_>,
+        written: &AtomicBool,
+    ) -> Result<Answer, Error> {
+        let mut request = make_request(at, call)?;
+        loop {
+            let pooled = self.take_ready(at).await;
+            let is_pooled = pooled.is_some();
+            let mut connection = match pooled {
+                Some(connection) => connection,
+                None => self.connect(at).await?,
+            };
+            written.store(true, Ordering::Relaxed);
+            match connection.try_send_request(request).await {
+                Ok(response) => return self.read_whole(at, connection, response).await,
+                Err(mut failure) => {
+                    let text = failure.error().to_string();
+                    // The message comes back only where none of it has been
+                    // written, so this is no second sending.
+                    let Some(unsent) = failure.take_message() else {
+                        return Err(Error::Unknown(text));
+                    };
+                    written.store(false, Ordering::Relaxed);
+                    if !is_pooled {
+                        return Err(Error::NotSent(text));
+                    }
+                    request = unsent;
+                }
+            }
+        }
+    }
+
+    async fn read_whole(
+        &self,
+        at: SocketAddr,
+        connection: Connection,
+        response: http::Response<Incoming>,
+    ) -> Result<Answer, Error> {
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|e| Error::Unknown(e.to_string()))?.to_bytes();
+        self.pool.put(at, connection);
+        Ok(Answer { status, body })
+    }
+
+    /// A pooled connection that is still open, as far as this end knows.
+    async fn take_ready(&self, at: SocketAddr) -> Option<Connection> {
+        loop {
+            let mut connection = self.pool.take(at)?;
+            if connection.ready().await.is_ok() {
+                return Some(connection);
+            }
+        }
+    }
+
+    async fn connect(&self, at: SocketAddr) -> Result<Connection, Error> {
+        let connect = TcpStream::connect(at);
+        let stream = match tokio::time::timeout(self.connect_timeout, connect).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(Error::NotSent(error.to_string())),
+            Err(_) => return Err(Error::NotSent("connect timeout".into())),
+        };
+        let _ = stream.set_nodelay(true);
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (connection, driver) = handshake.map_err(|e| Error::NotSent(e.to_string()))?;
+        tokio::spawn(driver);
+        Ok(connection)
+    }
+}
+
+fn make_request(at: SocketAddr, call: Call<'_>) -> Result<http::Request<Full<Bytes>>, Error> {
+    let mut request = http::Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(http::header::HOST, at.to_string())
+        .header(http::header::CONTENT_TYPE, "application/json");
+    if let Some(key) = call.key {
+        request = request.header("idempotency-key", key);
+    }
+    request.body(Full::new(call.body)).map_err(|e| Error::NotSent(e.to_string()))
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,17 +1,13 @@
 //! HTTP adapters of the platform's ports.
 //!
-//! One pooled client a process. A connection on which an exchange timed out
-//! is closed, never used again, so that a late answer can't be taken for the
-//! answer to a later call.
+//! One pooled client a process; what its failures mean for a write is told
+//! apart in [`hickory_client`].
 
 use crate::host;
 use crate::store::{Batch, Entry, Error, Lease, Revision, Store, Write};
 use crate::weight;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hickory_client::{Answer, Call, Client};
+use http::{Method, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -23,7 +19,7 @@
 /// The platform over HTTP.
 #[derive(Clone, Debug)]
 pub struct Platform {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client,
     store: SocketAddr,
     hosts: SocketAddr,
     weights: SocketAddr,
@@ -60,13 +56,7 @@
 impl Platform {
     /// Opens the adapters; each call ends within `timeout`.
     pub fn open(address: Address, timeout: Duration) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT.min(timeout)));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(20))
-            .build(connector);
+        let client = Client::open(CONNECT_TIMEOUT.min(timeout));
         let Address { store, hosts, weights } = address;
         Self { client, store, hosts, weights, timeout }
     }
@@ -74,35 +64,44 @@
     async fn call<B: Serialize, T: DeserializeOwned>(
         &self,
         address: SocketAddr,
-        method: &str,
+        method: Method,
         path: &str,
         body: Option<&B>,
         timeout: Duration,
     ) -> Result<T, Error> {
         let body = body.map(serde_json::to_vec).transpose().map_err(not_done)?.unwrap_or_default();
-        let request = http::Request::builder()
-            .method(method)
-            .uri(format!("http://{address}{path}"))
-            .header(http::header::CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .map_err(not_done)?;
-        let exchange = async {
-            let response = self.client.request(request).await.map_err(|e| {
-                if e.is_connect() { not_done(e) } else { Error::Unknown(e.to_string()) }
-            })?;
-            let status = response.status();
-            let body = response.into_body().collect().await;
-            Ok((status, body.map_err(|e| Error::Unknown(e.to_string()))?.to_bytes()))
-        };
-        let (status, body) = tokio::time::timeout(timeout, exchange)
-            .await
-            .map_err(|_| Error::Unknown("timeout".into()))??;
-        match status.as_u16() {
-            200 => serde_json::from_slice(&body).map_err(|e| Error::Unknown(e.to_string())),
-            404 => Err(Error::LeaseLapsed),
-            409 => Err(Error::Conflict(serde_json::from_slice(&body).unwrap_or(None))),
-            _ => Err(Error::NotDone(format!("status {status}"))),
+        let call = Call { method, path, key: None, body: body.into() };
+        let answer = self.client.exchange(address, call, timeout).await?;
+        read_answer(&answer)
+    }
+}
+
+impl From<hickory_client::Error> for Error {
+    fn from(error: hickory_client::Error) -> Self {
+        match error {
+            hickory_client::Error::NotSent(text) => Self::NotDone(text),
+            hickory_client::Error::Unknown(text) => Self::Unknown(text),
+        }
+    }
+}
+
+/// Reads an answer by its status. Only a status that blames the call means
+/// that nothing was done: behind one that blames the service, a write may
+/// have taken effect.
+fn read_answer<T: DeserializeOwned>(answer: &Answer) -> Result<T, Error> {
+    match answer.status {
+        StatusCode::OK => {
+            serde_json::from_slice(&answer.body).map_err(|e| Error::Unknown(e.to_string()))
         }
+        StatusCode::NOT_FOUND => Err(Error::LeaseLapsed),
+        // Without a present entry that can be read, a conflict must not look
+        // like one with an absent key.
+        StatusCode::CONFLICT => match serde_json::from_slice(&answer.body) {
+            Ok(present) => Err(Error::Conflict(present)),
+            Err(error) => Err(not_done(error)),
+        },
+        status if status.is_client_error() => Err(not_done(status)),
+        status => Err(Error::Unknown(format!("status {status}"))),
     }
 }
 
@@ -125,18 +124,18 @@
 impl Store for Platform {
     async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
         let path = format!("/kv/get?key={}", escape(key));
-        self.call(self.store, "GET", &path, None::<&()>, self.timeout).await
+        self.call(self.store, Method::GET, &path, None::<&()>, self.timeout).await
     }
 
     async fn list(&self, prefix: &str) -> Result<(Vec<Entry>, Revision), Error> {
         let path = format!("/kv/list?prefix={}", escape(prefix));
         let listing: Listing =
-            self.call(self.store, "GET", &path, None::<&()>, self.timeout).await?;
+            self.call(self.store, Method::GET, &path, None::<&()>, self.timeout).await?;
         Ok((listing.entries, listing.revision))
     }
 
     async fn write(&self, write: Write) -> Result<Revision, Error> {
-        self.call(self.store, "POST", "/kv/write", Some(&write), self.timeout).await
+        self.call(self.store, Method::POST, "/kv/write", Some(&write), self.timeout).await
     }
 
     async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Batch, Error> {
@@ -146,31 +145,31 @@
             after,
             wait.as_millis()
         );
-        self.call(self.store, "GET", &path, None::<&()>, wait + self.timeout).await
+        self.call(self.store, Method::GET, &path, None::<&()>, wait + self.timeout).await
     }
 
     async fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
         let body = Grant { ttl_ms: ttl.as_millis() as u64 };
-        self.call(self.store, "POST", "/lease/grant", Some(&body), self.timeout).await
+        self.call(self.store, Method::POST, "/lease/grant", Some(&body), self.timeout).await
     }
 
     async fn renew(&self, lease: Lease) -> Result<(), Error> {
-        self.call(self.store, "POST", "/lease/renew", Some(&lease), self.timeout).await
+        self.call(self.store, Method::POST, "/lease/renew", Some(&lease), self.timeout).await
     }
 
     async fn revoke(&self, lease: Lease) -> Result<(), Error> {
-        self.call(self.store, "POST", "/lease/revoke", Some(&lease), self.timeout).await
+        self.call(self.store, Method::POST, "/lease/revoke", Some(&lease), self.timeout).await
     }
 }
 
 impl host::List for Platform {
     async fn hosts(&self) -> Result<Vec<host::Host>, Error> {
-        self.call(self.hosts, "GET", "/hosts", None::<&()>, self.timeout).await
+        self.call(self.hosts, Method::GET, "/hosts", None::<&()>, self.timeout).await
     }
 }
 
 impl weight::Weights for Platform {
     async fn limit(&self) -> Result<weight::Limit, Error> {
-        self.call(self.weights, "GET", "/limit", None::<&()>, self.timeout).await
+        self.call(self.weights, Method::GET, "/limit", None::<&()>, self.timeout).await
     }
 }
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -1,20 +1,19 @@
 //! HTTP adapters of the target ports.
 //!
-//! Streams are JSON lines over a connection of their own; short calls share a
-//! pooled client. A connection on which an exchange timed out is closed, so
-//! that a late answer can't be taken for the answer to a later call.
+//! Streams are JSON lines over a connection of their own, and how long they
+//! may stand still is for the caller to bound. Short calls share a pooled
+//! client; what its failures mean is told apart in [`hickory_client`].
 
 use crate::Error;
 use crate::engine::{CacheEvent, Cancelled, Engines, Event, Generate, Handle, Order, Report};
 use crate::service::{self, Call, Reply, Services};
 use bytes::{Buf, Bytes, BytesMut};
 use futures::Stream;
+use hickory_client::Client;
 use hickory_unit::id;
-use http_body_util::{BodyExt, Full};
+use http::{Method, StatusCode};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -25,10 +24,14 @@
 /// How long a connect to a target may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How long an import may take: it ends with the copy of a KV cache, which
+/// takes seconds for the greatest ones.
+const IMPORT_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Targets over HTTP.
 #[derive(Clone, Debug)]
 pub struct Targets {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client,
     timeout: Duration,
 }
 
@@ -62,59 +65,21 @@
 impl Targets {
     /// Opens the adapters; each short call ends within `timeout`.
     pub fn open(timeout: Duration) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT.min(timeout)));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(10))
-            .build(connector);
-        Self { client, timeout }
-    }
-
-    async fn send(
-        &self,
-        method: &str,
-        at: SocketAddr,
-        path: &str,
-        key: Option<&str>,
-        body: Bytes,
-    ) -> Result<http::Response<Incoming>, Error> {
-        let mut request = http::Request::builder()
-            .method(method)
-            .uri(format!("http://{at}{path}"))
-            .header(http::header::CONTENT_TYPE, "application/json");
-        if let Some(key) = key {
-            request = request.header("idempotency-key", key);
-        }
-        let request = request.body(Full::new(body)).map_err(|e| Error::NotSent(e.to_string()))?;
-        self.client.request(request).await.map_err(|e| {
-            if e.is_connect() {
-                Error::NotSent(e.to_string())
-            } else {
-                Error::Unknown(e.to_string())
-            }
-        })
+        Self { client: Client::open(CONNECT_TIMEOUT.min(timeout)), timeout }
     }
 
     async fn call_json<B: Serialize, T: DeserializeOwned>(
         &self,
-        method: &str,
+        method: Method,
         at: SocketAddr,
         path: &str,
         body: Option<&B>,
+        timeout: Duration,
     ) -> Result<T, Error> {
-        let exchange = async {
-            let response = self.send(method, at, path, None, encode(body)?).await?;
-            let status = response.status();
-            let body = response.into_body().collect().await;
-            let body = body.map_err(|e| Error::Unknown(e.to_string()))?.to_bytes();
-            check_status(status, &body)?;
-            serde_json::from_slice(&body).map_err(|e| Error::Unknown(e.to_string()))
-        };
-        tokio::time::timeout(self.timeout, exchange)
-            .await
-            .map_err(|_| Error::Unknown("timeout".into()))?
+        let call = hickory_client::Call { method, path, key: None, body: encode(body)? };
+        let answer = self.client.exchange(at, call, timeout).await?;
+        check_status(answer.status, &answer.body)?;
+        serde_json::from_slice(&answer.body).map_err(|e| Error::Unknown(e.to_string()))
     }
 
     async fn open_stream<B: Serialize>(
@@ -123,7 +88,9 @@
         path: &str,
         body: &B,
     ) -> Result<Tokens, Error> {
-        let response = self.send("POST", at, path, None, encode(Some(body))?).await?;
+        let body = encode(Some(body))?;
+        let call = hickory_client::Call { method: Method::POST, path, key: None, body };
+        let response = self.client.open_stream(at, call).await?;
         let status = response.status();
         let body = response.into_body();
         if status.is_success() {
@@ -135,18 +102,32 @@
     }
 }
 
+impl From<hickory_client::Error> for Error {
+    fn from(error: hickory_client::Error) -> Self {
+        match error {
+            hickory_client::Error::NotSent(text) => Self::NotSent(text),
+            hickory_client::Error::Unknown(text) => Self::Unknown(text),
+        }
+    }
+}
+
 fn encode<B: Serialize>(body: Option<&B>) -> Result<Bytes, Error> {
     let body = body.map(serde_json::to_vec).transpose();
     Ok(body.map_err(|e| Error::NotSent(e.to_string()))?.unwrap_or_default().into())
 }
 
-/// Reads a refusal from a status; a target that refuses has not begun.
-fn check_status(status: http::StatusCode, body: &[u8]) -> Result<(), Error> {
-    match status.as_u16() {
-        200..=299 => Ok(()),
-        404 => Err(Error::NotFound),
-        409 => Err(Error::Stale),
-        _ => Err(Error::Refused(String::from_utf8_lossy(body).into_owned())),
+/// Reads a refusal from a status. Only a status that blames the call means
+/// that the target did not begin: behind one that blames the target, it may
+/// have failed midway.
+fn check_status(status: StatusCode, body: &[u8]) -> Result<(), Error> {
+    match status {
+        StatusCode::NOT_FOUND => Err(Error::NotFound),
+        StatusCode::CONFLICT => Err(Error::Stale),
+        status if status.is_success() => Ok(()),
+        status if status.is_client_error() => {
+            Err(Error::Refused(String::from_utf8_lossy(body).into_owned()))
+        }
+        status => Err(Error::Unknown(format!("status {status}"))),
     }
 }
 
@@ -214,48 +195,49 @@
     }
 
     async fn cancel(&self, at: SocketAddr, stream: &id::Stream) -> Result<Cancelled, Error> {
-        self.call_json("POST", at, "/v1/cancel", Some(stream)).await
+        self.call_json(Method::POST, at, "/v1/cancel", Some(stream), self.timeout).await
     }
 
     async fn report(&self, at: SocketAddr) -> Result<Report, Error> {
-        self.call_json("GET", at, "/v1/report", None::<&()>).await
+        self.call_json(Method::GET, at, "/v1/report", None::<&()>, self.timeout).await
     }
 
     async fn order(&self, at: SocketAddr, fence: id::Epoch, order: &Order) -> Result<(), Error> {
         let body = Fenced { fence, order: order.clone() };
-        self.call_json("POST", at, "/v1/order", Some(&body)).await
+        self.call_json(Method::POST, at, "/v1/order", Some(&body), self.timeout).await
     }
 
     async fn cache_events(&self, at: SocketAddr, after: u64) -> Result<Vec<CacheEvent>, Error> {
-        self.call_json("GET", at, &format!("/v1/cache-events?after={after}"), None::<&()>).await
+        self.call_json(
+            Method::GET,
+            at,
+            &format!("/v1/cache-events?after={after}"),
+            None::<&()>,
+            self.timeout,
+        )
+        .await
     }
 
     async fn import(&self, at: SocketAddr, from: SocketAddr, handle: &Handle) -> Result<(), Error> {
         let body = Import { from, handle: handle.clone() };
-        self.call_json("POST", at, "/v1/import", Some(&body)).await
+        self.call_json(Method::POST, at, "/v1/import", Some(&body), IMPORT_TIMEOUT).await
     }
 
     async fn drop_handle(&self, at: SocketAddr, handle: &Handle) -> Result<(), Error> {
-        self.call_json("POST", at, "/v1/drop", Some(handle)).await
+        self.call_json(Method::POST, at, "/v1/drop", Some(handle), self.timeout).await
     }
 }
 
 impl Services for Targets {
     async fn call(&self, at: SocketAddr, call: Call) -> Result<Reply, Error> {
-        let exchange = async {
-            let path = format!("/call{}", call.path);
-            let response = self.send("POST", at, &path, call.key.as_deref(), call.body).await?;
-            let status = response.status().as_u16();
-            let body = response.into_body().collect().await;
-            let body = body.map_err(|e| Error::Unknown(e.to_string()))?.to_bytes();
-            Ok(Reply { status, body })
-        };
-        tokio::time::timeout(call.timeout, exchange)
-            .await
-            .map_err(|_| Error::Unknown("timeout".into()))?
+        let path = format!("/call{}", call.path);
+        let (method, key) = (Method::POST, call.key.as_deref());
+        let sent = hickory_client::Call { method, path: &path, key, body: call.body };
+        let answer = self.client.exchange(at, sent, call.timeout).await?;
+        Ok(Reply { status: answer.status.as_u16(), body: answer.body })
     }
 
     async fn report(&self, at: SocketAddr) -> Result<service::Report, Error> {
-        self.call_json("GET", at, "/report", None::<&()>).await
+        self.call_json(Method::GET, at, "/report", None::<&()>, self.timeout).await
     }
 }
