State: acceptance of release notes and the rule that nothing reverts

A note whose write got no answer is written again under the same condition; its operation id in the conflicting head tells that it was accepted. A head that lags behind the note or behind what is in force here is read again, and never written over.

--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -1,18 +1,26 @@
 //! The configuration: one head key, changed by compare-and-swap on its
-//! version.
+//! version, followed by a watch, and taken from peers while the service is
+//! down. The decisions stand in [`crate::head`].
 
-use hickory_platform::store::{Error, Expect, Revision, Store, Write};
+use crate::follow::{self, Follower};
+use crate::head::{Acceptance, Call, Reply, supersedes};
+use hickory_platform::store::Store;
 use hickory_release::configuration::Configuration;
-use hickory_release::note::{Note, apply_note};
+use hickory_release::note::Note;
 use hickory_unit::clock::Clock;
 use hickory_unit::finding::Finding;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
+use uuid::Uuid;
 
 /// The head key.
 pub const KEY: &str = "configuration";
 
+/// Watches of the head key: one call in ten seconds and node at rest.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+const WATCH_SPREAD: Duration = Duration::from_millis(500);
+
 /// Why a note was not accepted.
 #[derive(Clone, Debug, derive_more::Display, PartialEq)]
 pub enum Rejection {
@@ -28,7 +36,8 @@
     /// It certainly did not take effect.
     #[display("not done: {_0}")]
     NotDone(String),
-    /// It may have taken effect: read the operations of the configuration.
+    /// It may have taken effect. Sent again with the same operation id, it is
+    /// accepted at most once.
     #[display("no answer: {_0}")]
     Unknown(String),
 }
@@ -40,80 +49,81 @@
 pub struct Keeper<S, C> {
     store: S,
     clock: C,
-    sender: watch::Sender<Option<Arc<Configuration>>>,
+    current: watch::Sender<Option<Arc<Configuration>>>,
 }
 
 impl<S: Store, C: Clock> Keeper<S, C> {
     /// Reads the configuration and follows it.
     pub fn spawn(store: S, clock: C) -> Self {
-        let (sender, _) = watch::channel(None);
-        let keeper = Self { store, clock, sender };
+        let (current, _) = watch::channel(None);
+        let keeper = Self { store, clock, current };
         tokio::spawn(keeper.clone().follow());
         keeper
     }
 
-    /// The configuration in force; `None` while none is known.
+    /// The configuration in force; `None` while none is known, when this node
+    /// is not ready to serve.
     pub fn current(&self) -> Option<Arc<Configuration>> {
-        self.sender.borrow().clone()
+        self.current.borrow().clone()
     }
 
     /// Told of each change.
     pub fn subscribe(&self) -> watch::Receiver<Option<Arc<Configuration>>> {
-        self.sender.subscribe()
+        self.current.subscribe()
     }
 
-    /// Applies a configuration from a peer where its version is higher.
+    /// Applies a configuration, from a peer or the service, where its version
+    /// is higher.
     pub fn offer(&self, configuration: Configuration) -> bool {
-        self.sender.send_if_modified(|current| {
-            let newer = current.as_ref().is_none_or(|c| c.version < configuration.version);
+        self.current.send_if_modified(|current| {
+            let newer = supersedes(&configuration, current.as_deref());
             if newer {
+                log::info!(version:% = configuration.version; "configuration in force");
                 *current = Some(Arc::new(configuration));
             }
             newer
         })
     }
 
-    /// Accepts a release note.
+    /// Accepts a release note, within some five seconds.
     pub async fn accept(&self, note: &Note) -> Result<Arc<Configuration>, Rejection> {
-        let _ = self.clock.now();
-        let (present, expect) = match self.store.get(KEY).await {
-            Err(error) => return Err(Rejection::NotDone(error.to_string())),
-            Ok(None) => (Configuration::default(), Expect::Absent),
-            Ok(Some(entry)) => (parse(&entry.value)?, Expect::At(entry.revision)),
-        };
-        if present.version != note.against {
-            return Err(Rejection::Conflict { present: Box::new(present) });
+        let mut note = note.clone();
+        if note.operation.is_empty() {
+            note.operation = Uuid::new_v4().to_string();
         }
-        let next = apply_note(&present, note).map_err(Rejection::Invalid)?;
-        let value = serde_json::to_string(&next).ok();
-        let write = Write { key: KEY.into(), value, expect, lease: None };
-        match self.store.write(write).await {
-            Ok(_) => {
-                self.offer(next.clone());
-                Ok(Arc::new(next))
+        let seed = Uuid::new_v4().as_u128() as u64;
+        let mut acceptance = Acceptance::open(self.clock.now(), note, self.current(), seed);
+        loop {
+            tokio::time::sleep(acceptance.pause(self.clock.now())).await;
+            let reply = match acceptance.next() {
+                Call::Get => Reply::Got(self.store.get(KEY).await),
+                Call::Write(write) => Reply::Wrote(self.store.write(write).await),
+            };
+            if let Some(end) = acceptance.answered(self.clock.now(), reply) {
+                let accepted = end?;
+                self.offer((*accepted).clone());
+                return Ok(accepted);
             }
-            Err(Error::Conflict(_)) => Err(Rejection::Conflict { present: Box::new(present) }),
-            Err(Error::Unknown(text)) => Err(Rejection::Unknown(text)),
-            Err(error) => Err(Rejection::NotDone(error.to_string())),
         }
     }
 
     async fn follow(self) {
-        let mut after = Revision::default();
-        loop {
-            if let Ok(Some(entry)) = self.store.get(KEY).await {
-                after = after.max(entry.revision);
-                if let Ok(configuration) = parse(&entry.value) {
-                    self.offer(configuration);
+        let options =
+            follow::Options { prefix: KEY.into(), wait: WATCH_WAIT, spread: WATCH_SPREAD };
+        let seed = Uuid::new_v4().as_u128() as u64;
+        let follower = Follower::open(options, seed);
+        let keeper = self.clone();
+        follow::run(self.store, self.clock, follower, move |follower, step, _| {
+            if let Some(entry) = follower.view().get(KEY)
+                && step.changed
+            {
+                match serde_json::from_str(&entry.value) {
+                    Ok(configuration) => drop(keeper.offer(configuration)),
+                    Err(error) => log::error!(error:%; "the configuration can't be read"),
                 }
             }
-            if self.store.watch(KEY, after, Duration::from_secs(5)).await.is_err() {
-                tokio::time::sleep(Duration::from_millis(300)).await;
-            }
-        }
+            true
+        })
+        .await;
     }
 }
-
-fn parse(text: &str) -> Result<Configuration, Rejection> {
-    serde_json::from_str(text).map_err(|e| Rejection::NotDone(e.to_string()))
-}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod follow;
 pub mod group;
+pub mod head;
 pub mod lease;
 pub mod member;
 pub mod owner;
--- /dev/null
+++ b/crates/state/tests/follow.rs
@@ -0,0 +1,90 @@
+//! Scripted answers to a follower of keys.
+
+use goldenscript::Context;
+use hickory_platform::store::{Batch, Entry, Error, Event, Revision};
+use hickory_state::follow::{Follower, Options, Reply};
+use std::fmt::Write as _;
+use std::time::{Duration, Instant};
+
+#[derive(goldenscript::Command)]
+enum Command {
+    /// Shows the next call.
+    Next,
+    /// Answers a list: the revision, and keys as `key=revision`.
+    Listed(u64, Vec<(String, u64)>),
+    /// Answers a watch: the revision, and changes as `key=revision`; a key
+    /// that begins with `gone_` was removed.
+    Watched(u64, #[arg(optional)] Vec<(String, u64)>),
+    /// Answers a watch whose changes are no longer held.
+    Compacted(u64),
+    /// Answers with a failure.
+    Failed,
+    Advance(u64),
+}
+
+struct Runner {
+    now: Instant,
+    follower: Follower,
+}
+
+impl goldenscript::Runner for Runner {
+    type Command = Command;
+
+    fn run(
+        &mut self,
+        command: &Command,
+        _: &Context,
+    ) -> Result<String, Box<dyn std::error::Error>> {
+        let mut output = String::new();
+        let reply = match command {
+            Command::Next => {
+                writeln!(output, "{:?}", self.follower.next(self.now))?;
+                return Ok(output);
+            }
+            Command::Advance(seconds) => {
+                self.now += Duration::from_secs(*seconds);
+                return Ok(output);
+            }
+            Command::Listed(revision, keys) => {
+                let entry = |(key, revision): &(String, u64)| Entry {
+                    key: key.clone(),
+                    value: String::new(),
+                    revision: Revision(*revision),
+                };
+                Reply::Listed(Ok((keys.iter().map(entry).collect(), Revision(*revision))))
+            }
+            Command::Watched(revision, keys) => {
+                let event = |(key, revision): &(String, u64)| Event {
+                    key: key.trim_start_matches("gone_").into(),
+                    value: (!key.starts_with("gone_")).then(String::new),
+                    revision: Revision(*revision),
+                };
+                let events = keys.iter().map(event).collect();
+                let revision = Revision(*revision);
+                Reply::Watched(Ok(Batch { events, revision, compacted: false }))
+            }
+            Command::Compacted(revision) => {
+                let revision = Revision(*revision);
+                Reply::Watched(Ok(Batch { events: Vec::new(), revision, compacted: true }))
+            }
+            Command::Failed => Reply::Watched(Err(Error::Unknown("lost".into()))),
+        };
+        let step = self.follower.answered(self.now, reply);
+        let view = self.follower.view().values();
+        let view: Vec<_> = view.map(|entry| format!("{}={}", entry.key, entry.revision)).collect();
+        let waits = step.pause > Duration::ZERO;
+        write!(output, "changed {} confirmed {} ", step.changed, step.confirmed)?;
+        writeln!(output, "waits {waits} [{}]", view.join(" "))?;
+        Ok(output)
+    }
+}
+
+#[test]
+fn gaps() {
+    let wait = Duration::from_secs(10);
+    let spread = Duration::from_millis(300);
+    let options = Options { prefix: "nodes/".into(), wait, spread };
+    let follower = Follower::open(options, 1);
+    let mut runner = Runner { now: Instant::now(), follower };
+    goldenscript::run(&mut runner, "tests/scripts/follow/gaps").unwrap();
+}
--- /dev/null
+++ b/crates/state/tests/member.rs
@@ -0,0 +1,166 @@
+//! Scripted failures of a node's lease, on its pure half.
+//!
+//! `call` makes the next call that is due; `lost=answer` takes effect but is
+//! not answered, `lost=call` never arrives; `slow` seconds pass before the
+//! answer. `run` serves for so many seconds.
+
+use goldenscript::Context;
+use hickory_platform::store::Error;
+use hickory_standin::store::Core;
+use hickory_state::lease::{Call, Keeper, Reply};
+use hickory_state::member::Info;
+use hickory_unit::id::Incarnation;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+#[derive(goldenscript::Command)]
+enum Command {
+    /// Starts a process of node `a`; the prefix is the process.
+    Start {
+        #[arg(key)]
+        incarnation: u64,
+    },
+    Call {
+        #[arg(key)]
+        lost: Option<String>,
+        #[arg(key, optional)]
+        slow: f64,
+        /// The node begins to stop while the call is open.
+        #[arg(key, optional)]
+        drain: bool,
+    },
+    Run(u64),
+    /// Time passes; the process is paused.
+    Pause(f64),
+    Fleet(usize),
+    /// The process sees the registration under its name.
+    See,
+    Show,
+}
+
+struct Runner {
+    now: Instant,
+    service: Core,
+    keepers: BTreeMap<String, Keeper>,
+    calls: u32,
+}
+
+impl Runner {
+    fn call(&mut self, name: &str, lost: &str, slow: f64, drain: bool) -> Option<String> {
+        let sent = self.now;
+        let keeper = self.keepers.get_mut(name)?;
+        let call = keeper.next(sent)?;
+        self.calls += 1;
+        let text = format!("{call:?}");
+        let text = text.split(['(', ' ']).next().unwrap_or("").to_owned();
+        let unknown = || Error::Unknown("lost".into());
+        let arrives = lost != "call";
+        let answered = lost.is_empty();
+        let reply = match call {
+            Call::Grant(ttl) => {
+                let lease = self.service.grant(sent, ttl);
+                Reply::Granted(if answered { Ok(lease) } else { Err(unknown()) })
+            }
+            Call::Register(write) => {
+                let result = if arrives { self.service.write(sent, write) } else { Err(unknown()) };
+                Reply::Registered(if answered { result } else { Err(unknown()) })
+            }
+            Call::Renew(lease) => {
+                let result = if arrives { self.service.renew(sent, lease) } else { Err(unknown()) };
+                Reply::Renewed(if answered { result } else { Err(unknown()) })
+            }
+        };
+        self.now += Duration::from_secs_f64(slow);
+        if drain {
+            keeper.set_draining();
+        }
+        keeper.answered(self.now, sent, reply);
+        Some(text)
+    }
+}
+
+impl goldenscript::Runner for Runner {
+    type Command = Command;
+
+    fn run(
+        &mut self,
+        command: &Command,
+        context: &Context,
+    ) -> Result<String, Box<dyn std::error::Error>> {
+        let name = context.prefix.clone().unwrap_or_default();
+        let mut output = String::new();
+        match command {
+            Command::Start { incarnation } => {
+                let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+                let info = Info {
+                    node: "a".into(),
+                    zone: "z".into(),
+                    callers: address,
+                    peers: address,
+                    admin: address,
+                    incarnation: Incarnation(*incarnation),
+                    draining: false,
+                };
+                self.keepers.insert(name, Keeper::open(info, Duration::from_secs(5), 1));
+            }
+            Command::Call { lost, slow, drain } => {
+                let call = self.call(&name, lost.as_deref().unwrap_or(""), *slow, *drain);
+                writeln!(output, "{}", call.as_deref().unwrap_or("nothing due"))?;
+            }
+            Command::Run(seconds) => {
+                let end = self.now + Duration::from_secs(*seconds);
+                let mut calls: BTreeMap<String, u32> = BTreeMap::new();
+                while self.now < end {
+                    match self.call(&name, "", 0.0, false) {
+                        Some(call) => *calls.entry(call).or_default() += 1,
+                        None => self.now += Duration::from_millis(10),
+                    }
+                }
+                writeln!(output, "{calls:?}")?;
+            }
+            Command::Pause(seconds) => self.now += Duration::from_secs_f64(*seconds),
+            Command::Fleet(nodes) => {
+                self.keepers.get_mut(&name).ok_or("no process")?.set_fleet(*nodes);
+            }
+            Command::See => {
+                let entry = self.service.get(self.now, "nodes/a").ok_or("not registered")?;
+                let info: Info = serde_json::from_str(&entry.value)?;
+                let keeper = self.keepers.get_mut(&name).ok_or("no process")?;
+                keeper.see(info.incarnation, entry.revision);
+            }
+            Command::Show => {
+                let keeper = self.keepers.get(&name).ok_or("no process")?;
+                let entry = self.service.get(self.now, "nodes/a");
+                let info = entry.and_then(|e| serde_json::from_str::<Info>(&e.value).ok());
+                let seen = info.map(|info| (info.incarnation.0, info.draining));
+                let confirmed = keeper.confirmed(self.now);
+                write!(output, "confirmed {confirmed} replaced {} ", keeper.replaced())?;
+                writeln!(output, "registered {seen:?}")?;
+            }
+        }
+        Ok(output)
+    }
+}
+
+fn run(script: &str) {
+    let keepers = BTreeMap::new();
+    let mut runner = Runner { now: Instant::now(), service: Core::default(), keepers, calls: 0 };
+    goldenscript::run(&mut runner, format!("tests/scripts/member/{script}")).unwrap();
+}
+
+#[test]
+fn lease() {
+    run("lease");
+}
+
+#[test]
+fn paused() {
+    run("paused");
+}
+
+#[test]
+fn fleet() {
+    run("fleet");
+}
