Logs as the settings say; conflicts that name the version read

hickory-node took its log level and file from arguments only, and the settings' own were read and forgotten; arguments now go before settings. It opens settings with file, line and field in each finding.

A node that loses a race between its read and its write may tell of the version that it had read: the command line waits for the next one then, instead of meeting the same conflict eight times within milliseconds. Accepted and refused notes and ordered stops are logged.

--- a/apps/hickory-node/src/main.rs
+++ b/apps/hickory-node/src/main.rs
@@ -1,8 +1,8 @@
 //! The hickoryrun node daemon: settings in, a node that runs until SIGTERM.
 
 use clap::Parser;
-use eyre::{WrapErr, eyre};
 use hickory_node::Node;
+use hickory_settings::Level;
 use std::path::PathBuf;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -16,10 +16,12 @@
 struct Options {
     /// Settings, in JSON with comments.
     settings: PathBuf,
-    /// Least level of log lines: error, warn, info, debug or trace.
-    #[arg(long, default_value = "info")]
-    log: log::LevelFilter,
-    /// File that log lines are appended to; standard error where not given.
+    /// Least level of log lines, in place of the one in the settings: off,
+    /// error, warn, info, debug or trace.
+    #[arg(long)]
+    log: Option<log::LevelFilter>,
+    /// File that log lines are appended to, in place of the one in the
+    /// settings; without either they go to standard error.
     #[arg(long)]
     log_file: Option<PathBuf>,
     /// Threads that serve.
@@ -29,13 +31,10 @@
 
 fn main() -> eyre::Result<()> {
     let options = Options::parse();
-    hickory_telemetry::logs::open(options.log, options.log_file.as_deref())?;
-    let path = options.settings.display();
-    let text = std::fs::read_to_string(&options.settings).wrap_err_with(|| format!("{path}"))?;
-    let settings = hickory_settings::parse_node(&text).map_err(|findings| {
-        let lines: Vec<String> = findings.iter().map(|f| format!("{path}: {f}")).collect();
-        eyre!("{}", lines.join("\n"))
-    })?;
+    let settings = hickory_settings::open(&options.settings)?;
+    let level = options.log.unwrap_or_else(|| read_level(settings.logs.level));
+    let file = options.log_file.as_deref().or(settings.logs.file.as_deref());
+    hickory_telemetry::logs::open(level, file)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(options.threads)
         .enable_all()
@@ -43,6 +42,17 @@
     runtime.block_on(run(settings))
 }
 
+fn read_level(level: Level) -> log::LevelFilter {
+    match level {
+        Level::Off => log::LevelFilter::Off,
+        Level::Error => log::LevelFilter::Error,
+        Level::Warn => log::LevelFilter::Warn,
+        Level::Info => log::LevelFilter::Info,
+        Level::Debug => log::LevelFilter::Debug,
+        Level::Trace => log::LevelFilter::Trace,
+    }
+}
+
 async fn run(settings: hickory_settings::Node) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/apps/hickory/src/accept.rs
+++ b/apps/hickory/src/accept.rs
@@ -31,7 +31,7 @@
         true => draw_operation(),
         false => note.operation,
     };
-    let accepted = send(client, &text, &operation, &name)?;
+    let accepted = send(client, &text, &operation, note.against, &name)?;
     print::print_accepted(&accepted, json);
     Ok(())
 }
@@ -71,7 +71,7 @@
 /// Sends a note that was built here.
 pub(crate) fn send_note(client: &Client, note: &Note) -> Result<view::Accepted, Failure> {
     let text = serde_json::to_string(note).map_err(|error| Failure::Local(error.to_string()))?;
-    send(client, &text, &note.operation, "note")
+    send(client, &text, &note.operation, note.against, "note")
 }
 
 /// Sends a note to the first node that takes it.
@@ -85,6 +85,7 @@
     client: &Client,
     text: &str,
     operation: &str,
+    against: id::Release,
     file: &str,
 ) -> Result<view::Accepted, Failure> {
     let mut reasons = Vec::new();
@@ -103,6 +104,7 @@
                 }
                 failure @ Failure::Unavailable(_) => unavailable = Some(failure),
                 Failure::Conflict { present: Some(version), detail } if lost => {
+                    let version = later_version(version, against);
                     return settle_conflict(client, operation, version, detail);
                 }
                 failure => return Err(failure),
@@ -140,6 +142,12 @@
     }
 }
 
+/// The version to wait for after a conflict: a node that lost a race may tell
+/// of the version that it had read before.
+pub(crate) fn later_version(told: id::Release, against: id::Release) -> id::Release {
+    if told == against { id::Release(told.0.saturating_add(1)) } else { told }
+}
+
 /// The configuration once a node has `version` in force: the one that told of
 /// a conflict read it from the platform, and nodes follow within seconds.
 pub(crate) fn await_version(
--- a/apps/hickory/src/zone.rs
+++ b/apps/hickory/src/zone.rs
@@ -1,6 +1,6 @@
 //! Zones out of service and back.
 
-use crate::accept::{await_version, draw_note, read_configuration, send_note};
+use crate::accept::{await_version, draw_note, later_version, read_configuration, send_note};
 use crate::client::Client;
 use crate::failure::Failure;
 use crate::print;
@@ -36,6 +36,7 @@
                 return Ok(());
             }
             Err(Failure::Conflict { present: Some(version), .. }) => {
+                let version = later_version(version, present.version);
                 conflicts.push(version);
                 present = await_version(client, version)?;
                 check_untouched(&present, &zone, seen)?;
--- a/apps/hickory/tests/fleet.rs
+++ b/apps/hickory/tests/fleet.rs
@@ -239,6 +239,7 @@
             OUT,
         ),
         many("others never cease", vec![up(vec![Fault::Race(OTHER_SHARE); 20])], OUT),
+        many("another gets in unseen", vec![up([Fault::RaceUnseen(OTHER_SHARE)])], OUT),
         many("another one takes it out", vec![up([Fault::Race(SAME_ZONE)])], OUT),
         many("another one withdraws it", vec![up([Fault::Race(NO_ZONE)])], OUT),
         many("the answer is lost", vec![up([Fault::LostAfter])], OUT),
--- a/crates/admin/src/route.rs
+++ b/crates/admin/src/route.rs
@@ -93,6 +93,7 @@
         Route::Owners => Ok(render_json(200, &control.owners())),
         Route::Drain => {
             control.drain();
+            log::info!("planned stop ordered by an operator");
             Ok(render_json(202, &control.health()))
         }
         Route::Metrics => Ok(render(200, METRICS_TYPE, control.metrics())),
@@ -128,6 +129,7 @@
         Ok(accepted) => {
             let repeated = accepted.repeated;
             let version = accepted.version;
+            log::info!(operation, version:%, repeated; "release note accepted");
             let mut response = render_json(200, &view::Accepted { version, operation, repeated });
             set_version(&mut response, version);
             Ok(response)
@@ -135,6 +137,7 @@
         Err(failure) => {
             let mut problem = describe_failure(failure, operation);
             places.locate(&mut problem.findings);
+            log::warn!(operation:? = problem.operation, code:% = problem.code; "release note not accepted");
             Err(problem)
         }
     }
--- a/crates/admin/tests/fake/mod.rs
+++ b/crates/admin/tests/fake/mod.rs
@@ -27,6 +27,9 @@
     /// The same note, lost earlier, takes effect just before; the node sees
     /// only that its write meets another version.
     Overtaken,
+    /// Another operator's note gets in between the node's read and its write,
+    /// and the node tells of the version that it had read.
+    RaceUnseen(&'static str),
     /// Another operator's note gets in first.
     Race(&'static str),
 }
@@ -152,6 +155,10 @@
                 let accepted = self.platform.write(note)?;
                 Err(Failure::Conflict(accepted.version))
             }
+            Some(Fault::RaceUnseen(other)) => {
+                self.platform.race(parse_note(other).unwrap())?;
+                Err(Failure::Conflict(note.against))
+            }
             Some(Fault::Race(other)) => {
                 self.platform.race(parse_note(other).unwrap())?;
                 self.platform.write(note)
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -72,7 +72,7 @@
 #[derive(Debug, Display, derive_more::Error)]
 pub enum OpenError {
     /// The file can't be read.
-    #[display("{}: {error}", file.display())]
+    #[display("{}: can't be read", file.display())]
     Unreadable {
         /// The file.
         file: PathBuf,
@@ -82,7 +82,8 @@
     },
     /// The file is invalid.
     #[display("{_0}")]
-    Invalid(#[error(source)] Invalid),
+    #[error(ignore)]
+    Invalid(Invalid),
 }
 
 /// Reads the settings of a node from a file.
