--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,9 +34,10 @@
 
 use crate::core::{Core, LinkProbe, Stage};
 use hickory_platform::http::{Address, Platform};
+use hickory_release::note::Note;
 use hickory_settings::Node as Settings;
 use hickory_state::claim::{self, Ledger};
-use hickory_state::config::Keeper;
+use hickory_state::config::{Keeper, Rejection};
 use hickory_state::member::{Info, Member};
 use hickory_state::owner::Owners;
 use hickory_target::http::Targets;
@@ -105,6 +106,23 @@
         self.core.settings.peers
     }
 
+    /// Accepts a release note: writes the configuration that it makes of the
+    /// present one, whole or not at all.
+    ///
+    /// # Errors
+    ///
+    /// Why the note is not accepted, or that it is not known whether it is.
+    pub async fn accept(&self, note: &Note) -> Result<id::Release, Rejection> {
+        self.core.keeper.accept(note).await.map(|configuration| configuration.version)
+    }
+
+    /// Targets that take new work, as far as this node knows.
+    pub fn accepting(&self) -> usize {
+        let hosts = self.core.view.hosts();
+        let states = hosts.keys().filter_map(|target| self.core.view.state(target));
+        states.filter(|state| state.accepting).count()
+    }
+
     /// Begins a planned stop; [`Node::closed`] tells when it is done.
     pub fn drain(&self) {
         drain::begin(&self.core);
