Proofs between processes that an order runs at most once

A thousand sends at once, a lost answer to the claim, a claimant killed or frozen between claim and answer, the key-value service down, a target that dies with the bytes, an old key; the stand-in service counts runs by key.

--- a/apps/hickory-node/tests/proofs/main.rs
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -3,6 +3,7 @@
 //! times.
 
 mod death;
+mod once;
 mod path;
 mod stop;
 mod support;
