A paused node does not take a stream back from the node that went on with it

Seen by the new proof 'a_frozen_node_does_not_hold_its_callers': the caller had resumed through another node; when its first node went on, it took the cut of its connection for a fault and took the stream up again, which cut the second node, and so on until one gave up: 8 of 60 tokens arrived. A node now asks the owner whether the stream is still its own before it takes it up again, and one that takes a stream over tells the owner first where there is one. Before: failed; after: passes.

--- a/apps/hickory-node/tests/proofs/main.rs
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -7,3 +7,5 @@
 mod path;
 mod stop;
 mod support;
+mod whole;
+mod zone;
--- a/apps/hickory-node/tests/proofs/support.rs
+++ b/apps/hickory-node/tests/proofs/support.rs
@@ -240,12 +240,24 @@
         at: SocketAddr,
         prompt: &str,
         max_tokens: u64,
+    ) -> Result<Stream, hyper_util::client::legacy::Error> {
+        self.complete_within(at, prompt, max_tokens, PATIENCE).await
+    }
+
+    /// Asks for a streamed completion that leaves a time for its answer.
+    pub async fn complete_within(
+        &self,
+        at: SocketAddr,
+        prompt: &str,
+        max_tokens: u64,
+        time_left: Duration,
     ) -> Result<Stream, hyper_util::client::legacy::Error> {
         let body = json!({
             "model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": true,
         });
         let request = http::Request::post(format!("http://{at}/v1/completions"))
             .header("authorization", format!("Bearer {ACCOUNT}"))
+            .header("x-time-left-ms", time_left.as_millis().to_string())
             .body(Full::from(body.to_string()))
             .expect("the request is well-formed");
         Ok(Stream::of(self.http.request(request).await?))
--- /dev/null
+++ b/apps/hickory-node/tests/proofs/whole.rs
@@ -0,0 +1,155 @@
+//! A caller receives the whole answer to its own request, and in time, when
+//! connections and engines fail under it.
+
+use crate::support::{Scene, Stream, eventually, expected, options};
+use hickory_standin::fleet;
+use rustix::process::Signal;
+use serde_json::json;
+use std::time::Duration;
+
+/// Streams of a few seconds, so that a fault finds them under way.
+fn slow_options() -> fleet::Options {
+    let mut options = options();
+    options.engine.model.speed = 0.5;
+    options
+}
+
+/// Opens a stream through the first node and reads a few tokens.
+async fn begin(scene: &Scene, prompt: &str, tokens: u64) -> Stream {
+    let mut stream = scene.complete(scene.nodes[0].callers, prompt, tokens).await.unwrap();
+    for _ in 0..3 {
+        assert!(stream.next().await);
+    }
+    stream
+}
+
+async fn assert_whole(scene: &Scene, prompt: &str, tokens: u64, mut stream: Stream) {
+    stream.rest().await;
+    assert_eq!(stream.problem, None);
+    assert_eq!(stream.text, expected(prompt, tokens));
+    assert!(stream.done);
+    eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
+}
+
+/// All connections between node and engines break in the middle of a stream,
+/// while the engines go on. The caller sees nothing of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_connection_to_the_engine_is_not_seen() {
+    let scene = Scene::start(2, slow_options()).await;
+    let stream = begin(&scene, "cut", 40).await;
+    scene.standins.engines.iter().for_each(|engine| engine.faults().cut());
+    assert_whole(&scene, "cut", 40, stream).await;
+}
+
+/// All open connections to the engines go silent for good in the middle of a
+/// stream, while new ones work. The stream is taken up over a new one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_connection_to_the_engine_is_replaced() {
+    let scene = Scene::start(2, slow_options()).await;
+    let stream = begin(&scene, "silent", 40).await;
+    scene.standins.engines.iter().for_each(|engine| engine.faults().silence());
+    assert_whole(&scene, "silent", 40, stream).await;
+}
+
+/// The engine dies in the middle of a stream. Another one goes on after the
+/// last token that the caller has.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_engine_is_replaced_in_mid_stream() {
+    let scene = Scene::start(2, slow_options()).await;
+    let stream = begin(&scene, "dead", 40).await;
+    let holds = |engine: &&hickory_standin::engine::Handle| engine.service().kv_used().0 > 0;
+    scene.standins.engines.iter().find(holds).expect("one holds it").faults().kill();
+    assert_whole(&scene, "dead", 40, stream).await;
+}
+
+/// The engine freezes in the middle of a stream. The stream goes on elsewhere;
+/// when the engine thaws, what it still held is cancelled.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_engine_is_replaced_and_freed_when_it_thaws() {
+    let scene = Scene::start(2, slow_options()).await;
+    let mut stream = begin(&scene, "frozen", 40).await;
+    let holds = |engine: &&hickory_standin::engine::Handle| engine.service().kv_used().0 > 0;
+    let engine = scene.standins.engines.iter().find(holds).expect("one holds it");
+    engine.faults().freeze();
+    stream.rest().await;
+    assert_eq!(stream.text, expected("frozen", 40));
+    engine.faults().thaw();
+    eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
+}
+
+/// The caller's node freezes in the middle of a stream. The caller gives up on
+/// it and takes the stream up through another node; when the first one goes on
+/// it finds its stream superseded and does the caller's stream no harm.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_node_does_not_hold_its_callers() {
+    let scene = Scene::start(3, slow_options()).await;
+    let stream = begin(&scene, "node", 60).await;
+    scene.nodes[0].signal(Signal::STOP);
+    let at = scene.nodes[1].callers;
+    let mut rest = eventually("the stream is taken up", || async {
+        let rest = scene.resume(at, &stream.request, &stream.event).await.ok()?;
+        (rest.status == 200).then_some(rest)
+    })
+    .await;
+    assert!(rest.next().await);
+    scene.nodes[0].signal(Signal::CONT);
+    rest.rest().await;
+    assert_eq!(stream.text.clone() + &rest.text, expected("node", 60));
+    drop(stream);
+    eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
+}
+
+/// No engine moves on: the caller gets its final answer when the deadline
+/// passes, not later, and the engines get their memory back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_stalls_everywhere_ends_at_its_deadline() {
+    let scene = Scene::start(2, options()).await;
+    scene.standins.engines.iter().for_each(|engine| engine.faults().freeze());
+    let at = scene.nodes[0].callers;
+    let mut stream = scene.complete_within(at, "never", 5, Duration::from_secs(2)).await.unwrap();
+    stream.rest().await;
+    let problem = stream.problem.expect("a refusal");
+    assert_eq!(problem["ran"], json!("unknown"), "{problem}");
+    scene.standins.engines.iter().for_each(|engine| engine.faults().thaw());
+    eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
+}
+
+/// Many streams at once through all nodes, while engines' connections are cut
+/// again and again: each caller gets its own answer, whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_are_not_crossed() {
+    let mut options = options();
+    options.engine.model.speed = 4.0;
+    let scene = Scene::start(3, options).await;
+    let ask = |i: usize| {
+        let scene = &scene;
+        async move {
+            let prompt = format!("own prompt {i}");
+            let at = scene.nodes[i % 3].callers;
+            let mut stream = scene.complete(at, &prompt, 20).await.unwrap();
+            stream.rest().await;
+            assert_eq!(stream.problem, None);
+            assert_eq!(stream.text, expected(&prompt, 20));
+        }
+    };
+    let cuts = async {
+        for _ in 0..5 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            scene.standins.engines.iter().for_each(|engine| engine.faults().cut());
+        }
+    };
+    let (_, ()) = tokio::join!(futures::future::join_all((0..60).map(ask)), cuts);
+    eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
+}
+
+/// The engine loses the cancel of a stream whose caller hung up: the owner
+/// cancels again until the engine confirms it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_cancel_is_sent_again() {
+    let mut options = options();
+    options.engine.model.speed = 0.1;
+    let scene = Scene::start(2, options).await;
+    scene.standins.engines.iter().for_each(|engine| engine.faults().lose_cancels(2));
+    drop(begin(&scene, "hang up", 5_000).await);
+    eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
+}
--- a/crates/node/src/complete.rs
+++ b/crates/node/src/complete.rs
@@ -174,6 +174,8 @@
         }
         let (ending, attempt) = match end {
             End::Whole(count) => (Ending::Finished, Attempt::Whole(count)),
+            // The permit is the other node's to give back.
+            End::Taken => return Attempt::Gone,
             End::Gone => (Ending::Left, Attempt::Gone),
             End::Deadline => {
                 let refusal = refuse(Reason::Deadline, "the deadline passed while it ran");
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -227,12 +227,32 @@
             answer.map_err(|_| no_owner())?
         }
     };
-    answer.map_err(|refused| match refused.not_owner {
-        true => no_owner(),
-        false => refuse(Reason::StreamLost, "no target holds the stream any more"),
+    answer.map_err(|refused| match refused.reason.as_str() {
+        _ if refused.not_owner => no_owner(),
+        seat::TAKEN => refuse(Reason::AlreadyClaimed, "another node serves the stream"),
+        _ => refuse(Reason::StreamLost, "no target holds the stream any more"),
     })
 }
 
+/// Whether this node may take its own stream up again after a cut.
+///
+/// The engine cuts a reader when another one comes: if this node was paused,
+/// its caller may have gone on through another node, and taking the stream
+/// back would cut that one. While the target has no owner the answer waits,
+/// for `limit` at most: then the cut is far likelier than a second reader.
+pub(crate) async fn may_keep(core: &Core, want: message::Adopt, limit: Duration) -> bool {
+    let end = core.now() + limit;
+    loop {
+        match adopt(core, want.clone()).await {
+            Err(refusal) if refusal.reason == Reason::AlreadyClaimed => return false,
+            Err(refusal) if refusal.reason == Reason::NoOwner && core.now() < end => {
+                tokio::time::sleep(core.permit_life() / 4).await;
+            }
+            Ok(_) | Err(_) => return true,
+        }
+    }
+}
+
 /// Tells the owner how an attempt ended, without waiting for it.
 pub(crate) fn give_back(
     core: &Core,
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -7,12 +7,14 @@
 
 use crate::complete::Piece;
 use crate::core::Core;
+use crate::permit;
 use crate::seal::Position;
 use futures::StreamExt;
 use hickory_target::Error;
 use hickory_target::engine::{Engines, Event};
 use hickory_target::http::Tokens;
 use hickory_unit::id;
+use hickory_wire::message::Adopt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -33,6 +35,8 @@
     Whole(u64),
     /// The caller is gone.
     Gone,
+    /// Another node serves the stream now.
+    Taken,
     /// The deadline passed.
     Deadline,
     /// The engine answers, but the stream does not move on.
@@ -118,6 +122,19 @@
     /// Takes the stream up from what the caller has, over a new connection.
     async fn reopen(&mut self) -> Result<Tokens, End> {
         let limit = self.core.time(self.core.settings.times.progress_ms);
+        let keep = Adopt {
+            target: self.target.clone(),
+            stream: self.stream.clone(),
+            node: self.core.me().clone(),
+            keep: true,
+        };
+        let keeping = tokio::select! {
+            keeping = permit::may_keep(self.core, keep, limit) => keeping,
+            () = tokio::time::sleep_until(self.deadline.into()) => return Err(End::Deadline),
+        };
+        if !keeping {
+            return Err(End::Taken);
+        }
         let resume = self.core.targets.resume(self.address, self.stream, self.delivered);
         let resumed = tokio::select! {
             resumed = tokio::time::timeout(limit, resume) => resumed,
--- a/crates/node/src/resume.rs
+++ b/crates/node/src/resume.rs
@@ -19,10 +19,10 @@
 /// Takes the stream up after `position`. Only the deadline in the stream's id
 /// bounds it.
 ///
-/// The engine is asked at once, whether or not the target has an owner: it
-/// may have died with the caller's node. The owner is told beside that, so
-/// that it does not cancel a stream that somebody reads again; a successor
-/// leaves it alone for longer than it takes to be told.
+/// The owner is told, so that it does not cancel a stream that somebody reads
+/// again. Where the target has none, as it may have died with the caller's
+/// node, the engine is asked all the same and its next owner is told beside
+/// that; it leaves the stream alone for longer than it takes to be told.
 pub(crate) fn spawn(core: &Arc<Core>, position: Position) -> mpsc::Receiver<Piece> {
     let (out, pieces) = mpsc::channel(PIECES_AHEAD);
     let core = core.clone();
@@ -63,15 +63,24 @@
         }
     };
     let mut relaying = std::pin::pin!(relaying);
-    let (end, permit) = tokio::select! {
-        end = relaying.as_mut() => (end, None),
-        permit = adopt(core, position) => (relaying.await, permit),
+    let adopting = adopt(core, position);
+    let mut adopting = std::pin::pin!(adopting);
+    // The owner first, where there is one: a paused reader that goes on is
+    // then told that the stream is taken.
+    let adopted = tokio::time::timeout(core.permit_life() / 4, adopting.as_mut()).await;
+    let (end, permit) = match adopted {
+        Ok(permit) => (relaying.await, permit),
+        Err(_) => tokio::select! {
+            end = relaying.as_mut() => (end, None),
+            permit = adopting => (relaying.await, permit),
+        },
     };
     let (ending, result) = match end {
         End::Whole(count) => {
             let _ = out.send(Piece::End(count)).await;
             (Ending::Finished, Ok(()))
         }
+        End::Taken => return Ok(()),
         End::Gone => (Ending::Left, Ok(())),
         End::Deadline => (Ending::Lost, Err(refuse(Reason::Deadline, "the deadline passed"))),
         End::Died => (Ending::TargetDied, Err(lost())),
@@ -86,7 +95,7 @@
 /// Tells the owner, as soon as there is one, that this node serves the rest.
 async fn adopt(core: &Core, position: &Position) -> Option<Permit> {
     let (target, stream) = (position.target.clone(), position.stream.clone());
-    let adopt = Adopt { target, stream, node: core.me().clone() };
+    let adopt = Adopt { target, stream, node: core.me().clone(), keep: false };
     loop {
         match permit::adopt(core, adopt.clone()).await {
             Ok(permit) => return Some(permit),
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -23,6 +23,10 @@
 /// that the life of the permit it will get begins with a fresh question.
 pub(crate) const QUEUED: &str = "queued";
 
+/// The reason a node gets that asks to keep a stream which another node has
+/// taken over.
+pub(crate) const TAKEN: &str = "taken";
+
 /// How long after its deadline a stream may still be found on a target before
 /// it is swept: the sender ends it at the deadline, and its message may be
 /// under way.
@@ -183,6 +187,7 @@
     let left = adopt.stream.deadline_ms.saturating_sub(wall_ms(core));
     let until = core.now() + Duration::from_millis(left);
     let taken = core.seats.with(&adopt.target, |seat| match seat.incarnation {
+        Some(_) if adopt.keep && seat.is_taken(adopt) => Err(refuse(TAKEN, Duration::ZERO)),
         Some(_) => Ok(seat.adopt(adopt, until, life)),
         // A new owner does not know yet what the target holds.
         None => Err(refuse_not_owner()),
@@ -300,6 +305,12 @@
         }
     }
 
+    /// Whether another node than the asking one serves the stream.
+    fn is_taken(&self, adopt: &Adopt) -> bool {
+        let found = self.permits.values().find(|granted| granted.stream == adopt.stream);
+        found.is_some_and(|granted| granted.node != adopt.node)
+    }
+
     fn adopt(&mut self, adopt: &Adopt, until: Instant, life: Duration) -> Option<Permit> {
         let found = self.permits.iter_mut().find(|(_, granted)| granted.stream == adopt.stream);
         let id = match found {
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -126,7 +126,8 @@
   outcome @2 (outcome :Outcome) -> ();
   release @3 () -> (document :Document);
   owners @4 () -> (document :Document);
-  adopt @5 (target :Text, stream :Text, node :Text) -> (answer :PermitAnswer);
+  adopt @5 (target :Text, stream :Text, node :Text, keep :Bool) -> (answer :PermitAnswer);
   # The asking node serves the rest of a stream that another node opened: the
-  # owner counts it as the asker's and no longer as one to be cancelled.
+  # owner counts it as the asker's and no longer as one to be cancelled. With
+  # `keep`, only if no other node has taken it over since.
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -307,6 +307,7 @@
                     request.get().set_target(adopt.target.as_str());
                     request.get().set_stream(adopt.stream.to_string());
                     request.get().set_node(adopt.node.as_str());
+                    request.get().set_keep(adopt.keep);
                     let response = request.send().promise.await.map_err(no_answer)?;
                     let found = response.get().and_then(|r| r.get_answer()).map_err(no_answer)?;
                     codec::read_answer(found).map_err(no_answer)
@@ -516,6 +517,7 @@
             target: codec::read_text(params.get_target())?.into(),
             stream: codec::read_stream(params.get_stream())?,
             node: codec::read_text(params.get_node())?.into(),
+            keep: params.get_keep(),
         });
         codec::write_answer(&answer, results.get().init_answer());
         Ok(())
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -200,4 +200,7 @@
     pub stream: id::Stream,
     /// The node that now serves it.
     pub node: id::Node,
+    /// Set where the node served it before: answered with yes only if no other
+    /// node has taken it over since.
+    pub keep: bool,
 }
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -7096,11 +7096,15 @@
             pub fn has_node(&self) -> bool {
                 !self.reader.get_pointer_field(2).is_null()
             }
+            #[inline]
+            pub fn get_keep(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7198,6 +7202,14 @@
             pub fn has_node(&self) -> bool {
                 !self.builder.is_pointer_field_null(2)
             }
+            #[inline]
+            pub fn get_keep(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_keep(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7209,45 +7221,52 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(171, 242, 181, 65, 105, 79, 196, 244),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(97, 100, 111, 112, 116, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7272,12 +7291,21 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(107, 101, 101, 112, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7291,9 +7319,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,1,0];
             pub(crate) const TYPE_ID: u64 = 0xf4c4_4f69_41b5_f2ab;
         }
     }
