A setting for the policy that a node follows

The experiments compare the decisions with two baselines and name them in the nodes' settings, which refuse unknown fields since they are read strictly. A baseline is a warning of the check. Nodes do not read the setting yet.

--- a/apps/hickory/src/args.rs
+++ b/apps/hickory/src/args.rs
@@ -55,8 +55,9 @@
     #[arg(long, global = true, value_name = "FILE")]
     pub(crate) token_file: Option<PathBuf>,
 
-    /// Time that one node has to answer, in milliseconds.
-    #[arg(long, global = true, value_name = "MS", default_value_t = 5_000,
+    /// Time that one node has to answer, in milliseconds. A node gives up on
+    /// the platform within some five seconds.
+    #[arg(long, global = true, value_name = "MS", default_value_t = 8_000,
           value_parser = clap::value_parser!(u64).range(1..=600_000))]
     pub(crate) timeout_ms: u64,
 }
--- a/crates/admin/src/control.rs
+++ b/crates/admin/src/control.rs
@@ -43,8 +43,10 @@
     /// result, whole or not at all.
     fn accept(&self, note: &Note) -> Result<Accepted, Failure>;
 
-    /// The version that the operation made, read from the platform: `None`
-    /// where it has had no effect, or is older than what is kept.
+    /// The version that the operation made: `None` where this node knows of no
+    /// effect, or the operation is older than what is kept. A node may learn
+    /// of an effect seconds later; a note sent again under the same operation
+    /// is told from a new one by the platform's own copy.
     fn find_operation(&self, operation: &str) -> Result<Option<id::Release>, Failure>;
 
     /// The configuration in force at this node, if it has one.
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,6 +1,6 @@
 //! What must hold of settings beyond their types.
 
-use crate::node::{Node, Times};
+use crate::node::{Node, Policy, Times};
 use derive_more::Display;
 use hickory_document::read_document;
 use hickory_document::rule::{HEX_LENGTH, check_digest, check_name, is_hex};
@@ -111,6 +111,11 @@
         check_addresses(node, &mut later, &mut warnings);
         check_secrets(node, &mut later, &mut warnings);
         check_ranges(&node.times, &mut later);
+        if node.policy != Policy::Fair {
+            let message = "is a baseline for measurements: shares are not kept, and short \
+                           prompts wait behind long ones";
+            warnings.push(Finding::at("policy", message));
+        }
         // A time that can't be read would be compared by its default.
         if !RANGES.iter().any(|range| reading.is_known(&range.field())) {
             check_contradictions(&node.times, &mut later, &mut warnings);
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -29,6 +29,26 @@
     pub times: Times,
     /// Logs, with their defaults.
     pub logs: Logs,
+    /// How requests are queued and placed.
+    pub policy: Policy,
+}
+
+/// How requests are queued and placed.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display, derive_more::FromStr,
+)]
+#[display(rename_all = "snake_case")]
+#[from_str(rename_all = "snake_case")]
+pub enum Policy {
+    /// Fair shares by partner and account, headroom for short prompts, ramps
+    /// after a start.
+    #[default]
+    Fair,
+    /// First in, first out, targets in turn: a baseline for measurements.
+    Fifo,
+    /// The target with the least load by its lagging report: a baseline for
+    /// measurements.
+    LeastLoaded,
 }
 
 /// Where the platform's services listen.
@@ -56,6 +76,7 @@
     Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display, derive_more::FromStr,
 )]
 #[display(rename_all = "lowercase")]
+#[from_str(rename_all = "lowercase")]
 pub enum Level {
     /// Nothing is written.
     Off,
