The command line before real nodes; repeated notes name their version

A note sent again was told as accepted with the present version, also where others had come since: the node looks the operation up now. While the platform is down the command line went round all nodes twice, which took 20 s for two nodes; a second round is for lost answers only.

--- a/apps/hickory/src/accept.rs
+++ b/apps/hickory/src/accept.rs
@@ -91,7 +91,13 @@
     let mut reasons = Vec::new();
     let mut lost = false;
     let mut unavailable = None;
-    for node in client.nodes().iter().cycle().take(client.nodes().len() * ROUNDS) {
+    let nodes = client.nodes();
+    for (index, node) in nodes.iter().cycle().take(nodes.len() * ROUNDS).enumerate() {
+        // Only a lost note needs a second round: all others are told at once
+        // that nothing was done.
+        if index >= nodes.len() && !lost {
+            break;
+        }
         if lost && let Some(accepted) = read_back(client, operation) {
             return Ok(accepted);
         }
--- /dev/null
+++ b/apps/hickory/tests/real.rs
@@ -0,0 +1,144 @@
+//! The command line before real nodes, over stand-ins of the platform.
+//!
+//! The contract tests of the administration API run over a control in memory;
+//! this one shows that the node's own control keeps the same contract.
+
+mod run;
+
+use hickory_node::Node;
+use hickory_release::configuration::digest_token;
+use hickory_standin::fleet::{Fleet, Options};
+use run::{Output, run};
+use std::time::{Duration, Instant};
+
+const TOKEN: &str = "operator-token";
+const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+/// How long a condition may take to come true before the test fails.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Two nodes in zones `a` and `b`, stand-ins beside them.
+struct Real {
+    standins: Fleet,
+    nodes: Vec<Node>,
+    #[allow(dead_code)]
+    runtime: tokio::runtime::Runtime,
+}
+
+impl Real {
+    fn open() -> Self {
+        let options = Options { engines: 2, replicas: 1, ..Options::default() };
+        let standins = Fleet::spawn(options).unwrap();
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        let spawn = |zone| runtime.block_on(Node::spawn(write_settings(&standins, zone))).unwrap();
+        let nodes = ["a", "b"].map(spawn).into();
+        Self { standins, nodes, runtime }
+    }
+
+    /// Runs a command that may ask the nodes of the given indices, in order.
+    fn run(&self, nodes: &[usize], command: &[&str]) -> Output {
+        let addresses: Vec<String> =
+            nodes.iter().map(|index| self.nodes[*index].admin().to_string()).collect();
+        let mut args = Vec::from(command);
+        addresses.iter().for_each(|address| args.extend(["--node", address]));
+        run(&args, &[("HICKORY_TOKEN", TOKEN)])
+    }
+
+    /// Runs a command until its output holds a text.
+    fn wait(&self, nodes: &[usize], command: &[&str], text: &str) -> Output {
+        let start = Instant::now();
+        loop {
+            let output = self.run(nodes, command);
+            if output.stdout.contains(text) {
+                return output;
+            }
+            assert!(start.elapsed() < PATIENCE, "never {text:?}: {output}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+fn write_settings(standins: &Fleet, zone: &str) -> hickory_settings::Node {
+    let platform = standins.platform();
+    let text = format!(
+        r#"{{ "node": "entry-{zone}", "zone": "{zone}", "callers": "127.0.0.1:0",
+             "admin": "127.0.0.1:0", "peers": "127.0.0.1:0", "fleet_key": "{KEY}",
+             "platform": {{ "store": "{}", "hosts": "{}", "weights": "{}" }},
+             "first_operator": "{}", "times": {{ "entry_keep_ms": 200 }} }}"#,
+        platform.store,
+        platform.hosts,
+        platform.weights,
+        digest_token(TOKEN)
+    );
+    hickory_settings::parse_node(&text).unwrap()
+}
+
+#[test]
+fn operators_drive_real_nodes() {
+    let real = Real::open();
+    let first = ["release", "accept", "first.jsonc"];
+
+    // Before the first note only the settings' token is good.
+    assert_eq!(
+        run(
+            &["nodes", "--node", &real.nodes[0].admin().to_string()],
+            &[("HICKORY_TOKEN", "other")]
+        )
+        .code,
+        Some(6)
+    );
+    assert_eq!(real.run(&[0], &["release", "show"]).code, Some(8));
+
+    let accepted = real.run(&[0, 1], &first);
+    assert_eq!(accepted.code, Some(0), "{accepted}");
+    assert!(accepted.stdout.contains("op-first is accepted as version 1"), "{accepted}");
+    real.wait(&[1], &["release", "show"], "version 1");
+    let again = real.run(&[1], &first);
+    assert!(again.stdout.contains("accepted before, as version 1"), "{again}");
+
+    let stale = real.run(&[1], &["release", "accept", "note_stale.jsonc"]);
+    assert_eq!(stale.code, Some(3), "{stale}");
+    let invalid = real.run(&[1], &["release", "accept", "note_reference.jsonc"]);
+    assert_eq!(invalid.code, Some(4), "{invalid}");
+    assert!(invalid.stderr.contains("note_reference.jsonc:6: withdrawn.models.dream"), "{invalid}");
+
+    let out = real.run(&[1, 0], &["zone", "out", "a"]);
+    assert!(out.stdout.contains("zone a is out of service in version 2"), "{out}");
+    real.wait(&[0], &["release", "show"], "version 2");
+    let back = real.run(&[0], &["zone", "back", "a"]);
+    assert!(back.stdout.contains("zone a is in service in version 3"), "{back}");
+    // The first note's version stays known after others.
+    let found = real.run(&[0], &["release", "find", "op-first"]);
+    assert!(found.stdout.contains("as version 1"), "{found}");
+
+    real.wait(&[0], &["owners"], "engine-1");
+    real.wait(&[0], &["targets"], "engine-0");
+    real.wait(&[1], &["nodes"], "entry-a");
+    let drain = real.run(&[0], &["drain"]);
+    assert!(drain.stdout.contains("node entry-a is draining"), "{drain}");
+    real.runtime.block_on(real.nodes[0].closed());
+}
+
+// The operator's note goes out while the platform is down, and is told so at
+// once; while it loses the answer, the note is accepted all the same, once.
+#[test]
+fn the_platform_fails_under_a_note() {
+    let real = Real::open();
+    real.standins.store.faults().kill();
+    let down = real.run(&[0], &["release", "accept", "first.jsonc"]);
+    assert!([Some(7), Some(8)].contains(&down.code), "{down}");
+    real.standins.store.faults().restart();
+    let start = Instant::now();
+    while real.run(&[0, 1], &["release", "accept", "first.jsonc"]).code != Some(0) {
+        assert!(start.elapsed() < PATIENCE);
+    }
+    real.wait(&[0, 1], &["release", "show"], "version 1");
+
+    let loss = hickory_standin::fault::Loss::Answer;
+    real.standins.store.faults().lose(loss, "/kv/write", 1);
+    let lost = real.run(&[0, 1], &["release", "accept", "note.jsonc"]);
+    assert_eq!(lost.code, Some(0), "{lost}");
+    let shown = real.wait(&[0, 1], &["--json", "release", "show"], "op-share");
+    assert_eq!(shown.stdout.matches("op-share").count(), 1, "{shown}");
+    assert!(shown.stdout.contains(r#""version": 2"#), "{shown}");
+}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -24,6 +24,13 @@
     pub(crate) runtime: Handle,
 }
 
+impl Desk {
+    /// The version that an operation made, as far as this node knows.
+    fn find_known(&self, operation: &str) -> Option<id::Release> {
+        self.core.configuration()?.find_operation(operation)
+    }
+}
+
 impl Control for Desk {
     fn is_operator(&self, token: &str) -> bool {
         match self.core.configuration().filter(|c| !c.operators.is_empty()) {
@@ -37,8 +44,13 @@
     }
 
     fn accept(&self, note: &Note) -> Result<Accepted, Failure> {
+        let known = self.find_known(&note.operation);
         match self.runtime.block_on(self.core.keeper.accept(note)) {
-            Ok(configuration) => Ok(Accepted { version: configuration.version, repeated: false }),
+            Ok(configuration) => {
+                let present = configuration.version;
+                let version = configuration.find_operation(&note.operation).unwrap_or(present);
+                Ok(Accepted { version, repeated: known.is_some() || version < present })
+            }
             Err(Rejection::Conflict { present }) => Err(Failure::Conflict(present.version)),
             Err(Rejection::Invalid(findings)) => Err(Failure::Invalid(findings)),
             Err(Rejection::NotDone(why)) => Err(Failure::Unavailable(why)),
@@ -47,8 +59,7 @@
     }
 
     fn find_operation(&self, operation: &str) -> Result<Option<id::Release>, Failure> {
-        let configuration = self.core.configuration();
-        Ok(configuration.and_then(|c| find_operation(&c, operation)))
+        Ok(self.find_known(operation))
     }
 
     fn configuration(&self) -> Option<Arc<Configuration>> {
@@ -140,11 +151,6 @@
     }
 }
 
-fn find_operation(configuration: &Configuration, operation: &str) -> Option<id::Release> {
-    let back = configuration.operations.iter().rev().position(|known| known == operation)?;
-    Some(id::Release(configuration.version.0.saturating_sub(back as u64)))
-}
-
 fn show_weights(weights: &Weights) -> String {
     match &weights.adapter {
         Some(adapter) => format!("{}@{}+{adapter}", weights.model, weights.version),
