--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -219,7 +219,7 @@
         let path = settings.to_string_lossy();
         let binary = crate::process::find_binary("hickory-node")?;
         let started = Process::spawn(&binary, &[&path, "--log", "warn"], &errors);
-        let (process, line) = started.with_context(|| read_tail(&errors))?;
+        let (process, line) = started.with_context(|| read_head(&errors))?;
         let address = serde_json::from_str(&line).with_context(|| format!("node says {line:?}"))?;
         Ok(Node { process, address })
     }
@@ -274,9 +274,9 @@
     Ok(folder)
 }
 
-fn read_tail(log: &Path) -> String {
+fn read_head(log: &Path) -> String {
     let text = std::fs::read_to_string(log).unwrap_or_default();
-    text.lines().rev().take(3).collect::<Vec<_>>().join("\n")
+    text.lines().take(3).collect::<Vec<_>>().join("; ")
 }
 
 fn open_standins(options: &Options) -> Result<Standins> {
