Peers tell each other only what has changed

Ruled out: the permits (the fleet was idle). Change: one side of a pair begins; each side names the version it has of the other's targets and is told what changed after it.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -27,7 +27,9 @@
         match self.0.upgrade() {
             Some(core) => {
                 take_gossip(&core, &gossip);
-                make_gossip(&core)
+                let answer = make_gossip(&core, &gossip.node);
+                tokio::spawn(fetch_from_asker(core, gossip));
+                answer
             }
             None => gossip,
         }
@@ -61,15 +63,19 @@
     }
 }
 
-/// What this node tells its peers.
-fn make_gossip(core: &Core) -> Gossip {
+/// What this node tells a peer.
+fn make_gossip(core: &Core, peer: &id::Node) -> Gossip {
+    let (seen, since) = core.view.versions(peer);
+    let (version, targets) = core.seats.states_since(since);
     Gossip {
+        version,
+        seen,
+        targets,
         node: core.me().clone(),
         incarnation: core.incarnation,
         release: core.configuration().map_or(id::Release(0), |c| c.version),
         owners: core.owners.revision(),
         draining: core.stage() != Stage::Serving,
-        targets: core.seats.states(),
         suspects: Vec::new(),
         connections: core.active.load(Ordering::Acquire) as u32,
     }
@@ -86,21 +92,39 @@
 pub(crate) async fn gossip(core: Arc<Core>, links: Links) {
     let interval = core.time(core.settings.times.gossip_ms);
     loop {
-        let own = make_gossip(&core);
-        core.view.merge(core.now(), &own);
+        // Its own word goes the way of all others'.
+        let own = make_gossip(&core, core.me());
+        take_gossip(&core, &Gossip { seen: own.version, ..own });
         for info in core.member.nodes().values() {
-            if info.node != *core.me() {
-                tokio::spawn(exchange(core.clone(), links.clone(), info.clone(), own.clone()));
+            // An exchange goes both ways, so one of the two begins it.
+            if info.node > *core.me() {
+                tokio::spawn(exchange(core.clone(), links.clone(), info.clone()));
             }
         }
         tokio::time::sleep(interval).await;
     }
 }
 
-async fn exchange(core: Arc<Core>, links: Links, info: Info, own: Gossip) {
+async fn exchange(core: Arc<Core>, links: Links, info: Info) {
+    let timeout = core.peer_timeout();
+    let own = make_gossip(&core, &info.node);
+    if let Ok(gossip) = links.exchange(info.peers, own, timeout).await {
+        take_gossip(&core, &gossip);
+        fetch_newer(&core, &links, &info, &gossip).await;
+    }
+}
+
+/// The side that was asked looks as well: the asker may know better.
+async fn fetch_from_asker(core: Arc<Core>, gossip: Gossip) {
+    let info = core.member.nodes().get(&gossip.node).cloned();
+    if let (Some(info), Some(links)) = (info, core.links.get()) {
+        fetch_newer(&core, links, &info, &gossip).await;
+    }
+}
+
+/// Fetches what a peer knows better.
+async fn fetch_newer(core: &Core, links: &Links, info: &Info, gossip: &Gossip) {
     let timeout = core.peer_timeout();
-    let Ok(gossip) = links.exchange(info.peers, own, timeout).await else { return };
-    take_gossip(&core, &gossip);
     let known = core.configuration().map_or(id::Release(0), |c| c.version);
     if gossip.release > known
         && let Ok(Some(document)) = links.release(info.peers, timeout).await
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -93,7 +93,7 @@
                     give_back(core, &target, &permit, want.stream, ending, None);
                     continue;
                 };
-                core.view.note_sent(&target, want.cost);
+                core.view.note_sent(core.now(), &target, want.cost);
                 let (address, stream) = (host.address, want.stream.clone());
                 return Ok(Leave { target, address, permit, stream, expected });
             }
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -12,6 +12,7 @@
 use hickory_unit::{id, size};
 use hickory_wire::message::{Adopt, Ask, Ending, Outcome, Permit, Refusal, State, Weights};
 use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
@@ -38,6 +39,8 @@
 /// All seats of a node.
 #[derive(Debug, Default)]
 pub(crate) struct Seats {
+    /// Counts the changes of what is told to peers.
+    version: AtomicU64,
     shards: [Mutex<HashMap<id::Target, Seat>>; SHARDS],
 }
 
@@ -59,6 +62,8 @@
     foreign: HashMap<id::Stream, Foreign>,
     adopted: Ticket,
     cancels: Vec<id::Stream>,
+    /// What peers were told last, and its version.
+    told: Option<(u64, State)>,
 }
 
 /// A stream that the target holds and this owner did not grant: a former
@@ -133,11 +138,29 @@
         self.shard(target).get_mut(target).map(f)
     }
 
-    /// What the seats tell the peers.
-    pub(crate) fn states(&self) -> Vec<State> {
-        let shards = self.shards.iter();
-        let locked = shards.map(|shard| shard.lock().unwrap_or_else(PoisonError::into_inner));
-        locked.flat_map(|shard| shard.values().map(Seat::state).collect::<Vec<_>>()).collect()
+    /// What the seats tell a peer that has version `since`: what has changed
+    /// after it, and the version that the peer then has.
+    ///
+    /// Telling all of it every time made two thirds of a node's control bytes,
+    /// of which next to nothing was news on an idle fleet.
+    pub(crate) fn states_since(&self, since: u64) -> (u64, Vec<State>) {
+        let mut changed = Vec::new();
+        for shard in &self.shards {
+            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            for seat in shard.values_mut() {
+                let state = seat.state();
+                if seat.told.as_ref().is_none_or(|(_, told)| *told != state) {
+                    let version = self.version.fetch_add(1, Ordering::AcqRel) + 1;
+                    seat.told = Some((version, state));
+                }
+                let newer = seat.told.as_ref().filter(|(version, _)| *version > since);
+                changed.extend(newer.cloned());
+            }
+        }
+        // A version past what is told here may belong to a change that a
+        // concurrent call found in a shard passed over already.
+        let version = changed.iter().map(|(version, _)| *version).max().unwrap_or(since);
+        (version, changed.into_iter().map(|(_, state)| state).collect())
     }
 
     fn shard(&self, target: &id::Target) -> MutexGuard<'_, HashMap<id::Target, Seat>> {
@@ -227,6 +250,7 @@
             foreign: HashMap::new(),
             adopted: ADOPTED_FIRST,
             cancels: Vec::new(),
+            told: None,
         }
     }
 
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -16,9 +16,13 @@
 /// Shards of the target states; more than the threads that meet there.
 const SHARDS: usize = 16;
 
-/// An owner that has told nothing of a target for this long is taken to be
-/// gone: many exchanges were missed, and a takeover is under way.
-const STATE_MAX_AGE: Duration = Duration::from_secs(5);
+/// An owner that was not heard for this long is taken to be gone: many
+/// exchanges were missed, and a takeover is under way.
+const OWNER_MAX_AGE: Duration = Duration::from_secs(5);
+
+/// How long this node counts what it sent to a target on top of what the
+/// owner told: by then the owner has told again, or nothing has changed.
+const SENT_MAX_AGE: Duration = Duration::from_secs(1);
 
 /// The listed hosts by target.
 pub(crate) type Hosts = BTreeMap<id::Target, Host>;
@@ -27,9 +31,10 @@
 #[derive(Clone, Debug)]
 struct Seen {
     state: State,
-    at: Instant,
+    owner: id::Node,
     sent: size::Tokens,
     sent_count: u32,
+    sent_at: Option<Instant>,
 }
 
 /// What a node knows of its peers.
@@ -39,6 +44,11 @@
     pub(crate) release: id::Release,
     pub(crate) connections: u32,
     pub(crate) draining: bool,
+    incarnation: id::Incarnation,
+    /// The version of its targets that this node has.
+    pub(crate) version: u64,
+    /// The version of this node's targets that it has.
+    pub(crate) seen: u64,
 }
 
 /// What a node knows of targets and peers.
@@ -70,34 +80,52 @@
 
     /// Takes in what a peer tells of itself and of the targets it owns.
     pub(crate) fn merge(&self, now: Instant, gossip: &Gossip) {
+        let mut peers = self.peers();
+        let known = peers.get(&gossip.node).filter(|k| k.incarnation == gossip.incarnation);
         let seen = PeerSeen {
             at: now,
             release: gossip.release,
             connections: gossip.connections,
             draining: gossip.draining,
+            incarnation: gossip.incarnation,
+            // An answer that was overtaken by a later one takes nothing back.
+            version: known.map_or(0, |known| known.version).max(gossip.version),
+            seen: gossip.seen,
         };
-        self.peers().insert(gossip.node.clone(), seen);
-        for state in &gossip.targets {
-            self.merge_state(now, state.clone());
+        // What was overtaken by a later word would put a target back to what
+        // it was, and is not told again.
+        let is_overtaken = known.is_some_and(|known| gossip.version < known.version);
+        peers.insert(gossip.node.clone(), seen);
+        drop(peers);
+        for state in gossip.targets.iter().filter(|_| !is_overtaken) {
+            self.merge_state(&gossip.node, state.clone());
         }
     }
 
+    /// The versions that this node and a peer have of each other's targets.
+    pub(crate) fn versions(&self, peer: &id::Node) -> (u64, u64) {
+        self.peers().get(peer).map_or((0, 0), |known| (known.version, known.seen))
+    }
+
     /// Takes in one target's state; one under an older epoch comes from an
     /// owner that has been replaced and is passed over.
-    pub(crate) fn merge_state(&self, now: Instant, state: State) {
+    fn merge_state(&self, owner: &id::Node, state: State) {
         let mut shard = self.shard(&state.target);
         let known = shard.get(&state.target);
         if known.is_some_and(|known| known.state.epoch > state.epoch) {
             return;
         }
-        let target = state.target.clone();
-        shard.insert(target, Seen { state, at: now, sent: size::Tokens(0), sent_count: 0 });
+        let (target, owner) = (state.target.clone(), owner.clone());
+        let (sent, sent_count, sent_at) = (size::Tokens(0), 0, None);
+        shard.insert(target, Seen { state, owner, sent, sent_count, sent_at });
     }
 
     /// Notes that this node sent work to a target, so that until its owner
     /// tells again the next choice counts it.
-    pub(crate) fn note_sent(&self, target: &id::Target, cost: Cost) {
+    pub(crate) fn note_sent(&self, now: Instant, target: &id::Target, cost: Cost) {
         if let Some(seen) = self.shard(target).get_mut(target) {
+            seen.forget_sent(now);
+            seen.sent_at = Some(now);
             seen.sent += cost.prefill;
             seen.sent_count += 1;
         }
@@ -128,16 +156,27 @@
         excluded: &[id::Target],
     ) -> Vec<Candidate> {
         let hosts = self.hosts();
+        let peers = self.peers();
+        let is_heard = |node: &id::Node| {
+            peers.get(node).is_some_and(|p| now.saturating_duration_since(p.at) < OWNER_MAX_AGE)
+        };
         hosts
             .values()
             .filter(|host| is_in_service(host, configuration) && !excluded.contains(&host.target))
-            .filter_map(|host| self.candidate(now, host, need))
+            .filter_map(|host| self.candidate(now, host, need, is_heard))
             .collect()
     }
 
-    fn candidate(&self, now: Instant, host: &Host, need: Need<'_>) -> Option<Candidate> {
-        let shard = self.shard(&host.target);
-        let seen = shard.get(&host.target)?;
+    fn candidate(
+        &self,
+        now: Instant,
+        host: &Host,
+        need: Need<'_>,
+        is_heard: impl Fn(&id::Node) -> bool,
+    ) -> Option<Candidate> {
+        let mut shard = self.shard(&host.target);
+        let seen = shard.get_mut(&host.target)?;
+        seen.forget_sent(now);
         let state = &seen.state;
         let fits = match (need, &host.kind) {
             (Need::Weights(weights), Kind::Engine) => {
@@ -146,8 +185,7 @@
             (Need::Service(service), Kind::Service(name)) => service == name,
             _ => false,
         };
-        let known = now.saturating_duration_since(seen.at) < STATE_MAX_AGE;
-        (fits && known && state.accepting).then(|| Candidate {
+        (fits && state.accepting && is_heard(&seen.owner)).then(|| Candidate {
             target: host.target.clone(),
             queued_prefill: state.queued_prefill + seen.sent,
             kv_free: state.kv_free.saturating_sub(seen.sent),
@@ -169,6 +207,14 @@
     }
 }
 
+impl Seen {
+    fn forget_sent(&mut self, now: Instant) {
+        if self.sent_at.is_some_and(|at| now.saturating_duration_since(at) > SENT_MAX_AGE) {
+            (self.sent, self.sent_count, self.sent_at) = (size::Tokens(0), 0, None);
+        }
+    }
+}
+
 fn is_in_service(host: &Host, configuration: &Configuration) -> bool {
     host.standing == Standing::Live && !configuration.zone_out(&host.zone)
 }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -98,6 +98,9 @@
   targets @5 :List(TargetState);
   suspects @6 :List(Suspect);
   connections @7 :UInt32;      # callers served, for entry answers
+  version @8 :UInt64;          # counts the changes of the speaker's targets
+  seen @9 :UInt64;             # the listener's version that the speaker has;
+                               # only targets changed since are told
 }
 
 struct Suspect {
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -223,6 +223,8 @@
     to.set_owners(gossip.owners);
     to.set_draining(gossip.draining);
     to.set_connections(gossip.connections);
+    to.set_version(gossip.version);
+    to.set_seen(gossip.seen);
     let mut targets = to.reborrow().init_targets(gossip.targets.len() as u32);
     for (i, state) in gossip.targets.iter().enumerate() {
         write_state(state, targets.reborrow().get(i as u32));
@@ -251,6 +253,8 @@
         targets: from.get_targets()?.iter().map(read_state).collect::<Result<_>>()?,
         suspects: suspects.collect(),
         connections: from.get_connections(),
+        version: from.get_version(),
+        seen: from.get_seen(),
     })
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -173,7 +173,12 @@
     pub owners: u64,
     /// Whether it is stopping.
     pub draining: bool,
-    /// The targets it owns.
+    /// Counts the changes of what it tells of its targets.
+    pub version: u64,
+    /// The listener's version that the speaker has; zero for none. The
+    /// listener tells only what has changed since.
+    pub seen: u64,
+    /// The targets it owns that have changed since the listener's last word.
     pub targets: Vec<State>,
     /// Requests under suspicion.
     pub suspects: Vec<Suspect>,
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -3117,11 +3117,19 @@
         pub fn get_connections(self) -> u32 {
             self.reader.get_data_field::<u32>(7)
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn get_seen(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3259,6 +3267,22 @@
         pub fn set_connections(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(7, value);
         }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
+        #[inline]
+        pub fn get_seen(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_seen(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(5, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3270,80 +3294,94 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 149] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 179] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(94, 173, 234, 3, 137, 177, 217, 249),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(81, 76, 233, 123, 210, 240, 161, 195),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 71, 111, 115, 115, 105),
             ::capnp::word(112, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3420,6 +3458,22 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3431,6 +3485,8 @@
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::target_state::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3444,9 +3500,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,4,1,0,3,2,6,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,4,1,0,3,2,9,6,5,8];
         pub(crate) const TYPE_ID: u64 = 0xf9d9_b189_03ea_ad5e;
     }
 }
