Count platform calls, claims, permits, orders, orphans and owners

The series were there and stood at zero, whatever happened: only refusals, retries, requests, tokens and first tokens were counted. The platform's ports are wrapped with a count of each call by kind and result; the owner's side counts at its one place each; versions, owned targets and heard peers are set when the metrics are read.

A target's death was one series; a restart and a silence are told apart now, since an operator looks for the first at the target and for the second also on the path to it.

--- a/apps/hickory/tests/real.rs
+++ b/apps/hickory/tests/real.rs
@@ -8,6 +8,7 @@
 use hickory_node::Node;
 use hickory_release::configuration::digest_token;
 use hickory_standin::fleet::{Fleet, Options};
+use oxhttp::model::Request;
 use run::{Output, run};
 use std::time::{Duration, Instant};
 
@@ -73,6 +74,14 @@
     hickory_settings::parse_node(&text).unwrap()
 }
 
+fn read_metric(node: &Node, series: &str) -> f64 {
+    let request = Request::builder().uri(format!("http://{}/metrics", node.admin()));
+    let response = oxhttp::Client::new().request(request.body(()).unwrap()).unwrap();
+    let text = response.into_body().to_string().unwrap();
+    let line = text.lines().find_map(|line| line.strip_prefix(series));
+    line.unwrap_or_else(|| panic!("no {series} in {text}")).trim().parse().unwrap()
+}
+
 #[test]
 fn operators_drive_real_nodes() {
     let real = Real::open();
@@ -114,6 +123,18 @@
     real.wait(&[0], &["owners"], "engine-1");
     real.wait(&[0], &["targets"], "engine-0");
     real.wait(&[1], &["nodes"], "entry-a");
+    // What operators look at without a token tells the same story.
+    for node in &real.nodes {
+        assert!(read_metric(node, "hickory_configuration_version") >= 2.0);
+        assert!(
+            read_metric(node, "hickory_platform_calls_total{call=\"hosts\",result=\"done\"}") > 0.0
+        );
+    }
+    let owned = || real.nodes.iter().map(|n| read_metric(n, "hickory_targets_owned")).sum::<f64>();
+    let start = Instant::now();
+    while owned() != 3.0 {
+        assert!(start.elapsed() < PATIENCE, "{} targets are owned", owned());
+    }
     let drain = real.run(&[0], &["drain"]);
     assert!(drain.stdout.contains("node entry-a is draining"), "{drain}");
     real.runtime.block_on(real.nodes[0].closed());
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -136,7 +136,15 @@
     }
 
     fn metrics(&self) -> String {
-        self.core.metrics.render()
+        let metrics = &self.core.metrics;
+        metrics.configuration(self.core.configuration().map_or(id::Release(0), |c| c.version));
+        metrics.owned(self.core.owners.owned().len());
+        let now = self.core.now();
+        let heard = |at| now.saturating_duration_since(at) < REACHABLE_MAX_AGE;
+        let others = self.core.view.peers_seen();
+        let others = others.iter().filter(|(node, peer)| *node != self.core.me() && heard(peer.at));
+        metrics.peers(others.count());
+        metrics.render()
     }
 
     fn health(&self) -> view::Health {
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -11,7 +11,7 @@
 use hickory_state::claim::{self, Claim, Outcome};
 use hickory_target::Error;
 use hickory_target::service::{self, Reply, Services};
-use hickory_telemetry::label::Work;
+use hickory_telemetry::label::{self, Work};
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
 use hickory_wire::message::Ending;
@@ -72,7 +72,9 @@
 
 /// Claims the call before its first byte, and sends it at most once.
 async fn run_once(core: &Arc<Core>, call: &Call, key: Uuid) -> Result<Reply, Refusal> {
-    let claim = match core.ledger.claim(key, fingerprint(call), call.deadline).await {
+    let answer = core.ledger.claim(key, fingerprint(call), call.deadline).await;
+    core.metrics.claimed(label_claim(&answer));
+    let claim = match answer {
         claim::Answer::Granted(claim) => claim,
         other => return read_unclaimed(other),
     };
@@ -101,6 +103,15 @@
     });
 }
 
+fn label_claim(answer: &claim::Answer) -> label::Claim {
+    match answer {
+        claim::Answer::Granted(_) => label::Claim::Won,
+        claim::Answer::Repeated { .. } | claim::Answer::Reused => label::Claim::Held,
+        claim::Answer::NotDone(_) => label::Claim::NotDone,
+        claim::Answer::TooOld | claim::Answer::Unknown(_) => label::Claim::Unknown,
+    }
+}
+
 fn read_unclaimed(answer: claim::Answer) -> Result<Reply, Refusal> {
     let unknown = |reason, detail: &str| {
         Err(Refusal {
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -10,6 +10,7 @@
 use hickory_state::member::{Info, Member};
 use hickory_state::owner::{Owners, Probe};
 use hickory_target::http::Targets;
+use hickory_telemetry::metered::Metered;
 use hickory_telemetry::metrics::Metrics;
 use hickory_unit::clock::{Clock, System};
 use hickory_unit::id;
@@ -47,6 +48,9 @@
     }
 }
 
+/// The platform, with a count of each call.
+pub(crate) type Port = Metered<Platform, System>;
+
 /// What the parts of a node share.
 #[derive(Debug)]
 pub(crate) struct Core {
@@ -54,13 +58,13 @@
     pub(crate) key: Key,
     pub(crate) incarnation: id::Incarnation,
     pub(crate) clock: System,
-    pub(crate) platform: Platform,
+    pub(crate) platform: Port,
     pub(crate) targets: Targets,
     pub(crate) links: Arc<OnceLock<Links>>,
-    pub(crate) member: Member<Platform, System>,
-    pub(crate) keeper: Keeper<Platform, System>,
-    pub(crate) owners: Owners<Platform, System, LinkProbe>,
-    pub(crate) ledger: Ledger<Platform, System>,
+    pub(crate) member: Member<Port, System>,
+    pub(crate) keeper: Keeper<Port, System>,
+    pub(crate) owners: Owners<Port, System, LinkProbe>,
+    pub(crate) ledger: Ledger<Port, System>,
     pub(crate) view: View,
     pub(crate) seats: Seats,
     pub(crate) metrics: Metrics,
--- a/crates/node/src/drive.rs
+++ b/crates/node/src/drive.rs
@@ -1,7 +1,7 @@
 //! The owner's loops over its targets: read load reports, grant what fits,
 //! cancel what nobody stands for, give orders.
 
-use crate::core::Core;
+use crate::core::{Core, Stage};
 use crate::seat;
 use hickory_platform::host::{Host, Kind};
 use hickory_policy::limit::Capacity;
@@ -10,6 +10,7 @@
 use hickory_target::Error;
 use hickory_target::engine::{Cancelled, Engines, Order, Report, Weights};
 use hickory_target::service::{self, Services};
+use hickory_telemetry::label::{self, Orphan, Ownership};
 use hickory_unit::{id, size};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -33,6 +34,10 @@
             let kept = owned.iter().any(|o| o.target == *target && o.epoch == *epoch);
             if !kept {
                 task.abort();
+                core.metrics.owner_changed(match core.stage() {
+                    Stage::Serving => Ownership::Lost,
+                    Stage::Draining | Stage::Closed => Ownership::Released,
+                });
             }
             kept
         });
@@ -43,6 +48,7 @@
                 continue;
             }
             core.seats.open(&owned.target, owned.epoch);
+            core.metrics.owner_changed(Ownership::Gained);
             let task = tokio::spawn(drive(core.clone(), owned.target.clone(), owned.epoch));
             running.insert(owned.target, (owned.epoch, task.abort_handle()));
         }
@@ -61,6 +67,9 @@
                 Kind::Service(_) => drive_service(&core, host).await,
             };
             missed = if read { 0 } else { missed + 1 };
+            if missed == MISSED_MAX {
+                core.metrics.target_silent();
+            }
             update_accepting(&core, host, missed < MISSED_MAX);
         }
         let (life, resume) = (core.permit_life(), core.time(core.settings.times.resume_ms));
@@ -107,6 +116,7 @@
     core.seats.with(target, |seat| {
         if seat.incarnation.is_some_and(|known| known != report.incarnation) {
             seat.restarted(now);
+            core.metrics.target_restarted();
         }
         seat.incarnation = Some(report.incarnation);
         seat.kv_used = report.kv_used;
@@ -134,6 +144,9 @@
     for stream in cancels {
         let cancelled = core.targets.cancel(host.address, &stream).await;
         let now = core.now();
+        if matches!(cancelled, Ok(Cancelled::Stopped)) {
+            core.metrics.swept(Orphan::Stream);
+        }
         core.seats.with(&host.target, |seat| match cancelled {
             Ok(Cancelled::NeverBegun | Cancelled::Stopped | Cancelled::Ended)
             | Err(Error::NotFound) => seat.cancelled(now, &stream),
@@ -154,7 +167,12 @@
 ) {
     for weights in wanted_weights(configuration) {
         if !report.loaded.iter().any(|loaded| loaded.weights == weights) {
-            let _ = core.targets.order(host.address, epoch, &Order::Load(weights)).await;
+            let order = Order::Load(weights);
+            core.metrics.ordered(match core.targets.order(host.address, epoch, &order).await {
+                Ok(_) => label::Order::Confirmed,
+                Err(Error::Stale) => label::Order::Fenced,
+                Err(_) => label::Order::Failed,
+            });
         }
     }
 }
@@ -181,6 +199,7 @@
     core.seats.with(&host.target, |seat| {
         if seat.incarnation.is_some_and(|known| known != report.incarnation) {
             seat.restarted(now);
+            core.metrics.target_restarted();
         }
         seat.incarnation = Some(report.incarnation);
         // A call weighs one slot and no KV cache.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -41,6 +41,7 @@
 use hickory_state::member::{Info, Member};
 use hickory_state::owner::Owners;
 use hickory_target::http::Targets;
+use hickory_telemetry::metered::Metered;
 use hickory_telemetry::metrics::Metrics;
 use hickory_unit::clock::{Clock, System};
 use hickory_unit::id;
@@ -147,7 +148,9 @@
         hosts: settings.platform.hosts,
         weights: settings.platform.weights,
     };
+    let metrics = Metrics::open().map_err(invalid)?;
     let platform = Platform::open(address, Duration::from_millis(times.platform_ms));
+    let platform = Metered::open(platform, clock, metrics.clone());
     let incarnation = id::Incarnation(clock.wall_ms());
     let info = Info {
         node: settings.node.clone(),
@@ -178,7 +181,7 @@
         platform,
         view: view::View::default(),
         seats: seat::Seats::default(),
-        metrics: Metrics::open().map_err(invalid)?,
+        metrics,
         stage: watch::channel(Stage::Serving).0,
         active: AtomicUsize::new(0),
         settings,
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -8,6 +8,7 @@
 use hickory_policy::cost::{Class, Cost};
 use hickory_policy::limit::{self, Answer, Capacity, Limiter, Ticket};
 use hickory_policy::refuse::Reason;
+use hickory_telemetry::label;
 use hickory_unit::clock::Clock;
 use hickory_unit::{id, size};
 use hickory_wire::message::{Adopt, Ask, Ending, Outcome, Permit, Refusal, State, Weights};
@@ -164,6 +165,16 @@
 /// Answers an ask for a permit as owner: at once, or when its turn comes, or
 /// with [`QUEUED`] after half a permit's life.
 pub(crate) async fn permit(core: &Core, ask: &Ask) -> Result<Permit, Refusal> {
+    let answer = decide_permit(core, ask).await;
+    core.metrics.permit(match &answer {
+        Ok(_) => label::Permit::Granted,
+        Err(refusal) if refusal.reason == QUEUED => label::Permit::Queued,
+        Err(_) => label::Permit::Refused,
+    });
+    answer
+}
+
+async fn decide_permit(core: &Core, ask: &Ask) -> Result<Permit, Refusal> {
     let life = core.permit_life();
     let now = core.now();
     let begun = core.seats.with(&ask.target, |seat| seat.ask(now, life, ask));
--- a/crates/telemetry/src/label.rs
+++ b/crates/telemetry/src/label.rs
@@ -117,9 +117,9 @@
         Won = "won",
         /// The same call was claimed before.
         Held = "held",
-        /// It could not be written, and certainly was not.
+        /// It could not be written; the call never runs under this key.
         NotDone = "not_done",
-        /// No answer came, and reading back did not settle it.
+        /// Nobody can tell whether the call ran under this key before.
         Unknown = "unknown",
     }
 
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod label;
 pub mod logs;
+pub mod metered;
 pub mod metrics;
--- /dev/null
+++ b/crates/telemetry/src/metered.rs
@@ -0,0 +1,89 @@
+//! The platform's ports with a count of each call.
+
+use crate::label::{Call, CallResult};
+use crate::metrics::Metrics;
+use hickory_platform::host::{self, Host};
+use hickory_platform::store::{Batch, Entry, Error, Lease, Revision, Store, Write};
+use hickory_platform::weight;
+use hickory_unit::clock::Clock;
+use std::future::Future;
+use std::time::Duration;
+
+/// A port that counts its calls, and passes them on unchanged.
+#[derive(Clone, Debug)]
+pub struct Metered<P, C> {
+    port: P,
+    clock: C,
+    metrics: Metrics,
+}
+
+impl<P, C: Clock> Metered<P, C> {
+    /// Counts the calls of `port` into `metrics`.
+    pub fn open(port: P, clock: C, metrics: Metrics) -> Self {
+        Self { port, clock, metrics }
+    }
+
+    async fn count<T>(
+        &self,
+        call: Call,
+        work: impl Future<Output = Result<T, Error>>,
+    ) -> Result<T, Error> {
+        let start = self.clock.now();
+        let result = work.await;
+        let time = self.clock.now().saturating_duration_since(start);
+        self.metrics.platform_called(call, read_result(&result), time);
+        result
+    }
+}
+
+fn read_result<T>(result: &Result<T, Error>) -> CallResult {
+    match result {
+        Ok(_) => CallResult::Done,
+        Err(Error::Conflict(_)) => CallResult::Conflict,
+        Err(Error::NotDone(_)) => CallResult::NotDone,
+        Err(Error::Unknown(_)) => CallResult::Unknown,
+        Err(Error::LeaseLapsed) => CallResult::LeaseLapsed,
+    }
+}
+
+impl<P: Store, C: Clock> Store for Metered<P, C> {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
+        self.count(Call::Get, self.port.get(key)).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<(Vec<Entry>, Revision), Error> {
+        self.count(Call::List, self.port.list(prefix)).await
+    }
+
+    async fn write(&self, write: Write) -> Result<Revision, Error> {
+        self.count(Call::Write, self.port.write(write)).await
+    }
+
+    async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Batch, Error> {
+        self.count(Call::Watch, self.port.watch(prefix, after, wait)).await
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
+        self.count(Call::Grant, self.port.grant(ttl)).await
+    }
+
+    async fn renew(&self, lease: Lease) -> Result<(), Error> {
+        self.count(Call::Renew, self.port.renew(lease)).await
+    }
+
+    async fn revoke(&self, lease: Lease) -> Result<(), Error> {
+        self.count(Call::Revoke, self.port.revoke(lease)).await
+    }
+}
+
+impl<P: host::List, C: Clock> host::List for Metered<P, C> {
+    async fn hosts(&self) -> Result<Vec<Host>, Error> {
+        self.count(Call::Hosts, self.port.hosts()).await
+    }
+}
+
+impl<P: weight::Weights, C: Clock> weight::Weights for Metered<P, C> {
+    async fn limit(&self) -> Result<weight::Limit, Error> {
+        self.count(Call::Limit, self.port.limit()).await
+    }
+}
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -55,7 +55,8 @@
     claims: Vec<IntCounter>,
     orders: Vec<IntCounter>,
     quarantines: IntCounter,
-    target_deaths: IntCounter,
+    target_restarts: IntCounter,
+    target_silences: IntCounter,
     configuration: IntGauge,
     peers: IntGauge,
 }
@@ -138,10 +139,15 @@
                 "quarantines_total",
                 "Requests quarantined because targets died while they ran",
             )?,
-            target_deaths: open_counter(
+            target_restarts: open_counter(
                 r,
-                "target_deaths_total",
-                "Targets found dead by this node as owner",
+                "target_restarts_total",
+                "Owned targets that came back as a new process",
+            )?,
+            target_silences: open_counter(
+                r,
+                "target_silences_total",
+                "Owned targets that ceased to answer and got no new work",
             )?,
             configuration: open_gauge(
                 r,
@@ -189,7 +195,10 @@
     /// Counts a call to the platform.
     pub fn platform_called(&self, call: Call, result: CallResult, time: Duration) {
         self.platform_calls[call as usize][result as usize].inc();
-        self.platform_seconds[call as usize].observe(time.as_secs_f64());
+        // A watch lasts until something changes: its time says nothing.
+        if call != Call::Watch {
+            self.platform_seconds[call as usize].observe(time.as_secs_f64());
+        }
     }
 
     /// Counts a change of ownership.
@@ -227,9 +236,14 @@
         self.quarantines.inc();
     }
 
-    /// Counts the death of a target.
-    pub fn target_died(&self) {
-        self.target_deaths.inc();
+    /// Counts a target that came back as a new process.
+    pub fn target_restarted(&self) {
+        self.target_restarts.inc();
+    }
+
+    /// Counts a target that ceased to answer.
+    pub fn target_silent(&self) {
+        self.target_silences.inc();
     }
 
     /// Sets the version of the configuration in force.
