Log failed attempts with what they were about

The lines' subject had a type and no user: a request that met a failure left no line at all. A failed attempt that is followed by another, and a request that is given up on and may have run, are warnings with request, attempt, account, target and zone; a refusal that has not run is counted, and logged at debug only, since under overload there are thousands of them.

Test nodes write their lines to a file, which is shown when a test fails.

--- a/apps/hickory-node/tests/proofs/main.rs
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -3,6 +3,7 @@
 //! times.
 
 mod death;
+mod logs;
 mod once;
 mod path;
 mod stop;
--- a/apps/hickory-node/tests/proofs/support.rs
+++ b/apps/hickory-node/tests/proofs/support.rs
@@ -16,6 +16,7 @@
 use std::future::Future;
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,8 @@
 pub struct Node {
     pub callers: SocketAddr,
     pub admin: SocketAddr,
+    /// Its log lines.
+    pub log: PathBuf,
     child: Child,
 }
 
@@ -88,6 +91,8 @@
 impl Node {
     pub fn start(name: &str, zone: &str, standins: &Fleet, times: &Value) -> Self {
         let platform = standins.platform();
+        let log =
+            std::env::temp_dir().join(format!("hickory-proof-{}.jsonl", uuid::Uuid::now_v7()));
         let settings = json!({
             "node": name,
             "zone": zone,
@@ -100,9 +105,10 @@
             "fleet_key": "2a".repeat(32),
             "first_operator": digest_token(OPERATOR),
             "times": times,
+            "logs": { "level": "warn", "file": log },
         });
         let mut child = Command::new(env!("CARGO_BIN_EXE_hickory-node"))
-            .args(["--log", "warn", "/dev/stdin"])
+            .arg("/dev/stdin")
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
@@ -114,7 +120,7 @@
         let stdout = child.stdout.take().expect("stdout is piped");
         BufReader::new(stdout).read_line(&mut line).expect("the node says that it is ready");
         let ready: Ready = serde_json::from_str(&line).expect("the node's line is JSON");
-        Self { callers: ready.callers, admin: ready.admin, child }
+        Self { callers: ready.callers, admin: ready.admin, log, child }
     }
 
     pub fn signal(&self, signal: rustix::process::Signal) {
@@ -144,6 +150,10 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            eprintln!("{}", std::fs::read_to_string(&self.log).unwrap_or_default());
+        }
+        let _ = std::fs::remove_file(&self.log);
     }
 }
 
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -4,6 +4,7 @@
 use crate::core::{Active, Core};
 use crate::parse::{Caller, hash_parts, refuse};
 use crate::permit::{self, Leave, ONE_SLOT, Want};
+use crate::record;
 use crate::view::Need;
 use bytes::Bytes;
 use hickory_policy::cost::Class;
@@ -175,12 +176,15 @@
                 ran = Ran::Unknown;
                 if call.once {
                     let refusal = refuse(Reason::TargetFailed, error.to_string());
-                    return Err(Failure { refusal: Refusal { ran, ..refusal } });
+                    let refusal = Refusal { ran, ..refusal };
+                    record::log_refusal(request, &call.caller.account, &refusal);
+                    return Err(Failure { refusal });
                 }
                 Retry::TargetFailed
             }
         };
         core.metrics.retried(retry);
+        record::log_retry(core, &call.caller.account, &leave, retry);
     }
     let refusal = refuse(Reason::TargetFailed, "the replicas failed that it was sent to");
     Err(Failure { refusal: Refusal { ran, ..refusal } })
--- a/crates/node/src/complete.rs
+++ b/crates/node/src/complete.rs
@@ -7,6 +7,7 @@
 use crate::core::{Active, Core};
 use crate::parse::{Completion, refuse};
 use crate::permit::{self, Leave, Want};
+use crate::record;
 use crate::relay::{self, End, Relay};
 use crate::seal::Position;
 use crate::view::Need;
@@ -100,6 +101,7 @@
         if self.sent {
             refusal.ran = Ran::Unknown;
         }
+        record::log_refusal(self.completion.request, &self.completion.caller.account, &refusal);
         let _ = self.out.send(Piece::Refused(refusal)).await;
     }
 
@@ -187,6 +189,9 @@
             End::Failed(Error::Refused(_)) => (Ending::NotSent, Attempt::Again(Retry::Refused)),
             End::Failed(_) => (Ending::Lost, Attempt::Again(Retry::TargetFailed)),
         };
+        if let Attempt::Again(reason) = attempt {
+            record::log_retry(self.core, &self.completion.caller.account, leave, reason);
+        }
         let (target, permit) = (&leave.target, &leave.permit);
         permit::give_back(self.core, target, permit, &leave.stream, ending, first_token);
         attempt
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 mod parse;
 mod peers;
 mod permit;
+mod record;
 mod relay;
 mod reply;
 mod resume;
