--- /dev/null
+++ b/crates/client/src/connection.rs
@@ -0,0 +1,69 @@
+//! A connection that carries one call at a time.
+
+use crate::Error;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+type Request = http::Request<Full<Bytes>>;
+
+/// A connection.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// The same socket, to look at it without waiting.
+    socket: std::net::TcpStream,
+}
+
+/// A request that got no answer.
+pub(crate) struct Failure {
+    pub(crate) text: String,
+    /// The request, where none of it has been written.
+    pub(crate) unsent: Option<Request>,
+}
+
+impl Connection {
+    /// Connects within `timeout`.
+    pub(crate) async fn open(at: SocketAddr, timeout: Duration) -> Result<Self, Error> {
+        let not_sent = |error: &dyn std::fmt::Display| Error::NotSent(error.to_string());
+        let connect = tokio::time::timeout(timeout, TcpStream::connect(at));
+        let stream = connect.await.map_err(|e| not_sent(&e))?.map_err(|e| not_sent(&e))?;
+        let socket = stream.into_std().map_err(|e| not_sent(&e))?;
+        socket.set_nodelay(true).map_err(|e| not_sent(&e))?;
+        let twin = socket.try_clone().map_err(|e| not_sent(&e))?;
+        let stream = TcpStream::from_std(twin).map_err(|e| not_sent(&e))?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, driver) = handshake.map_err(|e| not_sent(&e))?;
+        tokio::spawn(driver);
+        Ok(Self { sender, socket })
+    }
+
+    /// Whether it is open and has nothing to read. The driver learns of a
+    /// close only when its task next runs, and would until then write a call
+    /// that can't be told from one that ran; the socket itself knows at once.
+    pub(crate) fn is_idle(&self) -> bool {
+        let peeked = self.socket.peek(&mut [0]);
+        let nothing = peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
+        nothing && !self.sender.is_closed()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request,
+    ) -> Result<http::Response<Incoming>, Failure> {
+        if let Err(error) = self.sender.ready().await {
+            return Err(Failure { text: error.to_string(), unsent: Some(request) });
+        }
+        self.sender.try_send_request(request).await.map_err(|mut failure| {
+            let text = failure.error().to_string();
+            Failure { text, unsent: failure.take_message() }
+        })
+    }
+}
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -6,20 +6,19 @@
 //! not begun to be written, because a pooled connection turned out closed, is
 //! written to another connection.
 
+mod connection;
 mod pool;
 
 use bytes::Bytes;
+use connection::Connection;
 use derive_more::Display;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use pool::Pool;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use tokio::net::TcpStream;
 
 /// Why a call failed, by what the other end can have seen of it.
 #[derive(Clone, Debug, Display, PartialEq, Eq, derive_more::Error)]
@@ -63,9 +62,6 @@
     connect_timeout: Duration,
 }
 
-/// A connection that carries one call at a time.
-type Connection = SendRequest<Full<Bytes>>;
-
 impl Client {
     /// A client without connections.
     pub fn open(connect_timeout: Duration) -> Self {
@@ -106,14 +102,11 @@
         at: SocketAddr,
         call: Call<'_>,
     ) -> Result<http::Response<Incoming>, Error> {
-        let mut connection = self.connect(at).await?;
+        let mut connection = Connection::open(at, self.connect_timeout).await?;
         let request = make_request(at, call)?;
-        connection.try_send_request(request).await.map_err(|mut failure| {
-            let text = failure.error().to_string();
-            match failure.take_message() {
-                Some(_) => Error::NotSent(text),
-                None => Error::Unknown(text),
-            }
+        connection.send(request).await.map_err(|failure| match failure.unsent {
+            Some(_) => Error::NotSent(failure.text),
+            None => Error::Unknown(failure.text),
         })
     }
 
@@ -125,29 +118,27 @@
     ) -> Result<Answer, Error> {
         let mut request = make_request(at, call)?;
         loop {
-            let pooled = self.take_ready(at).await;
+            let pooled = self.pool.take(at);
             let is_pooled = pooled.is_some();
             let mut connection = match pooled {
                 Some(connection) => connection,
-                None => self.connect(at).await?,
+                None => Connection::open(at, self.connect_timeout).await?,
             };
             written.store(true, Ordering::Relaxed);
-            match connection.try_send_request(request).await {
+            let failure = match connection.send(request).await {
                 Ok(response) => return self.read_whole(at, connection, response).await,
-                Err(mut failure) => {
-                    let text = failure.error().to_string();
-                    // The message comes back only where none of it has been
-                    // written, so this is no second sending.
-                    let Some(unsent) = failure.take_message() else {
-                        return Err(Error::Unknown(text));
-                    };
-                    written.store(false, Ordering::Relaxed);
-                    if !is_pooled {
-                        return Err(Error::NotSent(text));
-                    }
-                    request = unsent;
-                }
+                Err(failure) => failure,
+            };
+            // The request comes back only where none of it has been written,
+            // so what follows is no second sending.
+            let Some(unsent) = failure.unsent else {
+                return Err(Error::Unknown(failure.text));
+            };
+            written.store(false, Ordering::Relaxed);
+            if !is_pooled {
+                return Err(Error::NotSent(failure.text));
             }
+            request = unsent;
         }
     }
 
@@ -163,30 +154,6 @@
         self.pool.put(at, connection);
         Ok(Answer { status, body })
     }
-
-    /// A pooled connection that is still open, as far as this end knows.
-    async fn take_ready(&self, at: SocketAddr) -> Option<Connection> {
-        loop {
-            let mut connection = self.pool.take(at)?;
-            if connection.ready().await.is_ok() {
-                return Some(connection);
-            }
-        }
-    }
-
-    async fn connect(&self, at: SocketAddr) -> Result<Connection, Error> {
-        let connect = TcpStream::connect(at);
-        let stream = match tokio::time::timeout(self.connect_timeout, connect).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(Error::NotSent(error.to_string())),
-            Err(_) => return Err(Error::NotSent("connect timeout".into())),
-        };
-        let _ = stream.set_nodelay(true);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (connection, driver) = handshake.map_err(|e| Error::NotSent(e.to_string()))?;
-        tokio::spawn(driver);
-        Ok(connection)
-    }
 }
 
 fn make_request(at: SocketAddr, call: Call<'_>) -> Result<http::Request<Full<Bytes>>, Error> {
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -1,6 +1,6 @@
 //! Idle connections by address, in shards.
 
-use crate::Connection;
+use crate::connection::Connection;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -23,6 +23,12 @@
     since: Instant,
 }
 
+impl Idle {
+    fn is_usable(&self) -> bool {
+        self.since.elapsed() < IDLE_TIME && self.connection.is_idle()
+    }
+}
+
 type Shard = HashMap<SocketAddr, Vec<Idle>>;
 
 /// The idle connections of a client.
@@ -41,20 +47,19 @@
     /// Takes the connection to `at` that was used last.
     pub(crate) fn take(&self, at: SocketAddr) -> Option<Connection> {
         let mut shard = self.lock(at);
-        let idle = shard.get_mut(&at)?.pop()?;
-        if idle.since.elapsed() < IDLE_TIME && !idle.connection.is_closed() {
-            return Some(idle.connection);
+        let all = shard.get_mut(&at)?;
+        let found = std::iter::from_fn(|| all.pop()).find(Idle::is_usable);
+        if all.is_empty() {
+            shard.remove(&at);
         }
-        // Those below were idle for longer still.
-        shard.remove(&at);
-        None
+        found.map(|idle| idle.connection)
     }
 
     /// Keeps a connection for a later call.
     pub(crate) fn put(&self, at: SocketAddr, connection: Connection) {
         let mut shard = self.lock(at);
         let idle = shard.entry(at).or_default();
-        idle.retain(|idle| idle.since.elapsed() < IDLE_TIME && !idle.connection.is_closed());
+        idle.retain(|idle| idle.since.elapsed() < IDLE_TIME);
         if idle.len() < IDLE_MAX {
             idle.push(Idle { connection, since: Instant::now() });
         }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -192,9 +192,16 @@
     }
 
     fn read(&self, stream: &id::Stream, from: u64) -> Reply {
-        let Some(number) = self.lock().readers.supersede(stream) else {
+        let now = self.inner.faults.now();
+        let mut held = self.lock();
+        held.engine.advance(now);
+        let known = held.engine.progress(stream).and_then(|_| held.readers.supersede(stream));
+        drop(held);
+        let Some(number) = known else {
             return Reply::status(404, "no such stream");
         };
+        // Wakes an older reader, who gives way, also where nothing moves.
+        self.inner.ticked.send_modify(|tick| *tick += 1);
         let (pieces, reply) = Reply::stream();
         let pump = crate::reader::pump(self.clone(), stream.clone(), number, from, pieces);
         tokio::spawn(pump);
