--- a/apps/hickory-load/src/main.rs
+++ b/apps/hickory-load/src/main.rs
@@ -1,3 +1,44 @@
-//! Entry point.
+//! Callers and experiments against a hickoryrun fleet.
 
-fn main() {}
+mod options;
+
+use clap::Parser;
+use eyre::{Result, WrapErr};
+use hickory_load::experiment::{self, Name};
+use hickory_load::run;
+use options::{Arguments, Command, Run};
+use std::process::ExitCode;
+
+/// A request neither got its whole answer nor a refusal.
+const EXIT_LOST: u8 = 3;
+
+/// A measured figure misses its goal, and the caller asked to be told.
+const EXIT_MISSED: u8 = 4;
+
+fn main() -> Result<ExitCode> {
+    match Arguments::parse().command {
+        Command::Run(run) => send_workload(run),
+        Command::Experiment { name, seed, json, strict } => measure(name, seed, json, strict),
+    }
+}
+
+fn send_workload(arguments: Run) -> Result<ExitCode> {
+    let options = arguments.plan()?;
+    let json = arguments.json;
+    let report = run::run(options, arguments.entries, arguments.tokens).wrap_err("callers")?;
+    match json {
+        true => println!("{}", serde_json::to_string_pretty(&report)?),
+        false => print!("{report}"),
+    }
+    Ok(if report.lost() > 0 { ExitCode::from(EXIT_LOST) } else { ExitCode::SUCCESS })
+}
+
+fn measure(name: Name, seed: u64, json: bool, strict: bool) -> Result<ExitCode> {
+    let sheet = experiment::run_experiment(name, seed)?;
+    match json {
+        true => println!("{}", serde_json::to_string_pretty(&sheet)?),
+        false => print!("{sheet}"),
+    }
+    let missed = sheet.figures.iter().any(|figure| figure.met == Some(false));
+    Ok(if strict && missed { ExitCode::from(EXIT_MISSED) } else { ExitCode::SUCCESS })
+}
--- /dev/null
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -0,0 +1,11 @@
+//! Proofs between processes: real nodes and stand-ins on loopback, under the
+//! failures that the brief names. Waits are on conditions, never on guessed
+//! times.
+
+mod death;
+mod once;
+mod path;
+mod stop;
+mod support;
+mod whole;
+mod zone;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,9 +34,10 @@
 
 use crate::core::{Core, LinkProbe, Stage};
 use hickory_platform::http::{Address, Platform};
+use hickory_release::note::Note;
 use hickory_settings::Node as Settings;
 use hickory_state::claim::{self, Ledger};
-use hickory_state::config::Keeper;
+use hickory_state::config::{Keeper, Rejection};
 use hickory_state::member::{Info, Member};
 use hickory_state::owner::Owners;
 use hickory_target::http::Targets;
@@ -58,7 +59,8 @@
 #[derive(Clone, Debug)]
 pub struct Node {
     core: Arc<Core>,
-    admin: SocketAddr,
+    /// Serves operators until the last clone of the node is dropped.
+    admin: Arc<hickory_admin::server::Handle<admin::Desk>>,
 }
 
 impl Node {
@@ -77,7 +79,7 @@
         settings.peers = peers.local_addr()?;
         let core = Arc::new(open_core(settings, key)?);
         let desk = admin::Desk { core: core.clone(), runtime: tokio::runtime::Handle::current() };
-        let admin = hickory_admin::Server::spawn(core.settings.admin, Arc::new(desk))?.address();
+        let admin = hickory_admin::Server::spawn(core.settings.admin, Arc::new(desk))?;
         let links = Links::spawn(peers, core.key.clone(), peers::Desk(Arc::downgrade(&core)))?;
         let _ = core.links.set(links.clone());
         tokio::spawn(peers::follow_hosts(core.clone()));
@@ -86,7 +88,7 @@
         tokio::spawn(drain::follow(core.clone()));
         let listener = tokio::net::TcpListener::from_std(callers)?;
         tokio::spawn(serve::serve(core.clone(), listener));
-        Ok(Self { core, admin })
+        Ok(Self { core, admin: Arc::new(admin) })
     }
 
     /// Where callers connect.
@@ -96,7 +98,7 @@
 
     /// Where operators connect.
     pub fn admin(&self) -> SocketAddr {
-        self.admin
+        self.admin.address()
     }
 
     /// Where other nodes connect.
@@ -104,6 +106,23 @@
         self.core.settings.peers
     }
 
+    /// Accepts a release note: writes the configuration that it makes of the
+    /// present one, whole or not at all.
+    ///
+    /// # Errors
+    ///
+    /// Why the note is not accepted, or that it is not known whether it is.
+    pub async fn accept(&self, note: &Note) -> Result<id::Release, Rejection> {
+        self.core.keeper.accept(note).await.map(|configuration| configuration.version)
+    }
+
+    /// Targets that take new work, as far as this node knows.
+    pub fn accepting(&self) -> usize {
+        let hosts = self.core.view.hosts();
+        let states = hosts.keys().filter_map(|target| self.core.view.state(target));
+        states.filter(|state| state.accepting).count()
+    }
+
     /// Begins a planned stop; [`Node::closed`] tells when it is done.
     pub fn drain(&self) {
         drain::begin(&self.core);
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -211,21 +211,46 @@
     }
 }
 
-/// Tells the owner of `target` that this node serves the rest of a stream.
+/// Tells the owner of a target that this node serves the rest of a stream.
 pub(crate) async fn adopt(core: &Core, adopt: message::Adopt) -> Result<Permit, Refusal> {
-    let lost = || refuse(Reason::StreamLost, "no target holds the stream any more");
-    let answer = match find_owner(core, &adopt.target).ok_or_else(lost)? {
+    // The owner may have gone with the caller's node: its successor, once it
+    // is there, finds the stream on the target.
+    let no_owner = || Refusal {
+        retry_after: Some(core.permit_life()),
+        ..refuse(Reason::NoOwner, "the target has no owner at present")
+    };
+    let answer = match find_owner(core, &adopt.target).ok_or_else(no_owner)? {
         Owner::Here => seat::adopt(core, &adopt),
         Owner::There(address) => {
-            let links = core.links.get().ok_or_else(lost)?;
+            let links = core.links.get().ok_or_else(no_owner)?;
             let answer = links.adopt(address, adopt, core.peer_timeout()).await;
-            answer.map_err(|_| Refusal {
-                retry_after: Some(core.permit_life()),
-                ..refuse(Reason::NoOwner, "the target's owner can't be reached")
-            })?
+            answer.map_err(|_| no_owner())?
         }
     };
-    answer.map_err(|_| lost())
+    answer.map_err(|refused| match refused.reason.as_str() {
+        _ if refused.not_owner => no_owner(),
+        seat::TAKEN => refuse(Reason::AlreadyClaimed, "another node serves the stream"),
+        _ => refuse(Reason::StreamLost, "no target holds the stream any more"),
+    })
+}
+
+/// Whether this node may take its own stream up again after a cut.
+///
+/// The engine cuts a reader when another one comes: if this node was paused,
+/// its caller may have gone on through another node, and taking the stream
+/// back would cut that one. While the target has no owner the answer waits,
+/// for `limit` at most: then the cut is far likelier than a second reader.
+pub(crate) async fn may_keep(core: &Core, want: message::Adopt, limit: Duration) -> bool {
+    let end = core.now() + limit;
+    loop {
+        match adopt(core, want.clone()).await {
+            Err(refusal) if refusal.reason == Reason::AlreadyClaimed => return false,
+            Err(refusal) if refusal.reason == Reason::NoOwner && core.now() < end => {
+                tokio::time::sleep(core.permit_life() / 4).await;
+            }
+            Ok(_) | Err(_) => return true,
+        }
+    }
 }
 
 /// Tells the owner how an attempt ended, without waiting for it.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,5 +7,11 @@
 
 pub mod claim;
 pub mod config;
+pub mod follow;
+pub mod group;
+pub mod head;
+pub mod lease;
 pub mod member;
 pub mod owner;
+pub mod page;
+pub mod retry;
