--- /dev/null
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -0,0 +1,12 @@
+//! Proofs between processes: real nodes and stand-ins on loopback, under the
+//! failures that the brief names. Waits are on conditions, never on guessed
+//! times.
+
+mod death;
+mod logs;
+mod once;
+mod path;
+mod stop;
+mod support;
+mod whole;
+mod zone;
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,153 @@
+//! The exchange with peers.
+
+use crate::core::{Core, Stage};
+use crate::seat;
+use hickory_state::member::Info;
+use hickory_unit::clock::Clock;
+use hickory_unit::id;
+use hickory_wire::link::{Handler, Links};
+use hickory_wire::message::{Adopt, Ask, Document, Gossip, Outcome, Permit, Refusal};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Weak};
+
+/// Answers peers on behalf of the node.
+#[derive(Clone, Debug)]
+pub(crate) struct Desk(pub(crate) Weak<Core>);
+
+fn refuse_closed() -> Refusal {
+    Refusal {
+        reason: hickory_policy::refuse::Reason::Draining.to_string(),
+        retry_after: std::time::Duration::from_secs(1),
+        not_owner: true,
+    }
+}
+
+impl Handler for Desk {
+    fn exchange(&self, gossip: Gossip) -> Gossip {
+        match self.0.upgrade() {
+            Some(core) => {
+                take_gossip(&core, &gossip);
+                let answer = make_gossip(&core, &gossip.node);
+                tokio::spawn(fetch_from_asker(core, gossip));
+                answer
+            }
+            None => gossip,
+        }
+    }
+
+    async fn permit(&self, ask: Ask) -> Result<Permit, Refusal> {
+        let core = self.0.upgrade().ok_or_else(refuse_closed)?;
+        seat::permit(&core, &ask).await
+    }
+
+    fn outcome(&self, outcome: Outcome) {
+        if let Some(core) = self.0.upgrade() {
+            seat::end(&core, &outcome);
+        }
+    }
+
+    fn adopt(&self, adopt: Adopt) -> Result<Permit, Refusal> {
+        let core = self.0.upgrade().ok_or_else(refuse_closed)?;
+        seat::adopt(&core, &adopt)
+    }
+
+    fn release(&self) -> Option<Document> {
+        let configuration = self.0.upgrade()?.configuration()?;
+        let text = serde_json::to_string(&*configuration).ok()?;
+        Some(Document { version: configuration.version.0, text })
+    }
+
+    fn owners(&self) -> Option<Document> {
+        let (version, text) = self.0.upgrade()?.owners.document();
+        Some(Document { version, text })
+    }
+}
+
+/// What this node tells a peer.
+fn make_gossip(core: &Core, peer: &id::Node) -> Gossip {
+    let (seen, since) = core.view.versions(peer);
+    let (version, targets) = core.seats.states_since(since);
+    Gossip {
+        version,
+        seen,
+        targets,
+        node: core.me().clone(),
+        incarnation: core.incarnation,
+        release: core.configuration().map_or(id::Release(0), |c| c.version),
+        owners: core.owners.revision(),
+        draining: core.stage() != Stage::Serving,
+        suspects: Vec::new(),
+        connections: core.active.load(Ordering::Acquire) as u32,
+    }
+}
+
+fn take_gossip(core: &Core, gossip: &Gossip) {
+    core.view.merge(core.clock.now(), gossip);
+    core.owners.heard(&gossip.node, gossip.owners);
+}
+
+/// Exchanges gossip with every peer, and fetches what a peer knows better: a
+/// configuration or an ownership table may not reach this node otherwise
+/// while the platform is down.
+pub(crate) async fn gossip(core: Arc<Core>, links: Links) {
+    let interval = core.time(core.settings.times.gossip_ms);
+    loop {
+        // Its own word goes the way of all others'.
+        let own = make_gossip(&core, core.me());
+        take_gossip(&core, &Gossip { seen: own.version, ..own });
+        for info in core.member.nodes().values() {
+            // An exchange goes both ways, so one of the two begins it.
+            if info.node > *core.me() {
+                tokio::spawn(exchange(core.clone(), links.clone(), info.clone()));
+            }
+        }
+        tokio::time::sleep(interval).await;
+    }
+}
+
+async fn exchange(core: Arc<Core>, links: Links, info: Info) {
+    let timeout = core.peer_timeout();
+    let own = make_gossip(&core, &info.node);
+    if let Ok(gossip) = links.exchange(info.peers, own, timeout).await {
+        take_gossip(&core, &gossip);
+        fetch_newer(&core, &links, &info, &gossip).await;
+    }
+}
+
+/// The side that was asked looks as well: the asker may know better.
+async fn fetch_from_asker(core: Arc<Core>, gossip: Gossip) {
+    let info = core.member.nodes().get(&gossip.node).cloned();
+    if let (Some(info), Some(links)) = (info, core.links.get()) {
+        fetch_newer(&core, links, &info, &gossip).await;
+    }
+}
+
+/// Fetches what a peer knows better.
+async fn fetch_newer(core: &Core, links: &Links, info: &Info, gossip: &Gossip) {
+    let timeout = core.peer_timeout();
+    let known = core.configuration().map_or(id::Release(0), |c| c.version);
+    if gossip.release > known
+        && let Ok(Some(document)) = links.release(info.peers, timeout).await
+        && let Ok(configuration) = serde_json::from_str(&document.text)
+    {
+        core.keeper.offer(configuration);
+    }
+    if gossip.owners > core.owners.revision()
+        && let Ok(Some(document)) = links.owners(info.peers, timeout).await
+    {
+        core.owners.offer(document.version, &document.text);
+    }
+}
+
+/// Reads the host list again and again.
+pub(crate) async fn follow_hosts(core: Arc<Core>) {
+    let interval = core.time(core.settings.times.hosts_ms);
+    loop {
+        if let Ok(hosts) = hickory_platform::host::List::hosts(&core.platform).await {
+            let targets: Vec<id::Target> = hosts.iter().map(|host| host.target.clone()).collect();
+            core.view.set_hosts(hosts);
+            core.owners.set_targets(&targets);
+        }
+        tokio::time::sleep(interval).await;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,361 @@
+//! A model engine: the cost model behind HTTP.
+
+use crate::fault::{Faults, Life, Switch};
+use crate::peer::Peers;
+use crate::reader::Readers;
+use crate::server::{self, Call, Reply};
+use hickory_model::batch::Stall;
+use hickory_model::engine::{Engine, Job, Options as Model, Refused};
+use hickory_model::loading::Fetch;
+use hickory_target::engine::{Generate, Handle as Cache, Weights};
+use hickory_target::http::{Fenced, Import, Resume};
+use hickory_unit::{id, size};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+
+/// How often an engine looks whether the linked KV caches that its streams
+/// use are still held by other engines.
+const LINK_CHECK: Duration = Duration::from_millis(50);
+
+/// How long an engine waits before it asks a busy weight store again.
+const WEIGHTS_RETRY: Duration = Duration::from_millis(50);
+
+/// How an engine behaves.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// The cost model. After a restart the engine is cold, whatever the
+    /// warmth given here for its first start.
+    pub model: Model,
+    /// Weights held at the start, beside those that the cost model names.
+    pub loaded: Vec<Weights>,
+    /// Where weights are read from; without one they are there at once.
+    pub weights: Option<SocketAddr>,
+    /// When it starts again after a crash; never without.
+    pub restart_after: Option<Duration>,
+    /// It crashes when it runs a prompt that contains this.
+    pub crash_marker: Option<String>,
+}
+
+/// What an engine process holds in memory.
+#[derive(Debug)]
+pub(crate) struct Held {
+    pub(crate) engine: Engine,
+    pub(crate) readers: Readers,
+    crash_marker: Option<String>,
+    /// Whether the crash of `engine` has been acted on.
+    crash_seen: bool,
+}
+
+#[derive(Debug)]
+struct Inner {
+    options: Options,
+    faults: Faults,
+    held: Mutex<Held>,
+    ticked: watch::Sender<u64>,
+    work: Notify,
+    peers: Peers,
+}
+
+/// An engine.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    inner: Arc<Inner>,
+}
+
+/// A running engine.
+pub type Handle = server::Handle<Machine>;
+
+/// Serves an engine.
+pub fn spawn(listen: SocketAddr, mut options: Options) -> std::io::Result<Handle> {
+    options.model.loaded.append(&mut options.loaded);
+    let faults = Faults::none();
+    let engine = Engine::open(faults.now(), faults.incarnation(), options.model.clone());
+    let crash_marker = options.crash_marker.clone();
+    let held = Held { engine, readers: Readers::default(), crash_marker, crash_seen: false };
+    let inner = Inner {
+        options,
+        faults: faults.clone(),
+        held: Mutex::new(held),
+        ticked: watch::Sender::new(0),
+        work: Notify::new(),
+        peers: Peers::open(),
+    };
+    let machine = Machine { inner: Arc::new(inner) };
+    let handle = server::spawn_with(listen, machine.clone(), faults)?;
+    server::runtime().spawn(machine.clone().step());
+    server::runtime().spawn(machine.check_links());
+    Ok(handle)
+}
+
+impl Machine {
+    /// Calls `act` on the cost model, past all faults and without lag.
+    pub fn with_engine<T>(&self, act: impl FnOnce(&mut Engine) -> T) -> T {
+        act(&mut self.lock().engine)
+    }
+
+    /// KV memory in use by streams, handles and pins now.
+    pub fn kv_used(&self) -> size::Tokens {
+        self.with_engine(|engine| engine.kv_used())
+    }
+
+    /// Sets the text by which a prompt crashes the engine that runs it.
+    pub fn set_crash_marker(&self, marker: Option<String>) {
+        self.lock().crash_marker = marker;
+    }
+
+    /// Turns cold without a word.
+    pub fn turn_cold(&self) {
+        let now = self.inner.faults.now();
+        self.with_engine(|engine| engine.turn_cold(now));
+    }
+
+    /// Stops the streams from moving on, or lets them again.
+    pub fn stall(&self, stall: Stall) {
+        let now = self.inner.faults.now();
+        self.with_engine(|engine| engine.set_stall(now, stall));
+        self.inner.work.notify_one();
+    }
+
+    /// Runs the steps of the cost model as their time comes.
+    async fn step(self) {
+        let mut life = self.inner.faults.life();
+        loop {
+            self.inner.faults.wait_thawed().await;
+            let now = self.inner.faults.now();
+            let next = {
+                let mut held = self.lock();
+                held.engine.advance(now);
+                held.engine.next_step()
+            };
+            self.die_if_crashed();
+            self.inner.ticked.send_modify(|tick| *tick += 1);
+            let sleep = async {
+                match next {
+                    Some(at) => tokio::time::sleep(at.saturating_duration_since(now)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = sleep => {}
+                () = self.inner.work.notified() => {}
+                Ok(()) = life.changed() => if *life.borrow_and_update() == Life::Stopped {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Fails the streams whose KV cache lies partly on an engine that is
+    /// gone, or that has dropped it.
+    async fn check_links(self) {
+        let life = self.inner.faults.life();
+        while *life.borrow() != Life::Stopped {
+            tokio::time::sleep(LINK_CHECK).await;
+            self.inner.faults.wait_thawed().await;
+            for link in self.with_engine(|engine| engine.links()) {
+                if self.inner.peers.export(link.at, &link.handle).await.is_none() {
+                    let now = self.inner.faults.now();
+                    self.with_engine(|engine| engine.lose_link(now, &link.handle));
+                    self.inner.work.notify_one();
+                }
+            }
+        }
+    }
+
+    fn die_if_crashed(&self) {
+        let mut held = self.lock();
+        let crashed = held.engine.is_crashed() && !held.crash_seen;
+        held.crash_seen |= crashed;
+        drop(held);
+        if crashed {
+            self.inner.faults.crash(self.inner.options.restart_after);
+        }
+    }
+
+    fn generate(&self, generate: &Generate) -> Reply {
+        let mut job = Job::of(generate);
+        let mut held = self.lock();
+        let marker = held.crash_marker.as_deref();
+        job.crash = marker.is_some_and(|marker| generate.prompt.contains(marker));
+        if let Err(refused) = held.engine.begin(self.inner.faults.now(), job) {
+            drop(held);
+            self.die_if_crashed();
+            return refuse(refused);
+        }
+        let Held { engine, readers, .. } = &mut *held;
+        readers.add(generate, engine);
+        drop(held);
+        self.inner.work.notify_one();
+        self.read(&generate.stream, generate.from)
+    }
+
+    fn read(&self, stream: &id::Stream, from: u64) -> Reply {
+        let now = self.inner.faults.now();
+        let mut held = self.lock();
+        held.engine.advance(now);
+        let known = held.engine.progress(stream).and_then(|_| held.readers.supersede(stream));
+        drop(held);
+        let Some(number) = known else {
+            return Reply::status(404, "no such stream");
+        };
+        // Wakes an older reader, who gives way, also where nothing moves.
+        self.inner.ticked.send_modify(|tick| *tick += 1);
+        let (pieces, reply) = Reply::stream();
+        let pump = crate::reader::pump(self.clone(), stream.clone(), number, from, pieces);
+        tokio::spawn(pump);
+        reply
+    }
+
+    fn cancel(&self, stream: &id::Stream) -> Reply {
+        let mut held = self.lock();
+        let cancelled = held.engine.cancel(self.inner.faults.now(), stream);
+        held.readers.remove(stream);
+        drop(held);
+        self.inner.work.notify_one();
+        self.inner.ticked.send_modify(|tick| *tick += 1);
+        Reply::json(&cancelled)
+    }
+
+    fn order(&self, fenced: &Fenced) -> Reply {
+        let now = self.inner.faults.now();
+        let done = self.with_engine(|engine| engine.order(now, fenced.fence, &fenced.order));
+        self.inner.work.notify_one();
+        match done {
+            Ok(None) => Reply::json(&()),
+            Ok(Some(fetch)) => {
+                server::runtime().spawn(self.clone().fetch(fetch));
+                Reply::json(&())
+            }
+            Err(refused) => refuse(refused),
+        }
+    }
+
+    /// Reads weights from the weight store, until they are there or no longer
+    /// wanted.
+    async fn fetch(self, fetch: Fetch) {
+        let incarnation = self.inner.faults.incarnation();
+        if let Some(at) = self.inner.options.weights {
+            while !self.inner.peers.read_weights(at, fetch.bytes).await {
+                tokio::time::sleep(WEIGHTS_RETRY).await;
+                let wanted = self.with_engine(|engine| engine.holds_weights(&fetch.weights));
+                if !wanted || self.inner.faults.incarnation() != incarnation {
+                    return;
+                }
+            }
+        }
+        self.inner.faults.wait_thawed().await;
+        if self.inner.faults.incarnation() == incarnation {
+            self.with_engine(|engine| engine.finish_load(&fetch.weights));
+        }
+    }
+
+    async fn import(&self, import: &Import) -> Reply {
+        let Some(export) = self.inner.peers.export(import.from, &import.handle).await else {
+            return Reply::status(404, "no such KV cache");
+        };
+        let (now, incarnation) = (self.inner.faults.now(), self.inner.faults.incarnation());
+        let begun =
+            self.with_engine(|engine| engine.import(now, &import.handle, export, import.from));
+        let time = match begun {
+            Ok(time) => time,
+            Err(refused) => return refuse(refused),
+        };
+        // A task of its own: the copy arrives also when the caller that asked
+        // for it has gone, and would else be half there for good.
+        let copy = self.clone().finish_import(import.handle.clone(), time, incarnation);
+        match tokio::spawn(copy).await {
+            Ok(true) => Reply::json(&()),
+            _ => Reply::cut(),
+        }
+    }
+
+    async fn finish_import(self, handle: Cache, time: Duration, start: id::Incarnation) -> bool {
+        tokio::time::sleep(time).await;
+        self.inner.faults.wait_thawed().await;
+        let same = self.inner.faults.incarnation() == start;
+        if same {
+            self.with_engine(|engine| engine.finish_import(&handle));
+        }
+        same
+    }
+
+    fn drop_handle(&self, handle: &Cache) -> Reply {
+        let now = self.inner.faults.now();
+        self.with_engine(|engine| engine.drop_handle(now, handle));
+        self.inner.work.notify_one();
+        Reply::json(&())
+    }
+
+    fn export(&self, handle: &Cache) -> Reply {
+        match self.with_engine(|engine| engine.export(handle)) {
+            Some(export) => Reply::json(&export),
+            None => Reply::status(404, "no such KV cache"),
+        }
+    }
+
+    pub(crate) fn ticked(&self) -> watch::Receiver<u64> {
+        self.inner.ticked.subscribe()
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Held> {
+        self.inner.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn refuse(refused: Refused) -> Reply {
+    match refused {
+        Refused::Stale => Reply::status(409, &refused.to_string()),
+        Refused::Crashed => Reply::cut(),
+        _ => Reply::status(422, &refused.to_string()),
+    }
+}
+
+impl server::Service for Machine {
+    async fn call(&self, call: Call) -> Reply {
+        let now = self.inner.faults.now();
+        match (call.method.as_str(), call.path.as_str()) {
+            ("POST", "/v1/generate") => call.answer(|body| self.generate(&body)),
+            ("POST", "/v1/resume") => {
+                call.answer(|body: Resume| self.read(&body.stream, body.from))
+            }
+            ("POST", "/v1/cancel") => call.answer(|body| self.cancel(&body)),
+            ("GET", "/v1/report") => Reply::json(&self.with_engine(|engine| engine.report(now))),
+            ("GET", "/v1/cache-events") => {
+                let after = call.query("after").parse().unwrap_or(0);
+                Reply::json(&self.with_engine(|engine| engine.cache_events(now, after)))
+            }
+            ("POST", "/v1/order") => call.answer(|body| self.order(&body)),
+            ("POST", "/v1/import") => match call.json::<Import>() {
+                Ok(import) => self.import(&import).await,
+                Err(reply) => reply,
+            },
+            ("POST", "/v1/export") => call.answer(|body| self.export(&body)),
+            ("POST", "/v1/drop") => call.answer(|body| self.drop_handle(&body)),
+            _ => Reply::status(405, "no such call"),
+        }
+    }
+
+    fn restart(&self, faults: &Faults) {
+        let model = Model { warmth: 0, ..self.inner.options.model.clone() };
+        let mut held = self.lock();
+        held.engine = Engine::open(faults.now(), faults.incarnation(), model);
+        held.readers = Readers::default();
+        held.crash_seen = false;
+        drop(held);
+        self.inner.work.notify_one();
+    }
+
+    fn switch(&self, switch: &Switch) -> bool {
+        match switch {
+            Switch::TurnCold => self.turn_cold(),
+            Switch::Stall { after } => {
+                self.stall(after.map_or(Stall::None, Stall::After));
+            }
+            Switch::CrashMarker(marker) => self.set_crash_marker(marker.clone()),
+            _ => return false,
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,201 @@
+//! A replica of a plain service, which counts the runs of its calls.
+
+use crate::fault::{Faults, Switch};
+use crate::server::{self, Call, Reply};
+use hickory_model::option::Options as Model;
+use hickory_model::warmth::Warmth;
+use hickory_target::service::Report;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// How a replica behaves.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Time that a call takes.
+    pub time: Duration,
+    /// Calls that it bears at once.
+    pub calls_max: u32,
+    /// How warm it is at its first start, from 0 to 100; 0 after a restart.
+    pub warmth: u8,
+    /// Time from cold to warm under work.
+    pub warm_time: Duration,
+    /// Whether it crashes when it is given more than it bears while not warm.
+    pub falls_over: bool,
+    /// Where the runs are counted; replicas of one service share it.
+    pub runs: Runs,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            time: Duration::from_millis(1),
+            calls_max: 64,
+            warmth: 100,
+            warm_time: Duration::from_secs(10),
+            falls_over: true,
+            runs: Runs::default(),
+        }
+    }
+}
+
+impl Options {
+    /// The part of an engine's options by which a replica warms.
+    fn model(&self, warmth: u8) -> Model {
+        let (streams_max, warm_time) = (self.calls_max, self.warm_time);
+        Model { streams_max, warm_time, warmth, ..Model::default() }
+    }
+}
+
+/// Runs by idempotency key; outlives restarts, as a service's books do.
+#[derive(Clone, Debug, Default)]
+pub struct Runs {
+    counts: Arc<Mutex<BTreeMap<String, u32>>>,
+}
+
+impl Runs {
+    /// How often calls with `key` ran.
+    pub fn of(&self, key: &str) -> u32 {
+        self.lock().get(key).copied().unwrap_or(0)
+    }
+
+    /// All counts.
+    pub fn all(&self) -> BTreeMap<String, u32> {
+        self.lock().clone()
+    }
+
+    fn add(&self, key: &str) {
+        *self.lock().entry(key.to_owned()).or_default() += 1;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, u32>> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A replica.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    options: Options,
+    running: Arc<AtomicU32>,
+    faults: Faults,
+    warmth: Arc<Mutex<(Warmth, Model)>>,
+}
+
+/// A running replica.
+pub type Handle = server::Handle<Replica>;
+
+/// Serves a replica.
+pub fn spawn(listen: SocketAddr, options: Options) -> std::io::Result<Handle> {
+    let faults = Faults::none();
+    let model = options.model(options.warmth);
+    let warmth = Arc::new(Mutex::new((Warmth::open(faults.now(), &model), model)));
+    let replica = Replica { options, running: Arc::default(), faults: faults.clone(), warmth };
+    server::spawn_with(listen, replica, faults)
+}
+
+impl Replica {
+    /// The counted runs.
+    pub fn runs(&self) -> &Runs {
+        &self.options.runs
+    }
+
+    /// Echoes the call, after it was counted.
+    async fn run(&self, call: Call) -> Reply {
+        let key = call.headers.get("idempotency-key").and_then(|key| key.to_str().ok());
+        if let Some(key) = key {
+            self.options.runs.add(key);
+        }
+        let running = Running::enter(&self.running);
+        let Some(speed) = self.warm_up(running.1) else {
+            self.faults.crash(None);
+            return Reply::cut();
+        };
+        tokio::time::sleep(self.options.time.div_f64(speed)).await;
+        let body = String::from_utf8_lossy(&call.body).into_owned();
+        Reply::json(&Echo { path: call.path, key: key.map(str::to_owned), body })
+    }
+
+    /// Turns cold without a word.
+    pub fn turn_cold(&self) {
+        let now = self.faults.now();
+        self.lock_warmth().0.turn_cold(now);
+    }
+
+    /// The part of its speed that it has with `running` calls; `None` where
+    /// it falls over.
+    fn warm_up(&self, running: u32) -> Option<f64> {
+        let now = self.faults.now();
+        let (warmth, model) = &mut *self.lock_warmth();
+        warmth.pass(now, running > 1, model);
+        let over = warmth.is_over(running, model) && !warmth.is_unnoticed(now, model);
+        (!over || !self.options.falls_over).then(|| warmth.speed(model))
+    }
+
+    fn lock_warmth(&self) -> MutexGuard<'_, (Warmth, Model)> {
+        self.warmth.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn report(&self) -> Report {
+        self.warm_up(self.running.load(Ordering::SeqCst));
+        Report {
+            incarnation: self.faults.incarnation(),
+            running: self.running.load(Ordering::SeqCst),
+            calls_max: self.options.calls_max,
+            warmth: self.lock_warmth().0.level(),
+        }
+    }
+}
+
+/// The answer of a stand-in service: what was called.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Echo {
+    /// The whole path.
+    pub path: String,
+    /// The idempotency key.
+    pub key: Option<String>,
+    /// The body.
+    pub body: String,
+}
+
+/// A call that runs, with the number of calls running then.
+struct Running<'a>(&'a AtomicU32, u32);
+
+impl<'a> Running<'a> {
+    fn enter(count: &'a AtomicU32) -> Self {
+        let running = count.fetch_add(1, Ordering::SeqCst) + 1;
+        Self(count, running)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl server::Service for Replica {
+    async fn call(&self, call: Call) -> Reply {
+        match call.path.as_str() {
+            "/report" => Reply::json(&self.report()),
+            "/runs" => Reply::json(&self.options.runs.all()),
+            path if path.starts_with("/call/") => self.run(call).await,
+            _ => Reply::status(405, "no such call"),
+        }
+    }
+
+    fn restart(&self, faults: &Faults) {
+        let model = self.options.model(0);
+        *self.lock_warmth() = (Warmth::open(faults.now(), &model), model);
+    }
+
+    fn switch(&self, switch: &Switch) -> bool {
+        let known = *switch == Switch::TurnCold;
+        if known {
+            self.turn_cold();
+        }
+        known
+    }
+}
--- /dev/null
+++ b/crates/standin/src/weights.rs
@@ -0,0 +1,56 @@
+//! The weight store: its limit, and the reads that engines make under it.
+
+use crate::server::{self, Call, Reply};
+use hickory_model::pipe::{Busy, Pipe};
+use hickory_platform::weight::Limit;
+use hickory_unit::size;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// The weight store. A read beyond the limit is refused, so that engines
+/// which are all ordered to load at once lose time.
+#[derive(Clone, Debug)]
+pub struct Weights {
+    limit: Limit,
+    pipe: Arc<Mutex<Pipe>>,
+}
+
+/// A running weight store.
+pub type Handle = server::Handle<Weights>;
+
+/// Serves under `limit`.
+pub fn spawn(listen: SocketAddr, limit: Limit) -> std::io::Result<Handle> {
+    let pipe = Pipe::open(limit.bytes_per_second, limit.loads as usize);
+    server::spawn(listen, Weights { limit, pipe: Arc::new(Mutex::new(pipe)) })
+}
+
+impl Weights {
+    fn book(&self, bytes: size::Bytes) -> Result<Duration, Busy> {
+        let mut pipe = self.pipe.lock().unwrap_or_else(PoisonError::into_inner);
+        pipe.read(Instant::now(), bytes)
+    }
+
+    async fn read(&self, bytes: size::Bytes) -> Reply {
+        match self.book(bytes) {
+            Ok(time) => {
+                tokio::time::sleep(time).await;
+                Reply::json(&bytes)
+            }
+            Err(Busy) => Reply::status(429, "too many reads"),
+        }
+    }
+}
+
+impl server::Service for Weights {
+    async fn call(&self, call: Call) -> Reply {
+        match (call.method.as_str(), call.path.as_str()) {
+            ("GET", "/limit") => Reply::json(&self.limit),
+            ("GET", "/read") => {
+                let bytes = size::Bytes(call.query("bytes").parse().unwrap_or(0));
+                self.read(bytes).await
+            }
+            _ => Reply::status(405, "no such call"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/config.rs
@@ -0,0 +1,129 @@
+//! The configuration: one head key, changed by compare-and-swap on its
+//! version, followed by a watch, and taken from peers while the service is
+//! down. The decisions stand in [`crate::head`].
+
+use crate::follow::{self, Follower};
+use crate::head::{Acceptance, Call, Reply, supersedes};
+use hickory_platform::store::Store;
+use hickory_release::configuration::Configuration;
+use hickory_release::note::Note;
+use hickory_unit::clock::Clock;
+use hickory_unit::finding::Finding;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use uuid::Uuid;
+
+/// The head key.
+pub const KEY: &str = "configuration";
+
+/// Watches of the head key: one call in ten seconds and node at rest.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+const WATCH_SPREAD: Duration = Duration::from_millis(500);
+
+/// Why a note was not accepted.
+#[derive(Clone, Debug, derive_more::Display, PartialEq)]
+pub enum Rejection {
+    /// It was written against another version; the present one is given.
+    #[display("the configuration has version {}", present.version)]
+    Conflict {
+        /// The configuration in force.
+        present: Box<Configuration>,
+    },
+    /// It is invalid; all findings are given.
+    #[display("{} findings", _0.len())]
+    Invalid(Vec<Finding>),
+    /// It certainly did not take effect.
+    #[display("not done: {_0}")]
+    NotDone(String),
+    /// It may have taken effect. Sent again with the same operation id, it is
+    /// accepted at most once.
+    #[display("no answer: {_0}")]
+    Unknown(String),
+}
+
+impl std::error::Error for Rejection {}
+
+/// Keeps the configuration in force.
+#[derive(Clone, Debug)]
+pub struct Keeper<S, C> {
+    store: S,
+    clock: C,
+    current: watch::Sender<Option<Arc<Configuration>>>,
+}
+
+impl<S: Store, C: Clock> Keeper<S, C> {
+    /// Reads the configuration and follows it.
+    pub fn spawn(store: S, clock: C) -> Self {
+        let (current, _) = watch::channel(None);
+        let keeper = Self { store, clock, current };
+        tokio::spawn(keeper.clone().follow());
+        keeper
+    }
+
+    /// The configuration in force; `None` while none is known, when this node
+    /// is not ready to serve.
+    pub fn current(&self) -> Option<Arc<Configuration>> {
+        self.current.borrow().clone()
+    }
+
+    /// Told of each change.
+    pub fn subscribe(&self) -> watch::Receiver<Option<Arc<Configuration>>> {
+        self.current.subscribe()
+    }
+
+    /// Applies a configuration, from a peer or the service, where its version
+    /// is higher.
+    pub fn offer(&self, configuration: Configuration) -> bool {
+        self.current.send_if_modified(|current| {
+            let newer = supersedes(&configuration, current.as_deref());
+            if newer {
+                log::info!(version:% = configuration.version; "configuration in force");
+                *current = Some(Arc::new(configuration));
+            }
+            newer
+        })
+    }
+
+    /// Accepts a release note, within some five seconds.
+    pub async fn accept(&self, note: &Note) -> Result<Arc<Configuration>, Rejection> {
+        let mut note = note.clone();
+        if note.operation.is_empty() {
+            note.operation = Uuid::new_v4().to_string();
+        }
+        let seed = Uuid::new_v4().as_u128() as u64;
+        let mut acceptance = Acceptance::open(self.clock.now(), note, self.current(), seed);
+        loop {
+            tokio::time::sleep(acceptance.pause(self.clock.now())).await;
+            let reply = match acceptance.next() {
+                Call::Get => Reply::Got(self.store.get(KEY).await),
+                Call::Write(write) => Reply::Wrote(self.store.write(write).await),
+            };
+            if let Some(end) = acceptance.answered(self.clock.now(), reply) {
+                let accepted = end?;
+                self.offer((*accepted).clone());
+                return Ok(accepted);
+            }
+        }
+    }
+
+    async fn follow(self) {
+        let options =
+            follow::Options { prefix: KEY.into(), wait: WATCH_WAIT, spread: WATCH_SPREAD };
+        let seed = Uuid::new_v4().as_u128() as u64;
+        let follower = Follower::open(options, seed);
+        let keeper = self.clone();
+        follow::run(self.store, self.clock, follower, move |follower, step, _| {
+            if let Some(entry) = follower.view().get(KEY)
+                && step.changed
+            {
+                match serde_json::from_str(&entry.value) {
+                    Ok(configuration) => drop(keeper.offer(configuration)),
+                    Err(error) => log::error!(error:%; "the configuration can't be read"),
+                }
+            }
+            true
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/crates/state/src/member.rs
@@ -0,0 +1,215 @@
+//! Membership: a lease and a registration for each node.
+//!
+//! The decisions stand in [`crate::lease`] and [`crate::follow`].
+
+use crate::follow::{self, Follower};
+use crate::lease::{Call, Keeper, Reply};
+use hickory_platform::store::Store;
+use hickory_unit::clock::Clock;
+use hickory_unit::id;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify, watch};
+
+/// The prefix of the registrations.
+pub const PREFIX: &str = "nodes/";
+
+/// Watches of the registrations: one call in ten seconds and node at rest.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+const WATCH_SPREAD: Duration = Duration::from_millis(300);
+
+/// What a node tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Info {
+    /// Its name.
+    pub node: id::Node,
+    /// The availability zone it stands in.
+    pub zone: id::Zone,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where other nodes connect.
+    pub peers: SocketAddr,
+    /// Where operators connect.
+    pub admin: SocketAddr,
+    /// Differs after each start.
+    pub incarnation: id::Incarnation,
+    /// Whether it is stopping.
+    pub draining: bool,
+}
+
+/// The nodes by name.
+pub type Nodes = BTreeMap<id::Node, Info>;
+
+/// What is known of the registrations, for decisions that rest on them.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// The registered nodes.
+    pub nodes: Arc<Nodes>,
+    /// Whether this node's own lease is certainly valid.
+    pub confirmed: bool,
+    /// When this node's registration under its present lease was sent.
+    pub registered_at: Option<Instant>,
+    /// When the service last confirmed the registrations, by when its call
+    /// was sent.
+    pub seen_at: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    keeper: Keeper,
+    seen_at: Option<Instant>,
+    left: bool,
+}
+
+/// A running registration with its view of the other nodes.
+#[derive(Clone, Debug)]
+pub struct Member<S, C> {
+    store: S,
+    clock: C,
+    shared: Arc<Mutex<Shared>>,
+    nodes: watch::Sender<Arc<Nodes>>,
+    wake: Arc<Notify>,
+}
+
+impl<S: Store, C: Clock> Member<S, C> {
+    /// Registers the node and keeps its lease until the handle says it leaves.
+    /// The lease lives for `ttl`, longer where the fleet is large.
+    pub fn spawn(store: S, clock: C, info: Info, ttl: Duration) -> Self {
+        let seed = uuid::Uuid::new_v4().as_u128() as u64;
+        let keeper = Keeper::open(info, ttl, seed);
+        let shared = Shared { keeper, seen_at: None, left: false };
+        let (nodes, _) = watch::channel(Arc::default());
+        let wake = Arc::default();
+        let member = Self { store, clock, shared: Arc::new(Mutex::new(shared)), nodes, wake };
+        tokio::spawn(member.clone().keep_lease());
+        tokio::spawn(member.clone().keep_view(seed));
+        member
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What this node tells of itself.
+    pub fn me(&self) -> Info {
+        self.lock().keeper.me().clone()
+    }
+
+    /// The registered nodes, as last seen.
+    pub fn nodes(&self) -> Arc<Nodes> {
+        self.nodes.borrow().clone()
+    }
+
+    /// Told of each change of [`Member::nodes`].
+    pub fn changed(&self) -> watch::Receiver<Arc<Nodes>> {
+        self.nodes.subscribe()
+    }
+
+    /// Whether this node's lease is certainly valid at `now`.
+    pub fn confirmed(&self, now: Instant) -> bool {
+        let shared = self.lock();
+        !shared.left && shared.keeper.confirmed(now)
+    }
+
+    /// What is known of the registrations at `now`.
+    pub fn view(&self, now: Instant) -> View {
+        let nodes = self.nodes();
+        let shared = self.lock();
+        View {
+            nodes,
+            confirmed: !shared.left && shared.keeper.confirmed(now),
+            registered_at: shared.keeper.registered_at(),
+            seen_at: shared.seen_at,
+        }
+    }
+
+    /// Tells the others that this node is stopping.
+    pub async fn set_draining(&self) {
+        self.lock().keeper.set_draining();
+        self.wake.notify_one();
+    }
+
+    /// Ends the registration.
+    pub async fn leave(&self) {
+        let lease = {
+            let mut shared = self.lock();
+            shared.left = true;
+            shared.keeper.lease()
+        };
+        self.wake.notify_one();
+        if let Some(lease) = lease {
+            let _ = self.store.revoke(lease).await;
+        }
+    }
+
+    async fn keep_lease(self) {
+        loop {
+            let now = self.clock.now();
+            let (call, wake) = {
+                let mut shared = self.lock();
+                if shared.left {
+                    return;
+                }
+                (shared.keeper.next(now), shared.keeper.wake(now))
+            };
+            let Some(wake) = wake else {
+                log::error!(node:% = self.me().node; "another process has this node's name");
+                return;
+            };
+            if let Some(call) = call {
+                let reply = self.call(call).await;
+                self.lock().keeper.answered(self.clock.now(), now, reply);
+            } else {
+                let wait = wake.saturating_duration_since(now);
+                let _ = tokio::time::timeout(wait, self.wake.notified()).await;
+            }
+        }
+    }
+
+    async fn call(&self, call: Call) -> Reply {
+        match call {
+            Call::Grant(ttl) => Reply::Granted(self.store.grant(ttl).await),
+            Call::Register(write) => Reply::Registered(self.store.write(write).await),
+            Call::Renew(lease) => Reply::Renewed(self.store.renew(lease).await),
+        }
+    }
+
+    async fn keep_view(self, seed: u64) {
+        let options =
+            follow::Options { prefix: PREFIX.into(), wait: WATCH_WAIT, spread: WATCH_SPREAD };
+        let follower = Follower::open(options, seed ^ 2);
+        let member = self.clone();
+        follow::run(self.store, self.clock, follower, move |follower, step, sent| {
+            if step.changed {
+                member.take_view(follower);
+            }
+            let mut shared = member.lock();
+            if step.confirmed {
+                shared.seen_at = Some(sent);
+            }
+            !shared.left
+        })
+        .await;
+    }
+
+    fn take_view(&self, follower: &Follower) {
+        let read = |entry: &hickory_platform::store::Entry| {
+            let info = serde_json::from_str::<Info>(&entry.value).ok()?;
+            Some((info, entry.revision))
+        };
+        let seen: Vec<_> = follower.view().values().filter_map(read).collect();
+        let mut shared = self.lock();
+        shared.keeper.set_fleet(seen.len());
+        for (info, revision) in &seen {
+            if info.node == shared.keeper.me().node {
+                shared.keeper.see(info.incarnation, *revision);
+            }
+        }
+        drop(shared);
+        let nodes = seen.into_iter().map(|(info, _)| (info.node.clone(), info)).collect();
+        self.nodes.send_replace(Arc::new(nodes));
+    }
+}
--- a/crates/unit/src/finding.rs
+++ b/crates/unit/src/finding.rs
@@ -14,3 +14,28 @@
     /// What is wrong.
     pub message: String,
 }
+
+impl Finding {
+    /// A finding without a line, for checks that do not see the text.
+    pub fn at(field: impl Into<String>, message: impl Into<String>) -> Self {
+        Self { line: 0, field: field.into(), message: message.into() }
+    }
+
+    /// The finding with its file, as compilers print theirs; a line that is
+    /// not known is left out.
+    pub fn in_file(&self, file: &impl std::fmt::Display) -> String {
+        let Self { line, field, message } = self;
+        match line {
+            0 => format!("{file}: {field}: {message}"),
+            line => format!("{file}:{line}: {field}: {message}"),
+        }
+    }
+}
+
+/// How many findings there are, as text.
+pub fn count(findings: &[Finding]) -> String {
+    match findings.len() {
+        1 => "1 finding".to_owned(),
+        count => format!("{count} findings"),
+    }
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -28,10 +28,9 @@
 /// A question to a target's owner: may this attempt be sent?
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ask {
-    /// The request.
-    pub request: id::Request,
-    /// The attempt, from 0.
-    pub attempt: u32,
+    /// Names the request, the attempt, the sender and the deadline, and will
+    /// name the stream on the target.
+    pub stream: id::Stream,
     /// The target.
     pub target: id::Target,
     /// The partner whose share pays.
@@ -95,8 +94,11 @@
     TargetDied,
     /// No byte went to the target.
     NotSent,
-    /// It may still run on the target; the owner sweeps it.
+    /// It may still run on the target; the owner cancels it.
     Lost,
+    /// The caller's connection went; another node may take the stream up, and
+    /// the owner cancels it if none does.
+    Left,
 }
 
 /// The end of a permitted attempt, told to the target's owner.
@@ -171,7 +173,12 @@
     pub owners: u64,
     /// Whether it is stopping.
     pub draining: bool,
-    /// The targets it owns.
+    /// Counts the changes of what it tells of its targets.
+    pub version: u64,
+    /// The listener's version that the speaker has; zero for none. The
+    /// listener tells only what has changed since.
+    pub seen: u64,
+    /// The targets it owns that have changed since the listener's last word.
     pub targets: Vec<State>,
     /// Requests under suspicion.
     pub suspects: Vec<Suspect>,
@@ -188,3 +195,17 @@
     /// Its text.
     pub text: String,
 }
+
+/// A node's notice that it serves the rest of a stream another node opened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Adopt {
+    /// The target that holds the stream.
+    pub target: id::Target,
+    /// The stream.
+    pub stream: id::Stream,
+    /// The node that now serves it.
+    pub node: id::Node,
+    /// Set where the node served it before: answered with yes only if no other
+    /// node has taken it over since.
+    pub keep: bool,
+}
