Owners grant by fair shares, slow start and headroom

The owner's books of a target are a pure type now (seat.rs) and follow the limiter of the policy package: shares and weights of the configuration in force, half the bound while the lease is unconfirmed, asks refused at once when the target stops taking work, streams of former owners counted, kept KV caches of dead senders dropped.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,6 +1,6 @@
 //! What the parts of a node share.
 
-use crate::seat::Seats;
+use crate::seats::Seats;
 use crate::view::View;
 use hickory_platform::http::Platform;
 use hickory_release::configuration::Configuration;
--- a/crates/node/src/drive.rs
+++ b/crates/node/src/drive.rs
@@ -2,7 +2,7 @@
 //! cancel what nobody stands for, give orders.
 
 use crate::core::{Core, Stage};
-use crate::seat;
+use crate::seat::Found;
 use hickory_platform::host::{Host, Kind};
 use hickory_policy::limit::Capacity;
 use hickory_release::configuration::Configuration;
@@ -11,6 +11,7 @@
 use hickory_target::engine::{Cancelled, Engines, Order, Report, Weights};
 use hickory_target::service::{self, Services};
 use hickory_telemetry::label::{self, Orphan, Ownership};
+use hickory_unit::clock::Clock;
 use hickory_unit::{id, size};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -19,6 +20,10 @@
 /// Between two looks at which targets are owned.
 const OWNED_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Between two looks at queues where anything waits: what fits changes with
+/// each step of an engine, which takes about as long.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Failed reads of a load report after which a target gets no new work: one
 /// may be a hiccup, and three take less than the bound on new work to a
 /// target that is gone.
@@ -85,14 +90,18 @@
 /// Whether the target takes new work, as far as its owner knows.
 fn update_accepting(core: &Core, host: &Host, answers: bool) {
     let configuration = core.configuration();
-    let in_service =
-        configuration.is_some_and(|configuration| core.view.may_send(&host.target, &configuration));
+    let in_service = configuration.as_ref().is_some_and(|c| core.view.may_send(&host.target, c));
     let owned = core.owners.owned();
     let terms = owned.iter().find(|owned| owned.target == host.target).map(|owned| owned.terms);
     let waited = !matches!(terms, None | Some(Terms::Wait(_)));
+    let confirmed = matches!(terms, Some(Terms::Full));
+    let now = core.now();
     core.seats.with(&host.target, |seat| {
         let known = seat.capacity.streams > 0;
-        seat.accepting = answers && in_service && waited && known;
+        seat.set_terms(now, answers && in_service && waited && known, confirmed);
+        if let Some(configuration) = &configuration {
+            seat.follow(configuration);
+        }
     });
 }
 
@@ -108,51 +117,62 @@
 
 fn take_report(core: &Core, target: &id::Target, report: &Report) {
     let now = core.now();
-    let wall_ms = seat::wall_ms(core);
-    let resume = core.time(core.settings.times.resume_ms);
     let nodes = core.member.nodes();
     let confirmed = core.member.confirmed(now);
-    let held: Vec<id::Stream> = report.streams.iter().map(|held| held.stream.clone()).collect();
+    // The list of nodes says nothing while the platform can't be reached.
+    let is_live = |node: &id::Node| !confirmed || nodes.contains_key(node);
+    let resume = core.time(core.settings.times.resume_ms);
+    let found = Found { now, wall_ms: core.clock.wall_ms(), resume, is_live };
     core.seats.with(target, |seat| {
         if seat.incarnation.is_some_and(|known| known != report.incarnation) {
-            seat.restarted(now);
             core.metrics.target_restarted();
+            seat.restarted(now);
         }
-        seat.incarnation = Some(report.incarnation);
-        seat.kv_used = report.kv_used;
-        seat.kv_capacity = report.kv_capacity;
-        seat.ready = report
-            .loaded
-            .iter()
-            .filter(|loaded| loaded.ready)
-            .map(|loaded| crate::permit::to_wire(&loaded.weights))
-            .collect();
-        seat.set_capacity(Capacity {
-            streams: report.streams_max,
-            kv: report.kv_capacity,
-            prefill_rate: report.prefill_rate,
-        });
-        // The list of nodes says nothing while the platform can't be reached.
-        let is_live = |node: &id::Node| !confirmed || nodes.contains_key(node);
-        seat.mark_gone(now, is_live);
-        seat.sweep_held(now, wall_ms, resume, &held, is_live);
+        seat.take_report(report, &found);
     });
 }
 
+/// Ends on the engine what nobody stands for. What the engine does not
+/// confirm is tried again after the next report.
 async fn cancel_orphans(core: &Core, host: &Host) {
-    let cancels = core.seats.with(&host.target, |seat| seat.take_cancels()).unwrap_or_default();
+    let taken = core.seats.with(&host.target, |seat| (seat.take_cancels(), seat.take_drops()));
+    let (cancels, drops) = taken.unwrap_or_default();
+    let mut answers = true;
     for stream in cancels {
-        let cancelled = core.targets.cancel(host.address, &stream).await;
-        let now = core.now();
+        let cancelled = match answers {
+            true => core.targets.cancel(host.address, &stream).await,
+            false => Err(Error::Unknown("the target did not answer the last cancel".into())),
+        };
         if matches!(cancelled, Ok(Cancelled::Stopped)) {
             core.metrics.swept(Orphan::Stream);
         }
+        let now = core.now();
         core.seats.with(&host.target, |seat| match cancelled {
             Ok(Cancelled::NeverBegun | Cancelled::Stopped | Cancelled::Ended)
             | Err(Error::NotFound) => seat.cancelled(now, &stream),
-            Err(_) => seat.cancel_again(stream),
+            Err(_) => {
+                answers = false;
+                seat.cancel_again(stream);
+            }
         });
     }
+    // Those that stay held are found again in the next report.
+    for handle in drops {
+        if core.targets.drop_handle(host.address, &handle).await.is_ok() {
+            core.metrics.swept(Orphan::Cache);
+        }
+    }
+}
+
+/// Grants what comes to fit as time passes, while anything waits.
+pub(crate) async fn poll_seats(core: Arc<Core>) {
+    loop {
+        let waiting = core.seats.poll(core.now(), core.permit_life());
+        if waiting == 0 {
+            core.seats.queued.notified().await;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
 }
 
 /// Compares what the engine holds with what is wanted and orders the
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 mod resume;
 mod seal;
 mod seat;
+mod seats;
 mod serve;
 mod view;
 
@@ -87,6 +88,7 @@
         tokio::spawn(peers::follow_hosts(core.clone()));
         tokio::spawn(peers::gossip(core.clone(), links));
         tokio::spawn(drive::follow_owned(core.clone()));
+        tokio::spawn(drive::poll_seats(core.clone()));
         tokio::spawn(drain::follow(core.clone()));
         let listener = tokio::net::TcpListener::from_std(callers)?;
         tokio::spawn(serve::serve(core.clone(), listener));
@@ -181,7 +183,7 @@
         owners,
         platform,
         view: view::View::default(),
-        seats: seat::Seats::default(),
+        seats: seats::Seats::default(),
         metrics,
         stage: watch::channel(Stage::Serving).0,
         active: AtomicUsize::new(0),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,7 +1,7 @@
 //! The exchange with peers.
 
 use crate::core::{Core, Stage};
-use crate::seat;
+use crate::seats;
 use hickory_state::member::Info;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
@@ -37,18 +37,18 @@
 
     async fn permit(&self, ask: Ask) -> Result<Permit, Refusal> {
         let core = self.0.upgrade().ok_or_else(refuse_closed)?;
-        seat::permit(&core, &ask).await
+        seats::permit(&core, &ask).await
     }
 
     fn outcome(&self, outcome: Outcome) {
         if let Some(core) = self.0.upgrade() {
-            seat::end(&core, &outcome);
+            seats::end(&core, &outcome);
         }
     }
 
     fn adopt(&self, adopt: Adopt) -> Result<Permit, Refusal> {
         let core = self.0.upgrade().ok_or_else(refuse_closed)?;
-        seat::adopt(&core, &adopt)
+        seats::adopt(&core, &adopt)
     }
 
     fn release(&self) -> Option<Document> {
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -2,7 +2,8 @@
 
 use crate::core::Core;
 use crate::parse::refuse;
-use crate::seat::{self, QUEUED};
+use crate::seat::{QUEUED, TAKEN};
+use crate::seats;
 use crate::view::Need;
 use hickory_policy::cost::{Class, Cost};
 use hickory_policy::place::rank_targets;
@@ -203,7 +204,7 @@
 
 async fn send_ask(core: &Core, ask: &Ask) -> Result<Result<Permit, message::Refusal>, link::Error> {
     match find_owner(core, &ask.target).ok_or_else(no_owner)? {
-        Owner::Here => Ok(seat::permit(core, ask).await),
+        Owner::Here => Ok(seats::permit(core, ask).await),
         Owner::There(address) => {
             let links = core.links.get().ok_or(link::Error::Closed)?;
             links.permit(address, ask.clone(), core.peer_timeout()).await
@@ -220,7 +221,7 @@
         ..refuse(Reason::NoOwner, "the target has no owner at present")
     };
     let answer = match find_owner(core, &adopt.target).ok_or_else(no_owner)? {
-        Owner::Here => seat::adopt(core, &adopt),
+        Owner::Here => seats::adopt(core, &adopt),
         Owner::There(address) => {
             let links = core.links.get().ok_or_else(no_owner)?;
             let answer = links.adopt(address, adopt, core.peer_timeout()).await;
@@ -229,7 +230,7 @@
     };
     answer.map_err(|refused| match refused.reason.as_str() {
         _ if refused.not_owner => no_owner(),
-        seat::TAKEN => refuse(Reason::AlreadyClaimed, "another node serves the stream"),
+        TAKEN => refuse(Reason::AlreadyClaimed, "another node serves the stream"),
         _ => refuse(Reason::StreamLost, "no target holds the stream any more"),
     })
 }
@@ -271,7 +272,7 @@
         stream: Some(stream.clone()),
     };
     match find_owner(core, target) {
-        Some(Owner::Here) => seat::end(core, &outcome),
+        Some(Owner::Here) => seats::end(core, &outcome),
         Some(Owner::There(address)) => {
             let Some(links) = core.links.get().cloned() else { return };
             let timeout = core.peer_timeout();
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -1,26 +1,21 @@
-//! The owner's side of targets: who may send, what runs, what waits.
+//! The owner's side of one target: who may send, what runs, what waits, and
+//! what is left on the target that nobody stands for.
 //!
-//! A [`Seat`] is one owned target. Seats lie in shards, each under its own
-//! lock; no lock is held across an await.
+//! No input or output: the time and the target's reports are passed in, so
+//! that it runs in tests without sockets.
 
-use crate::core::Core;
-use crate::parse::hash_parts;
 use hickory_policy::cost::{Class, Cost};
-use hickory_policy::limit::{self, Answer, Capacity, Limiter, Ticket};
+use hickory_policy::limit::{self, Answer, Capacity, Limiter, Observed, Ticket, priority_of};
+use hickory_policy::ramp::Sample;
 use hickory_policy::refuse::Reason;
-use hickory_telemetry::label;
-use hickory_unit::clock::Clock;
+use hickory_release::configuration::Configuration;
+use hickory_target::engine::{Handle, Held, Report};
 use hickory_unit::{id, size};
 use hickory_wire::message::{Adopt, Ask, Ending, Outcome, Permit, Refusal, State, Weights};
-use std::collections::{HashMap, HashSet};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
-/// Shards of the seats; a node owns few targets, so few shards do.
-const SHARDS: usize = 8;
-
 /// The reason an asker gets whose ask stays in the queue: it asks again, so
 /// that the life of the permit it will get begins with a fresh question.
 pub(crate) const QUEUED: &str = "queued";
@@ -29,6 +24,10 @@
 /// taken over.
 pub(crate) const TAKEN: &str = "taken";
 
+/// When to come back to a target that takes no work now; other targets may be
+/// asked at once.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(500);
+
 /// How long after its deadline a stream may still be found on a target before
 /// it is swept: the sender ends it at the deadline, and its message may be
 /// under way.
@@ -37,14 +36,6 @@
 /// How long an ended stream may still stand in load reports, which lag.
 const REPORT_LAG: Duration = Duration::from_secs(3);
 
-/// All seats of a node.
-#[derive(Debug, Default)]
-pub(crate) struct Seats {
-    /// Counts the changes of what is told to peers.
-    version: AtomicU64,
-    shards: [Mutex<HashMap<id::Target, Seat>>; SHARDS],
-}
-
 /// One owned target.
 #[derive(Debug)]
 pub(crate) struct Seat {
@@ -58,11 +49,16 @@
     pub(crate) incarnation: Option<id::Incarnation>,
     limiter: Limiter,
     permits: HashMap<Ticket, Granted>,
-    waiting: HashMap<id::Stream, Waiting>,
+    /// Tickets of permits and of waiting asks, by their streams.
+    tickets: HashMap<id::Stream, Ticket>,
+    waiting: HashMap<Ticket, Waiting>,
     ended: HashMap<id::Stream, Instant>,
     foreign: HashMap<id::Stream, Foreign>,
     adopted: Ticket,
     cancels: Vec<id::Stream>,
+    drops: Vec<Handle>,
+    /// The configuration whose shares the limiter follows.
+    release: id::Release,
     /// What peers were told last, and its version.
     told: Option<(u64, State)>,
 }
@@ -85,6 +81,7 @@
 struct Granted {
     stream: id::Stream,
     until: Instant,
+    priority: u8,
     /// When the caller's connection went, where it did.
     left: Option<Instant>,
     /// When it was granted, while its asker has not been told.
@@ -96,17 +93,18 @@
 /// An ask in the queue.
 #[derive(Debug)]
 struct Waiting {
-    ticket: Ticket,
+    stream: id::Stream,
     asked: Instant,
     until: Instant,
+    priority: u8,
     waker: Option<oneshot::Sender<Result<Permit, Refusal>>>,
 }
 
-fn refuse(reason: impl std::fmt::Display, retry_after: Duration) -> Refusal {
+pub(crate) fn refuse(reason: impl std::fmt::Display, retry_after: Duration) -> Refusal {
     Refusal { reason: reason.to_string(), retry_after, not_owner: false }
 }
 
-fn refuse_not_owner() -> Refusal {
+pub(crate) fn refuse_not_owner() -> Refusal {
     Refusal {
         reason: Reason::NoOwner.to_string(),
         retry_after: Duration::from_millis(200),
@@ -114,128 +112,6 @@
     }
 }
 
-impl Seats {
-    /// Opens a seat for a target under an epoch; an open one under the same
-    /// epoch stays as it is.
-    pub(crate) fn open(&self, target: &id::Target, epoch: id::Epoch) {
-        let mut shard = self.shard(target);
-        if shard.get(target).is_some_and(|seat| seat.epoch == epoch) {
-            return;
-        }
-        shard.insert(target.clone(), Seat::open(target.clone(), epoch));
-    }
-
-    /// Closes the seats of targets that are not owned any more; who waits
-    /// there is told to look the owner up again.
-    pub(crate) fn retain(&self, mut keep: impl FnMut(&id::Target, id::Epoch) -> bool) {
-        for shard in &self.shards {
-            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
-            shard.retain(|target, seat| keep(target, seat.epoch));
-        }
-    }
-
-    /// Runs `f` on a seat.
-    pub(crate) fn with<T>(&self, target: &id::Target, f: impl FnOnce(&mut Seat) -> T) -> Option<T> {
-        self.shard(target).get_mut(target).map(f)
-    }
-
-    /// What the seats tell a peer that has version `since`: what has changed
-    /// after it, and the version that the peer then has.
-    ///
-    /// Telling all of it every time made two thirds of a node's control bytes,
-    /// of which next to nothing was news on an idle fleet.
-    pub(crate) fn states_since(&self, since: u64) -> (u64, Vec<State>) {
-        let mut changed = Vec::new();
-        for shard in &self.shards {
-            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
-            for seat in shard.values_mut() {
-                let state = seat.state();
-                if seat.told.as_ref().is_none_or(|(_, told)| *told != state) {
-                    let version = self.version.fetch_add(1, Ordering::AcqRel) + 1;
-                    seat.told = Some((version, state));
-                }
-                let newer = seat.told.as_ref().filter(|(version, _)| *version > since);
-                changed.extend(newer.cloned());
-            }
-        }
-        // A version past what is told here may belong to a change that a
-        // concurrent call found in a shard passed over already.
-        let version = changed.iter().map(|(version, _)| *version).max().unwrap_or(since);
-        (version, changed.into_iter().map(|(_, state)| state).collect())
-    }
-
-    fn shard(&self, target: &id::Target) -> MutexGuard<'_, HashMap<id::Target, Seat>> {
-        let index = hash_parts(&[target.as_str().as_bytes()]) as usize % SHARDS;
-        self.shards[index].lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// Takes an ask out of the queue when its asker stops waiting.
-struct Withdraw<'a> {
-    core: &'a Core,
-    target: &'a id::Target,
-    stream: Option<&'a id::Stream>,
-}
-
-impl Drop for Withdraw<'_> {
-    fn drop(&mut self) {
-        if let Some(stream) = self.stream {
-            self.core.seats.with(self.target, |seat| seat.withdraw(stream));
-        }
-    }
-}
-
-/// Answers an ask for a permit as owner: at once, or when its turn comes, or
-/// with [`QUEUED`] after half a permit's life.
-pub(crate) async fn permit(core: &Core, ask: &Ask) -> Result<Permit, Refusal> {
-    let answer = decide_permit(core, ask).await;
-    core.metrics.permit(match &answer {
-        Ok(_) => label::Permit::Granted,
-        Err(refusal) if refusal.reason == QUEUED => label::Permit::Queued,
-        Err(_) => label::Permit::Refused,
-    });
-    answer
-}
-
-async fn decide_permit(core: &Core, ask: &Ask) -> Result<Permit, Refusal> {
-    let life = core.permit_life();
-    let now = core.now();
-    let begun = core.seats.with(&ask.target, |seat| seat.ask(now, life, ask));
-    let wait = match begun.ok_or_else(refuse_not_owner)? {
-        Begun::Answered(answer) => return answer,
-        Begun::Queued(wait) => wait,
-    };
-    let mut guard = Withdraw { core, target: &ask.target, stream: Some(&ask.stream) };
-    let answer = tokio::time::timeout(life / 2, wait).await;
-    guard.stream = None;
-    match answer {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(_)) => Err(refuse_not_owner()),
-        Err(_) => Err(refuse(QUEUED, Duration::ZERO)),
-    }
-}
-
-/// Takes a stream over for the asking node.
-pub(crate) fn adopt(core: &Core, adopt: &Adopt) -> Result<Permit, Refusal> {
-    let life = core.permit_life();
-    let left = adopt.stream.deadline_ms.saturating_sub(wall_ms(core));
-    let until = core.now() + Duration::from_millis(left);
-    let taken = core.seats.with(&adopt.target, |seat| match seat.incarnation {
-        Some(_) if adopt.keep && seat.is_taken(adopt) => Err(refuse(TAKEN, Duration::ZERO)),
-        Some(_) => Ok(seat.adopt(adopt, until, life)),
-        // A new owner does not know yet what the target holds.
-        None => Err(refuse_not_owner()),
-    });
-    let taken = taken.ok_or_else(refuse_not_owner)??;
-    taken.ok_or_else(|| refuse(Reason::StreamLost, Duration::ZERO))
-}
-
-/// Takes in how a permitted attempt ended.
-pub(crate) fn end(core: &Core, outcome: &Outcome) {
-    let now = core.now();
-    core.seats.with(&outcome.target, |seat| seat.end(now, outcome));
-}
-
 /// The first answer to an ask.
 pub(crate) enum Begun {
     Answered(Result<Permit, Refusal>),
@@ -243,7 +119,7 @@
 }
 
 impl Seat {
-    fn open(target: id::Target, epoch: id::Epoch) -> Self {
+    pub(crate) fn open(target: id::Target, epoch: id::Epoch) -> Self {
         let capacity = Capacity { streams: 0, kv: size::Tokens(0), prefill_rate: 0 };
         Self {
             target,
@@ -256,11 +132,14 @@
             incarnation: None,
             limiter: Limiter::open(capacity),
             permits: HashMap::new(),
+            tickets: HashMap::new(),
             waiting: HashMap::new(),
             ended: HashMap::new(),
             foreign: HashMap::new(),
             adopted: ADOPTED_FIRST,
             cancels: Vec::new(),
+            drops: Vec::new(),
+            release: id::Release(0),
             told: None,
         }
     }
@@ -270,25 +149,40 @@
         if self.capacity != capacity && self.permits.is_empty() && self.waiting.is_empty() {
             self.capacity = capacity;
             self.limiter = Limiter::open(capacity);
+            self.release = id::Release(0);
         }
     }
 
-    fn ask(&mut self, now: Instant, life: Duration, ask: &Ask) -> Begun {
-        if !self.accepting {
-            return Begun::Answered(Err(refuse(Reason::NoTarget, life)));
+    /// Makes the limiter follow the shares and weights of a configuration.
+    pub(crate) fn follow(&mut self, configuration: &Configuration) {
+        if self.release == configuration.version {
+            return;
         }
+        self.release = configuration.version;
+        let partners = configuration.partners.iter();
+        self.limiter.set_shares(partners.map(|(name, partner)| (name.clone(), partner.share)));
+        let accounts = configuration.accounts.iter();
+        self.limiter.set_weights(accounts.map(|(name, account)| (name.clone(), account.weight)));
+    }
+
+    /// Says whether the target takes new work, and whether this owner is sure
+    /// to be the only one. Who waits for a target that takes none is told at
+    /// once, to go elsewhere while there is time.
+    pub(crate) fn set_terms(&mut self, now: Instant, accepting: bool, confirmed: bool) {
+        self.accepting = accepting;
+        self.limiter.set_confirmed(now, confirmed);
+        for (ticket, reason) in self.limiter.set_accepting(now, accepting) {
+            self.answer(now, ticket, Err(refuse(reason, RETRY_ELSEWHERE)));
+        }
+    }
+
+    pub(crate) fn ask(&mut self, now: Instant, life: Duration, ask: &Ask) -> Begun {
         // The same ask again: its last answer was lost, or it stays queued.
-        if let Some((ticket, granted)) =
-            self.permits.iter_mut().find(|(_, granted)| granted.stream == ask.stream)
-        {
-            granted.untold = None;
-            return Begun::Answered(Ok(make_permit(*ticket, self.epoch, life, ask)));
+        if let Some(ticket) = self.tickets.get(&ask.stream).copied() {
+            return self.ask_again(now, life, ticket);
         }
-        if let Some(waiting) = self.waiting.get_mut(&ask.stream) {
-            let (waker, wait) = oneshot::channel();
-            waiting.asked = now;
-            waiting.waker = Some(waker);
-            return Begun::Queued(wait);
+        if !self.accepting {
+            return Begun::Answered(Err(refuse(Reason::NoTarget, RETRY_ELSEWHERE)));
         }
         let until = now + ask.time_left;
         let wanted = limit::Ask {
@@ -300,73 +194,120 @@
             alone: ask.alone,
             urgent: ask.urgent,
         };
+        let priority = priority_of(wanted.lane());
         match self.limiter.ask(now, wanted) {
             Answer::Granted(ticket) => {
-                self.permits.insert(ticket, Granted::to(ask.stream.clone(), until, None));
-                Begun::Answered(Ok(make_permit(ticket, self.epoch, life, ask)))
+                self.insert_permit(ticket, Granted::to(ask.stream.clone(), until, priority));
+                Begun::Answered(Ok(self.make_permit(ticket, priority, life)))
             }
             Answer::Queued(ticket) => {
                 let (waker, wait) = oneshot::channel();
-                let waiting = Waiting { ticket, asked: now, until, waker: Some(waker) };
-                self.waiting.insert(ask.stream.clone(), waiting);
+                let (stream, waker) = (ask.stream.clone(), Some(waker));
+                self.tickets.insert(stream.clone(), ticket);
+                self.waiting.insert(ticket, Waiting { stream, asked: now, until, priority, waker });
                 Begun::Queued(wait)
             }
             Answer::Refused(reason, after) => Begun::Answered(Err(refuse(reason, after))),
         }
     }
 
-    fn withdraw(&mut self, stream: &id::Stream) {
-        if let Some(waiting) = self.waiting.remove(stream) {
-            self.limiter.finish(waiting.ticket);
+    fn ask_again(&mut self, now: Instant, life: Duration, ticket: Ticket) -> Begun {
+        if let Some(waiting) = self.waiting.get_mut(&ticket) {
+            let (waker, wait) = oneshot::channel();
+            waiting.asked = now;
+            waiting.waker = Some(waker);
+            return Begun::Queued(wait);
+        }
+        let priority = self.permits.get_mut(&ticket).map_or(0, |granted| {
+            granted.untold = None;
+            granted.priority
+        });
+        Begun::Answered(Ok(self.make_permit(ticket, priority, life)))
+    }
+
+    fn make_permit(&self, id: Ticket, priority: u8, life: Duration) -> Permit {
+        Permit { id, epoch: self.epoch, life, priority }
+    }
+
+    fn insert_permit(&mut self, ticket: Ticket, granted: Granted) {
+        self.tickets.insert(granted.stream.clone(), ticket);
+        self.permits.insert(ticket, granted);
+    }
+
+    pub(crate) fn withdraw(&mut self, stream: &id::Stream) {
+        let waits = self.tickets.get(stream).filter(|ticket| self.waiting.contains_key(ticket));
+        if let Some(ticket) = waits.copied() {
+            self.tickets.remove(stream);
+            self.waiting.remove(&ticket);
+            self.limiter.finish(ticket);
         }
     }
 
     /// Grants what fits now.
     pub(crate) fn poll(&mut self, now: Instant, life: Duration) {
         for (ticket, answer) in self.limiter.poll(now) {
-            let found = self.waiting.iter().find(|(_, waiting)| waiting.ticket == ticket);
-            let Some(stream) = found.map(|(stream, _)| stream.clone()) else { continue };
-            let Some(waiting) = self.waiting.remove(&stream) else { continue };
+            let priority = self.waiting.get(&ticket).map_or(0, |waiting| waiting.priority);
             let answer = match answer {
-                Ok(()) => Ok(Permit { id: ticket, epoch: self.epoch, life, priority: 0 }),
-                Err(reason) => Err(refuse(reason, Duration::ZERO)),
+                Ok(()) => Ok(self.make_permit(ticket, priority, life)),
+                Err(reason) => Err(refuse(reason, RETRY_ELSEWHERE)),
             };
-            let granted = answer.is_ok();
-            let told = waiting.waker.is_some_and(|waker| waker.send(answer).is_ok());
-            if granted {
-                let untold = (!told).then_some(now);
-                self.permits.insert(ticket, Granted::to(stream, waiting.until, untold));
-            }
+            self.answer(now, ticket, answer);
         }
     }
 
+    /// Answers who waits under a ticket.
+    fn answer(&mut self, now: Instant, ticket: Ticket, answer: Result<Permit, Refusal>) {
+        let Some(waiting) = self.waiting.remove(&ticket) else { return };
+        self.tickets.remove(&waiting.stream);
+        let granted = answer.is_ok();
+        let told = waiting.waker.is_some_and(|waker| waker.send(answer).is_ok());
+        if granted {
+            let mut granted = Granted::to(waiting.stream, waiting.until, waiting.priority);
+            granted.untold = (!told).then_some(now);
+            self.insert_permit(ticket, granted);
+        }
+    }
+
+    /// Asks that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Whether another node than the asking one serves the stream.
-    fn is_taken(&self, adopt: &Adopt) -> bool {
-        let found = self.permits.values().find(|granted| granted.stream == adopt.stream);
-        found.is_some_and(|granted| granted.node != adopt.node)
+    pub(crate) fn is_taken(&self, adopt: &Adopt) -> bool {
+        let ticket = self.tickets.get(&adopt.stream);
+        let granted = ticket.and_then(|ticket| self.permits.get(ticket));
+        granted.is_some_and(|granted| granted.node != adopt.node)
     }
 
-    fn adopt(&mut self, adopt: &Adopt, until: Instant, life: Duration) -> Option<Permit> {
-        let found = self.permits.iter_mut().find(|(_, granted)| granted.stream == adopt.stream);
-        let id = match found {
+    pub(crate) fn adopt(
+        &mut self,
+        adopt: &Adopt,
+        until: Instant,
+        life: Duration,
+    ) -> Option<Permit> {
+        let ticket = self.tickets.get(&adopt.stream).copied();
+        let known = ticket.and_then(|ticket| Some((ticket, self.permits.get_mut(&ticket)?)));
+        let id = match known {
             Some((ticket, granted)) => {
                 granted.left = None;
                 granted.node = adopt.node.clone();
-                *ticket
+                ticket
             }
             None => {
                 self.foreign.remove(&adopt.stream)?;
                 self.adopted += 1;
-                let mut granted = Granted::to(adopt.stream.clone(), until, None);
+                let mut granted = Granted::to(adopt.stream.clone(), until, 0);
                 granted.node = adopt.node.clone();
-                self.permits.insert(self.adopted, granted);
+                self.insert_permit(self.adopted, granted);
                 self.adopted
             }
         };
-        Some(Permit { id, epoch: self.epoch, life, priority: 0 })
+        Some(self.make_permit(id, 0, life))
     }
 
-    fn end(&mut self, now: Instant, outcome: &Outcome) {
+    /// Takes in how a permitted attempt ended.
+    pub(crate) fn end(&mut self, now: Instant, outcome: &Outcome) {
         if outcome.epoch != self.epoch {
             self.end_foreign(now, outcome);
             return;
@@ -384,11 +325,14 @@
                     self.cancels.push(granted.stream.clone());
                 }
             }
-            Ending::Finished | Ending::Cancelled | Ending::NotSent | Ending::TargetDied => {
-                self.give_back(now, outcome.permit);
+            Ending::Finished => {
+                self.give_back(now, outcome.permit, limit::Outcome::Whole(outcome.first_token));
+            }
+            Ending::Cancelled | Ending::NotSent => {
+                self.give_back(now, outcome.permit, limit::Outcome::Dropped);
             }
+            Ending::TargetDied => self.give_back(now, outcome.permit, limit::Outcome::Failed),
         }
-        self.poll(now, Duration::from_secs(1));
     }
 
     /// A permit of a former owner ended: its stream stands in the report and
@@ -407,9 +351,10 @@
         }
     }
 
-    fn give_back(&mut self, now: Instant, ticket: Ticket) {
-        self.limiter.finish(ticket);
+    fn give_back(&mut self, now: Instant, ticket: Ticket, outcome: limit::Outcome) {
+        self.limiter.settle(now, ticket, outcome);
         if let Some(granted) = self.permits.remove(&ticket) {
+            self.tickets.remove(&granted.stream);
             self.ended.insert(granted.stream, now);
         }
     }
@@ -417,61 +362,119 @@
     /// Takes out of queue and books what nobody stands for any more, and
     /// names the streams to cancel on the target.
     pub(crate) fn sweep(&mut self, now: Instant, life: Duration, resume: Duration) {
-        let silent: Vec<id::Stream> = self
-            .waiting
-            .iter()
-            .filter(|(_, waiting)| now.saturating_duration_since(waiting.asked) > life)
-            .map(|(stream, _)| stream.clone())
-            .collect();
+        let old = |at: Instant| now.saturating_duration_since(at) > life;
+        let silent = self.waiting.values().filter(|waiting| old(waiting.asked));
+        let silent: Vec<id::Stream> = silent.map(|waiting| waiting.stream.clone()).collect();
         silent.iter().for_each(|stream| self.withdraw(stream));
-        let untold: Vec<Ticket> = self
-            .permits
-            .iter()
-            .filter(|(_, granted)| granted.untold.is_some_and(|at| now - at > life))
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        untold.into_iter().for_each(|ticket| self.give_back(now, ticket));
+        let untold = self.permits.iter().filter(|(_, granted)| granted.untold.is_some_and(old));
+        let untold: Vec<Ticket> = untold.map(|(ticket, _)| *ticket).collect();
+        for ticket in untold {
+            self.give_back(now, ticket, limit::Outcome::Dropped);
+        }
         let overdue = self.permits.values().filter(|granted| granted.is_overdue(now, resume));
         self.cancels.extend(overdue.map(|granted| granted.stream.clone()));
         self.ended.retain(|_, at| now.saturating_duration_since(*at) < REPORT_LAG);
     }
 
-    /// Takes in which streams the target holds, and finds those that nobody
-    /// stands for: their deadline is past, or their node is gone and none has
-    /// taken them up for the time of a resume.
-    pub(crate) fn sweep_held(
-        &mut self,
-        now: Instant,
-        wall_ms: u64,
-        resume: Duration,
-        held: &[id::Stream],
-        is_live: impl Fn(&id::Node) -> bool,
-    ) {
-        let granted: HashSet<&id::Stream> = self.permits.values().map(|g| &g.stream).collect();
-        let ended = &self.ended;
-        let is_foreign =
-            |stream: &&id::Stream| !granted.contains(stream) && !ended.contains_key(stream);
+    /// Takes in a load report: what the target bears, what it holds, and what
+    /// of that nobody stands for.
+    pub(crate) fn take_report<F>(&mut self, report: &Report, found: &Found<F>)
+    where
+        F: Fn(&id::Node) -> bool,
+    {
+        self.incarnation = Some(report.incarnation);
+        self.kv_used = report.kv_used;
+        self.kv_capacity = report.kv_capacity;
+        let ready = report.loaded.iter().filter(|loaded| loaded.ready);
+        self.ready = ready.map(|loaded| crate::permit::to_wire(&loaded.weights)).collect();
+        self.set_capacity(Capacity {
+            streams: report.streams_max,
+            kv: report.kv_capacity,
+            prefill_rate: report.prefill_rate,
+        });
+        self.mark_gone(found);
+        self.sweep_held(report, found);
+        self.sweep_handles(report, found);
+        let observed = self.observe(report);
+        self.limiter.observe(found.now, &observed);
+    }
+
+    fn observe(&self, report: &Report) -> Observed {
+        let own = |held: &&Held| self.tickets.contains_key(&held.stream);
+        let foreign = report.streams.iter().filter(|held| self.is_foreign(&held.stream));
+        let owned_kv: size::Tokens = report.streams.iter().filter(own).map(|held| held.kv).sum();
+        let left = report.streams.iter().filter_map(|held| {
+            let ticket = self.tickets.get(&held.stream)?;
+            Some((*ticket, held.prefill_left))
+        });
+        Observed {
+            sample: Sample {
+                incarnation: report.incarnation,
+                warmth: report.warmth,
+                cache_hits: report.cache_hits,
+                cache_misses: report.cache_misses,
+            },
+            foreign: foreign.count() as u32,
+            foreign_kv: report.kv_used.saturating_sub(owned_kv),
+            prefill_left: left.collect(),
+        }
+    }
+
+    /// Whether a stream that the target holds was granted by a former owner.
+    fn is_foreign(&self, stream: &id::Stream) -> bool {
+        !self.tickets.contains_key(stream) && !self.ended.contains_key(stream)
+    }
+
+    /// Finds among the streams that the target holds those that nobody stands
+    /// for: their deadline is past, or their node is gone and none has taken
+    /// them up for the time of a resume.
+    fn sweep_held<F>(&mut self, report: &Report, found: &Found<F>)
+    where
+        F: Fn(&id::Node) -> bool,
+    {
         let known = std::mem::take(&mut self.foreign);
-        for stream in held.iter().filter(is_foreign) {
+        let held = report.streams.iter().map(|held| &held.stream);
+        for stream in held.filter(|stream| self.is_foreign(stream)).collect::<Vec<_>>() {
             let before = known.get(stream).and_then(|foreign| foreign.alone);
-            let alone = before.or_else(|| (!is_live(&stream.sender)).then_some(now));
+            let alone = before.or_else(|| (!(found.is_live)(&stream.sender)).then_some(found.now));
             self.foreign.insert(stream.clone(), Foreign { alone });
         }
-        let grace = SWEEP_GRACE.as_millis() as u64;
         let orphans = self.foreign.iter().filter(|(stream, foreign)| {
-            let overdue = stream.deadline_ms + grace < wall_ms;
-            let alone = foreign.alone.is_some_and(|at| now.saturating_duration_since(at) > resume);
-            overdue || alone
+            let alone = foreign.alone.is_some_and(|at| found.is_long_ago(at));
+            found.is_overdue(stream) || alone
         });
         self.cancels.extend(orphans.map(|(stream, _)| stream.clone()));
     }
 
+    /// Finds kept KV caches whose work is over: the sender of a placement over
+    /// several engines drops them itself, unless it died half-way.
+    fn sweep_handles<F>(&mut self, report: &Report, found: &Found<F>)
+    where
+        F: Fn(&id::Node) -> bool,
+    {
+        let orphans = report.handles.iter().filter(|handle| {
+            let stream = &handle.stream;
+            let alone = self.foreign.get(stream).and_then(|foreign| foreign.alone);
+            let gone = !(found.is_live)(&stream.sender) && alone.is_none();
+            found.is_overdue(stream) || (gone && !self.tickets.contains_key(stream))
+        });
+        self.drops = orphans.cloned().collect();
+    }
+
+    /// The kept KV caches to drop now.
+    pub(crate) fn take_drops(&mut self) -> Vec<Handle> {
+        std::mem::take(&mut self.drops)
+    }
+
     /// Marks what gone nodes served, as if their callers had left: another
     /// node may take it up.
-    pub(crate) fn mark_gone(&mut self, now: Instant, is_live: impl Fn(&id::Node) -> bool) {
+    fn mark_gone<F>(&mut self, found: &Found<F>)
+    where
+        F: Fn(&id::Node) -> bool,
+    {
         for granted in self.permits.values_mut() {
-            if granted.left.is_none() && !is_live(&granted.node) {
-                granted.left = Some(now);
+            if granted.left.is_none() && !(found.is_live)(&granted.node) {
+                granted.left = Some(found.now);
             }
         }
     }
@@ -486,9 +489,8 @@
 
     /// The target confirmed that a stream is gone.
     pub(crate) fn cancelled(&mut self, now: Instant, stream: &id::Stream) {
-        let found = self.permits.iter().find(|(_, granted)| granted.stream == *stream);
-        if let Some(ticket) = found.map(|(ticket, _)| *ticket) {
-            self.give_back(now, ticket);
+        if let Some(ticket) = self.tickets.get(stream).copied() {
+            self.give_back(now, ticket, limit::Outcome::Dropped);
         }
         if self.foreign.remove(stream).is_some() {
             self.ended.insert(stream.clone(), now);
@@ -504,20 +506,33 @@
     /// gone with it.
     pub(crate) fn restarted(&mut self, now: Instant) {
         let tickets: Vec<Ticket> = self.permits.keys().copied().collect();
-        tickets.into_iter().for_each(|ticket| self.give_back(now, ticket));
+        for ticket in tickets {
+            self.give_back(now, ticket, limit::Outcome::Dropped);
+        }
         self.cancels.clear();
+        self.foreign.clear();
+    }
+
+    /// What peers are to know, with the version of its last change.
+    pub(crate) fn tell(&mut self, next: impl FnOnce() -> u64) -> Option<(u64, State)> {
+        let state = self.state();
+        if self.told.as_ref().is_none_or(|(_, told)| *told != state) {
+            self.told = Some((next(), state));
+        }
+        self.told.clone()
     }
 
     fn state(&self) -> State {
+        let used = self.kv_used.max(self.limiter.kv_used());
         State {
             target: self.target.clone(),
             epoch: self.epoch,
             queued_prefill: self.limiter.prefill_queued(),
-            queued_batch: size::Tokens(0),
-            kv_free: self.kv_capacity.saturating_sub(self.kv_used.max(self.limiter.kv_granted())),
+            queued_long: self.limiter.prefill_queued_of(true),
+            kv_free: self.kv_capacity.saturating_sub(used),
             kv_capacity: self.kv_capacity,
             prefill_rate: self.capacity.prefill_rate,
-            bound: self.capacity.streams,
+            bound: self.limiter.bound(),
             running: self.limiter.running() as u32,
             waiting: self.limiter.waiting() as u32,
             ready: self.ready.clone(),
@@ -527,10 +542,30 @@
     }
 }
 
+/// With what a load report is read.
+pub(crate) struct Found<F> {
+    pub(crate) now: Instant,
+    pub(crate) wall_ms: u64,
+    /// How long a stream whose caller is gone is kept for a resume.
+    pub(crate) resume: Duration,
+    /// Whether a node is known to be there; true while nothing is known.
+    pub(crate) is_live: F,
+}
+
+impl<F: Fn(&id::Node) -> bool> Found<F> {
+    fn is_long_ago(&self, at: Instant) -> bool {
+        self.now.saturating_duration_since(at) > self.resume
+    }
+
+    fn is_overdue(&self, stream: &id::Stream) -> bool {
+        stream.deadline_ms.saturating_add(SWEEP_GRACE.as_millis() as u64) < self.wall_ms
+    }
+}
+
 impl Granted {
-    fn to(stream: id::Stream, until: Instant, untold: Option<Instant>) -> Self {
+    fn to(stream: id::Stream, until: Instant, priority: u8) -> Self {
         let node = stream.sender.clone();
-        Self { stream, until, left: None, untold, node }
+        Self { stream, until, priority, left: None, untold: None, node }
     }
 
     fn is_overdue(&self, now: Instant, resume: Duration) -> bool {
@@ -538,13 +573,3 @@
         left_long || now > self.until + SWEEP_GRACE
     }
 }
-
-fn make_permit(ticket: Ticket, epoch: id::Epoch, life: Duration, ask: &Ask) -> Permit {
-    let priority = if ask.batch { 0 } else { 1 };
-    Permit { id: ticket, epoch, life, priority }
-}
-
-/// Wall-clock time of the node, for deadlines within stream ids.
-pub(crate) fn wall_ms(core: &Core) -> u64 {
-    core.clock.wall_ms()
-}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -76,7 +76,7 @@
   target @0 :Text;
   epoch @1 :UInt64;
   queuedPrefill @2 :UInt64;   # prompt tokens granted or queued, not prefilled
-  queuedBatch @3 :UInt64;     # of these, batch
+  queuedLong @3 :UInt64;      # of these, of long prompts
   kvFree @4 :UInt64;
   kvCapacity @5 :UInt64;
   prefillRate @6 :UInt64;     # tokens a second at present warmth
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -180,7 +180,7 @@
     to.set_target(state.target.as_str());
     to.set_epoch(state.epoch.0);
     to.set_queued_prefill(state.queued_prefill.0);
-    to.set_queued_batch(state.queued_batch.0);
+    to.set_queued_long(state.queued_long.0);
     to.set_kv_free(state.kv_free.0);
     to.set_kv_capacity(state.kv_capacity.0);
     to.set_prefill_rate(state.prefill_rate);
@@ -203,7 +203,7 @@
         target: read_text(from.get_target())?.into(),
         epoch: id::Epoch(from.get_epoch()),
         queued_prefill: size::Tokens(from.get_queued_prefill()),
-        queued_batch: size::Tokens(from.get_queued_batch()),
+        queued_long: size::Tokens(from.get_queued_long()),
         kv_free: size::Tokens(from.get_kv_free()),
         kv_capacity: size::Tokens(from.get_kv_capacity()),
         prefill_rate: from.get_prefill_rate(),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -127,8 +127,8 @@
     pub epoch: id::Epoch,
     /// Prompt tokens granted or queued and not yet prefilled.
     pub queued_prefill: size::Tokens,
-    /// Of these, tokens of requests that may wait.
-    pub queued_batch: size::Tokens,
+    /// Of these, tokens of long prompts.
+    pub queued_long: size::Tokens,
     /// KV cache that is free.
     pub kv_free: size::Tokens,
     /// KV cache in all.
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -2509,7 +2509,7 @@
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_queued_batch(self) -> u64 {
+        pub fn get_queued_long(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
         #[inline]
@@ -2643,11 +2643,11 @@
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_queued_batch(self) -> u64 {
+        pub fn get_queued_long(self) -> u64 {
             self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn set_queued_batch(&mut self, value: u64)  {
+        pub fn set_queued_long(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
@@ -2791,7 +2791,7 @@
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
@@ -2883,8 +2883,8 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 117, 101, 117, 101, 100, 66, 97),
-            ::capnp::word(116, 99, 104, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 101, 117, 101, 100, 76, 111),
+            ::capnp::word(110, 103, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
