Size-aware placement, retries, quarantine; nodes use the new limits

Cause: all nodes chose the target with the shortest reported queue, which is up to a second old, so that they chose alike and short prompts met long ones; nodes never told the limiter how warm a target is, whether their lease stands, or how work ended.

The decode now counts for half of the time left at most.

--- a/crates/node/src/drive.rs
+++ b/crates/node/src/drive.rs
@@ -5,6 +5,7 @@
 use crate::seat;
 use hickory_platform::host::{Host, Kind};
 use hickory_policy::limit::Capacity;
+use hickory_policy::ramp::Sample;
 use hickory_release::configuration::Configuration;
 use hickory_state::owner::Terms;
 use hickory_target::Error;
@@ -19,6 +20,11 @@
 /// Between two looks at which targets are owned.
 const OWNED_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Between two looks at the queue of a target: prefill that the engine has
+/// worked off makes room without any message, and a first token is to wait
+/// little for it. A look at an empty queue costs well under a microsecond.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Failed reads of a load report after which a target gets no new work: one
 /// may be a hiccup, and three take less than the bound on new work to a
 /// target that is gone.
@@ -78,7 +84,12 @@
             seat.sweep(now, life, resume);
             seat.poll(now, life);
         });
-        tokio::time::sleep(interval).await;
+        let until = tokio::time::Instant::now() + interval;
+        while tokio::time::Instant::now() < until {
+            tokio::time::sleep(POLL_INTERVAL.min(interval)).await;
+            let now = core.now();
+            core.seats.with(&target, |seat| seat.poll_waiting(now, life));
+        }
     }
 }
 
@@ -90,9 +101,11 @@
     let owned = core.owners.owned();
     let terms = owned.iter().find(|owned| owned.target == host.target).map(|owned| owned.terms);
     let waited = !matches!(terms, None | Some(Terms::Wait(_)));
+    let confirmed = matches!(terms, Some(Terms::Full));
+    let now = core.now();
     core.seats.with(&host.target, |seat| {
         let known = seat.capacity.streams > 0;
-        seat.accepting = answers && in_service && waited && known;
+        seat.set_terms(now, answers && in_service && waited && known, confirmed);
     });
 }
 
@@ -132,6 +145,13 @@
             kv: report.kv_capacity,
             prefill_rate: report.prefill_rate,
         });
+        let sample = Sample {
+            incarnation: report.incarnation,
+            warmth: report.warmth,
+            cache_hits: report.cache_hits,
+            cache_misses: report.cache_misses,
+        };
+        seat.observe(now, sample, &report.streams);
         // The list of nodes says nothing while the platform can't be reached.
         let is_live = |node: &id::Node| !confirmed || nodes.contains_key(node);
         seat.mark_gone(now, is_live);
@@ -209,6 +229,9 @@
             kv: seat.kv_capacity,
             prefill_rate: u64::from(u32::MAX),
         });
+        let (incarnation, warmth) = (report.incarnation, report.warmth);
+        let sample = Sample { incarnation, warmth, cache_hits: 0, cache_misses: 0 };
+        seat.observe(now, sample, &[]);
         // Nothing is held on a service: a cancel has nothing to do.
         for stream in seat.take_cancels() {
             seat.cancelled(now, &stream);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -180,7 +180,7 @@
         member,
         owners,
         platform,
-        view: view::View::default(),
+        view: view::View::open(settings.zone.clone()),
         seats: seat::Seats::default(),
         metrics,
         stage: watch::channel(Stage::Serving).0,
--- a/crates/node/src/parse.rs
+++ b/crates/node/src/parse.rs
@@ -28,7 +28,7 @@
 /// Leading bytes of a prompt that decide its prefix affinity: a prefix of this
 /// length is worth sending to where it is cached, a shorter one is cheap to
 /// prefill anew.
-const PREFIX_LEN: usize = 1024;
+pub(crate) const PREFIX_LEN: usize = 1024;
 
 /// The header with the time that is left, in milliseconds.
 pub(crate) const TIME_LEFT: &str = "x-time-left-ms";
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -1,11 +1,11 @@
 //! Getting leave to send: choose a target, ask its owner, check once more.
 
 use crate::core::Core;
-use crate::parse::refuse;
+use crate::parse::{PREFIX_LEN, refuse};
 use crate::seat::{self, QUEUED};
 use crate::view::Need;
 use hickory_policy::cost::{Class, Cost};
-use hickory_policy::place::rank_targets;
+use hickory_policy::place::{Prefix, Query, choose_target};
 use hickory_policy::refuse::{Reason, Refusal, Retry};
 use hickory_target::engine;
 use hickory_unit::clock::Clock;
@@ -76,8 +76,9 @@
         }
         let configuration =
             core.configuration().ok_or_else(|| refuse(Reason::NotReady, "no configuration yet"))?;
-        let candidates = core.view.candidates(now, want.need, &configuration, &tried);
-        let Some(best) = rank_targets(want.cost, &candidates).first().copied() else { break };
+        let candidates = core.view.candidates(now, want.need, want.prefix, &configuration, &tried);
+        let query = query_of(want);
+        let Some(best) = choose_target(&query, &candidates) else { break };
         let target = best.target.clone();
         let expected = hickory_policy::place::estimate_first_token(want.cost, best);
         tried.push(target.clone());
@@ -113,6 +114,13 @@
     }))
 }
 
+fn query_of(want: &Want<'_>) -> Query {
+    let tokens = size::Tokens::of_bytes(size::Bytes(PREFIX_LEN as u64));
+    let has_prefix = matches!(want.need, Need::Weights(_)) && want.cost.prefill >= tokens;
+    let prefix = has_prefix.then_some(Prefix { hash: want.prefix, tokens });
+    Query { cost: want.cost, class: want.class, prefix, random: rand::random() }
+}
+
 /// Asks the owner of `target` until it grants or refuses; `None` where the
 /// owner can't be asked.
 async fn ask_owner(
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -6,8 +6,11 @@
 use crate::core::Core;
 use crate::parse::hash_parts;
 use hickory_policy::cost::{Class, Cost};
-use hickory_policy::limit::{self, Answer, Capacity, Limiter, Ticket};
+use hickory_policy::fair::Lane;
+use hickory_policy::limit::{self, Answer, Capacity, Limiter, Observed, Ticket};
+use hickory_policy::ramp::Sample;
 use hickory_policy::refuse::Reason;
+use hickory_target::engine::Held;
 use hickory_telemetry::label;
 use hickory_unit::clock::Clock;
 use hickory_unit::{id, size};
@@ -99,6 +102,7 @@
     ticket: Ticket,
     asked: Instant,
     until: Instant,
+    priority: u8,
     waker: Option<oneshot::Sender<Result<Permit, Refusal>>>,
 }
 
@@ -273,6 +277,42 @@
         }
     }
 
+    /// Takes the target's warmth and what it holds into the limit.
+    pub(crate) fn observe(&mut self, now: Instant, sample: Sample, held: &[Held]) {
+        let granted: HashMap<&id::Stream, Ticket> =
+            self.permits.iter().map(|(ticket, granted)| (&granted.stream, *ticket)).collect();
+        let is_own =
+            |held: &&Held| granted.get(&held.stream).is_some_and(|ticket| *ticket < ADOPTED_FIRST);
+        let others = || held.iter().filter(|h| !is_own(h) && !self.ended.contains_key(&h.stream));
+        let prefill_left = held.iter().filter(is_own);
+        let observed = Observed {
+            sample,
+            foreign: others().count() as u32,
+            foreign_kv: others().map(|held| held.kv).sum(),
+            prefill_left: prefill_left.map(|h| (granted[&h.stream], h.prefill_left)).collect(),
+        };
+        if let Some(cold) = self.limiter.observe(now, &observed) {
+            log::info!(target = self.target.as_str(), cold:% = cold; "target ramps anew");
+        }
+    }
+
+    /// Sets whether the target takes new work, and whether this owner may
+    /// grant all that it bears; who waits when it stops is told at once.
+    pub(crate) fn set_terms(&mut self, now: Instant, accepting: bool, confirmed: bool) {
+        self.limiter.set_confirmed(now, confirmed);
+        if self.accepting == accepting {
+            return;
+        }
+        self.accepting = accepting;
+        for (ticket, reason) in self.limiter.set_accepting(now, accepting) {
+            let refused = |_: &id::Stream, waiting: &mut Waiting| waiting.ticket == ticket;
+            for (_, waiting) in self.waiting.extract_if(refused) {
+                // An asker that is gone needs no answer.
+                let _ = waiting.waker.map(|w| w.send(Err(refuse(reason, Duration::ZERO))));
+            }
+        }
+    }
+
     fn ask(&mut self, now: Instant, life: Duration, ask: &Ask) -> Begun {
         if !self.accepting {
             return Begun::Answered(Err(refuse(Reason::NoTarget, life)));
@@ -300,6 +340,7 @@
             alone: ask.alone,
             urgent: ask.urgent,
         };
+        let priority = limit::priority_of(wanted.lane());
         match self.limiter.ask(now, wanted) {
             Answer::Granted(ticket) => {
                 self.permits.insert(ticket, Granted::to(ask.stream.clone(), until, None));
@@ -307,7 +348,7 @@
             }
             Answer::Queued(ticket) => {
                 let (waker, wait) = oneshot::channel();
-                let waiting = Waiting { ticket, asked: now, until, waker: Some(waker) };
+                let waiting = Waiting { ticket, asked: now, until, priority, waker: Some(waker) };
                 self.waiting.insert(ask.stream.clone(), waiting);
                 Begun::Queued(wait)
             }
@@ -321,6 +362,13 @@
         }
     }
 
+    /// Grants what fits now, where any ask waits.
+    pub(crate) fn poll_waiting(&mut self, now: Instant, life: Duration) {
+        if !self.waiting.is_empty() {
+            self.poll(now, life);
+        }
+    }
+
     /// Grants what fits now.
     pub(crate) fn poll(&mut self, now: Instant, life: Duration) {
         for (ticket, answer) in self.limiter.poll(now) {
@@ -328,7 +376,9 @@
             let Some(stream) = found.map(|(stream, _)| stream.clone()) else { continue };
             let Some(waiting) = self.waiting.remove(&stream) else { continue };
             let answer = match answer {
-                Ok(()) => Ok(Permit { id: ticket, epoch: self.epoch, life, priority: 0 }),
+                Ok(()) => {
+                    Ok(Permit { id: ticket, epoch: self.epoch, life, priority: waiting.priority })
+                }
                 Err(reason) => Err(refuse(reason, Duration::ZERO)),
             };
             let granted = answer.is_ok();
@@ -385,6 +435,12 @@
                 }
             }
             Ending::Finished | Ending::Cancelled | Ending::NotSent | Ending::TargetDied => {
+                let learned = match outcome.ending {
+                    Ending::Finished => limit::Outcome::Whole(outcome.first_token),
+                    Ending::TargetDied => limit::Outcome::Failed,
+                    _ => limit::Outcome::Dropped,
+                };
+                self.limiter.settle(now, outcome.permit, learned);
                 self.give_back(now, outcome.permit);
             }
         }
@@ -513,11 +569,12 @@
             target: self.target.clone(),
             epoch: self.epoch,
             queued_prefill: self.limiter.prefill_queued(),
-            queued_batch: size::Tokens(0),
-            kv_free: self.kv_capacity.saturating_sub(self.kv_used.max(self.limiter.kv_granted())),
+            // Of long prompts: what short work overtakes on an engine.
+            queued_batch: self.limiter.prefill_queued_of(true),
+            kv_free: self.kv_capacity.saturating_sub(self.kv_used.max(self.limiter.kv_used())),
             kv_capacity: self.kv_capacity,
             prefill_rate: self.capacity.prefill_rate,
-            bound: self.capacity.streams,
+            bound: self.limiter.bound(),
             running: self.limiter.running() as u32,
             waiting: self.limiter.waiting() as u32,
             ready: self.ready.clone(),
@@ -540,7 +597,9 @@
 }
 
 fn make_permit(ticket: Ticket, epoch: id::Epoch, life: Duration, ask: &Ask) -> Permit {
-    let priority = if ask.batch { 0 } else { 1 };
+    let cost = Cost { prefill: ask.cost.prefill, decode: ask.cost.decode };
+    let class = if ask.batch { Class::Batch } else { Class::Interactive };
+    let priority = limit::priority_of(Lane { class, long: cost.is_long() });
     Permit { id: ticket, epoch, life, priority }
 }
 
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -4,7 +4,7 @@
 use crate::parse::hash_parts;
 use hickory_platform::host::{Host, Kind, Standing};
 use hickory_policy::cost::Cost;
-use hickory_policy::place::Candidate;
+use hickory_policy::place::{Candidate, hash_target};
 use hickory_release::configuration::Configuration;
 use hickory_target::engine::Weights;
 use hickory_unit::{id, size};
@@ -32,6 +32,8 @@
 struct Seen {
     state: State,
     owner: id::Node,
+    /// The target's hash, for placement.
+    key: u64,
     sent: size::Tokens,
     sent_count: u32,
     sent_at: Option<Instant>,
@@ -52,8 +54,10 @@
 }
 
 /// What a node knows of targets and peers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct View {
+    /// The zone of this node.
+    zone: id::Zone,
     hosts: RwLock<Arc<Hosts>>,
     states: [Mutex<HashMap<id::Target, Seen>>; SHARDS],
     peers: Mutex<HashMap<id::Node, PeerSeen>>,
@@ -69,6 +73,11 @@
 }
 
 impl View {
+    /// The empty view of a node in `zone`.
+    pub(crate) fn open(zone: id::Zone) -> Self {
+        Self { zone, hosts: RwLock::default(), states: Default::default(), peers: Mutex::default() }
+    }
+
     pub(crate) fn hosts(&self) -> Arc<Hosts> {
         self.hosts.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
@@ -116,8 +125,9 @@
             return;
         }
         let (target, owner) = (state.target.clone(), owner.clone());
+        let key = known.map_or_else(|| hash_target(&target), |known| known.key);
         let (sent, sent_count, sent_at) = (size::Tokens(0), 0, None);
-        shard.insert(target, Seen { state, owner, sent, sent_count, sent_at });
+        shard.insert(target, Seen { state, owner, key, sent, sent_count, sent_at });
     }
 
     /// Notes that this node sent work to a target, so that until its owner
@@ -147,11 +157,13 @@
         hosts.get(target).is_some_and(|host| is_in_service(host, configuration))
     }
 
-    /// The targets that can run a request, less the excluded ones.
+    /// The targets that can run a request with the hash of its leading blocks,
+    /// less the excluded ones.
     pub(crate) fn candidates(
         &self,
         now: Instant,
         need: Need<'_>,
+        prefix: u64,
         configuration: &Configuration,
         excluded: &[id::Target],
     ) -> Vec<Candidate> {
@@ -163,7 +175,7 @@
         hosts
             .values()
             .filter(|host| is_in_service(host, configuration) && !excluded.contains(&host.target))
-            .filter_map(|host| self.candidate(now, host, need, is_heard))
+            .filter_map(|host| self.candidate(now, host, need, prefix, is_heard))
             .collect()
     }
 
@@ -172,6 +184,7 @@
         now: Instant,
         host: &Host,
         need: Need<'_>,
+        prefix: u64,
         is_heard: impl Fn(&id::Node) -> bool,
     ) -> Option<Candidate> {
         let mut shard = self.shard(&host.target);
@@ -187,6 +200,10 @@
         };
         (fits && state.accepting && is_heard(&seen.owner)).then(|| Candidate {
             target: host.target.clone(),
+            key: seen.key,
+            near: host.zone == self.zone,
+            cached: state.prefixes.contains(&prefix),
+            queued_long: state.queued_batch,
             queued_prefill: state.queued_prefill + seen.sent,
             kv_free: state.kv_free.saturating_sub(seen.sent),
             kv_capacity: state.kv_capacity,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod limit;
 pub mod pace;
 pub mod place;
+pub mod poison;
 pub mod ramp;
 pub mod refuse;
+pub mod retry;
 pub mod room;
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -331,7 +331,8 @@
         let ahead = self.queue.work_ahead(&ask.partner, &ask.account, long);
         let hold = self.hold.map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
         let wait = hold + self.pace.time_for(ahead + self.room.in_flight(long) as u64, long);
-        let late = (now + wait + self.pace.time_of(ask.cost)).checked_duration_since(ask.deadline);
+        let time = self.pace.time_of(ask.cost, ask.deadline - now);
+        let late = (now + wait + time).checked_duration_since(ask.deadline);
         if let Some(late) = late.filter(|late| !late.is_zero()) {
             return Some(Answer::Refused(Reason::Overloaded, late.max(RETRY_LEAST)));
         }
@@ -345,7 +346,7 @@
     }
 
     fn enqueue(&mut self, now: Instant, ticket: Ticket, ask: Ask) {
-        let time = self.pace.time_of(ask.cost);
+        let time = self.pace.time_of(ask.cost, ask.deadline.saturating_duration_since(now));
         let latest = ask.deadline.checked_sub(time).unwrap_or(now).max(now);
         self.latest.insert((latest, ticket));
         if ask.alone {
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -69,14 +69,18 @@
         rate::TokensPerSecond(self.prefill_rate().max(1) as f64).time_for(tokens) + self.token_time
     }
 
-    /// The time that work of this cost takes once it is granted. Work without
-    /// tokens is a call of a plain service, of which nothing is known.
-    pub fn time_of(&self, cost: Cost) -> Duration {
+    /// The time to keep for work of this cost once it is granted, of the time
+    /// that is left for it. An answer may be shorter than its greatest length,
+    /// so its decode is given half of that time at most: an ask is not refused
+    /// because of tokens that may never come. Work without tokens is a call of
+    /// a plain service, of which nothing is known.
+    pub fn time_of(&self, cost: Cost, left: Duration) -> Duration {
         if cost.kv().0 == 0 {
             return Duration::ZERO;
         }
         let steps = u32::try_from(cost.decode.0).unwrap_or(u32::MAX);
-        self.first_token(cost.prefill).saturating_add(self.token_time.saturating_mul(steps))
+        let decode = self.token_time.saturating_mul(steps).min(left / 2);
+        self.first_token(cost.prefill).saturating_add(decode)
     }
 
     /// The time until `work` has left the queue.
--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,118 @@
+//! What may be tried again, where, and how often.
+//!
+//! Load: targets fail while accounts send at full rate. Harm prevented:
+//! retries multiply the load just when there is least room for it, or work
+//! that must not be repeated runs twice.
+
+use crate::refuse::{Ran, Retry};
+use hickory_unit::id;
+use std::collections::HashMap;
+
+/// Retries earned by each request: with one for five, a fleet whose every
+/// attempt fails gets at most a fifth more load.
+pub const EARNED: f64 = 0.2;
+
+/// Retries that an account may save up: enough for all that one engine's
+/// death throws back at a large account.
+pub const SAVED: f64 = 20.0;
+
+/// Attempts of one request at most. After three targets have failed it the
+/// request is more likely to blame than they are.
+pub const ATTEMPTS: u32 = 3;
+
+/// How an attempt failed, by what the target can have seen of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No byte reached the target.
+    NotSent,
+    /// The target answered that it did not begin, or confirmed a cancel as
+    /// never begun.
+    NeverBegun,
+    /// Bytes went and no answer came, or it was cut.
+    Unknown,
+    /// The stream made no progress for too long.
+    Stalled,
+}
+
+/// What to do after a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Try another target.
+    Again(Retry),
+    /// Refuse; whether it ran is as said.
+    Stop(Ran),
+}
+
+/// The retry budgets of the accounts.
+#[derive(Clone, Debug, Default)]
+pub struct Budget {
+    saved: HashMap<id::Account, f64>,
+}
+
+impl Budget {
+    /// Full budgets for all accounts.
+    pub fn open() -> Self {
+        Self::default()
+    }
+
+    /// Notes a request of an account, which earns part of a retry.
+    pub fn earn(&mut self, account: &id::Account) {
+        if let Some(saved) = self.saved.get_mut(account) {
+            *saved = (*saved + EARNED).min(SAVED);
+        }
+    }
+
+    /// Takes one retry out of an account's budget, if there is one.
+    pub fn spend(&mut self, account: &id::Account) -> bool {
+        if !self.saved.contains_key(account) {
+            self.saved.insert(account.clone(), SAVED);
+        }
+        let saved = self.saved.get_mut(account).filter(|saved| **saved >= 1.0);
+        saved.map(|saved| *saved -= 1.0).is_some()
+    }
+
+    /// Forgets accounts that are gone.
+    pub fn retain(&mut self, keep: impl Fn(&id::Account) -> bool) {
+        self.saved.retain(|account, _| keep(account));
+    }
+}
+
+/// Decides on a failed attempt, before the budget is asked.
+///
+/// Work that must not be repeated is tried again only where the target
+/// certainly never began it; everything else also where it may have. A stream
+/// of which the caller has seen tokens goes on from there on another target,
+/// since its tokens follow from the prompt.
+pub fn judge(failure: Failure, idempotent: bool, attempt: u32) -> Verdict {
+    let never_ran = matches!(failure, Failure::NotSent | Failure::NeverBegun);
+    let ran = if never_ran { Ran::No } else { Ran::Unknown };
+    if attempt + 1 >= ATTEMPTS || !(never_ran || idempotent) {
+        return Verdict::Stop(ran);
+    }
+    Verdict::Again(match failure {
+        Failure::NotSent => Retry::NotSent,
+        Failure::NeverBegun => Retry::Refused,
+        Failure::Unknown => Retry::TargetFailed,
+        Failure::Stalled => Retry::Stalled,
+    })
+}
+
+/// The targets that a request's further attempts leave out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Excluded {
+    targets: Vec<id::Target>,
+}
+
+impl Excluded {
+    /// Leaves out a target that failed or refused.
+    pub fn add(&mut self, target: id::Target) {
+        if !self.contains(&target) {
+            self.targets.push(target);
+        }
+    }
+
+    /// Whether a target is left out.
+    pub fn contains(&self, target: &id::Target) -> bool {
+        self.targets.contains(target)
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/place.rs
@@ -0,0 +1,158 @@
+//! Placement, seen over many choices.
+
+mod common;
+
+use common::cost;
+use hickory_policy::cost::{Class, Cost};
+use hickory_policy::place::{Candidate, Prefix, Query, choose_target, hash_target};
+use hickory_unit::{id, size};
+use std::collections::BTreeMap;
+
+fn idle(index: usize) -> Candidate {
+    let target = id::Target::from(format!("engine-{index}").as_str());
+    Candidate {
+        key: hash_target(&target),
+        target,
+        near: true,
+        cached: false,
+        queued_prefill: size::Tokens(0),
+        queued_long: size::Tokens(0),
+        kv_free: size::Tokens(450_000),
+        kv_capacity: size::Tokens(450_000),
+        prefill_rate: 40_000,
+        bound: 64,
+        running: 0,
+        waiting: 0,
+    }
+}
+
+fn fleet(count: usize) -> Vec<Candidate> {
+    (0..count).map(idle).collect()
+}
+
+fn query(cost: Cost, random: u64) -> Query {
+    Query { cost, class: Class::Interactive, prefix: None, random }
+}
+
+fn with_prefix(random: u64, tokens: u64) -> Query {
+    let prefix = Prefix { hash: 77, tokens: size::Tokens(tokens) };
+    Query { prefix: Some(prefix), ..query(cost(tokens + 500, 32), random) }
+}
+
+/// Places each query and books its prefill, as a node does between two
+/// states of the owners.
+fn place(
+    fleet: &mut [Candidate],
+    queries: impl IntoIterator<Item = Query>,
+) -> BTreeMap<usize, u32> {
+    let mut counts = BTreeMap::new();
+    for query in queries {
+        let chosen = choose_target(&query, fleet).expect("some target").key;
+        let index = fleet.iter().position(|c| c.key == chosen).expect("of the fleet");
+        let candidate = &mut fleet[index];
+        candidate.queued_prefill += query.cost.prefill;
+        if query.cost.is_long() {
+            candidate.queued_long += query.cost.prefill;
+        }
+        candidate.kv_free = candidate.kv_free.saturating_sub(query.cost.kv());
+        candidate.running += 1;
+        *counts.entry(index).or_default() += 1;
+    }
+    counts
+}
+
+/// A burst of equal short requests: no target gets much more than another,
+/// although the states are not renewed in between.
+#[test]
+fn burst_spreads_by_what_was_sent() {
+    let counts = place(&mut fleet(16), (0..320).map(|i| query(cost(1_000, 32), i)));
+    assert_eq!(counts.len(), 16);
+    assert!(counts.values().all(|&n| (15..=25).contains(&n)), "{counts:?}");
+}
+
+/// 380 nodes choose by the same state at the same moment: without the spread
+/// all would choose the same target.
+#[test]
+fn nodes_with_equal_states_do_not_choose_alike() {
+    let fleet = fleet(16);
+    let mut counts = BTreeMap::<_, u32>::new();
+    for node in 0..380 {
+        let chosen = choose_target(&query(cost(1_000, 32), node), &fleet).expect("some target");
+        *counts.entry(chosen.key).or_default() += 1;
+    }
+    assert!(counts.values().all(|&n| n < 60), "{counts:?}");
+}
+
+/// Reports of 100,000 tokens go to few engines, in the same order on every
+/// node; short questions then find the others, and their time to first token
+/// is that of an engine without long work.
+#[test]
+fn long_prompts_keep_to_few_engines_and_short_ones_off_them() {
+    let mut fleet = fleet(16);
+    let long = place(&mut fleet, (0..6).map(|i| query(cost(100_000, 500), i)));
+    assert_eq!(long.len(), 3, "two on each engine: {long:?}");
+    // Two on each free engine: less to wait than a step of a long prefill.
+    let short = place(&mut fleet, (0..26).map(|i| query(cost(1_000, 32), i)));
+    assert!(short.keys().all(|index| !long.contains_key(index)), "{short:?}");
+    let burst = place(&mut fleet, (0..400).map(|i| query(cost(1_000, 32), i)));
+    assert!(burst.keys().any(|index| long.contains_key(index)), "a burst may use them all");
+}
+
+/// Demand for long work exceeds the fleet: it is spread over all engines and
+/// none is left out.
+#[test]
+fn long_work_uses_the_fleet_when_it_must() {
+    let counts = place(&mut fleet(8), (0..32).map(|i| query(cost(100_000, 500), i)));
+    assert_eq!(counts.len(), 8);
+    assert!(counts.values().all(|&n| n <= 6), "{counts:?}");
+}
+
+/// A hot prefix: it stays on its engine while the hit is worth the queue, and
+/// spills when it isn't. Cache events that never come, or that name an engine
+/// the hash does not, change speed and nothing else.
+#[test]
+fn prefix_affinity_is_bounded_by_load() {
+    let mut home = None;
+    for random in 0..100 {
+        let fleet = fleet(16);
+        let chosen = choose_target(&with_prefix(random, 8_000), &fleet).expect("some").key;
+        assert_eq!(*home.get_or_insert(chosen), chosen, "no event ever came");
+    }
+    let counts = place(&mut fleet(16), (0..320).map(|i| with_prefix(i, 8_000)));
+    assert!(counts.values().all(|&n| n <= 30), "{counts:?}");
+    let mut late = fleet(16);
+    let other = late.iter().position(|c| Some(c.key) != home).expect("another");
+    late[other].cached = true;
+    let chosen = choose_target(&with_prefix(1, 8_000), &late).expect("some");
+    assert_eq!(chosen.key, late[other].key, "an event is worth more than the hash");
+}
+
+/// One target is slow to free its slots: it is passed over while others have
+/// room, and takes work again when all are full.
+#[test]
+fn full_target_is_passed_over() {
+    let mut fleet = fleet(4);
+    fleet[0].running = 64;
+    let counts = place(&mut fleet, (0..30).map(|i| query(cost(1_000, 32), i)));
+    assert!(!counts.contains_key(&0));
+    fleet.iter_mut().for_each(|c| c.running = 64);
+    fleet[1..].iter_mut().for_each(|c| c.waiting = 200);
+    let chosen = choose_target(&query(cost(1_000, 32), 1), &fleet).expect("some");
+    assert_eq!(chosen.key, fleet[0].key);
+}
+
+/// Work stays in the zone where that costs nothing, and leaves it where the
+/// zone is busy; a request that no target can hold gets none.
+#[test]
+fn near_targets_are_preferred_until_they_are_busy() {
+    let mut fleet = fleet(16);
+    fleet[8..].iter_mut().for_each(|c| c.near = false);
+    let near = |fleet: &[Candidate]| {
+        let chosen = (0..200).filter_map(|i| choose_target(&query(cost(200, 32), i), fleet));
+        chosen.filter(|c| c.near).count()
+    };
+    assert_eq!(near(&fleet), 200);
+    fleet[..8].iter_mut().for_each(|c| c.queued_prefill = size::Tokens(2_000));
+    assert_eq!(near(&fleet), 0);
+    assert_eq!(choose_target(&query(cost(450_000, 1), 1), &fleet), None);
+}
--- /dev/null
+++ b/crates/policy/tests/poison.rs
@@ -0,0 +1,131 @@
+//! Requests that crash what runs them.
+
+mod common;
+
+use common::ms;
+use hickory_policy::poison::{CAPACITY, KEPT, Suspect, Suspects, Verdict};
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+const POISON: u64 = 7;
+
+/// A request crashes the engine that runs it beside thirty others, and is
+/// sent again without end. It runs once more, alone, and is refused from then
+/// on; the thirty run again alone and are cleared. Two engines are lost.
+#[test]
+fn poison_kills_two_engines_and_no_innocent_request() {
+    let mut now = Instant::now();
+    let mut suspects = Suspects::open();
+    suspects.note_death(now, 0..31);
+    let mut deaths = 1;
+    for _ in 0..100 {
+        for fingerprint in 0..31 {
+            now += ms(10);
+            match suspects.judge(now, fingerprint) {
+                Verdict::Clear => assert_ne!(fingerprint, POISON, "it ran beside others"),
+                Verdict::Alone if fingerprint == POISON => {
+                    suspects.begin_trial(fingerprint, now + ms(60_000));
+                    assert_eq!(suspects.judge(now, fingerprint), Verdict::Wait, "a second copy");
+                    suspects.note_death(now, [fingerprint]);
+                    deaths += 1;
+                }
+                Verdict::Alone => {
+                    suspects.begin_trial(fingerprint, now + ms(60_000));
+                    suspects.note_success(now, fingerprint);
+                }
+                Verdict::Wait => panic!("no trial runs"),
+                Verdict::Quarantined => assert_eq!(fingerprint, POISON),
+            }
+        }
+    }
+    assert_eq!(deaths, 2);
+    assert_eq!(suspects.judge(now, POISON), Verdict::Quarantined);
+    assert_eq!(suspects.judge(now + KEPT, POISON), Verdict::Clear, "it expires");
+}
+
+/// The node that ran the trial dies with it: the suspect isn't held for ever,
+/// and runs alone again after the trial's deadline.
+#[test]
+fn lost_trial_ends_at_its_deadline() {
+    let now = Instant::now();
+    let mut suspects = Suspects::open();
+    suspects.note_death(now, [POISON]);
+    suspects.begin_trial(POISON, now + ms(500));
+    assert_eq!(suspects.judge(now + ms(499), POISON), Verdict::Wait);
+    assert_eq!(suspects.judge(now + ms(500), POISON), Verdict::Alone);
+    suspects.begin_trial(POISON, now + ms(9_000));
+    suspects.drop_trial(POISON);
+    assert_eq!(suspects.judge(now + ms(600), POISON), Verdict::Alone);
+}
+
+/// Words of other nodes come late and in any order: a clearing does not lift
+/// a quarantine, an old suspicion does not come back after a clearing, and a
+/// quarantine reaches nodes that saw no death.
+#[test]
+fn words_of_other_nodes() {
+    let now = Instant::now() + ms(10_000_000);
+    let word = |deaths, age| [Suspect { fingerprint: POISON, deaths, age: ms(age) }];
+    let mut suspects = Suspects::open();
+    suspects.merge(now, word(1, 5_000));
+    assert_eq!(suspects.judge(now, POISON), Verdict::Alone);
+    suspects.note_success(now, POISON);
+    suspects.merge(now, word(1, 4_000));
+    assert_eq!(suspects.judge(now, POISON), Verdict::Clear);
+    suspects.merge(now, word(2, 3_000));
+    assert_eq!(suspects.judge(now, POISON), Verdict::Quarantined);
+    suspects.merge(now, word(0, 0));
+    assert_eq!(suspects.judge(now, POISON), Verdict::Quarantined);
+    assert_eq!(suspects.tell(now), word(2, 3_000));
+}
+
+/// Many engines die of other causes: memory stays bounded, and quarantines
+/// are the last to go.
+#[test]
+fn memory_is_bounded() {
+    let mut now = Instant::now();
+    let mut suspects = Suspects::open();
+    suspects.note_death(now, [POISON]);
+    suspects.note_death(now, [POISON]);
+    for fingerprint in 100..20_000 {
+        now += ms(1);
+        suspects.note_death(now, [fingerprint]);
+        assert!(suspects.len() <= CAPACITY);
+    }
+    assert_eq!(suspects.judge(now, POISON), Verdict::Quarantined);
+    assert_eq!(suspects.judge(now, 19_999), Verdict::Alone);
+}
+
+proptest! {
+    /// Nodes that exchange what they know, in any order, agree at last, and a
+    /// fingerprint that any of them saw at two deaths is quarantined on all.
+    #[test]
+    fn exchanges_agree(ops in prop::collection::vec((0usize..3, 0u64..4, 0u8..4), 1..60)) {
+        let mut now = Instant::now();
+        let mut nodes = [Suspects::open(), Suspects::open(), Suspects::open()];
+        let mut quarantined = BTreeSet::new();
+        for (node, fingerprint, op) in ops {
+            now += ms(10);
+            match op {
+                0 => nodes[node].note_death(now, [fingerprint]),
+                1 => nodes[node].note_success(now, fingerprint),
+                _ => {
+                    let told = nodes[node].tell(now);
+                    nodes[(node + 1) % 3].merge(now, told);
+                }
+            }
+            if nodes[node].judge(now, fingerprint) == Verdict::Quarantined {
+                quarantined.insert(fingerprint);
+            }
+        }
+        for round in 0..6 {
+            let told = nodes[round % 3].tell(now);
+            nodes[(round + 1) % 3].merge(now, told);
+        }
+        for fingerprint in 0..4 {
+            let verdicts = nodes.each_mut().map(|node| node.judge(now, fingerprint));
+            prop_assert!(verdicts.iter().all(|v| *v == verdicts[0]), "{:?}", verdicts);
+            prop_assert!(!quarantined.contains(&fingerprint) || verdicts[0] == Verdict::Quarantined);
+        }
+    }
+}
