--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -396,11 +396,19 @@
         self.sweep_held(report, found);
         self.sweep_handles(report, found);
         let observed = self.observe(report);
-        self.limiter.observe(found.now, &observed);
+        self.observe_load(found.now, &observed);
+    }
+
+    /// Takes a load report's warmth and foreign work into the limit.
+    pub(crate) fn observe_load(&mut self, now: Instant, observed: &Observed) {
+        if let Some(cold) = self.limiter.observe(now, observed) {
+            log::info!(target = self.target.as_str(), cold:% = cold; "target ramps anew");
+        }
     }
 
     fn observe(&self, report: &Report) -> Observed {
-        let own = |held: &&Held| self.tickets.contains_key(&held.stream);
+        // What has ended stands in the report until its lag has passed.
+        let own = |held: &&Held| !self.is_foreign(&held.stream);
         let foreign = report.streams.iter().filter(|held| self.is_foreign(&held.stream));
         let owned_kv: size::Tokens = report.streams.iter().filter(own).map(|held| held.kv).sum();
         let left = report.streams.iter().filter_map(|held| {
--- a/crates/policy/src/ask.rs
+++ b/crates/policy/src/ask.rs
@@ -66,7 +66,7 @@
 }
 
 /// What a load report says, with the limiter's own streams told from others.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Observed {
     /// How warm the target is.
     pub sample: Sample,
