--- /dev/null
+++ b/apps/hickory-standin/src/ready.rs
@@ -0,0 +1,33 @@
+//! The line that says where a stand-in listens.
+
+use hickory_standin::fleet::Fleet;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+
+/// Where everything listens, by the names that faults are switched under.
+#[derive(Debug, Serialize)]
+pub(crate) struct Ready {
+    /// The switchboard of faults.
+    control: SocketAddr,
+    /// The stand-ins by name.
+    addresses: BTreeMap<String, SocketAddr>,
+}
+
+impl Ready {
+    pub(crate) fn one(name: &str, address: SocketAddr, control: SocketAddr) -> Self {
+        Self { control, addresses: [(name.to_owned(), address)].into() }
+    }
+
+    pub(crate) fn fleet(fleet: &Fleet, control: SocketAddr) -> Self {
+        Self { control, addresses: fleet.addresses().into_iter().collect() }
+    }
+
+    pub(crate) fn print(&self) -> eyre::Result<()> {
+        let mut out = std::io::stdout().lock();
+        serde_json::to_writer(&mut out, self)?;
+        writeln!(out)?;
+        Ok(out.flush()?)
+    }
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -1,5 +1,6 @@
 //! A whole small platform within one process.
 
+use crate::control::Board;
 use crate::{engine, hosts, service, store, weights};
 use hickory_platform::host::{Host, Kind, Standing};
 use hickory_platform::http::Address;
@@ -56,6 +57,7 @@
     pub engines: Vec<engine::Handle>,
     /// The replicas: `orders-0`, `orders-1` and so on.
     pub replicas: Vec<service::Handle>,
+    service: id::Service,
 }
 
 impl Fleet {
@@ -75,7 +77,33 @@
             .collect::<Result<_, _>>()?;
         let listed = list_hosts(&options, &engines, &replicas);
         let hosts = hosts::spawn(any, listed)?;
-        Ok(Self { store: store::spawn(any)?, hosts, weights, engines, replicas })
+        let (store, service) = (store::spawn(any)?, options.service);
+        Ok(Self { store, hosts, weights, engines, replicas, service })
+    }
+
+    /// Where each part listens, by name.
+    pub fn addresses(&self) -> Vec<(String, SocketAddr)> {
+        let mut all = vec![
+            ("store".to_owned(), self.store.address()),
+            ("hosts".to_owned(), self.hosts.address()),
+            ("weights".to_owned(), self.weights.address()),
+        ];
+        let targets = self.hosts.service().newest().into_iter();
+        all.extend(targets.map(|host| (host.target.to_string(), host.address)));
+        all
+    }
+
+    /// A switchboard of the faults of all parts, by name.
+    pub fn board(&self) -> Board {
+        let mut board = Board::default();
+        board.add("store", &self.store);
+        board.add("hosts", &self.hosts);
+        board.add("weights", &self.weights);
+        let engines = self.engines.iter().enumerate();
+        engines.for_each(|(n, engine)| board.add(&format!("engine-{n}"), engine));
+        let replicas = self.replicas.iter().enumerate();
+        replicas.for_each(|(n, replica)| board.add(&format!("{}-{n}", self.service), replica));
+        board
     }
 
     /// Where the platform's services listen.
--- a/crates/target/tests/stream.rs
+++ b/crates/target/tests/stream.rs
@@ -157,7 +157,9 @@
     options.model.keep_ended = Duration::from_millis(100);
     let scene = Scene::open_with(options).await;
     let at = scene.engine.address();
+    let started = std::time::Instant::now();
     while scene.targets.resume(at, &stream(1), 0).await.is_ok() {
+        assert!(started.elapsed() < scene::LONG, "an ended stream is kept for good");
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     assert_eq!(Told::from(scene.targets.resume(at, &stream(1), 0).await), Told::NotFound);
