Pages for operators, and first-token times as callers see them

OPERATING.md: start, notes, zones, stops, exit codes, the API, logs, each metric and reason with what to do, outages, settings.

The first-token histogram began when an attempt was sent, so that the queue, the greater part under load, was not in it; and an attempt that went on with a stream counted once more. It begins with the admission now.

--- a/apps/hickory/tests/offline.rs
+++ b/apps/hickory/tests/offline.rs
@@ -68,3 +68,21 @@
     assert_eq!(again.stdout.trim(), digest);
     assert_ne!(run(&["token", "new"], &[]).stdout, new.stdout);
 }
+
+#[test]
+fn the_examples_of_the_operators_page_are_sound() {
+    for (kind, file) in [("settings", "node.jsonc"), ("release", "first-note.jsonc")] {
+        let path = format!("../../../../docs/examples/{file}");
+        let output = run(&["check", kind, &path], &[]);
+        assert_eq!(output.code, Some(0), "{output}");
+        assert_eq!(output.stderr, "", "{output}");
+    }
+    let nothing = r#"{ "version": 0, "operations": [], "partners": {}, "accounts": {},
+        "models": {}, "zones": {}, "services": {}, "targets": {}, "operators": [] }"#;
+    let path = std::env::temp_dir().join(format!("hickory-nothing-{}.json", std::process::id()));
+    std::fs::write(&path, nothing).unwrap();
+    let note = "../../../../docs/examples/first-note.jsonc";
+    let output = run(&["check", "release", note, "--configuration", path.to_str().unwrap()], &[]);
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(output.code, Some(0), "{output}");
+}
--- a/crates/node/src/complete.rs
+++ b/crates/node/src/complete.rs
@@ -19,7 +19,7 @@
 use hickory_unit::{id, size};
 use hickory_wire::message::Ending;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
 /// Attempts at one completion. Two targets may fail under it by bad luck; at a
@@ -48,7 +48,9 @@
     tokio::spawn(async move {
         let _active = Active::begin(&core);
         let _in_flight = core.metrics.begin(Work::Completion);
-        let run = Run { core: &core, completion: &completion, out, delivered: 0, sent: false };
+        let began = core.now();
+        let run =
+            Run { core: &core, completion: &completion, out, began, delivered: 0, sent: false };
         run.run().await;
     });
     pieces
@@ -59,6 +61,8 @@
     core: &'a Arc<Core>,
     completion: &'a Completion,
     out: mpsc::Sender<Piece>,
+    /// When the request was admitted.
+    began: Instant,
     delivered: u64,
     /// Whether bytes went to any target.
     sent: bool,
@@ -161,12 +165,15 @@
             Ok(tokens) => relay.run(tokens).await,
             Err(end) => end,
         };
-        self.delivered = relay.delivered;
-        let first_token = relay.first_token.map(|at| at - began);
-        if let Some(time) = first_token {
-            self.core.metrics.first_token(c.cost.prefill, time);
+        // What the caller waits for: with the queue and with failed attempts,
+        // and not the first token of an attempt that goes on with a stream.
+        if let Some(at) = relay.first_token
+            && self.delivered == 0
+        {
+            self.core.metrics.first_token(c.cost.prefill, at - self.began);
         }
-        (end, first_token)
+        self.delivered = relay.delivered;
+        (end, relay.first_token.map(|at| at - began))
     }
 
     /// Tells the owner how the attempt ended and decides what comes next.
--- /dev/null
+++ b/crates/settings/tests/docs.rs
@@ -0,0 +1,66 @@
+//! The operators' page names each time with its default and range.
+
+use hickory_settings::{Times, check_node};
+
+const PAGE: &str = include_str!("../../../docs/OPERATING.md");
+
+/// The findings of settings whose times are all `time`.
+fn read_findings(time: &str) -> Vec<String> {
+    let text = std::fs::read_to_string(
+        std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data/good.jsonc"),
+    )
+    .unwrap();
+    let names = list_rows().into_iter().map(|row| format!("\"{}\": {time}", row.name));
+    let times = format!("\"times\": {{ {} }},\n}}", names.collect::<Vec<_>>().join(", "));
+    let end = text.rfind('}').unwrap();
+    let check = check_node(&format!("{}{times}", &text[..end]));
+    check.findings.iter().map(|finding| format!("{}: {}", finding.field, finding.message)).collect()
+}
+
+/// A row of the table of times.
+struct Row {
+    name: String,
+    default: u64,
+    least: u64,
+    most: u64,
+}
+
+fn list_rows() -> Vec<Row> {
+    PAGE.lines()
+        .filter_map(|line| line.strip_prefix("| `times."))
+        .map(|row| {
+            let cells: Vec<&str> = row.split('|').map(str::trim).collect();
+            Row {
+                name: cells[0].trim_end_matches('`').to_owned(),
+                default: cells[1].parse().unwrap(),
+                least: cells[2].parse().unwrap(),
+                most: cells[3].parse().unwrap(),
+            }
+        })
+        .collect()
+}
+
+#[test]
+fn each_time_stands_there_with_its_default() {
+    // The debug text names every field of the type.
+    let mut defaults: Vec<String> = format!("{:?}", Times::default())
+        .trim_start_matches("Times { ")
+        .trim_end_matches(" }")
+        .split(", ")
+        .map(str::to_owned)
+        .collect();
+    let mut explained: Vec<String> =
+        list_rows().iter().map(|row| format!("{}: {}", row.name, row.default)).collect();
+    defaults.sort();
+    explained.sort();
+    assert_eq!(explained, defaults);
+}
+
+#[test]
+fn each_time_stands_there_with_its_range() {
+    let findings = read_findings("3600001");
+    for Row { name, least, most, .. } in list_rows() {
+        let finding = format!("times.{name}: must be from {least} to {most}");
+        assert!(findings.contains(&finding), "{finding}: {findings:?}");
+    }
+}
