Count work against a target from the ask on, so that a burst is spread

Cause: a node counted what it had sent to a target only once it had a permit; what waited at owners was counted by nobody until the owner told of it, so each further request of a burst saw the same full targets and joined the queue of the first one. Ruled out: ties within one node's own grants (those were counted). Change: the ask counts.

--- a/apps/hickory-node/tests/proofs/main.rs
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -2,6 +2,7 @@
 //! failures that the brief names. Waits are on conditions, never on guessed
 //! times.
 
+mod burst;
 mod death;
 mod logs;
 mod once;
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -81,6 +81,9 @@
         let target = best.target.clone();
         let expected = hickory_policy::place::estimate_first_token(want.cost, best);
         tried.push(target.clone());
+        // Counted from the ask on: what waits at an owner is not told yet, and
+        // a whole burst would join the queue of one and the same target.
+        core.view.note_sent(now, &target, want.cost);
         match ask_owner(core, want, &target).await {
             Ok(permit) => {
                 let hosts = core.view.hosts();
@@ -93,7 +96,6 @@
                     give_back(core, &target, &permit, want.stream, ending, None);
                     continue;
                 };
-                core.view.note_sent(core.now(), &target, want.cost);
                 let (address, stream) = (host.address, want.stream.clone());
                 return Ok(Leave { target, address, permit, stream, expected });
             }
