State: ownership that never grants more than a target bears

Takeover on a lapsed lease alone moved targets at every outage, and two owners that can't see each other could grant twice. A steward now takes a target only after its own standing is confirmed, a grace after contact, and a failed probe over a new connection; terms are full only when no former owner can grant.

Found by the world's check while building: a new owner went to full terms as soon as its predecessor was heard with the present document, while permits of that one still lived; it now waits out their life. And a hand-over without an answer was forgotten when a later write was refused, though it could still take effect; it stays given until the revision moves on.

A dead node's targets stay at half until it is replaced, heard, or certainly alone; two nodes that die together stay in doubt until one of these holds.

--- a/crates/state/src/group.rs
+++ b/crates/state/src/group.rs
@@ -5,7 +5,8 @@
 //! what comes meanwhile goes into the next write together.
 
 use crate::claim::{Answer, Claim, Doubt};
-use crate::page::{CLAIMS_MAX, Name, Options, Outcome, Page, RECORD_MAX, Record};
+use crate::op::{Op, Standing, Task};
+use crate::page::{Name, Options, Outcome, Page};
 use crate::retry::Backoff;
 use hickory_platform::store::{Entry, Error, Expect, Lease, Revision, Write};
 use std::time::{Duration, Instant};
@@ -60,31 +61,6 @@
     Gone,
 }
 
-#[derive(Clone, Debug)]
-enum Task {
-    Claim { fingerprint: u64, send_by: Instant },
-    Settle(Outcome),
-}
-
-#[derive(Clone, Debug)]
-struct Op {
-    ticket: Ticket,
-    key: Uuid,
-    claim: Uuid,
-    task: Task,
-    /// Not written before.
-    due: Instant,
-    /// Given up after.
-    deadline: Instant,
-    /// The reading of the page that was the latest when this was asked; a
-    /// later one is evidence of the page within the life of the request.
-    reading: u64,
-    /// Set once it went into a write.
-    sent: bool,
-    /// Nobody waits for its end.
-    detached: bool,
-}
-
 /// The open write.
 #[derive(Clone, Debug)]
 struct Flight {
@@ -93,16 +69,6 @@
     page: Page,
 }
 
-/// What a page says of an operation.
-enum Standing {
-    /// It has still to be written.
-    Open,
-    /// It waits for the write that is about to go, or for a later reading.
-    Later,
-    /// It has ended.
-    Ended(End),
-}
-
 /// Group commit on one page.
 #[derive(Debug)]
 pub struct Group {
@@ -472,75 +438,6 @@
     }
 }
 
-impl Op {
-    /// What the page, of `size` bytes and read as number `reading`, says of
-    /// this operation.
-    fn judge(&self, now: Instant, page: &Page, size: usize, reading: u64) -> Standing {
-        let record = page.claims.get(&self.key);
-        let fresh = self.reading < reading;
-        match (&self.task, record) {
-            (Task::Claim { send_by, .. }, Some(record)) if record.claim == self.claim => {
-                Standing::Ended(End::Claimed(self.grant(now, *send_by)))
-            }
-            (Task::Claim { fingerprint, .. }, Some(record))
-                if record.fingerprint != *fingerprint =>
-            {
-                Standing::Ended(End::Claimed(Answer::Reused))
-            }
-            (Task::Claim { .. }, None) if size > CLAIMS_MAX => {
-                Standing::Ended(End::Claimed(Answer::Unknown(Doubt::Full)))
-            }
-            (Task::Claim { .. }, None) => Standing::Open,
-            (Task::Claim { .. }, Some(record)) if record.outcome == Some(Outcome::NotRun) => {
-                Standing::Open
-            }
-            // What was read before this was asked may lack the outcome.
-            (Task::Claim { .. }, Some(_)) if !fresh => Standing::Later,
-            (Task::Claim { .. }, Some(record)) => {
-                let outcome = record.outcome.clone();
-                Standing::Ended(End::Claimed(Answer::Repeated { outcome }))
-            }
-            (Task::Settle(_), Some(record)) if record.claim == self.claim => match record.outcome {
-                None => Standing::Open,
-                Some(_) => Standing::Ended(End::Settled(Ok(()))),
-            },
-            (Task::Settle(_), None) if !fresh => Standing::Later,
-            (Task::Settle(_), _) => Standing::Ended(End::Settled(Ok(()))),
-        }
-    }
-
-    /// The answer where the claim certainly stands in the ledger.
-    ///
-    /// Too late, it is this node's and stays unused: nobody has run the
-    /// request, and nobody can before it is stored as not run.
-    fn grant(&self, now: Instant, send_by: Instant) -> Answer {
-        if now < send_by {
-            Answer::Granted(Claim::new(self.key, self.claim, send_by))
-        } else {
-            Answer::NotDone("the claim came too late".into())
-        }
-    }
-
-    /// Writes the operation into the page; returns how much that adds at most.
-    fn apply(&self, page: &mut Page, size: usize) -> usize {
-        match &self.task {
-            Task::Claim { fingerprint, .. } => {
-                let record = Record { fingerprint: *fingerprint, claim: self.claim, outcome: None };
-                page.claims.insert(self.key, record);
-                RECORD_MAX
-            }
-            Task::Settle(outcome) => {
-                let outcome = outcome.clone().trim(size);
-                let added = outcome.size();
-                if let Some(record) = page.claims.get_mut(&self.key) {
-                    record.outcome = Some(outcome);
-                }
-                added
-            }
-        }
-    }
-}
-
 fn write_text(page: &Page) -> String {
     serde_json::to_string(page).unwrap_or_default()
 }
--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -84,6 +84,11 @@
         &self.me
     }
 
+    /// The least time to live.
+    pub fn ttl(&self) -> Duration {
+        self.ttl
+    }
+
     /// Tells that the node is stopping, at the next call.
     pub fn set_draining(&mut self) {
         self.me.draining = true;
--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -52,15 +52,17 @@
     pub confirmed: bool,
     /// When this node's registration under its present lease was sent.
     pub registered_at: Option<Instant>,
-    /// When the service last confirmed the registrations, by when its call
-    /// was sent.
-    pub seen_at: Option<Instant>,
+    /// Since when the service has answered each call for the registrations;
+    /// `None` while it does not.
+    pub contact_since: Option<Instant>,
+    /// Whether this node is stopping.
+    pub draining: bool,
 }
 
 #[derive(Debug)]
 struct Shared {
     keeper: Keeper,
-    seen_at: Option<Instant>,
+    contact_since: Option<Instant>,
     left: bool,
 }
 
@@ -80,7 +82,7 @@
     pub fn spawn(store: S, clock: C, info: Info, ttl: Duration) -> Self {
         let seed = uuid::Uuid::new_v4().as_u128() as u64;
         let keeper = Keeper::open(info, ttl, seed);
-        let shared = Shared { keeper, seen_at: None, left: false };
+        let shared = Shared { keeper, contact_since: None, left: false };
         let (nodes, _) = watch::channel(Arc::default());
         let wake = Arc::default();
         let member = Self { store, clock, shared: Arc::new(Mutex::new(shared)), nodes, wake };
@@ -98,6 +100,11 @@
         self.lock().keeper.me().clone()
     }
 
+    /// The least time to live of its lease.
+    pub fn ttl(&self) -> Duration {
+        self.lock().keeper.ttl()
+    }
+
     /// The registered nodes, as last seen.
     pub fn nodes(&self) -> Arc<Nodes> {
         self.nodes.borrow().clone()
@@ -122,7 +129,8 @@
             nodes,
             confirmed: !shared.left && shared.keeper.confirmed(now),
             registered_at: shared.keeper.registered_at(),
-            seen_at: shared.seen_at,
+            contact_since: shared.contact_since,
+            draining: shared.keeper.me().draining,
         }
     }
 
@@ -187,9 +195,8 @@
                 member.take_view(follower);
             }
             let mut shared = member.lock();
-            if step.confirmed {
-                shared.seen_at = Some(sent);
-            }
+            let since = shared.contact_since.unwrap_or(sent);
+            shared.contact_since = step.confirmed.then_some(since);
             !shared.left
         })
         .await;
--- a/crates/state/src/owner.rs
+++ b/crates/state/src/owner.rs
@@ -1,11 +1,14 @@
-//! Ownership of targets: one document, changed by compare-and-swap.
+//! Ownership of targets: one document, changed by compare-and-swap. The
+//! decisions stand in [`crate::steward`] and [`crate::terms`].
 
+use crate::follow::{self, Follower};
 use crate::member::{Info, Member};
-use hickory_platform::store::{Expect, Revision, Store, Write};
+use crate::plan::Plan;
+use crate::steward::{Options, Steward};
+use hickory_platform::store::{Revision, Store};
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -14,6 +17,17 @@
 /// The key of the ownership document.
 pub const KEY: &str = "owners";
 
+/// Watches of the document. Their ends confirm it: `Options::fresh` is twice
+/// this and the time of a call.
+const WATCH_WAIT: Duration = Duration::from_millis(700);
+const WATCH_SPREAD: Duration = Duration::from_millis(100);
+
+/// Between two looks at what there is to do.
+const TICK: Duration = Duration::from_millis(200);
+
+/// How long a planned stop tries to hand its targets over.
+const RELEASE_TIME: Duration = Duration::from_secs(5);
+
 /// Asks over a new connection whether a node still runs.
 pub trait Probe: Clone + Send + Sync + 'static {
     /// Whether the node answered. Judges the path with a new connection: an
@@ -33,7 +47,7 @@
 /// What an owner may grant at present.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Terms {
-    /// Nothing before the time given: permits of the predecessor may live.
+    /// Nothing before the time given.
     Wait(Instant),
     /// At most half of what the target bears.
     Half,
@@ -52,22 +66,6 @@
     pub terms: Terms,
 }
 
-/// The ownership document.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Document {
-    /// The owners by target.
-    pub owners: BTreeMap<id::Target, Owner>,
-}
-
-#[derive(Debug, Default)]
-struct Shared {
-    document: Document,
-    revision: Revision,
-    targets: BTreeSet<id::Target>,
-    taken: BTreeMap<id::Target, Instant>,
-    released: bool,
-}
-
 /// The running ownership.
 #[derive(Clone, Debug)]
 pub struct Owners<S, C, P> {
@@ -75,48 +73,48 @@
     clock: C,
     member: Member<S, C>,
     probe: P,
-    permit: Duration,
-    shared: Arc<Mutex<Shared>>,
+    steward: Arc<Mutex<Steward>>,
+    /// One write at a time: the answer to a second could be taken for that of
+    /// the first.
+    writing: Arc<tokio::sync::Mutex<()>>,
     changed: watch::Sender<u64>,
 }
 
 impl<S: Store, C: Clock, P: Probe> Owners<S, C, P> {
-    /// Follows the document and takes ownerless targets. `permit` is the life
-    /// of a permit, which a new owner waits out.
+    /// Follows the document and takes targets that have no owner. `permit` is
+    /// the life of a permit, which a new owner waits out.
     pub fn spawn(store: S, clock: C, member: Member<S, C>, probe: P, permit: Duration) -> Self {
-        let shared = Arc::default();
+        let options = Options::of(permit, member.ttl());
+        let steward = Arc::new(Mutex::new(Steward::open(member.me(), options)));
         let (changed, _) = watch::channel(0);
-        let owners = Self { store, clock, member, probe, permit, shared, changed };
+        let owners =
+            Self { store, clock, member, probe, steward, writing: Arc::default(), changed };
         tokio::spawn(owners.clone().follow());
+        tokio::spawn(owners.clone().run());
         owners
     }
 
-    fn lock(&self) -> MutexGuard<'_, Shared> {
-        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Steward> {
+        self.steward.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The steward, told of the registrations first.
+    fn look(&self, now: Instant) -> MutexGuard<'_, Steward> {
+        let view = self.member.view(now);
+        let mut steward = self.lock();
+        steward.see(now, view);
+        steward
     }
 
     /// Who owns a target, as last seen.
     pub fn owner(&self, target: &id::Target) -> Option<Owner> {
-        self.lock().document.owners.get(target).cloned()
+        self.lock().owner(target)
     }
 
     /// The targets that this node owns, with what may be granted at present.
     pub fn owned(&self) -> Vec<Owned> {
         let now = self.clock.now();
-        let me = self.member.me().node;
-        let confirmed = self.member.confirmed(now);
-        let shared = self.lock();
-        let mine = shared.document.owners.iter().filter(|(_, owner)| owner.node == me);
-        mine.map(|(target, owner)| {
-            let until = shared.taken.get(target).map(|taken| *taken + self.permit);
-            let terms = match until {
-                Some(until) if now < until => Terms::Wait(until),
-                _ if confirmed => Terms::Full,
-                _ => Terms::Half,
-            };
-            Owned { target: target.clone(), epoch: owner.epoch, terms }
-        })
-        .collect()
+        self.look(now).owned(now)
     }
 
     /// Told of each change of the document; carries its revision.
@@ -126,18 +124,20 @@
 
     /// The revision of the document known.
     pub fn revision(&self) -> u64 {
-        self.lock().revision.0
+        self.lock().revision().0
     }
 
     /// Names the targets that need an owner.
     pub fn set_targets(&self, targets: &[id::Target]) {
-        self.lock().targets = targets.iter().cloned().collect();
+        let now = self.clock.now();
+        self.lock().set_targets(now, targets);
     }
 
     /// The document as text with its revision, for a peer.
     pub fn document(&self) -> (u64, String) {
-        let shared = self.lock();
-        (shared.revision.0, serde_json::to_string(&shared.document).unwrap_or_default())
+        let steward = self.lock();
+        let text = serde_json::to_string(steward.document()).unwrap_or_default();
+        (steward.revision().0, text)
     }
 
     /// Takes a document from a peer where its revision is higher.
@@ -145,108 +145,92 @@
         let Ok(document) = serde_json::from_str(text) else {
             return false;
         };
-        self.apply(Revision(revision), document)
+        let now = self.clock.now();
+        let changed = self.lock().offer(now, Revision(revision), document);
+        self.tell(changed)
     }
 
-    /// Notes that a peer was heard, with the revision of the document it knows.
+    /// Notes that a node was heard, with the revision of the document that it
+    /// knows. Must be called for each exchange with a peer: an owner without
+    /// the service goes on only while it hears others, and a new owner learns
+    /// from it that its predecessor has stopped.
     pub fn heard(&self, node: &id::Node, revision: u64) {
-        let _ = (node, revision);
+        let now = self.clock.now();
+        self.lock().heard(now, node, Revision(revision));
     }
 
-    /// Hands all targets over; returns whether none is left.
+    /// Hands all targets over, at a planned stop; returns whether none is
+    /// left. Without the service none can be: they are taken over once the
+    /// node's lease has lapsed.
     pub async fn release_all(&self) -> bool {
-        self.lock().released = true;
-        for _ in 0..20 {
-            if self.owned().is_empty() {
+        self.lock().release();
+        let deadline = self.clock.now() + RELEASE_TIME;
+        loop {
+            self.step().await;
+            let now = self.clock.now();
+            if self.lock().holds_nothing() {
                 return true;
             }
-            self.step().await;
-            tokio::time::sleep(Duration::from_millis(50)).await;
+            if deadline <= now {
+                return false;
+            }
+            tokio::time::sleep(TICK / 2).await;
         }
-        false
     }
 
-    fn apply(&self, revision: Revision, document: Document) -> bool {
-        let now = self.clock.now();
-        let me = self.member.me().node;
-        {
-            let mut shared = self.lock();
-            if revision <= shared.revision {
-                return false;
-            }
-            for (target, owner) in &document.owners {
-                if owner.node == me && shared.document.owners.get(target) != Some(owner) {
-                    shared.taken.insert(target.clone(), now);
-                }
-            }
-            shared.document = document;
-            shared.revision = revision;
+    fn tell(&self, changed: bool) -> bool {
+        if changed {
+            self.changed.send_replace(self.revision());
         }
-        self.changed.send_replace(revision.0);
-        true
+        changed
     }
 
     async fn follow(self) {
+        let options =
+            follow::Options { prefix: KEY.into(), wait: WATCH_WAIT, spread: WATCH_SPREAD };
+        let seed = uuid::Uuid::new_v4().as_u128() as u64;
+        let owners = self.clone();
+        let follower = Follower::open(options, seed);
+        follow::run(self.store, self.clock, follower, move |follower, step, sent| {
+            if step.confirmed {
+                let now = owners.clock.now();
+                let changed = owners.lock().read(now, sent, follower.view().get(KEY));
+                owners.tell(changed);
+            }
+            true
+        })
+        .await;
+    }
+
+    async fn run(self) {
+        let mut changed = self.changed.subscribe();
         loop {
             self.step().await;
-            let after = self.lock().revision;
-            if self.store.watch(KEY, after, Duration::from_millis(500)).await.is_err() {
-                tokio::time::sleep(Duration::from_millis(300)).await;
-            }
+            let _ = tokio::time::timeout(TICK, changed.changed()).await;
         }
     }
 
     async fn step(&self) {
-        let Ok(entry) = self.store.get(KEY).await else {
-            return;
-        };
-        if let Some(entry) = &entry
-            && let Ok(document) = serde_json::from_str(&entry.value)
-        {
-            self.apply(entry.revision, document);
-        }
-        let nodes = self.member.nodes();
-        let me = self.member.me().node;
-        if !nodes.contains_key(&me) {
-            return;
-        }
-        let (mut document, targets, released) = {
-            let shared = self.lock();
-            (shared.document.clone(), shared.targets.clone(), shared.released)
-        };
-        let before = document.clone();
-        for target in targets {
-            let owner = document.owners.get(&target);
-            let mine = owner.is_some_and(|owner| owner.node == me);
-            let free = owner.is_none_or(|owner| !nodes.contains_key(&owner.node));
-            let epoch = id::Epoch(owner.map_or(0, |owner| owner.epoch.0) + 1);
-            if let Some(owner) = owner
-                && free
-                && let Some(info) = nodes.get(&owner.node)
-                && self.probe.alive(info).await
-            {
-                continue;
-            }
-            if free && !released {
-                document.owners.insert(target, Owner { node: me.clone(), epoch });
-            } else if mine
-                && released
-                && let Some(heir) = nodes.values().find(|info| info.node != me && !info.draining)
-            {
-                document.owners.insert(target, Owner { node: heir.node.clone(), epoch });
-            }
+        let _writing = self.writing.lock().await;
+        let now = self.clock.now();
+        let Plan { probes, write } = self.look(now).plan(now);
+        for info in probes {
+            // Each in a task of its own: a silent node must hold up nothing.
+            let owners = self.clone();
+            tokio::spawn(async move {
+                let alive = owners.probe.alive(&info).await;
+                let now = owners.clock.now();
+                owners.lock().probed(now, &info, alive);
+            });
         }
-        if document == before {
+        let Some((write, document)) = write else {
             return;
-        }
-        let write = Write {
-            key: KEY.into(),
-            value: serde_json::to_string(&document).ok(),
-            expect: entry.map_or(Expect::Absent, |entry| Expect::At(entry.revision)),
-            lease: None,
         };
-        if let Ok(revision) = self.store.write(write).await {
-            self.apply(revision, document);
+        let result = self.store.write(write).await;
+        if let Err(error) = &result {
+            log::debug!(error:%; "ownership not written");
         }
+        let changed = self.lock().wrote(self.clock.now(), now, result, document);
+        self.tell(changed);
     }
 }
--- /dev/null
+++ b/crates/state/src/terms.rs
@@ -0,0 +1,137 @@
+//! What an owner may grant, so that two nodes which both take themselves for
+//! a target's owner never grant more than it bears between them.
+//!
+//! At any time at most one node holds full terms, and only while no other
+//! grants; an owner that can't confirm itself holds half, and so does its
+//! successor until it knows that the predecessor has stopped.
+
+use crate::owner::Terms;
+use crate::steward::{Steward, Taken};
+use crate::table::{Entry, Holder};
+use std::time::{Duration, Instant};
+
+/// Longer between two looks at the clock than any busy process takes: it was
+/// paused.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// When terms are looked at again that no certain time ends.
+const AGAIN: Duration = Duration::from_millis(500);
+
+/// What this node knows of its own standing.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Standing {
+    /// Whether its lease is certainly valid.
+    pub(crate) lease: bool,
+    /// When its registration was sent.
+    pub(crate) registered_at: Option<Instant>,
+    /// When the service last confirmed the document, by when the call was
+    /// sent.
+    pub(crate) read_at: Option<Instant>,
+    /// When any other node was heard.
+    pub(crate) heard_at: Option<Instant>,
+    ticked_at: Option<Instant>,
+    resumed_at: Option<Instant>,
+}
+
+impl Standing {
+    /// Notes the time; a leap in it is a pause of this process.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        let paused = self.ticked_at.is_some_and(|at| at + PAUSE < now);
+        if paused {
+            self.resumed_at = Some(now);
+        }
+        self.ticked_at = Some(now);
+    }
+
+    /// Whether this node is certainly what the document says it is.
+    ///
+    /// The document must have been read after the node registered: while it
+    /// had no lease, its targets may have been taken. And read lately: a
+    /// takeover decided before it came back may be written after.
+    pub(crate) fn confirmed(&self, now: Instant, fresh: Duration) -> bool {
+        let (Some(read), Some(registered)) = (self.read_at, self.registered_at) else {
+            return false;
+        };
+        self.lease && registered <= read && now < read + fresh
+    }
+
+    /// Whether the service or another node was heard since this process was
+    /// paused last.
+    fn awake(&self) -> bool {
+        let word = self.read_at.max(self.heard_at);
+        self.resumed_at.is_none_or(|resumed| word.is_some_and(|word| resumed <= word))
+    }
+}
+
+/// The terms of a target that this node owns.
+pub(crate) fn decide(steward: &Steward, now: Instant, entry: &Entry, taken: &Taken) -> Terms {
+    let options = &steward.options;
+    // Permits of the predecessor live for one permit's life. One that has not
+    // handed over may have come back before the takeover was written, and
+    // goes on until its word of the document is stale.
+    let predecessor = if entry.before.is_empty() { Duration::ZERO } else { options.fresh };
+    let until = taken.at + predecessor + options.permit;
+    if now < until {
+        return Terms::Wait(until);
+    }
+    let again = Terms::Wait(now + AGAIN);
+    let standing = &steward.standing;
+    if !standing.awake() {
+        return again;
+    }
+    let confirmed = standing.confirmed(now, options.fresh);
+    if !confirmed && is_alone(steward, now) {
+        return again;
+    }
+    let unsure = entry.before.iter().filter(|holder| !gone(steward, now, holder, taken)).count();
+    match unsure {
+        0 if confirmed => Terms::Full,
+        0 | 1 => Terms::Half,
+        // Two former owners may hold half each.
+        _ => again,
+    }
+}
+
+/// Whether this node hears none of the others, though there are some.
+///
+/// Failure: a node loses the service and all peers, but not its targets and
+/// callers. Others take its targets over, and it never learns of it. While
+/// the platform is down but the nodes hear each other, owners go on.
+fn is_alone(steward: &Steward, now: Instant) -> bool {
+    let me = &steward.me.node;
+    let others = steward.nodes.keys().chain(steward.missing.keys()).any(|node| node != me);
+    let heard = steward.standing.heard_at.is_some_and(|at| now < at + steward.options.alone);
+    others && !heard
+}
+
+/// Whether a former owner certainly grants nothing any more, and no permit of
+/// it can be used.
+pub(crate) fn gone(steward: &Steward, now: Instant, holder: &Holder, taken: &Taken) -> bool {
+    let stopped = taken.stopped.get(holder);
+    stopped.is_some_and(|at| *at + steward.options.permit <= now)
+}
+
+/// Whether a former owner has stopped granting by `now`.
+pub(crate) fn stopped(steward: &Steward, now: Instant, holder: &Holder, taken: &Taken) -> bool {
+    // A later process of its name runs.
+    let present = steward.nodes.get(&holder.node);
+    if present.is_some_and(|info| info.incarnation != holder.incarnation) {
+        return true;
+    }
+    // It knows the document that takes the target from it.
+    let heard = steward.heard.get(&holder.node);
+    if heard.is_some_and(|revision| taken.revision <= *revision) {
+        return true;
+    }
+    taken.at + steward.options.lost <= now || is_cut_off(steward, now, holder, taken)
+}
+
+/// Whether a former owner, if it still runs, has stopped because it hears
+/// nobody: it is the only node that is missing, so every node it may hear
+/// knows this document and has told it, and without any it stops.
+fn is_cut_off(steward: &Steward, now: Instant, holder: &Holder, taken: &Taken) -> bool {
+    let options = &steward.options;
+    let only = steward.missing.keys().all(|node| *node == holder.node);
+    let met = steward.missing.get(&holder.node).is_some_and(|missing| missing.met);
+    only && met && taken.at + options.fresh + 2 * options.alone <= now
+}
--- /dev/null
+++ b/crates/state/tests/owner.rs
@@ -0,0 +1,158 @@
+//! Scripted failures of ownership, on its pure half.
+
+use goldenscript::Context;
+use std::fmt::Write as _;
+use std::time::Duration;
+use world::{Loss, World};
+
+mod world;
+
+#[derive(goldenscript::Command)]
+enum Command {
+    Targets(Vec<String>),
+    /// Starts nodes, or starts them anew.
+    Start(Vec<String>),
+    Run(f64),
+    Kill(Vec<String>),
+    Pause(Vec<String>),
+    Resume(Vec<String>),
+    /// Cuts nodes off the service only.
+    Cut(Vec<String>),
+    /// Cuts nodes off the service and off the other nodes; they reach each
+    /// other.
+    Part(Vec<String>),
+    Heal(Vec<String>),
+    /// The service goes down.
+    Down,
+    Up,
+    /// All leases lapse at once.
+    Lapse,
+    Drain(Vec<String>),
+    /// The node's next write goes wrong.
+    Lose {
+        node: String,
+        what: String,
+    },
+    /// Runs until a write is held up.
+    RunUntilLate,
+    Arrive,
+    Show,
+}
+
+struct Runner(World);
+
+impl Runner {
+    fn each(&mut self, names: &[String], change: impl Fn(&mut world::Node)) {
+        for name in names {
+            self.0.nodes.get_mut(name).into_iter().for_each(&change);
+        }
+    }
+}
+
+impl goldenscript::Runner for Runner {
+    type Command = Command;
+
+    fn run(
+        &mut self,
+        command: &Command,
+        _: &Context,
+    ) -> Result<String, Box<dyn std::error::Error>> {
+        let mut output = String::new();
+        match command {
+            Command::Targets(names) => {
+                self.0.targets = names.iter().map(|name| name.as_str().into()).collect();
+            }
+            Command::Start(names) => names.iter().for_each(|name| self.0.start(name)),
+            Command::Run(seconds) => self.0.run(Duration::from_secs_f64(*seconds)),
+            Command::Kill(names) => self.each(names, |node| node.alive = false),
+            Command::Pause(names) => self.each(names, |node| node.paused = true),
+            Command::Resume(names) => self.each(names, |node| node.paused = false),
+            Command::Cut(names) => self.each(names, |node| node.service = false),
+            Command::Part(names) => self.each(names, |node| {
+                node.service = false;
+                node.group = 1;
+            }),
+            Command::Heal(names) => self.each(names, |node| {
+                node.service = true;
+                node.group = 0;
+            }),
+            Command::Down => self.0.up = false,
+            Command::Up => self.0.up = true,
+            Command::Lapse => self.0.lapse_all(),
+            Command::Drain(names) => names.iter().for_each(|name| self.0.drain(name)),
+            Command::Lose { node, what } => {
+                let loss = match what.as_str() {
+                    "answer" => Loss::Answer,
+                    "call" => Loss::Call,
+                    "late" => Loss::Late,
+                    other => return Err(format!("unknown loss {other}").into()),
+                };
+                self.each(std::slice::from_ref(node), |node| node.loss = Some(loss));
+            }
+            Command::RunUntilLate => {
+                for _ in 0..300 {
+                    if self.0.late.is_empty() {
+                        self.0.step();
+                    }
+                }
+            }
+            Command::Arrive => writeln!(output, "took effect: {}", self.0.arrive())?,
+            Command::Show => writeln!(output, "{}", self.0.show())?,
+        }
+        Ok(output)
+    }
+}
+
+fn run(script: &str) {
+    goldenscript::run(&mut Runner(World::open()), format!("tests/scripts/owner/{script}")).unwrap();
+}
+
+#[test]
+fn killed() {
+    run("killed");
+}
+
+#[test]
+fn paused() {
+    run("paused");
+}
+
+#[test]
+fn cut_off() {
+    run("cut_off");
+}
+
+#[test]
+fn parted() {
+    run("parted");
+}
+
+#[test]
+fn platform_down() {
+    run("platform_down");
+}
+
+#[test]
+fn late_takeover() {
+    run("late_takeover");
+}
+
+#[test]
+fn join() {
+    run("join");
+}
+
+#[test]
+fn planned_stop() {
+    run("planned_stop");
+}
+
+#[test]
+fn lost_answers() {
+    run("lost_answers");
+}
+
+#[test]
+fn restart() {
+    run("restart");
+}
--- /dev/null
+++ b/crates/state/tests/world/mod.rs
@@ -0,0 +1,339 @@
+//! A few nodes with their stewards and leases around the core of a key-value
+//! service, in steps of 100 ms. Each step checks the one promise: what the
+//! nodes grant of a target is never more than it bears.
+
+#![allow(dead_code, reason = "each test uses a part")]
+
+use hickory_platform::store::{Error, Expect, Revision, Write};
+use hickory_standin::store::Core;
+use hickory_state::lease::{Call, Keeper, Reply};
+use hickory_state::member::{Info, Nodes, View};
+use hickory_state::owner::{KEY, Terms};
+use hickory_state::plan::Plan;
+use hickory_state::steward::{Options, Steward};
+use hickory_state::table::Document;
+use hickory_unit::id::{self, Incarnation};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+pub const STEP: Duration = Duration::from_millis(100);
+const PERMIT: Duration = Duration::from_secs(1);
+const TTL: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    Answer,
+    Call,
+    /// The write takes effect only at [`World::arrive`].
+    Late,
+}
+
+pub struct Node {
+    pub steward: Steward,
+    keeper: Keeper,
+    pub alive: bool,
+    pub paused: bool,
+    /// Whether it reaches the service.
+    pub service: bool,
+    /// Nodes reach those of the same group.
+    pub group: u32,
+    pub loss: Option<Loss>,
+    contact_since: Option<Instant>,
+    nodes: Arc<Nodes>,
+    /// The service's revision when the node last read it.
+    read_at: Option<Revision>,
+}
+
+pub struct World {
+    pub now: Instant,
+    pub core: Core,
+    pub up: bool,
+    pub nodes: BTreeMap<String, Node>,
+    pub late: Vec<Write>,
+    pub targets: Vec<id::Target>,
+    /// Terms granted lately, by target and node: when, and how much.
+    grants: BTreeMap<(id::Target, String), Vec<(Instant, f64)>>,
+    incarnations: u64,
+    steps: u64,
+}
+
+impl World {
+    pub fn open() -> Self {
+        Self {
+            now: Instant::now(),
+            core: Core::default(),
+            up: true,
+            nodes: BTreeMap::new(),
+            late: Vec::new(),
+            targets: Vec::new(),
+            grants: BTreeMap::new(),
+            incarnations: 0,
+            steps: 0,
+        }
+    }
+
+    /// Starts a process of the node, in place of any that ran.
+    pub fn start(&mut self, name: &str) {
+        self.incarnations += 1;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+        let info = Info {
+            node: name.into(),
+            zone: "z".into(),
+            callers: address,
+            peers: address,
+            admin: address,
+            incarnation: Incarnation(self.incarnations),
+            draining: false,
+        };
+        let node = Node {
+            steward: Steward::open(info.clone(), Options::of(PERMIT, TTL)),
+            keeper: Keeper::open(info, TTL, self.incarnations),
+            alive: true,
+            paused: false,
+            service: true,
+            group: 0,
+            loss: None,
+            contact_since: None,
+            nodes: Arc::default(),
+            read_at: None,
+        };
+        self.nodes.insert(name.into(), node);
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.steps += 1;
+        self.core.expire(self.now);
+        let names: Vec<String> = self.nodes.keys().cloned().collect();
+        for name in &names {
+            if self.nodes[name].alive && !self.nodes[name].paused {
+                // Grants come first: a process that was paused knows nothing
+                // yet of what happened meanwhile.
+                self.grant(name);
+                self.talk_to_service(name);
+                if self.steps.is_multiple_of(5) {
+                    self.talk_to_peers(name);
+                }
+                self.act(name);
+            }
+        }
+        self.check();
+    }
+
+    /// What the steward is told of the registrations.
+    fn look(&mut self, name: &str) {
+        let now = self.now;
+        if let Some(node) = self.nodes.get_mut(name) {
+            let view = View {
+                nodes: node.nodes.clone(),
+                confirmed: node.keeper.confirmed(now),
+                registered_at: node.keeper.registered_at(),
+                contact_since: node.contact_since,
+                draining: node.keeper.me().draining,
+            };
+            node.steward.see(now, view);
+        }
+    }
+
+    fn grant(&mut self, name: &str) {
+        self.look(name);
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        for owned in node.steward.owned(now) {
+            let share = match owned.terms {
+                Terms::Wait(_) => continue,
+                Terms::Half => 0.5,
+                Terms::Full => 1.0,
+            };
+            let grants = self.grants.entry((owned.target, name.to_owned())).or_default();
+            grants.push((now, share));
+        }
+    }
+
+    fn talk_to_service(&mut self, name: &str) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        if !(self.up && node.service) {
+            node.contact_since = None;
+            return;
+        }
+        node.contact_since.get_or_insert(now);
+        while let Some(call) = node.keeper.next(now) {
+            let reply = match call {
+                Call::Grant(ttl) => Reply::Granted(Ok(self.core.grant(now, ttl))),
+                Call::Register(write) => Reply::Registered(self.core.write(now, write)),
+                Call::Renew(lease) => Reply::Renewed(self.core.renew(now, lease)),
+            };
+            node.keeper.answered(now, now, reply);
+        }
+        node.steward.set_targets(now, &self.targets);
+        if node.read_at.replace(self.core.revision()) == Some(self.core.revision()) {
+            node.steward.confirm(now);
+            return;
+        }
+        let entries = self.core.list(now, "nodes/").0;
+        let infos = entries.iter().filter_map(|entry| {
+            let info: Info = serde_json::from_str(&entry.value).ok()?;
+            if info.node == node.keeper.me().node {
+                node.keeper.see(info.incarnation, entry.revision);
+            }
+            Some((info.node.clone(), info))
+        });
+        let nodes: Nodes = infos.collect();
+        if nodes != *node.nodes {
+            node.nodes = Arc::new(nodes);
+        }
+        node.steward.read(now, now, self.core.get(now, KEY).as_ref());
+    }
+
+    fn reaches(&self, from: &str, to: &str) -> bool {
+        let (from, to) = (&self.nodes[from], &self.nodes[to]);
+        to.alive && !to.paused && from.group == to.group
+    }
+
+    /// Each tells each that it reaches what it knows, and fetches the newer
+    /// document.
+    fn talk_to_peers(&mut self, name: &str) {
+        let revision = self.nodes[name].steward.revision();
+        let peers: Vec<String> = self.nodes.keys().cloned().collect();
+        for peer in peers.iter().filter(|peer| *peer != name) {
+            if self.reaches(name, peer)
+                && let Some(node) = self.nodes.get_mut(peer)
+            {
+                node.steward.heard(self.now, &name.into(), revision);
+                if node.steward.revision() < revision {
+                    let document = self.nodes[name].steward.document().clone();
+                    if let Some(node) = self.nodes.get_mut(peer) {
+                        node.steward.offer(self.now, revision, document);
+                    }
+                }
+            }
+        }
+    }
+
+    fn act(&mut self, name: &str) {
+        self.look(name);
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        let Plan { probes, write } = node.steward.plan(now);
+        for info in probes {
+            let alive = self.nodes.contains_key(info.node.as_str())
+                && self.reaches(name, info.node.as_str());
+            if let Some(node) = self.nodes.get_mut(name) {
+                node.steward.probed(now, &info, alive);
+            }
+        }
+        if let Some((write, document)) = write {
+            let result = self.write(name, write);
+            if let Some(node) = self.nodes.get_mut(name) {
+                node.steward.wrote(now, now, result, document);
+            }
+        }
+    }
+
+    fn write(&mut self, name: &str, write: Write) -> Result<Revision, Error> {
+        let unknown = Err(Error::Unknown("lost".into()));
+        let Some(node) = self.nodes.get_mut(name) else {
+            return unknown;
+        };
+        let reached = self.up && node.service;
+        match node.loss.take() {
+            _ if !reached => Err(Error::NotDone("down".into())),
+            None => self.core.write(self.now, write),
+            Some(Loss::Answer) => self.core.write(self.now, write).and(unknown),
+            Some(Loss::Call) => unknown,
+            Some(Loss::Late) => {
+                self.late.push(write);
+                unknown
+            }
+        }
+    }
+
+    /// A late write takes effect, if it still may.
+    pub fn arrive(&mut self) -> bool {
+        let write = self.late.pop();
+        write.is_some_and(|write| self.core.write(self.now, write).is_ok())
+    }
+
+    /// Stops a node as planned: it says so, and hands its targets over.
+    pub fn drain(&mut self, name: &str) {
+        if let Some(node) = self.nodes.get_mut(name) {
+            node.keeper.set_draining();
+            node.steward.release();
+        }
+    }
+
+    /// The service loses all registrations and leases at once.
+    pub fn lapse_all(&mut self) {
+        for entry in self.core.list(self.now, "nodes/").0 {
+            let write = Write { key: entry.key, value: None, expect: Expect::Any, lease: None };
+            let _ = self.core.write(self.now, write);
+        }
+    }
+
+    /// Permits live for a second after they were granted, so what counts of a
+    /// node is its greatest grant of the last second.
+    fn check(&mut self) {
+        let (now, mut sums) = (self.now, BTreeMap::<&id::Target, f64>::new());
+        for ((target, _), grants) in &mut self.grants {
+            grants.retain(|(at, _)| now < *at + PERMIT);
+            let most = grants.iter().fold(0.0, |most: f64, (_, share)| most.max(*share));
+            *sums.entry(target).or_default() += most;
+        }
+        let worst = sums.into_iter().max_by(|a, b| a.1.total_cmp(&b.1));
+        let worst = worst.map(|(target, sum)| (target.clone(), sum));
+        if let Some((target, sum)) = worst.filter(|(_, sum)| *sum > 1.0) {
+            panic!("{target} is granted {sum} times what it bears:\n{}", self.show());
+        }
+    }
+
+    pub fn document(&mut self) -> Document {
+        let entry = self.core.get(self.now, KEY);
+        entry.and_then(|e| serde_json::from_str(&e.value).ok()).unwrap_or_default()
+    }
+
+    /// Targets in full terms of a node that runs.
+    pub fn served(&mut self) -> usize {
+        let now = self.now;
+        let running = self.nodes.values_mut().filter(|node| node.alive && !node.paused);
+        let owned = running.flat_map(|node| node.steward.owned(now));
+        owned.filter(|owned| owned.terms == Terms::Full).count()
+    }
+
+    /// Each node's targets with their terms.
+    pub fn show(&mut self) -> String {
+        let now = self.now;
+        let mut lines = Vec::new();
+        for (name, node) in &mut self.nodes {
+            if !node.alive || node.paused {
+                lines.push(format!("{name} {}", if node.alive { "paused" } else { "dead" }));
+                continue;
+            }
+            let owned = node.steward.owned(now).into_iter().map(|owned| {
+                let terms = match owned.terms {
+                    Terms::Wait(_) => "wait",
+                    Terms::Half => "half",
+                    Terms::Full => "full",
+                };
+                format!("{}@{} {terms}", owned.target, owned.epoch)
+            });
+            lines.push(format!("{name} [{}]", owned.collect::<Vec<_>>().join(", ")));
+        }
+        lines.join("\n")
+    }
+}
