Requests that crash targets are quarantined; retries have a budget

A target's death (closed port or new incarnation, counted once) puts what ran on it under suspicion on its owner, told to peers with the exchange. Suspects run alone; a request under which two targets died is quarantined, and all peers are told before its caller is answered, so that a resend through another node costs no third engine. Proof: poison::a_crashing_request_costs_two_engines_at_most.

--- a/apps/hickory-node/tests/proofs/main.rs
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -7,6 +7,7 @@
 mod logs;
 mod once;
 mod path;
+mod poison;
 mod stop;
 mod support;
 mod whole;
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -5,6 +5,7 @@
 use crate::parse::{Caller, hash_parts, refuse};
 use crate::permit::{self, Leave, ONE_SLOT, Want};
 use crate::record;
+use crate::suspect;
 use crate::view::Need;
 use bytes::Bytes;
 use hickory_policy::cost::Class;
@@ -152,6 +153,7 @@
     let request = id::Request(Uuid::now_v7());
     let mut excluded = Vec::new();
     let mut ran = Ran::No;
+    core.record.earn(&call.caller.account);
     for attempt in 0..ATTEMPTS_MAX {
         let stream = permit::name_stream(core, request, attempt, call.deadline_ms);
         let want = Want {
@@ -164,6 +166,7 @@
             deadline: call.deadline,
             fingerprint: fingerprint(call),
             prefix: 0,
+            alone: false,
         };
         let obtained = permit::obtain(core, &want, &excluded).await;
         let leave = obtained.map_err(|refusal| Failure { refusal: Refusal { ran, ..refusal } })?;
@@ -183,8 +186,9 @@
                 Retry::TargetFailed
             }
         };
-        core.metrics.retried(retry);
         record::log_retry(core, &call.caller.account, &leave, retry);
+        let spent = suspect::spend_retry(core, &call.caller.account, retry);
+        spent.map_err(|refusal| Failure { refusal: Refusal { ran, ..refusal } })?;
     }
     let refusal = refuse(Reason::TargetFailed, "the replicas failed that it was sent to");
     Err(Failure { refusal: Refusal { ran, ..refusal } })
--- a/crates/node/src/complete.rs
+++ b/crates/node/src/complete.rs
@@ -10,8 +10,10 @@
 use crate::record;
 use crate::relay::{self, End, Relay};
 use crate::seal::Position;
+use crate::suspect;
 use crate::view::Need;
 use compact_str::CompactString;
+use hickory_policy::poison::DEATHS;
 use hickory_policy::refuse::{Ran, Reason, Refusal, Retry};
 use hickory_target::Error;
 use hickory_target::engine::{Engines, Generate, Priority};
@@ -49,8 +51,15 @@
         let _active = Active::begin(&core);
         let _in_flight = core.metrics.begin(Work::Completion);
         let began = core.now();
-        let run =
-            Run { core: &core, completion: &completion, out, began, delivered: 0, sent: false };
+        let run = Run {
+            core: &core,
+            completion: &completion,
+            out,
+            began,
+            delivered: 0,
+            sent: false,
+            deaths: 0,
+        };
         run.run().await;
     });
     pieces
@@ -66,6 +75,8 @@
     delivered: u64,
     /// Whether bytes went to any target.
     sent: bool,
+    /// Targets that died while they ran it.
+    deaths: u32,
 }
 
 /// How an attempt ended.
@@ -74,6 +85,8 @@
     Whole(u64),
     /// Another target may do it.
     Again(Retry),
+    /// The target died while it ran.
+    Died,
     /// The caller is gone; nothing is left to do.
     Gone,
     /// It is given up on.
@@ -83,18 +96,39 @@
 impl Run<'_> {
     async fn run(mut self) {
         let mut excluded: Vec<id::Target> = Vec::new();
+        let (core, fingerprint) = (self.core, self.completion.fingerprint);
+        let account = &self.completion.caller.account;
+        core.record.earn(account);
         for attempt in 0..ATTEMPTS_MAX {
             match self.attempt(attempt, &mut excluded).await {
                 Attempt::Whole(count) => {
+                    core.record.note_success(core.now(), fingerprint);
                     let prompt = self.completion.cost.prefill;
                     self.core.metrics.tokens(Direction::Prompt, prompt);
                     self.core.metrics.tokens(Direction::Answer, size::Tokens(count));
                     let _ = self.out.send(Piece::End(count)).await;
                     return;
                 }
-                Attempt::Again(reason) => self.core.metrics.retried(reason),
-                Attempt::Gone => return,
-                Attempt::Refused(refusal) => return self.refuse(refusal).await,
+                Attempt::Again(reason) => {
+                    if let Err(refusal) = suspect::spend_retry(core, account, reason) {
+                        return self.refuse(refusal).await;
+                    }
+                }
+                Attempt::Gone => return suspect::drop_trial(core, fingerprint),
+                Attempt::Refused(refusal) => {
+                    suspect::drop_trial(core, fingerprint);
+                    return self.refuse(refusal).await;
+                }
+                Attempt::Died => {
+                    self.deaths += 1;
+                    if self.deaths >= DEATHS {
+                        let refusal = suspect::condemn(core, fingerprint).await;
+                        return self.refuse(refusal).await;
+                    }
+                    if let Err(refusal) = suspect::spend_retry(core, account, Retry::TargetFailed) {
+                        return self.refuse(refusal).await;
+                    }
+                }
             }
         }
         let refusal = refuse(Reason::TargetFailed, "the targets failed that it was sent to");
@@ -122,6 +156,17 @@
             deadline: c.deadline,
             fingerprint: c.fingerprint,
             prefix: c.prefix,
+            alone: false,
+        };
+        let judged = tokio::select! {
+            judged = suspect::judge(self.core, c) => judged,
+            () = self.out.closed() => return Attempt::Gone,
+        };
+        // What a target died under is not set beside others again, whether or
+        // not the target's owner has told of the death yet.
+        let want = match judged {
+            Ok(alone) => Want { alone: alone || self.deaths > 0, ..want },
+            Err(refusal) => return Attempt::Refused(refusal),
         };
         let obtained = tokio::select! {
             obtained = permit::obtain(self.core, &want, excluded) => obtained,
@@ -191,12 +236,17 @@
                 (Ending::Lost, Attempt::Refused(refusal))
             }
             End::Stalled => (Ending::Lost, Attempt::Again(Retry::Stalled)),
-            End::Died => (Ending::TargetDied, Attempt::Again(Retry::TargetFailed)),
+            End::Died => (Ending::TargetDied, Attempt::Died),
             End::Failed(Error::NotSent(_)) => (Ending::NotSent, Attempt::Again(Retry::NotSent)),
             End::Failed(Error::Refused(_)) => (Ending::NotSent, Attempt::Again(Retry::Refused)),
             End::Failed(_) => (Ending::Lost, Attempt::Again(Retry::TargetFailed)),
         };
-        if let Attempt::Again(reason) = attempt {
+        let retry = match attempt {
+            Attempt::Again(reason) => Some(reason),
+            Attempt::Died => Some(Retry::TargetFailed),
+            Attempt::Whole(_) | Attempt::Gone | Attempt::Refused(_) => None,
+        };
+        if let Some(reason) = retry {
             record::log_retry(self.core, &self.completion.caller.account, leave, reason);
         }
         let (target, permit) = (&leave.target, &leave.permit);
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,6 +1,7 @@
 //! What the parts of a node share.
 
 use crate::seats::Seats;
+use crate::suspect::Record;
 use crate::view::View;
 use hickory_platform::http::Platform;
 use hickory_release::configuration::Configuration;
@@ -67,6 +68,7 @@
     pub(crate) ledger: Ledger<Port, System>,
     pub(crate) view: View,
     pub(crate) seats: Seats,
+    pub(crate) record: Record,
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
     pub(crate) active: AtomicUsize,
--- a/crates/node/src/drive.rs
+++ b/crates/node/src/drive.rs
@@ -107,7 +107,20 @@
 }
 
 async fn drive_engine(core: &Core, host: &Host, epoch: id::Epoch) -> bool {
-    let Ok(report) = Engines::report(&core.targets, host.address).await else { return false };
+    let report = match Engines::report(&core.targets, host.address).await {
+        Ok(report) => report,
+        Err(error) => {
+            // A closed port is a death; silence may be anything.
+            if matches!(error, Error::NotSent(_)) {
+                note_death(core, &host.target);
+            }
+            return false;
+        }
+    };
+    let known = core.seats.with(&host.target, |seat| seat.incarnation).flatten();
+    if known.is_some_and(|known| known != report.incarnation) {
+        note_death(core, &host.target);
+    }
     take_report(core, &host.target, &report);
     cancel_orphans(core, host).await;
     if let Some(configuration) = core.configuration() {
@@ -116,6 +129,12 @@
     true
 }
 
+/// Puts what ran on a dead target under suspicion.
+fn note_death(core: &Core, target: &id::Target) {
+    let ran = core.seats.with(target, |seat| seat.take_death()).unwrap_or_default();
+    core.record.note_death(core.now(), ran);
+}
+
 fn take_report(core: &Core, target: &id::Target, report: &Report) {
     let now = core.now();
     let nodes = core.member.nodes();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 mod seat;
 mod seats;
 mod serve;
+mod suspect;
 mod view;
 
 use crate::core::{Core, LinkProbe, Stage};
@@ -184,6 +185,7 @@
         platform,
         view: view::View::open(settings.zone.clone()),
         seats: seats::Seats::default(),
+        record: suspect::Record::default(),
         metrics,
         stage: watch::channel(Stage::Serving).0,
         active: AtomicUsize::new(0),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -76,13 +76,14 @@
         release: core.configuration().map_or(id::Release(0), |c| c.version),
         owners: core.owners.revision(),
         draining: core.stage() != Stage::Serving,
-        suspects: Vec::new(),
+        suspects: core.record.tell(core.now(), since == 0),
         connections: core.active.load(Ordering::Acquire) as u32,
     }
 }
 
 fn take_gossip(core: &Core, gossip: &Gossip) {
     core.view.merge(core.clock.now(), gossip);
+    core.record.merge(core.now(), &gossip.suspects);
     core.owners.heard(&gossip.node, gossip.owners);
 }
 
@@ -139,6 +140,16 @@
     }
 }
 
+/// Exchanges with all peers at once, and waits until each has answered or is
+/// past the time that a peer may take.
+pub(crate) async fn tell_all(core: &Arc<Core>) {
+    let Some(links) = core.links.get() else { return };
+    let nodes = core.member.nodes();
+    let peers = nodes.values().filter(|info| info.node != *core.me());
+    let exchanges = peers.map(|info| exchange(core.clone(), links.clone(), info.clone()));
+    futures::future::join_all(exchanges).await;
+}
+
 /// Reads the host list again and again.
 pub(crate) async fn follow_hosts(core: Arc<Core>) {
     let interval = core.time(core.settings.times.hosts_ms);
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -41,6 +41,8 @@
     pub(crate) deadline: Instant,
     pub(crate) fingerprint: u64,
     pub(crate) prefix: u64,
+    /// Runs beside no other request.
+    pub(crate) alone: bool,
 }
 
 /// Leave to send one attempt to one target.
@@ -184,7 +186,7 @@
             Need::Service(_) => None,
         },
         time_left,
-        alone: false,
+        alone: want.alone,
         fingerprint: want.fingerprint,
         prefix: want.prefix,
         urgent: false,
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -57,6 +57,10 @@
     adopted: Ticket,
     cancels: Vec<id::Stream>,
     drops: Vec<Handle>,
+    /// Whether the target's death has been counted, until it reports again.
+    dead: bool,
+    /// What its nodes say it died under, until a report confirms or denies it.
+    fallen: Vec<u64>,
     /// The configuration whose shares the limiter follows.
     release: id::Release,
     /// What peers were told last, and its version.
@@ -82,6 +86,8 @@
     stream: id::Stream,
     until: Instant,
     priority: u8,
+    /// Hash of account and content.
+    fingerprint: u64,
     /// When the caller's connection went, where it did.
     left: Option<Instant>,
     /// When it was granted, while its asker has not been told.
@@ -97,6 +103,7 @@
     asked: Instant,
     until: Instant,
     priority: u8,
+    fingerprint: u64,
     waker: Option<oneshot::Sender<Result<Permit, Refusal>>>,
 }
 
@@ -139,6 +146,8 @@
             adopted: ADOPTED_FIRST,
             cancels: Vec::new(),
             drops: Vec::new(),
+            dead: false,
+            fallen: Vec::new(),
             release: id::Release(0),
             told: None,
         }
@@ -197,14 +206,19 @@
         let priority = priority_of(wanted.lane());
         match self.limiter.ask(now, wanted) {
             Answer::Granted(ticket) => {
-                self.insert_permit(ticket, Granted::to(ask.stream.clone(), until, priority));
+                self.insert_permit(
+                    ticket,
+                    Granted::to(ask.stream.clone(), until, priority, ask.fingerprint),
+                );
                 Begun::Answered(Ok(self.make_permit(ticket, priority, life)))
             }
             Answer::Queued(ticket) => {
                 let (waker, wait) = oneshot::channel();
                 let (stream, waker) = (ask.stream.clone(), Some(waker));
                 self.tickets.insert(stream.clone(), ticket);
-                self.waiting.insert(ticket, Waiting { stream, asked: now, until, priority, waker });
+                let fingerprint = ask.fingerprint;
+                let waiting = Waiting { stream, asked: now, until, priority, fingerprint, waker };
+                self.waiting.insert(ticket, waiting);
                 Begun::Queued(wait)
             }
             Answer::Refused(reason, after) => Begun::Answered(Err(refuse(reason, after))),
@@ -262,7 +276,8 @@
         let granted = answer.is_ok();
         let told = waiting.waker.is_some_and(|waker| waker.send(answer).is_ok());
         if granted {
-            let mut granted = Granted::to(waiting.stream, waiting.until, waiting.priority);
+            let mut granted =
+                Granted::to(waiting.stream, waiting.until, waiting.priority, waiting.fingerprint);
             granted.untold = (!told).then_some(now);
             self.insert_permit(ticket, granted);
         }
@@ -297,7 +312,7 @@
             None => {
                 self.foreign.remove(&adopt.stream)?;
                 self.adopted += 1;
-                let mut granted = Granted::to(adopt.stream.clone(), until, 0);
+                let mut granted = Granted::to(adopt.stream.clone(), until, 0, 0);
                 granted.node = adopt.node.clone();
                 self.insert_permit(self.adopted, granted);
                 self.adopted
@@ -331,7 +346,11 @@
             Ending::Cancelled | Ending::NotSent => {
                 self.give_back(now, outcome.permit, limit::Outcome::Dropped);
             }
-            Ending::TargetDied => self.give_back(now, outcome.permit, limit::Outcome::Failed),
+            Ending::TargetDied => {
+                let granted = self.permits.get(&outcome.permit);
+                self.fallen.extend(granted.map(|granted| granted.fingerprint));
+                self.give_back(now, outcome.permit, limit::Outcome::Failed);
+            }
         }
     }
 
@@ -383,6 +402,8 @@
         F: Fn(&id::Node) -> bool,
     {
         self.incarnation = Some(report.incarnation);
+        self.dead = false;
+        self.fallen.clear();
         self.kv_used = report.kv_used;
         self.kv_capacity = report.kv_capacity;
         let ready = report.loaded.iter().filter(|loaded| loaded.ready);
@@ -510,6 +531,17 @@
         self.cancels.push(stream);
     }
 
+    /// The target died, by a closed port or a new incarnation: what ran on it,
+    /// once for each death.
+    pub(crate) fn take_death(&mut self) -> Vec<u64> {
+        let told = std::mem::take(&mut self.fallen);
+        if std::mem::replace(&mut self.dead, true) {
+            return told;
+        }
+        let ran = self.permits.values().map(|granted| granted.fingerprint);
+        ran.filter(|fingerprint| *fingerprint != 0).chain(told).collect()
+    }
+
     /// The target runs as a new process: what was granted to the old one is
     /// gone with it.
     pub(crate) fn restarted(&mut self, now: Instant) {
@@ -571,9 +603,9 @@
 }
 
 impl Granted {
-    fn to(stream: id::Stream, until: Instant, priority: u8) -> Self {
+    fn to(stream: id::Stream, until: Instant, priority: u8, fingerprint: u64) -> Self {
         let node = stream.sender.clone();
-        Self { stream, until, priority, left: None, untold: None, node }
+        Self { stream, until, priority, fingerprint, left: None, untold: None, node }
     }
 
     fn is_overdue(&self, now: Instant, resume: Duration) -> bool {
