Reserve several engines, preempt where it pays, lay out weights

Cause: a prompt greater than an engine could not run at all; bulk work was never moved for a person who waits; every engine was ordered to load every model.

Urgent asks starved under short load: with slots taken as they came free, a walk of three prompts over three engines did not end in 5,000 turns. Not joined to the node yet.

--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -83,6 +83,11 @@
         Self(self.0 & 0b1100)
     }
 
+    /// Only the lanes of short asks.
+    pub fn only_short(self) -> Self {
+        Self(self.0 & 0b0011)
+    }
+
     /// Whether `lane` is in the set.
     pub fn contains(self, lane: Lane) -> bool {
         self.has(lane.index())
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,11 +6,14 @@
 pub mod ask;
 pub mod cost;
 pub mod fair;
+pub mod layout;
 pub mod limit;
 pub mod pace;
 pub mod place;
 pub mod poison;
+pub mod preempt;
 pub mod ramp;
 pub mod refuse;
+pub mod reserve;
 pub mod retry;
 pub mod room;
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -38,6 +38,13 @@
 /// short ones could use; longer, and it would starve behind them.
 const CLAIM_AFTER: Duration = Duration::from_secs(1);
 
+/// How long room is held for an urgent long ask that was refused, or whose
+/// permit came back unused. Such an ask is one part of a prompt that needs
+/// several engines at once and can't queue at any; without held room short
+/// work would take each slot as it comes free and the prompt never start. Its
+/// node tries again within a second.
+pub const CLAIM_LIFE: Duration = Duration::from_secs(3);
+
 /// The least time that a refused caller is told to stay away.
 const RETRY_LEAST: Duration = Duration::from_millis(500);
 
@@ -71,6 +78,8 @@
     latest: BTreeSet<(Instant, Ticket)>,
     now: Option<Instant>,
     hold: Option<Instant>,
+    /// Room held for urgent long asks, and until when.
+    claimed: Option<(Claim, Instant)>,
     confirmed: bool,
     accepting: bool,
     queue_bound: usize,
@@ -93,6 +102,7 @@
             latest: BTreeSet::new(),
             now: None,
             hold: None,
+            claimed: None,
             confirmed: true,
             accepting: true,
             queue_bound: QUEUE_BOUND,
@@ -182,12 +192,14 @@
         let urgent = ask.urgent;
         self.next += 1;
         self.enqueue(now, ticket, ask);
-        if self.next_grant(now) == Some(ticket) {
+        if self.next_grant(now) == Some(ticket) || urgent && self.fits_claimed(now, ticket) {
             self.grant(now, ticket);
             return Answer::Granted(ticket);
         }
         if urgent {
-            self.forget(ticket);
+            if let Some(ask) = self.forget(ticket) {
+                self.keep_claim(now, &ask);
+            }
             return Answer::Refused(Reason::Overloaded, RETRY_LEAST);
         }
         Answer::Queued(ticket)
@@ -234,7 +246,11 @@
     /// is known of how it went.
     pub fn finish(&mut self, ticket: Ticket) {
         self.forget(ticket);
-        self.release(ticket);
+        if let (Some(grant), Some(now)) = (self.release(ticket), self.now)
+            && grant.ask.urgent
+        {
+            self.keep_claim(now, &grant.ask);
+        }
     }
 
     /// Takes back a permit and learns from how its work went; says why the
@@ -382,8 +398,14 @@
     }
 
     fn next_beside(&self, now: Instant, bound: Bound) -> Option<Ticket> {
-        let claim = self.claim(now, bound);
         let mut lanes = Lanes::ALL;
+        let claim = match self.live_claim(now) {
+            Some(claim) => {
+                lanes = lanes.only_short();
+                claim
+            }
+            None => self.claim(now, bound),
+        };
         while let Some((ticket, lane)) = self.queue.peek(now, lanes) {
             let cost = self.asks.get(&ticket)?.ask.cost;
             if self.room.fits(bound, lane, cost, claim).is_ok() {
@@ -408,9 +430,35 @@
         }
     }
 
+    /// Holds room for an urgent long ask, unless it is held for another.
+    fn keep_claim(&mut self, now: Instant, ask: &Ask) {
+        if ask.cost.is_long() && self.live_claim(now).is_none() {
+            let claim = Claim { slots: 1, kv: ask.cost.kv() };
+            self.claimed = Some((claim, now + CLAIM_LIFE));
+        }
+    }
+
+    fn live_claim(&self, now: Instant) -> Option<Claim> {
+        self.claimed.filter(|&(_, until)| now < until).map(|(claim, _)| claim)
+    }
+
+    /// Whether an urgent ask fits into the room that is held.
+    fn fits_claimed(&self, now: Instant, ticket: Ticket) -> bool {
+        let open = self.accepting && self.hold.is_none_or(|until| now >= until);
+        let alone = self.granted.values().next().is_some_and(|grant| grant.ask.alone);
+        let Some(Waiting { ask, .. }) = self.asks.get(&ticket).filter(|w| !w.ask.alone) else {
+            return false;
+        };
+        let fits = self.room.fits(self.present_bound(), ask.lane(), ask.cost, Claim::default());
+        open && !alone && self.live_claim(now).is_some() && fits.is_ok()
+    }
+
     fn grant(&mut self, now: Instant, ticket: Ticket) {
         self.queue.grant(ticket);
         let Some(ask) = self.forget(ticket) else { return };
+        if ask.urgent && ask.cost.is_long() {
+            self.claimed = None;
+        }
         if !self.queue.is_empty() {
             self.pace.grant(ask.cost.work(), ask.cost.is_long());
         }
--- /dev/null
+++ b/crates/policy/src/preempt.rs
@@ -0,0 +1,102 @@
+//! Preemption of bulk work by cancel and resume.
+//!
+//! Load: long or batch streams hold the slots or the memory of every engine
+//! that could run an interactive ask. Harm prevented: a person waits for the
+//! end of a report. A stream is preempted only where that pays: its work so
+//! far is done again after the resume, so the time to redo it must be less
+//! than the time that the person would wait, and its own deadline must still
+//! be met. Each stream is preempted once at most, so that it arrives.
+
+use crate::cost::{Class, Cost};
+use crate::limit::Ticket;
+use hickory_unit::size;
+use std::time::{Duration, Instant};
+
+/// Waits shorter than this are not worth any preemption: the cancel, its
+/// confirmation and the new grant take as long.
+const WAIT_LEAST: Duration = Duration::from_millis(250);
+
+/// How many times the time to redo the wait must be. One would trade a second
+/// of one for a second of the other and add the cost of the cancel.
+const GAIN: u32 = 2;
+
+/// A stream that runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Running {
+    /// Its permit.
+    pub ticket: Ticket,
+    /// Who waits for it.
+    pub class: Class,
+    /// What it weighs.
+    pub cost: Cost,
+    /// Prompt tokens prefilled, of which the engine's cache keeps nothing.
+    pub prefilled: size::Tokens,
+    /// Tokens generated; they are not generated again.
+    pub generated: size::Tokens,
+    /// Its deadline.
+    pub deadline: Instant,
+    /// How often it was preempted.
+    pub preempted: u32,
+}
+
+/// The ask that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wait {
+    /// What it weighs.
+    pub cost: Cost,
+    /// Who waits for it.
+    pub class: Class,
+    /// How long it will wait where nothing is preempted.
+    pub wait: Duration,
+    /// KV memory that is free on the engine.
+    pub kv_free: size::Tokens,
+}
+
+/// How fast the engine works.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Speed {
+    /// Prompt tokens a second.
+    pub prefill_rate: u64,
+    /// Between two tokens of a stream.
+    pub token_time: Duration,
+}
+
+/// The stream to preempt for an ask that waits, if it pays: of those that
+/// make room and lose nothing but time, the one with the least to redo.
+pub fn choose_victim(
+    now: Instant,
+    wait: Wait,
+    speed: Speed,
+    running: &[Running],
+) -> Option<Ticket> {
+    if wait.class != Class::Interactive || wait.cost.is_long() || wait.wait < WAIT_LEAST {
+        return None;
+    }
+    let able = running.iter().filter(|stream| {
+        let bulk = stream.class == Class::Batch || stream.cost.is_long();
+        let fits = wait.kv_free + stream.cost.kv() >= wait.cost.kv();
+        bulk && fits && stream.preempted == 0
+    });
+    let paying = able.filter(|stream| {
+        let redo = time_to_prefill(redone(stream), speed);
+        redo * GAIN <= wait.wait && now + wait.wait + time_left(stream, speed) < stream.deadline
+    });
+    paying.min_by_key(|stream| (redone(stream), stream.ticket)).map(|stream| stream.ticket)
+}
+
+/// Tokens to prefill again: what was prefilled, and what was generated since,
+/// which a resume prefills as part of the prompt.
+fn redone(stream: &Running) -> size::Tokens {
+    stream.prefilled + stream.generated
+}
+
+/// The time that a stream needs after its resume.
+fn time_left(stream: &Running, speed: Speed) -> Duration {
+    let prefill = time_to_prefill(stream.cost.prefill + stream.generated, speed);
+    let tokens = stream.cost.decode.saturating_sub(stream.generated);
+    prefill + speed.token_time.saturating_mul(u32::try_from(tokens.0).unwrap_or(u32::MAX))
+}
+
+fn time_to_prefill(tokens: size::Tokens, speed: Speed) -> Duration {
+    Duration::from_secs_f64(tokens.0 as f64 / speed.prefill_rate.max(1) as f64)
+}
--- /dev/null
+++ b/crates/policy/tests/layout.rs
@@ -0,0 +1,218 @@
+//! Which engine holds which weights, through changes of demand and fleet.
+
+mod common;
+
+use common::ms;
+use hickory_policy::layout::{Change, Engine, Held, Layout, Offer};
+use hickory_unit::{id, rate::TokensPerSecond};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+type Weights = &'static str;
+
+/// A fleet that carries out the changes; a load takes effect at once or at
+/// `finish_loads`.
+struct Bench {
+    layout: Layout<Weights>,
+    offers: Vec<Offer<Weights>>,
+    engines: Vec<Engine<Weights>>,
+    now: Instant,
+    loads: usize,
+}
+
+fn offer(weights: Weights) -> Offer<Weights> {
+    Offer { weights, least: 2, replaces: None }
+}
+
+impl Bench {
+    fn open(count: usize, offers: &[Weights]) -> Self {
+        let engine = |index: usize| Engine {
+            target: id::Target::from(format!("engine-{index:02}").as_str()),
+            zone: id::Zone::from(["a", "b", "c"][index % 3]),
+            accepting: true,
+            places: 2,
+            loaded: BTreeMap::new(),
+        };
+        Self {
+            layout: Layout::open(),
+            offers: offers.iter().map(|&w| offer(w)).collect(),
+            engines: (0..count).map(engine).collect(),
+            now: Instant::now(),
+            loads: 0,
+        }
+    }
+
+    fn demand(&mut self, rates: &[(Weights, &str, f64)]) {
+        self.now += Duration::from_secs(10);
+        let rates = rates.iter().map(|&(w, p, r)| ((w, p.into()), TokensPerSecond(r)));
+        self.layout.observe(self.now, &rates.collect());
+        let shares = [("mawe".into(), 1.0), ("caucao".into(), 1.0)].into();
+        self.layout.plan(&self.offers, &shares, &self.engines);
+    }
+
+    fn change(&mut self, slots: u32) -> Vec<Change<Weights>> {
+        let changes = self.layout.changes(&self.offers, &self.engines, slots);
+        for change in &changes {
+            let (target, load) = match change {
+                Change::Load(target, weights) => (target, Some(*weights)),
+                Change::Unload(target, _) => (target, None),
+            };
+            let engine = self.engines.iter_mut().find(|e| e.target == *target).expect("known");
+            match (load, change) {
+                (Some(weights), _) => {
+                    self.loads += 1;
+                    engine.loaded.insert(weights, Held { ready: false, streams: 0 });
+                }
+                (None, Change::Unload(_, weights)) => {
+                    let held = engine.loaded.remove(weights).expect("held");
+                    assert_eq!(held.streams, 0, "unloaded under a stream");
+                }
+                _ => {}
+            }
+            assert!(engine.loaded.len() <= 2, "no place");
+        }
+        changes
+    }
+
+    fn finish_loads(&mut self) {
+        let held = self.engines.iter_mut().flat_map(|e| e.loaded.values_mut());
+        held.for_each(|held| held.ready = true);
+    }
+
+    fn settle(&mut self) {
+        while !self.change(4).is_empty() {
+            self.finish_loads();
+        }
+    }
+
+    fn ready(&self, weights: Weights) -> usize {
+        let serves = |e: &&Engine<Weights>| {
+            e.accepting && e.loaded.get(weights).is_some_and(|held| held.ready)
+        };
+        self.engines.iter().filter(serves).count()
+    }
+}
+
+/// Replicas follow demand, each model keeps its least number, and replicas of
+/// one model stand in different zones.
+#[test]
+fn replicas_follow_demand() {
+    let mut bench = Bench::open(12, &["big", "small"]);
+    bench.demand(&[("big", "mawe", 900.0), ("small", "caucao", 100.0)]);
+    bench.settle();
+    assert_eq!(bench.ready("big"), 12);
+    assert!(bench.ready("small") >= 3, "{}", bench.ready("small"));
+    let zones = bench.engines.iter().filter(|e| e.loaded.contains_key("small"));
+    let zones: std::collections::BTreeSet<_> = zones.map(|e| &e.zone).collect();
+    assert_eq!(zones.len(), 3);
+}
+
+/// A burst of ten seconds at four times the demand, and a small shift that
+/// lasts, reload nothing.
+#[test]
+fn burst_reloads_nothing() {
+    let mut bench = Bench::open(12, &["big", "small"]);
+    let even = [("big", "mawe", 500.0), ("small", "caucao", 500.0)];
+    (0..20).for_each(|_| bench.demand(&even));
+    bench.settle();
+    let loads = bench.loads;
+    bench.demand(&[("big", "mawe", 900.0), ("small", "caucao", 500.0)]);
+    bench.settle();
+    (0..30).for_each(|_| bench.demand(&[("big", "mawe", 550.0), ("small", "caucao", 450.0)]));
+    bench.settle();
+    assert_eq!(bench.loads, loads);
+}
+
+/// A zone returns with all its engines empty, and one model has lost all its
+/// replicas, while the store bears two loads at once: that model comes first,
+/// into two zones, never more than two loads run, and no engine of the zone
+/// stays empty.
+#[test]
+fn zone_that_returns_empty_loads_the_emptiest_first() {
+    let mut bench = Bench::open(9, &["big", "small"]);
+    bench.demand(&[("big", "mawe", 800.0), ("small", "caucao", 200.0)]);
+    bench.settle();
+    for engine in bench.engines.iter_mut() {
+        engine.loaded.remove("small");
+        if engine.zone == "a".into() {
+            engine.loaded.clear();
+        }
+    }
+    let first = bench.change(2);
+    assert!(first.iter().all(|c| matches!(c, Change::Load(_, "small"))), "{first:?}");
+    assert_eq!(first.len(), 2);
+    let zones: std::collections::BTreeSet<_> =
+        bench.engines.iter().filter(|e| e.loaded.contains_key("small")).map(|e| &e.zone).collect();
+    assert_eq!(zones.len(), 2);
+    bench.finish_loads();
+    loop {
+        let loads = bench.change(2);
+        assert!(loads.len() <= 2);
+        if loads.is_empty() {
+            break;
+        }
+        bench.finish_loads();
+    }
+    assert!(bench.engines.iter().all(|e| !e.loaded.is_empty()));
+    assert_eq!(bench.ready("big"), 9);
+}
+
+/// A new version goes out: it is loaded beside the old one, which serves until
+/// the new one is ready on as many engines as are wanted and the last stream
+/// on it has ended. At each step one of the two can serve.
+#[test]
+fn new_version_replaces_the_old_without_a_gap() {
+    let mut bench = Bench::open(6, &["v1"]);
+    bench.demand(&[("v1", "mawe", 500.0)]);
+    bench.settle();
+    assert_eq!(bench.ready("v1"), 6);
+    bench.engines[0].loaded.get_mut("v1").expect("held").streams = 1;
+    bench.offers = vec![Offer { weights: "v2", least: 2, replaces: Some("v1") }];
+    bench.demand(&[("v1", "mawe", 500.0)]);
+    for _ in 0..10 {
+        let before = bench.ready("v2") as u32;
+        let changes = bench.change(2);
+        let unloads = changes.iter().any(|c| matches!(c, Change::Unload(..)));
+        assert!(!unloads || before >= bench.layout.wanted(&"v2"));
+        assert!(bench.ready("v1") + bench.ready("v2") > 0);
+        bench.finish_loads();
+    }
+    assert_eq!((bench.ready("v1"), bench.ready("v2")), (1, 6), "the stream still runs");
+    bench.engines[0].loaded.get_mut("v1").expect("held").streams = 0;
+    bench.settle();
+    assert_eq!(bench.ready("v1"), 0);
+}
+
+/// A model is withdrawn while streams run on some engines: it goes from the
+/// idle ones at once, from the others after their last stream, and is never
+/// loaded again.
+#[test]
+fn withdrawn_model_goes_after_its_last_stream() {
+    let mut bench = Bench::open(6, &["kept", "gone"]);
+    bench.demand(&[("kept", "mawe", 500.0), ("gone", "mawe", 500.0)]);
+    bench.settle();
+    let holder = bench.engines.iter().position(|e| e.loaded.contains_key("gone")).expect("some");
+    bench.engines[holder].loaded.get_mut("gone").expect("held").streams = 3;
+    bench.offers.pop();
+    bench.demand(&[("gone", "mawe", 500.0)]);
+    bench.settle();
+    assert_eq!(bench.ready("gone"), 1);
+    bench.engines[holder].loaded.get_mut("gone").expect("held").streams = 0;
+    bench.settle();
+    assert_eq!(bench.ready("gone"), 0);
+    bench.now += ms(1);
+}
+
+/// One partner asks for far more than its share of the fleet: what is above
+/// it counts for half, so that the model of the other keeps its replicas.
+#[test]
+fn demand_above_the_share_counts_less() {
+    let replicas = |rates: &[(Weights, &str, f64)]| {
+        let mut bench = Bench::open(12, &["theirs", "ours"]);
+        bench.demand(rates);
+        bench.layout.wanted(&"ours")
+    };
+    let within = replicas(&[("theirs", "mawe", 850.0), ("ours", "mawe", 150.0)]);
+    let over = replicas(&[("theirs", "mawe", 850.0), ("ours", "caucao", 150.0)]);
+    assert!(over > within, "{over} against {within}");
+}
--- /dev/null
+++ b/crates/policy/tests/preempt.rs
@@ -0,0 +1,66 @@
+//! Preemption only where it pays.
+
+mod common;
+
+use common::{cost, ms};
+use hickory_policy::cost::Class;
+use hickory_policy::preempt::{Running, Speed, Wait, choose_victim};
+use hickory_unit::size;
+use std::time::{Duration, Instant};
+
+const SPEED: Speed = Speed { prefill_rate: 40_000, token_time: Duration::from_millis(15) };
+
+fn report(now: Instant, ticket: u64, prefilled: u64) -> Running {
+    Running {
+        ticket,
+        class: Class::Batch,
+        cost: cost(100_000, 1_000),
+        prefilled: size::Tokens(prefilled),
+        generated: size::Tokens(0),
+        deadline: now + Duration::from_secs(600),
+        preempted: 0,
+    }
+}
+
+fn question(wait: u64) -> Wait {
+    Wait {
+        cost: cost(1_000, 32),
+        class: Class::Interactive,
+        wait: ms(wait),
+        kv_free: size::Tokens(0),
+    }
+}
+
+/// A person would wait two seconds behind reports that hold every slot. The
+/// report that has just begun goes back, not the one that is nearly done; and
+/// where all are far on, none does, since redoing one takes longer than the
+/// wait is worth.
+#[test]
+fn least_work_is_lost() {
+    let now = Instant::now();
+    let begun = [report(now, 1, 90_000), report(now, 2, 8_000), report(now, 3, 30_000)];
+    assert_eq!(choose_victim(now, question(2_000), SPEED, &begun), Some(2));
+    let far = [report(now, 1, 90_000), report(now, 2, 80_000)];
+    assert_eq!(choose_victim(now, question(2_000), SPEED, &far), None);
+    assert_eq!(choose_victim(now, question(200), SPEED, &begun), None, "a short wait");
+}
+
+/// What must not go: interactive work, a stream whose own deadline would be
+/// missed, one that went once before (it must arrive), and one that frees too
+/// little. Batch asks preempt nothing.
+#[test]
+fn what_is_never_preempted() {
+    let now = Instant::now();
+    let fresh = report(now, 1, 0);
+    let spared = [
+        Running { class: Class::Interactive, cost: cost(1_000, 1_000), ..fresh.clone() },
+        Running { deadline: now + Duration::from_secs(15), ..fresh.clone() },
+        Running { preempted: 1, ..fresh.clone() },
+        Running { cost: cost(500, 10), ..fresh.clone() },
+    ];
+    for stream in spared {
+        assert_eq!(choose_victim(now, question(2_000), SPEED, std::slice::from_ref(&stream)), None);
+    }
+    let waiting = Wait { class: Class::Batch, ..question(2_000) };
+    assert_eq!(choose_victim(now, waiting, SPEED, &[fresh]), None);
+}
