--- a/apps/hickory/tests/real.rs
+++ b/apps/hickory/tests/real.rs
@@ -163,3 +163,30 @@
     assert_eq!(shown.stdout.matches("op-share").count(), 1, "{shown}");
     assert!(shown.stdout.contains(r#""version": 2"#), "{shown}");
 }
+
+// Two operators change different zones at the same moment through different
+// nodes, again and again. One of them loses the race for the version each
+// time, or sees a node that does not have the other's note yet; both changes
+// must come into force, each as one version.
+#[test]
+fn racing_operators_both_get_their_zone() {
+    let real = Real::open();
+    assert_eq!(real.run(&[0, 1], &["release", "accept", "first.jsonc"]).code, Some(0));
+    real.wait(&[1], &["release", "show"], "version 1");
+    for round in 0..6 {
+        let change = if round % 2 == 0 { "out" } else { "back" };
+        std::thread::scope(|scope| {
+            let both = [("a", 0), ("b", 1)].map(|(zone, node)| {
+                let real = &real;
+                scope.spawn(move || real.run(&[node, 1 - node], &["zone", change, zone]))
+            });
+            for output in both.map(|thread| thread.join().unwrap()) {
+                assert_eq!(output.code, Some(0), "{output}");
+            }
+        });
+        let version = format!("version {}\n", 3 + 2 * round);
+        for node in [0, 1] {
+            real.wait(&[node], &["release", "show"], &version);
+        }
+    }
+}
--- a/crates/release/src/check.rs
+++ b/crates/release/src/check.rs
@@ -159,29 +159,61 @@
     }
 }
 
-/// What entries name must be there in the configuration that the note makes.
+/// What accounts name must be there in the configuration that the note makes.
 pub(crate) fn check_references(next: &Configuration, note: &Note, findings: &mut Vec<Finding>) {
-    for (name, account) in &next.accounts {
-        let reference = Reference { note, name };
-        if !next.partners.contains_key(&account.partner) {
-            let withdrawn = note.withdrawn.partners.contains(&account.partner);
-            findings.push(reference.missing(
-                "partner",
-                "",
-                "partners",
-                &account.partner,
-                withdrawn,
-            ));
-        }
-        for model in account.models.iter().filter(|model| !next.models.contains_key(*model)) {
-            let withdrawn = note.withdrawn.models.contains(model);
-            findings.push(reference.missing("models", model.as_str(), "models", model, withdrawn));
-        }
-        for service in account.services.iter().filter(|name| !next.services.contains_key(*name)) {
-            let withdrawn = note.withdrawn.services.contains(service);
-            let field = service.as_str();
-            findings.push(reference.missing("services", field, "services", service, withdrawn));
-        }
+    for (account, entry) in &next.accounts {
+        let missing = list_references(entry, next, note).into_iter().filter(|r| !r.exists);
+        findings.extend(missing.map(|reference| reference.explain(account, note)));
+    }
+}
+
+/// The name of another entry within an account's entry.
+struct Reference {
+    /// The field within the account's entry.
+    field: String,
+    /// The section and name of the other entry.
+    section: &'static str,
+    name: String,
+    /// Whether the other entry will be there.
+    exists: bool,
+    /// Whether the note withdraws it.
+    withdrawn: bool,
+}
+
+fn list_references(account: &Account, next: &Configuration, note: &Note) -> Vec<Reference> {
+    let mut references = vec![Reference {
+        field: "partner".to_owned(),
+        section: "partners",
+        name: account.partner.to_string(),
+        exists: next.partners.contains_key(&account.partner),
+        withdrawn: note.withdrawn.partners.contains(&account.partner),
+    }];
+    macro_rules! list {
+        ($($section:ident)*) => {$(
+            references.extend(account.$section.iter().map(|name| Reference {
+                field: format!("{}.{name}", stringify!($section)),
+                section: stringify!($section),
+                name: name.to_string(),
+                exists: next.$section.contains_key(name),
+                withdrawn: note.withdrawn.$section.contains(name),
+            }));
+        )*};
+    }
+    list!(models services);
+    references
+}
+
+impl Reference {
+    /// The finding stands at the account where the note has it, else at what
+    /// the note withdraws from under it.
+    fn explain(&self, account: &id::Account, note: &Note) -> Finding {
+        let Self { field, section, name, withdrawn, .. } = self;
+        let Some(part) = find_part(note, account) else {
+            let path = format!("withdrawn.{section}.{name}");
+            return Finding::at(path, format!("account {account} still uses it"));
+        };
+        let why = if *withdrawn { "is withdrawn by the same note" } else { "does not exist" };
+        Finding::at(format!("{part}.accounts.{account}.{field}"), format!("{name} {why}"))
     }
 }
 
@@ -228,35 +260,6 @@
     }
 }
 
-/// An account whose entry names something that is not there.
-struct Reference<'a> {
-    note: &'a Note,
-    name: &'a id::Account,
-}
-
-impl Reference<'_> {
-    /// The finding stands at the account where the note has it, else at what
-    /// the note withdraws from under it.
-    fn missing(
-        &self,
-        field: &str,
-        element: &str,
-        section: &str,
-        missing: &impl Display,
-        withdrawn: bool,
-    ) -> Finding {
-        let name = self.name;
-        let Some(part) = find_part(self.note, name) else {
-            let path = format!("withdrawn.{section}.{missing}");
-            return Finding::at(path, format!("account {name} still uses it"));
-        };
-        let dot = if element.is_empty() { "" } else { "." };
-        let path = format!("{part}.accounts.{name}.{field}{dot}{element}");
-        let why = if withdrawn { "is withdrawn by the same note" } else { "does not exist" };
-        Finding::at(path, format!("{missing} {why}"))
-    }
-}
-
 /// The whole must fit into one value of the platform's service.
 pub(crate) fn check_size(next: &Configuration, findings: &mut Vec<Finding>) {
     let bytes = next.bytes();
