--- a/crates/node/src/drive.rs
+++ b/crates/node/src/drive.rs
@@ -4,7 +4,8 @@
 use crate::core::{Core, Stage};
 use crate::seat::Found;
 use hickory_platform::host::{Host, Kind};
-use hickory_policy::limit::Capacity;
+use hickory_policy::limit::{Capacity, Observed};
+use hickory_policy::ramp::Sample;
 use hickory_release::configuration::Configuration;
 use hickory_state::owner::Terms;
 use hickory_target::Error;
@@ -229,6 +230,9 @@
             kv: seat.kv_capacity,
             prefill_rate: u64::from(u32::MAX),
         });
+        let (incarnation, warmth) = (report.incarnation, report.warmth);
+        let sample = Sample { incarnation, warmth, cache_hits: 0, cache_misses: 0 };
+        seat.observe_load(now, &Observed { sample, ..Observed::default() });
         // Nothing is held on a service: a cancel has nothing to do.
         for stream in seat.take_cancels() {
             seat.cancelled(now, &stream);
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -1,12 +1,12 @@
 //! Getting leave to send: choose a target, ask its owner, check once more.
 
 use crate::core::Core;
-use crate::parse::refuse;
+use crate::parse::{PREFIX_LEN, refuse};
 use crate::seat::{QUEUED, TAKEN};
 use crate::seats;
 use crate::view::Need;
 use hickory_policy::cost::{Class, Cost};
-use hickory_policy::place::rank_targets;
+use hickory_policy::place::{Prefix, Query, choose_target};
 use hickory_policy::refuse::{Reason, Refusal, Retry};
 use hickory_target::engine;
 use hickory_unit::clock::Clock;
@@ -77,11 +77,14 @@
         }
         let configuration =
             core.configuration().ok_or_else(|| refuse(Reason::NotReady, "no configuration yet"))?;
-        let candidates = core.view.candidates(now, want.need, &configuration, &tried);
-        let Some(best) = rank_targets(want.cost, &candidates).first().copied() else { break };
+        let candidates = core.view.candidates(now, want.need, want.prefix, &configuration, &tried);
+        let Some(best) = choose_target(&query_of(want), &candidates) else { break };
         let target = best.target.clone();
         let expected = hickory_policy::place::estimate_first_token(want.cost, best);
         tried.push(target.clone());
+        // Counted from the ask on: what waits at an owner is not told yet, and
+        // a whole burst would join the queue of one and the same target.
+        core.view.note_sent(now, &target, want.cost);
         match ask_owner(core, want, &target).await {
             Ok(permit) => {
                 let hosts = core.view.hosts();
@@ -94,7 +97,6 @@
                     give_back(core, &target, &permit, want.stream, ending, None);
                     continue;
                 };
-                core.view.note_sent(core.now(), &target, want.cost);
                 let (address, stream) = (host.address, want.stream.clone());
                 return Ok(Leave { target, address, permit, stream, expected });
             }
@@ -114,6 +116,13 @@
     }))
 }
 
+fn query_of(want: &Want<'_>) -> Query {
+    let tokens = size::Tokens::of_bytes(size::Bytes(PREFIX_LEN as u64));
+    let has_prefix = matches!(want.need, Need::Weights(_)) && want.cost.prefill >= tokens;
+    let prefix = has_prefix.then_some(Prefix { hash: want.prefix, tokens });
+    Query { cost: want.cost, class: want.class, prefix, random: rand::random() }
+}
+
 /// Asks the owner of `target` until it grants or refuses; `None` where the
 /// owner can't be asked.
 async fn ask_owner(
--- a/crates/policy/src/ramp.rs
+++ b/crates/policy/src/ramp.rs
@@ -40,7 +40,7 @@
 const HITS_SAMPLE: u64 = 32_768;
 
 /// What a load report says of a target's warmth.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sample {
     /// The incarnation.
     pub incarnation: id::Incarnation,
