Prompts greater than one engine's memory run over several engines

All parts are reserved or none, each answered at once, so nothing is held while anything is waited for; engine after engine prefills its part and hands its KV cache on. What is kept is dropped however the answer ends; owners drop what a dead node left. Proofs in long.rs: a prompt of more than two engines beside short work, two at once, one greater than the fleet (refused at once, not run), a node killed half-way.

--- a/apps/hickory-node/tests/proofs/main.rs
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -5,6 +5,7 @@
 mod burst;
 mod death;
 mod logs;
+mod long;
 mod once;
 mod path;
 mod poison;
--- a/crates/model/src/transfer.rs
+++ b/crates/model/src/transfer.rs
@@ -17,6 +17,11 @@
         Some(kept.export.clone())
     }
 
+    /// KV caches kept beside streams, imports included.
+    pub fn handle_count(&self) -> usize {
+        self.handles.len()
+    }
+
     /// Begins to copy the KV cache that `export` describes, or links it where
     /// it is greater than half of the memory; gives the time that the copy
     /// takes, after which [`Engine::finish_import`] is due.
--- a/crates/node/src/complete.rs
+++ b/crates/node/src/complete.rs
@@ -6,6 +6,7 @@
 
 use crate::core::{Active, Core};
 use crate::parse::{Completion, refuse};
+use crate::parts::{self, Reserve};
 use crate::permit::{self, Leave, Want};
 use crate::record;
 use crate::relay::{self, End, Relay};
@@ -16,7 +17,7 @@
 use hickory_policy::poison::DEATHS;
 use hickory_policy::refuse::{Ran, Reason, Refusal, Retry};
 use hickory_target::Error;
-use hickory_target::engine::{Engines, Generate, Priority};
+use hickory_target::engine::{Engines, Generate, Handle, Priority};
 use hickory_telemetry::label::{Direction, Work};
 use hickory_unit::{id, size};
 use hickory_wire::message::Ending;
@@ -145,7 +146,8 @@
 
     async fn attempt(&mut self, attempt: u32, excluded: &mut Vec<id::Target>) -> Attempt {
         let c = self.completion;
-        let stream = permit::name_stream(self.core, c.request, attempt, c.deadline_ms);
+        let number = attempt * parts::PARTS_MAX;
+        let stream = permit::name_stream(self.core, c.request, number, c.deadline_ms);
         let want = Want {
             need: Need::Weights(&c.weights),
             stream: &stream,
@@ -168,6 +170,9 @@
             Ok(alone) => Want { alone: alone || self.deaths > 0, ..want },
             Err(refusal) => return Attempt::Refused(refusal),
         };
+        if parts::find_candidates(self.core, c).is_some() {
+            return self.attempt_parts(attempt).await;
+        }
         let obtained = tokio::select! {
             obtained = permit::obtain(self.core, &want, excluded) => obtained,
             () = self.out.closed() => return Attempt::Gone,
@@ -177,12 +182,46 @@
             Err(refusal) => return Attempt::Refused(refusal),
         };
         excluded.push(leave.target.clone());
-        let end = self.send(&leave).await;
+        let end = self.send(&leave, None).await;
         self.settle(&leave, end)
     }
 
+    /// An attempt over several engines.
+    async fn attempt_parts(&mut self, attempt: u32) -> Attempt {
+        let (core, completion, out) = (self.core, self.completion, &self.out);
+        let reserve = Reserve { core, completion, attempt, out };
+        let mut held = match reserve.run().await {
+            Ok(held) => held,
+            Err(_) if self.out.is_closed() => return Attempt::Gone,
+            Err(refusal) => return Attempt::Refused(refusal),
+        };
+        self.sent = true;
+        let prefilled = parts::prefill(core, completion, &mut held, &self.out).await;
+        let Some(leave) = parts::last_leave(&held).cloned() else { return Attempt::Gone };
+        let attempt = match prefilled {
+            Ok(import) => {
+                let end = self.send(&leave, import).await;
+                self.settle(&leave, end)
+            }
+            // The last part was never opened; its own end is told as such.
+            Err(end) => {
+                permit::give_back(
+                    core,
+                    &leave.target,
+                    &leave.permit,
+                    &leave.stream,
+                    Ending::NotSent,
+                    None,
+                );
+                read_end(end)
+            }
+        };
+        parts::release(core, held);
+        attempt
+    }
+
     /// Sends the attempt and relays its tokens.
-    async fn send(&mut self, leave: &Leave) -> (End, Option<Duration>) {
+    async fn send(&mut self, leave: &Leave, import: Option<Handle>) -> (End, Option<Duration>) {
         let c = self.completion;
         let generate = Generate {
             stream: leave.stream.clone(),
@@ -190,7 +229,7 @@
             prompt: c.prompt.clone(),
             max_tokens: c.cost.decode,
             priority: Priority(leave.permit.priority),
-            import: None,
+            import,
             prefill_only: None,
             from: self.delivered,
         };
@@ -226,21 +265,16 @@
         if !matches!(end, End::Failed(Error::NotSent(_) | Error::Refused(_))) {
             self.sent = true;
         }
-        let (ending, attempt) = match end {
-            End::Whole(count) => (Ending::Finished, Attempt::Whole(count)),
+        let ending = match &end {
+            End::Whole(_) => Ending::Finished,
             // The permit is the other node's to give back.
             End::Taken => return Attempt::Gone,
-            End::Gone => (Ending::Left, Attempt::Gone),
-            End::Deadline => {
-                let refusal = refuse(Reason::Deadline, "the deadline passed while it ran");
-                (Ending::Lost, Attempt::Refused(refusal))
-            }
-            End::Stalled => (Ending::Lost, Attempt::Again(Retry::Stalled)),
-            End::Died => (Ending::TargetDied, Attempt::Died),
-            End::Failed(Error::NotSent(_)) => (Ending::NotSent, Attempt::Again(Retry::NotSent)),
-            End::Failed(Error::Refused(_)) => (Ending::NotSent, Attempt::Again(Retry::Refused)),
-            End::Failed(_) => (Ending::Lost, Attempt::Again(Retry::TargetFailed)),
+            End::Gone => Ending::Left,
+            End::Died => Ending::TargetDied,
+            End::Failed(Error::NotSent(_) | Error::Refused(_)) => Ending::NotSent,
+            End::Deadline | End::Stalled | End::Failed(_) => Ending::Lost,
         };
+        let attempt = read_end(end);
         let retry = match attempt {
             Attempt::Again(reason) => Some(reason),
             Attempt::Died => Some(Retry::TargetFailed),
@@ -254,3 +288,19 @@
         attempt
     }
 }
+
+/// What comes after an attempt that ended so.
+fn read_end(end: End) -> Attempt {
+    match end {
+        End::Whole(count) => Attempt::Whole(count),
+        End::Taken | End::Gone => Attempt::Gone,
+        End::Deadline => {
+            Attempt::Refused(refuse(Reason::Deadline, "the deadline passed while it ran"))
+        }
+        End::Stalled => Attempt::Again(Retry::Stalled),
+        End::Died => Attempt::Died,
+        End::Failed(Error::NotSent(_)) => Attempt::Again(Retry::NotSent),
+        End::Failed(Error::Refused(_)) => Attempt::Again(Retry::Refused),
+        End::Failed(_) => Attempt::Again(Retry::TargetFailed),
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod drive;
 mod entry;
 mod parse;
+mod parts;
 mod peers;
 mod permit;
 mod record;
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -169,6 +169,25 @@
     }
 }
 
+/// Asks the owner of `target` for an answer at once, yes or no. The same ask
+/// again renews the life of its permit.
+pub(crate) async fn ask_at_once(
+    core: &Core,
+    want: &Want<'_>,
+    target: &id::Target,
+) -> Option<Permit> {
+    let asked = core.now();
+    let time_left = want.deadline.checked_duration_since(asked)?;
+    let ask = Ask { urgent: true, ..make_ask(want, target, time_left) };
+    let permit = send_ask(core, &ask).await.ok()?.ok()?;
+    let configuration = core.configuration()?;
+    let usable = core.now() < asked + permit.life && core.view.may_send(target, &configuration);
+    if !usable {
+        give_back(core, target, &permit, want.stream, Ending::NotSent, None);
+    }
+    usable.then_some(permit)
+}
+
 fn make_ask(want: &Want<'_>, target: &id::Target, time_left: Duration) -> Ask {
     Ask {
         stream: want.stream.clone(),
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -88,6 +88,8 @@
     priority: u8,
     /// Hash of account and content.
     fingerprint: u64,
+    /// KV cache at its greatest.
+    kv: size::Tokens,
     /// When the caller's connection went, where it did.
     left: Option<Instant>,
     /// When it was granted, while its asker has not been told.
@@ -104,6 +106,7 @@
     until: Instant,
     priority: u8,
     fingerprint: u64,
+    kv: size::Tokens,
     waker: Option<oneshot::Sender<Result<Permit, Refusal>>>,
 }
 
@@ -206,18 +209,24 @@
         let priority = priority_of(wanted.lane());
         match self.limiter.ask(now, wanted) {
             Answer::Granted(ticket) => {
-                self.insert_permit(
-                    ticket,
-                    Granted::to(ask.stream.clone(), until, priority, ask.fingerprint),
-                );
+                let granted = Granted::to(ask.stream.clone(), until, priority);
+                let (fingerprint, kv) = (ask.fingerprint, ask.cost.kv);
+                self.insert_permit(ticket, Granted { fingerprint, kv, ..granted });
                 Begun::Answered(Ok(self.make_permit(ticket, priority, life)))
             }
             Answer::Queued(ticket) => {
                 let (waker, wait) = oneshot::channel();
                 let (stream, waker) = (ask.stream.clone(), Some(waker));
                 self.tickets.insert(stream.clone(), ticket);
-                let fingerprint = ask.fingerprint;
-                let waiting = Waiting { stream, asked: now, until, priority, fingerprint, waker };
+                let waiting = Waiting {
+                    stream,
+                    asked: now,
+                    until,
+                    priority,
+                    fingerprint: ask.fingerprint,
+                    kv: ask.cost.kv,
+                    waker,
+                };
                 self.waiting.insert(ticket, waiting);
                 Begun::Queued(wait)
             }
@@ -276,9 +285,10 @@
         let granted = answer.is_ok();
         let told = waiting.waker.is_some_and(|waker| waker.send(answer).is_ok());
         if granted {
-            let mut granted =
-                Granted::to(waiting.stream, waiting.until, waiting.priority, waiting.fingerprint);
-            granted.untold = (!told).then_some(now);
+            let granted = Granted::to(waiting.stream, waiting.until, waiting.priority);
+            let untold = (!told).then_some(now);
+            let (fingerprint, kv) = (waiting.fingerprint, waiting.kv);
+            let granted = Granted { untold, fingerprint, kv, ..granted };
             self.insert_permit(ticket, granted);
         }
     }
@@ -312,7 +322,7 @@
             None => {
                 self.foreign.remove(&adopt.stream)?;
                 self.adopted += 1;
-                let mut granted = Granted::to(adopt.stream.clone(), until, 0, 0);
+                let mut granted = Granted::to(adopt.stream.clone(), until, 0);
                 granted.node = adopt.node.clone();
                 self.insert_permit(self.adopted, granted);
                 self.adopted
@@ -431,7 +441,15 @@
         // What has ended stands in the report until its lag has passed.
         let own = |held: &&Held| !self.is_foreign(&held.stream);
         let foreign = report.streams.iter().filter(|held| self.is_foreign(&held.stream));
-        let owned_kv: size::Tokens = report.streams.iter().filter(own).map(|held| held.kv).sum();
+        let streams: size::Tokens = report.streams.iter().filter(own).map(|held| held.kv).sum();
+        // A part of a long prompt stays on the engine as a kept KV cache when
+        // its stream has ended; its permit stands for it.
+        let kept = report.handles.iter().filter_map(|handle| {
+            let held = report.streams.iter().any(|held| held.stream == handle.stream);
+            let ticket = self.tickets.get(&handle.stream).filter(|_| !held)?;
+            self.permits.get(ticket).map(|granted| granted.kv)
+        });
+        let owned_kv = streams + kept.sum::<size::Tokens>();
         let left = report.streams.iter().filter_map(|held| {
             let ticket = self.tickets.get(&held.stream)?;
             Some((*ticket, held.prefill_left))
@@ -603,9 +621,10 @@
 }
 
 impl Granted {
-    fn to(stream: id::Stream, until: Instant, priority: u8, fingerprint: u64) -> Self {
+    fn to(stream: id::Stream, until: Instant, priority: u8) -> Self {
         let node = stream.sender.clone();
-        Self { stream, until, priority, fingerprint, left: None, untold: None, node }
+        let (fingerprint, kv) = (0, size::Tokens(0));
+        Self { stream, until, priority, fingerprint, kv, left: None, untold: None, node }
     }
 
     fn is_overdue(&self, now: Instant, resume: Duration) -> bool {
