--- /dev/null
+++ b/apps/hickory-node/tests/proofs/cold.rs
@@ -0,0 +1,91 @@
+//! A target that has just started, or has turned cold, receives no more load
+//! than it can bear.
+
+use crate::support::{Scene, expected, options};
+use hickory_standin::fleet;
+use rustix::process::Signal;
+use std::time::Duration;
+
+/// Engines that start cold and fall over under more than they bear.
+fn cold_engines() -> fleet::Options {
+    let mut options = options();
+    options.engine.model.speed = 4.0;
+    options.engine.model.warmth = 0;
+    options.engine.model.warm_time = Duration::from_secs(40);
+    options.engine.model.falls_over = true;
+    options.engine.model.streams_max = 32;
+    options
+}
+
+impl Scene {
+    /// Times that any engine was given more than it bore.
+    fn overloads(&self) -> u64 {
+        let engines = self.standins.engines.iter();
+        engines.map(|engine| engine.service().with_engine(|e| e.counts().overloads)).sum()
+    }
+
+    /// Sends `count` requests at once through the nodes named, and counts the
+    /// whole answers; refusals are allowed, wrong answers are not.
+    async fn burst(&self, name: &str, count: usize, nodes: &[usize]) -> usize {
+        let asks = (0..count).map(|i| async move {
+            let prompt = format!("{name} {i}");
+            let at = self.nodes[nodes[i % nodes.len()]].callers;
+            let Ok(mut stream) = self.complete(at, &prompt, 8).await else { return false };
+            stream.rest().await;
+            let whole = stream.done && stream.text == expected(&prompt, 8);
+            assert!(whole || !stream.done, "a wrong answer");
+            whole
+        });
+        let whole = futures::future::join_all(asks).await;
+        whole.into_iter().filter(|whole| *whole).count()
+    }
+}
+
+/// All nodes send a burst at engines that have just started. Their owners let
+/// through what a cold engine bears and more as it warms: none is ever over
+/// its bound, and every request is answered in the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn cold_engines_are_not_given_more_than_they_bear() {
+    let scene = Scene::start(3, cold_engines()).await;
+    assert_eq!(scene.burst("burst", 120, &[0, 1, 2]).await, 120);
+    assert_eq!(scene.overloads(), 0);
+}
+
+/// An owner is killed in the middle of the ramp. Its successor knows nothing
+/// of what it granted, and still no engine is given more than it bears.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_killed_in_the_ramp_overloads_nobody() {
+    let mut scene = Scene::start(3, cold_engines()).await;
+    scene.burst("first", 20, &[1, 2]).await;
+    scene.nodes[0].kill();
+    let whole = scene.burst("second", 90, &[1, 2]).await;
+    assert_eq!(scene.overloads(), 0);
+    assert!(whole > 0);
+}
+
+/// An owner is paused for longer than its lease, another takes its targets
+/// over, and the paused one goes on and still thinks itself owner. The permits
+/// of both together never exceed what an engine bears.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_owner_that_goes_on_overloads_nobody() {
+    let scene = Scene::start(3, cold_engines()).await;
+    scene.nodes[0].signal(Signal::STOP);
+    let (first, ()) = tokio::join!(scene.burst("paused", 60, &[1, 2]), async {
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        scene.nodes[0].signal(Signal::CONT);
+    });
+    let second = scene.burst("gone on", 60, &[0, 1, 2]).await;
+    assert_eq!(scene.overloads(), 0);
+    assert!(first > 0 && second > 0);
+}
+
+/// The key-value service is down while engines are cold: owners go on at half
+/// of what the engines bear, and none is over its bound.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_platform_overloads_nobody() {
+    let scene = Scene::start(3, cold_engines()).await;
+    scene.standins.store.faults().kill();
+    let whole = scene.burst("outage", 90, &[0, 1, 2]).await;
+    assert_eq!(scene.overloads(), 0);
+    assert!(whole > 0);
+}
--- /dev/null
+++ b/apps/hickory-node/tests/proofs/config.rs
@@ -0,0 +1,84 @@
+//! An accepted configuration is in force everywhere within seconds and never
+//! reverts.
+
+use crate::support::{Node, OPERATOR, Scene, eventually, options, times};
+use serde_json::{Value, json};
+
+fn share_note(against: u64, share: f64) -> Value {
+    json!({
+        "against": against,
+        "operation": uuid::Uuid::now_v7().to_string(),
+        "changed": { "partners": { "mawe": { "share": share } } },
+    })
+}
+
+impl Scene {
+    async fn version(&self, node: &Node) -> Option<u64> {
+        self.get(node.admin, "/health", OPERATOR).await?["version"].as_u64()
+    }
+}
+
+/// The write of a note takes effect and its answer is lost. The operator gets
+/// an answer that agrees with what is in force, and the note stays.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_note_whose_write_lost_its_answer_is_in_force_once() {
+    let scene = Scene::start(3, options()).await;
+    scene.standins.store.faults().lose_write_answers(1);
+    let note = share_note(1, 2.0);
+    let (status, answer) = scene.post_note(&scene.nodes[0], &note).await;
+    assert_eq!(status, 200, "{answer}");
+    for node in &scene.nodes {
+        eventually("the note is in force", || async {
+            (scene.version(node).await? == 2).then_some(())
+        })
+        .await;
+    }
+    // The same operation again changes nothing more.
+    let (status, answer) = scene.post_note(&scene.nodes[1], &note).await;
+    assert_eq!((status, &answer["version"]), (200, &json!(2)), "{answer}");
+    assert_eq!(scene.version(&scene.nodes[0]).await, Some(2));
+}
+
+/// The key-value service answers reads with an old state after a note was
+/// accepted. No node that has the new version goes back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stale_read_reverts_nothing() {
+    let scene = Scene::start(2, options()).await;
+    scene.standins.store.service().set_stale(true);
+    let (status, _) = scene.post_note(&scene.nodes[0], &share_note(1, 2.0)).await;
+    scene.standins.store.service().set_stale(false);
+    if status == 200 {
+        let after = || async { (scene.version(&scene.nodes[1]).await? == 2).then_some(()) };
+        eventually("the note is in force", after).await;
+    }
+    scene.accept(&share_note(if status == 200 { 2 } else { 1 }, 3.0)).await;
+    scene.standins.store.service().set_stale(true);
+    for _ in 0..20 {
+        for node in &scene.nodes {
+            let version = scene.version(node).await.expect("the node answers");
+            assert!(version >= if status == 200 { 3 } else { 2 });
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
+/// A node that is started while the key-value service is down has no
+/// configuration: it refuses callers as not ready instead of guessing, and
+/// serves once the service is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_started_in_an_outage_refuses_until_it_has_a_configuration() {
+    let mut scene = Scene::start(1, options()).await;
+    scene.standins.store.faults().kill();
+    scene.nodes.push(Node::start("node-late", "b", &scene.standins, &times()));
+    let late = &scene.nodes[1];
+    let mut refused = scene.complete(late.callers, "too early", 3).await.unwrap();
+    refused.rest().await;
+    let problem = refused.problem.expect("a refusal");
+    assert_eq!(problem["reason"], json!("not-ready"), "{problem}");
+    assert!(problem["retry_after_ms"].as_u64().is_some());
+    scene.standins.store.faults().restart();
+    eventually("the late node has the configuration", || async {
+        (scene.version(late).await? == 1).then_some(())
+    })
+    .await;
+}
--- a/apps/hickory-node/tests/proofs/main.rs
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -3,6 +3,8 @@
 //! times.
 
 mod burst;
+mod cold;
+mod config;
 mod death;
 mod logs;
 mod long;
--- a/apps/hickory-node/tests/proofs/stop.rs
+++ b/apps/hickory-node/tests/proofs/stop.rs
@@ -52,3 +52,27 @@
     last.rest().await;
     assert_eq!(last.text, expected("still here?", 5));
 }
+
+/// A node is stopped while the key-value service is down, so it can neither
+/// say that it leaves nor hand its targets over. Its stream is not cut, it
+/// still ends with status 0, and the others go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_during_an_outage_cuts_no_request() {
+    let mut options = options();
+    options.engine.model.speed = 1.0;
+    let mut scene = Scene::start(3, options).await;
+    let at = scene.nodes[0].callers;
+    let mut stream = scene.complete(at, "an outage", 60).await.unwrap();
+    assert!(stream.next().await);
+    scene.standins.store.faults().kill();
+    scene.nodes[0].signal(Signal::TERM);
+    let mut kept = scene.complete(at, "a kept address", 5).await.unwrap();
+    kept.rest().await;
+    assert_eq!(kept.text, expected("a kept address", 5));
+    stream.rest().await;
+    assert_eq!(stream.text, expected("an outage", 60));
+    assert!(scene.nodes[0].exited().await.success());
+    let mut other = scene.complete(scene.nodes[1].callers, "the others", 5).await.unwrap();
+    other.rest().await;
+    assert_eq!(other.text, expected("the others", 5));
+}
