--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -144,6 +144,7 @@
         let others = self.core.view.peers_seen();
         let others = others.iter().filter(|(node, peer)| *node != self.core.me() && heard(peer.at));
         metrics.peers(others.count());
+        metrics.suspects(self.core.record.suspects(now));
         metrics.render()
     }
 
--- a/crates/node/src/suspect.rs
+++ b/crates/node/src/suspect.rs
@@ -63,6 +63,12 @@
         lock(&self.suspects).note_death(now, ran);
     }
 
+    /// Contents under suspicion or in quarantine; those that were cleared are
+    /// only kept to be told.
+    pub(crate) fn suspects(&self, now: Instant) -> usize {
+        lock(&self.suspects).tell(now).iter().filter(|suspect| suspect.deaths > 0).count()
+    }
+
     /// A request ran to its end.
     pub(crate) fn note_success(&self, now: Instant, fingerprint: u64) {
         lock(&self.suspects).note_success(now, fingerprint);
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -55,6 +55,7 @@
     claims: Vec<IntCounter>,
     orders: Vec<IntCounter>,
     quarantines: IntCounter,
+    suspects: IntGauge,
     target_restarts: IntCounter,
     target_silences: IntCounter,
     configuration: IntGauge,
@@ -139,6 +140,11 @@
                 "quarantines_total",
                 "Requests quarantined because targets died while they ran",
             )?,
+            suspects: open_gauge(
+                r,
+                "suspects",
+                "Contents that ran on a target when it died, as known here",
+            )?,
             target_restarts: open_counter(
                 r,
                 "target_restarts_total",
@@ -236,6 +242,11 @@
         self.quarantines.inc();
     }
 
+    /// Sets how many contents are under suspicion.
+    pub fn suspects(&self, known: usize) {
+        self.suspects.set(known as i64);
+    }
+
     /// Counts a target that came back as a new process.
     pub fn target_restarted(&self) {
         self.target_restarts.inc();
