Silent connections do not keep operators out: proved

The timeout of the administration API stood there without a test. With six silent connections before two threads the operator is served; with a timeout of an hour the test fails after 20 s.

--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -8,18 +8,29 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
-/// Connections served at once; more wait to be accepted. A few operators and
-/// scrapers need a handful; the bound keeps a flood from taking the threads
-/// and the memory that callers are served with.
-const CONNECTIONS: usize = 16;
-
-/// How long a read or write on a connection may stand. A silent connection
-/// must not hold one of the few threads for good.
-const TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Tries at finding a free port where none is given.
 const PORT_TRIES: usize = 16;
 
+/// The bounds of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Connections served at once, each by a thread; more wait to be
+    /// accepted. A few operators and scrapers need a handful; the bound keeps
+    /// a flood from taking the threads and the memory that callers are served
+    /// with.
+    pub connections: usize,
+    /// How long a read or write on a connection may stand. A connection that
+    /// is silent for good, because its other end is frozen or lost, must not
+    /// hold one of the few threads for good.
+    pub timeout: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { connections: 16, timeout: Duration::from_secs(10) }
+    }
+}
+
 /// The administration server.
 #[derive(Debug)]
 pub struct Server;
@@ -40,11 +51,20 @@
 impl Server {
     /// Serves `control` at `address`; port 0 takes any that is free.
     pub fn spawn<C: Control>(address: SocketAddr, control: Arc<C>) -> io::Result<Handle<C>> {
+        Self::spawn_within(Options::default(), address, control)
+    }
+
+    /// Serves within bounds other than the usual ones.
+    pub fn spawn_within<C: Control>(
+        options: Options,
+        address: SocketAddr,
+        control: Arc<C>,
+    ) -> io::Result<Handle<C>> {
         let slot = Arc::new(RwLock::new(Some(control)));
         let mut tries = PORT_TRIES;
         loop {
             let bound = resolve_port(address)?;
-            match listen(bound, &slot) {
+            match listen(options, bound, &slot) {
                 Ok(()) => return Ok(Handle { address: bound, control: slot }),
                 Err(error) if address.port() != 0 || tries == 0 => return Err(error),
                 Err(_) => tries -= 1,
@@ -75,7 +95,7 @@
     TcpListener::bind(address)?.local_addr()
 }
 
-fn listen<C: Control>(address: SocketAddr, slot: &Slot<C>) -> io::Result<()> {
+fn listen<C: Control>(options: Options, address: SocketAddr, slot: &Slot<C>) -> io::Result<()> {
     let slot = Arc::clone(slot);
     oxhttp::Server::new(move |request| {
         let control = slot.read().unwrap_or_else(PoisonError::into_inner).clone();
@@ -85,8 +105,8 @@
         }
     })
     .bind(address)
-    .with_global_timeout(TIMEOUT)
-    .with_max_concurrent_connections(CONNECTIONS)
+    .with_global_timeout(options.timeout)
+    .with_max_concurrent_connections(options.connections)
     .spawn()
     .map(drop)
 }
--- a/crates/admin/tests/contract.rs
+++ b/crates/admin/tests/contract.rs
@@ -3,15 +3,20 @@
 mod fake;
 
 use fake::{Fake, Fault, Platform, TOKEN};
+use hickory_admin::server::Options;
 use hickory_admin::{Handle, Server};
 use oxhttp::model::{Body, Method, Request};
 use std::fmt::Write as _;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
+use std::time::Duration;
 
 const FIRST: &str = include_str!("data/first.jsonc");
 
+/// How long an answer may take before a test fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+
 /// One call, and what goes wrong meanwhile.
 struct Case {
     name: &'static str,
@@ -48,7 +53,10 @@
     for (name, value) in case.headers {
         request = request.header(*name, *value);
     }
-    let response = oxhttp::Client::new().request(request.body(body.into()).unwrap()).unwrap();
+    let response = oxhttp::Client::new()
+        .with_global_timeout(PATIENCE)
+        .request(request.body(body.into()).unwrap())
+        .unwrap();
     let mut text = response.status().as_u16().to_string();
     for name in ["content-type", "etag", "www-authenticate", "allow"] {
         if let Some(value) = response.headers().get(name) {
@@ -233,3 +241,23 @@
     let taken = Server::spawn(handle.address(), Fake::open(&platform, []));
     assert!(taken.is_err());
 }
+
+// A scraper is frozen, or something between the two ends has lost track of
+// its connections: they take all threads of the server and say nothing. The
+// operator who comes next waits for no longer than the timeout and is served;
+// without it, nobody could take a zone out at this node until it restarts.
+#[test]
+fn silent_connections_do_not_keep_operators_out() {
+    let options = Options { connections: 2, timeout: Duration::from_millis(300) };
+    let fake = Fake::open(&Platform::open(FIRST), []);
+    let address = "127.0.0.1:0".parse().unwrap();
+    let handle = Server::spawn_within(options, address, fake).unwrap();
+    let mut silent: Vec<TcpStream> =
+        (0..6).map(|_| TcpStream::connect(handle.address()).unwrap()).collect();
+    // Some have begun a request, the others never say a word.
+    for stream in &mut silent[..3] {
+        stream.write_all(b"GET /v1/admin/nodes HTTP/1.1\r\nhost: ").unwrap();
+    }
+    let answer = call(handle.address(), &get("after", "/v1/admin/owners"), "");
+    assert!(answer.starts_with("200"), "{answer}");
+}
