Benches of the stand-ins' own ceilings; a longer accept queue

An experiment has to know when it measures the stand-in.

256 streams opened at once met the accept queue of 128 and waited for a SYN to be sent again; the queue is 1,024 now.

--- /dev/null
+++ b/crates/standin/benches/ceiling.rs
@@ -0,0 +1,187 @@
+//! The stand-ins' own ceilings, so that an experiment knows when it measures
+//! them: tokens a second out of one engine, calls a second to the key-value
+//! service and to a plain service, and the time to a first token with nothing
+//! in between. The clients run in the same process and are part of it.
+
+use criterion::{Criterion, Throughput, criterion_group, criterion_main};
+use futures::StreamExt;
+use futures::future::join_all;
+use hickory_model::engine::Options as Model;
+use hickory_platform::http::{Address, Platform};
+use hickory_platform::store::{Expect, Store, Write};
+use hickory_standin::{engine, service, store};
+use hickory_target::engine::{Engines, Event, Generate, Priority, Weights};
+use hickory_target::http::Targets;
+use hickory_target::service::{Call, Services};
+use hickory_unit::{id, size};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
+use uuid::Uuid;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Clients that call at the same time.
+const CLIENTS: usize = 32;
+
+/// Calls of each client in a round.
+const CALLS: usize = 50;
+
+fn any() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("an address")
+}
+
+fn runtime() -> Runtime {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime")
+}
+
+fn generate(max_tokens: u64) -> Generate {
+    Generate {
+        stream: id::Stream {
+            request: id::Request(Uuid::now_v7()),
+            attempt: 0,
+            sender: "bench".into(),
+            deadline_ms: 0,
+        },
+        weights: Weights { model: "m".into(), version: "1".into(), adapter: None },
+        prompt: "which primer for lime plaster?".into(),
+        max_tokens: size::Tokens(max_tokens),
+        priority: Priority(1),
+        import: None,
+        prefill_only: None,
+        from: 0,
+    }
+}
+
+/// Reads whole streams; each batch of lines may hold many tokens.
+async fn read_streams(targets: &Targets, at: SocketAddr, streams: usize, tokens: u64) {
+    let read = |_| async {
+        let mut stream = targets.generate(at, &generate(tokens)).await.expect("a stream");
+        while !matches!(stream.next().await, Some(Ok(Event::End { .. }))) {}
+    };
+    join_all((0..streams).map(read)).await;
+}
+
+fn spawn_engine(model: Model) -> engine::Handle {
+    let loaded = vec![generate(1).weights];
+    engine::spawn(any(), engine::Options { model, loaded, ..engine::Options::default() })
+        .expect("an engine")
+}
+
+/// The time of `rounds` rounds of `round`.
+fn time<F: Future<Output = ()>>(runtime: &Runtime, rounds: u64, round: impl Fn() -> F) -> Duration {
+    let started = Instant::now();
+    runtime.block_on(async {
+        for _ in 0..rounds {
+            round().await;
+        }
+    });
+    started.elapsed()
+}
+
+fn engine_tokens(c: &mut Criterion) {
+    let (runtime, targets) = (runtime(), Targets::open(TIMEOUT));
+    let mut group = c.benchmark_group("engine_tokens");
+    group.sample_size(10).measurement_time(Duration::from_secs(4));
+    // All tokens as fast as the stand-in can make and send them.
+    let unpaced = spawn_engine(Model { speed: 1e6, streams_max: 256, ..Model::default() });
+    group.throughput(Throughput::Elements(256 * 200));
+    group.bench_function("unpaced_256_streams", |b| {
+        b.iter_custom(|n| {
+            time(&runtime, n, || read_streams(&targets, unpaced.address(), 256, 200))
+        });
+    });
+    // One token a stream each 10 ms, so that each token is a write of its
+    // own: at most 51,200 a second from 512 streams.
+    let step = Duration::from_millis(10);
+    let (step_stream, step_kv) = (Duration::ZERO, Duration::ZERO);
+    let paced = Model { step, step_stream, step_kv, streams_max: 512, ..Model::default() };
+    let paced = spawn_engine(paced);
+    group.throughput(Throughput::Elements(512 * 100));
+    group.bench_function("paced_512_streams_of_100_a_second", |b| {
+        b.iter_custom(|n| time(&runtime, n, || read_streams(&targets, paced.address(), 512, 100)));
+    });
+    group.finish();
+}
+
+fn first_token(c: &mut Criterion) {
+    let (runtime, targets) = (runtime(), Targets::open(TIMEOUT));
+    let engine = spawn_engine(Model { speed: 1e6, ..Model::default() });
+    c.bench_function("first_token_of_an_instant_engine", |b| {
+        b.iter_custom(|n| time(&runtime, n, || read_streams(&targets, engine.address(), 1, 1)));
+    });
+}
+
+fn store_calls(c: &mut Criterion) {
+    let (runtime, store) = (runtime(), store::spawn(any()).expect("a store"));
+    let at = store.address();
+    let platform = Platform::open(Address { store: at, hosts: at, weights: at }, TIMEOUT);
+    let write = |client: usize| Write {
+        key: format!("key/{client}"),
+        value: Some("value".into()),
+        expect: Expect::Any,
+        lease: None,
+    };
+    let mut group = c.benchmark_group("store_calls");
+    group.sample_size(10).throughput(Throughput::Elements((CLIENTS * CALLS) as u64));
+    group.bench_function("get", |b| {
+        b.iter_custom(|n| {
+            time(&runtime, n, || {
+                in_parallel(|_| async { drop(platform.get("key/1").await.expect("an answer")) })
+            })
+        });
+    });
+    group.bench_function("write", |b| {
+        b.iter_custom(|n| {
+            time(&runtime, n, || {
+                let platform = &platform;
+                in_parallel(move |client| async move {
+                    platform.write(write(client)).await.expect("an answer");
+                })
+            })
+        });
+    });
+    group.finish();
+}
+
+fn service_calls(c: &mut Criterion) {
+    let runtime = runtime();
+    let options = service::Options { time: Duration::ZERO, ..service::Options::default() };
+    let replica = service::spawn(any(), options).expect("a replica");
+    let (targets, at) = (Targets::open(TIMEOUT), replica.address());
+    let mut group = c.benchmark_group("service_calls");
+    group.sample_size(10).throughput(Throughput::Elements((CLIENTS * CALLS) as u64));
+    group.bench_function("call", |b| {
+        b.iter_custom(|n| {
+            time(&runtime, n, || {
+                in_parallel(|_| async {
+                    let (path, body) = ("/stock".into(), "tin".into());
+                    let call = Call { path, key: None, body, timeout: TIMEOUT };
+                    targets.call(at, call).await.expect("an answer");
+                })
+            })
+        });
+    });
+    group.finish();
+}
+
+/// Each client makes its calls one after another, all clients at once.
+async fn in_parallel<F: Future<Output = ()>>(call: impl Fn(usize) -> F) {
+    let client = |number| {
+        let call = &call;
+        async move {
+            for _ in 0..CALLS {
+                call(number).await;
+            }
+        }
+    };
+    join_all((0..CLIENTS).map(client)).await;
+}
+
+criterion_group!(benches, engine_tokens, first_token, store_calls, service_calls);
+criterion_main!(benches);
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -8,6 +8,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use socket2::{Domain, Protocol, Socket, Type};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -27,6 +28,10 @@
 /// Time for the answer to a switch to go out before it is applied.
 const SWITCH_DELAY: Duration = Duration::from_millis(10);
 
+/// Connections that wait to be accepted: a burst of hundreds of streams must
+/// not meet the second that TCP takes to send a lost SYN again.
+const BACKLOG: i32 = 1_024;
+
 /// Pieces of a streamed body that wait for a slow reader.
 const STREAM_BUFFER: usize = 64;
 
@@ -251,9 +256,12 @@
 }
 
 fn bind(listen: SocketAddr) -> std::io::Result<TcpListener> {
-    let listener = std::net::TcpListener::bind(listen)?;
-    listener.set_nonblocking(true)?;
-    TcpListener::from_std(listener)
+    let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&listen.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
 }
 
 async fn run<S: Service>(listener: TcpListener, address: SocketAddr, service: S, faults: Faults) {
