Stand-ins: a dead process holds nothing, kills and restarts take turns

A kill and a restart at the same moment could leave the killer waiting for good, for the accept loop saw only the later one; a crash could kill the process that had already started again. They take turns now. A killed engine reported the memory it had held until its restart, which hid or faked losses in proofs; its state goes with the process.

--- a/apps/hickory-standin/src/argument.rs
+++ b/apps/hickory-standin/src/argument.rs
@@ -24,7 +24,7 @@
 /// connections break), "silence" (open connections say nothing for good, new
 /// ones work), {"lose":{"loss":"call|answer|silence","path":"/kv/write",
 /// "count":N}} and "clear". Engines also know "turn_cold",
-/// {"stall":{"after":N}} and {"crash_marker":"TEXT"}, services "turn_cold",
+/// {"lag_ms":N}, {"stall":{"after":N}} and {"crash_marker":"TEXT"}, services "turn_cold",
 /// the store {"stale":true} and "compact", the host list {"lag_ms":N},
 /// {"stand":{"target":"engine-0","standing":"leaving"}} and
 /// {"unlist":"engine-0"}.
--- a/apps/hickory-standin/src/main.rs
+++ b/apps/hickory-standin/src/main.rs
@@ -50,21 +50,23 @@
     let mut board = Board::default();
     board.add(name, &handle);
     let control = board.spawn(arguments.control)?;
-    Ready::one(name, handle.address(), control.address()).print()?;
-    wait_for_stop()
+    stay(&Ready::one(name, handle.address(), control.address()))
 }
 
 fn serve_fleet(arguments: &Arguments, fleet: Fleet) -> eyre::Result<()> {
     let control = fleet.board().spawn(arguments.control)?;
-    Ready::fleet(&fleet, control.address()).print()?;
-    wait_for_stop()
+    stay(&Ready::fleet(&fleet, control.address()))
 }
 
-fn wait_for_stop() -> eyre::Result<()> {
+/// Says where everything listens, and waits for the signal to stop. The
+/// signals are taken before that: whoever reads the line may send one at
+/// once, and the process would die of it.
+fn stay(ready: &Ready) -> eyre::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
+        ready.print()?;
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -14,7 +14,7 @@
 use hickory_unit::{id, size};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 pub use crate::option::Options;
 
@@ -285,6 +285,11 @@
         self.memory.clear_cache();
     }
 
+    /// Sets how far the load report lags behind.
+    pub fn set_report_lag(&mut self, lag: Duration) {
+        self.options.report_lag = lag;
+    }
+
     /// Stops streams from moving on, or lets them again.
     pub fn set_stall(&mut self, now: Instant, stall: Stall) {
         self.advance(now);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -337,7 +337,7 @@
         }
     }
 
-    fn restart(&self, faults: &Faults) {
+    fn reset(&self, faults: &Faults) {
         let model = Model { warmth: 0, ..self.inner.options.model.clone() };
         let mut held = self.lock();
         held.engine = Engine::open(faults.now(), faults.incarnation(), model);
@@ -353,6 +353,10 @@
             Switch::Stall { after } => {
                 self.stall(after.map_or(Stall::None, Stall::After));
             }
+            Switch::LagMs(lag) => {
+                let lag = Duration::from_millis(*lag);
+                self.with_engine(|engine| engine.set_report_lag(lag));
+            }
             Switch::CrashMarker(marker) => self.set_crash_marker(marker.clone()),
             _ => return false,
         }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -83,7 +83,8 @@
     Stale(bool),
     /// Key-value service: forget the changes so far.
     Compact,
-    /// Host list: how far it lags behind, in milliseconds.
+    /// Host list, engine: how far the list or the load report lags behind, in
+    /// milliseconds.
     LagMs(u64),
     /// Host list: the standing of a target.
     Stand {
@@ -119,6 +120,7 @@
     silent_below: AtomicU64,
     next_connection: AtomicU64,
     incarnation: AtomicU64,
+    turn: Mutex<()>,
     state: Mutex<State>,
     settled: Condvar,
     life: watch::Sender<Life>,
@@ -139,6 +141,7 @@
             silent_below: AtomicU64::new(0),
             next_connection: AtomicU64::new(0),
             incarnation: AtomicU64::new(clock::System.wall_ms() << 8),
+            turn: Mutex::default(),
             state: Mutex::default(),
             settled: Condvar::new(),
             life: watch::Sender::new(Life::Up),
@@ -151,21 +154,27 @@
     /// Kills the process: open connections are cut and the port is closed
     /// when this returns.
     pub fn kill(&self) {
-        self.switch(Life::Down);
+        let turn = self.lock_turn();
+        self.switch(&turn, Life::Down);
     }
 
     /// Starts the process again as a new incarnation, on the same port; it
     /// listens when this returns.
     pub fn restart(&self) {
-        self.kill();
+        let turn = self.lock_turn();
+        self.switch(&turn, Life::Down);
         self.inner.incarnation.fetch_add(1, Ordering::SeqCst);
         self.thaw();
-        self.switch(Life::Up);
+        self.switch(&turn, Life::Up);
     }
 
     /// Kills the process and starts it again after `time`.
     pub fn down_for(&self, time: Duration) {
         self.kill();
+        self.restart_after(time);
+    }
+
+    fn restart_after(&self, time: Duration) {
         let faults = self.clone();
         crate::server::runtime().spawn(async move {
             tokio::time::sleep(time).await;
@@ -176,10 +185,18 @@
     /// Kills the process from within its own runtime, and starts it again
     /// after a while where one is given.
     pub(crate) fn crash(&self, restart_after: Option<Duration>) {
-        let faults = self.clone();
-        crate::server::runtime().spawn_blocking(move || match restart_after {
-            Some(time) => faults.down_for(time),
-            None => faults.kill(),
+        let (faults, crashed) = (self.clone(), self.incarnation());
+        crate::server::runtime().spawn_blocking(move || {
+            let turn = faults.lock_turn();
+            // A restart may have come before: the new process did not crash.
+            if faults.incarnation() != crashed {
+                return;
+            }
+            faults.switch(&turn, Life::Down);
+            drop(turn);
+            if let Some(time) = restart_after {
+                faults.restart_after(time);
+            }
         });
     }
 
@@ -341,7 +358,13 @@
         self.inner.settled.notify_all();
     }
 
-    fn switch(&self, life: Life) {
+    /// Kills and restarts go one after another: the accept loop sees only
+    /// the last of two that come together, and the first would wait for good.
+    fn lock_turn(&self) -> MutexGuard<'_, ()> {
+        self.inner.turn.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn switch(&self, _turn: &MutexGuard<'_, ()>, life: Life) {
         if *self.inner.life.borrow() == Life::Stopped {
             return;
         }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -182,9 +182,9 @@
     /// Answers a call.
     fn call(&self, call: Call) -> impl Future<Output = Reply> + Send;
 
-    /// Starts a new incarnation after a kill: what the process held in memory
-    /// is gone.
-    fn restart(&self, _faults: &Faults) {}
+    /// Loses what the process held in memory: called when it dies, and when
+    /// it starts again as a new incarnation.
+    fn reset(&self, _faults: &Faults) {}
 
     /// Applies a fault that only this stand-in has; `false` where it has no
     /// such fault.
@@ -272,12 +272,15 @@
         let now = *life.borrow_and_update();
         match (now, &listener) {
             (Life::Up, None) => {
-                service.restart(&faults);
+                service.reset(&faults);
                 listener = rebind(address).await;
             }
             (Life::Down | Life::Stopped, _) => {
-                listener = None;
+                let was_up = listener.take().is_some();
                 connections.shutdown().await;
+                if was_up {
+                    service.reset(&faults);
+                }
             }
             (Life::Up, Some(_)) => {}
         }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -186,7 +186,7 @@
         }
     }
 
-    fn restart(&self, faults: &Faults) {
+    fn reset(&self, faults: &Faults) {
         let model = self.options.model(0);
         *self.lock_warmth() = (Warmth::open(faults.now(), &model), model);
     }
--- a/crates/standin/tests/control.rs
+++ b/crates/standin/tests/control.rs
@@ -89,6 +89,40 @@
     wait_until(async || Engines::report(&targets, at).await.is_ok()).await;
 }
 
+/// Kills and restarts from many sides at once neither wait for good nor leave
+/// the stand-in in between.
+#[tokio::test]
+async fn switches_may_come_at_once() {
+    let fleet = Fleet::spawn(options()).unwrap();
+    let engine = &fleet.engines[0];
+    std::thread::scope(|scope| {
+        for number in 0..8 {
+            let faults = engine.faults();
+            scope.spawn(move || {
+                for _ in 0..10 {
+                    if number % 2 == 0 { faults.kill() } else { faults.restart() }
+                }
+            });
+        }
+    });
+    engine.faults().restart();
+    let targets = Targets::open(TIMEOUT);
+    assert!(Engines::report(&targets, engine.address()).await.is_ok());
+}
+
+/// A dead engine holds nothing, also before it starts again.
+#[tokio::test]
+async fn memory_goes_with_the_process() {
+    let fleet = Fleet::spawn(options()).unwrap();
+    let engine = &fleet.engines[0];
+    engine.service().stall(hickory_model::batch::Stall::After(0));
+    let targets = Targets::open(TIMEOUT);
+    let _tokens = targets.generate(engine.address(), &generate(1, "held")).await.unwrap();
+    assert!(engine.service().kv_used().0 > 0);
+    engine.faults().kill();
+    assert_eq!(engine.service().kv_used().0, 0);
+}
+
 /// A request that crashes each engine that runs it: those beside it on the
 /// engine are lost with it, and the engine comes back cold.
 #[tokio::test]
