--- /dev/null
+++ b/crates/platform/tests/status.rs
@@ -0,0 +1,60 @@
+//! What a caller concludes from a status, and from a body that can't be read.
+
+use hickory_platform::http::{Address, Platform};
+use hickory_platform::store::{Error, Expect, Store, Write};
+use hickory_standin::server::{self, Call, Reply, Service};
+use std::time::Duration;
+
+/// Answers every call alike.
+#[derive(Clone)]
+struct Fixed(u16, &'static str);
+
+impl Service for Fixed {
+    async fn call(&self, _call: Call) -> Reply {
+        Reply::status(self.0, self.1)
+    }
+}
+
+/// Status and body, and what a writer is told.
+///
+/// A status that blames the service leaves open whether the write took
+/// effect. A conflict without an entry that can be read must not look like
+/// one with an absent key, or the caller would create it anew.
+const ROWS: &[(u16, &str, &str)] = &[
+    (200, "7", "done"),
+    (200, "", "unknown"),
+    (200, "no revision", "unknown"),
+    (204, "", "unknown"),
+    (302, "", "unknown"),
+    (400, "", "not done"),
+    (404, "", "lapsed"),
+    (409, "null", "conflict with nothing"),
+    (409, r#"{"key":"k","value":"v","revision":3}"#, "conflict with an entry"),
+    (409, "no entry", "not done"),
+    (429, "", "not done"),
+    (500, "", "unknown"),
+    (502, "", "unknown"),
+    (503, "", "unknown"),
+    (504, "", "unknown"),
+];
+
+#[tokio::test]
+async fn writer_is_told_by_status() {
+    for (status, body, told) in ROWS {
+        let server = server::spawn("127.0.0.1:0".parse().unwrap(), Fixed(*status, body)).unwrap();
+        let at = server.address();
+        let address = Address { store: at, hosts: at, weights: at };
+        let platform = Platform::open(address, Duration::from_secs(10));
+        let (key, value) = ("k".into(), Some("v".into()));
+        let write = Write { key, value, expect: Expect::Absent, lease: None };
+        let seen = match platform.write(write).await {
+            Ok(_) => "done",
+            Err(Error::Conflict(None)) => "conflict with nothing",
+            Err(Error::Conflict(Some(_))) => "conflict with an entry",
+            Err(Error::NotDone(_)) => "not done",
+            Err(Error::Unknown(_)) => "unknown",
+            Err(Error::LeaseLapsed) => "lapsed",
+        };
+        assert_eq!(seen, *told, "{status} {body}");
+    }
+}
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -238,7 +238,7 @@
 }
 
 /// Listens at `listen` (port 0: any) and serves.
-pub(crate) fn spawn<S: Service>(listen: SocketAddr, service: S) -> std::io::Result<Handle<S>> {
+pub fn spawn<S: Service>(listen: SocketAddr, service: S) -> std::io::Result<Handle<S>> {
     spawn_with(listen, service, Faults::none())
 }
 
