--- a/apps/hickory-node/tests/proofs/main.rs
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -2,10 +2,15 @@
 //! failures that the brief names. Waits are on conditions, never on guessed
 //! times.
 
+mod burst;
+mod cold;
+mod config;
 mod death;
 mod logs;
+mod long;
 mod once;
 mod path;
+mod poison;
 mod stop;
 mod support;
 mod whole;
--- a/crates/node/src/complete.rs
+++ b/crates/node/src/complete.rs
@@ -6,20 +6,23 @@
 
 use crate::core::{Active, Core};
 use crate::parse::{Completion, refuse};
+use crate::parts::{self, Reserve};
 use crate::permit::{self, Leave, Want};
 use crate::record;
 use crate::relay::{self, End, Relay};
 use crate::seal::Position;
+use crate::suspect;
 use crate::view::Need;
 use compact_str::CompactString;
+use hickory_policy::poison::DEATHS;
 use hickory_policy::refuse::{Ran, Reason, Refusal, Retry};
 use hickory_target::Error;
-use hickory_target::engine::{Engines, Generate, Priority};
+use hickory_target::engine::{Engines, Generate, Handle, Priority};
 use hickory_telemetry::label::{Direction, Work};
 use hickory_unit::{id, size};
 use hickory_wire::message::Ending;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
 /// Attempts at one completion. Two targets may fail under it by bad luck; at a
@@ -48,7 +51,16 @@
     tokio::spawn(async move {
         let _active = Active::begin(&core);
         let _in_flight = core.metrics.begin(Work::Completion);
-        let run = Run { core: &core, completion: &completion, out, delivered: 0, sent: false };
+        let began = core.now();
+        let run = Run {
+            core: &core,
+            completion: &completion,
+            out,
+            began,
+            delivered: 0,
+            sent: false,
+            deaths: 0,
+        };
         run.run().await;
     });
     pieces
@@ -59,9 +71,13 @@
     core: &'a Arc<Core>,
     completion: &'a Completion,
     out: mpsc::Sender<Piece>,
+    /// When the request was admitted.
+    began: Instant,
     delivered: u64,
     /// Whether bytes went to any target.
     sent: bool,
+    /// Targets that died while they ran it.
+    deaths: u32,
 }
 
 /// How an attempt ended.
@@ -70,6 +86,8 @@
     Whole(u64),
     /// Another target may do it.
     Again(Retry),
+    /// The target died while it ran.
+    Died,
     /// The caller is gone; nothing is left to do.
     Gone,
     /// It is given up on.
@@ -79,18 +97,39 @@
 impl Run<'_> {
     async fn run(mut self) {
         let mut excluded: Vec<id::Target> = Vec::new();
+        let (core, fingerprint) = (self.core, self.completion.fingerprint);
+        let account = &self.completion.caller.account;
+        core.record.earn(account);
         for attempt in 0..ATTEMPTS_MAX {
             match self.attempt(attempt, &mut excluded).await {
                 Attempt::Whole(count) => {
+                    core.record.note_success(core.now(), fingerprint);
                     let prompt = self.completion.cost.prefill;
                     self.core.metrics.tokens(Direction::Prompt, prompt);
                     self.core.metrics.tokens(Direction::Answer, size::Tokens(count));
                     let _ = self.out.send(Piece::End(count)).await;
                     return;
                 }
-                Attempt::Again(reason) => self.core.metrics.retried(reason),
-                Attempt::Gone => return,
-                Attempt::Refused(refusal) => return self.refuse(refusal).await,
+                Attempt::Again(reason) => {
+                    if let Err(refusal) = suspect::spend_retry(core, account, reason) {
+                        return self.refuse(refusal).await;
+                    }
+                }
+                Attempt::Gone => return suspect::drop_trial(core, fingerprint),
+                Attempt::Refused(refusal) => {
+                    suspect::drop_trial(core, fingerprint);
+                    return self.refuse(refusal).await;
+                }
+                Attempt::Died => {
+                    self.deaths += 1;
+                    if self.deaths >= DEATHS {
+                        let refusal = suspect::condemn(core, fingerprint).await;
+                        return self.refuse(refusal).await;
+                    }
+                    if let Err(refusal) = suspect::spend_retry(core, account, Retry::TargetFailed) {
+                        return self.refuse(refusal).await;
+                    }
+                }
             }
         }
         let refusal = refuse(Reason::TargetFailed, "the targets failed that it was sent to");
@@ -107,7 +146,8 @@
 
     async fn attempt(&mut self, attempt: u32, excluded: &mut Vec<id::Target>) -> Attempt {
         let c = self.completion;
-        let stream = permit::name_stream(self.core, c.request, attempt, c.deadline_ms);
+        let number = attempt * parts::PARTS_MAX;
+        let stream = permit::name_stream(self.core, c.request, number, c.deadline_ms);
         let want = Want {
             need: Need::Weights(&c.weights),
             stream: &stream,
@@ -118,7 +158,21 @@
             deadline: c.deadline,
             fingerprint: c.fingerprint,
             prefix: c.prefix,
+            alone: false,
         };
+        let judged = tokio::select! {
+            judged = suspect::judge(self.core, c) => judged,
+            () = self.out.closed() => return Attempt::Gone,
+        };
+        // What a target died under is not set beside others again, whether or
+        // not the target's owner has told of the death yet.
+        let want = match judged {
+            Ok(alone) => Want { alone: alone || self.deaths > 0, ..want },
+            Err(refusal) => return Attempt::Refused(refusal),
+        };
+        if parts::find_candidates(self.core, c).is_some() {
+            return self.attempt_parts(attempt).await;
+        }
         let obtained = tokio::select! {
             obtained = permit::obtain(self.core, &want, excluded) => obtained,
             () = self.out.closed() => return Attempt::Gone,
@@ -128,12 +182,46 @@
             Err(refusal) => return Attempt::Refused(refusal),
         };
         excluded.push(leave.target.clone());
-        let end = self.send(&leave).await;
+        let end = self.send(&leave, None).await;
         self.settle(&leave, end)
     }
 
+    /// An attempt over several engines.
+    async fn attempt_parts(&mut self, attempt: u32) -> Attempt {
+        let (core, completion, out) = (self.core, self.completion, &self.out);
+        let reserve = Reserve { core, completion, attempt, out };
+        let mut held = match reserve.run().await {
+            Ok(held) => held,
+            Err(_) if self.out.is_closed() => return Attempt::Gone,
+            Err(refusal) => return Attempt::Refused(refusal),
+        };
+        self.sent = true;
+        let prefilled = parts::prefill(core, completion, &mut held, &self.out).await;
+        let Some(leave) = parts::last_leave(&held).cloned() else { return Attempt::Gone };
+        let attempt = match prefilled {
+            Ok(import) => {
+                let end = self.send(&leave, import).await;
+                self.settle(&leave, end)
+            }
+            // The last part was never opened; its own end is told as such.
+            Err(end) => {
+                permit::give_back(
+                    core,
+                    &leave.target,
+                    &leave.permit,
+                    &leave.stream,
+                    Ending::NotSent,
+                    None,
+                );
+                read_end(end)
+            }
+        };
+        parts::release(core, held);
+        attempt
+    }
+
     /// Sends the attempt and relays its tokens.
-    async fn send(&mut self, leave: &Leave) -> (End, Option<Duration>) {
+    async fn send(&mut self, leave: &Leave, import: Option<Handle>) -> (End, Option<Duration>) {
         let c = self.completion;
         let generate = Generate {
             stream: leave.stream.clone(),
@@ -141,7 +229,7 @@
             prompt: c.prompt.clone(),
             max_tokens: c.cost.decode,
             priority: Priority(leave.permit.priority),
-            import: None,
+            import,
             prefill_only: None,
             from: self.delivered,
         };
@@ -161,12 +249,15 @@
             Ok(tokens) => relay.run(tokens).await,
             Err(end) => end,
         };
-        self.delivered = relay.delivered;
-        let first_token = relay.first_token.map(|at| at - began);
-        if let Some(time) = first_token {
-            self.core.metrics.first_token(c.cost.prefill, time);
+        // What the caller waits for: with the queue and with failed attempts,
+        // and not the first token of an attempt that goes on with a stream.
+        if let Some(at) = relay.first_token
+            && self.delivered == 0
+        {
+            self.core.metrics.first_token(c.cost.prefill, at - self.began);
         }
-        (end, first_token)
+        self.delivered = relay.delivered;
+        (end, relay.first_token.map(|at| at - began))
     }
 
     /// Tells the owner how the attempt ended and decides what comes next.
@@ -174,22 +265,22 @@
         if !matches!(end, End::Failed(Error::NotSent(_) | Error::Refused(_))) {
             self.sent = true;
         }
-        let (ending, attempt) = match end {
-            End::Whole(count) => (Ending::Finished, Attempt::Whole(count)),
+        let ending = match &end {
+            End::Whole(_) => Ending::Finished,
             // The permit is the other node's to give back.
             End::Taken => return Attempt::Gone,
-            End::Gone => (Ending::Left, Attempt::Gone),
-            End::Deadline => {
-                let refusal = refuse(Reason::Deadline, "the deadline passed while it ran");
-                (Ending::Lost, Attempt::Refused(refusal))
-            }
-            End::Stalled => (Ending::Lost, Attempt::Again(Retry::Stalled)),
-            End::Died => (Ending::TargetDied, Attempt::Again(Retry::TargetFailed)),
-            End::Failed(Error::NotSent(_)) => (Ending::NotSent, Attempt::Again(Retry::NotSent)),
-            End::Failed(Error::Refused(_)) => (Ending::NotSent, Attempt::Again(Retry::Refused)),
-            End::Failed(_) => (Ending::Lost, Attempt::Again(Retry::TargetFailed)),
+            End::Gone => Ending::Left,
+            End::Died => Ending::TargetDied,
+            End::Failed(Error::NotSent(_) | Error::Refused(_)) => Ending::NotSent,
+            End::Deadline | End::Stalled | End::Failed(_) => Ending::Lost,
+        };
+        let attempt = read_end(end);
+        let retry = match attempt {
+            Attempt::Again(reason) => Some(reason),
+            Attempt::Died => Some(Retry::TargetFailed),
+            Attempt::Whole(_) | Attempt::Gone | Attempt::Refused(_) => None,
         };
-        if let Attempt::Again(reason) = attempt {
+        if let Some(reason) = retry {
             record::log_retry(self.core, &self.completion.caller.account, leave, reason);
         }
         let (target, permit) = (&leave.target, &leave.permit);
@@ -197,3 +288,19 @@
         attempt
     }
 }
+
+/// What comes after an attempt that ended so.
+fn read_end(end: End) -> Attempt {
+    match end {
+        End::Whole(count) => Attempt::Whole(count),
+        End::Taken | End::Gone => Attempt::Gone,
+        End::Deadline => {
+            Attempt::Refused(refuse(Reason::Deadline, "the deadline passed while it ran"))
+        }
+        End::Stalled => Attempt::Again(Retry::Stalled),
+        End::Died => Attempt::Died,
+        End::Failed(Error::NotSent(_)) => Attempt::Again(Retry::NotSent),
+        End::Failed(Error::Refused(_)) => Attempt::Again(Retry::Refused),
+        End::Failed(_) => Attempt::Again(Retry::TargetFailed),
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod drive;
 mod entry;
 mod parse;
+mod parts;
 mod peers;
 mod permit;
 mod record;
@@ -30,7 +31,9 @@
 mod resume;
 mod seal;
 mod seat;
+mod seats;
 mod serve;
+mod suspect;
 mod view;
 
 use crate::core::{Core, LinkProbe, Stage};
@@ -87,6 +90,7 @@
         tokio::spawn(peers::follow_hosts(core.clone()));
         tokio::spawn(peers::gossip(core.clone(), links));
         tokio::spawn(drive::follow_owned(core.clone()));
+        tokio::spawn(drive::poll_seats(core.clone()));
         tokio::spawn(drain::follow(core.clone()));
         let listener = tokio::net::TcpListener::from_std(callers)?;
         tokio::spawn(serve::serve(core.clone(), listener));
@@ -180,8 +184,9 @@
         member,
         owners,
         platform,
-        view: view::View::default(),
-        seats: seat::Seats::default(),
+        view: view::View::open(settings.zone.clone()),
+        seats: seats::Seats::default(),
+        record: suspect::Record::default(),
         metrics,
         stage: watch::channel(Stage::Serving).0,
         active: AtomicUsize::new(0),
