Versions go out beside each other; loads keep to the weight store's slots

Owners compare what an engine holds with what the configuration offers and order the difference: the rarest weights first, each load under a slot held in the key-value service, nothing unloaded while anything runs on it. A request that names no version gets the current one, or while no engine serves that yet one that is served.

Found by the new proof of empty engines: three loads at once where the store bears two. Cause: the slot was given back when the next report did not show the load, and reports lag. It is kept until the weights are ready or the report's lag has passed. Before: failed; after: passes.

--- a/apps/hickory-node/tests/proofs/main.rs
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -13,5 +13,6 @@
 mod poison;
 mod stop;
 mod support;
+mod versions;
 mod whole;
 mod zone;
--- a/apps/hickory-node/tests/proofs/support.rs
+++ b/apps/hickory-node/tests/proofs/support.rs
@@ -185,6 +185,15 @@
     /// work to every target.
     pub async fn start(count: usize, options: fleet::Options) -> Self {
         let targets = options.engines + options.replicas;
+        let scene = Self::start_unready(count, options).await;
+        for node in &scene.nodes {
+            scene.ready(node, targets).await;
+        }
+        scene
+    }
+
+    /// As `start`, with the first note in force but no wait for the targets.
+    pub async fn start_unready(count: usize, options: fleet::Options) -> Self {
         let standins = Fleet::spawn(options).expect("the stand-ins start");
         let nodes = (0..count)
             .map(|i| Node::start(&format!("node-{i}"), ["a", "b", "c"][i % 3], &standins, &times()))
@@ -192,9 +201,6 @@
         let http = Client::builder(TokioExecutor::new()).build_http();
         let scene = Self { standins, nodes, http };
         scene.accept(&first_note()).await;
-        for node in &scene.nodes {
-            scene.ready(node, targets).await;
-        }
         scene
     }
 
--- /dev/null
+++ b/apps/hickory-node/tests/proofs/versions.rs
@@ -0,0 +1,84 @@
+//! Weights on engines follow the configuration: a new version goes out beside
+//! the old one, and what is withdrawn goes after its last stream.
+
+use crate::support::{MODEL, Scene, eventually, expected, options, weights};
+use hickory_target::engine::Weights;
+use hickory_unit::size;
+use serde_json::{Value, json};
+
+fn model_note(against: u64, current: &str, versions: &[&str]) -> Value {
+    let versions: serde_json::Map<_, _> =
+        versions.iter().map(|v| ((*v).to_owned(), json!({ "bytes": 1_000_000 }))).collect();
+    json!({
+        "against": against,
+        "operation": uuid::Uuid::now_v7().to_string(),
+        "changed": { "models": { MODEL: { "current": current, "versions": versions } } },
+    })
+}
+
+impl Scene {
+    /// Engines that serve with the version.
+    fn serving(&self, version: &str) -> usize {
+        let wanted = Weights { version: version.into(), ..weights() };
+        let engines = self.standins.engines.iter();
+        let reports = engines.map(|engine| engine.service().with_engine(|e| e.take_report()));
+        let has = |l: &hickory_target::engine::Loaded| l.ready && l.weights == wanted;
+        reports.filter(|report| report.loaded.iter().any(has)).count()
+    }
+}
+
+/// A new version goes out and the old one is withdrawn, while callers who name
+/// no version ask all the time. No request is refused: the old version serves
+/// until the new one is ready, and a stream that runs on it ends whole before
+/// it is unloaded.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_version_goes_out_without_a_refusal() {
+    let mut options = options();
+    options.engine.model.speed = 1.0;
+    options.weights.bytes_per_second = size::Bytes(40_000_000_000);
+    let scene = Scene::start(2, options).await;
+    let at = scene.nodes[0].callers;
+    let mut running = scene.complete(at, "on the old version", 150).await.unwrap();
+    assert!(running.next().await);
+    let asks = async {
+        for i in 0..40 {
+            let prompt = format!("ask {i}");
+            let mut stream = scene.complete(at, &prompt, 2).await.unwrap();
+            stream.rest().await;
+            assert_eq!(stream.problem, None);
+            assert_eq!(stream.text, expected(&prompt, 2));
+        }
+    };
+    let rollout = async {
+        scene.accept(&model_note(1, "2", &["1", "2"])).await;
+        let loaded = || async { (scene.serving("2") == 3).then_some(()) };
+        eventually("all engines serve the new version", loaded).await;
+        scene.accept(&model_note(2, "2", &["2"])).await;
+    };
+    let ((), ()) = tokio::join!(asks, rollout);
+    running.rest().await;
+    assert_eq!(running.text, expected("on the old version", 150));
+    let unloaded = || async { (scene.serving("1") == 0).then_some(()) };
+    eventually("the old version is unloaded", unloaded).await;
+}
+
+/// All engines are empty, as after a zone's return. They load one after the
+/// other, no more at once than the weight store bears, until all serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn empty_engines_load_within_the_bound_of_the_weight_store() {
+    let mut options = options();
+    options.engines = 5;
+    options.engine.loaded = Vec::new();
+    options.weights.bytes_per_second = size::Bytes(40_000_000_000);
+    let scene = Scene::start_unready(2, options).await;
+    let most = std::sync::atomic::AtomicUsize::new(0);
+    eventually("all engines serve", || async {
+        let engines = scene.standins.engines.iter();
+        let reports = engines.map(|engine| engine.service().with_engine(|e| e.take_report()));
+        let loading = reports.filter(|report| report.loaded.iter().any(|l| !l.ready)).count();
+        most.fetch_max(loading, std::sync::atomic::Ordering::Relaxed);
+        (scene.serving("1") == 5).then_some(())
+    })
+    .await;
+    assert!(most.into_inner() <= 2, "more loads at once than the store bears");
+}
--- a/crates/node/src/drive.rs
+++ b/crates/node/src/drive.rs
@@ -2,16 +2,16 @@
 //! cancel what nobody stands for, give orders.
 
 use crate::core::{Core, Stage};
+use crate::orders;
 use crate::seat::Found;
 use hickory_platform::host::{Host, Kind};
 use hickory_policy::limit::{Capacity, Observed};
 use hickory_policy::ramp::Sample;
-use hickory_release::configuration::Configuration;
 use hickory_state::owner::Terms;
 use hickory_target::Error;
-use hickory_target::engine::{Cancelled, Engines, Order, Report, Weights};
+use hickory_target::engine::{Cancelled, Engines, Report};
 use hickory_target::service::{self, Services};
-use hickory_telemetry::label::{self, Orphan, Ownership};
+use hickory_telemetry::label::{Orphan, Ownership};
 use hickory_unit::clock::Clock;
 use hickory_unit::{id, size};
 use std::collections::HashMap;
@@ -124,7 +124,7 @@
     take_report(core, &host.target, &report);
     cancel_orphans(core, host).await;
     if let Some(configuration) = core.configuration() {
-        give_orders(core, host, epoch, &report, &configuration).await;
+        orders::give_orders(core, host, epoch, &report.loaded, &configuration).await;
     }
     true
 }
@@ -195,42 +195,6 @@
     }
 }
 
-/// Compares what the engine holds with what is wanted and orders the
-/// difference. Orders are idempotent and follow from the present state, so a
-/// late order of a former owner is undone by the next comparison.
-async fn give_orders(
-    core: &Core,
-    host: &Host,
-    epoch: id::Epoch,
-    report: &Report,
-    configuration: &Configuration,
-) {
-    for weights in wanted_weights(configuration) {
-        if !report.loaded.iter().any(|loaded| loaded.weights == weights) {
-            let order = Order::Load(weights);
-            core.metrics.ordered(match core.targets.order(host.address, epoch, &order).await {
-                Ok(_) => label::Order::Confirmed,
-                Err(Error::Stale) => label::Order::Fenced,
-                Err(_) => label::Order::Failed,
-            });
-        }
-    }
-}
-
-fn wanted_weights(configuration: &Configuration) -> Vec<Weights> {
-    let weights = |model: &id::Model, version: &id::Version, adapter: Option<&id::Adapter>| {
-        Weights { model: model.clone(), version: version.clone(), adapter: adapter.cloned() }
-    };
-    let models = configuration.models.iter();
-    models
-        .flat_map(|(name, model)| {
-            let plain = std::iter::once(weights(name, &model.current, None));
-            let adapters = model.adapters.keys();
-            plain.chain(adapters.map(|adapter| weights(name, &model.current, Some(adapter))))
-        })
-        .collect()
-}
-
 async fn drive_service(core: &Core, host: &Host) -> bool {
     let report: Result<service::Report, Error> =
         Services::report(&core.targets, host.address).await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod drain;
 mod drive;
 mod entry;
+mod orders;
 mod parse;
 mod parts;
 mod peers;
--- a/crates/node/src/parse.rs
+++ b/crates/node/src/parse.rs
@@ -5,7 +5,7 @@
 
 use hickory_policy::cost::{Class, Cost};
 use hickory_policy::refuse::{Ran, Reason, Refusal};
-use hickory_release::configuration::Configuration;
+use hickory_release::configuration::{Configuration, Model};
 use hickory_target::engine::Weights;
 use hickory_unit::{id, size};
 use http::HeaderMap;
@@ -148,6 +148,7 @@
     time_left: Duration,
     body: &[u8],
     configuration: &Configuration,
+    is_served: impl Fn(&Weights) -> bool,
 ) -> Result<Completion, Refusal> {
     let body: Body = serde_json::from_slice(body)
         .map_err(|e| refuse(Reason::Malformed, format!("body: {e}")))?;
@@ -158,7 +159,7 @@
         let detail = format!("body: max_tokens: must be from 1 to {TOKENS_MAX}");
         return Err(refuse(Reason::Malformed, detail));
     }
-    let weights = parse_weights(&body, &caller, configuration)?;
+    let weights = parse_weights(&body, &caller, configuration, is_served)?;
     let prefill = size::Tokens::of_bytes(size::Bytes(body.prompt.len() as u64));
     let prefix = &body.prompt.as_bytes()[..body.prompt.len().min(PREFIX_LEN)];
     Ok(Completion {
@@ -183,6 +184,7 @@
     body: &Body,
     caller: &Caller,
     configuration: &Configuration,
+    is_served: impl Fn(&Weights) -> bool,
 ) -> Result<Weights, Refusal> {
     let missing = |what: &str, name: &str| {
         refuse(Reason::NotFound, format!("body: {what}: no {what} {name:?}"))
@@ -196,7 +198,9 @@
         let detail = format!("body: model: account {} may not use it", caller.account);
         return Err(refuse(Reason::Forbidden, detail));
     }
-    let version = body.version.as_ref().unwrap_or(&model.current);
+    let version = body.version.as_ref().unwrap_or_else(|| {
+        choose_version(model, |version| is_served(&name_weights(body, version)))
+    });
     if !model.versions.contains_key(version) {
         return Err(missing("version", version.as_str()));
     }
@@ -205,11 +209,21 @@
     {
         return Err(missing("adapter", adapter.as_str()));
     }
-    Ok(Weights {
-        model: body.model.clone(),
-        version: version.clone(),
-        adapter: body.adapter.clone(),
-    })
+    Ok(name_weights(body, version))
+}
+
+fn name_weights(body: &Body, version: &id::Version) -> Weights {
+    Weights { model: body.model.clone(), version: version.clone(), adapter: body.adapter.clone() }
+}
+
+/// The version for a request that names none: the current one, or while no
+/// engine serves that yet another one that is served. A version that has just
+/// gone out is still being loaded, and its callers need not wait for that.
+fn choose_version(model: &Model, is_served: impl Fn(&id::Version) -> bool) -> &id::Version {
+    if is_served(&model.current) {
+        return &model.current;
+    }
+    model.versions.keys().rev().find(|version| is_served(version)).unwrap_or(&model.current)
 }
 
 /// A hash of byte strings, each with its length, so that they can't run into
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -64,6 +64,14 @@
     }
 }
 
+pub(crate) fn from_wire(weights: &message::Weights) -> engine::Weights {
+    engine::Weights {
+        model: weights.model.clone(),
+        version: weights.version.clone(),
+        adapter: weights.adapter.clone(),
+    }
+}
+
 /// Gets leave for an attempt, or the refusal that is final for it.
 pub(crate) async fn obtain(
     core: &Core,
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -143,11 +143,26 @@
         };
         match resumed {
             Ok(Ok(tokens)) => Ok(tokens),
-            Ok(Err(Error::NotFound | Error::NotSent(_))) | Err(_) => Err(End::Died),
+            Ok(Err(Error::NotFound)) => Err(self.read_unknown().await),
+            Ok(Err(Error::NotSent(_))) | Err(_) => Err(End::Died),
             Ok(Err(error)) => Err(End::Failed(error)),
         }
     }
 
+    /// The engine answers and does not know the stream. Where its process is
+    /// the one that the owner told of, the connection broke before the engine
+    /// read the request; else it died, perhaps of it.
+    async fn read_unknown(&self) -> End {
+        let known = self.core.view.state(self.target).map(|state| state.incarnation);
+        let report = Engines::report(&self.core.targets, self.address).await;
+        match report {
+            Ok(report) if Some(report.incarnation) == known && self.first_token.is_none() => {
+                End::Failed(Error::Refused("the engine never began".into()))
+            }
+            _ => End::Died,
+        }
+    }
+
     /// Reads one connection until the stream's end or a cut.
     async fn read(&mut self, tokens: &mut Tokens) -> Result<End, Cut> {
         loop {
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -4,15 +4,16 @@
 //! No input or output: the time and the target's reports are passed in, so
 //! that it runs in tests without sockets.
 
+use crate::orders::Loads;
 use hickory_policy::cost::{Class, Cost};
 use hickory_policy::limit::{self, Answer, Capacity, Limiter, Observed, Ticket, priority_of};
 use hickory_policy::ramp::Sample;
 use hickory_policy::refuse::Reason;
 use hickory_release::configuration::Configuration;
-use hickory_target::engine::{Handle, Held, Report};
+use hickory_target::engine::{self, Handle, Held, Report};
 use hickory_unit::{id, size};
 use hickory_wire::message::{Adopt, Ask, Ending, Outcome, Permit, Refusal, State, Weights};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
@@ -59,6 +60,8 @@
     drops: Vec<Handle>,
     /// Whether the target's death has been counted, until it reports again.
     dead: bool,
+    /// The loads of weights onto it.
+    pub(crate) loads: Loads,
     /// What its nodes say it died under, until a report confirms or denies it.
     fallen: Vec<u64>,
     /// The configuration whose shares the limiter follows.
@@ -90,6 +93,8 @@
     fingerprint: u64,
     /// KV cache at its greatest.
     kv: size::Tokens,
+    /// What runs it, on an engine.
+    weights: Option<Weights>,
     /// When the caller's connection went, where it did.
     left: Option<Instant>,
     /// When it was granted, while its asker has not been told.
@@ -107,6 +112,7 @@
     priority: u8,
     fingerprint: u64,
     kv: size::Tokens,
+    weights: Option<Weights>,
     waker: Option<oneshot::Sender<Result<Permit, Refusal>>>,
 }
 
@@ -150,6 +156,7 @@
             cancels: Vec::new(),
             drops: Vec::new(),
             dead: false,
+            loads: Loads::default(),
             fallen: Vec::new(),
             release: id::Release(0),
             told: None,
@@ -211,7 +218,8 @@
             Answer::Granted(ticket) => {
                 let granted = Granted::to(ask.stream.clone(), until, priority);
                 let (fingerprint, kv) = (ask.fingerprint, ask.cost.kv);
-                self.insert_permit(ticket, Granted { fingerprint, kv, ..granted });
+                let weights = ask.weights.clone();
+                self.insert_permit(ticket, Granted { fingerprint, kv, weights, ..granted });
                 Begun::Answered(Ok(self.make_permit(ticket, priority, life)))
             }
             Answer::Queued(ticket) => {
@@ -225,6 +233,7 @@
                     priority,
                     fingerprint: ask.fingerprint,
                     kv: ask.cost.kv,
+                    weights: ask.weights.clone(),
                     waker,
                 };
                 self.waiting.insert(ticket, waiting);
@@ -287,12 +296,21 @@
         if granted {
             let granted = Granted::to(waiting.stream, waiting.until, waiting.priority);
             let untold = (!told).then_some(now);
-            let (fingerprint, kv) = (waiting.fingerprint, waiting.kv);
-            let granted = Granted { untold, fingerprint, kv, ..granted };
+            let (fingerprint, kv, weights) = (waiting.fingerprint, waiting.kv, waiting.weights);
+            let granted = Granted { untold, fingerprint, kv, weights, ..granted };
             self.insert_permit(ticket, granted);
         }
     }
 
+    /// Weights that something runs on or waits for; while streams of a former
+    /// owner are held, all that the engine has.
+    pub(crate) fn busy_weights(&self) -> HashSet<engine::Weights> {
+        let granted = self.permits.values().filter_map(|granted| granted.weights.as_ref());
+        let waiting = self.waiting.values().filter_map(|waiting| waiting.weights.as_ref());
+        let foreign = self.ready.iter().filter(|_| !self.foreign.is_empty());
+        granted.chain(waiting).chain(foreign).map(crate::permit::from_wire).collect()
+    }
+
     /// Asks that wait.
     pub(crate) fn waiting(&self) -> usize {
         self.waiting.len()
@@ -593,6 +611,7 @@
             bound: self.limiter.bound(),
             running: self.limiter.running() as u32,
             waiting: self.limiter.waiting() as u32,
+            incarnation: self.incarnation.unwrap_or_default(),
             ready: self.ready.clone(),
             accepting: self.accepting,
             prefixes: Vec::new(),
@@ -623,8 +642,8 @@
 impl Granted {
     fn to(stream: id::Stream, until: Instant, priority: u8) -> Self {
         let node = stream.sender.clone();
-        let (fingerprint, kv) = (0, size::Tokens(0));
-        Self { stream, until, priority, fingerprint, kv, left: None, untold: None, node }
+        let (fingerprint, kv, weights) = (0, size::Tokens(0), None);
+        Self { stream, until, priority, fingerprint, kv, weights, left: None, untold: None, node }
     }
 
     fn is_overdue(&self, now: Instant, resume: Duration) -> bool {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -17,6 +17,7 @@
 use compact_str::CompactString;
 use hickory_policy::refuse::{Reason, Refusal};
 use hickory_release::configuration::Configuration;
+use hickory_target::engine::Weights;
 use hickory_unit::{id, size};
 use http::{HeaderValue, Method, Request, Response, header};
 use http_body_util::{BodyExt, Limited};
@@ -168,7 +169,9 @@
     let caller = parse_caller(&head.headers, &configuration)?;
     let time_left = parse_time_left(&head.headers)?;
     let body = read_body(body).await?;
-    let completion = parse_completion(arrival, caller, time_left, &body, &configuration)?;
+    let is_served = |weights: &Weights| core.view.count_ready(weights) > 0;
+    let completion =
+        parse_completion(arrival, caller, time_left, &body, &configuration, is_served)?;
     let encoder = Encoder {
         request: completion.request,
         account: completion.caller.account.clone(),
--- a/crates/node/src/suspect.rs
+++ b/crates/node/src/suspect.rs
@@ -146,12 +146,16 @@
     lock(&core.record.suspects).drop_trial(fingerprint);
 }
 
-/// Why an attempt is made again: counts it against the account's budget.
+/// Notes why an attempt is made again. It counts against the account's budget
+/// unless the last one never began: that cost no target anything.
 pub(crate) fn spend_retry(
     core: &Core,
     account: &id::Account,
     reason: Retry,
 ) -> Result<(), Refusal> {
     core.metrics.retried(reason);
-    core.record.spend(account)
+    match reason {
+        Retry::NotSent | Retry::Refused => Ok(()),
+        _ => core.record.spend(account),
+    }
 }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -149,6 +149,17 @@
         self.shard(target).get(target).map(|seen| seen.state.clone())
     }
 
+    /// Targets that can serve with these weights.
+    pub(crate) fn count_ready(&self, weights: &Weights) -> usize {
+        let shards = self.states.iter();
+        let count = shards.map(|shard| {
+            let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            let states = shard.values().map(|seen| &seen.state);
+            states.filter(|state| state.ready.iter().any(|ready| is_same(ready, weights))).count()
+        });
+        count.sum()
+    }
+
     /// Whether new work may go to a target, by the configuration and the host
     /// list that this node has; checked again just before sending, as the
     /// owner may be cut off from the platform.
--- a/crates/state/src/head.rs
+++ b/crates/state/src/head.rs
@@ -4,8 +4,9 @@
 use crate::config::{KEY, Rejection};
 use crate::retry::Backoff;
 use hickory_platform::store::{Entry, Error, Expect, Revision, Write};
+use hickory_release::accept::{self, accept_note};
 use hickory_release::configuration::Configuration;
-use hickory_release::note::{Note, apply_note};
+use hickory_release::note::Note;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -141,12 +142,16 @@
         if present.version < self.note.against.max(known) {
             return self.on_stale_read(now, present);
         }
-        match apply_note(&present, &self.note) {
-            Err(findings) => Some(Err(Rejection::Invalid(findings))),
-            Ok(next) => {
+        match accept_note(&present, &self.note) {
+            Err(accept::Rejection::Invalid(findings)) => Some(Err(Rejection::Invalid(findings))),
+            Err(accept::Rejection::Conflict(_)) => {
+                Some(Err(Rejection::Conflict { present: Box::new(present) }))
+            }
+            Ok(accept::Acceptance::Repeated(_)) => Some(Ok(Arc::new(present))),
+            Ok(accept::Acceptance::Next(next)) => {
                 let value = serde_json::to_string(&next).ok();
                 let write = Write { key: KEY.into(), value, expect, lease: None };
-                self.write = Some((write, Arc::new(next)));
+                self.write = Some((write, Arc::new(*next)));
                 None
             }
         }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -86,6 +86,7 @@
   accepting @10 :Bool;
   prefixes @11 :List(UInt64);
   waiting @12 :UInt32;
+  incarnation @13 :UInt64;    # of the target's process
 }
 
 struct Gossip {
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -187,6 +187,7 @@
     to.set_bound(state.bound);
     to.set_running(state.running);
     to.set_waiting(state.waiting);
+    to.set_incarnation(state.incarnation.0);
     to.set_accepting(state.accepting);
     let mut ready = to.reborrow().init_ready(state.ready.len() as u32);
     for (i, weights) in state.ready.iter().enumerate() {
@@ -210,6 +211,7 @@
         bound: from.get_bound(),
         running: from.get_running(),
         waiting: from.get_waiting(),
+        incarnation: id::Incarnation(from.get_incarnation()),
         ready: from.get_ready()?.iter().map(read_weights).collect::<Result<_>>()?,
         accepting: from.get_accepting(),
         prefixes: from.get_prefixes()?.iter().collect(),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -139,6 +139,8 @@
     pub bound: u32,
     /// Streams granted.
     pub running: u32,
+    /// The incarnation of the target's process.
+    pub incarnation: id::Incarnation,
     /// Requests waiting in the owner's queue.
     pub waiting: u32,
     /// Weights that are ready.
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -2556,11 +2556,15 @@
         pub fn get_waiting(self) -> u32 {
             self.reader.get_data_field::<u32>(15)
         }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(8)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2738,6 +2742,14 @@
         pub fn set_waiting(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(15, value);
         }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(8)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(8, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2749,115 +2761,122 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 226] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 242] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(50, 88, 33, 251, 164, 240, 198, 146),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 9, 0),
             ::capnp::word(81, 76, 233, 123, 210, 240, 161, 195),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 84, 97, 114, 103, 101),
             ::capnp::word(116, 83, 116, 97, 116, 101, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 192, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2976,6 +2995,15 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2992,6 +3020,7 @@
                 10 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 12 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                13 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3005,9 +3034,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,7,1,5,4,6,11,3,2,9,8,0,12];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,7,1,13,5,4,6,11,3,2,9,8,0,12];
         pub(crate) const TYPE_ID: u64 = 0x92c6_f0a4_fb21_5832;
     }
 }
