A stream that moves on is not given up on for its cuts

Cause: whole::answers_are_not_crossed failed in a full run on a busy machine: callers were refused with `retry-budget`. The relay counted all cuts of a stream, also where tokens came in between, and called it stalled at the third; a cut during the resume itself counted as a failure of the target. Both cost the account a retry, and sixty streams cut five times used its budget up. Ruled out: the engines (they held and moved every stream), the deadline. Change: cuts count in a row without a token; a resume that breaks is made again, three times at most.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -20,8 +20,10 @@
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
-/// How often one stream is taken up over a new connection. Middleboxes forget
-/// connections rarely; a stream that is cut more often has another cause.
+/// How often in a row a stream is taken up over a new connection without a
+/// token in between. Middleboxes forget connections rarely; a stream that
+/// stands still for longer has another cause. One that moves on costs its
+/// engine nothing by a cut, while giving it up would cost the account a retry.
 const RESUMES_MAX: u32 = 3;
 
 /// How much longer than expected a first token may take: the estimate knows
@@ -97,7 +99,8 @@
 
     /// Relays until the stream ends, over new connections where need be.
     pub(crate) async fn run(&mut self, mut tokens: Tokens) -> End {
-        for _ in 0..RESUMES_MAX {
+        let mut stood_still = 0;
+        while stood_still < RESUMES_MAX {
             let before = self.delivered;
             let cut = match self.read(&mut tokens).await {
                 Ok(end) => return end,
@@ -108,8 +111,8 @@
                 Ok(tokens) => tokens,
                 Err(end) => return end,
             };
-            let stood_still = self.delivered == before;
-            if matches!(cut, Cut::Silent) && stood_still && self.first_token.is_some() {
+            stood_still = if self.delivered == before { stood_still + 1 } else { 0 };
+            if matches!(cut, Cut::Silent) && stood_still > 0 && self.first_token.is_some() {
                 return match self.read(&mut tokens).await {
                     Ok(end) => end,
                     Err(_) => End::Stalled,
@@ -119,8 +122,20 @@
         End::Stalled
     }
 
-    /// Takes the stream up from what the caller has, over a new connection.
+    /// Takes the stream up over a new connection; where that one breaks as
+    /// well, over another.
     async fn reopen(&mut self) -> Result<Tokens, End> {
+        for _ in 1..RESUMES_MAX {
+            match self.reopen_once().await {
+                Err(End::Failed(Error::Unknown(_))) => {}
+                other => return other,
+            }
+        }
+        self.reopen_once().await
+    }
+
+    /// Takes the stream up from what the caller has, over a new connection.
+    async fn reopen_once(&mut self) -> Result<Tokens, End> {
         let limit = self.core.time(self.core.settings.times.progress_ms);
         let keep = Adopt {
             target: self.target.clone(),
