A node cut off from the platform goes on to hear its peers

Cause: exchanges are begun by the lower-named node with those on its list. A node that can't renew its lease is off that list, so nobody exchanged with it any more: it kept the configuration of that moment for as long as it was cut off, and as it heard nobody it stopped to grant on its targets. Ruled out: the fetch from peers (it works while the lease lasts). Change: a node whose lease is not confirmed begins exchanges with all nodes it knows. In an outage of the whole platform each pair exchanges twice. Before: a note accepted after the lease has lapsed never comes to the highest named node (30 s). After: it does (config::a_node_cut_off_from_the_platform_learns_notes_from_its_peers). Not mended: peers look up an owner's address in the list of registered nodes, so they still can't ask a cut-off owner for permits; docs/PROOFS.md says so.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -97,8 +97,11 @@
         let own = make_gossip(&core, core.me());
         take_gossip(&core, &Gossip { seen: own.version, ..own });
         for info in core.member.nodes().values() {
-            // An exchange goes both ways, so one of the two begins it.
-            if info.node > *core.me() {
+            // An exchange goes both ways, so one of the two begins it. A node
+            // that can't renew its lease is off the others' lists, and they
+            // begin none with it: it would miss every note, and stop to grant
+            // on its targets as if it heard nobody. So it begins them all.
+            if info.node > *core.me() || !core.member.confirmed(core.now()) {
                 tokio::spawn(exchange(core.clone(), links.clone(), info.clone()));
             }
         }
