Proofs that fail without their mechanism, and of faults not yet caused

Proofs that passed all the same are strengthened or joined by one that fails: the position check (an engine that replays), the deadline (streams that may stand still for longer), lost cancels of what stalled, streams of a killed owner, gossip of notes, half terms, kept addresses of a node at rest, unload beside a running stream, missed reports. New faults: a node cut off from the platform, stalls before and after the first token, a caller that never reads, slowness of the key-value service for the whole of an order, resends while the claimant is killed, a zone taken out while its owner dies or is cut off, SIGTERM beside SIGKILL, late orders of a paused owner with and without fencing. A stream that stands still now fails its test instead of holding it up.

--- a/apps/hickory-node/tests/proofs/cold.rs
+++ b/apps/hickory-node/tests/proofs/cold.rs
@@ -1,7 +1,7 @@
 //! A target that has just started, or has turned cold, receives no more load
 //! than it can bear.
 
-use crate::support::{Scene, expected, options};
+use crate::support::{OPERATOR, Scene, eventually, expected, options};
 use hickory_standin::fleet;
 use rustix::process::Signal;
 use std::time::Duration;
@@ -56,11 +56,26 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_killed_in_the_ramp_overloads_nobody() {
     let mut scene = Scene::start(3, cold_engines()).await;
-    scene.burst("first", 20, &[1, 2]).await;
-    scene.nodes[0].kill();
-    let whole = scene.burst("second", 90, &[1, 2]).await;
+    let dead = scene.owner("engine-0").await;
+    let left = [(dead + 1) % 3, (dead + 2) % 3];
+    // Streams that outlast the owner: its successor has not granted them and
+    // must count them all the same.
+    let mut running = Vec::new();
+    while scene.standins.engines[0].service().kv_used().0 == 0 {
+        let prompt = format!("running {}", running.len());
+        let at = scene.nodes[left[0]].callers;
+        let mut stream = scene.complete(at, &prompt, 1_000).await.unwrap();
+        assert!(stream.next().await);
+        running.push(stream);
+    }
+    scene.nodes[dead].kill();
+    let whole = scene.burst("second", 90, &left).await;
     assert_eq!(scene.overloads(), 0);
     assert!(whole > 0);
+    for (i, stream) in running.iter_mut().enumerate() {
+        stream.rest().await;
+        assert_eq!(stream.text, expected(&format!("running {i}"), 1_000));
+    }
 }
 
 /// An owner is paused for longer than its lease, another takes its targets
@@ -89,3 +104,28 @@
     assert_eq!(scene.overloads(), 0);
     assert!(whole > 0);
 }
+
+/// The key-value service is down and its owners can't confirm themselves:
+/// another one may take itself for the owner as well, so each keeps to half of
+/// what the engines bear.
+#[tokio::test(flavor = "multi_thread")]
+async fn owners_that_are_not_confirmed_keep_to_half() {
+    let mut options = options();
+    options.engine.model.streams_max = 32;
+    let scene = Scene::start(2, options).await;
+    let at = scene.nodes[0].admin;
+    let bounded = |most: u64| {
+        let scene = &scene;
+        move || async move {
+            let targets = scene.get(at, "/v1/admin/targets", OPERATOR).await?;
+            let engines = targets.as_array()?.iter().filter(|t| t["kind"] == "engine");
+            let bounds: Vec<u64> = engines.filter_map(|t| t["bound"].as_u64()).collect();
+            (bounds.len() == 3 && bounds.iter().all(|bound| *bound == most)).then_some(())
+        }
+    };
+    eventually("all engines are open in full", bounded(32)).await;
+    scene.standins.store.faults().kill();
+    eventually("all engines are open by half", bounded(16)).await;
+    scene.standins.store.faults().restart();
+    eventually("all engines are open in full again", bounded(32)).await;
+}
--- a/apps/hickory-node/tests/proofs/config.rs
+++ b/apps/hickory-node/tests/proofs/config.rs
@@ -1,6 +1,7 @@
 //! An accepted configuration is in force everywhere within seconds and never
 //! reverts.
 
+use crate::passage::Passage;
 use crate::support::{Node, OPERATOR, Scene, eventually, options, times};
 use serde_json::{Value, json};
 
@@ -82,3 +83,33 @@
     })
     .await;
 }
+
+/// One node can't reach the platform, while notes are accepted through another
+/// one: a first at once, a second when its lease has lapsed and it stands on
+/// no peer's list any more. It fetches both from its peers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_cut_off_from_the_platform_learns_notes_from_its_peers() {
+    let (scene, paths) = Scene::start_apart(3, options()).await;
+    paths[2].set(Passage::Silent);
+    let learns = |version: u64| {
+        let scene = &scene;
+        async move {
+            let note = share_note(version - 1, version as f64);
+            let (status, answer) = scene.post_note(&scene.nodes[0], &note).await;
+            assert_eq!(status, 200, "{answer}");
+            eventually("the note is in force", || async {
+                (scene.version(&scene.nodes[2]).await? == version).then_some(())
+            })
+            .await;
+        }
+    };
+    learns(2).await;
+    for node in &scene.nodes[..2] {
+        eventually("its lease has lapsed", || async {
+            let nodes = scene.get(node.admin, "/v1/admin/nodes", OPERATOR).await?;
+            nodes.as_array()?.iter().all(|node| node["node"] != "node-2").then_some(())
+        })
+        .await;
+    }
+    learns(3).await;
+}
--- a/apps/hickory-node/tests/proofs/death.rs
+++ b/apps/hickory-node/tests/proofs/death.rs
@@ -2,6 +2,7 @@
 //! get their memory back.
 
 use crate::support::{Scene, eventually, expected, options};
+use std::time::Duration;
 
 /// The caller's node is killed in the middle of a stream. The caller connects
 /// to another node with the id of the last event it saw and gets the rest: no
@@ -44,3 +45,28 @@
     drop(stream);
     eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
 }
+
+/// A node is killed that serves streams on targets of its own, and no caller
+/// comes back. The targets' next owners did not grant these streams and find
+/// them in the load reports: they cancel them once the time for a resume is
+/// over, well before the deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_killed_owner_are_cancelled() {
+    let mut options = options();
+    options.engine.model.speed = 0.1;
+    let mut scene = Scene::start(2, options).await;
+    let (owner, at) = {
+        let owner = scene.owner("engine-0").await;
+        (owner, scene.nodes[owner].callers)
+    };
+    let time_left = Duration::from_secs(600);
+    let mut streams = Vec::new();
+    while scene.standins.engines[0].service().kv_used().0 == 0 {
+        let prompt = format!("never resumed {}", streams.len());
+        let mut stream = scene.complete_within(at, &prompt, 3_000, time_left).await.unwrap();
+        assert!(stream.next().await);
+        streams.push(stream);
+    }
+    scene.nodes[owner].kill();
+    eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
+}
--- a/apps/hickory-node/tests/proofs/main.rs
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -9,6 +9,7 @@
 mod logs;
 mod long;
 mod once;
+mod passage;
 mod path;
 mod poison;
 mod stop;
--- a/apps/hickory-node/tests/proofs/once.rs
+++ b/apps/hickory-node/tests/proofs/once.rs
@@ -177,3 +177,59 @@
     assert_eq!(answer["ran"], json!("unknown"));
     assert_eq!(scene.runs(&key), 0);
 }
+
+/// The key-value service answers, but later than the order has time. The
+/// caller gets its final answer, which does not say more than is known; the
+/// order does not run, and not after the service is well again either.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_during_slowness_is_refused_and_not_run() {
+    let scene = Scene::start(2, options()).await;
+    let key = new_key();
+    scene.standins.store.faults().slow(Duration::from_secs(3));
+    let said = scene.order_everywhere(&key, Duration::from_secs(1)).await;
+    assert_eq!(said.len(), 2);
+    for (status, answer) in &said {
+        assert_eq!((*status, &answer["reason"]), (503, &json!("ledger-down")), "{answer}");
+    }
+    assert_eq!(scene.runs(&key), 0);
+    scene.standins.store.faults().clear();
+    let next = new_key();
+    let at = scene.nodes[0].callers;
+    eventually("orders are taken again", || async {
+        let (status, _) = scene.call(at, "/place", &next, WAIT).await?;
+        (status == 200).then_some(())
+    })
+    .await;
+    assert_eq!(scene.runs(&key), 0);
+}
+
+/// A caller sends one order to all nodes again and again, while the node that
+/// claimed it is killed with the order at the target. It runs once at most,
+/// and no answer says that it has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claimant_killed_among_resends_leaves_one_run() {
+    let mut scene = Scene::start(3, options()).await;
+    let key = new_key();
+    scene.standins.replicas.iter().for_each(|replica| replica.faults().freeze());
+    {
+        let first = scene.call(scene.nodes[0].callers, "/place", &key, WAIT);
+        let claimed =
+            eventually("the claim stands", || async { scene.is_claimed(&key).then_some(()) });
+        tokio::select! {
+            said = first => panic!("a frozen service answered: {said:?}"),
+            () = claimed => {}
+        }
+    }
+    let at = [scene.nodes[1].callers, scene.nodes[2].callers];
+    let mut dying = scene.nodes.remove(0);
+    let resends = (0..100).map(|i| scene.call(at[i % 2], "/place", &key, WAIT));
+    let kill = async {
+        dying.kill();
+        scene.standins.replicas.iter().for_each(|replica| replica.faults().thaw());
+    };
+    let (said, ()) = tokio::join!(futures::future::join_all(resends), kill);
+    let said: Vec<_> = said.into_iter().flatten().collect();
+    assert_eq!(said.len(), 100);
+    assert!(said.iter().all(|(_, answer)| answer["ran"] == json!("unknown")), "{said:?}");
+    assert!(scene.runs(&key) <= 1);
+}
--- a/apps/hickory-node/tests/proofs/stop.rs
+++ b/apps/hickory-node/tests/proofs/stop.rs
@@ -1,7 +1,9 @@
 //! Every planned stop is a graceful shutdown that cuts off no request.
 
-use crate::support::{Scene, expected, options};
+use crate::support::{Scene, eventually, expected, options, times};
 use rustix::process::Signal;
+use serde_json::json;
+use std::time::{Duration, Instant};
 
 /// A caller is in the middle of a stream when its node gets SIGTERM; a second
 /// caller still has the node's address and connects during the stop. Both get
@@ -76,3 +78,63 @@
     other.rest().await;
     assert_eq!(other.text, expected("the others", 5));
 }
+
+/// A node without any request is stopped. For as long as callers may keep an
+/// answer that names it, they connect there and are served.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_serves_kept_addresses() {
+    let keep = Duration::from_secs(2);
+    let mut times = times();
+    times["entry_keep_ms"] = json!(keep.as_millis() as u64);
+    let mut scene = Scene::start_with(2, options(), &times).await;
+    scene.ready(&scene.nodes[0], 5).await;
+    let at = scene.nodes[0].callers;
+    scene.nodes[0].signal(Signal::TERM);
+    // Half of the time: a request that is begun just before its end may come
+    // after it.
+    let end = Instant::now() + keep / 2;
+    for i in 0.. {
+        if Instant::now() >= end {
+            break;
+        }
+        let prompt = format!("kept {i}");
+        let mut stream =
+            scene.complete(at, &prompt, 2).await.expect("the node still takes callers");
+        stream.rest().await;
+        assert_eq!(stream.text, expected(&prompt, 2));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(scene.nodes[0].exited().await.success());
+}
+
+/// One node is stopped and another one killed at the same time, both with a
+/// stream. The stream of the first is not cut and its process ends with status
+/// 0; the caller of the second resumes through the third and gets the rest.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_beside_a_kill_cuts_no_request() {
+    let mut options = options();
+    options.engine.model.speed = 0.5;
+    let mut scene = Scene::start(3, options).await;
+    let mut streams = Vec::new();
+    for node in &scene.nodes[..2] {
+        let mut stream = scene.complete(node.callers, "both", 60).await.unwrap();
+        assert!(stream.next().await);
+        streams.push(stream);
+    }
+    scene.nodes[0].signal(Signal::TERM);
+    scene.nodes[1].kill();
+    let (mut killed, mut stopped) = (streams.remove(1), streams.remove(0));
+    while killed.next().await {}
+    let at = scene.nodes[2].callers;
+    let mut rest = eventually("the stream is taken up", || async {
+        let rest = scene.resume(at, &killed.request, &killed.event).await.ok()?;
+        (rest.status == 200).then_some(rest)
+    })
+    .await;
+    rest.rest().await;
+    assert_eq!(killed.text + &rest.text, expected("both", 60));
+    stopped.rest().await;
+    assert_eq!(stopped.text, expected("both", 60));
+    assert!(stopped.done);
+    assert!(scene.nodes[0].exited().await.success());
+}
--- a/apps/hickory-node/tests/proofs/support.rs
+++ b/apps/hickory-node/tests/proofs/support.rs
@@ -1,8 +1,10 @@
 //! A small fleet: stand-ins in this process, nodes as processes of their own,
 //! ended by id when the test ends.
 
+use crate::passage::Path;
 use bytes::Bytes;
 use hickory_model::answer::Answer;
+use hickory_platform::http::Address;
 use hickory_release::configuration::digest_token;
 use hickory_standin::fleet::{self, Fleet};
 use hickory_target::engine::Weights;
@@ -28,6 +30,8 @@
 pub const ACCOUNT: &str = "account-token";
 pub const MODEL: &str = "colour";
 
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
 type Http = Client<HttpConnector, Full<Bytes>>;
 
 /// A fleet of nodes with the stand-ins before and behind them.
@@ -90,7 +94,11 @@
 
 impl Node {
     pub fn start(name: &str, zone: &str, standins: &Fleet, times: &Value) -> Self {
-        let platform = standins.platform();
+        Self::start_at(name, zone, standins.platform(), times)
+    }
+
+    /// Starts a node that finds the platform's services at the addresses given.
+    pub fn start_at(name: &str, zone: &str, platform: Address, times: &Value) -> Self {
         let log =
             std::env::temp_dir().join(format!("hickory-proof-{}.jsonl", uuid::Uuid::now_v7()));
         let settings = json!({
@@ -194,16 +202,54 @@
 
     /// As `start`, with the first note in force but no wait for the targets.
     pub async fn start_unready(count: usize, options: fleet::Options) -> Self {
+        Self::start_with(count, options, &times()).await
+    }
+
+    /// As `start_unready`, with other times.
+    pub async fn start_with(count: usize, options: fleet::Options, times: &Value) -> Self {
         let standins = Fleet::spawn(options).expect("the stand-ins start");
         let nodes = (0..count)
-            .map(|i| Node::start(&format!("node-{i}"), ["a", "b", "c"][i % 3], &standins, &times()))
+            .map(|i| Node::start(&format!("node-{i}"), ZONES[i % 3], &standins, times))
             .collect();
+        Self::open(standins, nodes).await
+    }
+
+    /// As `start`, with a path of its own between each node and the platform.
+    pub async fn start_apart(count: usize, options: fleet::Options) -> (Self, Vec<Path>) {
+        let targets = options.engines + options.replicas;
+        let standins = Fleet::spawn(options).expect("the stand-ins start");
+        let (mut nodes, mut paths) = (Vec::new(), Vec::new());
+        for i in 0..count {
+            let (path, platform) = Path::open(standins.platform()).await;
+            nodes.push(Node::start_at(&format!("node-{i}"), ZONES[i % 3], platform, &times()));
+            paths.push(path);
+        }
+        let scene = Self::open(standins, nodes).await;
+        for node in &scene.nodes {
+            scene.ready(node, targets).await;
+        }
+        (scene, paths)
+    }
+
+    async fn open(standins: Fleet, nodes: Vec<Node>) -> Self {
         let http = Client::builder(TokioExecutor::new()).build_http();
         let scene = Self { standins, nodes, http };
         scene.accept(&first_note()).await;
         scene
     }
 
+    /// Which node owns a target, by its place among the nodes.
+    pub async fn owner(&self, target: &str) -> usize {
+        let owner = eventually("the target has an owner", || async {
+            let owners = self.get(self.nodes[0].admin, "/v1/admin/owners", OPERATOR).await?;
+            let owners = owners["owners"].as_array()?.clone();
+            let owner = owners.iter().find(|owner| owner["target"] == json!(target))?;
+            Some(owner["node"].as_str()?.to_owned())
+        });
+        let owner = owner.await;
+        owner.trim_start_matches("node-").parse().expect("nodes are numbered")
+    }
+
     pub async fn get(&self, at: SocketAddr, path: &str, token: &str) -> Option<Value> {
         let request = http::Request::get(format!("http://{at}{path}"))
             .header("authorization", format!("Bearer {token}"))
@@ -358,6 +404,11 @@
         }
     }
 
+    async fn frame(&mut self) -> Option<Result<hyper::body::Frame<Bytes>, hyper::Error>> {
+        let frame = tokio::time::timeout(2 * PATIENCE, self.body.frame());
+        frame.await.expect("the stream moves on or ends")
+    }
+
     /// Reads the next event; false at the end or a cut.
     pub async fn next(&mut self) -> bool {
         loop {
@@ -366,7 +417,7 @@
                 self.take(&String::from_utf8(event).expect("events are text"));
                 return true;
             }
-            match self.body.frame().await {
+            match self.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.buffer.extend_from_slice(&data);
@@ -400,7 +451,7 @@
     /// Reads to the end.
     pub async fn rest(&mut self) {
         if self.status != 200 {
-            while let Some(Ok(frame)) = self.body.frame().await {
+            while let Some(Ok(frame)) = self.frame().await {
                 self.buffer.extend_from_slice(&frame.into_data().unwrap_or_default());
             }
             self.problem = serde_json::from_slice(&self.buffer).ok();
--- a/apps/hickory-node/tests/proofs/versions.rs
+++ b/apps/hickory-node/tests/proofs/versions.rs
@@ -1,9 +1,10 @@
 //! Weights on engines follow the configuration: a new version goes out beside
 //! the old one, and what is withdrawn goes after its last stream.
 
-use crate::support::{MODEL, Scene, eventually, expected, options, weights};
+use crate::support::{MODEL, OPERATOR, Scene, eventually, expected, options, weights};
 use hickory_target::engine::Weights;
 use hickory_unit::size;
+use rustix::process::Signal;
 use serde_json::{Value, json};
 
 fn model_note(against: u64, current: &str, versions: &[&str]) -> Value {
@@ -38,7 +39,7 @@
     options.weights.bytes_per_second = size::Bytes(40_000_000_000);
     let scene = Scene::start(2, options).await;
     let at = scene.nodes[0].callers;
-    let mut running = scene.complete(at, "on the old version", 150).await.unwrap();
+    let mut running = scene.complete(at, "on the old version", 450).await.unwrap();
     assert!(running.next().await);
     let asks = async {
         for i in 0..40 {
@@ -57,7 +58,7 @@
     };
     let ((), ()) = tokio::join!(asks, rollout);
     running.rest().await;
-    assert_eq!(running.text, expected("on the old version", 150));
+    assert_eq!(running.text, expected("on the old version", 450));
     let unloaded = || async { (scene.serving("1") == 0).then_some(()) };
     eventually("the old version is unloaded", unloaded).await;
 }
@@ -82,3 +83,31 @@
     .await;
     assert!(most.into_inner() <= 2, "more loads at once than the store bears");
 }
+
+/// The owner of an engine is paused, a version replaces the old one in the
+/// meantime, and the owner goes on with its old configuration: it would load
+/// the old version and unload the new one. Whether the engine checks fencing
+/// numbers or ignores them, no such order lasts.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_orders_of_a_paused_owner_do_not_last() {
+    for fencing in [true, false] {
+        let mut options = options();
+        options.engine.model.fencing = fencing;
+        options.weights.bytes_per_second = size::Bytes(40_000_000_000);
+        let scene = Scene::start(3, options).await;
+        let paused = scene.owner("engine-0").await;
+        let other = &scene.nodes[(paused + 1) % 3];
+        scene.nodes[paused].signal(Signal::STOP);
+        let (status, answer) = scene.post_note(other, &model_note(1, "2", &["2"])).await;
+        assert_eq!(status, 200, "{answer}");
+        let replaced = || async { (scene.serving("2") == 3).then_some(()) };
+        eventually("all engines serve the new version", replaced).await;
+        scene.nodes[paused].signal(Signal::CONT);
+        let settled = || async {
+            let health = scene.get(scene.nodes[paused].admin, "/health", OPERATOR).await?;
+            let known = health["version"] == json!(2);
+            (known && scene.serving("2") == 3 && scene.serving("1") == 0).then_some(())
+        };
+        eventually("only the new version is served", settled).await;
+    }
+}
--- a/apps/hickory-node/tests/proofs/whole.rs
+++ b/apps/hickory-node/tests/proofs/whole.rs
@@ -1,11 +1,15 @@
 //! A caller receives the whole answer to its own request, and in time, when
 //! connections and engines fail under it.
 
-use crate::support::{Scene, Stream, eventually, expected, options};
+use crate::support::{
+    ACCOUNT, MODEL, OPERATOR, PATIENCE, Scene, Stream, eventually, expected, options, times,
+};
+use hickory_model::batch::Stall;
 use hickory_standin::fleet;
 use rustix::process::Signal;
 use serde_json::json;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 
 /// Streams of a few seconds, so that a fault finds them under way.
 fn slow_options() -> fleet::Options {
@@ -41,6 +45,19 @@
     assert_whole(&scene, "cut", 40, stream).await;
 }
 
+/// The connections break again and again, each time after a few tokens. The
+/// stream moves on and costs no retry, so it is not given up on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_cut_again_and_again_is_not_seen() {
+    let scene = Scene::start(2, slow_options()).await;
+    let mut stream = begin(&scene, "cut often", 60).await;
+    for _ in 0..15 {
+        assert!(stream.next().await && stream.next().await);
+        scene.standins.engines.iter().for_each(|engine| engine.faults().cut());
+    }
+    assert_whole(&scene, "cut often", 60, stream).await;
+}
+
 /// All open connections to the engines go silent for good in the middle of a
 /// stream, while new ones work. The stream is taken up over a new one.
 #[tokio::test(flavor = "multi_thread")]
@@ -103,11 +120,23 @@
 /// passes, not later, and the engines get their memory back.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_stalls_everywhere_ends_at_its_deadline() {
-    let scene = Scene::start(2, options()).await;
+    // Streams may stand still for longer than the request has time: nothing
+    // but its deadline ends it.
+    let mut times = times();
+    times["progress_ms"] = json!(120_000);
+    let scene = Scene::start_with(2, options(), &times).await;
+    for node in &scene.nodes {
+        scene.ready(node, 5).await;
+    }
     scene.standins.engines.iter().for_each(|engine| engine.faults().freeze());
     let at = scene.nodes[0].callers;
-    let mut stream = scene.complete_within(at, "never", 5, Duration::from_secs(2)).await.unwrap();
-    stream.rest().await;
+    let ask = async {
+        let wait = Duration::from_secs(2);
+        let mut stream = scene.complete_within(at, "never", 5, wait).await.unwrap();
+        stream.rest().await;
+        stream
+    };
+    let stream = tokio::time::timeout(PATIENCE, ask).await.expect("the final answer comes");
     let problem = stream.problem.expect("a refusal");
     assert_eq!(problem["ran"], json!("unknown"), "{problem}");
     scene.standins.engines.iter().for_each(|engine| engine.faults().thaw());
@@ -153,3 +182,95 @@
     drop(begin(&scene, "hang up", 300).await);
     eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
 }
+
+/// Engines stop moving on, before the first token or in mid-stream, and answer
+/// all else. The stream goes on elsewhere, and what stands still on the first
+/// engine is cancelled there, although the first cancels are lost: it would
+/// hold its memory until long after the caller has gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stalled_engine_is_replaced_and_freed() {
+    for after in [0, 10] {
+        let scene = Scene::start(2, slow_options()).await;
+        scene.standins.engines.iter().for_each(|e| e.service().stall(Stall::After(after)));
+        let time_left = Duration::from_secs(600);
+        let at = scene.nodes[0].callers;
+        let ask = async {
+            let mut stream = scene.complete_within(at, "stalled", 30, time_left).await.unwrap();
+            stream.rest().await;
+            stream
+        };
+        let free_others = async {
+            let holder = || async { scene.standins.engines.iter().position(holds) };
+            let stalled = eventually("an engine holds the stream", holder).await;
+            let engines = scene.standins.engines.iter().enumerate();
+            engines
+                .filter(|(i, _)| *i != stalled)
+                .for_each(|(_, e)| e.service().stall(Stall::None));
+            scene.standins.engines[stalled].faults().lose_cancels(2);
+        };
+        let (stream, ()) = tokio::join!(ask, free_others);
+        assert_whole(&scene, "stalled", 30, stream).await;
+    }
+}
+
+fn holds(engine: &hickory_standin::engine::Handle) -> bool {
+    engine.service().kv_used().0 > 0
+}
+
+/// An engine resumes a stream from its first token on, not from where it was
+/// asked to. The caller sees no token twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn tokens_given_already_are_not_given_again() {
+    let mut options = slow_options();
+    options.engine.replays = true;
+    let scene = Scene::start(2, options).await;
+    let stream = begin(&scene, "replayed", 40).await;
+    scene.standins.engines.iter().for_each(|engine| engine.faults().cut());
+    assert_whole(&scene, "replayed", 40, stream).await;
+}
+
+/// An engine freezes: its owner misses its reports, and new work goes to the
+/// others at once instead of waiting there. Once it thaws, it serves again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_engine_gets_no_new_work() {
+    let scene = Scene::start(2, options()).await;
+    let accepts = |wanted: bool| {
+        let scene = &scene;
+        move || async move {
+            let targets = scene.get(scene.nodes[0].admin, "/v1/admin/targets", OPERATOR).await?;
+            let engine = targets.as_array()?.iter().find(|t| t["target"] == "engine-0")?;
+            (engine["accepting"] == json!(wanted)).then_some(())
+        }
+    };
+    scene.standins.engines[0].faults().freeze();
+    eventually("the frozen engine takes no work", accepts(false)).await;
+    scene.standins.engines[0].faults().thaw();
+    eventually("the engine takes work again", accepts(true)).await;
+}
+
+/// A caller asks for a long answer and reads none of it, with its connection
+/// open. Its stream is given up on and the engine gets its memory back, long
+/// before the deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_never_reads_does_not_hold_its_stream() {
+    let mut options = options();
+    options.engine.model.speed = 20.0;
+    let scene = Scene::start(2, options).await;
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    let mut silent = socket.connect(scene.nodes[0].callers).await.unwrap();
+    let body = json!({
+        "model": MODEL, "prompt": "unread", "max_tokens": 100_000, "stream": true,
+    });
+    let body = body.to_string();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {ACCOUNT}\r\n\
+         x-time-left-ms: 3600000\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    silent.write_all((head + &body).as_bytes()).await.unwrap();
+    let held = || async { (scene.kv_used() > 0).then_some(()) };
+    eventually("the stream runs", held).await;
+    eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
+    drop(silent);
+}
--- a/apps/hickory-node/tests/proofs/zone.rs
+++ b/apps/hickory-node/tests/proofs/zone.rs
@@ -1,6 +1,7 @@
 //! A zone that operators have taken out, and a target that is leaving, get no
 //! new work after a few seconds; a note in force never reverts.
 
+use crate::passage::Passage;
 use crate::support::{MODEL, OPERATOR, Scene, eventually, expected, options};
 use hickory_platform::host::Standing;
 use serde_json::{Value, json};
@@ -143,3 +144,83 @@
     stream.rest().await;
     assert_eq!(stream.text, expected("withdrawn", 40));
 }
+
+impl Scene {
+    /// Asks through one node, which may refuse what it can't place: whole
+    /// answers or true refusals.
+    async fn load_or_refuse(&self, node: usize, count: usize) {
+        for i in 0..count {
+            let (at, prompt) = (self.nodes[node].callers, format!("perhaps {i}"));
+            let mut stream = self.complete(at, &prompt, 3).await.unwrap();
+            stream.rest().await;
+            let refused = stream.problem.as_ref().is_some_and(|p| p["ran"] == json!("no"));
+            assert!(refused || stream.text == expected(&prompt, 3), "{:?}", stream.problem);
+        }
+    }
+}
+
+/// A node loses its path to the platform, and a zone is taken out: at once, or
+/// when the node's lease has lapsed. It owns the zone's engine and would go on
+/// to grant by the configuration that it has. Once the bound has passed, it
+/// sends no new work there, and neither do the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_cut_off_from_the_platform_sends_nothing_to_a_zone_taken_out() {
+    let lapses = [Duration::ZERO, Duration::from_millis(2_000)];
+    futures::future::join_all(lapses.map(take_out_beside_a_cut_off_node)).await;
+}
+
+async fn take_out_beside_a_cut_off_node(lapse: Duration) {
+    let (scene, paths) = Scene::start_apart(3, options()).await;
+    let cut_off = scene.owner("engine-0").await;
+    let others = [(cut_off + 1) % 3, (cut_off + 2) % 3];
+    paths[cut_off].set(Passage::Silent);
+    tokio::time::sleep(lapse).await;
+    let (status, answer) = scene.post_note(&scene.nodes[others[0]], &zone_note(1, true)).await;
+    assert_eq!(status, 200, "{answer}");
+    tokio::time::sleep(BOUND).await;
+    let before = scene.begun(&[0]);
+    for node in 0..3 {
+        scene.load_or_refuse(node, 10).await;
+    }
+    // Its own word says so as well: it has the note from its peers.
+    eventually("the owner takes no work for the zone", || async {
+        let at = scene.nodes[others[0]].admin;
+        let targets = scene.get(at, "/v1/admin/targets", OPERATOR).await?;
+        let engine = targets.as_array()?.iter().find(|t| t["target"] == "engine-0")?;
+        (engine["accepting"] == json!(false)).then_some(())
+    })
+    .await;
+    for node in 0..3 {
+        scene.load_or_refuse(node, 10).await;
+    }
+    assert_eq!(scene.begun(&[0]), before);
+}
+
+/// The owner of a zone's engine is killed as the zone is taken out. Its
+/// successor takes the engine over and grants nothing there; as soon as the
+/// dead node's other targets have their next owners, no request fails.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_is_taken_out_while_its_owner_dies() {
+    let mut scene = Scene::start(3, options()).await;
+    let owner = scene.owner("engine-0").await;
+    let (dead, mut left) = (owner, vec![0, 1, 2]);
+    left.retain(|node| *node != dead);
+    let note = zone_note(1, true);
+    scene.nodes[dead].kill();
+    let (status, answer) = scene.post_note(&scene.nodes[left[0]], &note).await;
+    assert_eq!(status, 200, "{answer}");
+    tokio::time::sleep(BOUND).await;
+    let before = scene.begun(&[0]);
+    for node in left {
+        scene.ready(&scene.nodes[node], 3).await;
+        let at = scene.nodes[node].callers;
+        for i in 0..10 {
+            let prompt = format!("node {node} ask {i}");
+            let mut stream = scene.complete(at, &prompt, 3).await.unwrap();
+            stream.rest().await;
+            assert_eq!(stream.problem, None);
+            assert_eq!(stream.text, expected(&prompt, 3));
+        }
+    }
+    assert_eq!(scene.begun(&[0]), before);
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -36,6 +36,8 @@
     pub restart_after: Option<Duration>,
     /// It crashes when it runs a prompt that contains this.
     pub crash_marker: Option<String>,
+    /// It resumes streams from their first token, wherever it is asked to.
+    pub replays: bool,
 }
 
 /// What an engine process holds in memory.
@@ -317,9 +319,10 @@
         let now = self.inner.faults.now();
         match (call.method.as_str(), call.path.as_str()) {
             ("POST", "/v1/generate") => call.answer(|body| self.generate(&body)),
-            ("POST", "/v1/resume") => {
-                call.answer(|body: Resume| self.read(&body.stream, body.from))
-            }
+            ("POST", "/v1/resume") => call.answer(|body: Resume| {
+                let from = if self.inner.options.replays { 0 } else { body.from };
+                self.read(&body.stream, from)
+            }),
             ("POST", "/v1/cancel") => call.answer(|body| self.cancel(&body)),
             ("GET", "/v1/report") => Reply::json(&self.with_engine(|engine| engine.report(now))),
             ("GET", "/v1/cache-events") => {
