--- a/apps/hickory-node/tests/proofs/death.rs
+++ b/apps/hickory-node/tests/proofs/death.rs
@@ -54,19 +54,12 @@
 async fn streams_of_a_killed_owner_are_cancelled() {
     let mut options = options();
     options.engine.model.speed = 0.1;
+    options.engines = 1;
     let mut scene = Scene::start(2, options).await;
-    let (owner, at) = {
-        let owner = scene.owner("engine-0").await;
-        (owner, scene.nodes[owner].callers)
-    };
-    let time_left = Duration::from_secs(600);
-    let mut streams = Vec::new();
-    while scene.standins.engines[0].service().kv_used().0 == 0 {
-        let prompt = format!("never resumed {}", streams.len());
-        let mut stream = scene.complete_within(at, &prompt, 3_000, time_left).await.unwrap();
-        assert!(stream.next().await);
-        streams.push(stream);
-    }
+    let owner = scene.owner("engine-0").await;
+    let (at, time_left) = (scene.nodes[owner].callers, Duration::from_secs(600));
+    let mut stream = scene.complete_within(at, "never resumed", 3_000, time_left).await.unwrap();
+    assert!(stream.next().await);
     scene.nodes[owner].kill();
     eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
 }
--- a/apps/hickory-node/tests/proofs/whole.rs
+++ b/apps/hickory-node/tests/proofs/whole.rs
@@ -189,28 +189,28 @@
 /// hold its memory until long after the caller has gone.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stalled_engine_is_replaced_and_freed() {
-    for after in [0, 10] {
-        let scene = Scene::start(2, slow_options()).await;
-        scene.standins.engines.iter().for_each(|e| e.service().stall(Stall::After(after)));
-        let time_left = Duration::from_secs(600);
-        let at = scene.nodes[0].callers;
-        let ask = async {
-            let mut stream = scene.complete_within(at, "stalled", 30, time_left).await.unwrap();
-            stream.rest().await;
-            stream
-        };
-        let free_others = async {
-            let holder = || async { scene.standins.engines.iter().position(holds) };
-            let stalled = eventually("an engine holds the stream", holder).await;
-            let engines = scene.standins.engines.iter().enumerate();
-            engines
-                .filter(|(i, _)| *i != stalled)
-                .for_each(|(_, e)| e.service().stall(Stall::None));
-            scene.standins.engines[stalled].faults().lose_cancels(2);
-        };
-        let (stream, ()) = tokio::join!(ask, free_others);
-        assert_whole(&scene, "stalled", 30, stream).await;
-    }
+    tokio::join!(stall_one_engine(0), stall_one_engine(10));
+}
+
+async fn stall_one_engine(after: u64) {
+    let scene = Scene::start(2, slow_options()).await;
+    scene.standins.engines.iter().for_each(|e| e.service().stall(Stall::After(after)));
+    let time_left = Duration::from_secs(600);
+    let at = scene.nodes[0].callers;
+    let ask = async {
+        let mut stream = scene.complete_within(at, "stalled", 30, time_left).await.unwrap();
+        stream.rest().await;
+        stream
+    };
+    let free_others = async {
+        let holder = || async { scene.standins.engines.iter().position(holds) };
+        let stalled = eventually("an engine holds the stream", holder).await;
+        let engines = scene.standins.engines.iter().enumerate();
+        engines.filter(|(i, _)| *i != stalled).for_each(|(_, e)| e.service().stall(Stall::None));
+        scene.standins.engines[stalled].faults().lose_cancels(2);
+    };
+    let (stream, ()) = tokio::join!(ask, free_others);
+    assert_whole(&scene, "stalled", 30, stream).await;
 }
 
 fn holds(engine: &hickory_standin::engine::Handle) -> bool {
