--- a/crates/state/src/terms.rs
+++ b/crates/state/src/terms.rs
@@ -43,16 +43,12 @@
         self.ticked_at = Some(now);
     }
 
-    /// Whether this node is certainly what the document says it is.
-    ///
-    /// The document must have been read after the node registered: while it
-    /// had no lease, its targets may have been taken. And read lately: a
-    /// takeover decided before it came back may be written after.
+    /// Whether this node is certainly what the document says it is: its lease
+    /// is valid, and the service spoke lately. A takeover that was decided
+    /// while this node was lost may be written after it came back; the new
+    /// owner waits as long as a word counts here.
     pub(crate) fn confirmed(&self, now: Instant, fresh: Duration) -> bool {
-        let (Some(read), Some(registered)) = (self.read_at, self.registered_at) else {
-            return false;
-        };
-        self.lease && registered <= read && now < read + fresh
+        self.lease && self.read_at.is_some_and(|read| now < read + fresh)
     }
 
     /// Whether the service or another node was heard since this process was
--- a/crates/state/tests/owner.rs
+++ b/crates/state/tests/owner.rs
@@ -1,6 +1,7 @@
 //! Scripted failures of ownership, on its pure half.
 
 use goldenscript::Context;
+use hickory_state::owner::KEY;
 use std::fmt::Write as _;
 use std::time::Duration;
 use world::{Loss, World};
@@ -21,7 +22,20 @@
     /// Cuts nodes off the service and off the other nodes; they reach each
     /// other.
     Part(Vec<String>),
+    /// The same, as a second group.
+    PartAgain(Vec<String>),
+    /// Cuts nodes off the other nodes, and makes them miss the document,
+    /// though they renew their leases.
+    Blind(Vec<String>),
+    /// New connections to the nodes fail, though they run.
+    Deaf(Vec<String>),
     Heal(Vec<String>),
+    /// Remembers the document for stale reads.
+    Remember,
+    /// The nodes read the remembered document.
+    Stale(Vec<String>),
+    /// What was granted in the last step.
+    Granted,
     /// The service goes down.
     Down,
     Up,
@@ -72,8 +86,25 @@
                 node.service = false;
                 node.group = 1;
             }),
+            Command::PartAgain(names) => self.each(names, |node| {
+                node.service = false;
+                node.group = 2;
+            }),
+            Command::Blind(names) => self.each(names, |node| {
+                node.blind = true;
+                node.group = 1;
+            }),
+            Command::Deaf(names) => self.each(names, |node| node.deaf = true),
+            Command::Remember => self.0.remembered = self.0.core.get(self.0.now, KEY),
+            Command::Stale(names) => {
+                let (now, entry) = (self.0.now, self.0.remembered.clone());
+                self.each(names, |node| drop(node.steward.read(now, now, entry.as_ref())));
+            }
+            Command::Granted => writeln!(output, "{}", self.0.granted())?,
             Command::Heal(names) => self.each(names, |node| {
                 node.service = true;
+                node.deaf = false;
+                node.blind = false;
                 node.group = 0;
             }),
             Command::Down => self.0.up = false,
@@ -137,6 +168,26 @@
     run("late_takeover");
 }
 
+#[test]
+fn late_takeover_unseen() {
+    run("late_takeover_unseen");
+}
+
+#[test]
+fn slow_return() {
+    run("slow_return");
+}
+
+#[test]
+fn two_in_doubt() {
+    run("two_in_doubt");
+}
+
+#[test]
+fn stale_read() {
+    run("stale_read");
+}
+
 #[test]
 fn join() {
     run("join");
