--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,24 +22,30 @@
 mod drive;
 mod entry;
 mod parse;
+mod parts;
 mod peers;
 mod permit;
+mod record;
 mod relay;
 mod reply;
 mod resume;
 mod seal;
 mod seat;
+mod seats;
 mod serve;
+mod suspect;
 mod view;
 
 use crate::core::{Core, LinkProbe, Stage};
 use hickory_platform::http::{Address, Platform};
+use hickory_release::note::Note;
 use hickory_settings::Node as Settings;
 use hickory_state::claim::{self, Ledger};
-use hickory_state::config::Keeper;
+use hickory_state::config::{Keeper, Rejection};
 use hickory_state::member::{Info, Member};
 use hickory_state::owner::Owners;
 use hickory_target::http::Targets;
+use hickory_telemetry::metered::Metered;
 use hickory_telemetry::metrics::Metrics;
 use hickory_unit::clock::{Clock, System};
 use hickory_unit::id;
@@ -84,6 +90,7 @@
         tokio::spawn(peers::follow_hosts(core.clone()));
         tokio::spawn(peers::gossip(core.clone(), links));
         tokio::spawn(drive::follow_owned(core.clone()));
+        tokio::spawn(drive::poll_seats(core.clone()));
         tokio::spawn(drain::follow(core.clone()));
         let listener = tokio::net::TcpListener::from_std(callers)?;
         tokio::spawn(serve::serve(core.clone(), listener));
@@ -105,6 +112,23 @@
         self.core.settings.peers
     }
 
+    /// Accepts a release note: writes the configuration that it makes of the
+    /// present one, whole or not at all.
+    ///
+    /// # Errors
+    ///
+    /// Why the note is not accepted, or that it is not known whether it is.
+    pub async fn accept(&self, note: &Note) -> Result<id::Release, Rejection> {
+        self.core.keeper.accept(note).await.map(|configuration| configuration.version)
+    }
+
+    /// Targets that take new work, as far as this node knows.
+    pub fn accepting(&self) -> usize {
+        let hosts = self.core.view.hosts();
+        let states = hosts.keys().filter_map(|target| self.core.view.state(target));
+        states.filter(|state| state.accepting).count()
+    }
+
     /// Begins a planned stop; [`Node::closed`] tells when it is done.
     pub fn drain(&self) {
         drain::begin(&self.core);
@@ -129,7 +153,9 @@
         hosts: settings.platform.hosts,
         weights: settings.platform.weights,
     };
+    let metrics = Metrics::open().map_err(invalid)?;
     let platform = Platform::open(address, Duration::from_millis(times.platform_ms));
+    let platform = Metered::open(platform, clock, metrics.clone());
     let incarnation = id::Incarnation(clock.wall_ms());
     let info = Info {
         node: settings.node.clone(),
@@ -158,9 +184,10 @@
         member,
         owners,
         platform,
-        view: view::View::default(),
-        seats: seat::Seats::default(),
-        metrics: Metrics::open().map_err(invalid)?,
+        view: view::View::open(settings.zone.clone()),
+        seats: seats::Seats::default(),
+        record: suspect::Record::default(),
+        metrics,
         stage: watch::channel(Stage::Serving).0,
         active: AtomicUsize::new(0),
         settings,
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -1,11 +1,12 @@
 //! Getting leave to send: choose a target, ask its owner, check once more.
 
 use crate::core::Core;
-use crate::parse::refuse;
-use crate::seat::{self, QUEUED};
+use crate::parse::{PREFIX_LEN, refuse};
+use crate::seat::{QUEUED, TAKEN};
+use crate::seats;
 use crate::view::Need;
 use hickory_policy::cost::{Class, Cost};
-use hickory_policy::place::rank_targets;
+use hickory_policy::place::{Prefix, Query, choose_target};
 use hickory_policy::refuse::{Reason, Refusal, Retry};
 use hickory_target::engine;
 use hickory_unit::clock::Clock;
@@ -40,6 +41,8 @@
     pub(crate) deadline: Instant,
     pub(crate) fingerprint: u64,
     pub(crate) prefix: u64,
+    /// Runs beside no other request.
+    pub(crate) alone: bool,
 }
 
 /// Leave to send one attempt to one target.
@@ -76,11 +79,14 @@
         }
         let configuration =
             core.configuration().ok_or_else(|| refuse(Reason::NotReady, "no configuration yet"))?;
-        let candidates = core.view.candidates(now, want.need, &configuration, &tried);
-        let Some(best) = rank_targets(want.cost, &candidates).first().copied() else { break };
+        let candidates = core.view.candidates(now, want.need, want.prefix, &configuration, &tried);
+        let Some(best) = choose_target(&query_of(want), &candidates) else { break };
         let target = best.target.clone();
         let expected = hickory_policy::place::estimate_first_token(want.cost, best);
         tried.push(target.clone());
+        // Counted from the ask on: what waits at an owner is not told yet, and
+        // a whole burst would join the queue of one and the same target.
+        core.view.note_sent(now, &target, want.cost);
         match ask_owner(core, want, &target).await {
             Ok(permit) => {
                 let hosts = core.view.hosts();
@@ -93,7 +99,6 @@
                     give_back(core, &target, &permit, want.stream, ending, None);
                     continue;
                 };
-                core.view.note_sent(&target, want.cost);
                 let (address, stream) = (host.address, want.stream.clone());
                 return Ok(Leave { target, address, permit, stream, expected });
             }
@@ -113,6 +118,13 @@
     }))
 }
 
+fn query_of(want: &Want<'_>) -> Query {
+    let tokens = size::Tokens::of_bytes(size::Bytes(PREFIX_LEN as u64));
+    let has_prefix = matches!(want.need, Need::Weights(_)) && want.cost.prefill >= tokens;
+    let prefix = has_prefix.then_some(Prefix { hash: want.prefix, tokens });
+    Query { cost: want.cost, class: want.class, prefix, random: rand::random() }
+}
+
 /// Asks the owner of `target` until it grants or refuses; `None` where the
 /// owner can't be asked.
 async fn ask_owner(
@@ -157,6 +169,25 @@
     }
 }
 
+/// Asks the owner of `target` for an answer at once, yes or no. The same ask
+/// again renews the life of its permit.
+pub(crate) async fn ask_at_once(
+    core: &Core,
+    want: &Want<'_>,
+    target: &id::Target,
+) -> Option<Permit> {
+    let asked = core.now();
+    let time_left = want.deadline.checked_duration_since(asked)?;
+    let ask = Ask { urgent: true, ..make_ask(want, target, time_left) };
+    let permit = send_ask(core, &ask).await.ok()?.ok()?;
+    let configuration = core.configuration()?;
+    let usable = core.now() < asked + permit.life && core.view.may_send(target, &configuration);
+    if !usable {
+        give_back(core, target, &permit, want.stream, Ending::NotSent, None);
+    }
+    usable.then_some(permit)
+}
+
 fn make_ask(want: &Want<'_>, target: &id::Target, time_left: Duration) -> Ask {
     Ask {
         stream: want.stream.clone(),
@@ -174,7 +205,7 @@
             Need::Service(_) => None,
         },
         time_left,
-        alone: false,
+        alone: want.alone,
         fingerprint: want.fingerprint,
         prefix: want.prefix,
         urgent: false,
@@ -203,7 +234,7 @@
 
 async fn send_ask(core: &Core, ask: &Ask) -> Result<Result<Permit, message::Refusal>, link::Error> {
     match find_owner(core, &ask.target).ok_or_else(no_owner)? {
-        Owner::Here => Ok(seat::permit(core, ask).await),
+        Owner::Here => Ok(seats::permit(core, ask).await),
         Owner::There(address) => {
             let links = core.links.get().ok_or(link::Error::Closed)?;
             links.permit(address, ask.clone(), core.peer_timeout()).await
@@ -220,19 +251,39 @@
         ..refuse(Reason::NoOwner, "the target has no owner at present")
     };
     let answer = match find_owner(core, &adopt.target).ok_or_else(no_owner)? {
-        Owner::Here => seat::adopt(core, &adopt),
+        Owner::Here => seats::adopt(core, &adopt),
         Owner::There(address) => {
             let links = core.links.get().ok_or_else(no_owner)?;
             let answer = links.adopt(address, adopt, core.peer_timeout()).await;
             answer.map_err(|_| no_owner())?
         }
     };
-    answer.map_err(|refused| match refused.not_owner {
-        true => no_owner(),
-        false => refuse(Reason::StreamLost, "no target holds the stream any more"),
+    answer.map_err(|refused| match refused.reason.as_str() {
+        _ if refused.not_owner => no_owner(),
+        TAKEN => refuse(Reason::AlreadyClaimed, "another node serves the stream"),
+        _ => refuse(Reason::StreamLost, "no target holds the stream any more"),
     })
 }
 
+/// Whether this node may take its own stream up again after a cut.
+///
+/// The engine cuts a reader when another one comes: if this node was paused,
+/// its caller may have gone on through another node, and taking the stream
+/// back would cut that one. While the target has no owner the answer waits,
+/// for `limit` at most: then the cut is far likelier than a second reader.
+pub(crate) async fn may_keep(core: &Core, want: message::Adopt, limit: Duration) -> bool {
+    let end = core.now() + limit;
+    loop {
+        match adopt(core, want.clone()).await {
+            Err(refusal) if refusal.reason == Reason::AlreadyClaimed => return false,
+            Err(refusal) if refusal.reason == Reason::NoOwner && core.now() < end => {
+                tokio::time::sleep(core.permit_life() / 4).await;
+            }
+            Ok(_) | Err(_) => return true,
+        }
+    }
+}
+
 /// Tells the owner how an attempt ended, without waiting for it.
 pub(crate) fn give_back(
     core: &Core,
@@ -251,7 +302,7 @@
         stream: Some(stream.clone()),
     };
     match find_owner(core, target) {
-        Some(Owner::Here) => seat::end(core, &outcome),
+        Some(Owner::Here) => seats::end(core, &outcome),
         Some(Owner::There(address)) => {
             let Some(links) = core.links.get().cloned() else { return };
             let timeout = core.peer_timeout();
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,6 +1,6 @@
 //! What must hold of settings beyond their types.
 
-use crate::node::{Node, Times};
+use crate::node::{Node, Policy, Times};
 use derive_more::Display;
 use hickory_document::read_document;
 use hickory_document::rule::{HEX_LENGTH, check_digest, check_name, is_hex};
@@ -70,9 +70,9 @@
 
 /// Why settings could not be opened.
 #[derive(Debug, Display, derive_more::Error)]
-pub enum OpenError {
+pub enum Error {
     /// The file can't be read.
-    #[display("{}: {error}", file.display())]
+    #[display("{}: can't be read", file.display())]
     Unreadable {
         /// The file.
         file: PathBuf,
@@ -82,14 +82,15 @@
     },
     /// The file is invalid.
     #[display("{_0}")]
-    Invalid(#[error(source)] Invalid),
+    #[error(ignore)]
+    Invalid(Invalid),
 }
 
 /// Reads the settings of a node from a file.
-pub fn open(file: &Path) -> Result<Node, OpenError> {
+pub fn open(file: &Path) -> Result<Node, Error> {
     let text = std::fs::read_to_string(file)
-        .map_err(|error| OpenError::Unreadable { file: file.to_owned(), error })?;
-    let invalid = |findings| OpenError::Invalid(Invalid { file: file.to_owned(), findings });
+        .map_err(|error| Error::Unreadable { file: file.to_owned(), error })?;
+    let invalid = |findings| Error::Invalid(Invalid { file: file.to_owned(), findings });
     parse_node(&text).map_err(invalid)
 }
 
@@ -110,11 +111,18 @@
         check_addresses(node, &mut later, &mut warnings);
         check_secrets(node, &mut later, &mut warnings);
         check_ranges(&node.times, &mut later);
+        if node.policy != Policy::Fair {
+            let message = "is a baseline for measurements: shares are not kept, and short \
+                           prompts wait behind long ones";
+            warnings.push(Finding::at("policy", message));
+        }
         // A time that can't be read would be compared by its default.
         if !RANGES.iter().any(|range| reading.is_known(&range.field())) {
             check_contradictions(&node.times, &mut later, &mut warnings);
         }
     }
+    // What stands in for a field that can't be read is no choice of anybody's.
+    warnings.retain(|warning| !reading.is_known(&warning.field));
     reading.extend(later);
     reading.places.locate(&mut warnings);
     match reading.into_result() {
@@ -130,10 +138,15 @@
         ("platform.hosts", node.platform.hosts),
         ("platform.weights", node.platform.weights),
     ];
+    // A listener may take any free port, which the node prints when it is
+    // ready; a service of the platform can't be found at port 0.
+    for (field, _) in listeners.iter().filter(|(_, address)| address.port() == 0) {
+        warnings.push(Finding::at(*field, "port 0: another port is taken at each start"));
+    }
+    for (field, _) in services.iter().filter(|(_, address)| address.port() == 0) {
+        findings.push(Finding::at(*field, "the port must not be 0"));
+    }
     for (field, address) in listeners.iter().chain(&services) {
-        if address.port() == 0 {
-            findings.push(Finding::at(*field, "the port must not be 0"));
-        }
         // Callers and other nodes are told these addresses.
         if address.ip().is_unspecified() && *field != "admin" {
             findings.push(Finding::at(*field, "must be an address that others can connect to"));
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -76,7 +76,7 @@
   target @0 :Text;
   epoch @1 :UInt64;
   queuedPrefill @2 :UInt64;   # prompt tokens granted or queued, not prefilled
-  queuedBatch @3 :UInt64;     # of these, batch
+  queuedLong @3 :UInt64;      # of these, of long prompts
   kvFree @4 :UInt64;
   kvCapacity @5 :UInt64;
   prefillRate @6 :UInt64;     # tokens a second at present warmth
@@ -98,6 +98,9 @@
   targets @5 :List(TargetState);
   suspects @6 :List(Suspect);
   connections @7 :UInt32;      # callers served, for entry answers
+  version @8 :UInt64;          # counts the changes of the speaker's targets
+  seen @9 :UInt64;             # the listener's version that the speaker has;
+                               # only targets changed since are told
 }
 
 struct Suspect {
@@ -126,7 +129,8 @@
   outcome @2 (outcome :Outcome) -> ();
   release @3 () -> (document :Document);
   owners @4 () -> (document :Document);
-  adopt @5 (target :Text, stream :Text, node :Text) -> (answer :PermitAnswer);
+  adopt @5 (target :Text, stream :Text, node :Text, keep :Bool) -> (answer :PermitAnswer);
   # The asking node serves the rest of a stream that another node opened: the
-  # owner counts it as the asker's and no longer as one to be cancelled.
+  # owner counts it as the asker's and no longer as one to be cancelled. With
+  # `keep`, only if no other node has taken it over since.
 }
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -180,7 +180,7 @@
     to.set_target(state.target.as_str());
     to.set_epoch(state.epoch.0);
     to.set_queued_prefill(state.queued_prefill.0);
-    to.set_queued_batch(state.queued_batch.0);
+    to.set_queued_long(state.queued_long.0);
     to.set_kv_free(state.kv_free.0);
     to.set_kv_capacity(state.kv_capacity.0);
     to.set_prefill_rate(state.prefill_rate);
@@ -203,7 +203,7 @@
         target: read_text(from.get_target())?.into(),
         epoch: id::Epoch(from.get_epoch()),
         queued_prefill: size::Tokens(from.get_queued_prefill()),
-        queued_batch: size::Tokens(from.get_queued_batch()),
+        queued_long: size::Tokens(from.get_queued_long()),
         kv_free: size::Tokens(from.get_kv_free()),
         kv_capacity: size::Tokens(from.get_kv_capacity()),
         prefill_rate: from.get_prefill_rate(),
@@ -223,6 +223,8 @@
     to.set_owners(gossip.owners);
     to.set_draining(gossip.draining);
     to.set_connections(gossip.connections);
+    to.set_version(gossip.version);
+    to.set_seen(gossip.seen);
     let mut targets = to.reborrow().init_targets(gossip.targets.len() as u32);
     for (i, state) in gossip.targets.iter().enumerate() {
         write_state(state, targets.reborrow().get(i as u32));
@@ -251,6 +253,8 @@
         targets: from.get_targets()?.iter().map(read_state).collect::<Result<_>>()?,
         suspects: suspects.collect(),
         connections: from.get_connections(),
+        version: from.get_version(),
+        seen: from.get_seen(),
     })
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -127,8 +127,8 @@
     pub epoch: id::Epoch,
     /// Prompt tokens granted or queued and not yet prefilled.
     pub queued_prefill: size::Tokens,
-    /// Of these, tokens of requests that may wait.
-    pub queued_batch: size::Tokens,
+    /// Of these, tokens of long prompts.
+    pub queued_long: size::Tokens,
     /// KV cache that is free.
     pub kv_free: size::Tokens,
     /// KV cache in all.
@@ -173,7 +173,12 @@
     pub owners: u64,
     /// Whether it is stopping.
     pub draining: bool,
-    /// The targets it owns.
+    /// Counts the changes of what it tells of its targets.
+    pub version: u64,
+    /// The listener's version that the speaker has; zero for none. The
+    /// listener tells only what has changed since.
+    pub seen: u64,
+    /// The targets it owns that have changed since the listener's last word.
     pub targets: Vec<State>,
     /// Requests under suspicion.
     pub suspects: Vec<Suspect>,
@@ -200,4 +205,7 @@
     pub stream: id::Stream,
     /// The node that now serves it.
     pub node: id::Node,
+    /// Set where the node served it before: answered with yes only if no other
+    /// node has taken it over since.
+    pub keep: bool,
 }
