--- /dev/null
+++ b/crates/state/tests/drive.rs
@@ -0,0 +1,174 @@
+//! The drivers over an in-memory service with faults. Waits are on
+//! conditions, with a bound that only a hang reaches.
+
+use hickory_platform::store::Store;
+use hickory_release::configuration::Configuration;
+use hickory_release::note::Note;
+use hickory_standin::store::Memory;
+use hickory_state::claim::{Answer, Doubt, Ledger, Options, Outcome};
+use hickory_state::config::{Keeper, Rejection};
+use hickory_state::member::{Info, Member};
+use hickory_state::owner::{Owners, Probe, Terms};
+use hickory_unit::clock::{Clock, System};
+use hickory_unit::id::{self, Incarnation};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use tokio::task::JoinSet;
+use uuid::Uuid;
+
+const HANG: Duration = Duration::from_secs(20);
+
+async fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let wait = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    assert!(tokio::time::timeout(HANG, wait).await.is_ok(), "not reached: {what}");
+}
+
+fn open_ledger(store: &Memory) -> Ledger<Memory, System> {
+    Ledger::open(store.clone(), System, "a".into(), Options::default())
+}
+
+/// One order is sent to nine nodes at once, over a thousand times, while some
+/// answers of the service are lost. One attempt is granted; every other is
+/// told that the order may have run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn same_key_everywhere() {
+    let service = Memory::default();
+    let key = Uuid::now_v7();
+    let deadline = System.now() + HANG;
+    let mut claims = JoinSet::new();
+    for node in 0..9 {
+        let store = service.join();
+        store.set(|faults| {
+            faults.lose_answers = node % 3;
+            faults.lose_writes = node % 2;
+        });
+        let ledger = open_ledger(&store);
+        for _ in 0..112 {
+            let ledger = ledger.clone();
+            claims.spawn(async move { ledger.claim(key, 7, deadline).await });
+        }
+    }
+    let answers = claims.join_all().await;
+    let granted = answers.iter().filter(|a| matches!(a, Answer::Granted(_))).count();
+    let repeated = answers.iter().filter(|a| matches!(a, Answer::Repeated { outcome: None }));
+    assert_eq!((granted, repeated.count()), (1, 9 * 112 - 1));
+}
+
+/// The outcome that one node stores is what a resend through another gets,
+/// and a request that was not run may be claimed anew.
+#[tokio::test]
+async fn outcomes() {
+    let service = Memory::default();
+    let (a, b) = (open_ledger(&service.join()), open_ledger(&service.join()));
+    let key = Uuid::now_v7();
+    let deadline = System.now() + HANG;
+    let Answer::Granted(claim) = a.claim(key, 7, deadline).await else {
+        panic!("not granted");
+    };
+    a.settle(&claim, Outcome::NotRun).await.unwrap();
+    assert!(!claim.may_send(System.now()));
+    let Answer::Granted(claim) = b.claim(key, 7, deadline).await else {
+        panic!("not granted anew");
+    };
+    let answered = Outcome::Answered { status: 200, body: Some("taken".into()) };
+    b.settle(&claim, answered.clone()).await.unwrap();
+    let answer = a.claim(key, 7, deadline).await;
+    assert!(matches!(answer, Answer::Repeated { outcome: Some(o) } if o == answered));
+    assert!(matches!(a.claim(key, 8, deadline).await, Answer::Reused));
+}
+
+/// The service says nothing for the whole deadline: the refusal comes at the
+/// deadline, not later, and does not claim that nothing ran.
+#[tokio::test]
+async fn silent_service() {
+    let store = Memory::default();
+    store.set(|faults| faults.delay = HANG);
+    let ledger = open_ledger(&store);
+    let deadline = System.now() + Duration::from_millis(200);
+    let claim = ledger.claim(Uuid::now_v7(), 7, deadline);
+    let answer = tokio::time::timeout(HANG / 2, claim).await.expect("answered at the deadline");
+    assert!(matches!(answer, Answer::Unknown(Doubt::Unread(_))), "{answer:?}");
+}
+
+/// A note accepted at one node is in force at another by its watch, at a third
+/// that has lost the service by its peer, and a second operator's note against
+/// the same version meets a conflict. The first answer is lost.
+#[tokio::test]
+async fn notes() {
+    let service = Memory::default();
+    let (near, far, cut) = (service.join(), service.join(), service.join());
+    cut.set(|faults| faults.down = true);
+    near.set(|faults| faults.lose_answers = 1);
+    let a = Keeper::spawn(near, System);
+    let b = Keeper::spawn(far, System);
+    let c = Keeper::spawn(cut, System);
+    let note = |operation: &str| Note { operation: operation.into(), ..Note::default() };
+    let accepted = a.accept(&note("first")).await.unwrap();
+    assert_eq!(accepted.version, id::Release(1));
+    let version = |keeper: &Keeper<Memory, System>| keeper.current().map(|c| c.version.0);
+    wait_for("the watch tells it", || version(&b) == Some(1)).await;
+    let rejection = b.accept(&note("second")).await.unwrap_err();
+    assert!(matches!(rejection, Rejection::Conflict { present } if present.version.0 == 1));
+    assert_eq!(version(&c), None);
+    assert!(c.offer((*accepted).clone()));
+    assert!(!c.offer(Configuration::default()));
+    assert_eq!(version(&c), Some(1));
+}
+
+/// Answers by whether the probed node's member still renews its lease: all
+/// nodes of these tests run.
+#[derive(Clone, Copy)]
+struct Alive;
+
+impl Probe for Alive {
+    async fn alive(&self, _: &Info) -> bool {
+        true
+    }
+}
+
+type Node = (Member<Memory, System>, Owners<Memory, System, Alive>);
+
+fn spawn_node(store: Memory, name: &str) -> Node {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let info = Info {
+        node: name.into(),
+        zone: "z".into(),
+        callers: address,
+        peers: address,
+        admin: address,
+        incarnation: Incarnation(1),
+        draining: false,
+    };
+    let member = Member::spawn(store.clone(), System, info, Duration::from_secs(2));
+    let permit = Duration::from_millis(200);
+    let owners = Owners::spawn(store, System, member.clone(), Alive, permit);
+    owners.set_targets(&["t1", "t2", "t3", "t4", "t5"].map(id::Target::from));
+    (member, owners)
+}
+
+fn count_full(node: &Node) -> usize {
+    node.1.owned().iter().filter(|owned| owned.terms == Terms::Full).count()
+}
+
+/// Three nodes share five targets; one stops as planned and hands its own
+/// over in one write; then it is gone from the registrations.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn owners() {
+    let service = Memory::default();
+    let nodes = ["a", "b", "c"].map(|name| spawn_node(service.join(), name));
+    let total = || nodes.iter().map(count_full).sum::<usize>();
+    wait_for("all targets are served", || total() == 5).await;
+    let most = nodes.iter().max_by_key(|node| count_full(node)).unwrap();
+    most.0.set_draining().await;
+    assert!(most.1.release_all().await);
+    assert!(most.1.owned().is_empty());
+    most.0.leave().await;
+    wait_for("the others serve all", || total() == 5 && count_full(most) == 0).await;
+    wait_for("the node is gone", || nodes.iter().all(|(m, _)| m.nodes().len() == 2)).await;
+    let entry = service.get("owners").await.unwrap().unwrap();
+    assert_eq!(nodes[0].1.revision(), entry.revision.0);
+}
