--- a/crates/state/examples/calls.rs
+++ b/crates/state/examples/calls.rs
@@ -185,6 +185,15 @@
             at(0.99)
         );
     }
+    let entries = store.inner.list("").await.map(|(entries, _)| entries).unwrap_or_default();
+    for prefix in ["owners", "nodes/", "ledger/"] {
+        let sizes = entries.iter().filter(|e| e.key.starts_with(prefix)).map(|e| e.value.len());
+        println!(
+            "{prefix:8} bytes: all {} greatest {:?}",
+            sizes.clone().sum::<usize>(),
+            sizes.max()
+        );
+    }
     let begun = Instant::now();
     let note = Note { operation: "one".into(), ..Note::default() };
     let accepted = nodes[0].keeper.accept(&note).await.map(|next| next.version);
