--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -25,7 +25,8 @@
 pub mod memory;
 pub mod option;
 pub mod pipe;
-pub mod prefix;
 mod seen;
 mod transfer;
 pub mod warmth;
+
+pub use hickory_target::prefix;
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -173,7 +173,8 @@
     Unload(Weights),
     /// Change role.
     Role(Role),
-    /// Pin a prefix in the cache, by the hash of its leading blocks.
+    /// Pin a prefix in the cache, by the hash of its leading blocks; see
+    /// [`crate::prefix`].
     Pin(u64),
     /// Release a pinned prefix.
     Unpin(u64),
@@ -185,7 +186,8 @@
 pub struct CacheEvent {
     /// Counts the engine's events.
     pub seq: u64,
-    /// Hash of the leading blocks that were stored or evicted.
+    /// Hash of the leading blocks that were stored or evicted; see
+    /// [`crate::prefix`].
     pub prefix: u64,
     /// Whether the prefix was stored.
     pub stored: bool,
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod engine;
 pub mod http;
+pub mod prefix;
 pub mod service;
 
 use derive_more::Display;
