Stand-in key-value service: a bound on calls a second; its core apart

The platform's service takes several hundred writes and two thousand reads a second; an experiment can now hold the stand-in to that. The pure core has a file and tests of its own, with the time passed in.

--- a/apps/hickory-standin/src/argument.rs
+++ b/apps/hickory-standin/src/argument.rs
@@ -25,7 +25,8 @@
 /// ones work), {"lose":{"loss":"call|answer|silence","path":"/kv/write",
 /// "count":N}} and "clear". Engines also know "turn_cold",
 /// {"lag_ms":N}, {"stall":{"after":N}} and {"crash_marker":"TEXT"}, services "turn_cold",
-/// the store {"stale":true} and "compact", the host list {"lag_ms":N},
+/// the store {"stale":true}, "compact" and
+/// {"rate":{"reads":2000,"writes":300}}, the host list {"lag_ms":N},
 /// {"stand":{"target":"engine-0","standing":"leaving"}} and
 /// {"unlist":"engine-0"}.
 #[derive(Debug, Parser)]
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -81,6 +81,14 @@
     CrashMarker(Option<String>),
     /// Key-value service: reads show the state of now until switched off.
     Stale(bool),
+    /// Key-value service: calls beyond so many a second wait; zero for no
+    /// bound.
+    Rate {
+        /// Gets, lists and watches.
+        reads: u32,
+        /// Writes and calls about leases.
+        writes: u32,
+    },
     /// Key-value service: forget the changes so far.
     Compact,
     /// Host list, engine: how far the list or the load report lags behind, in
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,203 +1,18 @@
-//! The key-value service: its core, and its server.
+//! The key-value service: shared by tasks, and served over HTTP.
 
 use crate::fault::Switch;
+use crate::rate::Rate;
 use crate::server::{self, Reply};
 use hickory_platform::http::{Grant, Listing};
-use hickory_platform::store::{
-    Batch, Entry, Error, Event, Expect, Lease, Revision, VALUE_MAX, Write,
-};
-use std::collections::{BTreeMap, VecDeque};
+use hickory_platform::store::{Batch, Entry, Error, Lease, Revision, Write};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
+pub use crate::kv::{Core, Snapshot};
 pub use crate::memory::Memory;
 
-/// Changes kept for watches; older ones make a watch answer `compacted`.
-const HISTORY_MAX: usize = 10_000;
-
-/// The state of the key-value service, without input or output.
-#[derive(Debug, Default)]
-pub struct Core {
-    entries: Entries,
-    leases: BTreeMap<u64, Held>,
-    history: VecDeque<Event>,
-    revision: u64,
-    compacted: u64,
-    next_lease: u64,
-}
-
-#[derive(Debug)]
-struct Held {
-    ttl: Duration,
-    lapses: Instant,
-}
-
-impl Core {
-    /// Reads a key.
-    pub fn get(&mut self, now: Instant, key: &str) -> Option<Entry> {
-        self.expire(now);
-        self.entries.get(key).map(|(entry, _)| entry.clone())
-    }
-
-    /// Reads all keys that begin with `prefix`.
-    pub fn list(&mut self, now: Instant, prefix: &str) -> (Vec<Entry>, Revision) {
-        self.expire(now);
-        (list_entries(&self.entries, prefix), self.revision())
-    }
-
-    /// The entries as they are now.
-    pub fn snapshot(&mut self, now: Instant) -> Snapshot {
-        self.expire(now);
-        Snapshot { entries: self.entries.clone(), revision: self.revision() }
-    }
-
-    /// Writes or removes a key.
-    pub fn write(&mut self, now: Instant, write: Write) -> Result<Revision, Error> {
-        self.expire(now);
-        if write.value.as_ref().is_some_and(|value| value.len() as u64 > VALUE_MAX.0) {
-            return Err(Error::NotDone("value too large".into()));
-        }
-        if write.lease.is_some_and(|lease| !self.leases.contains_key(&lease.0)) {
-            return Err(Error::LeaseLapsed);
-        }
-        let present = self.entries.get(&write.key).map(|(entry, _)| entry);
-        let holds = match write.expect {
-            Expect::Any => true,
-            Expect::Absent => present.is_none(),
-            Expect::At(revision) => present.is_some_and(|entry| entry.revision == revision),
-        };
-        if !holds {
-            return Err(Error::Conflict(present.cloned()));
-        }
-        if write.value.is_none() && present.is_none() {
-            return Ok(self.revision());
-        }
-        Ok(self.apply(write.key, write.value, write.lease))
-    }
-
-    /// The changes after `after`; `None` where there are none yet.
-    pub fn changes(&mut self, now: Instant, prefix: &str, after: Revision) -> Option<Batch> {
-        self.expire(now);
-        let revision = self.revision();
-        if after.0 < self.compacted {
-            return Some(Batch { events: Vec::new(), revision, compacted: true });
-        }
-        let newer = self.history.iter().rev().take_while(|event| event.revision > after);
-        let found = newer.filter(|event| event.key.starts_with(prefix));
-        let mut events: Vec<Event> = found.cloned().collect();
-        events.reverse();
-        (!events.is_empty()).then_some(Batch { events, revision, compacted: false })
-    }
-
-    /// Opens a lease.
-    pub fn grant(&mut self, now: Instant, ttl: Duration) -> Lease {
-        self.expire(now);
-        self.next_lease += 1;
-        self.leases.insert(self.next_lease, Held { ttl, lapses: now + ttl });
-        Lease(self.next_lease)
-    }
-
-    /// Renews a lease for its full time.
-    pub fn renew(&mut self, now: Instant, lease: Lease) -> Result<(), Error> {
-        self.expire(now);
-        let held = self.leases.get_mut(&lease.0).ok_or(Error::LeaseLapsed)?;
-        held.lapses = now + held.ttl;
-        Ok(())
-    }
-
-    /// Ends a lease and removes its keys.
-    pub fn revoke(&mut self, now: Instant, lease: Lease) -> Result<(), Error> {
-        self.expire(now);
-        self.leases.remove(&lease.0).ok_or(Error::LeaseLapsed)?;
-        self.remove_bound(lease);
-        Ok(())
-    }
-
-    /// Forgets all changes so far: a watch from before must list anew.
-    pub fn compact(&mut self) {
-        self.history.clear();
-        self.compacted = self.revision;
-    }
-
-    /// The revision of the last write.
-    pub fn revision(&self) -> Revision {
-        Revision(self.revision)
-    }
-
-    /// When the next lease lapses.
-    pub fn next_lapse(&self) -> Option<Instant> {
-        self.leases.values().map(|held| held.lapses).min()
-    }
-
-    /// Removes what lapsed leases held.
-    pub fn expire(&mut self, now: Instant) {
-        let lapsed: Vec<u64> =
-            self.leases.iter().filter(|(_, held)| held.lapses <= now).map(|(id, _)| *id).collect();
-        for lease in lapsed {
-            self.leases.remove(&lease);
-            self.remove_bound(Lease(lease));
-        }
-    }
-
-    fn remove_bound(&mut self, lease: Lease) {
-        let bound = self.entries.iter().filter(|(_, (_, held))| *held == Some(lease));
-        let keys: Vec<String> = bound.map(|(key, _)| key.clone()).collect();
-        for key in keys {
-            self.apply(key, None, None);
-        }
-    }
-
-    fn apply(&mut self, key: String, value: Option<String>, lease: Option<Lease>) -> Revision {
-        self.revision += 1;
-        let revision = self.revision();
-        match &value {
-            Some(value) => {
-                let entry = Entry { key: key.clone(), value: value.clone(), revision };
-                self.entries.insert(key.clone(), (entry, lease));
-            }
-            None => {
-                self.entries.remove(&key);
-            }
-        }
-        self.history.push_back(Event { key, value, revision });
-        if self.history.len() > HISTORY_MAX
-            && let Some(oldest) = self.history.pop_front()
-        {
-            self.compacted = oldest.revision.0;
-        }
-        revision
-    }
-}
-
-type Entries = BTreeMap<String, (Entry, Option<Lease>)>;
-
-fn list_entries(entries: &Entries, prefix: &str) -> Vec<Entry> {
-    let from = entries.range(prefix.to_owned()..);
-    let found = from.take_while(|(key, _)| key.starts_with(prefix));
-    found.map(|(_, (entry, _))| entry.clone()).collect()
-}
-
-/// The entries at one moment.
-#[derive(Clone, Debug, Default)]
-pub struct Snapshot {
-    entries: Entries,
-    revision: Revision,
-}
-
-impl Snapshot {
-    /// Reads a key.
-    pub fn get(&self, key: &str) -> Option<Entry> {
-        self.entries.get(key).map(|(entry, _)| entry.clone())
-    }
-
-    /// Reads all keys that begin with `prefix`.
-    pub fn list(&self, prefix: &str) -> (Vec<Entry>, Revision) {
-        (list_entries(&self.entries, prefix), self.revision)
-    }
-}
-
 /// Calls that a key-value service has had; a waiting watch counts as one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Counts {
@@ -218,12 +33,21 @@
     written: watch::Sender<u64>,
     stale: Arc<Mutex<Option<Snapshot>>>,
     counts: Arc<Mutex<Counts>>,
+    rates: Arc<Mutex<Rates>>,
+}
+
+/// The bounds on calls a second; none where absent.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rates {
+    reads: Option<Rate>,
+    writes: Option<Rate>,
 }
 
 impl Default for Shared {
     fn default() -> Self {
         let written = watch::Sender::new(0);
-        Self { core: Arc::default(), written, stale: Arc::default(), counts: Arc::default() }
+        let (stale, counts, rates) = Default::default();
+        Self { core: Arc::default(), written, stale, counts, rates }
     }
 }
 
@@ -244,6 +68,21 @@
         *lock(&self.stale) = snapshot;
     }
 
+    /// Bounds the calls a second that come over HTTP; zero for no bound.
+    pub fn set_rates(&self, reads: u32, writes: u32) {
+        let now = Instant::now();
+        let open = |per_second| (per_second > 0).then(|| Rate::open(now, per_second));
+        *lock(&self.rates) = Rates { reads: open(reads), writes: open(writes) };
+    }
+
+    /// How long a call waits for its turn.
+    fn book(&self, call: &server::Call) -> Duration {
+        let rates = &mut *lock(&self.rates);
+        let is_read = call.method == http::Method::GET;
+        let rate = if is_read { &mut rates.reads } else { &mut rates.writes };
+        rate.as_mut().map_or(Duration::ZERO, |rate| rate.book(Instant::now()))
+    }
+
     /// The calls so far.
     pub fn counts(&self) -> Counts {
         *lock(&self.counts)
@@ -330,6 +169,10 @@
 
 impl server::Service for Shared {
     async fn call(&self, call: server::Call) -> Reply {
+        let wait = self.book(&call);
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
         match (call.method.as_str(), call.path.as_str()) {
             ("GET", "/kv/get") => Reply::json(&self.get(&call.query("key"))),
             ("GET", "/kv/list") => {
@@ -354,6 +197,7 @@
 
     fn switch(&self, switch: &Switch) -> bool {
         match switch {
+            Switch::Rate { reads, writes } => self.set_rates(*reads, *writes),
             Switch::Stale(stale) => self.set_stale(*stale),
             Switch::Compact => self.with(|core, _| core.compact()),
             _ => return false,
