--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -268,7 +268,7 @@
         self.lose(Loss::Call, "/v1/cancel", count);
     }
 
-    /// Cuts all open connections; new ones work.
+    /// Cuts all open connections, within moments; new ones work.
     pub fn cut(&self) {
         self.inner.cut_below.send_replace(self.inner.next_connection.load(Ordering::SeqCst));
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -31,5 +31,6 @@
 mod reader;
 pub mod server;
 pub mod service;
+mod socket;
 pub mod store;
 pub mod weights;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::control::apply_switch;
 use crate::fault::{Faults, Life, Loss, Switch};
+use crate::socket::Gated;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
@@ -15,7 +16,6 @@
 use std::sync::OnceLock;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
@@ -319,8 +319,7 @@
 
 async fn serve<S: Service>(stream: TcpStream, service: S, faults: Faults) {
     let number = faults.next_connection();
-    let _ = stream.set_nodelay(true);
-    let gated = Gated { stream, number, faults: faults.clone() };
+    let gated = Gated::open(stream, number, faults.clone());
     let handler = hyper::service::service_fn(|request| handle(request, &service, &faults));
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -380,48 +379,3 @@
     *response.status_mut() = http::StatusCode::from_u16(reply.status).unwrap_or_default();
     response
 }
-
-/// A socket that says nothing while its stand-in is frozen, or for good once
-/// it was silenced.
-struct Gated {
-    stream: TcpStream,
-    number: u64,
-    faults: Faults,
-}
-
-impl AsyncRead for Gated {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        if self.faults.blocks(self.number, cx.waker()) {
-            return Poll::Pending;
-        }
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for Gated {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        if self.faults.blocks(self.number, cx.waker()) {
-            return Poll::Pending;
-        }
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        if self.faults.blocks(self.number, cx.waker()) {
-            return Poll::Pending;
-        }
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
