--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -13,6 +13,7 @@
 use derive_more::Display;
 use eyre::{Result, bail};
 use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// How long an experiment may take: all its processes are ended then.
 const TIMEOUT: Duration = Duration::from_secs(240);
@@ -73,9 +74,11 @@
 pub fn run_experiment(name: Name, seed: u64) -> Result<Sheet> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let measured = runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
         tokio::select! {
             measured = tokio::time::timeout(TIMEOUT, measure(name, seed)) => measured,
             _ = tokio::signal::ctrl_c() => bail!("interrupted"),
+            _ = terminate.recv() => bail!("terminated"),
         }
         .unwrap_or_else(|_| bail!("not done within {} s", TIMEOUT.as_secs()))
     });
