Baselines: straight to the engines, in turn or by lagging report

The node has no baseline policy wired (its setting is read and has no effect), so a run with it would have compared the product with itself. The baselines now need no node: the same seeded plan goes straight to the same stand-in engines, whose own queue is first in, first out.

--- a/crates/load/src/control_cost.rs
+++ b/crates/load/src/control_cost.rs
@@ -1,7 +1,7 @@
 //! What control costs a node, at 3, 6 and 9 nodes, idle and under load.
 
 use crate::experiment::send;
-use crate::fleet::{self, Fleet};
+use crate::fleet::{self, Fleet, Policy};
 use crate::mix::{Calls, Class, Length, Options, Part};
 use crate::process::Usage;
 use crate::sheet::{Goal, Sheet};
@@ -47,7 +47,7 @@
         add_cost(sheet, &format!("{nodes} nodes idle"), &before, &after, true);
         let options = plan(sheet.seed, nodes as f64);
         let before = read(&fleet).await?;
-        let samples = send(&fleet, &options).await;
+        let samples = send(&fleet, Policy::Fair, &options).await;
         let after = read(&fleet).await?;
         let label = format!("{nodes} nodes under load");
         add_cost(sheet, &label, &before, &after, false);
--- /dev/null
+++ b/crates/load/src/direct.rs
@@ -0,0 +1,181 @@
+//! The baselines: requests go straight to the engines, without the layer.
+//!
+//! An engine takes what it is sent into its own first-in, first-out queue.
+//! What the baselines differ in is the choice of the engine: each in turn, or
+//! the one with the least load by a report that lags.
+
+use crate::caller::Completion;
+use crate::content::Check;
+use crate::fleet::{self, Policy};
+use crate::outcome::{End, Failure, LATE_SLACK, Outcome, Refused};
+use futures::StreamExt;
+use hickory_policy::refuse::{Ran, Reason};
+use hickory_target::Error;
+use hickory_target::engine::{Engines, Event, Generate, Priority, Report, Weights};
+use hickory_target::http::Targets;
+use hickory_unit::clock::{Clock, System};
+use hickory_unit::{id, size};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use uuid::Uuid;
+
+/// Between two reads of an engine's report: a node's default.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How long a short call to an engine may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Sends straight to engines.
+#[derive(Debug)]
+pub struct Direct {
+    policy: Policy,
+    engines: Vec<SocketAddr>,
+    targets: Targets,
+    turn: AtomicUsize,
+    /// Load of each engine by its last report: prompt tokens to prefill, then
+    /// KV cache in use.
+    loads: Mutex<Vec<(u64, u64)>>,
+}
+
+impl Direct {
+    /// Opens a baseline over `engines`; reports are read as long as it lives.
+    pub fn spawn(policy: Policy, engines: Vec<SocketAddr>) -> Arc<Self> {
+        let loads = Mutex::new(vec![(0, 0); engines.len()]);
+        let targets = Targets::open(CALL_TIMEOUT);
+        let direct = Arc::new(Self { policy, engines, targets, turn: AtomicUsize::new(0), loads });
+        if policy == Policy::LeastLoaded {
+            tokio::spawn(read_reports(Arc::downgrade(&direct)));
+        }
+        direct
+    }
+
+    /// Asks an engine for a completion; times count from `intended`.
+    pub async fn complete(&self, ask: &Completion, prompt: String, intended: Instant) -> Outcome {
+        let mut outcome = Outcome {
+            end: End::Unanswered,
+            first_token: None,
+            gaps: Vec::new(),
+            time: Duration::ZERO,
+            tokens: 0,
+            refusals: Vec::new(),
+            resumes: 0,
+            resends: 0,
+        };
+        let engine = self.choose_engine();
+        let generate = self.make_request(ask, prompt);
+        let limit = tokio::time::Instant::from_std(intended + ask.deadline);
+        let read = self.read_answer(engine, &generate, ask, intended, &mut outcome);
+        let end = tokio::time::timeout_at(limit, read).await;
+        outcome.end = end.unwrap_or_else(|_| deadline_passed());
+        if outcome.end != End::Whole {
+            // What nobody waits for must not take the engine's time.
+            self.targets.cancel(engine, &generate.stream).await.ok();
+        }
+        outcome.time = intended.elapsed();
+        if outcome.end == End::Whole && outcome.time > ask.deadline + LATE_SLACK {
+            outcome.end = End::Late;
+        }
+        outcome
+    }
+
+    fn choose_engine(&self) -> SocketAddr {
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed) % self.engines.len();
+        let index = match self.policy {
+            Policy::Fair | Policy::Fifo => turn,
+            Policy::LeastLoaded => self.find_least(turn),
+        };
+        self.engines[index]
+    }
+
+    /// The engine with the least load; among equal ones, in turn.
+    fn find_least(&self, turn: usize) -> usize {
+        let loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        let order = (0..loads.len()).map(|step| (turn + step) % loads.len());
+        order.min_by_key(|index| loads[*index]).unwrap_or(turn)
+    }
+
+    /// An engine that does not answer keeps its last load.
+    fn take_reports(&self, reports: &[Result<Report, Error>]) {
+        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        for (load, report) in loads.iter_mut().zip(reports) {
+            *load = report.as_ref().map_or(*load, measure_load);
+        }
+    }
+
+    fn make_request(&self, ask: &Completion, prompt: String) -> Generate {
+        let deadline_ms = System.wall_ms() + ask.deadline.as_millis() as u64;
+        let request = id::Request(Uuid::now_v7());
+        Generate {
+            stream: id::Stream { request, attempt: 0, sender: "direct".into(), deadline_ms },
+            weights: Weights { model: fleet::MODEL.into(), version: "1".into(), adapter: None },
+            prompt,
+            max_tokens: size::Tokens(ask.max_tokens),
+            priority: Priority(1),
+            import: None,
+            prefill_only: None,
+            from: 0,
+        }
+    }
+
+    async fn read_answer(
+        &self,
+        engine: SocketAddr,
+        generate: &Generate,
+        ask: &Completion,
+        intended: Instant,
+        outcome: &mut Outcome,
+    ) -> End {
+        let mut check = Check::open(ask.max_tokens, |seq| ask.answer.token(seq));
+        let mut tokens = match self.targets.generate(engine, generate).await {
+            Ok(tokens) => tokens,
+            Err(error) => return protocol(&error),
+        };
+        let mut last: Option<Instant> = None;
+        loop {
+            let verdict = match tokens.next().await {
+                Some(Ok(Event::Token { text, .. })) => check.token(&text),
+                Some(Ok(Event::End { count })) => {
+                    return check.end(Some(count)).map_or_else(End::Wrong, |()| End::Whole);
+                }
+                Some(Ok(Event::Failed { reason })) => return protocol(&reason),
+                Some(Err(error)) => return protocol(&error),
+                None => return End::Failed(Failure::Broken),
+            };
+            if let Err(fault) = verdict {
+                return End::Wrong(fault);
+            }
+            let now = Instant::now();
+            match last.replace(now) {
+                Some(last) => outcome.gaps.push(now - last),
+                None => outcome.first_token = Some(now - intended),
+            }
+            outcome.tokens = check.seen();
+        }
+    }
+}
+
+fn deadline_passed() -> End {
+    let refused = Refused { reason: Reason::Deadline, ran: Ran::Unknown, retry_after: None };
+    End::Failed(Failure::Told(refused))
+}
+
+fn protocol(error: &impl std::fmt::Display) -> End {
+    End::Failed(Failure::Protocol(compact_str::format_compact!("{error}")))
+}
+
+async fn read_reports(direct: std::sync::Weak<Direct>) {
+    while let Some(direct) = direct.upgrade() {
+        let reads = direct.engines.iter().map(|engine| direct.targets.report(*engine));
+        let reports = futures::future::join_all(reads).await;
+        direct.take_reports(&reports);
+        drop(direct);
+        tokio::time::sleep(REPORT_INTERVAL).await;
+    }
+}
+
+fn measure_load(report: &Report) -> (u64, u64) {
+    let prefill = report.streams.iter().map(|held| held.prefill_left.0).sum();
+    (prefill, report.kv_used.0)
+}
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -1,9 +1,11 @@
 //! The experiments by name, and what they share.
 
+use crate::direct::Direct;
 use crate::fleet::{Fleet, Options, Policy};
 use crate::mix;
 use crate::outcome::{End, Kind, Sample};
 use crate::report::Report;
+use crate::run::{self, Route};
 use crate::sheet::Sheet;
 use crate::spread::Spread;
 use crate::{
@@ -120,26 +122,29 @@
 /// The policies that experiments compare: the product's first.
 pub(crate) const POLICIES: [Policy; 3] = [Policy::Fair, Policy::Fifo, Policy::LeastLoaded];
 
-/// Opens a fleet with a policy; `None`, and a note, where the node can't be
-/// started with it.
-pub(crate) async fn open_fleet(
-    sheet: &mut Sheet,
-    options: Options,
-    policy: Policy,
-) -> Result<Option<Fleet>> {
-    match Fleet::open(Options { policy, ..options }).await {
-        Ok(fleet) => Ok(Some(fleet)),
-        Err(error) if policy == Policy::Fair => Err(error),
-        Err(error) => {
-            sheet.note(format!("baseline {policy} not measured: {error:#}"));
-            Ok(None)
-        }
+/// Opens a fleet with a policy; a baseline has stand-ins but no nodes.
+pub(crate) async fn open_fleet(options: Options, policy: Policy) -> Result<Fleet> {
+    match policy {
+        Policy::Fair => Fleet::open(options).await,
+        Policy::Fifo | Policy::LeastLoaded => Fleet::open_standins(&options),
     }
 }
 
-/// Sends a workload through a fleet's nodes.
-pub(crate) async fn send(fleet: &Fleet, options: &mix::Options) -> Vec<Sample> {
-    crate::run::drive(options.clone(), fleet.entries(), fleet.credentials.clone()).await
+/// Says what the baselines are.
+pub(crate) fn note_baselines(sheet: &mut Sheet) {
+    sheet.note(
+        "baselines: straight to the engines, first in, first out there; fifo: each engine in \
+         turn; least_loaded: the least by reports read each 250 ms",
+    );
+}
+
+/// Sends a workload through a fleet's nodes, or straight to its engines.
+pub(crate) async fn send(fleet: &Fleet, policy: Policy, options: &mix::Options) -> Vec<Sample> {
+    let route = match policy {
+        Policy::Fair => Route::nodes(options.callers, &fleet.entries()),
+        Policy::Fifo | Policy::LeastLoaded => Route::Direct(Direct::spawn(policy, fleet.engines())),
+    };
+    run::drive(options.clone(), route, fleet.credentials.clone()).await
 }
 
 /// First tokens of the samples of one kind that were due within a time.
--- a/crates/load/src/first_token.rs
+++ b/crates/load/src/first_token.rs
@@ -1,6 +1,8 @@
 //! Time to first token by prompt length in a mixed load.
 
-use crate::experiment::{POLICIES, add_ends, open_fleet, send, spread_first_tokens};
+use crate::experiment::{
+    POLICIES, add_ends, note_baselines, open_fleet, send, spread_first_tokens,
+};
 use crate::fleet;
 use crate::mix::{Arrival, Class, Length, Options, Part};
 use crate::outcome::Kind;
@@ -24,9 +26,9 @@
     for policy in POLICIES {
         let engine = Engine { speed: SPEED, ..Engine::default() };
         let options = fleet::Options { engine, ..fleet::Options::default() };
-        let Some(fleet) = open_fleet(sheet, options, policy).await? else { continue };
+        let fleet = open_fleet(options, policy).await?;
         let options = plan(sheet.seed);
-        let samples = send(&fleet, &options).await;
+        let samples = send(&fleet, policy, &options).await;
         drop(fleet);
         for length in Length::ALL {
             let kind = Kind::Completion(*length);
@@ -45,6 +47,7 @@
         add_ends(sheet, &policy.to_string(), &options, &samples);
     }
     sheet.note(format!("6 engines, each at {SPEED} times 40k prompt tokens a second"));
+    note_baselines(sheet);
     Ok(())
 }
 
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -38,10 +38,10 @@
 /// Between two looks at whether a condition holds.
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// The policy that nodes follow.
+/// What decides where requests go and in which order.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
 pub enum Policy {
-    /// Fair shares, headroom, ramps: the product.
+    /// The nodes of the product.
     #[display("fair")]
     Fair,
     /// First in, first out, targets in turn: a baseline.
@@ -65,8 +65,6 @@
     pub replicas: usize,
     /// The partners with their shares and their number of accounts.
     pub partners: Vec<(&'static str, f64, usize)>,
-    /// The policy.
-    pub policy: Policy,
 }
 
 impl Default for Options {
@@ -77,7 +75,6 @@
             engine: Engine::default(),
             replicas: 3,
             partners: vec![("mawe", 0.6, 5), ("caucao", 0.4, 5)],
-            policy: Policy::Fair,
         }
     }
 }
@@ -120,13 +117,9 @@
     /// target takes work.
     pub async fn open(options: Options) -> Result<Self> {
         ensure!(options.nodes <= 9, "an experiment starts at most nine nodes");
-        let standins = open_standins(&options)?;
-        let folder = open_folder()?;
-        let http = Http::open();
-        let credentials = name_credentials(&options);
-        let mut fleet = Self { nodes: Vec::new(), standins, credentials, http, folder };
+        let mut fleet = Self::open_standins(&options)?;
         for index in 0..options.nodes {
-            let node = fleet.start_node(index, options.policy)?;
+            let node = fleet.start_node(index)?;
             fleet.nodes.push(node);
         }
         let note = write_first_note(&options, &fleet.credentials);
@@ -135,6 +128,18 @@
         Ok(fleet)
     }
 
+    /// Starts the stand-ins of a fleet, and no nodes.
+    pub fn open_standins(options: &Options) -> Result<Self> {
+        let standins = spawn_standins(options)?;
+        let (folder, credentials) = (open_folder()?, name_credentials(options));
+        Ok(Self { nodes: Vec::new(), standins, credentials, http: Http::open(), folder })
+    }
+
+    /// The addresses of the engines.
+    pub fn engines(&self) -> Vec<SocketAddr> {
+        self.standins.engines.iter().map(|engine| engine.address()).collect()
+    }
+
     /// The addresses of the nodes for callers.
     pub fn entries(&self) -> Vec<SocketAddr> {
         self.nodes.iter().map(|node| node.address.callers).collect()
@@ -212,9 +217,9 @@
         Ok(body)
     }
 
-    fn start_node(&self, index: usize, policy: Policy) -> Result<Node> {
+    fn start_node(&self, index: usize) -> Result<Node> {
         let settings = self.folder.join(format!("node-{index}.json"));
-        std::fs::write(&settings, write_settings(&self.standins, index, policy))?;
+        std::fs::write(&settings, write_settings(&self.standins, index))?;
         let errors = self.folder.join(format!("node-{index}.log"));
         let path = settings.to_string_lossy();
         let binary = crate::process::find_binary("hickory-node")?;
@@ -279,7 +284,7 @@
     text.lines().take(3).collect::<Vec<_>>().join("; ")
 }
 
-fn open_standins(options: &Options) -> Result<Standins> {
+fn spawn_standins(options: &Options) -> Result<Standins> {
     let weights = Weights { model: MODEL.into(), version: "1".into(), adapter: None };
     Ok(Standins::spawn(standins::Options {
         engines: options.engines,
@@ -302,19 +307,15 @@
         .collect()
 }
 
-fn write_settings(standins: &Standins, index: usize, policy: Policy) -> String {
+fn write_settings(standins: &Standins, index: usize) -> String {
     let zone = ["a", "b", "c"][index % 3];
     let platform = standins.platform();
     let operator = digest_token(OPERATOR);
-    let policy = match policy {
-        Policy::Fair => String::new(),
-        baseline => format!(r#", "policy": "{baseline}""#),
-    };
     format!(
         r#"{{ "node": "node-{index}", "zone": "{zone}", "callers": "127.0.0.1:0",
   "admin": "127.0.0.1:0", "peers": "127.0.0.1:0",
   "platform": {{ "store": "{}", "hosts": "{}", "weights": "{}" }},
-  "fleet_key": "{FLEET_KEY}", "first_operator": "{operator}"{policy} }}"#,
+  "fleet_key": "{FLEET_KEY}", "first_operator": "{operator}" }}"#,
         platform.store, platform.hosts, platform.weights
     )
 }
--- a/crates/load/src/overload.rs
+++ b/crates/load/src/overload.rs
@@ -1,6 +1,6 @@
 //! Goodput at twice the capacity.
 
-use crate::experiment::{POLICIES, add_ends, open_fleet, send};
+use crate::experiment::{POLICIES, add_ends, note_baselines, open_fleet, send};
 use crate::fleet::{self, Policy};
 use crate::mix::{Arrival, Class, Length, Options, Part};
 use crate::outcome::{End, Sample};
@@ -27,15 +27,16 @@
     sheet.add("capacity", capacity, "requests/s");
     for policy in POLICIES {
         let options = fleet::Options::default();
-        let Some(fleet) = open_fleet(sheet, options, policy).await? else { continue };
+        let fleet = open_fleet(options, policy).await?;
         let options = plan(sheet.seed, 2.0 * capacity);
-        let samples = send(&fleet, &options).await;
+        let samples = send(&fleet, policy, &options).await;
         drop(fleet);
         judge(sheet, policy, &samples, capacity);
         add_ends(sheet, &policy.to_string(), &options, &samples);
     }
     sheet.note("prompts of 10k tokens, answers of 16; capacity: a burst with a long deadline");
     sheet.note("goodput: whole answers that ended in time, by when they ended");
+    note_baselines(sheet);
     Ok(())
 }
 
@@ -64,7 +65,7 @@
     part.deadline = Duration::from_secs(60);
     let parts = vec![part];
     let options = Options { parts, ..Options::empty(sheet.seed, Duration::from_secs(1)) };
-    let samples = send(&fleet, &options).await;
+    let samples = send(&fleet, Policy::Fair, &options).await;
     let whole: Vec<_> = samples.iter().filter(|s| s.outcome.end == End::Whole).collect();
     let last = whole.iter().map(|s| s.outcome.time).max().unwrap_or(Duration::MAX);
     if whole.len() < samples.len() {
--- a/crates/load/src/relay.rs
+++ b/crates/load/src/relay.rs
@@ -3,7 +3,7 @@
 
 use crate::caller::{Caller, Completion};
 use crate::experiment::send;
-use crate::fleet::{self, Fleet};
+use crate::fleet::{self, Fleet, Policy};
 use crate::mix::{self, Class, Length, Options, Part};
 use crate::outcome::{End, Sample};
 use crate::sheet::{Goal, Sheet};
@@ -108,7 +108,7 @@
     let options =
         Options { parts: vec![part], resends: 0, ..Options::empty(sheet.seed, RELAY_FOR) };
     let (start, before) = (Instant::now(), fleet.nodes[0].process.usage()?);
-    let samples = send(&fleet, &options).await;
+    let samples = send(&fleet, Policy::Fair, &options).await;
     let cpu = fleet.nodes[0].process.usage()?.cpu_seconds - before.cpu_seconds;
     let seconds = start.elapsed().as_secs_f64();
     let tokens: u64 = samples.iter().map(|sample| sample.outcome.tokens).sum();
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -5,8 +5,9 @@
 //! can't slow its own measurement down.
 
 use crate::caller::{Call, Caller, Completion};
+use crate::direct::Direct;
 use crate::mix::{self, Class, Options, Request, Work};
-use crate::outcome::{Kind, Outcome, Sample};
+use crate::outcome::{End, Failure, Kind, Outcome, Sample};
 use crate::report::Report;
 use hickory_unit::id;
 use rand::rngs::StdRng;
@@ -55,23 +56,34 @@
     // A thread of its own: a runtime can't be entered from within another.
     let driver = std::thread::spawn(move || -> std::io::Result<Vec<Sample>> {
         let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-        Ok(runtime.block_on(drive(options, entries, tokens)))
+        let route = Route::nodes(options.callers, &entries);
+        Ok(runtime.block_on(drive(options, route, tokens)))
     });
     driver.join().unwrap_or_else(|panic| std::panic::resume_unwind(panic))
 }
 
+/// The way that requests take.
+#[derive(Clone, Debug)]
+pub enum Route {
+    /// Through nodes, by callers that each keep an address.
+    Nodes(Vec<Arc<Caller>>),
+    /// Straight to the engines: a baseline, completions only.
+    Direct(Arc<Direct>),
+}
+
+impl Route {
+    /// A route through the nodes that any of `entries` belongs to.
+    pub fn nodes(callers: u32, entries: &[SocketAddr]) -> Self {
+        let open = |index: u32| Arc::new(Caller::open(entries.to_vec(), index as usize));
+        Self::Nodes((0..callers.max(1)).map(open).collect())
+    }
+}
+
 /// As [`collect`], on the current executor.
-pub async fn drive(
-    options: Options,
-    entries: Vec<SocketAddr>,
-    tokens: Vec<Credential>,
-) -> Vec<Sample> {
+pub async fn drive(options: Options, route: Route, tokens: Vec<Credential>) -> Vec<Sample> {
     let plan = mix::plan_requests(&options, tokens.len());
     let options = Arc::new(options);
     let tokens = Arc::new(tokens);
-    let callers: Vec<_> = (0..options.callers.max(1) as usize)
-        .map(|index| Arc::new(Caller::open(entries.clone(), index)))
-        .collect();
     let start = Instant::now() + BODY_LEAD;
     let mut sent = JoinSet::new();
     let mut samples = Vec::with_capacity(plan.len());
@@ -80,9 +92,8 @@
         while let Some(sample) = sent.try_join_next() {
             samples.extend(sample.ok());
         }
-        let caller = callers[request.caller as usize % callers.len()].clone();
-        let (options, tokens) = (options.clone(), tokens.clone());
-        sent.spawn(async move { send_request(&options, request, &caller, &tokens, start).await });
+        let (options, tokens, route) = (options.clone(), tokens.clone(), route.clone());
+        sent.spawn(async move { send_request(&options, request, &route, &tokens, start).await });
     }
     samples.extend(sent.join_all().await);
     samples.sort_by_key(|sample| sample.at);
@@ -92,7 +103,7 @@
 async fn send_request(
     options: &Options,
     request: Request,
-    caller: &Caller,
+    route: &Route,
     tokens: &[Credential],
     start: Instant,
 ) -> Sample {
@@ -103,25 +114,48 @@
             let prompt = mix::write_prompt(salt, part.length.tokens());
             let mut ask =
                 Completion::of_prompt(token, &options.model, &prompt, part.max_tokens, part.class);
-            drop(prompt);
             ask.deadline = part.deadline;
             ask.hang_up = hang_up;
             ask.resends = options.resends;
             sleep_until(intended).await;
-            (Kind::Completion(part.length), part.class, caller.complete(&ask, intended).await)
+            let outcome = match route {
+                Route::Nodes(callers) => pick(callers, request).complete(&ask, intended).await,
+                Route::Direct(direct) => direct.complete(&ask, prompt, intended).await,
+            };
+            (Kind::Completion(part.length), part.class, outcome)
         }
         Work::Call(index) => {
             sleep_until(intended).await;
-            (
-                Kind::Call,
-                Class::Interactive,
-                send_call(options, index, token, caller, intended).await,
-            )
+            let outcome = match route {
+                Route::Nodes(callers) => {
+                    send_call(options, index, token, pick(callers, request), intended).await
+                }
+                Route::Direct(_) => refuse_call(),
+            };
+            (Kind::Call, Class::Interactive, outcome)
         }
     };
     Sample { at: request.at, kind, class, account: request.account, outcome }
 }
 
+fn pick(callers: &[Arc<Caller>], request: Request) -> &Caller {
+    &callers[request.caller as usize % callers.len()]
+}
+
+/// A baseline has no way for calls of plain services.
+fn refuse_call() -> Outcome {
+    Outcome {
+        end: End::Failed(Failure::Unreachable),
+        first_token: None,
+        gaps: Vec::new(),
+        time: Duration::ZERO,
+        tokens: 0,
+        refusals: Vec::new(),
+        resumes: 0,
+        resends: 0,
+    }
+}
+
 async fn send_call(
     options: &Options,
     index: usize,
--- a/crates/load/src/share.rs
+++ b/crates/load/src/share.rs
@@ -1,6 +1,6 @@
 //! What each partner gets of a saturated fleet.
 
-use crate::experiment::{POLICIES, add_ends, open_fleet, send};
+use crate::experiment::{POLICIES, add_ends, note_baselines, open_fleet, send};
 use crate::fleet::{self, Fleet, Policy};
 use crate::mix::{Class, Length, Options, Part};
 use crate::outcome::{Kind, Sample};
@@ -32,9 +32,10 @@
 pub(crate) async fn measure(sheet: &mut Sheet) -> Result<()> {
     for policy in POLICIES {
         let options = fleet::Options { partners: FIRST.to_vec(), ..fleet::Options::default() };
-        let Some(fleet) = open_fleet(sheet, options, policy).await? else { continue };
+        let fleet = open_fleet(options, policy).await?;
         let options = plan(sheet.seed);
-        let (samples, turned) = tokio::join!(send(&fleet, &options), turn_shares(&fleet));
+        let (samples, turned) =
+            tokio::join!(send(&fleet, policy, &options), turn_shares(&fleet, policy));
         turned?;
         drop(fleet);
         judge(sheet, policy, "first shares", &samples, BEFORE, 0.7);
@@ -42,6 +43,7 @@
         add_ends(sheet, &policy.to_string(), &options, &samples);
     }
     sheet.note("service: prompt and answer tokens of answers, spread from first token to end");
+    note_baselines(sheet);
     Ok(())
 }
 
@@ -101,7 +103,10 @@
     Options { parts, skew: 0.0, resends: 0, ..Options::empty(seed, DURATION) }
 }
 
-async fn turn_shares(fleet: &Fleet) -> Result<()> {
+async fn turn_shares(fleet: &Fleet, policy: Policy) -> Result<()> {
+    if policy != Policy::Fair {
+        return Ok(());
+    }
     tokio::time::sleep(TURN_AT).await;
     let partners =
         FIRST.iter().map(|(name, share, _)| ((*name).into(), Partner { share: 1.0 - share }));
--- a/crates/load/src/short_beside_long.rs
+++ b/crates/load/src/short_beside_long.rs
@@ -4,7 +4,9 @@
 //! what the short requests gain is taken from the long ones, and shows in the
 //! time the last long answer takes.
 
-use crate::experiment::{POLICIES, add_ends, open_fleet, send, spread_first_tokens};
+use crate::experiment::{
+    POLICIES, add_ends, note_baselines, open_fleet, send, spread_first_tokens,
+};
 use crate::fleet::{self, Policy};
 use crate::mix::{Arrival, Class, Length, Options, Part};
 use crate::outcome::{End, Kind, Sample};
@@ -35,13 +37,14 @@
 pub(crate) async fn measure(sheet: &mut Sheet) -> Result<()> {
     let mut fair = None;
     for policy in POLICIES {
-        let Some(measured) = measure_policy(sheet, policy).await? else { continue };
+        let measured = measure_policy(sheet, policy).await?;
         match fair {
             None => fair = Some(measured),
             Some(fair) => compare(sheet, policy, fair, measured),
         }
     }
     sheet.note("long throughput: prompt tokens of whole 100k answers by the time to the last");
+    note_baselines(sheet);
     Ok(())
 }
 
@@ -53,12 +56,10 @@
     sheet.judge(format!("long throughput, fair / {policy}"), kept, "x", Goal::AtLeast(0.9));
 }
 
-async fn measure_policy(sheet: &mut Sheet, policy: Policy) -> Result<Option<Measured>> {
-    let Some(fleet) = open_fleet(sheet, fleet::Options::default(), policy).await? else {
-        return Ok(None);
-    };
+async fn measure_policy(sheet: &mut Sheet, policy: Policy) -> Result<Measured> {
+    let fleet = open_fleet(fleet::Options::default(), policy).await?;
     let options = plan(sheet.seed);
-    let samples = send(&fleet, &options).await;
+    let samples = send(&fleet, policy, &options).await;
     drop(fleet);
     let short = Kind::Completion(Length::Short);
     let alone = spread_first_tokens(&samples, short, Duration::ZERO..BURST_AT);
@@ -76,7 +77,7 @@
     }
     sheet.add(name("long throughput"), long_rate, "tokens/s");
     add_ends(sheet, &policy.to_string(), &options, &samples);
-    Ok(Some(Measured { slowdown, beside: beside.quantile_ms(0.95), long_rate }))
+    Ok(Measured { slowdown, beside: beside.quantile_ms(0.95), long_rate })
 }
 
 fn plan(seed: u64) -> Options {
--- a/crates/load/src/zone_change.rs
+++ b/crates/load/src/zone_change.rs
@@ -31,9 +31,10 @@
 /// Measures the product's policy; the baselines differ in placement only.
 pub(crate) async fn measure(sheet: &mut Sheet) -> Result<()> {
     let options = fleet::Options { engines: 9, ..fleet::Options::default() };
-    let Some(fleet) = open_fleet(sheet, options, Policy::Fair).await? else { return Ok(()) };
+    let fleet = open_fleet(options, Policy::Fair).await?;
     let options = plan(sheet.seed);
-    let (samples, changed) = tokio::join!(send(&fleet, &options), change_zone(&fleet));
+    let (samples, changed) =
+        tokio::join!(send(&fleet, Policy::Fair, &options), change_zone(&fleet));
     let changed = changed?;
     let short = Kind::Completion(Length::Short);
     let before = spread_first_tokens(&samples, short, Duration::ZERO..OUT_AT);
