Experiments with the decisions against two baselines

Cause: nothing measured the decisions. Change: baseline.rs holds FIFO with round robin, and no limit with the least-loaded lagging report, behind the traits that the decisions have too; the example runs nine engine models, six nodes with states up to a second old, and the same arrivals through each.

--- /dev/null
+++ b/crates/policy/examples/experiment/figure.rs
@@ -0,0 +1,62 @@
+//! Figures of a run.
+
+use crate::fleet::{Record, Run};
+use hickory_policy::refuse::Reason;
+use std::time::Duration;
+
+/// A percentile of times, in milliseconds; nearest rank.
+pub fn percentile(times: &mut [Duration], part: f64) -> f64 {
+    times.sort_unstable();
+    let rank = (times.len() as f64 * part).ceil() as usize;
+    times.get(rank.max(1) - 1).map_or(f64::NAN, |time| time.as_secs_f64() * 1e3)
+}
+
+impl Run {
+    /// Times to the first token of the records that count and come between
+    /// two moments, in seconds. A request that never got one does not count.
+    pub fn first_tokens(
+        &self,
+        span: (f64, f64),
+        filter: impl Fn(&Record) -> bool,
+    ) -> Vec<Duration> {
+        self.within(span).filter(|r| filter(r)).filter_map(|r| r.first).collect()
+    }
+
+    /// A percentile of the time to the first token, in milliseconds.
+    pub fn first_token(
+        &self,
+        span: (f64, f64),
+        part: f64,
+        filter: impl Fn(&Record) -> bool,
+    ) -> f64 {
+        percentile(&mut self.first_tokens(span, filter), part)
+    }
+
+    /// Records that come between two moments.
+    pub fn within(&self, (from, to): (f64, f64)) -> impl Iterator<Item = &Record> {
+        self.records.iter().filter(move |record| {
+            let at = record.request.at.as_secs_f64();
+            from <= at && at < to
+        })
+    }
+
+    /// Work of the requests that ended between two moments, in tokens.
+    pub fn work(&self, (from, to): (f64, f64), filter: impl Fn(&Record) -> bool) -> f64 {
+        let ended = self.records.iter().filter(|record| {
+            let at = record.ended.map(|ended| (record.request.at + ended).as_secs_f64());
+            at.is_some_and(|at| from <= at && at < to)
+        });
+        ended.filter(|r| filter(r)).map(|r| r.request.cost.work() as f64).sum()
+    }
+
+    /// Requests that were refused or failed for `reason`.
+    pub fn count(&self, reason: Reason) -> usize {
+        let reasons = self.records.iter().filter_map(|r| r.refused.map(|(reason, _)| reason));
+        reasons.filter(|r| *r == reason).count()
+    }
+
+    /// Requests that were begun and did not end well.
+    pub fn broken(&self) -> usize {
+        self.records.iter().filter(|r| r.begun && r.ended.is_none()).count()
+    }
+}
--- /dev/null
+++ b/crates/policy/examples/experiment/fleet.rs
@@ -0,0 +1,520 @@
+//! A fleet of engine models behind owners and nodes, on a clock of its own.
+
+use crate::load::Request;
+use hickory_model::engine::Engine;
+use hickory_model::job::{Job, State};
+use hickory_model::option::Options;
+use hickory_policy::baseline::{Limit, Place};
+use hickory_policy::limit::{Answer, Ask, Capacity, Observed, Outcome, Ticket};
+use hickory_policy::place::{Candidate, Query, hash_target};
+use hickory_policy::ramp::Sample;
+use hickory_policy::refuse::Reason;
+use hickory_target::engine::{Priority, Weights};
+use hickory_unit::{id, size};
+use std::collections::{BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+/// Nodes, each with its own view of the targets.
+const NODES: usize = 6;
+/// Between two exchanges of states, and two load reports.
+const EXCHANGE: u64 = 1_000;
+const REPORT: u64 = 250;
+/// Between two looks at a queue.
+const POLL: u64 = 5;
+/// Targets that a node asks for one attempt, and attempts of a request.
+const ASKS: usize = 4;
+const ATTEMPTS: u32 = 3;
+/// From the crash of an engine to its restart.
+const RESTART: u64 = 5_000;
+
+/// What is done to the fleet.
+#[derive(Clone, Copy, Debug)]
+pub enum Event {
+    /// A zone takes no new work.
+    ZoneOut(usize),
+    /// A zone's engines restart cold and take work.
+    ZoneBack(usize),
+    /// New shares.
+    Shares(&'static [(&'static str, f64)]),
+}
+
+/// How a request went.
+#[derive(Clone, Debug)]
+pub struct Record {
+    pub request: Request,
+    /// Time to the first token.
+    pub first: Option<Duration>,
+    /// Time to the end.
+    pub ended: Option<Duration>,
+    /// The refusal and when it came.
+    pub refused: Option<(Reason, Duration)>,
+    /// Sent to a target, whatever came of it.
+    pub begun: bool,
+}
+
+struct Flight {
+    record: Record,
+    target: Option<usize>,
+    ticket: Ticket,
+    attempt: u32,
+    tried: Vec<usize>,
+    /// When the attempt was sent, and the time to its first token from then.
+    sent: Duration,
+    first: Option<Duration>,
+}
+
+struct Target<L> {
+    id: id::Target,
+    engine: Engine,
+    limit: L,
+    zone: usize,
+    incarnation: u64,
+    accepting: bool,
+    restart: Option<u64>,
+    tickets: HashMap<Ticket, usize>,
+    running: BTreeSet<usize>,
+}
+
+struct Node<P> {
+    place: P,
+    view: Vec<(Candidate, bool)>,
+}
+
+/// The fleet under a policy.
+pub struct Fleet<L, P> {
+    options: Options,
+    start: Instant,
+    ms: u64,
+    targets: Vec<Target<L>>,
+    nodes: Vec<Node<P>>,
+    flights: Vec<Flight>,
+    deadlines: BTreeSet<(Duration, usize)>,
+    crashes: u32,
+    /// The last moment at which work was sent to a zone that was out.
+    late_send: Option<Duration>,
+    zone_out: Option<(usize, Duration)>,
+}
+
+/// What came of a run.
+pub struct Run {
+    pub records: Vec<Record>,
+    pub crashes: u32,
+    pub late_send: Option<Duration>,
+}
+
+fn weights() -> Weights {
+    Weights { model: "paint".into(), version: "1".into(), adapter: None }
+}
+
+/// An engine of today with the model loaded.
+pub fn options() -> Options {
+    Options { loaded: vec![weights()], ..Options::default() }
+}
+
+impl<L: Limit, P: Place + Default> Fleet<L, P> {
+    /// `count` warm engines in three zones.
+    pub fn open(count: usize, shares: &[(&str, f64)]) -> Self {
+        let (options, start) = (options(), Instant::now());
+        let shares: Vec<_> = shares.iter().map(|&(name, share)| (name.into(), share)).collect();
+        let target = |index: usize| {
+            let mut limit = L::open(capacity(&options));
+            limit.set_shares(&shares);
+            Target {
+                id: format!("engine-{index}").as_str().into(),
+                engine: Engine::open(start, id::Incarnation(1), options.clone()),
+                limit,
+                zone: index % 3,
+                incarnation: 1,
+                accepting: true,
+                restart: None,
+                tickets: HashMap::new(),
+                running: BTreeSet::new(),
+            }
+        };
+        let targets = (0..count).map(target).collect();
+        let nodes = (0..NODES).map(|_| Node { place: P::default(), view: Vec::new() }).collect();
+        Self {
+            options,
+            start,
+            ms: 0,
+            targets,
+            nodes,
+            flights: Vec::new(),
+            deadlines: BTreeSet::new(),
+            crashes: 0,
+            late_send: None,
+            zone_out: None,
+        }
+    }
+
+    /// Runs the load and the events until `until`.
+    pub fn run(mut self, load: &[Request], events: &[(u64, Event)], until: u64) -> Run {
+        // Owners have known warm targets for a while.
+        for _ in 0..8 {
+            (0..self.targets.len()).for_each(|t| self.report(t));
+            self.start += Duration::from_secs(1);
+        }
+        self.start = self.now();
+        let mut load = load.iter().peekable();
+        let mut events = events.iter().peekable();
+        while self.ms < until {
+            while let Some((_, event)) = events.next_if(|(at, _)| *at <= self.ms) {
+                self.apply(*event);
+            }
+            self.refresh();
+            while let Some(request) = load.next_if(|r| r.at <= Duration::from_millis(self.ms)) {
+                self.submit(request.clone());
+            }
+            (0..self.targets.len()).for_each(|target| self.advance(target));
+            if self.ms.is_multiple_of(POLL) {
+                (0..self.targets.len()).for_each(|target| self.poll(target));
+                self.expire();
+            }
+            self.ms += 1;
+        }
+        let records = self.flights.into_iter().map(|flight| flight.record).collect();
+        Run { records, crashes: self.crashes, late_send: self.late_send }
+    }
+
+    fn now(&self) -> Instant {
+        self.start + Duration::from_millis(self.ms)
+    }
+
+    fn passed(&self) -> Duration {
+        Duration::from_millis(self.ms)
+    }
+
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::ZoneOut(zone) => {
+                self.zone_out = Some((zone, self.passed()));
+                let of_zone = |t: &usize| self.targets[*t].zone == zone;
+                let targets: Vec<usize> = (0..self.targets.len()).filter(of_zone).collect();
+                targets.into_iter().for_each(|target| self.stop(target));
+            }
+            Event::ZoneBack(zone) => {
+                self.zone_out = None;
+                for target in 0..self.targets.len() {
+                    if self.targets[target].zone == zone {
+                        self.restart(target);
+                    }
+                }
+            }
+            Event::Shares(shares) => {
+                let shares: Vec<_> = shares.iter().map(|&(p, s)| (p.into(), s)).collect();
+                self.targets.iter_mut().for_each(|t| t.limit.set_shares(&shares));
+            }
+        }
+    }
+
+    /// The target takes no new work; who waits goes elsewhere.
+    fn stop(&mut self, target: usize) {
+        let now = self.now();
+        self.targets[target].accepting = false;
+        let refused = self.targets[target].limit.set_accepting(now, false);
+        for (ticket, _) in refused {
+            if let Some(flight) = self.targets[target].tickets.remove(&ticket) {
+                self.place(flight);
+            }
+        }
+    }
+
+    fn restart(&mut self, target: usize) {
+        let now = self.now();
+        let cold = Options { warmth: 0, ..self.options.clone() };
+        let t = &mut self.targets[target];
+        t.incarnation += 1;
+        t.engine = Engine::open(now, id::Incarnation(t.incarnation), cold);
+        t.restart = None;
+        t.accepting = true;
+        // The owner opens a target that is back only once its report shows
+        // the new incarnation.
+        self.report(target);
+        self.targets[target].limit.set_accepting(now, true);
+    }
+
+    /// Each node takes in the owners' states once a second, in turn.
+    fn refresh(&mut self) {
+        for index in 0..NODES {
+            let phase = index as u64 * EXCHANGE / NODES as u64;
+            if self.nodes[index].view.is_empty() || self.ms % EXCHANGE == phase {
+                self.nodes[index].view = self.targets.iter().map(|t| self.candidate(t)).collect();
+            }
+        }
+    }
+
+    fn candidate(&self, target: &Target<L>) -> (Candidate, bool) {
+        let state = target.limit.state();
+        let candidate = Candidate {
+            key: hash_target(&target.id),
+            target: target.id.clone(),
+            near: true,
+            cached: false,
+            queued_prefill: state.queued_prefill,
+            queued_long: state.queued_long,
+            kv_free: self.options.kv_capacity.saturating_sub(state.kv_used),
+            kv_capacity: self.options.kv_capacity,
+            prefill_rate: self.options.prefill_rate,
+            bound: state.bound,
+            running: state.running,
+            waiting: state.waiting,
+        };
+        (candidate, target.accepting)
+    }
+
+    fn submit(&mut self, request: Request) {
+        let index = self.flights.len();
+        self.deadlines.insert((request.at + request.left, index));
+        let record = Record { request, first: None, ended: None, refused: None, begun: false };
+        self.flights.push(Flight {
+            record,
+            target: None,
+            ticket: 0,
+            attempt: 0,
+            tried: Vec::new(),
+            sent: Duration::ZERO,
+            first: None,
+        });
+        self.place(index);
+    }
+
+    /// Chooses targets for a request until one takes it or queues it.
+    fn place(&mut self, index: usize) {
+        let mut reason = Reason::NoTarget;
+        for ask in 0..ASKS {
+            let Some(target) = self.choose(index, ask) else { break };
+            self.flights[index].tried.push(target);
+            let now = self.now();
+            let wanted = self.ask_of(index);
+            match self.targets[target].limit.ask(now, wanted) {
+                Answer::Granted(ticket) => {
+                    self.targets[target].tickets.insert(ticket, index);
+                    return self.send(index, target, ticket);
+                }
+                Answer::Queued(ticket) => {
+                    self.targets[target].tickets.insert(ticket, index);
+                    let flight = &mut self.flights[index];
+                    (flight.target, flight.ticket) = (Some(target), ticket);
+                    return;
+                }
+                Answer::Refused(why, _) => reason = why,
+            }
+        }
+        self.refuse(index, reason);
+    }
+
+    fn choose(&mut self, index: usize, ask: usize) -> Option<usize> {
+        let flight = &self.flights[index];
+        let node = &mut self.nodes[index % NODES];
+        let able = |i: &usize| node.view[*i].1 && !flight.tried.contains(i);
+        let able: Vec<usize> = (0..node.view.len()).filter(able).collect();
+        let candidates: Vec<Candidate> = able.iter().map(|&i| node.view[i].0.clone()).collect();
+        if candidates.is_empty() {
+            return None;
+        }
+        let request = &flight.record.request;
+        let random = (index as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ ask as u64;
+        let query = Query { cost: request.cost, class: request.class, prefix: None, random };
+        let chosen = able[node.place.choose(&query, &candidates)?];
+        let view = &mut node.view[chosen].0;
+        view.queued_prefill += request.cost.prefill;
+        if request.cost.is_long() {
+            view.queued_long += request.cost.prefill;
+        }
+        view.kv_free = view.kv_free.saturating_sub(request.cost.kv());
+        view.running += 1;
+        Some(chosen)
+    }
+
+    fn ask_of(&self, index: usize) -> Ask {
+        let request = &self.flights[index].record.request;
+        Ask {
+            partner: request.partner.into(),
+            account: format!("{}-{}", request.partner, index % 10).as_str().into(),
+            class: request.class,
+            cost: request.cost,
+            deadline: self.start + request.at + request.left,
+            alone: false,
+            urgent: false,
+        }
+    }
+
+    fn send(&mut self, index: usize, target: usize, ticket: Ticket) {
+        let (now, passed) = (self.now(), self.passed());
+        let lane = self.ask_of(index).lane();
+        let flight = &mut self.flights[index];
+        flight.record.begun = true;
+        (flight.target, flight.ticket) = (Some(target), ticket);
+        (flight.sent, flight.first) = (passed, None);
+        let t = &mut self.targets[target];
+        if let Some((zone, out)) = self.zone_out.filter(|&(zone, _)| zone == t.zone) {
+            self.late_send = Some(passed - out);
+            debug_assert_eq!(zone, t.zone);
+        }
+        let job = Job {
+            stream: stream_of(index, flight.attempt),
+            weights: weights(),
+            prompt: flight.record.request.cost.prefill,
+            blocks: Vec::new(),
+            max_tokens: flight.record.request.cost.decode,
+            priority: Priority(L::priority(lane)),
+            import: None,
+            keep: None,
+            crash: false,
+        };
+        t.running.insert(index);
+        // A refusal shows in the engine's state, which the next look finds.
+        let _ = t.engine.begin(now, job);
+    }
+
+    fn advance(&mut self, target: usize) {
+        let now = self.now();
+        let t = &mut self.targets[target];
+        if let Some(at) = t.restart {
+            if at <= self.ms {
+                self.restart(target);
+            }
+            return;
+        }
+        let due = t.engine.next_step().is_none_or(|at| at <= now);
+        if t.engine.is_crashed() {
+            return self.crash(target);
+        }
+        if due && !t.running.is_empty() {
+            t.engine.advance(now);
+            self.collect(target);
+        }
+        if self.ms % REPORT == target as u64 % REPORT {
+            self.report(target);
+        }
+    }
+
+    fn collect(&mut self, target: usize) {
+        let (now, passed) = (self.now(), self.passed());
+        let t = &mut self.targets[target];
+        let running: Vec<usize> = t.running.iter().copied().collect();
+        for index in running {
+            let flight = &mut self.flights[index];
+            let Some(progress) = t.engine.progress(&stream_of(index, flight.attempt)) else {
+                continue;
+            };
+            let since = passed - flight.record.request.at;
+            if progress.generated > 0 {
+                flight.record.first.get_or_insert(since);
+                flight.first.get_or_insert(passed - flight.sent);
+            }
+            if progress.state == State::Ended {
+                flight.record.ended = Some(since);
+                t.running.remove(&index);
+                t.tickets.remove(&flight.ticket);
+                t.limit.settle(now, flight.ticket, Outcome::Whole(flight.first));
+                let request = &flight.record.request;
+                self.deadlines.remove(&(request.at + request.left, index));
+            }
+        }
+    }
+
+    fn crash(&mut self, target: usize) {
+        let now = self.now();
+        self.crashes += 1;
+        self.targets[target].restart = Some(self.ms + RESTART);
+        let running = std::mem::take(&mut self.targets[target].running);
+        for &index in &running {
+            let ticket = self.flights[index].ticket;
+            self.targets[target].tickets.remove(&ticket);
+            self.targets[target].limit.settle(now, ticket, Outcome::Failed);
+        }
+        self.stop(target);
+        for index in running {
+            let flight = &mut self.flights[index];
+            (flight.target, flight.attempt) = (None, flight.attempt + 1);
+            if flight.attempt < ATTEMPTS {
+                self.place(index);
+            } else {
+                self.refuse(index, Reason::TargetFailed);
+            }
+        }
+    }
+
+    fn report(&mut self, target: usize) {
+        let now = self.now();
+        let t = &mut self.targets[target];
+        let report = t.engine.report(now);
+        let tickets: HashMap<id::Stream, Ticket> = t
+            .running
+            .iter()
+            .map(|&i| (stream_of(i, self.flights[i].attempt), self.flights[i].ticket))
+            .collect();
+        let left = |held: &hickory_target::engine::Held| {
+            tickets.get(&held.stream).map(|&ticket| (ticket, held.prefill_left))
+        };
+        let observed = Observed {
+            sample: Sample {
+                incarnation: report.incarnation,
+                warmth: report.warmth,
+                cache_hits: report.cache_hits,
+                cache_misses: report.cache_misses,
+            },
+            foreign: 0,
+            foreign_kv: size::Tokens(0),
+            prefill_left: report.streams.iter().filter_map(left).collect(),
+        };
+        t.limit.observe(now, &observed, report.streams.len() as u32);
+    }
+
+    fn poll(&mut self, target: usize) {
+        let now = self.now();
+        for (ticket, answer) in self.targets[target].limit.poll(now) {
+            let Some(&index) = self.targets[target].tickets.get(&ticket) else { continue };
+            match answer {
+                Ok(()) => self.send(index, target, ticket),
+                Err(reason) => {
+                    self.targets[target].tickets.remove(&ticket);
+                    self.refuse(index, reason);
+                }
+            }
+        }
+    }
+
+    /// Callers whose deadline is past are answered, and their streams
+    /// cancelled.
+    fn expire(&mut self) {
+        let (now, passed) = (self.now(), self.passed());
+        while let Some(&(at, index)) = self.deadlines.first().filter(|&&(at, _)| at <= passed) {
+            self.deadlines.remove(&(at, index));
+            if let Some(target) = self.flights[index].target {
+                let (ticket, attempt) = (self.flights[index].ticket, self.flights[index].attempt);
+                let t = &mut self.targets[target];
+                t.engine.cancel(now, &stream_of(index, attempt));
+                t.running.remove(&index);
+                t.tickets.remove(&ticket);
+                t.limit.settle(now, ticket, Outcome::Dropped);
+            }
+            self.refuse(index, Reason::Deadline);
+        }
+    }
+
+    fn refuse(&mut self, index: usize, reason: Reason) {
+        let passed = self.passed();
+        let record = &mut self.flights[index].record;
+        record.refused = Some((reason, passed.saturating_sub(record.request.at)));
+        self.deadlines.remove(&(record.request.at + record.request.left, index));
+    }
+}
+
+fn capacity(options: &Options) -> Capacity {
+    Capacity {
+        streams: options.streams_max,
+        kv: options.kv_capacity,
+        prefill_rate: options.prefill_rate,
+    }
+}
+
+fn stream_of(index: usize, attempt: u32) -> id::Stream {
+    id::Stream {
+        request: id::Request(uuid::Uuid::from_u128(index as u128)),
+        attempt,
+        sender: "node".into(),
+        deadline_ms: 0,
+    }
+}
--- /dev/null
+++ b/crates/policy/examples/experiment/load.rs
@@ -0,0 +1,62 @@
+//! Seeded arrivals.
+
+use hickory_policy::cost::{Class, Cost};
+use hickory_unit::size;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::time::Duration;
+
+/// A request of the load.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// When it comes, from the start.
+    pub at: Duration,
+    pub partner: &'static str,
+    pub class: Class,
+    pub cost: Cost,
+    /// Time until its deadline.
+    pub left: Duration,
+}
+
+/// A kind of request that comes at a rate.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    pub partner: &'static str,
+    pub class: Class,
+    /// Prompt tokens, from and to.
+    pub prompt: (u64, u64),
+    pub decode: u64,
+    /// Requests a second.
+    pub rate: f64,
+    pub left: Duration,
+    /// Arrivals between these times, in seconds.
+    pub span: (f64, f64),
+}
+
+/// Poisson arrivals of all kinds, by time.
+pub fn arrive(kinds: &[Kind], seed: u64) -> Vec<Request> {
+    let mut all = Vec::new();
+    for (index, kind) in kinds.iter().enumerate() {
+        // Each kind has its own stream of numbers, so that the short requests
+        // are the same with and without long ones beside them.
+        let mut random = SmallRng::seed_from_u64(seed ^ (index as u64) << 32);
+        let mut at = kind.span.0;
+        loop {
+            at += -(1.0 - random.random::<f64>()).ln() / kind.rate;
+            if at >= kind.span.1 {
+                break;
+            }
+            let prompt = random.random_range(kind.prompt.0..=kind.prompt.1);
+            let cost = Cost { prefill: size::Tokens(prompt), decode: size::Tokens(kind.decode) };
+            all.push(Request {
+                at: Duration::from_secs_f64(at),
+                partner: kind.partner,
+                class: kind.class,
+                cost,
+                left: kind.left,
+            });
+        }
+    }
+    all.sort_by_key(|request| request.at);
+    all
+}
--- /dev/null
+++ b/crates/policy/src/baseline.rs
@@ -0,0 +1,305 @@
+//! What the decisions are measured against, behind the same traits.
+//!
+//! [`Fifo`] with [`RoundRobin`]: each target takes what its slots and memory
+//! hold, in the order of arrival, and targets take turns. [`Unbounded`] with
+//! [`LeastLoaded`]: everything is sent at once to the target whose lagging
+//! report shows the fewest streams, and queues in the engine.
+
+use crate::fair::Lane;
+use crate::limit::{Answer, Ask, Capacity, Limiter, Observed, Outcome, Ticket, priority_of};
+use crate::place::{Candidate, Query, choose_target};
+use crate::refuse::Reason;
+use hickory_unit::size;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// What is told of a target to the nodes that choose.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct State {
+    /// Prompt tokens granted or queued.
+    pub queued_prefill: size::Tokens,
+    /// Of these, tokens of long prompts.
+    pub queued_long: size::Tokens,
+    /// KV cache in use.
+    pub kv_used: size::Tokens,
+    /// Streams that the target bears.
+    pub bound: u32,
+    /// Streams granted.
+    pub running: u32,
+    /// Asks that wait.
+    pub waiting: u32,
+}
+
+/// The limit on one target.
+pub trait Limit {
+    /// A limit for a target that has just been found.
+    fn open(capacity: Capacity) -> Self;
+    /// Asks for a permit.
+    fn ask(&mut self, now: Instant, ask: Ask) -> Answer;
+    /// Grants and gives up.
+    fn poll(&mut self, now: Instant) -> Vec<(Ticket, Result<(), Reason>)>;
+    /// Takes in a load report, with the number of streams it shows.
+    fn observe(&mut self, now: Instant, observed: &Observed, streams: u32);
+    /// Takes back a permit.
+    fn settle(&mut self, now: Instant, ticket: Ticket, outcome: Outcome);
+    /// Says whether the target takes new work.
+    fn set_accepting(&mut self, now: Instant, accepting: bool) -> Vec<(Ticket, Reason)>;
+    /// Replaces the partners' shares.
+    fn set_shares(&mut self, shares: &[(hickory_unit::id::Partner, f64)]);
+    /// What nodes are told.
+    fn state(&self) -> State;
+    /// The priority at which an engine runs the work.
+    fn priority(lane: Lane) -> u8;
+}
+
+/// The choice of a target.
+pub trait Place {
+    /// Chooses one of the candidates, all of which may be used.
+    fn choose(&mut self, query: &Query, candidates: &[Candidate]) -> Option<usize>;
+}
+
+impl Limit for Limiter {
+    fn open(capacity: Capacity) -> Self {
+        Self::open(capacity)
+    }
+
+    fn ask(&mut self, now: Instant, ask: Ask) -> Answer {
+        self.ask(now, ask)
+    }
+
+    fn poll(&mut self, now: Instant) -> Vec<(Ticket, Result<(), Reason>)> {
+        self.poll(now)
+    }
+
+    fn observe(&mut self, now: Instant, observed: &Observed, _streams: u32) {
+        self.observe(now, observed);
+    }
+
+    fn settle(&mut self, now: Instant, ticket: Ticket, outcome: Outcome) {
+        self.settle(now, ticket, outcome);
+    }
+
+    fn set_accepting(&mut self, now: Instant, accepting: bool) -> Vec<(Ticket, Reason)> {
+        self.set_accepting(now, accepting)
+    }
+
+    fn set_shares(&mut self, shares: &[(hickory_unit::id::Partner, f64)]) {
+        self.set_shares(shares.iter().cloned());
+    }
+
+    fn state(&self) -> State {
+        State {
+            queued_prefill: self.prefill_queued(),
+            queued_long: self.prefill_queued_of(true),
+            kv_used: self.kv_used(),
+            bound: self.bound(),
+            running: self.running() as u32,
+            waiting: self.waiting() as u32,
+        }
+    }
+
+    fn priority(lane: Lane) -> u8 {
+        priority_of(lane)
+    }
+}
+
+/// The placement that is measured: [`choose_target`].
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Estimate;
+
+impl Place for Estimate {
+    fn choose(&mut self, query: &Query, candidates: &[Candidate]) -> Option<usize> {
+        let chosen = choose_target(query, candidates)?;
+        candidates.iter().position(|c| c.key == chosen.key)
+    }
+}
+
+/// Slots and memory in the order of arrival.
+#[derive(Clone, Debug)]
+pub struct Fifo {
+    capacity: Capacity,
+    granted: BTreeMap<Ticket, Ask>,
+    queue: VecDeque<(Ticket, Ask)>,
+    kv: size::Tokens,
+    accepting: bool,
+    next: Ticket,
+}
+
+impl Fifo {
+    fn fits(&self, ask: &Ask) -> bool {
+        self.granted.len() < self.capacity.streams as usize
+            && self.kv + ask.cost.kv() <= self.capacity.kv
+    }
+
+    fn grant(&mut self, ticket: Ticket, ask: Ask) {
+        self.kv += ask.cost.kv();
+        self.granted.insert(ticket, ask);
+    }
+}
+
+impl Limit for Fifo {
+    fn open(capacity: Capacity) -> Self {
+        let (granted, queue) = (BTreeMap::new(), VecDeque::new());
+        Self { capacity, granted, queue, kv: size::Tokens(0), accepting: true, next: 1 }
+    }
+
+    fn ask(&mut self, now: Instant, ask: Ask) -> Answer {
+        if !self.accepting {
+            return Answer::Refused(Reason::NoTarget, Duration::ZERO);
+        }
+        if ask.deadline <= now {
+            return Answer::Refused(Reason::Deadline, Duration::ZERO);
+        }
+        if ask.cost.kv() > self.capacity.kv {
+            return Answer::Refused(Reason::TooLong, Duration::ZERO);
+        }
+        let ticket = self.next;
+        self.next += 1;
+        if self.queue.is_empty() && self.fits(&ask) {
+            self.grant(ticket, ask);
+            return Answer::Granted(ticket);
+        }
+        self.queue.push_back((ticket, ask));
+        Answer::Queued(ticket)
+    }
+
+    fn poll(&mut self, now: Instant) -> Vec<(Ticket, Result<(), Reason>)> {
+        let mut answers = Vec::new();
+        while let Some((_, ask)) = self.queue.front() {
+            let late = ask.deadline <= now;
+            if !late && !self.fits(ask) {
+                break;
+            }
+            let Some((ticket, ask)) = self.queue.pop_front() else { break };
+            if late {
+                answers.push((ticket, Err(Reason::Deadline)));
+            } else {
+                self.grant(ticket, ask);
+                answers.push((ticket, Ok(())));
+            }
+        }
+        answers
+    }
+
+    fn observe(&mut self, _now: Instant, _observed: &Observed, _streams: u32) {}
+
+    fn settle(&mut self, _now: Instant, ticket: Ticket, _outcome: Outcome) {
+        if let Some(ask) = self.granted.remove(&ticket) {
+            self.kv -= ask.cost.kv();
+        }
+        self.queue.retain(|(queued, _)| *queued != ticket);
+    }
+
+    fn set_accepting(&mut self, _now: Instant, accepting: bool) -> Vec<(Ticket, Reason)> {
+        self.accepting = accepting;
+        if accepting {
+            return Vec::new();
+        }
+        self.queue.drain(..).map(|(ticket, _)| (ticket, Reason::NoTarget)).collect()
+    }
+
+    fn set_shares(&mut self, _shares: &[(hickory_unit::id::Partner, f64)]) {}
+
+    fn state(&self) -> State {
+        let asks = self.granted.values().chain(self.queue.iter().map(|(_, ask)| ask));
+        State {
+            queued_prefill: asks.map(|ask| ask.cost.prefill).sum(),
+            queued_long: size::Tokens(0),
+            kv_used: self.kv,
+            bound: self.capacity.streams,
+            running: self.granted.len() as u32,
+            waiting: self.queue.len() as u32,
+        }
+    }
+
+    fn priority(_lane: Lane) -> u8 {
+        0
+    }
+}
+
+/// Targets take turns.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+impl Place for RoundRobin {
+    fn choose(&mut self, query: &Query, candidates: &[Candidate]) -> Option<usize> {
+        let turns = (0..candidates.len()).map(|step| (self.next + step) % candidates.len());
+        let chosen = turns.into_iter().find(|&i| candidates[i].kv_capacity >= query.cost.kv())?;
+        self.next = chosen + 1;
+        Some(chosen)
+    }
+}
+
+/// No limit: everything is sent at once.
+#[derive(Clone, Debug)]
+pub struct Unbounded {
+    capacity: Capacity,
+    running: BTreeMap<Ticket, Ask>,
+    reported: u32,
+    accepting: bool,
+    next: Ticket,
+}
+
+impl Limit for Unbounded {
+    fn open(capacity: Capacity) -> Self {
+        Self { capacity, running: BTreeMap::new(), reported: 0, accepting: true, next: 1 }
+    }
+
+    fn ask(&mut self, now: Instant, ask: Ask) -> Answer {
+        if !self.accepting {
+            return Answer::Refused(Reason::NoTarget, Duration::ZERO);
+        }
+        if ask.deadline <= now {
+            return Answer::Refused(Reason::Deadline, Duration::ZERO);
+        }
+        if ask.cost.kv() > self.capacity.kv {
+            return Answer::Refused(Reason::TooLong, Duration::ZERO);
+        }
+        let ticket = self.next;
+        self.next += 1;
+        self.running.insert(ticket, ask);
+        Answer::Granted(ticket)
+    }
+
+    fn poll(&mut self, _now: Instant) -> Vec<(Ticket, Result<(), Reason>)> {
+        Vec::new()
+    }
+
+    fn observe(&mut self, _now: Instant, _observed: &Observed, streams: u32) {
+        self.reported = streams;
+    }
+
+    fn settle(&mut self, _now: Instant, ticket: Ticket, _outcome: Outcome) {
+        self.running.remove(&ticket);
+    }
+
+    fn set_accepting(&mut self, _now: Instant, accepting: bool) -> Vec<(Ticket, Reason)> {
+        self.accepting = accepting;
+        Vec::new()
+    }
+
+    fn set_shares(&mut self, _shares: &[(hickory_unit::id::Partner, f64)]) {}
+
+    fn state(&self) -> State {
+        State { running: self.reported, bound: self.capacity.streams, ..State::default() }
+    }
+
+    fn priority(_lane: Lane) -> u8 {
+        0
+    }
+}
+
+/// The fewest streams by the report, with what this node sent since.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeastLoaded;
+
+impl Place for LeastLoaded {
+    fn choose(&mut self, query: &Query, candidates: &[Candidate]) -> Option<usize> {
+        let able = candidates.iter().enumerate();
+        let able = able.filter(|(_, c)| c.kv_capacity >= query.cost.kv());
+        let least = able.min_by_key(|(_, c)| (c.running + c.waiting, c.key ^ query.random));
+        least.map(|(index, _)| index)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! The modules stand in the order in which a request meets them.
 
 pub mod ask;
+pub mod baseline;
 pub mod cost;
 pub mod fair;
 pub mod layout;
--- a/crates/policy/tests/layout.rs
+++ b/crates/policy/tests/layout.rs
@@ -111,16 +111,20 @@
 /// lasts, reload nothing.
 #[test]
 fn burst_reloads_nothing() {
-    let mut bench = Bench::open(12, &["big", "small"]);
-    let even = [("big", "mawe", 500.0), ("small", "caucao", 500.0)];
-    (0..20).for_each(|_| bench.demand(&even));
+    let mut bench = Bench::open(12, &["big", "small", "other"]);
+    let with = |big| [("big", "mawe", big), ("small", "caucao", 500.0), ("other", "caucao", 500.0)];
+    (0..20).for_each(|_| bench.demand(&with(500.0)));
     bench.settle();
+    assert!((8..10).contains(&bench.ready("big")));
     let loads = bench.loads;
-    bench.demand(&[("big", "mawe", 900.0), ("small", "caucao", 500.0)]);
+    bench.demand(&with(2_000.0));
     bench.settle();
-    (0..30).for_each(|_| bench.demand(&[("big", "mawe", 550.0), ("small", "caucao", 450.0)]));
+    (0..30).for_each(|_| bench.demand(&with(600.0)));
     bench.settle();
     assert_eq!(bench.loads, loads);
+    (0..30).for_each(|_| bench.demand(&with(2_000.0)));
+    bench.settle();
+    assert!(bench.ready("big") >= 10, "what lasts is followed");
 }
 
 /// A zone returns with all its engines empty, and one model has lost all its
--- a/crates/policy/tests/reserve.rs
+++ b/crates/policy/tests/reserve.rs
@@ -62,6 +62,28 @@
     assert_eq!(late, Err(Impossible::NoTime(Duration::from_secs(5))));
 }
 
+/// Whatever the order of the plan, engines are asked in the order of their
+/// ids, and a refusal gives all that was held back at once: two prompts that
+/// want the same engines meet at the first and never hold one each.
+#[test]
+fn asks_in_one_order_and_holds_all_or_none() {
+    let fleet = engines(&[300_000, 350_000, 390_000, 380_000]);
+    let parts = plan_parts(cost(1_000_000, 1_000), HOUR, &fleet).expect("room");
+    let planned: Vec<_> = parts.iter().map(|part| part.target.as_str()).collect();
+    assert_eq!(planned, ["engine-2", "engine-3", "engine-1"]);
+    let mut reservation = Reservation::open(parts.clone());
+    let mut asked = Vec::new();
+    for ticket in 1..=2 {
+        let Step::Ask(part) = reservation.next_step() else { panic!("a part is missing") };
+        assert_eq!(reservation.answer(Some(ticket)), []);
+        asked.push(part.target);
+    }
+    let back = reservation.answer(None);
+    assert_eq!(back, [(asked[0].clone(), 1), (asked[1].clone(), 2)]);
+    assert_eq!(asked, ["engine-1".into(), "engine-2".into()]);
+    assert_eq!(reservation.release(), [], "nothing is held");
+}
+
 /// A round of one reservation: asks until it holds all or was refused.
 fn step(
     limiters: &mut BTreeMap<id::Target, Limiter>,
