--- a/crates/policy/examples/experiment/main.rs
+++ b/crates/policy/examples/experiment/main.rs
@@ -38,6 +38,10 @@
     name: Name,
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Long prompts a second, for `short`; a half takes about a third of the
+    /// fleet's prefill.
+    #[arg(long, default_value_t = 0.5)]
+    long_rate: f64,
     /// Print JSON instead of a table.
     #[arg(long)]
     json: bool,
@@ -53,7 +57,7 @@
     let options = Options::parse();
     let seed = options.seed;
     let figures = match options.name {
-        Name::Short => compare(&Short(seed)),
+        Name::Short => compare(&Short(seed, options.long_rate)),
         Name::Length => compare(&Length(seed)),
         Name::Share => compare(&Share(seed)),
         Name::Overload => compare(&Overload(seed)),
@@ -135,16 +139,15 @@
     record.request.cost.is_long()
 }
 
-/// Short alone, long alone, both: the long ones take about a third of the
-/// fleet's prefill.
-struct Short(u64);
+/// Short alone, long alone, both.
+struct Short(u64, f64);
 
 impl Experiment for Short {
     fn measure<L: Limit, P: Place + Default>(&self) -> Figures {
         let span = (10.0, 100.0);
         // The kind's place in the list seeds its arrivals.
         let short = questions(8.0, (0.0, 100.0));
-        let long = reports(0.5, (60_000, 300_000), (0.0, 100.0));
+        let long = reports(self.1, (60_000, 300_000), (0.0, 100.0));
         let never = |kind| Kind { span: (0.0, 0.0), ..kind };
         let load = |short, long| arrive(&[short, long], self.0);
         let alone = run::<L, P>(&load(short, never(long)), &[], 160_000);
