Long prefills end by report, not by estimate

Cause: the estimate of a long prefill ran at the rate of a prompt's start and ended seconds early, since prefill slows down with the context; a second long prefill was granted and short prompts were sent to engines still busy with the first (p95 200 to 260 ms on engines that were thought free of it).

Change: a long prefill keeps a step's worth until the report or the first token says that it is over; the report's lag is taken as half a second.

--- a/crates/policy/examples/experiment/main.rs
+++ b/crates/policy/examples/experiment/main.rs
@@ -164,9 +164,13 @@
         }
         put("long p95 alone ms", long_alone.first_token(span, 0.95, is_long));
         put("long p95 beside ms", both.first_token(span, 0.95, is_long));
-        let (before, beside) =
-            (long_alone.work((0.0, 100.0), is_long), both.work((0.0, 100.0), is_long));
-        put("long work in 100 s, beside/alone", beside / before);
+        // The same work, over the time until the last of it has ended.
+        let last = |run: &Run| {
+            let long = run.records.iter().filter(|r| is_long(r));
+            let ends = long.filter_map(|r| Some(r.request.at + r.ended?));
+            ends.max().unwrap_or_default().as_secs_f64()
+        };
+        put("long throughput beside/alone", last(&long_alone) / last(&both));
         let arrived =
             |run: &Run| run.records.iter().filter(|r| is_long(r) && r.ended.is_some()).count();
         let sent = both.records.iter().filter(|r| is_long(r)).count();
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -33,8 +33,14 @@
 /// arrive.
 const LONG_FLOOR: f64 = 0.25;
 
-/// How far a load report may lag behind.
-const REPORT_LAG: Duration = Duration::from_secs(1);
+/// How far a load report may lag behind, with the time between two of them.
+const REPORT_LAG: Duration = Duration::from_millis(500);
+
+/// What is left of a long prefill at least until a report or its first token
+/// says that it is over: a step of the engine. Long prompts slow down as they
+/// go; by estimate alone they ended seconds early, and short prompts were
+/// sent to engines that were still busy with them.
+const UNCONFIRMED: f64 = 2_048.0;
 
 /// Why an ask has no room now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -191,8 +197,10 @@
         let since = self.drained.replace(now).unwrap_or(now);
         let budget = prefill_rate as f64 * now.saturating_duration_since(since).as_secs_f64();
         let floor = if self.prefills[1].is_empty() { 0.0 } else { LONG_FLOOR };
-        let left = work_off(&mut self.prefills[0], budget * (1.0 - floor));
-        work_off(&mut self.prefills[1], budget * floor + left);
+        let rest = work_off(&mut self.prefills[0], budget * (1.0 - floor));
+        if let Some(long) = self.prefills[1].front_mut() {
+            long.left = (long.left - budget * floor - rest).max(UNCONFIRMED.min(long.left));
+        }
     }
 
     /// Corrects the estimate of one prefill by a load report, which lags: by
