State: a second's margin for the service's word on ownership

At 380 nodes two watches with the widest spread between them take 2.3 s, so a call a little slow made a confirmed owner fall to half terms for a moment.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,7 +3,17 @@
 //! not run twice.
 //!
 //! Each part has a pure half, which turns answers, events and the time into
-//! the next call, and a thin driver that makes the calls.
+//! the next call, and a thin driver that makes the calls:
+//!
+//! | part          | driver     | pure half                                   |
+//! |---------------|------------|---------------------------------------------|
+//! | membership    | [`member`] | [`lease`]                                   |
+//! | configuration | [`config`] | [`head`]                                    |
+//! | ownership     | [`owner`]  | [`steward`], [`plan`], [`terms`], [`table`] |
+//! | claims        | [`claim`]  | [`group`], [`page`]                         |
+//!
+//! [`follow`] keeps a view of keys for the first three, [`retry`] says when to
+//! try again, and [`rank`] which node is first for a target.
 
 pub mod claim;
 pub mod config;
--- a/crates/state/src/owner.rs
+++ b/crates/state/src/owner.rs
@@ -17,8 +17,8 @@
 /// The key of the ownership document.
 pub const KEY: &str = "owners";
 
-/// Watches of the document. Their ends confirm it: `Options::fresh` is twice
-/// this and the time of a call.
+/// Watches of the document. Their ends confirm it, so `Options::fresh` allows
+/// for two of them.
 const WATCH_WAIT: Duration = Duration::from_millis(700);
 const WATCH_SPREAD: Duration = Duration::from_millis(100);
 
--- a/crates/state/src/steward.rs
+++ b/crates/state/src/steward.rs
@@ -20,8 +20,8 @@
 pub struct Options {
     /// The life of a permit.
     pub permit: Duration,
-    /// How long the service's last word on the document counts. Twice a watch
-    /// of [`crate::owner`] and the time of a call.
+    /// How long the service's last word on the document counts: two watches
+    /// of [`crate::owner`], the widest spread between them, and a slow call.
     pub fresh: Duration,
     /// How long an owner without a valid lease goes on without hearing any
     /// other node.
@@ -54,7 +54,7 @@
     pub fn of(permit: Duration, ttl: Duration) -> Self {
         Self {
             permit,
-            fresh: Duration::from_millis(2_500),
+            fresh: Duration::from_secs(3),
             alone: Duration::from_secs(10),
             step: Duration::from_millis(400),
             start: Duration::from_millis(500),
