--- a/crates/state/tests/drive.rs
+++ b/crates/state/tests/drive.rs
@@ -8,10 +8,12 @@
 use hickory_state::claim::{Answer, Doubt, Ledger, Options, Outcome};
 use hickory_state::config::{Keeper, Rejection};
 use hickory_state::member::{Info, Member};
-use hickory_state::owner::{Owners, Probe, Terms};
+use hickory_state::owner::{Owned, Owners, Probe, Terms};
 use hickory_unit::clock::{Clock, System};
 use hickory_unit::id::{self, Incarnation};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::task::JoinSet;
 use uuid::Uuid;
@@ -119,20 +121,21 @@
     assert_eq!(version(&c), Some(1));
 }
 
-/// Answers by whether the probed node's member still renews its lease: all
-/// nodes of these tests run.
-#[derive(Clone, Copy)]
-struct Alive;
+/// Says that all nodes run, until it is told that they are dead.
+#[derive(Clone, Default)]
+struct Fleet {
+    dead: Arc<AtomicBool>,
+}
 
-impl Probe for Alive {
+impl Probe for Fleet {
     async fn alive(&self, _: &Info) -> bool {
-        true
+        !self.dead.load(Ordering::SeqCst)
     }
 }
 
-type Node = (Member<Memory, System>, Owners<Memory, System, Alive>);
+type Node = (Member<Memory, System>, Owners<Memory, System, Fleet>);
 
-fn spawn_node(store: Memory, name: &str) -> Node {
+fn spawn_node(store: Memory, name: &str, fleet: &Fleet) -> Node {
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
     let info = Info {
         node: name.into(),
@@ -145,7 +148,7 @@
     };
     let member = Member::spawn(store.clone(), System, info, Duration::from_secs(2));
     let permit = Duration::from_millis(200);
-    let owners = Owners::spawn(store, System, member.clone(), Alive, permit);
+    let owners = Owners::spawn(store, System, member.clone(), fleet.clone(), permit);
     owners.set_targets(&["t1", "t2", "t3", "t4", "t5"].map(id::Target::from));
     (member, owners)
 }
@@ -159,7 +162,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn owners() {
     let service = Memory::default();
-    let nodes = ["a", "b", "c"].map(|name| spawn_node(service.join(), name));
+    let fleet = Fleet::default();
+    let nodes = ["a", "b", "c"].map(|name| spawn_node(service.join(), name, &fleet));
     let total = || nodes.iter().map(count_full).sum::<usize>();
     wait_for("all targets are served", || total() == 5).await;
     let most = nodes.iter().max_by_key(|node| count_full(node)).unwrap();
@@ -172,3 +176,22 @@
     let entry = service.get("owners").await.unwrap().unwrap();
     assert_eq!(nodes[0].1.revision(), entry.revision.0);
 }
+
+/// A node dies. Its lease lapses, a new connection to it fails, and the other
+/// takes its targets over: at half, since it can't tell a dead node from one
+/// that is cut off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn takeover() {
+    let service = Memory::default();
+    let fleet = Fleet::default();
+    let stores = [service.join(), service.join()];
+    let nodes = [("a", 0), ("b", 1)].map(|(n, s)| spawn_node(stores[s].clone(), n, &fleet));
+    wait_for("both serve", || nodes.iter().map(count_full).sum::<usize>() == 5).await;
+    let lost = usize::from(count_full(&nodes[1]) > 0);
+    stores[lost].set(|faults| faults.down = true);
+    fleet.dead.store(true, Ordering::SeqCst);
+    let heir = &nodes[1 - lost];
+    let waits = |owned: &Owned| matches!(owned.terms, Terms::Wait(_));
+    let serves = || heir.1.owned().iter().filter(|owned| !waits(owned)).count() == 5;
+    wait_for("the heir serves all", serves).await;
+}
