--- a/crates/state/tests/drive.rs
+++ b/crates/state/tests/drive.rs
@@ -45,6 +45,7 @@
     for node in 0..9 {
         let store = service.join();
         store.set(|faults| {
+            faults.delay = Duration::from_millis(2);
             faults.lose_answers = node % 3;
             faults.lose_writes = node % 2;
         });
