--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -141,6 +141,7 @@
                 () = sleep => {}
                 () = self.inner.work.notified() => {}
                 Ok(()) = life.changed() => if *life.borrow_and_update() == Life::Stopped {
+                    self.inner.ticked.send_modify(|tick| *tick += 1);
                     return;
                 }
             }
@@ -151,10 +152,16 @@
     /// gone, or that has dropped it.
     async fn check_links(self) {
         let life = self.inner.faults.life();
+        let mut ticked = self.inner.ticked.subscribe();
         while *life.borrow() != Life::Stopped {
+            let links = self.with_engine(|engine| engine.links());
+            if links.is_empty() {
+                // Links come with streams, and streams with ticks.
+                let _ = ticked.changed().await;
+            }
             tokio::time::sleep(LINK_CHECK).await;
             self.inner.faults.wait_thawed().await;
-            for link in self.with_engine(|engine| engine.links()) {
+            for link in links {
                 if self.inner.peers.export(link.at, &link.handle).await.is_none() {
                     let now = self.inner.faults.now();
                     self.with_engine(|engine| engine.lose_link(now, &link.handle));
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -302,6 +302,8 @@
 
     pub(crate) fn stop(&self) {
         self.inner.life.send_replace(Life::Stopped);
+        // Tasks of a frozen stand-in wait for the thaw, and would stay.
+        self.thaw();
     }
 
     pub(crate) fn life(&self) -> watch::Receiver<Life> {
