Client: a seeded walk over everything that can go wrong at once

Sixteen callers against a server that misbehaves at random: no answer is crossed, no call arrives twice, none that is 'not sent' arrives. Seen failing with a resend on suspicion.

--- a/crates/client/tests/exchange.rs
+++ b/crates/client/tests/exchange.rs
@@ -204,3 +204,55 @@
         assert_eq!(call(&client, server.address, &key, LONG).await.unwrap(), key);
     }
 }
+
+/// Whatever goes wrong, in any order and at once, an answer is that to its
+/// own call, a call arrives at most once, and one that is not sent never
+/// arrives. Timing may turn an answer into a timeout, never break these.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_at_once_are_never_crossed_or_doubled() {
+    for seed in 0..4 {
+        let server = Server::open(move |connection, request| draw(seed, connection, request)).await;
+        let client = Client::open(LONG);
+        let callers = (0..16).map(|caller| call_in_turn(&client, &server, caller));
+        let answered: usize = futures::future::join_all(callers).await.into_iter().sum();
+        assert!(answered > 0, "{seed}");
+        let received = server.received.lock().unwrap();
+        assert!(received.values().all(|count| *count == 1), "{seed}");
+    }
+}
+
+/// What a server does, drawn from a hash; mostly it answers.
+fn draw(seed: usize, connection: usize, request: usize) -> Act {
+    let mut hash = (seed * 1_000_003 + connection * 1_009 + request + 1) as u64;
+    for _ in 0..3 {
+        hash = (hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    }
+    match hash >> 32 & 31 {
+        0 => Act::AnswerAndClose,
+        1 => Act::Close,
+        2 => Act::Part,
+        3 => Act::Garbage,
+        4 => Act::Silence,
+        5 => Act::Late,
+        _ => Act::Answer,
+    }
+}
+
+/// Makes calls one after another; gives how many were answered.
+async fn call_in_turn(client: &Client, server: &Server, caller: usize) -> usize {
+    let mut answered = 0;
+    for number in 0..100 {
+        let key = format!("key-{caller}-{number}");
+        let result = call(client, server.address, &key, SHORT / 5).await;
+        let count = server.count(&key);
+        match result {
+            Ok(body) => {
+                assert_eq!((body.as_ref(), count), (key.as_bytes(), 1));
+                answered += 1;
+            }
+            Err(Error::NotSent(text)) => assert_eq!(count, 0, "{text}"),
+            Err(Error::Unknown(text)) => assert!(count <= 1, "{count} {text}"),
+        }
+    }
+    answered
+}
