Refuse what became hopeless, and keep a margin for what is let in

Cause: grants followed the shares within half a percent, but completed work did not. Under overload the queue filled up to the deadline, each ask began at the last moment, and an estimate that was a little short cut answers off half done; after a cut of a share the queue held nothing but such asks and each new one looked late, so that the partner got 7 % where it had bought 25.

Change: the wait is raised by 1.4 before it is held against the time left; asks that a slower pace or a smaller share made hopeless are refused within a second; the pace is asked again just before a grant. Late.rs holds the three rules.

--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -216,6 +216,13 @@
     accounts: Level,
 }
 
+impl PartnerFlow {
+    /// Accounts of the partner that wait, at least one.
+    fn rivals(&self) -> f64 {
+        self.accounts.order.iter().map(BTreeSet::len).max().unwrap_or(0).max(1) as f64
+    }
+}
+
 #[derive(Clone, Debug)]
 struct AccountFlow {
     partner: u32,
@@ -380,12 +387,41 @@
         let part = self.part_of(partner);
         let by_partner = owner.flow.queued_work[size] as f64 / part;
         let entry = self.account_index.get(account).map(|&i| &self.accounts[i as usize].flow);
-        let rivals = owner.accounts.order.iter().map(BTreeSet::len).max().unwrap_or(0).max(1);
         let own = entry.map_or(0, |flow| flow.queued_work[size]);
-        let by_account = own as f64 * rivals as f64 / part;
+        let by_account = own as f64 * owner.rivals() / part;
         self.queued_work(long).min(by_partner.min(by_account) as u64)
     }
 
+    /// The asks of one size that could not start in time, by their place: the
+    /// work before each in its account's queue, over the part of `rate` that
+    /// the account gets, is compared with `time_left`. What is named does not
+    /// count as standing before the others.
+    pub fn hopeless(&self, long: bool, rate: f64, time_left: impl Fn(u64) -> Duration) -> Vec<u64> {
+        let lanes = if long { 2..4 } else { 0..2 };
+        let mut named = Vec::new();
+        for entry in self.accounts.iter().filter(|a| a.flow.queued_work[usize::from(long)] > 0) {
+            let owner = &self.partners[entry.partner as usize];
+            let part = self.part(&owner.flow) / owner.rivals();
+            let own_rate = (rate * part).max(1.0);
+            let mut before = 0;
+            for ticket in lanes.clone().flat_map(|lane| &entry.queues[lane]) {
+                let wait = Duration::try_from_secs_f64(before as f64 / own_rate);
+                if wait.unwrap_or(Duration::MAX) > time_left(*ticket) {
+                    named.push(*ticket);
+                } else {
+                    before += self.items.get(ticket).map_or(0, |item| item.work);
+                }
+            }
+        }
+        named
+    }
+
+    /// The part of the whole of a partner that waits.
+    fn part(&self, flow: &Flow) -> f64 {
+        let all = self.partners.iter().filter(|p| p.flow.waits()).map(|p| p.flow.weight);
+        flow.weight / all.sum::<f64>().max(flow.weight)
+    }
+
     fn intern(&mut self, partner: &id::Partner, account: &id::Account) -> u32 {
         let owner = self.intern_partner(partner);
         if let Some(&index) = self.account_index.get(account)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod baseline;
 pub mod cost;
 pub mod fair;
+mod late;
 pub mod layout;
 pub mod limit;
 pub mod pace;
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -46,13 +46,15 @@
 pub const CLAIM_LIFE: Duration = Duration::from_secs(3);
 
 /// The least time that a refused caller is told to stay away.
-const RETRY_LEAST: Duration = Duration::from_millis(500);
+pub(crate) const RETRY_LEAST: Duration = Duration::from_millis(500);
 
 #[derive(Clone, Debug)]
-struct Waiting {
-    ask: Ask,
-    /// The last moment at which a start is in time.
-    latest: Instant,
+pub(crate) struct Waiting {
+    pub(crate) ask: Ask,
+    /// The time that it came with.
+    pub(crate) came_with: Duration,
+    /// The last moment at which a start is in time, by the pace when it came.
+    pub(crate) latest: Instant,
 }
 
 #[derive(Clone, Debug)]
@@ -68,21 +70,22 @@
 pub struct Limiter {
     capacity: Capacity,
     ramp: Ramp,
-    room: Room,
-    pace: Pace,
-    queue: Queue,
-    asks: HashMap<Ticket, Waiting>,
+    pub(crate) room: Room,
+    pub(crate) pace: Pace,
+    pub(crate) queue: Queue,
+    pub(crate) asks: HashMap<Ticket, Waiting>,
     alone: VecDeque<(Ticket, Instant)>,
     granted: HashMap<Ticket, Grant>,
     expiry: BTreeSet<(Instant, Ticket)>,
     latest: BTreeSet<(Instant, Ticket)>,
     now: Option<Instant>,
-    hold: Option<Instant>,
+    pub(crate) hold: Option<Instant>,
     /// Room held for urgent long asks, and until when.
     claimed: Option<(Claim, Instant)>,
     confirmed: bool,
     accepting: bool,
-    queue_bound: usize,
+    pub(crate) queue_bound: usize,
+    pub(crate) shed: Option<Instant>,
     next: Ticket,
 }
 
@@ -106,6 +109,7 @@
             confirmed: true,
             accepting: true,
             queue_bound: QUEUE_BOUND,
+            shed: None,
             next: 1,
         }
     }
@@ -125,6 +129,7 @@
     /// Replaces the partners' shares.
     pub fn set_shares(&mut self, shares: impl IntoIterator<Item = (id::Partner, f64)>) {
         self.queue.set_shares(shares);
+        self.shed = None;
     }
 
     /// Replaces the accounts' weights within their partners.
@@ -217,9 +222,15 @@
             answers.push((ticket, Err(Reason::Deadline)));
         }
         while let Some(ticket) = self.next_grant(now) {
+            if self.is_late(now, ticket) {
+                self.forget(ticket);
+                answers.push((ticket, Err(Reason::Overloaded)));
+                continue;
+            }
             self.grant(now, ticket);
             answers.push((ticket, Ok(())));
         }
+        answers.extend(self.shed(now).into_iter().map(|t| (t, Err(Reason::Overloaded))));
         answers
     }
 
@@ -342,27 +353,9 @@
         }
     }
 
-    fn refuse_late(&self, now: Instant, ask: &Ask) -> Option<Answer> {
-        let long = ask.cost.is_long();
-        let ahead = self.queue.work_ahead(&ask.partner, &ask.account, long);
-        let hold = self.hold.map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
-        let wait = hold + self.pace.time_for(ahead + self.room.in_flight(long) as u64, long);
-        let time = self.pace.time_of(ask.cost, ask.deadline - now);
-        let late = (now + wait + time).checked_duration_since(ask.deadline);
-        if let Some(late) = late.filter(|late| !late.is_zero()) {
-            return Some(Answer::Refused(Reason::Overloaded, late.max(RETRY_LEAST)));
-        }
-        // A partner that fills the queue may not shut the others out of it:
-        // past the bound only partners below their part of it are let in.
-        let own = self.queue.waiting_of(&ask.partner) as f64;
-        let full = self.asks.len() >= self.queue_bound;
-        let over = own >= self.queue_bound as f64 * self.queue.part_of(&ask.partner);
-        (full && (over || self.asks.len() >= 2 * self.queue_bound))
-            .then(|| Answer::Refused(Reason::Overloaded, wait.max(RETRY_LEAST)))
-    }
-
     fn enqueue(&mut self, now: Instant, ticket: Ticket, ask: Ask) {
-        let time = self.pace.time_of(ask.cost, ask.deadline.saturating_duration_since(now));
+        let came_with = ask.deadline.saturating_duration_since(now);
+        let time = self.pace.time_of(ask.cost, came_with);
         let latest = ask.deadline.checked_sub(time).unwrap_or(now).max(now);
         self.latest.insert((latest, ticket));
         if ask.alone {
@@ -371,7 +364,7 @@
             let flow = (&ask.partner, &ask.account);
             self.queue.push(now, flow, ask.lane(), ask.cost.work(), ticket);
         }
-        self.asks.insert(ticket, Waiting { ask, latest });
+        self.asks.insert(ticket, Waiting { ask, came_with, latest });
     }
 
     /// The ticket that may be granted now, by the fair order over the lanes
@@ -471,8 +464,8 @@
     }
 
     /// Takes an ask out of the queue.
-    fn forget(&mut self, ticket: Ticket) -> Option<Ask> {
-        let Waiting { ask, latest } = self.asks.remove(&ticket)?;
+    pub(crate) fn forget(&mut self, ticket: Ticket) -> Option<Ask> {
+        let Waiting { ask, latest, .. } = self.asks.remove(&ticket)?;
         self.queue.remove(ticket);
         if ask.alone {
             self.alone.retain(|&(queued, _)| queued != ticket);
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -70,25 +70,29 @@
     }
 
     /// The time to keep for work of this cost once it is granted, of the time
-    /// that is left for it. An answer may be shorter than its greatest length,
+    /// that it came with. An answer may be shorter than its greatest length,
     /// so its decode is given half of that time at most: an ask is not refused
     /// because of tokens that may never come. Work without tokens is a call of
     /// a plain service, of which nothing is known.
-    pub fn time_of(&self, cost: Cost, left: Duration) -> Duration {
+    pub fn time_of(&self, cost: Cost, came_with: Duration) -> Duration {
         if cost.kv().0 == 0 {
             return Duration::ZERO;
         }
         let steps = u32::try_from(cost.decode.0).unwrap_or(u32::MAX);
-        let decode = self.token_time.saturating_mul(steps).min(left / 2);
+        let decode = self.token_time.saturating_mul(steps).min(came_with / 2);
         self.first_token(cost.prefill).saturating_add(decode)
     }
 
     /// The time until `work` has left the queue.
     pub fn time_for(&self, work: u64, long: bool) -> Duration {
+        rate::TokensPerSecond(self.rate(long)).time_for(size::Tokens(work))
+    }
+
+    /// Work a second that leaves the queue.
+    pub fn rate(&self, long: bool) -> f64 {
         let size = usize::from(long);
         let measured = self.granted[size] / WINDOWS[size];
-        let rate = measured.max(self.first * LEAST_PART);
-        rate::TokensPerSecond(rate).time_for(size::Tokens(work))
+        measured.max(self.first * LEAST_PART)
     }
 
     /// Notes work that left the queue.
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -153,6 +153,76 @@
     assert!(whole > 1_800, "{whole} of 2,000 that 20 s had room for");
 }
 
+/// Two partners ask for three times what the target bears, with 30 s of time;
+/// then the greater share is cut from 3:1 to 1:3. Asks that waited under the
+/// old share are refused within about a second, not at their deadlines, what
+/// is granted still ends in time, and each partner gets its share of it.
+#[test]
+fn cut_share_refuses_what_became_hopeless() {
+    let (mut now, mut limiter) = warm(Instant::now(), CAPACITY);
+    limiter.set_shares([("mawe".into(), 3.0), ("caucao".into(), 1.0)]);
+    let mut asks = BTreeMap::new();
+    let mut running: Vec<(Instant, u64)> = Vec::new();
+    let (mut whole, mut refused_late) = (BTreeMap::<_, f64>::new(), 0);
+    for step in 0..12_000_u64 {
+        now += ms(5);
+        if step == 6_000 {
+            limiter.set_shares([("mawe".into(), 1.0), ("caucao".into(), 3.0)]);
+        }
+        for partner in ["mawe", "caucao"] {
+            let size = if partner == "mawe" { 1_000 } else { 1_000 + step * 7_919 % 4_000 };
+            let deadline = now + ms(30_000);
+            let ask = Ask { cost: cost(size, 64), deadline, ..ask(now, partner, 0) };
+            match limiter.ask(now, ask.clone()) {
+                Answer::Granted(t) => {
+                    asks.insert(t, ask);
+                    running.push((now, t));
+                }
+                Answer::Queued(t) => drop(asks.insert(t, ask)),
+                Answer::Refused(..) => {}
+            }
+        }
+        for (t, answer) in limiter.poll(now) {
+            match answer {
+                Ok(()) => running.push((now, t)),
+                Err(_) if step > 6_500 => {
+                    refused_late += u32::from(asks[&t].deadline < now + ms(5_000));
+                }
+                Err(_) => {}
+            }
+        }
+        // Each answer takes 5 s on a full target.
+        for (at, t) in running.extract_if(.., |(at, _)| now >= *at + ms(5_000)) {
+            let ask = &asks[&t];
+            assert!(step < 3_000 || at + ms(5_000) <= ask.deadline, "cut off half done");
+            limiter.settle(now, t, Outcome::Whole(None));
+            if step > 8_000 {
+                *whole.entry(ask.partner.to_string()).or_default() += ask.cost.work() as f64;
+            }
+        }
+    }
+    assert_eq!(refused_late, 0);
+    let part = whole["mawe"] / whole.values().sum::<f64>();
+    assert!((part - 0.25).abs() < 0.02, "{part}");
+}
+
+/// The target decodes five times as slowly as was thought when an ask came.
+/// By the time its turn comes, that is known: it is refused then, instead of
+/// being begun and cut off half done.
+#[test]
+fn ask_that_a_slower_pace_makes_late_is_not_begun() {
+    let (now, mut limiter) = warm(Instant::now(), NARROW);
+    let slow = Ask { cost: cost(10, 64), ..ask(now, "mawe", 0) };
+    let running: Vec<_> = (0..4).map(|_| ticket(limiter.ask(now, slow.clone()))).collect();
+    let waits = Ask { deadline: now + ms(6_000), ..slow };
+    let Answer::Queued(waits) = limiter.ask(now, waits) else { panic!("no slot is free") };
+    let now = now + ms(4_800);
+    for t in running {
+        limiter.settle(now, t, Outcome::Whole(None));
+    }
+    assert_eq!(limiter.poll(now), [(waits, Err(Reason::Overloaded))]);
+}
+
 /// One partner fills the queue. The other is still let in up to its part, and
 /// an urgent ask is never queued.
 #[test]
