Placement knows that cold targets are slow

Change: the owner tells the rate at present warmth, and the steps up to a first token count in tokens, so that they take longer on a slow target.

--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -607,7 +607,7 @@
             queued_long: self.limiter.prefill_queued_of(true),
             kv_free: self.kv_capacity.saturating_sub(used),
             kv_capacity: self.kv_capacity,
-            prefill_rate: self.capacity.prefill_rate,
+            prefill_rate: self.limiter.prefill_rate(),
             bound: self.limiter.bound(),
             running: self.limiter.running() as u32,
             waiting: self.limiter.waiting() as u32,
--- a/crates/policy/examples/experiment/fleet.rs
+++ b/crates/policy/examples/experiment/fleet.rs
@@ -254,7 +254,7 @@
             queued_long: state.queued_long,
             kv_free: self.options.kv_capacity.saturating_sub(state.kv_used),
             kv_capacity: self.options.kv_capacity,
-            prefill_rate: self.options.prefill_rate,
+            prefill_rate: state.prefill_rate.unwrap_or(self.options.prefill_rate),
             bound: state.bound,
             running: state.running,
             waiting: state.waiting,
--- a/crates/policy/src/baseline.rs
+++ b/crates/policy/src/baseline.rs
@@ -22,6 +22,8 @@
     pub queued_long: size::Tokens,
     /// KV cache in use.
     pub kv_used: size::Tokens,
+    /// Prompt tokens a second at present, where it is known.
+    pub prefill_rate: Option<u64>,
     /// Streams that the target bears.
     pub bound: u32,
     /// Streams granted.
@@ -92,6 +94,7 @@
             queued_prefill: self.prefill_queued(),
             queued_long: self.prefill_queued_of(true),
             kv_used: self.kv_used(),
+            prefill_rate: Some(self.prefill_rate()),
             bound: self.bound(),
             running: self.running() as u32,
             waiting: self.waiting() as u32,
@@ -206,6 +209,7 @@
             queued_prefill: asks.map(|ask| ask.cost.prefill).sum(),
             queued_long: size::Tokens(0),
             kv_used: self.kv,
+            prefill_rate: None,
             bound: self.capacity.streams,
             running: self.granted.len() as u32,
             waiting: self.queue.len() as u32,
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -171,6 +171,7 @@
                 self.room.correct(*ticket, grant.ask.lane(), *left, self.capacity.prefill_rate);
             }
         }
+        self.pace.set_warmth(observed.sample.warmth);
         self.ramp.observe(now, observed.sample)
     }
 
@@ -321,6 +322,11 @@
         self.present_bound().slots
     }
 
+    /// Prompt tokens a second at the target's present warmth.
+    pub fn prefill_rate(&self) -> u64 {
+        self.pace.present_rate()
+    }
+
     /// The part of the full bound that the ramp has opened, from 0 to 1.
     pub fn level(&self) -> f64 {
         self.ramp.level()
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -12,6 +12,11 @@
 /// A full batch takes about a quarter of the time of a step.
 const PREFILL_PART: f64 = 0.75;
 
+/// The speed of a cold target as a part of its full speed, at least. Targets
+/// that prefill at a fifth when cold are common; one that is slower still
+/// shows it in the rates that are measured.
+const COLD_SPEED: f64 = 0.2;
+
 /// The time between two tokens of a stream before any was measured.
 const TOKEN_TIME: Duration = Duration::from_millis(15);
 
@@ -33,6 +38,8 @@
 #[derive(Clone, Debug)]
 pub struct Pace {
     reported: u64,
+    /// From 0 to 1, by the warmth that the target reports.
+    speed: f64,
     token_time: Duration,
     /// The first estimate of work a second.
     first: f64,
@@ -52,6 +59,7 @@
         };
         Self {
             reported: prefill_rate,
+            speed: 1.0,
             token_time: TOKEN_TIME,
             first,
             granted: WINDOWS.map(|window| first * window),
@@ -59,9 +67,19 @@
         }
     }
 
+    /// Sets how warm the target is, from 0 to 100.
+    pub fn set_warmth(&mut self, warmth: u8) {
+        self.speed = (f64::from(warmth.min(100)) / 100.0).max(COLD_SPEED);
+    }
+
+    /// Prompt tokens a second at present warmth, with nothing beside them.
+    pub fn present_rate(&self) -> u64 {
+        (self.reported as f64 * self.speed) as u64
+    }
+
     /// Prompt tokens a second beside the decode of other streams.
     pub fn prefill_rate(&self) -> u64 {
-        (self.reported as f64 * PREFILL_PART) as u64
+        (self.present_rate() as f64 * PREFILL_PART) as u64
     }
 
     /// The time a first token takes with `tokens` to prefill up to it.
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -26,6 +26,11 @@
 /// its own step carries the rest of the chunk.
 const STEP_COST: f64 = 0.06;
 
+/// Prefill tokens that the steps up to a first token weigh beside the prompt
+/// itself: about three steps of 13 ms at 40,000 tokens a second. Counted in
+/// tokens, so that they take longer on a target that is slow or cold.
+const STEPS: f64 = 1_600.0;
+
 /// What a token of KV cache in use adds to a first token: each engine step
 /// reads it, at some 20 ms a million, and there are about three up to a first
 /// token.
@@ -176,7 +181,7 @@
         seconds += FULL_COST * (1.0 + turns);
     }
     let used = candidate.kv_capacity.saturating_sub(candidate.kv_free);
-    let tokens = (ahead + cost.prefill.0) as f64 - saved;
+    let tokens = (ahead + cost.prefill.0) as f64 + STEPS - saved;
     seconds + used.0 as f64 * KV_COST + tokens / candidate.prefill_rate.max(1) as f64
 }
 
@@ -199,7 +204,7 @@
 
 /// The random part of a score.
 fn spread(query: &Query, candidate: &Candidate) -> f64 {
-    let estimate = first_token(query.cost, candidate, 0.0);
+    let estimate = first_token(query.cost, candidate, STEPS);
     estimate.mul_add(SPREAD_PART, SPREAD_LEAST) * unit(mix(candidate.key, query.random))
 }
 
