--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -12,6 +12,11 @@
 /// A full batch takes about a quarter of the time of a step.
 const PREFILL_PART: f64 = 0.75;
 
+/// The speed of a cold target as a part of its full speed, at least. Targets
+/// that prefill at a fifth when cold are common; one that is slower still
+/// shows it in the rates that are measured.
+const COLD_SPEED: f64 = 0.2;
+
 /// The time between two tokens of a stream before any was measured.
 const TOKEN_TIME: Duration = Duration::from_millis(15);
 
@@ -33,6 +38,8 @@
 #[derive(Clone, Debug)]
 pub struct Pace {
     reported: u64,
+    /// From 0 to 1, by the warmth that the target reports.
+    speed: f64,
     token_time: Duration,
     /// The first estimate of work a second.
     first: f64,
@@ -52,6 +59,7 @@
         };
         Self {
             reported: prefill_rate,
+            speed: 1.0,
             token_time: TOKEN_TIME,
             first,
             granted: WINDOWS.map(|window| first * window),
@@ -59,9 +67,19 @@
         }
     }
 
+    /// Sets how warm the target is, from 0 to 100.
+    pub fn set_warmth(&mut self, warmth: u8) {
+        self.speed = (f64::from(warmth.min(100)) / 100.0).max(COLD_SPEED);
+    }
+
+    /// Prompt tokens a second at present warmth, with nothing beside them.
+    pub fn present_rate(&self) -> u64 {
+        (self.reported as f64 * self.speed) as u64
+    }
+
     /// Prompt tokens a second beside the decode of other streams.
     pub fn prefill_rate(&self) -> u64 {
-        (self.reported as f64 * PREFILL_PART) as u64
+        (self.present_rate() as f64 * PREFILL_PART) as u64
     }
 
     /// The time a first token takes with `tokens` to prefill up to it.
@@ -70,25 +88,29 @@
     }
 
     /// The time to keep for work of this cost once it is granted, of the time
-    /// that is left for it. An answer may be shorter than its greatest length,
+    /// that it came with. An answer may be shorter than its greatest length,
     /// so its decode is given half of that time at most: an ask is not refused
     /// because of tokens that may never come. Work without tokens is a call of
     /// a plain service, of which nothing is known.
-    pub fn time_of(&self, cost: Cost, left: Duration) -> Duration {
+    pub fn time_of(&self, cost: Cost, came_with: Duration) -> Duration {
         if cost.kv().0 == 0 {
             return Duration::ZERO;
         }
         let steps = u32::try_from(cost.decode.0).unwrap_or(u32::MAX);
-        let decode = self.token_time.saturating_mul(steps).min(left / 2);
+        let decode = self.token_time.saturating_mul(steps).min(came_with / 2);
         self.first_token(cost.prefill).saturating_add(decode)
     }
 
     /// The time until `work` has left the queue.
     pub fn time_for(&self, work: u64, long: bool) -> Duration {
+        rate::TokensPerSecond(self.rate(long)).time_for(size::Tokens(work))
+    }
+
+    /// Work a second that leaves the queue.
+    pub fn rate(&self, long: bool) -> f64 {
         let size = usize::from(long);
         let measured = self.granted[size] / WINDOWS[size];
-        let rate = measured.max(self.first * LEAST_PART);
-        rate::TokensPerSecond(rate).time_for(size::Tokens(work))
+        measured.max(self.first * LEAST_PART)
     }
 
     /// Notes work that left the queue.
