Settings that no node read are gone: policy and drain_ms

A setting that does nothing is a defect. The baselines are chosen where they run, in hickory-load and in the experiments of the policy package; a planned stop is bounded by the deadlines of its requests and cuts none, so a second bound could only break that promise.

--- a/apps/hickory/src/demo.rs
+++ b/apps/hickory/src/demo.rs
@@ -8,7 +8,7 @@
 use hickory_node::Node;
 use hickory_release::configuration::{self, Account, Model, Partner, Service, Weight, Zone};
 use hickory_release::note::{Entries, Note};
-use hickory_settings::{Node as Settings, Platform, Policy, Times};
+use hickory_settings::{Node as Settings, Platform, Times};
 use hickory_standin::fleet::{self, Fleet};
 use hickory_target::engine::Weights;
 use hickory_unit::{id, size};
@@ -121,7 +121,6 @@
             first_operator: None,
             times: Times { entry_keep_ms: 1_000, ..Times::default() },
             logs: Default::default(),
-            policy: Policy::default(),
         };
         nodes.push(Node::spawn(settings).await.map_err(local)?);
     }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,6 +1,6 @@
 //! What must hold of settings beyond their types.
 
-use crate::node::{Node, Policy, Times};
+use crate::node::{Node, Times};
 use derive_more::Display;
 use hickory_document::read_document;
 use hickory_document::rule::{HEX_LENGTH, check_digest, check_name, is_hex};
@@ -35,7 +35,6 @@
     Range { name: "entry_keep_ms", read: |t| t.entry_keep_ms, least: 100, most: 600_000 },
     Range { name: "resume_ms", read: |t| t.resume_ms, least: 0, most: 60_000 },
     Range { name: "progress_ms", read: |t| t.progress_ms, least: 100, most: 600_000 },
-    Range { name: "drain_ms", read: |t| t.drain_ms, least: 100, most: 3_600_000 },
     Range { name: "platform_ms", read: |t| t.platform_ms, least: 50, most: 30_000 },
 ];
 
@@ -111,11 +110,6 @@
         check_addresses(node, &mut later, &mut warnings);
         check_secrets(node, &mut later, &mut warnings);
         check_ranges(&node.times, &mut later);
-        if node.policy != Policy::Fair {
-            let message = "is a baseline for measurements: shares are not kept, and short \
-                           prompts wait behind long ones";
-            warnings.push(Finding::at("policy", message));
-        }
         // A time that can't be read would be compared by its default.
         if !RANGES.iter().any(|range| reading.is_known(&range.field())) {
             check_contradictions(&node.times, &mut later, &mut warnings);
@@ -222,18 +216,9 @@
         let message = format!("must be less than lease_ms ({})", times.lease_ms);
         findings.push(Finding::at("times.gossip_ms", message));
     }
-    // A stopping node serves the callers that keep its address.
-    if times.entry_keep_ms > times.drain_ms {
-        let message = format!("must be at most drain_ms ({})", times.drain_ms);
-        findings.push(Finding::at("times.entry_keep_ms", message));
-    }
     if times.report_ms > times.permit_ms {
         let message = "load is reported less often than a permit lives; a target that turns \
                        cold is noticed late";
         warnings.push(Finding::at("times.report_ms", message));
     }
-    if times.resume_ms > times.drain_ms {
-        let message = "a planned stop ends before a stream's caller may come back";
-        warnings.push(Finding::at("times.resume_ms", message));
-    }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,4 +10,4 @@
 pub(crate) mod read;
 
 pub use check::{Check, Error, Invalid, check_node, open, parse_node};
-pub use node::{Level, Logs, Node, Platform, Policy, Times};
+pub use node::{Level, Logs, Node, Platform, Times};
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -29,26 +29,6 @@
     pub times: Times,
     /// Logs, with their defaults.
     pub logs: Logs,
-    /// How requests are queued and placed.
-    pub policy: Policy,
-}
-
-/// How requests are queued and placed.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display, derive_more::FromStr,
-)]
-#[display(rename_all = "snake_case")]
-#[from_str(rename_all = "snake_case")]
-pub enum Policy {
-    /// Fair shares by partner and account, headroom for short prompts, ramps
-    /// after a start.
-    #[default]
-    Fair,
-    /// First in, first out, targets in turn: a baseline for measurements.
-    Fifo,
-    /// The target with the least load by its lagging report: a baseline for
-    /// measurements.
-    LeastLoaded,
 }
 
 /// Where the platform's services listen.
@@ -112,8 +92,6 @@
     pub resume_ms: u64,
     /// How long a stream may stand without progress.
     pub progress_ms: u64,
-    /// How long a planned stop may take at most.
-    pub drain_ms: u64,
     /// How long a call to the platform may take.
     pub platform_ms: u64,
 }
@@ -129,7 +107,6 @@
             entry_keep_ms: 2_000,
             resume_ms: 2_000,
             progress_ms: 3_000,
-            drain_ms: 60_000,
             platform_ms: 1_000,
         }
     }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -4,7 +4,7 @@
 //! for by a default, so that all others are checked as well; settings with a
 //! finding are never used.
 
-use crate::node::{Level, Logs, Node, Platform, Policy, Times};
+use crate::node::{Level, Logs, Node, Platform, Times};
 use hickory_document::field::Fields;
 use hickory_document::read::{self, Read, read_parsed};
 use hickory_unit::finding::Finding;
@@ -28,7 +28,6 @@
         let first_operator = fields.optional("first_operator");
         let times = fields.optional("times").unwrap_or_default();
         let logs = fields.optional("logs").unwrap_or_default();
-        let policy = fields.optional("policy").unwrap_or_default();
         fields.close();
         Some(Self {
             node: name.unwrap_or_else(|| id::Node::from("")),
@@ -45,7 +44,6 @@
             first_operator,
             times,
             logs,
-            policy,
         })
     }
 }
@@ -81,12 +79,6 @@
     }
 }
 
-impl Read for Policy {
-    fn read(node: &read::Node<'_>, findings: &mut Vec<Finding>) -> Option<Self> {
-        read_parsed(node, findings, "one of fair, fifo, least_loaded")
-    }
-}
-
 impl Read for Times {
     fn read(node: &read::Node<'_>, findings: &mut Vec<Finding>) -> Option<Self> {
         let default = Self::default();
@@ -101,7 +93,6 @@
             entry_keep_ms: time("entry_keep_ms", default.entry_keep_ms),
             resume_ms: time("resume_ms", default.resume_ms),
             progress_ms: time("progress_ms", default.progress_ms),
-            drain_ms: time("drain_ms", default.drain_ms),
             platform_ms: time("platform_ms", default.platform_ms),
         };
         fields.close();
