Short work asks two owners for an answer at once

Cause: states are up to a second old and a short prompt takes 40 ms, so that one in twenty met a queue that its node could not know of, while another engine was idle.

Change: the first two asks of short work are answered at once, yes or no; the third may queue, at any target. Owners hand 60 ms of prefill ahead to the engine instead of 150, so that the answer means something.

--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -6,7 +6,7 @@
 use crate::seats;
 use crate::view::Need;
 use hickory_policy::cost::{Class, Cost};
-use hickory_policy::place::{Prefix, Query, choose_target};
+use hickory_policy::place::{ASKS_AT_ONCE, Prefix, Query, asks_at_once, choose_target};
 use hickory_policy::refuse::{Reason, Refusal, Retry};
 use hickory_target::engine;
 use hickory_unit::clock::Clock;
@@ -80,7 +80,13 @@
 ) -> Result<Leave, Refusal> {
     let mut tried = excluded.to_vec();
     let mut refusal: Option<Refusal> = None;
-    for _ in 0..ASKS_MAX {
+    let mut at_once_tried = 0;
+    for asked in 0..ASKS_MAX {
+        // Who was asked for an answer at once may queue the ask now.
+        if at_once_tried == ASKS_AT_ONCE {
+            tried.truncate(tried.len() - ASKS_AT_ONCE);
+            at_once_tried = 0;
+        }
         let now = core.now();
         if now >= want.deadline {
             return Err(refuse(Reason::Deadline, "the deadline passed before it could be sent"));
@@ -90,12 +96,16 @@
         let candidates = core.view.candidates(now, want.need, want.prefix, &configuration, &tried);
         let Some(best) = choose_target(&query_of(want), &candidates) else { break };
         let target = best.target.clone();
+        let at_once = !want.alone && asks_at_once(want.cost, asked, candidates.len());
         let expected = hickory_policy::place::estimate_first_token(want.cost, best);
         tried.push(target.clone());
+        if at_once {
+            at_once_tried += 1;
+        }
         // Counted from the ask on: what waits at an owner is not told yet, and
         // a whole burst would join the queue of one and the same target.
         core.view.note_sent(now, &target, want.cost);
-        match ask_owner(core, want, &target).await {
+        match ask_owner(core, want, &target, at_once).await {
             Ok(permit) => {
                 let hosts = core.view.hosts();
                 // The owner may be cut off from the platform and not know that
@@ -113,7 +123,9 @@
             Err(Some(refused)) => {
                 core.metrics.retried(Retry::QueueLong);
                 let sooner = refusal.as_ref().is_none_or(|r| refused.retry_after < r.retry_after);
-                if sooner {
+                // An owner that is asked for an answer at once does not say
+                // when to come back.
+                if sooner && !at_once {
                     refusal = Some(refused);
                 }
             }
@@ -139,13 +151,14 @@
     core: &Core,
     want: &Want<'_>,
     target: &id::Target,
+    at_once: bool,
 ) -> Result<Permit, Option<Refusal>> {
     loop {
         let asked = core.now();
         let Some(time_left) = want.deadline.checked_duration_since(asked) else {
             return Err(Some(refuse(Reason::Deadline, "the deadline passed in the queue")));
         };
-        let ask = make_ask(want, target, time_left);
+        let ask = Ask { urgent: at_once, ..make_ask(want, target, time_left) };
         let answer = match send_ask(core, &ask).await {
             Ok(answer) => answer,
             Err(_) => {
--- a/crates/policy/examples/experiment/fleet.rs
+++ b/crates/policy/examples/experiment/fleet.rs
@@ -6,7 +6,7 @@
 use hickory_model::option::Options;
 use hickory_policy::baseline::{Limit, Place};
 use hickory_policy::limit::{Answer, Ask, Capacity, Observed, Outcome, Ticket};
-use hickory_policy::place::{Candidate, Query, hash_target};
+use hickory_policy::place::{ASKS_AT_ONCE, Candidate, Query, asks_at_once, hash_target};
 use hickory_policy::ramp::Sample;
 use hickory_policy::refuse::Reason;
 use hickory_target::engine::{Priority, Weights};
@@ -58,6 +58,7 @@
     ticket: Ticket,
     attempt: u32,
     tried: Vec<usize>,
+    asked_at_once: usize,
     /// When the attempt was sent, and the time to its first token from then.
     sent: Duration,
     first: Option<Duration>,
@@ -272,6 +273,7 @@
             ticket: 0,
             attempt: 0,
             tried: Vec::new(),
+            asked_at_once: 0,
             sent: Duration::ZERO,
             first: None,
         });
@@ -282,10 +284,17 @@
     fn place(&mut self, index: usize) {
         let mut reason = Reason::NoTarget;
         for ask in 0..ASKS {
-            let Some(target) = self.choose(index, ask) else { break };
+            // What was asked for an answer at once may queue the ask now.
+            if self.flights[index].asked_at_once == ASKS_AT_ONCE {
+                let tried = &mut self.flights[index].tried;
+                tried.truncate(tried.len() - ASKS_AT_ONCE);
+                self.flights[index].asked_at_once = 0;
+            }
+            let Some((target, at_once)) = self.choose(index, ask) else { break };
             self.flights[index].tried.push(target);
+            self.flights[index].asked_at_once += usize::from(at_once);
             let now = self.now();
-            let wanted = self.ask_of(index);
+            let wanted = Ask { urgent: at_once, ..self.ask_of(index) };
             match self.targets[target].limit.ask(now, wanted) {
                 Answer::Granted(ticket) => {
                     self.targets[target].tickets.insert(ticket, index);
@@ -303,7 +312,7 @@
         self.refuse(index, reason);
     }
 
-    fn choose(&mut self, index: usize, ask: usize) -> Option<usize> {
+    fn choose(&mut self, index: usize, ask: usize) -> Option<(usize, bool)> {
         let flight = &self.flights[index];
         let node = &mut self.nodes[index % NODES];
         let able = |i: &usize| node.view[*i].1 && !flight.tried.contains(i);
@@ -323,7 +332,7 @@
         }
         view.kv_free = view.kv_free.saturating_sub(request.cost.kv());
         view.running += 1;
-        Some(chosen)
+        Some((chosen, asks_at_once(request.cost, ask, able.len())))
     }
 
     fn ask_of(&self, index: usize) -> Ask {
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -55,6 +55,9 @@
 /// a further one, in seconds.
 const PACK_LEAST: u64 = 1;
 
+/// Owners that are asked for an answer at once before an ask may queue.
+pub const ASKS_AT_ONCE: usize = 2;
+
 /// Seed of the order in which engines take long work.
 const LONG_ORDER: u64 = 0x6c6f_6e67_5f6f_7264;
 
@@ -151,6 +154,19 @@
     chosen.map(|(_, candidate)| candidate)
 }
 
+/// Whether the owner of a chosen target is to answer at once, yes or no: for
+/// the first asks of short work, as long as there is another target to turn
+/// to.
+///
+/// States are up to a second old, many times what a short prompt takes. The
+/// owner knows better; asking a second one costs a round trip, waiting behind
+/// what the state did not show costs a prefill. The asks after them choose
+/// among all targets again: were those that said no left out, the best ones
+/// would never have a queue, and without one nothing keeps the shares.
+pub fn asks_at_once(cost: Cost, asked: usize, candidates: usize) -> bool {
+    !cost.is_long() && asked < ASKS_AT_ONCE && candidates > 1
+}
+
 /// Orders the candidates by the time a first token would take, the best
 /// first.
 pub fn rank_targets(cost: Cost, candidates: &[Candidate]) -> Vec<&Candidate> {
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -23,10 +23,11 @@
 /// up before, and slots that decode for long slow each step for all.
 const LONG_SLOTS: u32 = 4;
 
-/// Prefill work that is handed to the engine ahead of time. It covers two of
+/// Prefill work that is handed to the engine ahead of time. It covers one of
 /// the engine's steps and the way there and back; more would queue in the
-/// engine out of reach of shares and deadlines.
-const WINDOW: Duration = Duration::from_millis(150);
+/// engine, out of reach of shares and deadlines, where another engine may be
+/// idle.
+const WINDOW: Duration = Duration::from_millis(60);
 
 /// The part of the prefill rate that a long prefill keeps while short work
 /// saturates an engine that honours priorities strictly: long work must
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -4,7 +4,7 @@
 
 use common::cost;
 use hickory_policy::cost::{Class, Cost};
-use hickory_policy::place::{Candidate, Prefix, Query, choose_target, hash_target};
+use hickory_policy::place::{Candidate, Prefix, Query, asks_at_once, choose_target, hash_target};
 use hickory_unit::{id, size};
 use std::collections::BTreeMap;
 
@@ -156,3 +156,14 @@
     assert_eq!(near(&fleet), 0);
     assert_eq!(choose_target(&query(cost(450_000, 1), 1), &fleet), None);
 }
+
+/// Short work asks two owners for an answer at once and queues at the third
+/// ask; it never does where there is no other target to turn to, and long
+/// work, which packs, always queues.
+#[test]
+fn first_asks_of_short_work_are_answered_at_once() {
+    let (short, long) = (cost(1_000, 32), cost(100_000, 32));
+    let asked: Vec<bool> = (0..4).map(|asked| asks_at_once(short, asked, 9)).collect();
+    assert_eq!(asked, [true, true, false, false]);
+    assert!(!asks_at_once(short, 0, 1) && !asks_at_once(long, 0, 9));
+}
