--- a/crates/policy/examples/experiment/main.rs
+++ b/crates/policy/examples/experiment/main.rs
@@ -236,8 +236,10 @@
             let of_mawe = run.work(window, |r| r.request.partner == "mawe");
             (of_mawe / run.work(window, |_| true) - share).abs() * 100.0
         };
+        // A window in which nothing ended has no error: the figure is none.
         let most = |windows: &[f64], share| {
-            windows.iter().map(|&from| error(from, share)).fold(0.0, f64::max)
+            let errors = windows.iter().map(|&from| error(from, share));
+            errors.reduce(|a, b| if b > a || b.is_nan() { b } else { a }).unwrap_or(f64::NAN)
         };
         let mut figures = Figures::new();
         let mut put = |name: &str, value: f64| figures.insert(name.into(), json!(value));
