--- a/apps/hickory-node/tests/proofs/once.rs
+++ b/apps/hickory-node/tests/proofs/once.rs
@@ -121,9 +121,10 @@
 }
 
 /// The key-value service is down for the whole time of an order: it is refused
-/// at once as not run, and has not run; after the outage the same key works.
+/// at once and does not run. Whether an earlier attempt ran can't be read, so
+/// the refusal does not claim that none did. After the outage the key works.
 #[tokio::test(flavor = "multi_thread")]
-async fn an_order_during_an_outage_is_refused_as_not_run() {
+async fn an_order_during_an_outage_is_refused_at_once() {
     let scene = Scene::start(2, options()).await;
     let key = new_key();
     scene.standins.store.faults().kill();
