--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,7 +1,10 @@
 //! The decisions of hickoryrun under load: no input or output, no threads,
 //! and the time passed in.
 //!
-//! The modules stand in the order in which a request meets them.
+//! A request meets [`cost`], [`place`], [`limit`] (with [`fair`], [`room`],
+//! [`ramp`] and [`pace`] behind it), then [`retry`] and [`poison`];
+//! [`reserve`] and [`preempt`] serve the long prompts, [`layout`] the weights
+//! on engines. [`baseline`] is what all this is measured against.
 
 pub mod ask;
 pub mod baseline;
