--- a/crates/policy/src/ask.rs
+++ b/crates/policy/src/ask.rs
@@ -59,7 +59,7 @@
 pub enum Answer {
     /// Send now.
     Granted(Ticket),
-    /// Wait; [`Limiter::poll`] will name the ticket.
+    /// Wait; [`crate::limit::Limiter::poll`] will name the ticket.
     Queued(Ticket),
     /// Never here; come back after the time given.
     Refused(Reason, Duration),
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -24,7 +24,7 @@
 /// What an engine step with a full chunk of long prefill adds to a short
 /// prompt's first token: on average half a step goes by before its turn, and
 /// its own step carries the rest of the chunk.
-const STEP_COST: f64 = 0.06;
+const STEP_COST: f64 = 0.09;
 
 /// Prefill tokens that the steps up to a first token weigh beside the prompt
 /// itself: about three steps of 13 ms at 40,000 tokens a second. Counted in
