--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -32,9 +32,9 @@
 const STEPS: f64 = 1_600.0;
 
 /// What a token of KV cache in use adds to a first token: each engine step
-/// reads it, at some 20 ms a million, and there are about three up to a first
-/// token.
-const KV_COST: f64 = 60e-9;
+/// reads it, at some 20 ms a million, there are about three up to a first
+/// token, and what holds much memory decodes for long or is about to prefill.
+const KV_COST: f64 = 150e-9;
 
 /// What a target without a free slot or free memory costs: a typical answer
 /// has to end first.
