--- /dev/null
+++ b/crates/wire/tests/peers.rs
@@ -0,0 +1,248 @@
+//! The contract between nodes: proofs of the fleet's key, links that break or
+//! go silent, and asks that are withdrawn.
+
+use hickory_unit::{id, size};
+use hickory_wire::link::{Error, Handler, Links};
+use hickory_wire::message::{
+    Adopt, Ask, Cost, Document, Ending, Gossip, Outcome, Permit, Refusal, State, Suspect, Weights,
+};
+use hickory_wire::proof::Key;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::Notify;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answers as it is told to, and remembers what it was told.
+#[derive(Clone, Debug, Default)]
+struct Node {
+    outcomes: Arc<Mutex<Vec<Outcome>>>,
+    /// Asks under way.
+    asked: Arc<AtomicUsize>,
+    /// Lets asks be granted.
+    grant: Arc<Notify>,
+    /// Whether asks wait for `grant`.
+    waits: bool,
+}
+
+/// Counts an ask while it is under way.
+struct Asked(Arc<AtomicUsize>);
+
+impl Drop for Asked {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Handler for Node {
+    fn exchange(&self, gossip: Gossip) -> Gossip {
+        gossip
+    }
+
+    async fn permit(&self, ask: Ask) -> Result<Permit, Refusal> {
+        self.asked.fetch_add(1, Ordering::SeqCst);
+        let _asked = Asked(self.asked.clone());
+        if self.waits {
+            self.grant.notified().await;
+        }
+        match ask.batch {
+            false => Ok(Permit { id: 7, epoch: id::Epoch(3), life: TIMEOUT, priority: 2 }),
+            true => Err(Refusal {
+                reason: "overloaded".into(),
+                retry_after: Duration::from_millis(250),
+                not_owner: true,
+            }),
+        }
+    }
+
+    fn outcome(&self, outcome: Outcome) {
+        self.outcomes.lock().expect("no test panics with the lock").push(outcome);
+    }
+
+    fn adopt(&self, adopt: Adopt) -> Result<Permit, Refusal> {
+        let id = u64::from(adopt.keep);
+        Ok(Permit { id, epoch: id::Epoch(1), life: TIMEOUT, priority: 0 })
+    }
+
+    fn release(&self) -> Option<Document> {
+        Some(Document { version: 4, text: "{}".into() })
+    }
+
+    fn owners(&self) -> Option<Document> {
+        None
+    }
+}
+
+fn key(byte: &str) -> Key {
+    byte.repeat(32).parse().expect("a key")
+}
+
+fn listen(node: Node, byte: &str) -> Links {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    Links::spawn(listener, key(byte), node).expect("the links start")
+}
+
+fn stream() -> id::Stream {
+    id::Stream {
+        request: id::Request(uuid::Uuid::now_v7()),
+        attempt: 2,
+        sender: "node-1".into(),
+        deadline_ms: 99,
+    }
+}
+
+fn ask(batch: bool) -> Ask {
+    Ask {
+        stream: stream(),
+        target: "engine-1".into(),
+        partner: "mawe".into(),
+        account: "shop".into(),
+        batch,
+        cost: Cost { prefill: size::Tokens(1), decode: size::Tokens(2), kv: size::Tokens(3) },
+        weights: Some(Weights { model: "m".into(), version: "1".into(), adapter: None }),
+        time_left: TIMEOUT,
+        alone: true,
+        fingerprint: 5,
+        prefix: 6,
+        urgent: true,
+    }
+}
+
+fn gossip() -> Gossip {
+    let ready = vec![Weights { model: "m".into(), version: "1".into(), adapter: Some("a".into()) }];
+    let state = State {
+        target: "engine-1".into(),
+        epoch: id::Epoch(1),
+        queued_prefill: size::Tokens(2),
+        queued_long: size::Tokens(3),
+        kv_free: size::Tokens(4),
+        kv_capacity: size::Tokens(5),
+        prefill_rate: 6,
+        bound: 7,
+        running: 8,
+        incarnation: id::Incarnation(9),
+        waiting: 10,
+        ready,
+        accepting: true,
+        prefixes: vec![11, 12],
+    };
+    Gossip {
+        node: "node-1".into(),
+        incarnation: id::Incarnation(1),
+        release: id::Release(2),
+        owners: 3,
+        draining: true,
+        version: 4,
+        seen: 5,
+        targets: vec![state],
+        suspects: vec![Suspect { fingerprint: 6, deaths: 1, age: Duration::from_millis(7) }],
+        connections: 8,
+    }
+}
+
+/// Everything that nodes say arrives as it was said.
+#[tokio::test]
+async fn what_is_said_arrives() {
+    let node = Node::default();
+    let server = listen(node.clone(), "2a");
+    let client = listen(Node::default(), "2a");
+    let to = server.address();
+    assert_eq!(client.exchange(to, gossip(), TIMEOUT).await, Ok(gossip()));
+    let granted = client.permit(to, ask(false), TIMEOUT).await.expect("an answer");
+    assert_eq!(granted.map(|permit| (permit.id, permit.epoch.0, permit.priority)), Ok((7, 3, 2)));
+    let refused = client.permit(to, ask(true), TIMEOUT).await.expect("an answer");
+    assert!(refused.is_err_and(|refusal| refusal.not_owner && refusal.reason == "overloaded"));
+    for ending in [Ending::Finished, Ending::Cancelled, Ending::TargetDied, Ending::Left] {
+        let outcome = Outcome {
+            target: "engine-1".into(),
+            permit: 7,
+            epoch: id::Epoch(3),
+            ending,
+            first_token: Some(Duration::from_millis(9)),
+            stream: Some(stream()),
+        };
+        assert_eq!(client.outcome(to, outcome.clone(), TIMEOUT).await, Ok(()));
+        assert_eq!(node.outcomes.lock().expect("no panic").pop(), Some(outcome));
+    }
+    let document = client.release(to, TIMEOUT).await.expect("an answer");
+    assert_eq!(document, Some(Document { version: 4, text: "{}".into() }));
+    assert_eq!(client.owners(to, TIMEOUT).await, Ok(None));
+    for keep in [false, true] {
+        let adopt = Adopt { target: "t".into(), stream: stream(), node: "node-1".into(), keep };
+        let permit = client.adopt(to, adopt, TIMEOUT).await.expect("an answer");
+        assert_eq!(permit.map(|permit| permit.id), Ok(u64::from(keep)));
+    }
+}
+
+/// A process without the fleet's key gets nothing, whichever side it stands
+/// on.
+#[tokio::test]
+async fn without_the_key_nothing_is_said() {
+    let server = listen(Node::default(), "2a");
+    let stranger = listen(Node::default(), "2b");
+    for (from, to) in [(&stranger, &server), (&server, &stranger)] {
+        let answer = from.exchange(to.address(), gossip(), TIMEOUT).await;
+        assert!(matches!(answer, Err(Error::Connect(_))), "{answer:?}");
+        let probe = from.probe(to.address(), TIMEOUT).await;
+        assert!(matches!(probe, Err(Error::Connect(_))), "{probe:?}");
+    }
+}
+
+/// A peer that accepts and says nothing is given up on within the login's
+/// time, and one that does not listen at once.
+#[tokio::test]
+async fn silent_and_absent_peers_are_given_up_on() {
+    let client = listen(Node::default(), "2a");
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let to = silent.local_addr().expect("it is bound");
+    let answer = client.exchange(to, gossip(), TIMEOUT).await;
+    assert_eq!(answer, Err(Error::Connect("timeout".into())));
+    drop(silent);
+    let answer = client.exchange(to, gossip(), TIMEOUT).await;
+    assert!(matches!(answer, Err(Error::Connect(_))), "{answer:?}");
+}
+
+async fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let wait = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    assert!(tokio::time::timeout(TIMEOUT, wait).await.is_ok(), "never came: {what}");
+}
+
+/// An asker that stops waiting takes its ask out of the owner's queue; the
+/// link stays good for the next call.
+#[tokio::test]
+async fn a_dropped_ask_is_withdrawn_at_its_owner() {
+    let node = Node { waits: true, ..Node::default() };
+    let server = listen(node.clone(), "2a");
+    let client = listen(Node::default(), "2a");
+    let to: SocketAddr = server.address();
+    let waiting = tokio::spawn({
+        let client = client.clone();
+        async move { client.permit(to, ask(false), TIMEOUT).await }
+    });
+    eventually("the ask waits", || node.asked.load(Ordering::SeqCst) == 1).await;
+    waiting.abort();
+    eventually("the ask is withdrawn", || node.asked.load(Ordering::SeqCst) == 0).await;
+    assert_eq!(client.exchange(to, gossip(), TIMEOUT).await, Ok(gossip()));
+}
+
+/// The owner's process goes while an ask waits there: the asker is told at
+/// once and not at its timeout.
+#[tokio::test]
+async fn an_ask_at_a_closed_peer_ends() {
+    let node = Node { waits: true, ..Node::default() };
+    let server = listen(node.clone(), "2a");
+    let client = listen(Node::default(), "2a");
+    let to = server.address();
+    let closing = async {
+        eventually("the ask waits", || node.asked.load(Ordering::SeqCst) == 1).await;
+        server.close();
+    };
+    let (answer, ()) = tokio::join!(client.permit(to, ask(false), TIMEOUT * 100), closing);
+    assert!(matches!(answer, Err(Error::NoAnswer(_))), "{answer:?}");
+}
