--- a/crates/node/src/parse.rs
+++ b/crates/node/src/parse.rs
@@ -134,18 +134,17 @@
     }
 }
 
-/// When a request comes in: the moments its deadline is counted from.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Arrival {
-    pub(crate) now: Instant,
-    pub(crate) wall_ms: u64,
+/// What the headers of a request say.
+#[derive(Clone, Debug)]
+pub(crate) struct Head {
+    pub(crate) caller: Caller,
+    pub(crate) deadline: Instant,
+    pub(crate) deadline_ms: u64,
 }
 
 /// Reads a completion and checks that the account may have it.
 pub(crate) fn parse_completion(
-    arrival: Arrival,
-    caller: Caller,
-    time_left: Duration,
+    head: Head,
     body: &[u8],
     configuration: &Configuration,
     is_served: impl Fn(&Weights) -> bool,
@@ -159,6 +158,7 @@
         let detail = format!("body: max_tokens: must be from 1 to {TOKENS_MAX}");
         return Err(refuse(Reason::Malformed, detail));
     }
+    let Head { caller, deadline, deadline_ms } = head;
     let weights = parse_weights(&body, &caller, configuration, is_served)?;
     let prefill = size::Tokens::of_bytes(size::Bytes(body.prompt.len() as u64));
     let prefix = &body.prompt.as_bytes()[..body.prompt.len().min(PREFIX_LEN)];
@@ -175,8 +175,8 @@
             ClassName::Batch => Class::Batch,
         },
         streamed: body.stream,
-        deadline: arrival.now + time_left,
-        deadline_ms: arrival.wall_ms + time_left.as_millis() as u64,
+        deadline,
+        deadline_ms,
     })
 }
 
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -8,24 +8,25 @@
 use crate::core::{Core, Stage};
 use crate::entry::answer_entry;
 use crate::parse::{
-    Arrival, BODY_MAX, parse_caller, parse_completion, parse_key, parse_time_left, refuse,
+    BODY_MAX, Head, parse_caller, parse_completion, parse_key, parse_time_left, refuse,
 };
 use crate::reply::{self, Body, Encoder};
+use crate::resume;
 use crate::seal::{self, Position};
-use crate::{permit, resume};
 use bytes::Bytes;
 use compact_str::CompactString;
 use hickory_policy::refuse::{Reason, Refusal};
 use hickory_release::configuration::Configuration;
 use hickory_target::engine::Weights;
+use hickory_unit::clock::Clock;
 use hickory_unit::{id, size};
-use http::{HeaderValue, Method, Request, Response, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
@@ -159,19 +160,32 @@
     hyper::body::Body::size_hint(body).lower()
 }
 
+/// Reads who asks and how much time is left, counted from the arrival: the
+/// time that the body takes is the caller's.
+fn open_request(
+    core: &Core,
+    arrived: Instant,
+    headers: &HeaderMap,
+    configuration: &Configuration,
+) -> Result<Head, Refusal> {
+    let caller = parse_caller(headers, configuration)?;
+    let time_left = parse_time_left(headers)?;
+    let deadline = arrived + time_left;
+    let deadline_ms = core.clock.wall_ms() + time_left.as_millis() as u64;
+    Ok(Head { caller, deadline, deadline_ms })
+}
+
 async fn answer_completion(
     core: &Arc<Core>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
-    let arrival = Arrival { now: core.now(), wall_ms: permit::wall_ms(core) };
+    let arrived = core.now();
     let configuration = require_configuration(core)?;
-    let (head, body) = request.into_parts();
-    let caller = parse_caller(&head.headers, &configuration)?;
-    let time_left = parse_time_left(&head.headers)?;
+    let (parts, body) = request.into_parts();
+    let head = open_request(core, arrived, &parts.headers, &configuration)?;
     let body = read_body(body).await?;
     let is_served = |weights: &Weights| core.view.count_ready(weights) > 0;
-    let completion =
-        parse_completion(arrival, caller, time_left, &body, &configuration, is_served)?;
+    let completion = parse_completion(head, &body, &configuration, is_served)?;
     let encoder = Encoder {
         request: completion.request,
         account: completion.caller.account.clone(),
@@ -291,30 +305,29 @@
     service: id::Service,
     path: String,
 ) -> Result<Response<Body>, Refusal> {
-    let arrival = Arrival { now: core.now(), wall_ms: permit::wall_ms(core) };
+    let arrived = core.now();
     let configuration = require_configuration(core)?;
-    let (head, body) = request.into_parts();
-    let caller = parse_caller(&head.headers, &configuration)?;
-    let time_left = parse_time_left(&head.headers)?;
-    let key = parse_key(&head.headers)?;
+    let (parts, body) = request.into_parts();
+    let head = open_request(core, arrived, &parts.headers, &configuration)?;
+    let key = parse_key(&parts.headers)?;
     let entry = configuration
         .services
         .get(&service)
         .ok_or_else(|| refuse(Reason::NotFound, format!("path: no service {service}")))?;
-    let account = configuration.accounts.get(&caller.account);
+    let account = configuration.accounts.get(&head.caller.account);
     if !account.is_some_and(|account| account.services.contains(&service)) {
-        let detail = format!("path: account {} may not call {service}", caller.account);
+        let detail = format!("path: account {} may not call {service}", head.caller.account);
         return Err(refuse(Reason::Forbidden, detail));
     }
     let call = Call {
         once: entry.once.contains(&path),
         body: read_body(body).await?,
-        caller,
+        caller: head.caller,
         service,
         path,
         key,
-        deadline: arrival.now + time_left,
-        deadline_ms: arrival.wall_ms + time_left.as_millis() as u64,
+        deadline: head.deadline,
+        deadline_ms: head.deadline_ms,
     };
     let reply = call::run(core, call).await?;
     let mut response = Response::new(Body::Whole(Some(reply.body)));
--- a/crates/unit/src/id.rs
+++ b/crates/unit/src/id.rs
@@ -67,80 +67,34 @@
     Service
 }
 
-/// One request of a caller, the same over all its attempts.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Display,
-    FromStr,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct Request(pub Uuid);
-
-/// An incarnation of a process: differs after each start.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    FromStr,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct Incarnation(pub u64);
-
-/// The epoch of an ownership, which is also the fencing number of orders.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    FromStr,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct Epoch(pub u64);
-
-/// A version of the configuration; each accepted release note adds one.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    FromStr,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct Release(pub u64);
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident($inner:ty) $(, $derive:ident)*) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Display, FromStr, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize,
+            Deserialize, $($derive),*
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+    };
+}
+
+number! {
+    /// One request of a caller, the same over all its attempts.
+    Request(Uuid)
+}
+number! {
+    /// An incarnation of a process: differs after each start.
+    Incarnation(u64), Default
+}
+number! {
+    /// The epoch of an ownership, which is also the fencing number of orders.
+    Epoch(u64), Default
+}
+number! {
+    /// A version of the configuration; each accepted release note adds one.
+    Release(u64), Default
+}
 
 /// A stream on an engine: who sent it, for which attempt, and until when it
 /// may live.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`message`] has the plain types that the rest of the system sees, [`link`]
 //! the connections. The generated code stays within this package.
 
+mod answer;
 mod codec;
 pub mod link;
 pub mod message;
