Targets of its own are chosen by their present books, and a little before others

What a node knows of other nodes' targets is up to a second old and asking costs a round trip; of its own it knows the present. Placement reads the books of owned targets as they are and counts 10 ms against all others.

--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -4,7 +4,7 @@
 use crate::parse::{PREFIX_LEN, refuse};
 use crate::seat::{QUEUED, TAKEN};
 use crate::seats;
-use crate::view::Need;
+use crate::view::{Need, View};
 use hickory_policy::cost::{Class, Cost};
 use hickory_policy::place::{ASKS_AT_ONCE, Prefix, Query, asks_at_once, choose_target};
 use hickory_policy::refuse::{Reason, Refusal, Retry};
@@ -93,7 +93,9 @@
         }
         let configuration =
             core.configuration().ok_or_else(|| refuse(Reason::NotReady, "no configuration yet"))?;
-        let candidates = core.view.candidates(now, want.need, want.prefix, &configuration, &tried);
+        let mut candidates =
+            core.view.candidates(now, want.need, want.prefix, &configuration, &tried);
+        View::refresh_own(&mut candidates, &core.seats.states());
         let Some(best) = choose_target(&query_of(want), &candidates) else { break };
         let target = best.target.clone();
         let at_once = !want.alone && asks_at_once(want.cost, asked, candidates.len());
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -598,7 +598,8 @@
         self.told.clone()
     }
 
-    fn state(&self) -> State {
+    /// What peers would be told now.
+    pub(crate) fn state(&self) -> State {
         let used = self.kv_used.max(self.limiter.kv_used());
         State {
             target: self.target.clone(),
--- a/crates/node/src/seats.rs
+++ b/crates/node/src/seats.rs
@@ -67,6 +67,12 @@
         waiting
     }
 
+    /// What the seats would tell now.
+    pub(crate) fn states(&self) -> Vec<State> {
+        let shards = self.shards.iter();
+        shards.flat_map(|shard| lock(shard).values().map(Seat::state).collect::<Vec<_>>()).collect()
+    }
+
     /// What the seats tell a peer that has version `since`: what has changed
     /// after it, and the version that the peer then has.
     ///
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -190,6 +190,21 @@
             .collect()
     }
 
+    /// Puts what this node's own books say in place of what it last told.
+    pub(crate) fn refresh_own(candidates: &mut [Candidate], own: &[State]) {
+        for state in own {
+            let found = candidates.iter_mut().find(|c| c.target == state.target);
+            let Some(candidate) = found else { continue };
+            candidate.own = true;
+            candidate.queued_long = state.queued_long;
+            candidate.queued_prefill = state.queued_prefill;
+            candidate.kv_free = state.kv_free;
+            candidate.bound = state.bound;
+            candidate.running = state.running;
+            candidate.waiting = state.waiting;
+        }
+    }
+
     fn candidate(
         &self,
         now: Instant,
@@ -213,6 +228,7 @@
             target: host.target.clone(),
             key: seen.key,
             near: host.zone == self.zone,
+            own: false,
             cached: state.prefixes.contains(&prefix),
             queued_long: state.queued_long,
             queued_prefill: state.queued_prefill + seen.sent,
--- a/crates/policy/benches/common/mod.rs
+++ b/crates/policy/benches/common/mod.rs
@@ -29,6 +29,7 @@
             key: hash_target(&target),
             target,
             near: random.is_multiple_of(8),
+            own: false,
             cached: random.is_multiple_of(31),
             queued_prefill: size::Tokens(random % 9_000),
             queued_long: size::Tokens(if random.is_multiple_of(5) { random % 3_000 } else { 0 }),
--- a/crates/policy/examples/experiment/fleet.rs
+++ b/crates/policy/examples/experiment/fleet.rs
@@ -250,6 +250,7 @@
             key: hash_target(&target.id),
             target: target.id.clone(),
             near: true,
+            own: false,
             cached: false,
             queued_prefill: state.queued_prefill,
             queued_long: state.queued_long,
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -58,6 +58,10 @@
 /// Owners that are asked for an answer at once before an ask may queue.
 pub const ASKS_AT_ONCE: usize = 2;
 
+/// What asking another node for leave costs, in seconds: the round trip, and
+/// that its word of the target is old where that of an owned one is exact.
+const ASK_COST: f64 = 0.010;
+
 /// Seed of the order in which engines take long work.
 const LONG_ORDER: u64 = 0x6c6f_6e67_5f6f_7264;
 
@@ -70,6 +74,8 @@
     pub key: u64,
     /// Whether it is in the choosing node's zone.
     pub near: bool,
+    /// Whether the choosing node owns it.
+    pub own: bool,
     /// Whether cache events say that it holds the request's prefix.
     pub cached: bool,
     /// Prompt tokens granted or queued there.
@@ -215,7 +221,8 @@
 fn score(query: &Query, candidate: &Candidate, cached: f64) -> f64 {
     let saved = query.prefix.map_or(0.0, |prefix| prefix.tokens.0 as f64 * cached);
     let zone = ZONE_COST * f64::from(u8::from(!candidate.near));
-    first_token(query.cost, candidate, saved) + zone
+    let ask = ASK_COST * f64::from(u8::from(!candidate.own));
+    first_token(query.cost, candidate, saved) + zone + ask
 }
 
 /// The random part of a score.
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -14,6 +14,7 @@
         key: hash_target(&target),
         target,
         near: true,
+        own: false,
         cached: false,
         queued_prefill: size::Tokens(0),
         queued_long: size::Tokens(0),
--- a/crates/policy/tests/reserve.rs
+++ b/crates/policy/tests/reserve.rs
@@ -18,6 +18,7 @@
             key: hash_target(&target),
             target,
             near: true,
+            own: false,
             cached: false,
             queued_prefill: size::Tokens(0),
             queued_long: size::Tokens(0),
