Stopped targets use up none of a request's asks

Change: an ask refused by a target that takes no new work does not count and leaves that target out for good; only those that were full may queue the third ask. The same in the node.

--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -6,7 +6,7 @@
 use crate::seats;
 use crate::view::Need;
 use hickory_policy::cost::{Class, Cost};
-use hickory_policy::place::{ASKS_AT_ONCE, Prefix, Query, asks_at_once, choose_target};
+use hickory_policy::place::{ASKS_AT_ONCE, Prefix, Query, asks_at_once, choose_target, counts};
 use hickory_policy::refuse::{Reason, Refusal, Retry};
 use hickory_target::engine;
 use hickory_unit::clock::Clock;
@@ -80,28 +80,26 @@
 ) -> Result<Leave, Refusal> {
     let mut tried = excluded.to_vec();
     let mut refusal: Option<Refusal> = None;
-    let mut at_once_tried = 0;
-    for asked in 0..ASKS_MAX {
+    let mut full = Vec::new();
+    let mut asked = 0;
+    while asked < ASKS_MAX {
         // Who was asked for an answer at once may queue the ask now.
-        if at_once_tried == ASKS_AT_ONCE {
-            tried.truncate(tried.len() - ASKS_AT_ONCE);
-            at_once_tried = 0;
+        if asked >= ASKS_AT_ONCE {
+            full.clear();
         }
+        let left_out: Vec<id::Target> = tried.iter().chain(&full).cloned().collect();
         let now = core.now();
         if now >= want.deadline {
             return Err(refuse(Reason::Deadline, "the deadline passed before it could be sent"));
         }
         let configuration =
             core.configuration().ok_or_else(|| refuse(Reason::NotReady, "no configuration yet"))?;
-        let candidates = core.view.candidates(now, want.need, want.prefix, &configuration, &tried);
+        let candidates =
+            core.view.candidates(now, want.need, want.prefix, &configuration, &left_out);
         let Some(best) = choose_target(&query_of(want), &candidates) else { break };
         let target = best.target.clone();
         let at_once = !want.alone && asks_at_once(want.cost, asked, candidates.len());
         let expected = hickory_policy::place::estimate_first_token(want.cost, best);
-        tried.push(target.clone());
-        if at_once {
-            at_once_tried += 1;
-        }
         // Counted from the ask on: what waits at an owner is not told yet, and
         // a whole burst would join the queue of one and the same target.
         core.view.note_sent(now, &target, want.cost);
@@ -115,6 +113,7 @@
                 let Some(host) = host else {
                     let ending = Ending::NotSent;
                     give_back(core, &target, &permit, want.stream, ending, None);
+                    tried.push(target);
                     continue;
                 };
                 let (address, stream) = (host.address, want.stream.clone());
@@ -122,6 +121,13 @@
             }
             Err(Some(refused)) => {
                 core.metrics.retried(Retry::QueueLong);
+                let is_full = counts(refused.reason);
+                asked += usize::from(is_full);
+                if at_once && is_full {
+                    full.push(target);
+                } else {
+                    tried.push(target);
+                }
                 let sooner = refusal.as_ref().is_none_or(|r| refused.retry_after < r.retry_after);
                 // An owner that is asked for an answer at once does not say
                 // when to come back.
@@ -129,7 +135,10 @@
                     refusal = Some(refused);
                 }
             }
-            Err(None) => {}
+            Err(None) => {
+                asked += 1;
+                tried.push(target);
+            }
         }
     }
     Err(refusal.unwrap_or_else(|| Refusal {
--- a/crates/policy/examples/experiment/fleet.rs
+++ b/crates/policy/examples/experiment/fleet.rs
@@ -6,7 +6,7 @@
 use hickory_model::option::Options;
 use hickory_policy::baseline::{Limit, Place};
 use hickory_policy::limit::{Answer, Ask, Capacity, Observed, Outcome, Ticket};
-use hickory_policy::place::{ASKS_AT_ONCE, Candidate, Query, asks_at_once, hash_target};
+use hickory_policy::place::{ASKS_AT_ONCE, Candidate, Query, asks_at_once, counts, hash_target};
 use hickory_policy::ramp::Sample;
 use hickory_policy::refuse::Reason;
 use hickory_target::engine::{Priority, Weights};
@@ -58,7 +58,6 @@
     ticket: Ticket,
     attempt: u32,
     tried: Vec<usize>,
-    asked_at_once: usize,
     /// When the attempt was sent, and the time to its first token from then.
     sent: Duration,
     first: Option<Duration>,
@@ -273,7 +272,6 @@
             ticket: 0,
             attempt: 0,
             tried: Vec::new(),
-            asked_at_once: 0,
             sent: Duration::ZERO,
             first: None,
         });
@@ -283,39 +281,47 @@
     /// Chooses targets for a request until one takes it or queues it.
     fn place(&mut self, index: usize) {
         let mut reason = Reason::NoTarget;
-        for ask in 0..ASKS {
-            // What was asked for an answer at once may queue the ask now.
-            if self.flights[index].asked_at_once == ASKS_AT_ONCE {
-                let tried = &mut self.flights[index].tried;
-                tried.truncate(tried.len() - ASKS_AT_ONCE);
-                self.flights[index].asked_at_once = 0;
+        let (mut asked, mut full) = (0, Vec::new());
+        while asked < ASKS {
+            // Who was asked for an answer at once may queue the ask now.
+            if asked >= ASKS_AT_ONCE {
+                full.clear();
             }
-            let Some((target, at_once)) = self.choose(index, ask) else { break };
-            self.flights[index].tried.push(target);
-            self.flights[index].asked_at_once += usize::from(at_once);
+            let Some((target, at_once)) = self.choose(index, asked, &full) else { break };
             let now = self.now();
             let wanted = Ask { urgent: at_once, ..self.ask_of(index) };
             match self.targets[target].limit.ask(now, wanted) {
                 Answer::Granted(ticket) => {
+                    self.flights[index].tried.push(target);
                     self.targets[target].tickets.insert(ticket, index);
                     return self.send(index, target, ticket);
                 }
                 Answer::Queued(ticket) => {
+                    self.flights[index].tried.push(target);
                     self.targets[target].tickets.insert(ticket, index);
                     let flight = &mut self.flights[index];
                     (flight.target, flight.ticket) = (Some(target), ticket);
                     return;
                 }
-                Answer::Refused(why, _) => reason = why,
+                Answer::Refused(why, _) => {
+                    reason = why;
+                    asked += usize::from(counts(why));
+                    let list = if at_once && counts(why) {
+                        &mut full
+                    } else {
+                        &mut self.flights[index].tried
+                    };
+                    list.push(target);
+                }
             }
         }
         self.refuse(index, reason);
     }
 
-    fn choose(&mut self, index: usize, ask: usize) -> Option<(usize, bool)> {
+    fn choose(&mut self, index: usize, ask: usize, full: &[usize]) -> Option<(usize, bool)> {
         let flight = &self.flights[index];
         let node = &mut self.nodes[index % NODES];
-        let able = |i: &usize| node.view[*i].1 && !flight.tried.contains(i);
+        let able = |i: &usize| node.view[*i].1 && !flight.tried.contains(i) && !full.contains(i);
         let able: Vec<usize> = (0..node.view.len()).filter(able).collect();
         let candidates: Vec<Candidate> = able.iter().map(|&i| node.view[i].0.clone()).collect();
         if candidates.is_empty() {
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -15,6 +15,7 @@
 //! stay on as few engines as the demand needs, and the rest is free of them.
 
 use crate::cost::{Class, Cost};
+use crate::refuse::Reason;
 use hickory_unit::{id, size};
 use std::time::Duration;
 
@@ -167,6 +168,15 @@
     !cost.is_long() && asked < ASKS_AT_ONCE && candidates > 1
 }
 
+/// Whether a refused ask counts against the asks of an attempt. That of a
+/// target which takes no new work does not: when a zone goes out, all of its
+/// targets say so for as long as the states are old, and a request that gave
+/// up on them would fail although the other zones have room. Each such target
+/// is left out from then on.
+pub fn counts(refused: Reason) -> bool {
+    refused != Reason::NoTarget
+}
+
 /// Orders the candidates by the time a first token would take, the best
 /// first.
 pub fn rank_targets(cost: Cost, candidates: &[Candidate]) -> Vec<&Candidate> {
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -4,7 +4,10 @@
 
 use common::cost;
 use hickory_policy::cost::{Class, Cost};
-use hickory_policy::place::{Candidate, Prefix, Query, asks_at_once, choose_target, hash_target};
+use hickory_policy::place::{
+    Candidate, Prefix, Query, asks_at_once, choose_target, counts, hash_target,
+};
+use hickory_policy::refuse::Reason;
 use hickory_unit::{id, size};
 use std::collections::BTreeMap;
 
@@ -167,3 +170,11 @@
     assert_eq!(asked, [true, true, false, false]);
     assert!(!asks_at_once(short, 0, 1) && !asks_at_once(long, 0, 9));
 }
+
+/// A zone goes out while states are old: its targets refuse one after the
+/// other, which uses up none of a request's asks.
+#[test]
+fn refusals_of_stopped_targets_do_not_count() {
+    assert!(!counts(Reason::NoTarget));
+    assert!(counts(Reason::Overloaded) && counts(Reason::Deadline));
+}
