--- a/apps/hickory-standin/src/argument.rs
+++ b/apps/hickory-standin/src/argument.rs
@@ -166,6 +166,7 @@
             weights: self.weights,
             restart_after: self.restart_after_ms.map(Duration::from_millis),
             crash_marker: self.crash_marker.clone(),
+            ..engine::Options::default()
         }
     }
 }
