--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -4,9 +4,9 @@
 use crate::parse::{PREFIX_LEN, refuse};
 use crate::seat::{QUEUED, TAKEN};
 use crate::seats;
-use crate::view::Need;
+use crate::view::{Need, View};
 use hickory_policy::cost::{Class, Cost};
-use hickory_policy::place::{Prefix, Query, choose_target};
+use hickory_policy::place::{ASKS_AT_ONCE, Prefix, Query, asks_at_once, choose_target, counts};
 use hickory_policy::refuse::{Reason, Refusal, Retry};
 use hickory_target::engine;
 use hickory_unit::clock::Clock;
@@ -80,22 +80,31 @@
 ) -> Result<Leave, Refusal> {
     let mut tried = excluded.to_vec();
     let mut refusal: Option<Refusal> = None;
-    for _ in 0..ASKS_MAX {
+    let mut full = Vec::new();
+    let mut asked = 0;
+    while asked < ASKS_MAX {
+        // Who was asked for an answer at once may queue the ask now.
+        if asked >= ASKS_AT_ONCE {
+            full.clear();
+        }
+        let left_out: Vec<id::Target> = tried.iter().chain(&full).cloned().collect();
         let now = core.now();
         if now >= want.deadline {
             return Err(refuse(Reason::Deadline, "the deadline passed before it could be sent"));
         }
         let configuration =
             core.configuration().ok_or_else(|| refuse(Reason::NotReady, "no configuration yet"))?;
-        let candidates = core.view.candidates(now, want.need, want.prefix, &configuration, &tried);
+        let mut candidates =
+            core.view.candidates(now, want.need, want.prefix, &configuration, &left_out);
+        View::refresh_own(&mut candidates, &core.seats.states());
         let Some(best) = choose_target(&query_of(want), &candidates) else { break };
         let target = best.target.clone();
+        let at_once = !want.alone && asks_at_once(want.cost, asked, candidates.len());
         let expected = hickory_policy::place::estimate_first_token(want.cost, best);
-        tried.push(target.clone());
         // Counted from the ask on: what waits at an owner is not told yet, and
         // a whole burst would join the queue of one and the same target.
         core.view.note_sent(now, &target, want.cost);
-        match ask_owner(core, want, &target).await {
+        match ask_owner(core, want, &target, at_once).await {
             Ok(permit) => {
                 let hosts = core.view.hosts();
                 // The owner may be cut off from the platform and not know that
@@ -105,6 +114,7 @@
                 let Some(host) = host else {
                     let ending = Ending::NotSent;
                     give_back(core, &target, &permit, want.stream, ending, None);
+                    tried.push(target);
                     continue;
                 };
                 let (address, stream) = (host.address, want.stream.clone());
@@ -112,12 +122,24 @@
             }
             Err(Some(refused)) => {
                 core.metrics.retried(Retry::QueueLong);
+                let is_full = counts(refused.reason);
+                asked += usize::from(is_full);
+                if at_once && is_full {
+                    full.push(target);
+                } else {
+                    tried.push(target);
+                }
                 let sooner = refusal.as_ref().is_none_or(|r| refused.retry_after < r.retry_after);
-                if sooner {
+                // An owner that is asked for an answer at once does not say
+                // when to come back.
+                if sooner && !at_once {
                     refusal = Some(refused);
                 }
             }
-            Err(None) => {}
+            Err(None) => {
+                asked += 1;
+                tried.push(target);
+            }
         }
     }
     Err(refusal.unwrap_or_else(|| Refusal {
@@ -139,13 +161,14 @@
     core: &Core,
     want: &Want<'_>,
     target: &id::Target,
+    at_once: bool,
 ) -> Result<Permit, Option<Refusal>> {
     loop {
         let asked = core.now();
         let Some(time_left) = want.deadline.checked_duration_since(asked) else {
             return Err(Some(refuse(Reason::Deadline, "the deadline passed in the queue")));
         };
-        let ask = make_ask(want, target, time_left);
+        let ask = Ask { urgent: at_once, ..make_ask(want, target, time_left) };
         let answer = match send_ask(core, &ask).await {
             Ok(answer) => answer,
             Err(_) => {
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -598,7 +598,8 @@
         self.told.clone()
     }
 
-    fn state(&self) -> State {
+    /// What peers would be told now.
+    pub(crate) fn state(&self) -> State {
         let used = self.kv_used.max(self.limiter.kv_used());
         State {
             target: self.target.clone(),
@@ -607,7 +608,7 @@
             queued_long: self.limiter.prefill_queued_of(true),
             kv_free: self.kv_capacity.saturating_sub(used),
             kv_capacity: self.kv_capacity,
-            prefill_rate: self.capacity.prefill_rate,
+            prefill_rate: self.limiter.prefill_rate(),
             bound: self.limiter.bound(),
             running: self.limiter.running() as u32,
             waiting: self.limiter.waiting() as u32,
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -4,7 +4,10 @@
 
 use common::cost;
 use hickory_policy::cost::{Class, Cost};
-use hickory_policy::place::{Candidate, Prefix, Query, choose_target, hash_target};
+use hickory_policy::place::{
+    Candidate, Prefix, Query, asks_at_once, choose_target, counts, hash_target,
+};
+use hickory_policy::refuse::Reason;
 use hickory_unit::{id, size};
 use std::collections::BTreeMap;
 
@@ -14,6 +17,7 @@
         key: hash_target(&target),
         target,
         near: true,
+        own: false,
         cached: false,
         queued_prefill: size::Tokens(0),
         queued_long: size::Tokens(0),
@@ -156,3 +160,22 @@
     assert_eq!(near(&fleet), 0);
     assert_eq!(choose_target(&query(cost(450_000, 1), 1), &fleet), None);
 }
+
+/// Short work asks two owners for an answer at once and queues at the third
+/// ask; it never does where there is no other target to turn to, and long
+/// work, which packs, always queues.
+#[test]
+fn first_asks_of_short_work_are_answered_at_once() {
+    let (short, long) = (cost(1_000, 32), cost(100_000, 32));
+    let asked: Vec<bool> = (0..4).map(|asked| asks_at_once(short, asked, 9)).collect();
+    assert_eq!(asked, [true, true, false, false]);
+    assert!(!asks_at_once(short, 0, 1) && !asks_at_once(long, 0, 9));
+}
+
+/// A zone goes out while states are old: its targets refuse one after the
+/// other, which uses up none of a request's asks.
+#[test]
+fn refusals_of_stopped_targets_do_not_count() {
+    assert!(!counts(Reason::NoTarget));
+    assert!(counts(Reason::Overloaded) && counts(Reason::Deadline));
+}
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -81,6 +81,14 @@
     CrashMarker(Option<String>),
     /// Key-value service: reads show the state of now until switched off.
     Stale(bool),
+    /// Key-value service: calls beyond so many a second wait; zero for no
+    /// bound.
+    Rate {
+        /// Gets, lists and watches.
+        reads: u32,
+        /// Writes and calls about leases.
+        writes: u32,
+    },
     /// Key-value service: forget the changes so far.
     Compact,
     /// Host list, engine: how far the list or the load report lags behind, in
@@ -260,7 +268,7 @@
         self.lose(Loss::Call, "/v1/cancel", count);
     }
 
-    /// Cuts all open connections; new ones work.
+    /// Cuts all open connections, within moments; new ones work.
     pub fn cut(&self) {
         self.inner.cut_below.send_replace(self.inner.next_connection.load(Ordering::SeqCst));
     }
@@ -294,6 +302,8 @@
 
     pub(crate) fn stop(&self) {
         self.inner.life.send_replace(Life::Stopped);
+        // Tasks of a frozen stand-in wait for the thaw, and would stay.
+        self.thaw();
     }
 
     pub(crate) fn life(&self) -> watch::Receiver<Life> {
