Owners that are cut off from the platform can be asked for permits

Cause: a node that can't renew its lease drops off the list of registered nodes; its peers still reach it and rightly leave its targets with it, but looked its address up in that list, so its targets were lost to all nodes but itself. Ruled out: that it stopped to grant (its own callers were served) and that it told nothing (its exchanges arrived). Change: the address of a node is kept for a minute after it was last heard.

--- a/apps/hickory-node/tests/proofs/zone.rs
+++ b/apps/hickory-node/tests/proofs/zone.rs
@@ -224,3 +224,42 @@
     }
     assert_eq!(scene.begun(&[0]), before);
 }
+
+/// One node is cut off from the platform until its lease has lapsed; its peers
+/// still reach it, so they don't take its targets over. Its targets go on to
+/// get work from the other nodes.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_of_an_owner_cut_off_from_the_platform_get_work() {
+    let (scene, paths) = Scene::start_apart(3, options()).await;
+    let owners = scene.get(scene.nodes[0].admin, "/v1/admin/owners", OPERATOR).await.unwrap();
+    let owner = |target: &str| {
+        let rows = owners["owners"].as_array().unwrap();
+        rows.iter().find(|row| row["target"] == target).unwrap()["node"].clone()
+    };
+    // The cut goes to whichever node owns the first engine.
+    let cut = owner("engine-0").as_str().unwrap()["node-".len()..].parse::<usize>().unwrap();
+    paths[cut].set(Passage::Silent);
+    let other = &scene.nodes[(cut + 1) % 3];
+    let name = format!("node-{cut}");
+    eventually("its lease has lapsed", || async {
+        let nodes = scene.get(other.admin, "/v1/admin/nodes", OPERATOR).await?;
+        nodes.as_array()?.iter().all(|node| node["node"] != name.as_str()).then_some(())
+    })
+    .await;
+    let before = scene.begun(&[0]);
+    eventually("its target gets work from another node", || async {
+        // Enough work that the other targets alone would be slower.
+        let asks = (0..24).map(|i| {
+            let (scene, at) = (&scene, other.callers);
+            async move {
+                let prompt = format!("beside a cut {i} ").repeat(500);
+                let mut stream = scene.complete(at, &prompt, 3).await.unwrap();
+                stream.rest().await;
+                assert_eq!(stream.problem, None);
+            }
+        });
+        futures::future::join_all(asks).await;
+        (scene.begun(&[0]) > before).then_some(())
+    })
+    .await;
+}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -96,6 +96,7 @@
         // Its own word goes the way of all others'.
         let own = make_gossip(&core, core.me());
         take_gossip(&core, &Gossip { seen: own.version, ..own });
+        core.view.note_nodes(core.now(), &core.member.nodes());
         for info in core.member.nodes().values() {
             // An exchange goes both ways, so one of the two begins it. A node
             // that can't renew its lease is off the others' lists, and they
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -256,7 +256,7 @@
     if owner.node == *core.me() {
         return Some(Owner::Here);
     }
-    core.member.nodes().get(&owner.node).map(|info| Owner::There(info.peers))
+    core.view.find_node(&owner.node).map(|info| Owner::There(info.peers))
 }
 
 fn no_owner() -> link::Error {
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -6,6 +6,7 @@
 use hickory_policy::cost::Cost;
 use hickory_policy::place::{Candidate, hash_target};
 use hickory_release::configuration::Configuration;
+use hickory_state::member::Info;
 use hickory_target::engine::Weights;
 use hickory_unit::{id, size};
 use hickory_wire::message::{Gossip, State};
@@ -20,6 +21,10 @@
 /// exchanges were missed, and a takeover is under way.
 const OWNER_MAX_AGE: Duration = Duration::from_secs(5);
 
+/// How long the address of a node that is registered no more is kept after it
+/// was last heard.
+const KNOWN_MAX_AGE: Duration = Duration::from_secs(60);
+
 /// How long this node counts what it sent to a target on top of what the
 /// owner told: by then the owner has told again, or nothing has changed.
 const SENT_MAX_AGE: Duration = Duration::from_secs(1);
@@ -61,6 +66,7 @@
     hosts: RwLock<Arc<Hosts>>,
     states: [Mutex<HashMap<id::Target, Seen>>; SHARDS],
     peers: Mutex<HashMap<id::Node, PeerSeen>>,
+    known: Mutex<HashMap<id::Node, Info>>,
 }
 
 /// What a request needs of a target.
@@ -75,7 +81,13 @@
 impl View {
     /// The empty view of a node in `zone`.
     pub(crate) fn open(zone: id::Zone) -> Self {
-        Self { zone, hosts: RwLock::default(), states: Default::default(), peers: Mutex::default() }
+        Self {
+            zone,
+            hosts: RwLock::default(),
+            states: Default::default(),
+            peers: Mutex::default(),
+            known: Mutex::default(),
+        }
     }
 
     pub(crate) fn hosts(&self) -> Arc<Hosts> {
@@ -87,6 +99,26 @@
         *self.hosts.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(hosts);
     }
 
+    /// Notes where registered nodes listen.
+    ///
+    /// An owner that is cut off from the platform alone drops off the list of
+    /// registered nodes and keeps its targets, since its peers still reach it:
+    /// without its address they could not ask it for permits.
+    pub(crate) fn note_nodes(&self, now: Instant, nodes: &BTreeMap<id::Node, Info>) {
+        let peers = self.peers();
+        let is_heard = |node: &id::Node| {
+            peers.get(node).is_some_and(|p| now.saturating_duration_since(p.at) < KNOWN_MAX_AGE)
+        };
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.retain(|node, _| is_heard(node));
+        known.extend(nodes.iter().map(|(node, info)| (node.clone(), info.clone())));
+    }
+
+    /// Where a node listens, as it was last registered.
+    pub(crate) fn find_node(&self, node: &id::Node) -> Option<Info> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner).get(node).cloned()
+    }
+
     /// Takes in what a peer tells of itself and of the targets it owns.
     pub(crate) fn merge(&self, now: Instant, gossip: &Gossip) {
         let mut peers = self.peers();
