--- a/crates/node/src/drive.rs
+++ b/crates/node/src/drive.rs
@@ -3,7 +3,7 @@
 
 use crate::core::{Core, Stage};
 use crate::orders;
-use crate::seat::Found;
+use crate::sweep::Found;
 use hickory_platform::host::{Host, Kind};
 use hickory_policy::limit::{Capacity, Observed};
 use hickory_policy::ramp::Sample;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,6 +35,7 @@
 mod seats;
 mod serve;
 mod suspect;
+mod sweep;
 mod view;
 
 use crate::core::{Core, LinkProbe, Stage};
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -1,16 +1,15 @@
-//! The owner's side of one target: who may send, what runs, what waits, and
-//! what is left on the target that nobody stands for.
+//! The owner's side of one target: who may send, what runs and what waits.
+//! [`crate::sweep`] finds what is left on the target that nobody stands for.
 //!
 //! No input or output: the time and the target's reports are passed in, so
 //! that it runs in tests without sockets.
 
 use crate::orders::Loads;
 use hickory_policy::cost::{Class, Cost};
-use hickory_policy::limit::{self, Answer, Capacity, Limiter, Observed, Ticket, priority_of};
-use hickory_policy::ramp::Sample;
+use hickory_policy::limit::{self, Answer, Capacity, Limiter, Ticket, priority_of};
 use hickory_policy::refuse::Reason;
 use hickory_release::configuration::Configuration;
-use hickory_target::engine::{self, Handle, Held, Report};
+use hickory_target::engine::{self, Handle};
 use hickory_unit::{id, size};
 use hickory_wire::message::{Adopt, Ask, Ending, Outcome, Permit, Refusal, State, Weights};
 use std::collections::{HashMap, HashSet};
@@ -34,9 +33,6 @@
 /// under way.
 pub(crate) const SWEEP_GRACE: Duration = Duration::from_secs(2);
 
-/// How long an ended stream may still stand in load reports, which lag.
-const REPORT_LAG: Duration = Duration::from_secs(3);
-
 /// One owned target.
 #[derive(Debug)]
 pub(crate) struct Seat {
@@ -48,34 +44,34 @@
     pub(crate) kv_used: size::Tokens,
     pub(crate) kv_capacity: size::Tokens,
     pub(crate) incarnation: Option<id::Incarnation>,
-    limiter: Limiter,
-    permits: HashMap<Ticket, Granted>,
+    pub(crate) limiter: Limiter,
+    pub(crate) permits: HashMap<Ticket, Granted>,
     /// Tickets of permits and of waiting asks, by their streams.
-    tickets: HashMap<id::Stream, Ticket>,
-    waiting: HashMap<Ticket, Waiting>,
-    ended: HashMap<id::Stream, Instant>,
-    foreign: HashMap<id::Stream, Foreign>,
-    adopted: Ticket,
-    cancels: Vec<id::Stream>,
-    drops: Vec<Handle>,
+    pub(crate) tickets: HashMap<id::Stream, Ticket>,
+    pub(crate) waiting: HashMap<Ticket, Waiting>,
+    pub(crate) ended: HashMap<id::Stream, Instant>,
+    pub(crate) foreign: HashMap<id::Stream, Foreign>,
+    pub(crate) adopted: Ticket,
+    pub(crate) cancels: Vec<id::Stream>,
+    pub(crate) drops: Vec<Handle>,
     /// Whether the target's death has been counted, until it reports again.
-    dead: bool,
+    pub(crate) dead: bool,
     /// The loads of weights onto it.
     pub(crate) loads: Loads,
     /// What its nodes say it died under, until a report confirms or denies it.
-    fallen: Vec<u64>,
+    pub(crate) fallen: Vec<u64>,
     /// The configuration whose shares the limiter follows.
-    release: id::Release,
+    pub(crate) release: id::Release,
     /// What peers were told last, and its version.
-    told: Option<(u64, State)>,
+    pub(crate) told: Option<(u64, State)>,
 }
 
 /// A stream that the target holds and this owner did not grant: a former
 /// owner did.
 #[derive(Clone, Copy, Debug)]
-struct Foreign {
+pub(crate) struct Foreign {
     /// When it was first seen without anybody who stands for it.
-    alone: Option<Instant>,
+    pub(crate) alone: Option<Instant>,
 }
 
 /// Permits for adopted streams are numbered from here, out of the way of the
@@ -85,35 +81,35 @@
 
 /// A permit that is out.
 #[derive(Clone, Debug)]
-struct Granted {
-    stream: id::Stream,
-    until: Instant,
-    priority: u8,
+pub(crate) struct Granted {
+    pub(crate) stream: id::Stream,
+    pub(crate) until: Instant,
+    pub(crate) priority: u8,
     /// Hash of account and content.
-    fingerprint: u64,
+    pub(crate) fingerprint: u64,
     /// KV cache at its greatest.
-    kv: size::Tokens,
+    pub(crate) kv: size::Tokens,
     /// What runs it, on an engine.
-    weights: Option<Weights>,
+    pub(crate) weights: Option<Weights>,
     /// When the caller's connection went, where it did.
-    left: Option<Instant>,
+    pub(crate) left: Option<Instant>,
     /// When it was granted, while its asker has not been told.
-    untold: Option<Instant>,
+    pub(crate) untold: Option<Instant>,
     /// The node that serves it.
-    node: id::Node,
+    pub(crate) node: id::Node,
 }
 
 /// An ask in the queue.
 #[derive(Debug)]
-struct Waiting {
-    stream: id::Stream,
-    asked: Instant,
-    until: Instant,
-    priority: u8,
-    fingerprint: u64,
-    kv: size::Tokens,
-    weights: Option<Weights>,
-    waker: Option<oneshot::Sender<Result<Permit, Refusal>>>,
+pub(crate) struct Waiting {
+    pub(crate) stream: id::Stream,
+    pub(crate) asked: Instant,
+    pub(crate) until: Instant,
+    pub(crate) priority: u8,
+    pub(crate) fingerprint: u64,
+    pub(crate) kv: size::Tokens,
+    pub(crate) weights: Option<Weights>,
+    pub(crate) waker: Option<oneshot::Sender<Result<Permit, Refusal>>>,
 }
 
 pub(crate) fn refuse(reason: impl std::fmt::Display, retry_after: Duration) -> Refusal {
@@ -398,7 +394,7 @@
         }
     }
 
-    fn give_back(&mut self, now: Instant, ticket: Ticket, outcome: limit::Outcome) {
+    pub(crate) fn give_back(&mut self, now: Instant, ticket: Ticket, outcome: limit::Outcome) {
         self.limiter.settle(now, ticket, outcome);
         if let Some(granted) = self.permits.remove(&ticket) {
             self.tickets.remove(&granted.stream);
@@ -406,189 +402,6 @@
         }
     }
 
-    /// Takes out of queue and books what nobody stands for any more, and
-    /// names the streams to cancel on the target.
-    pub(crate) fn sweep(&mut self, now: Instant, life: Duration, resume: Duration) {
-        let old = |at: Instant| now.saturating_duration_since(at) > life;
-        let silent = self.waiting.values().filter(|waiting| old(waiting.asked));
-        let silent: Vec<id::Stream> = silent.map(|waiting| waiting.stream.clone()).collect();
-        silent.iter().for_each(|stream| self.withdraw(stream));
-        let untold = self.permits.iter().filter(|(_, granted)| granted.untold.is_some_and(old));
-        let untold: Vec<Ticket> = untold.map(|(ticket, _)| *ticket).collect();
-        for ticket in untold {
-            self.give_back(now, ticket, limit::Outcome::Dropped);
-        }
-        let overdue = self.permits.values().filter(|granted| granted.is_overdue(now, resume));
-        self.cancels.extend(overdue.map(|granted| granted.stream.clone()));
-        self.ended.retain(|_, at| now.saturating_duration_since(*at) < REPORT_LAG);
-    }
-
-    /// Takes in a load report: what the target bears, what it holds, and what
-    /// of that nobody stands for.
-    pub(crate) fn take_report<F>(&mut self, report: &Report, found: &Found<F>)
-    where
-        F: Fn(&id::Node) -> bool,
-    {
-        self.incarnation = Some(report.incarnation);
-        self.dead = false;
-        self.fallen.clear();
-        self.kv_used = report.kv_used;
-        self.kv_capacity = report.kv_capacity;
-        let ready = report.loaded.iter().filter(|loaded| loaded.ready);
-        self.ready = ready.map(|loaded| crate::permit::to_wire(&loaded.weights)).collect();
-        self.set_capacity(Capacity {
-            streams: report.streams_max,
-            kv: report.kv_capacity,
-            prefill_rate: report.prefill_rate,
-        });
-        self.mark_gone(found);
-        self.sweep_held(report, found);
-        self.sweep_handles(report, found);
-        let observed = self.observe(report);
-        self.observe_load(found.now, &observed);
-    }
-
-    /// Takes a load report's warmth and foreign work into the limit.
-    pub(crate) fn observe_load(&mut self, now: Instant, observed: &Observed) {
-        if let Some(cold) = self.limiter.observe(now, observed) {
-            log::info!(target = self.target.as_str(), cold:% = cold; "target ramps anew");
-        }
-    }
-
-    fn observe(&self, report: &Report) -> Observed {
-        // What has ended stands in the report until its lag has passed.
-        let own = |held: &&Held| !self.is_foreign(&held.stream);
-        let foreign = report.streams.iter().filter(|held| self.is_foreign(&held.stream));
-        let streams: size::Tokens = report.streams.iter().filter(own).map(|held| held.kv).sum();
-        // A part of a long prompt stays on the engine as a kept KV cache when
-        // its stream has ended; its permit stands for it.
-        let kept = report.handles.iter().filter_map(|handle| {
-            let held = report.streams.iter().any(|held| held.stream == handle.stream);
-            let ticket = self.tickets.get(&handle.stream).filter(|_| !held)?;
-            self.permits.get(ticket).map(|granted| granted.kv)
-        });
-        let owned_kv = streams + kept.sum::<size::Tokens>();
-        let left = report.streams.iter().filter_map(|held| {
-            let ticket = self.tickets.get(&held.stream)?;
-            Some((*ticket, held.prefill_left))
-        });
-        Observed {
-            sample: Sample {
-                incarnation: report.incarnation,
-                warmth: report.warmth,
-                cache_hits: report.cache_hits,
-                cache_misses: report.cache_misses,
-            },
-            foreign: foreign.count() as u32,
-            foreign_kv: report.kv_used.saturating_sub(owned_kv),
-            prefill_left: left.collect(),
-        }
-    }
-
-    /// Whether a stream that the target holds was granted by a former owner.
-    fn is_foreign(&self, stream: &id::Stream) -> bool {
-        !self.tickets.contains_key(stream) && !self.ended.contains_key(stream)
-    }
-
-    /// Finds among the streams that the target holds those that nobody stands
-    /// for: their deadline is past, or their node is gone and none has taken
-    /// them up for the time of a resume.
-    fn sweep_held<F>(&mut self, report: &Report, found: &Found<F>)
-    where
-        F: Fn(&id::Node) -> bool,
-    {
-        let known = std::mem::take(&mut self.foreign);
-        let held = report.streams.iter().map(|held| &held.stream);
-        for stream in held.filter(|stream| self.is_foreign(stream)).collect::<Vec<_>>() {
-            let before = known.get(stream).and_then(|foreign| foreign.alone);
-            let alone = before.or_else(|| (!(found.is_live)(&stream.sender)).then_some(found.now));
-            self.foreign.insert(stream.clone(), Foreign { alone });
-        }
-        let orphans = self.foreign.iter().filter(|(stream, foreign)| {
-            let alone = foreign.alone.is_some_and(|at| found.is_long_ago(at));
-            found.is_overdue(stream) || alone
-        });
-        self.cancels.extend(orphans.map(|(stream, _)| stream.clone()));
-    }
-
-    /// Finds kept KV caches whose work is over: the sender of a placement over
-    /// several engines drops them itself, unless it died half-way.
-    fn sweep_handles<F>(&mut self, report: &Report, found: &Found<F>)
-    where
-        F: Fn(&id::Node) -> bool,
-    {
-        let orphans = report.handles.iter().filter(|handle| {
-            let stream = &handle.stream;
-            let alone = self.foreign.get(stream).and_then(|foreign| foreign.alone);
-            let gone = !(found.is_live)(&stream.sender) && alone.is_none();
-            found.is_overdue(stream) || (gone && !self.tickets.contains_key(stream))
-        });
-        self.drops = orphans.cloned().collect();
-    }
-
-    /// The kept KV caches to drop now.
-    pub(crate) fn take_drops(&mut self) -> Vec<Handle> {
-        std::mem::take(&mut self.drops)
-    }
-
-    /// Marks what gone nodes served, as if their callers had left: another
-    /// node may take it up.
-    fn mark_gone<F>(&mut self, found: &Found<F>)
-    where
-        F: Fn(&id::Node) -> bool,
-    {
-        for granted in self.permits.values_mut() {
-            if granted.left.is_none() && !(found.is_live)(&granted.node) {
-                granted.left = Some(found.now);
-            }
-        }
-    }
-
-    /// The streams to cancel now, each once.
-    pub(crate) fn take_cancels(&mut self) -> Vec<id::Stream> {
-        let mut cancels = std::mem::take(&mut self.cancels);
-        cancels.sort();
-        cancels.dedup();
-        cancels
-    }
-
-    /// The target confirmed that a stream is gone.
-    pub(crate) fn cancelled(&mut self, now: Instant, stream: &id::Stream) {
-        if let Some(ticket) = self.tickets.get(stream).copied() {
-            self.give_back(now, ticket, limit::Outcome::Dropped);
-        }
-        if self.foreign.remove(stream).is_some() {
-            self.ended.insert(stream.clone(), now);
-        }
-    }
-
-    /// The target did not answer a cancel: tried again.
-    pub(crate) fn cancel_again(&mut self, stream: id::Stream) {
-        self.cancels.push(stream);
-    }
-
-    /// The target died, by a closed port or a new incarnation: what ran on it,
-    /// once for each death.
-    pub(crate) fn take_death(&mut self) -> Vec<u64> {
-        let told = std::mem::take(&mut self.fallen);
-        if std::mem::replace(&mut self.dead, true) {
-            return told;
-        }
-        let ran = self.permits.values().map(|granted| granted.fingerprint);
-        ran.filter(|fingerprint| *fingerprint != 0).chain(told).collect()
-    }
-
-    /// The target runs as a new process: what was granted to the old one is
-    /// gone with it.
-    pub(crate) fn restarted(&mut self, now: Instant) {
-        let tickets: Vec<Ticket> = self.permits.keys().copied().collect();
-        for ticket in tickets {
-            self.give_back(now, ticket, limit::Outcome::Dropped);
-        }
-        self.cancels.clear();
-        self.foreign.clear();
-    }
-
     /// What peers are to know, with the version of its last change.
     pub(crate) fn tell(&mut self, next: impl FnOnce() -> u64) -> Option<(u64, State)> {
         let state = self.state();
@@ -620,26 +433,6 @@
     }
 }
 
-/// With what a load report is read.
-pub(crate) struct Found<F> {
-    pub(crate) now: Instant,
-    pub(crate) wall_ms: u64,
-    /// How long a stream whose caller is gone is kept for a resume.
-    pub(crate) resume: Duration,
-    /// Whether a node is known to be there; true while nothing is known.
-    pub(crate) is_live: F,
-}
-
-impl<F: Fn(&id::Node) -> bool> Found<F> {
-    fn is_long_ago(&self, at: Instant) -> bool {
-        self.now.saturating_duration_since(at) > self.resume
-    }
-
-    fn is_overdue(&self, stream: &id::Stream) -> bool {
-        stream.deadline_ms.saturating_add(SWEEP_GRACE.as_millis() as u64) < self.wall_ms
-    }
-}
-
 impl Granted {
     fn to(stream: id::Stream, until: Instant, priority: u8) -> Self {
         let node = stream.sender.clone();
@@ -647,7 +440,7 @@
         Self { stream, until, priority, fingerprint, kv, weights, left: None, untold: None, node }
     }
 
-    fn is_overdue(&self, now: Instant, resume: Duration) -> bool {
+    pub(crate) fn is_overdue(&self, now: Instant, resume: Duration) -> bool {
         let left_long = self.left.is_some_and(|at| now.saturating_duration_since(at) > resume);
         left_long || now > self.until + SWEEP_GRACE
     }
