--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -19,19 +19,19 @@
 /// The operators' view of a node; its calls block, and run on the threads of
 /// the administration server.
 #[derive(Clone, Debug)]
-pub(crate) struct Desk {
+pub(crate) struct Service {
     pub(crate) core: Arc<Core>,
     pub(crate) runtime: Handle,
 }
 
-impl Desk {
+impl Service {
     /// The version that an operation made, as far as this node knows.
     fn find_known(&self, operation: &str) -> Option<id::Release> {
         self.core.configuration()?.find_operation(operation)
     }
 }
 
-impl Control for Desk {
+impl Control for Service {
     fn is_operator(&self, token: &str) -> bool {
         match self.core.configuration().filter(|c| !c.operators.is_empty()) {
             Some(configuration) => configuration.is_operator(token),
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,7 +1,7 @@
 //! What the parts of a node share.
 
-use crate::seats::Seats;
 use crate::suspect::Record;
+use crate::table::Table;
 use crate::view::View;
 use hickory_platform::http::Platform;
 use hickory_release::configuration::Configuration;
@@ -67,7 +67,7 @@
     pub(crate) owners: Owners<Port, System, LinkProbe>,
     pub(crate) ledger: Ledger<Port, System>,
     pub(crate) view: View,
-    pub(crate) seats: Seats,
+    pub(crate) table: Table,
     pub(crate) record: Record,
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
--- a/crates/node/src/drive.rs
+++ b/crates/node/src/drive.rs
@@ -47,13 +47,13 @@
             }
             kept
         });
-        core.seats
+        core.table
             .retain(|target, epoch| owned.iter().any(|o| o.target == *target && o.epoch == epoch));
         for owned in owned {
             if running.contains_key(&owned.target) {
                 continue;
             }
-            core.seats.open(&owned.target, owned.epoch);
+            core.table.open(&owned.target, owned.epoch);
             core.metrics.owner_changed(Ownership::Gained);
             let task = tokio::spawn(drive(core.clone(), owned.target.clone(), owned.epoch));
             running.insert(owned.target, (owned.epoch, task.abort_handle()));
@@ -80,9 +80,9 @@
         }
         let (life, resume) = (core.permit_life(), core.time(core.settings.times.resume_ms));
         let now = core.now();
-        core.seats.with(&target, |seat| {
-            seat.sweep(now, life, resume);
-            seat.poll(now, life);
+        core.table.with(&target, |owned| {
+            owned.sweep(now, life, resume);
+            owned.poll(now, life);
         });
         tokio::time::sleep(interval).await;
     }
@@ -97,11 +97,11 @@
     let waited = !matches!(terms, None | Some(Terms::Wait(_)));
     let confirmed = matches!(terms, Some(Terms::Full));
     let now = core.now();
-    core.seats.with(&host.target, |seat| {
-        let known = seat.capacity.streams > 0;
-        seat.set_terms(now, answers && in_service && waited && known, confirmed);
+    core.table.with(&host.target, |owned| {
+        let known = owned.capacity.streams > 0;
+        owned.set_terms(now, answers && in_service && waited && known, confirmed);
         if let Some(configuration) = &configuration {
-            seat.follow(configuration);
+            owned.follow(configuration);
         }
     });
 }
@@ -117,7 +117,7 @@
             return false;
         }
     };
-    let known = core.seats.with(&host.target, |seat| seat.incarnation).flatten();
+    let known = core.table.with(&host.target, |owned| owned.incarnation).flatten();
     if known.is_some_and(|known| known != report.incarnation) {
         note_death(core, &host.target);
     }
@@ -131,7 +131,7 @@
 
 /// Puts what ran on a dead target under suspicion.
 fn note_death(core: &Core, target: &id::Target) {
-    let ran = core.seats.with(target, |seat| seat.take_death()).unwrap_or_default();
+    let ran = core.table.with(target, |owned| owned.take_death()).unwrap_or_default();
     core.record.note_death(core.now(), ran);
 }
 
@@ -143,19 +143,19 @@
     let is_live = |node: &id::Node| !confirmed || nodes.contains_key(node);
     let resume = core.time(core.settings.times.resume_ms);
     let found = Found { now, wall_ms: core.clock.wall_ms(), resume, is_live };
-    core.seats.with(target, |seat| {
-        if seat.incarnation.is_some_and(|known| known != report.incarnation) {
+    core.table.with(target, |owned| {
+        if owned.incarnation.is_some_and(|known| known != report.incarnation) {
             core.metrics.target_restarted();
-            seat.restarted(now);
+            owned.restarted(now);
         }
-        seat.take_report(report, &found);
+        owned.take_report(report, &found);
     });
 }
 
 /// Ends on the engine what nobody stands for. What the engine does not
 /// confirm is tried again after the next report.
 async fn cancel_orphans(core: &Core, host: &Host) {
-    let taken = core.seats.with(&host.target, |seat| (seat.take_cancels(), seat.take_drops()));
+    let taken = core.table.with(&host.target, |owned| (owned.take_cancels(), owned.take_drops()));
     let (cancels, drops) = taken.unwrap_or_default();
     let mut answers = true;
     for stream in cancels {
@@ -167,12 +167,12 @@
             core.metrics.swept(Orphan::Stream);
         }
         let now = core.now();
-        core.seats.with(&host.target, |seat| match cancelled {
+        core.table.with(&host.target, |owned| match cancelled {
             Ok(Cancelled::NeverBegun | Cancelled::Stopped | Cancelled::Ended)
-            | Err(Error::NotFound) => seat.cancelled(now, &stream),
+            | Err(Error::NotFound) => owned.cancelled(now, &stream),
             Err(_) => {
                 answers = false;
-                seat.cancel_again(stream);
+                owned.cancel_again(stream);
             }
         });
     }
@@ -185,11 +185,11 @@
 }
 
 /// Grants what comes to fit as time passes, while anything waits.
-pub(crate) async fn poll_seats(core: Arc<Core>) {
+pub(crate) async fn poll_queues(core: Arc<Core>) {
     loop {
-        let waiting = core.seats.poll(core.now(), core.permit_life());
+        let waiting = core.table.poll(core.now(), core.permit_life());
         if waiting == 0 {
-            core.seats.queued.notified().await;
+            core.table.queued.notified().await;
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
@@ -200,25 +200,25 @@
         Services::report(&core.targets, host.address).await;
     let Ok(report) = report else { return false };
     let now = core.now();
-    core.seats.with(&host.target, |seat| {
-        if seat.incarnation.is_some_and(|known| known != report.incarnation) {
-            seat.restarted(now);
+    core.table.with(&host.target, |owned| {
+        if owned.incarnation.is_some_and(|known| known != report.incarnation) {
+            owned.restarted(now);
             core.metrics.target_restarted();
         }
-        seat.incarnation = Some(report.incarnation);
+        owned.incarnation = Some(report.incarnation);
         // A call weighs one slot and no KV cache.
-        seat.kv_capacity = size::Tokens(u64::from(u32::MAX));
-        seat.set_capacity(Capacity {
+        owned.kv_capacity = size::Tokens(u64::from(u32::MAX));
+        owned.set_capacity(Capacity {
             streams: report.calls_max,
-            kv: seat.kv_capacity,
+            kv: owned.kv_capacity,
             prefill_rate: u64::from(u32::MAX),
         });
         let (incarnation, warmth) = (report.incarnation, report.warmth);
         let sample = Sample { incarnation, warmth, cache_hits: 0, cache_misses: 0 };
-        seat.observe_load(now, &Observed { sample, ..Observed::default() });
+        owned.observe_load(now, &Observed { sample, ..Observed::default() });
         // Nothing is held on a service: a cancel has nothing to do.
-        for stream in seat.take_cancels() {
-            seat.cancelled(now, &stream);
+        for stream in owned.take_cancels() {
+            owned.cancelled(now, &stream);
         }
     });
     true
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod drive;
 mod entry;
 mod orders;
+mod owned;
 mod parse;
 mod parts;
 mod peers;
@@ -31,11 +32,10 @@
 mod reply;
 mod resume;
 mod seal;
-mod seat;
-mod seats;
 mod serve;
 mod suspect;
 mod sweep;
+mod table;
 mod view;
 
 use crate::core::{Core, LinkProbe, Stage};
@@ -67,7 +67,7 @@
 pub struct Node {
     core: Arc<Core>,
     /// Serves operators until the last clone of the node is dropped.
-    admin: Arc<hickory_admin::server::Handle<admin::Desk>>,
+    admin: Arc<hickory_admin::server::Handle<admin::Service>>,
 }
 
 impl Node {
@@ -85,14 +85,15 @@
         settings.callers = callers.local_addr()?;
         settings.peers = peers.local_addr()?;
         let core = Arc::new(open_core(settings, key)?);
-        let desk = admin::Desk { core: core.clone(), runtime: tokio::runtime::Handle::current() };
-        let admin = hickory_admin::Server::spawn(core.settings.admin, Arc::new(desk))?;
-        let links = Links::spawn(peers, core.key.clone(), peers::Desk(Arc::downgrade(&core)))?;
+        let service =
+            admin::Service { core: core.clone(), runtime: tokio::runtime::Handle::current() };
+        let admin = hickory_admin::Server::spawn(core.settings.admin, Arc::new(service))?;
+        let links = Links::spawn(peers, core.key.clone(), peers::Service(Arc::downgrade(&core)))?;
         let _ = core.links.set(links.clone());
         tokio::spawn(peers::follow_hosts(core.clone()));
         tokio::spawn(peers::gossip(core.clone(), links));
         tokio::spawn(drive::follow_owned(core.clone()));
-        tokio::spawn(drive::poll_seats(core.clone()));
+        tokio::spawn(drive::poll_queues(core.clone()));
         tokio::spawn(drain::follow(core.clone()));
         let listener = tokio::net::TcpListener::from_std(callers)?;
         tokio::spawn(serve::serve(core.clone(), listener));
@@ -187,7 +188,7 @@
         owners,
         platform,
         view: view::View::open(settings.zone.clone()),
-        seats: seats::Seats::default(),
+        table: table::Table::default(),
         record: suspect::Record::default(),
         metrics,
         stage: watch::channel(Stage::Serving).0,
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -127,11 +127,11 @@
     configuration: &Configuration,
 ) {
     let offers = list_offers(configuration);
-    let busy = core.seats.with(&host.target, |seat| seat.busy_weights()).unwrap_or_default();
+    let busy = core.table.with(&host.target, |owned| owned.busy_weights()).unwrap_or_default();
     for weights in plan_unloads(&offers, loaded, |weights| busy.contains(weights)) {
         order(core, host, epoch, Order::Unload(weights)).await;
     }
-    let mut loads = core.seats.with(&host.target, |seat| seat.loads.clone()).unwrap_or_default();
+    let mut loads = core.table.with(&host.target, |owned| owned.loads.clone()).unwrap_or_default();
     let now = core.now();
     if loads.slot.as_ref().is_some_and(|slot| slot.is_needed(now, loaded)) {
         renew_slot(core, &mut loads).await;
@@ -144,7 +144,7 @@
             load(core, host, epoch, weights, &mut loads).await;
         }
     }
-    core.seats.with(&host.target, |seat| seat.loads = loads);
+    core.table.with(&host.target, |owned| owned.loads = loads);
 }
 
 async fn load(core: &Core, host: &Host, epoch: id::Epoch, weights: Weights, loads: &mut Loads) {
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/owned.rs
@@ -35,7 +35,7 @@
 
 /// One owned target.
 #[derive(Debug)]
-pub(crate) struct Seat {
+pub(crate) struct Target {
     pub(crate) target: id::Target,
     pub(crate) epoch: id::Epoch,
     pub(crate) capacity: Capacity,
@@ -130,7 +130,7 @@
     Queued(oneshot::Receiver<Result<Permit, Refusal>>),
 }
 
-impl Seat {
+impl Target {
     pub(crate) fn open(target: id::Target, epoch: id::Epoch) -> Self {
         let capacity = Capacity { streams: 0, kv: size::Tokens(0), prefill_rate: 0 };
         Self {
@@ -159,7 +159,7 @@
         }
     }
 
-    /// Sets what the target bears; the first report opens the seat's limiter.
+    /// Sets what the target bears; the first report opens the limiter.
     pub(crate) fn set_capacity(&mut self, capacity: Capacity) {
         if self.capacity != capacity && self.permits.is_empty() && self.waiting.is_empty() {
             self.capacity = capacity;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,7 +1,7 @@
 //! The exchange with peers.
 
 use crate::core::{Core, Stage};
-use crate::seats;
+use crate::table;
 use hickory_state::member::Info;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
@@ -12,7 +12,7 @@
 
 /// Answers peers on behalf of the node.
 #[derive(Clone, Debug)]
-pub(crate) struct Desk(pub(crate) Weak<Core>);
+pub(crate) struct Service(pub(crate) Weak<Core>);
 
 fn refuse_closed() -> Refusal {
     Refusal {
@@ -22,7 +22,7 @@
     }
 }
 
-impl Handler for Desk {
+impl Handler for Service {
     fn exchange(&self, gossip: Gossip) -> Gossip {
         match self.0.upgrade() {
             Some(core) => {
@@ -37,18 +37,18 @@
 
     async fn permit(&self, ask: Ask) -> Result<Permit, Refusal> {
         let core = self.0.upgrade().ok_or_else(refuse_closed)?;
-        seats::permit(&core, &ask).await
+        table::permit(&core, &ask).await
     }
 
     fn outcome(&self, outcome: Outcome) {
         if let Some(core) = self.0.upgrade() {
-            seats::end(&core, &outcome);
+            table::end(&core, &outcome);
         }
     }
 
     fn adopt(&self, adopt: Adopt) -> Result<Permit, Refusal> {
         let core = self.0.upgrade().ok_or_else(refuse_closed)?;
-        seats::adopt(&core, &adopt)
+        table::adopt(&core, &adopt)
     }
 
     fn release(&self) -> Option<Document> {
@@ -66,7 +66,7 @@
 /// What this node tells a peer.
 fn make_gossip(core: &Core, peer: &id::Node) -> Gossip {
     let (seen, since) = core.view.versions(peer);
-    let (version, targets) = core.seats.states_since(since);
+    let (version, targets) = core.table.states_since(since);
     Gossip {
         version,
         seen,
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -1,9 +1,9 @@
 //! Getting leave to send: choose a target, ask its owner, check once more.
 
 use crate::core::Core;
+use crate::owned::{QUEUED, TAKEN};
 use crate::parse::{PREFIX_LEN, refuse};
-use crate::seat::{QUEUED, TAKEN};
-use crate::seats;
+use crate::table;
 use crate::view::{Need, View};
 use hickory_policy::cost::{Class, Cost};
 use hickory_policy::place::{ASKS_AT_ONCE, Prefix, Query, asks_at_once, choose_target, counts};
@@ -96,7 +96,7 @@
             core.configuration().ok_or_else(|| refuse(Reason::NotReady, "no configuration yet"))?;
         let mut candidates =
             core.view.candidates(now, want.need, want.prefix, &configuration, &left_out);
-        View::refresh_own(&mut candidates, &core.seats.states());
+        View::refresh_own(&mut candidates, &core.table.states());
         let Some(best) = choose_target(&query_of(want), &candidates) else { break };
         let target = best.target.clone();
         let at_once = !want.alone && asks_at_once(want.cost, asked, candidates.len());
@@ -265,7 +265,7 @@
 
 async fn send_ask(core: &Core, ask: &Ask) -> Result<Result<Permit, message::Refusal>, link::Error> {
     match find_owner(core, &ask.target).ok_or_else(no_owner)? {
-        Owner::Here => Ok(seats::permit(core, ask).await),
+        Owner::Here => Ok(table::permit(core, ask).await),
         Owner::There(address) => {
             let links = core.links.get().ok_or(link::Error::Closed)?;
             links.permit(address, ask.clone(), core.peer_timeout()).await
@@ -282,7 +282,7 @@
         ..refuse(Reason::NoOwner, "the target has no owner at present")
     };
     let answer = match find_owner(core, &adopt.target).ok_or_else(no_owner)? {
-        Owner::Here => seats::adopt(core, &adopt),
+        Owner::Here => table::adopt(core, &adopt),
         Owner::There(address) => {
             let links = core.links.get().ok_or_else(no_owner)?;
             let answer = links.adopt(address, adopt, core.peer_timeout()).await;
@@ -333,7 +333,7 @@
         stream: Some(stream.clone()),
     };
     match find_owner(core, target) {
-        Some(Owner::Here) => seats::end(core, &outcome),
+        Some(Owner::Here) => table::end(core, &outcome),
         Some(Owner::There(address)) => {
             let Some(links) = core.links.get().cloned() else { return };
             let timeout = core.peer_timeout();
--- a/crates/node/src/sweep.rs
+++ b/crates/node/src/sweep.rs
@@ -5,7 +5,7 @@
 //! target is found here by the sender and the deadline in each stream's id,
 //! and released without the node.
 
-use crate::seat::{Foreign, SWEEP_GRACE, Seat};
+use crate::owned::{Foreign, SWEEP_GRACE, Target};
 use hickory_policy::limit::{self, Capacity, Observed, Ticket};
 use hickory_policy::ramp::Sample;
 use hickory_target::engine::{Handle, Held, Report};
@@ -35,7 +35,7 @@
     }
 }
 
-impl Seat {
+impl Target {
     /// Takes out of queue and books what nobody stands for any more, and
     /// names the streams to cancel on the target.
     pub(crate) fn sweep(&mut self, now: Instant, life: Duration, resume: Duration) {
--- a/crates/node/src/seats.rs
+++ b/crates/node/src/table.rs
@@ -1,11 +1,11 @@
 //! All targets that this node owns, and what peers ask of them.
 //!
-//! Seats lie in shards, each under its own lock; no lock is held across an
+//! They lie in shards, each under its own lock; no lock is held across an
 //! await.
 
 use crate::core::Core;
+use crate::owned::{Begun, QUEUED, TAKEN, Target, refuse, refuse_not_owner};
 use crate::parse::hash_parts;
-use crate::seat::{Begun, QUEUED, Seat, TAKEN, refuse, refuse_not_owner};
 use hickory_policy::refuse::Reason;
 use hickory_telemetry::label;
 use hickory_unit::clock::Clock;
@@ -17,72 +17,78 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// Shards of the seats; a node owns few targets, so few shards do.
+/// Shards of the table; a node owns few targets, so few shards do.
 const SHARDS: usize = 8;
 
-/// All seats of a node.
+/// All targets that a node owns.
 #[derive(Debug, Default)]
-pub(crate) struct Seats {
+pub(crate) struct Table {
     /// Counts the changes of what is told to peers.
     version: AtomicU64,
-    shards: [Mutex<HashMap<id::Target, Seat>>; SHARDS],
+    shards: [Mutex<HashMap<id::Target, Target>>; SHARDS],
     /// Told when an ask begins to wait.
     pub(crate) queued: Notify,
 }
 
-impl Seats {
-    /// Opens a seat for a target under an epoch; an open one under the same
-    /// epoch stays as it is.
+impl Table {
+    /// Begins to own a target under an epoch; one owned under the same epoch
+    /// stays as it is.
     pub(crate) fn open(&self, target: &id::Target, epoch: id::Epoch) {
         let mut shard = self.shard(target);
-        if shard.get(target).is_some_and(|seat| seat.epoch == epoch) {
+        if shard.get(target).is_some_and(|owned| owned.epoch == epoch) {
             return;
         }
-        shard.insert(target.clone(), Seat::open(target.clone(), epoch));
+        shard.insert(target.clone(), Target::open(target.clone(), epoch));
     }
 
-    /// Closes the seats of targets that are not owned any more; who waits
-    /// there is told to look the owner up again.
+    /// Lets go of targets that are not owned any more; who waits for one is
+    /// told to look its owner up again.
     pub(crate) fn retain(&self, mut keep: impl FnMut(&id::Target, id::Epoch) -> bool) {
         for shard in &self.shards {
             let mut shard = lock(shard);
-            shard.retain(|target, seat| keep(target, seat.epoch));
+            shard.retain(|target, owned| keep(target, owned.epoch));
         }
     }
 
-    /// Runs `f` on a seat.
-    pub(crate) fn with<T>(&self, target: &id::Target, f: impl FnOnce(&mut Seat) -> T) -> Option<T> {
+    /// Runs `f` on a owned.
+    pub(crate) fn with<T>(
+        &self,
+        target: &id::Target,
+        f: impl FnOnce(&mut Target) -> T,
+    ) -> Option<T> {
         self.shard(target).get_mut(target).map(f)
     }
 
-    /// Grants what fits now on all seats; the number of asks that wait on.
+    /// Grants what fits now on all targets; the number of asks that wait on.
     pub(crate) fn poll(&self, now: Instant, life: Duration) -> usize {
         let mut waiting = 0;
         for shard in &self.shards {
-            for seat in lock(shard).values_mut() {
-                seat.poll(now, life);
-                waiting += seat.waiting();
+            for owned in lock(shard).values_mut() {
+                owned.poll(now, life);
+                waiting += owned.waiting();
             }
         }
         waiting
     }
 
-    /// What the seats would tell now.
+    /// What peers would be told of all targets now.
     pub(crate) fn states(&self) -> Vec<State> {
         let shards = self.shards.iter();
-        shards.flat_map(|shard| lock(shard).values().map(Seat::state).collect::<Vec<_>>()).collect()
+        shards
+            .flat_map(|shard| lock(shard).values().map(Target::state).collect::<Vec<_>>())
+            .collect()
     }
 
-    /// What the seats tell a peer that has version `since`: what has changed
-    /// after it, and the version that the peer then has.
+    /// What a peer is told that has version `since`: what has changed after
+    /// it, and the version that the peer then has.
     ///
     /// Telling all of it every time made two thirds of a node's control bytes,
     /// of which next to nothing was news on an idle fleet.
     pub(crate) fn states_since(&self, since: u64) -> (u64, Vec<State>) {
         let mut changed = Vec::new();
         for shard in &self.shards {
-            for seat in lock(shard).values_mut() {
-                let told = seat.tell(|| self.version.fetch_add(1, Ordering::AcqRel) + 1);
+            for owned in lock(shard).values_mut() {
+                let told = owned.tell(|| self.version.fetch_add(1, Ordering::AcqRel) + 1);
                 changed.extend(told.filter(|(version, _)| *version > since));
             }
         }
@@ -92,7 +98,7 @@
         (version, changed.into_iter().map(|(_, state)| state).collect())
     }
 
-    fn shard(&self, target: &id::Target) -> MutexGuard<'_, HashMap<id::Target, Seat>> {
+    fn shard(&self, target: &id::Target) -> MutexGuard<'_, HashMap<id::Target, Target>> {
         let index = hash_parts(&[target.as_str().as_bytes()]) as usize % SHARDS;
         lock(&self.shards[index])
     }
@@ -112,7 +118,7 @@
 impl Drop for Withdraw<'_> {
     fn drop(&mut self) {
         if let Some(stream) = self.stream {
-            self.core.seats.with(self.target, |seat| seat.withdraw(stream));
+            self.core.table.with(self.target, |owned| owned.withdraw(stream));
         }
     }
 }
@@ -132,12 +138,12 @@
 async fn decide_permit(core: &Core, ask: &Ask) -> Result<Permit, Refusal> {
     let life = core.permit_life();
     let now = core.now();
-    let begun = core.seats.with(&ask.target, |seat| seat.ask(now, life, ask));
+    let begun = core.table.with(&ask.target, |owned| owned.ask(now, life, ask));
     let wait = match begun.ok_or_else(refuse_not_owner)? {
         Begun::Answered(answer) => return answer,
         Begun::Queued(wait) => wait,
     };
-    core.seats.queued.notify_one();
+    core.table.queued.notify_one();
     let mut guard = Withdraw { core, target: &ask.target, stream: Some(&ask.stream) };
     let answer = tokio::time::timeout(life / 2, wait).await;
     guard.stream = None;
@@ -153,9 +159,9 @@
     let life = core.permit_life();
     let left = adopt.stream.deadline_ms.saturating_sub(core.clock.wall_ms());
     let until = core.now() + Duration::from_millis(left);
-    let taken = core.seats.with(&adopt.target, |seat| match seat.incarnation {
-        Some(_) if adopt.keep && seat.is_taken(adopt) => Err(refuse(TAKEN, Duration::ZERO)),
-        Some(_) => Ok(seat.adopt(adopt, until, life)),
+    let taken = core.table.with(&adopt.target, |owned| match owned.incarnation {
+        Some(_) if adopt.keep && owned.is_taken(adopt) => Err(refuse(TAKEN, Duration::ZERO)),
+        Some(_) => Ok(owned.adopt(adopt, until, life)),
         // A new owner does not know yet what the target holds.
         None => Err(refuse_not_owner()),
     });
@@ -166,8 +172,8 @@
 /// Takes in how a permitted attempt ended.
 pub(crate) fn end(core: &Core, outcome: &Outcome) {
     let (now, life) = (core.now(), core.permit_life());
-    core.seats.with(&outcome.target, |seat| {
-        seat.end(now, outcome);
-        seat.poll(now, life);
+    core.table.with(&outcome.target, |owned| {
+        owned.end(now, outcome);
+        owned.poll(now, life);
     });
 }
--- a/crates/state/src/steward.rs
+++ b/crates/state/src/assign.rs
@@ -99,7 +99,7 @@
 
 /// The ownership decisions of one node.
 #[derive(Debug)]
-pub struct Steward {
+pub struct Assigner {
     pub(crate) me: Info,
     pub(crate) options: Options,
     pub(crate) document: Document,
@@ -128,7 +128,7 @@
     pub(crate) moved_at: Option<Instant>,
 }
 
-impl Steward {
+impl Assigner {
     /// A node that knows nothing yet.
     pub fn open(me: Info, options: Options) -> Self {
         Self {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -9,12 +9,13 @@
 //! |---------------|------------|---------------------------------------------|
 //! | membership    | [`member`] | [`lease`]                                   |
 //! | configuration | [`config`] | [`head`]                                    |
-//! | ownership     | [`owner`]  | [`steward`], [`plan`], [`terms`], [`table`] |
+//! | ownership     | [`owner`]  | [`assigner`], [`plan`], [`terms`], [`table`] |
 //! | claims        | [`claim`]  | [`group`], [`page`]                         |
 //!
 //! [`follow`] keeps a view of keys for the first three, [`retry`] says when to
 //! try again, and [`rank`] which node is first for a target.
 
+pub mod assign;
 pub mod claim;
 pub mod config;
 pub mod follow;
@@ -28,6 +29,5 @@
 pub mod plan;
 pub mod rank;
 pub mod retry;
-pub mod steward;
 pub mod table;
 pub mod terms;
--- a/crates/state/src/owner.rs
+++ b/crates/state/src/owner.rs
@@ -1,10 +1,10 @@
 //! Ownership of targets: one document, changed by compare-and-swap. The
-//! decisions stand in [`crate::steward`] and [`crate::terms`].
+//! decisions stand in [`crate::assign`] and [`crate::terms`].
 
+use crate::assign::{Assigner, Options};
 use crate::follow::{self, Follower};
 use crate::member::{Info, Member};
 use crate::plan::Plan;
-use crate::steward::{Options, Steward};
 use hickory_platform::store::{Revision, Store};
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
@@ -73,7 +73,7 @@
     clock: C,
     member: Member<S, C>,
     probe: P,
-    steward: Arc<Mutex<Steward>>,
+    assigner: Arc<Mutex<Assigner>>,
     /// One write at a time: the answer to a second could be taken for that of
     /// the first.
     writing: Arc<tokio::sync::Mutex<()>>,
@@ -85,25 +85,25 @@
     /// the life of a permit, which a new owner waits out.
     pub fn spawn(store: S, clock: C, member: Member<S, C>, probe: P, permit: Duration) -> Self {
         let options = Options::of(permit, member.ttl());
-        let steward = Arc::new(Mutex::new(Steward::open(member.me(), options)));
+        let assigner = Arc::new(Mutex::new(Assigner::open(member.me(), options)));
         let (changed, _) = watch::channel(0);
         let owners =
-            Self { store, clock, member, probe, steward, writing: Arc::default(), changed };
+            Self { store, clock, member, probe, assigner, writing: Arc::default(), changed };
         tokio::spawn(owners.clone().follow());
         tokio::spawn(owners.clone().run());
         owners
     }
 
-    fn lock(&self) -> MutexGuard<'_, Steward> {
-        self.steward.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Assigner> {
+        self.assigner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The steward, told of the registrations first.
-    fn look(&self, now: Instant) -> MutexGuard<'_, Steward> {
+    /// The assigner, told of the registrations first.
+    fn look(&self, now: Instant) -> MutexGuard<'_, Assigner> {
         let view = self.member.view(now);
-        let mut steward = self.lock();
-        steward.see(now, view);
-        steward
+        let mut assigner = self.lock();
+        assigner.see(now, view);
+        assigner
     }
 
     /// Who owns a target, as last seen.
@@ -135,9 +135,9 @@
 
     /// The document as text with its revision, for a peer.
     pub fn document(&self) -> (u64, String) {
-        let steward = self.lock();
-        let text = serde_json::to_string(steward.document()).unwrap_or_default();
-        (steward.revision().0, text)
+        let assigner = self.lock();
+        let text = serde_json::to_string(assigner.document()).unwrap_or_default();
+        (assigner.revision().0, text)
     }
 
     /// Takes a document from a peer where its revision is higher.
--- a/crates/state/src/plan.rs
+++ b/crates/state/src/plan.rs
@@ -1,10 +1,10 @@
 //! What a node does next about ownership: whom it probes, and which targets it
 //! takes, hands over and forgets.
 
+use crate::assign::{Assigner, Missing};
 use crate::member::Info;
 use crate::owner::KEY;
 use crate::rank::{rank_nodes, spread_target};
-use crate::steward::{Missing, Steward};
 use crate::table::{Document, Entry, Holder};
 use crate::terms;
 use hickory_platform::store::{Expect, Revision, Write};
@@ -23,7 +23,7 @@
     pub write: Option<(Write, Document)>,
 }
 
-impl Steward {
+impl Assigner {
     /// What to do at `now`.
     pub fn plan(&mut self, now: Instant) -> Plan {
         self.tick(now);
--- a/crates/state/src/terms.rs
+++ b/crates/state/src/terms.rs
@@ -5,8 +5,8 @@
 //! grants; an owner that can't confirm itself holds half, and so does its
 //! successor until it knows that the predecessor has stopped.
 
+use crate::assign::{Assigner, Taken};
 use crate::owner::Terms;
-use crate::steward::{Steward, Taken};
 use crate::table::{Entry, Holder};
 use std::time::{Duration, Instant};
 
@@ -60,8 +60,8 @@
 }
 
 /// The terms of a target that this node owns.
-pub(crate) fn decide(steward: &Steward, now: Instant, entry: &Entry, taken: &Taken) -> Terms {
-    let options = &steward.options;
+pub(crate) fn decide(assigner: &Assigner, now: Instant, entry: &Entry, taken: &Taken) -> Terms {
+    let options = &assigner.options;
     // Permits of the predecessor live for one permit's life. One that has not
     // handed over may have come back before the takeover was written, and
     // goes on until its word of the document is stale.
@@ -71,15 +71,15 @@
         return Terms::Wait(until);
     }
     let again = Terms::Wait(now + AGAIN);
-    let standing = &steward.standing;
+    let standing = &assigner.standing;
     if !standing.awake() {
         return again;
     }
     let confirmed = standing.confirmed(now, options.fresh);
-    if !confirmed && is_alone(steward, now) {
+    if !confirmed && is_alone(assigner, now) {
         return again;
     }
-    let unsure = entry.before.iter().filter(|holder| !gone(steward, now, holder, taken)).count();
+    let unsure = entry.before.iter().filter(|holder| !gone(assigner, now, holder, taken)).count();
     match unsure {
         0 if confirmed => Terms::Full,
         0 | 1 => Terms::Half,
@@ -93,41 +93,41 @@
 /// Failure: a node loses the service and all peers, but not its targets and
 /// callers. Others take its targets over, and it never learns of it. While
 /// the platform is down but the nodes hear each other, owners go on.
-fn is_alone(steward: &Steward, now: Instant) -> bool {
-    let me = &steward.me.node;
-    let others = steward.nodes.keys().chain(steward.missing.keys()).any(|node| node != me);
-    let heard = steward.standing.heard_at.is_some_and(|at| now < at + steward.options.alone);
+fn is_alone(assigner: &Assigner, now: Instant) -> bool {
+    let me = &assigner.me.node;
+    let others = assigner.nodes.keys().chain(assigner.missing.keys()).any(|node| node != me);
+    let heard = assigner.standing.heard_at.is_some_and(|at| now < at + assigner.options.alone);
     others && !heard
 }
 
 /// Whether a former owner certainly grants nothing any more, and no permit of
 /// it can be used.
-pub(crate) fn gone(steward: &Steward, now: Instant, holder: &Holder, taken: &Taken) -> bool {
+pub(crate) fn gone(assigner: &Assigner, now: Instant, holder: &Holder, taken: &Taken) -> bool {
     let stopped = taken.stopped.get(holder);
-    stopped.is_some_and(|at| *at + steward.options.permit <= now)
+    stopped.is_some_and(|at| *at + assigner.options.permit <= now)
 }
 
 /// Whether a former owner has stopped granting by `now`.
-pub(crate) fn stopped(steward: &Steward, now: Instant, holder: &Holder, taken: &Taken) -> bool {
+pub(crate) fn stopped(assigner: &Assigner, now: Instant, holder: &Holder, taken: &Taken) -> bool {
     // A later process of its name runs.
-    let present = steward.nodes.get(&holder.node);
+    let present = assigner.nodes.get(&holder.node);
     if present.is_some_and(|info| info.incarnation != holder.incarnation) {
         return true;
     }
     // It knows the document that takes the target from it.
-    let heard = steward.heard.get(&holder.node);
+    let heard = assigner.heard.get(&holder.node);
     if heard.is_some_and(|revision| taken.revision <= *revision) {
         return true;
     }
-    taken.at + steward.options.lost <= now || is_cut_off(steward, now, holder, taken)
+    taken.at + assigner.options.lost <= now || is_cut_off(assigner, now, holder, taken)
 }
 
 /// Whether a former owner, if it still runs, has stopped because it hears
 /// nobody: it is the only node that is missing, so every node it may hear
 /// knows this document and has told it, and without any it stops.
-fn is_cut_off(steward: &Steward, now: Instant, holder: &Holder, taken: &Taken) -> bool {
-    let options = &steward.options;
-    let only = steward.missing.keys().all(|node| *node == holder.node);
-    let met = steward.missing.get(&holder.node).is_some_and(|missing| missing.met);
+fn is_cut_off(assigner: &Assigner, now: Instant, holder: &Holder, taken: &Taken) -> bool {
+    let options = &assigner.options;
+    let only = assigner.missing.keys().all(|node| *node == holder.node);
+    let met = assigner.missing.get(&holder.node).is_some_and(|missing| missing.met);
     only && met && taken.at + options.fresh + 2 * options.alone <= now
 }
--- a/crates/state/tests/owner.rs
+++ b/crates/state/tests/owner.rs
@@ -99,7 +99,7 @@
             Command::Stale(names) => {
                 let (now, entry) = (self.0.now, self.0.remembered.clone());
                 self.each(names, |node| {
-                    node.steward.read(now, now, entry.as_ref());
+                    node.assigner.read(now, now, entry.as_ref());
                 });
             }
             Command::Granted => writeln!(output, "{}", self.0.granted())?,
--- a/crates/state/tests/world/mod.rs
+++ b/crates/state/tests/world/mod.rs
@@ -6,11 +6,11 @@
 
 use hickory_platform::store::{Entry, Error, Expect, Revision, Write};
 use hickory_standin::store::Core;
+use hickory_state::assign::{Assigner, Options};
 use hickory_state::lease::{Call, Keeper, Reply};
 use hickory_state::member::{Info, Nodes, View};
 use hickory_state::owner::{KEY, Terms};
 use hickory_state::plan::Plan;
-use hickory_state::steward::{Options, Steward};
 use hickory_state::table::Document;
 use hickory_unit::id::{self, Incarnation};
 use std::collections::BTreeMap;
@@ -31,7 +31,7 @@
 }
 
 pub struct Node {
-    pub steward: Steward,
+    pub assigner: Assigner,
     keeper: Keeper,
     pub alive: bool,
     pub paused: bool,
@@ -96,7 +96,7 @@
             draining: false,
         };
         let node = Node {
-            steward: Steward::open(info.clone(), Options::of(PERMIT, TTL)),
+            assigner: Assigner::open(info.clone(), Options::of(PERMIT, TTL)),
             keeper: Keeper::open(info, TTL, self.incarnations),
             alive: true,
             paused: false,
@@ -139,7 +139,7 @@
         self.check();
     }
 
-    /// What the steward is told of the registrations.
+    /// What the assigner is told of the registrations.
     fn look(&mut self, name: &str) {
         let now = self.now;
         if let Some(node) = self.nodes.get_mut(name) {
@@ -150,7 +150,7 @@
                 contact_since: node.contact_since,
                 draining: node.keeper.me().draining,
             };
-            node.steward.see(now, view);
+            node.assigner.see(now, view);
         }
     }
 
@@ -160,7 +160,7 @@
         let Some(node) = self.nodes.get_mut(name) else {
             return;
         };
-        for owned in node.steward.owned(now) {
+        for owned in node.assigner.owned(now) {
             let share = match owned.terms {
                 Terms::Wait(_) => continue,
                 Terms::Half => 0.5,
@@ -192,9 +192,9 @@
         if node.blind {
             return;
         }
-        node.steward.set_targets(now, &self.targets);
+        node.assigner.set_targets(now, &self.targets);
         if node.read_at.replace(self.core.revision()) == Some(self.core.revision()) {
-            node.steward.confirm(now);
+            node.assigner.confirm(now);
             return;
         }
         let entries = self.core.list(now, "nodes/").0;
@@ -209,7 +209,7 @@
         if nodes != *node.nodes {
             node.nodes = Arc::new(nodes);
         }
-        node.steward.read(now, now, self.core.get(now, KEY).as_ref());
+        node.assigner.read(now, now, self.core.get(now, KEY).as_ref());
     }
 
     fn reaches(&self, from: &str, to: &str) -> bool {
@@ -220,17 +220,17 @@
     /// Each tells each that it reaches what it knows, and fetches the newer
     /// document.
     fn talk_to_peers(&mut self, name: &str) {
-        let revision = self.nodes[name].steward.revision();
+        let revision = self.nodes[name].assigner.revision();
         let peers: Vec<String> = self.nodes.keys().cloned().collect();
         for peer in peers.iter().filter(|peer| *peer != name) {
             if self.reaches(name, peer)
                 && let Some(node) = self.nodes.get_mut(peer)
             {
-                node.steward.heard(self.now, &name.into(), revision);
-                if node.steward.revision() < revision {
-                    let document = self.nodes[name].steward.document().clone();
+                node.assigner.heard(self.now, &name.into(), revision);
+                if node.assigner.revision() < revision {
+                    let document = self.nodes[name].assigner.document().clone();
                     if let Some(node) = self.nodes.get_mut(peer) {
-                        node.steward.offer(self.now, revision, document);
+                        node.assigner.offer(self.now, revision, document);
                     }
                 }
             }
@@ -243,19 +243,19 @@
         let Some(node) = self.nodes.get_mut(name) else {
             return;
         };
-        let Plan { probes, write } = node.steward.plan(now);
+        let Plan { probes, write } = node.assigner.plan(now);
         for info in probes {
             let alive = self.nodes.contains_key(info.node.as_str())
                 && self.reaches(name, info.node.as_str())
                 && !self.nodes[info.node.as_str()].deaf;
             if let Some(node) = self.nodes.get_mut(name) {
-                node.steward.probed(now, &info, alive);
+                node.assigner.probed(now, &info, alive);
             }
         }
         if let Some((write, document)) = write {
             let result = self.write(name, write);
             if let Some(node) = self.nodes.get_mut(name) {
-                node.steward.wrote(now, now, result, document);
+                node.assigner.wrote(now, now, result, document);
             }
         }
     }
@@ -288,7 +288,7 @@
     pub fn drain(&mut self, name: &str) {
         if let Some(node) = self.nodes.get_mut(name) {
             node.keeper.set_draining();
-            node.steward.release();
+            node.assigner.release();
         }
     }
 
@@ -328,7 +328,7 @@
     pub fn served(&mut self) -> usize {
         let now = self.now;
         let running = self.nodes.values_mut().filter(|node| node.alive && !node.paused);
-        let owned = running.flat_map(|node| node.steward.owned(now));
+        let owned = running.flat_map(|node| node.assigner.owned(now));
         owned.filter(|owned| owned.terms == Terms::Full).count()
     }
 
@@ -349,7 +349,7 @@
                 lines.push(format!("{name} {}", if node.alive { "paused" } else { "dead" }));
                 continue;
             }
-            let owned = node.steward.owned(now).into_iter().map(|owned| {
+            let owned = node.assigner.owned(now).into_iter().map(|owned| {
                 let terms = match owned.terms {
                     Terms::Wait(_) => "wait",
                     Terms::Half => "half",
