Silence is no death: innocent requests are not quarantined for frozen engines

Found while reading: an engine that did not answer a resume in time counted as dead under the request, and two of them as a request that crashes engines; with a lost zone, whose hosts drop what is sent to them, innocent requests would have been quarantined on all nodes for an hour. Ruled out for the closed port and the new incarnation, which stay deaths. Change: a death needs a port that refuses, or another incarnation; anything else is a stall, on the sender's side and on the owner's. Before: poison::a_request_that_met_two_frozen_engines_is_not_quarantined ended with reason quarantined; after: the third engine ends the stream. Not shown: a host that drops connections (none on loopback).

--- a/apps/hickory-node/tests/proofs/poison.rs
+++ b/apps/hickory-node/tests/proofs/poison.rs
@@ -54,3 +54,29 @@
     let (_, ()) = tokio::join!(futures::future::join_all(innocents), crash);
     assert!(scene.dead_engines() <= 2, "{} engines died", scene.dead_engines());
 }
+
+/// Two engines freeze under one request, one after the other. Neither of them
+/// died: the third goes on with the stream, and its content is not quarantined.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_met_two_frozen_engines_is_not_quarantined() {
+    let mut options = options();
+    options.engine.model.speed = 0.5;
+    let scene = Scene::start(2, options).await;
+    let prompt = "met frozen engines";
+    let mut stream = scene.complete(scene.nodes[0].callers, prompt, 40).await.unwrap();
+    let mut frozen: Vec<usize> = Vec::new();
+    for _ in 0..2 {
+        let count = scene.standins.engines.len();
+        let holder = eventually("an engine runs the stream", || async {
+            let runs = |i: &usize| scene.standins.engines[*i].service().kv_used().0 > 0;
+            (0..count).filter(|i| !frozen.contains(i)).find(runs)
+        })
+        .await;
+        assert!(stream.next().await, "{:?}", stream.problem);
+        scene.standins.engines[holder].faults().freeze();
+        frozen.push(holder);
+    }
+    stream.rest().await;
+    assert_eq!(stream.problem, None);
+    assert_eq!(stream.text, expected(prompt, 40));
+}
--- a/crates/node/src/drive.rs
+++ b/crates/node/src/drive.rs
@@ -3,6 +3,7 @@
 
 use crate::core::{Core, Stage};
 use crate::orders;
+use crate::suspect::is_port_closed;
 use crate::sweep::Found;
 use hickory_platform::host::{Host, Kind};
 use hickory_policy::limit::{Capacity, Observed};
@@ -111,7 +112,7 @@
         Ok(report) => report,
         Err(error) => {
             // A closed port is a death; silence may be anything.
-            if matches!(error, Error::NotSent(_)) {
+            if matches!(error, Error::NotSent(_)) && is_port_closed(host.address).await {
                 note_death(core, &host.target);
             }
             return false;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -9,6 +9,7 @@
 use crate::core::Core;
 use crate::permit;
 use crate::seal::Position;
+use crate::suspect::is_port_closed;
 use futures::StreamExt;
 use hickory_target::Error;
 use hickory_target::engine::{Engines, Event};
@@ -41,9 +42,9 @@
     Taken,
     /// The deadline passed.
     Deadline,
-    /// The engine answers, but the stream does not move on.
+    /// The stream does not move on, or the engine says nothing.
     Stalled,
-    /// The engine can't be reached, or it runs anew without the stream.
+    /// The engine's port is closed, or it runs anew without the stream.
     Died,
     /// The engine said no, or failed.
     Failed(Error),
@@ -159,7 +160,10 @@
         match resumed {
             Ok(Ok(tokens)) => Ok(tokens),
             Ok(Err(Error::NotFound)) => Err(self.read_unknown().await),
-            Ok(Err(Error::NotSent(_))) | Err(_) => Err(End::Died),
+            Ok(Err(Error::NotSent(_))) if is_port_closed(self.address).await => Err(End::Died),
+            // Silence is no death: a frozen engine or a lost zone must not put
+            // the request under the suspicion of having crashed it.
+            Ok(Err(Error::NotSent(_))) | Err(_) => Err(End::Stalled),
             Ok(Err(error)) => Err(End::Failed(error)),
         }
     }
--- a/crates/node/src/suspect.rs
+++ b/crates/node/src/suspect.rs
@@ -9,6 +9,8 @@
 use hickory_policy::retry::Budget;
 use hickory_unit::id;
 use hickory_wire::message;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -18,6 +20,9 @@
 /// Between two looks at whether a suspect's trial has ended.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How long a host may take to say that nothing listens at a port.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// How long a change of suspicion is told to peers that know this node
 /// already: many exchanges, so that lost ones don't matter.
 const TOLD_FOR: Duration = Duration::from_secs(30);
@@ -129,6 +134,13 @@
     refuse(Reason::Quarantined, "targets died while they ran this content")
 }
 
+/// Whether the host answers that nothing listens there: the process is gone.
+/// A host that says nothing may be cut off or frozen, with all it runs.
+pub(crate) async fn is_port_closed(at: SocketAddr) -> bool {
+    let connect = tokio::time::timeout(CONNECT_TIMEOUT, tokio::net::TcpStream::connect(at));
+    matches!(connect.await, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Quarantines a request under which two targets died, and tells all peers
 /// before the caller is answered: a resend through another node must not cost
 /// a third target.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -9,7 +9,7 @@
 //! |---------------|------------|---------------------------------------------|
 //! | membership    | [`member`] | [`lease`]                                   |
 //! | configuration | [`config`] | [`head`]                                    |
-//! | ownership     | [`owner`]  | [`assigner`], [`plan`], [`terms`], [`table`] |
+//! | ownership     | [`owner`]  | [`assign`], [`plan`], [`terms`], [`table`] |
 //! | claims        | [`claim`]  | [`group`], [`page`]                         |
 //!
 //! [`follow`] keeps a view of keys for the first three, [`retry`] says when to
