--- a/crates/load/src/sheet.rs
+++ b/crates/load/src/sheet.rs
@@ -104,7 +104,11 @@
         writeln!(f, "{}, seed {}, load average {before} to {after}", self.experiment, self.seed)?;
         let width = self.figures.iter().map(|figure| figure.name.len()).max().unwrap_or(0);
         for Figure { name, value, unit, goal, met } in &self.figures {
-            write!(f, "  {name:width$}  {value:>12.3} {unit}")?;
+            // Nothing was there to measure, as the waits of no refusals.
+            match value.is_nan() {
+                true => write!(f, "  {name:width$}  {:>12} {unit}", "-")?,
+                false => write!(f, "  {name:width$}  {value:>12.3} {unit}")?,
+            }
             match goal {
                 Some(Goal::AtMost(most)) => write!(f, "  goal at most {most}")?,
                 Some(Goal::AtLeast(least)) => write!(f, "  goal at least {least}")?,
