--- a/apps/hickory-node/tests/proofs/passage.rs
+++ b/apps/hickory-node/tests/proofs/passage.rs
@@ -1,6 +1,6 @@
 //! A path between a node and the platform that can go silent.
 
-use hickory_platform::http::Address;
+use hickory_store::http::Address;
 use std::net::SocketAddr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
--- a/apps/hickory-node/tests/proofs/support.rs
+++ b/apps/hickory-node/tests/proofs/support.rs
@@ -4,9 +4,9 @@
 use crate::passage::Path;
 use bytes::Bytes;
 use hickory_model::answer::Answer;
-use hickory_platform::http::Address;
 use hickory_release::configuration::digest_token;
 use hickory_standin::fleet::{self, Fleet};
+use hickory_store::http::Address;
 use hickory_target::engine::Weights;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
--- a/apps/hickory-node/tests/proofs/zone.rs
+++ b/apps/hickory-node/tests/proofs/zone.rs
@@ -3,7 +3,7 @@
 
 use crate::passage::Passage;
 use crate::support::{MODEL, OPERATOR, Scene, eventually, expected, options};
-use hickory_platform::host::Standing;
+use hickory_store::host::Standing;
 use serde_json::{Value, json};
 use std::time::Duration;
 
--- a/apps/hickory-standin/src/argument.rs
+++ b/apps/hickory-standin/src/argument.rs
@@ -3,9 +3,9 @@
 use clap::{Args, Parser, Subcommand};
 use eyre::WrapErr;
 use hickory_model::option::Options as Model;
-use hickory_platform::host::Host;
-use hickory_platform::weight::Limit;
 use hickory_standin::{engine, fleet, service};
+use hickory_store::host::Host;
+use hickory_store::weight::Limit;
 use hickory_target::engine::Weights;
 use hickory_unit::{id, size};
 use std::net::{IpAddr, SocketAddr};
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -29,13 +29,21 @@
 }
 
 impl Connection {
-    /// Connects within `timeout`.
-    pub(crate) async fn open(at: SocketAddr, timeout: Duration) -> Result<Self, Error> {
+    /// Connects within `timeout`. Bytes that stay unacknowledged for `silence`
+    /// break the connection: one that a partition silenced would otherwise
+    /// hold its request until the deadline.
+    pub(crate) async fn open(
+        at: SocketAddr,
+        timeout: Duration,
+        silence: Duration,
+    ) -> Result<Self, Error> {
         let not_sent = |error: &dyn std::fmt::Display| Error::NotSent(error.to_string());
         let connect = tokio::time::timeout(timeout, TcpStream::connect(at));
         let stream = connect.await.map_err(|e| not_sent(&e))?.map_err(|e| not_sent(&e))?;
         let socket = stream.into_std().map_err(|e| not_sent(&e))?;
         socket.set_nodelay(true).map_err(|e| not_sent(&e))?;
+        let options = socket2::SockRef::from(&socket);
+        options.set_tcp_user_timeout(Some(silence)).map_err(|e| not_sent(&e))?;
         let twin = socket.try_clone().map_err(|e| not_sent(&e))?;
         let stream = TcpStream::from_std(twin).map_err(|e| not_sent(&e))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
@@ -44,6 +52,13 @@
         Ok(Self { sender, socket })
     }
 
+    /// Closes both directions at once, so that the other end learns of it now
+    /// and not when the last handle is dropped.
+    pub(crate) fn shut(&self) {
+        // It fails only where the connection is closed already.
+        let _ = self.socket.shutdown(std::net::Shutdown::Both);
+    }
+
     /// Whether it is open and has nothing to read. The driver learns of a
     /// close only when its task next runs, and would until then write a call
     /// that can't be told from one that ran; the socket itself knows at once.
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -7,14 +7,16 @@
 //! written to another connection.
 
 mod connection;
+mod exchange;
 mod pool;
 
 use bytes::Bytes;
 use connection::Connection;
 use derive_more::Display;
+pub use exchange::{Exchange, Reuse};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use pool::Pool;
+use pool::{IDLE_TIME, Pool};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -60,12 +62,29 @@
 pub struct Client {
     pool: Arc<Pool>,
     connect_timeout: Duration,
+    silence: Duration,
 }
 
+/// How long sent bytes may stay unacknowledged where nothing else is asked
+/// for; longer than any timeout that callers put on their calls.
+const SILENCE: Duration = Duration::from_secs(10);
+
 impl Client {
     /// A client without connections.
     pub fn open(connect_timeout: Duration) -> Self {
-        Self { pool: Arc::default(), connect_timeout }
+        Self { pool: Arc::default(), connect_timeout, silence: SILENCE }
+    }
+
+    /// The same client, whose connections break where sent bytes stay
+    /// unacknowledged for `silence`.
+    #[must_use]
+    pub fn with_silence(self, silence: Duration) -> Self {
+        Self { silence, ..self }
+    }
+
+    /// Closes the idle connections to `at`.
+    pub fn clear(&self, at: SocketAddr) {
+        self.pool.clear(at);
     }
 
     /// Makes a call and reads the answer whole, within `timeout`.
@@ -102,7 +121,7 @@
         at: SocketAddr,
         call: Call<'_>,
     ) -> Result<http::Response<Incoming>, Error> {
-        let mut connection = Connection::open(at, self.connect_timeout).await?;
+        let mut connection = Connection::open(at, self.connect_timeout, self.silence).await?;
         let request = make_request(at, call)?;
         connection.send(request).await.map_err(|failure| match failure.unsent {
             Some(_) => Error::NotSent(failure.text),
@@ -118,11 +137,11 @@
     ) -> Result<Answer, Error> {
         let mut request = make_request(at, call)?;
         loop {
-            let pooled = self.pool.take(at);
+            let pooled = self.pool.take(at, IDLE_TIME);
             let is_pooled = pooled.is_some();
             let mut connection = match pooled {
                 Some(connection) => connection,
-                None => Connection::open(at, self.connect_timeout).await?,
+                None => Connection::open(at, self.connect_timeout, self.silence).await?,
             };
             written.store(true, Ordering::Relaxed);
             let failure = match connection.send(request).await {
@@ -151,7 +170,7 @@
         let status = response.status();
         let body = response.into_body().collect().await;
         let body = body.map_err(|e| Error::Unknown(e.to_string()))?.to_bytes();
-        self.pool.put(at, connection);
+        self.pool.put(at, connection, IDLE_TIME);
         Ok(Answer { status, body })
     }
 }
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -15,17 +15,19 @@
 
 /// How long an idle connection is kept: less than servers commonly keep
 /// theirs, so that few calls meet one that is about to close.
-const IDLE_TIME: Duration = Duration::from_secs(10);
+pub(crate) const IDLE_TIME: Duration = Duration::from_secs(10);
 
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
     since: Instant,
+    /// How long it may stay idle.
+    keep: Duration,
 }
 
 impl Idle {
     fn is_usable(&self) -> bool {
-        self.since.elapsed() < IDLE_TIME && self.connection.is_idle()
+        self.since.elapsed() < self.keep && self.connection.is_idle()
     }
 }
 
@@ -44,10 +46,14 @@
 }
 
 impl Pool {
-    /// Takes the connection to `at` that was used last.
-    pub(crate) fn take(&self, at: SocketAddr) -> Option<Connection> {
+    /// Takes the connection to `at` that was used last, if that was within
+    /// `fresh`.
+    pub(crate) fn take(&self, at: SocketAddr, fresh: Duration) -> Option<Connection> {
         let mut shard = self.lock(at);
         let all = shard.get_mut(&at)?;
+        if all.last().is_some_and(|idle| idle.since.elapsed() > fresh) {
+            return None;
+        }
         let found = std::iter::from_fn(|| all.pop()).find(Idle::is_usable);
         if all.is_empty() {
             shard.remove(&at);
@@ -55,13 +61,13 @@
         found.map(|idle| idle.connection)
     }
 
-    /// Keeps a connection for a later call.
-    pub(crate) fn put(&self, at: SocketAddr, connection: Connection) {
+    /// Keeps a connection for a later call, at most `keep`.
+    pub(crate) fn put(&self, at: SocketAddr, connection: Connection, keep: Duration) {
         let mut shard = self.lock(at);
         let idle = shard.entry(at).or_default();
-        idle.retain(|idle| idle.since.elapsed() < IDLE_TIME);
+        idle.retain(Idle::is_usable);
         if idle.len() < IDLE_MAX {
-            idle.push(Idle { connection, since: Instant::now() });
+            idle.push(Idle { connection, since: Instant::now(), keep: keep.min(IDLE_TIME) });
         }
     }
 
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -3,10 +3,10 @@
 use crate::core::{Core, Stage};
 use hickory_admin::control::{Accepted, Control, Failure};
 use hickory_admin::view;
-use hickory_platform::host::{Kind, Standing};
 use hickory_release::configuration::{Configuration, digest_token};
 use hickory_release::note::Note;
 use hickory_state::config::Rejection;
+use hickory_store::host::{Kind, Standing};
 use hickory_unit::{id, size};
 use hickory_wire::message::{State, Weights};
 use std::sync::Arc;
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -3,13 +3,13 @@
 use crate::suspect::Record;
 use crate::table::Table;
 use crate::view::View;
-use hickory_platform::http::Platform;
 use hickory_release::configuration::Configuration;
 use hickory_settings::Node as Settings;
 use hickory_state::claim::Ledger;
 use hickory_state::config::Keeper;
 use hickory_state::member::{Info, Member};
 use hickory_state::owner::{Owners, Probe};
+use hickory_store::http::Platform;
 use hickory_target::http::Targets;
 use hickory_telemetry::metered::Metered;
 use hickory_telemetry::metrics::Metrics;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -39,13 +39,13 @@
 mod view;
 
 use crate::core::{Core, LinkProbe, Stage};
-use hickory_platform::http::{Address, Platform};
 use hickory_release::note::Note;
 use hickory_settings::Node as Settings;
 use hickory_state::claim::{self, Ledger};
 use hickory_state::config::{Keeper, Rejection};
 use hickory_state::member::{Info, Member};
 use hickory_state::owner::Owners;
+use hickory_store::http::{Address, Platform};
 use hickory_target::http::Targets;
 use hickory_telemetry::metered::Metered;
 use hickory_telemetry::metrics::Metrics;
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -7,10 +7,10 @@
 
 use crate::core::Core;
 use crate::parse::hash_parts;
-use hickory_platform::host::Host;
-use hickory_platform::store::{Expect, Lease, Store, Write};
-use hickory_platform::weight;
 use hickory_release::configuration::Configuration;
+use hickory_store::host::Host;
+use hickory_store::store::{Expect, Lease, Store, Write};
+use hickory_store::weight;
 use hickory_target::Error;
 use hickory_target::engine::{Engines, Loaded, Order, Weights};
 use hickory_telemetry::label;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -158,7 +158,7 @@
 pub(crate) async fn follow_hosts(core: Arc<Core>) {
     let interval = core.time(core.settings.times.hosts_ms);
     loop {
-        if let Ok(hosts) = hickory_platform::host::List::hosts(&core.platform).await {
+        if let Ok(hosts) = hickory_store::host::List::hosts(&core.platform).await {
             let targets: Vec<id::Target> = hosts.iter().map(|host| host.target.clone()).collect();
             core.view.set_hosts(hosts);
             core.owners.set_targets(&targets);
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -2,11 +2,11 @@
 //! owners tell.
 
 use crate::parse::hash_parts;
-use hickory_platform::host::{Host, Kind, Standing};
 use hickory_policy::cost::Cost;
 use hickory_policy::place::{Candidate, hash_target};
 use hickory_release::configuration::Configuration;
 use hickory_state::member::Info;
+use hickory_store::host::{Host, Kind, Standing};
 use hickory_target::engine::Weights;
 use hickory_unit::{id, size};
 use hickory_wire::message::{Gossip, State};
--- /dev/null
+++ b/crates/path/src/books.rs
@@ -0,0 +1,230 @@
+//! What runs where, of all nodes.
+//!
+//! Load: nodes that choose by reports which are 200 ms old choose alike and
+//! put two long prompts on one engine. Each node therefore tells all others of
+//! what it places, within milliseconds. A booking is told again every half
+//! second while it lasts, and forgotten where it isn't: a datagram that is
+//! lost or a node that dies leaves nothing behind.
+
+use crate::view::{Tag, Target};
+use hickory_policy::engine::Profile;
+use hickory_policy::plan::Load;
+use hickory_unit::id;
+use hickory_unit::size::Tokens;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How long a peer's booking lasts without being told again: four tellings.
+const STALE: Duration = Duration::from_secs(2);
+
+/// The window in which sendings to a cold target are counted.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+
+/// The least that an engine still has to read where its books say that it
+/// should be done and no first token has come, as a part of what was placed.
+const OVERDUE_PART: u32 = 5;
+
+/// A request's place, as told between nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Booking {
+    /// The target that was sent the request.
+    pub first: Tag,
+    /// Engines that read parts of it, besides.
+    pub helpers: Vec<Tag>,
+    /// What each of them reads.
+    pub part: Duration,
+    /// Prompt tokens.
+    pub prompt: Tokens,
+    /// Answer tokens, at a guess.
+    pub answer: Tokens,
+    /// Memory by engine, where it isn't all at the first.
+    pub memory: Vec<(Tag, Tokens)>,
+    /// The longest pause that its stream is to keep.
+    pub gap: Option<Duration>,
+    /// Whether it is a short prompt.
+    pub short: bool,
+    /// Whether the prompt is still being read.
+    pub reading: bool,
+    /// How long ago it was placed.
+    pub age: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Kept {
+    booking: Booking,
+    placed: Instant,
+    told: Instant,
+}
+
+/// Names a booking within its node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Number(pub u32);
+
+/// The bookings of all nodes.
+#[derive(Clone, Debug, Default)]
+pub struct Books {
+    own: HashMap<Number, Kept>,
+    peers: HashMap<id::Node, HashMap<Number, Kept>>,
+    last: u32,
+    sent: HashMap<Tag, VecDeque<Instant>>,
+}
+
+impl Books {
+    /// Notes a request that this node places now.
+    pub fn place(&mut self, now: Instant, booking: Booking) -> Number {
+        self.last = self.last.wrapping_add(1);
+        let number = Number(self.last);
+        self.note_sent(now, booking.first);
+        self.own.insert(number, Kept { booking, placed: now, told: now });
+        number
+    }
+
+    /// Notes the first token of an own request.
+    pub fn begin_writing(&mut self, number: Number) {
+        if let Some(kept) = self.own.get_mut(&number) {
+            kept.booking.reading = false;
+        }
+    }
+
+    /// Forgets an own request.
+    pub fn end(&mut self, number: Number) {
+        self.own.remove(&number);
+    }
+
+    /// The own requests, as they are told to peers.
+    pub fn tell(&self, now: Instant) -> impl Iterator<Item = (Number, Booking)> {
+        self.own.iter().map(move |(&number, kept)| {
+            let age = now.saturating_duration_since(kept.placed);
+            (number, Booking { age, ..kept.booking.clone() })
+        })
+    }
+
+    /// Takes a peer's booking.
+    pub fn take(&mut self, now: Instant, node: &id::Node, number: Number, booking: Booking) {
+        let placed = now.checked_sub(booking.age).unwrap_or(now);
+        let first = booking.first;
+        let bookings = match self.peers.get_mut(node) {
+            Some(bookings) => bookings,
+            None => self.peers.entry(node.clone()).or_default(),
+        };
+        if bookings.insert(number, Kept { booking, placed, told: now }).is_none() {
+            self.note_sent(placed, first);
+        }
+    }
+
+    /// Notes the first token of a peer's request.
+    pub fn take_writing(&mut self, node: &id::Node, number: Number) {
+        if let Some(kept) = self.peers.get_mut(node).and_then(|all| all.get_mut(&number)) {
+            kept.booking.reading = false;
+        }
+    }
+
+    /// Forgets a peer's request.
+    pub fn take_end(&mut self, node: &id::Node, number: Number) {
+        if let Some(bookings) = self.peers.get_mut(node) {
+            bookings.remove(&number);
+        }
+    }
+
+    /// Forgets all requests of a peer, which started anew.
+    pub fn forget(&mut self, node: &id::Node) {
+        self.peers.remove(node);
+    }
+
+    /// Forgets what peers no longer tell of.
+    pub fn expire(&mut self, now: Instant) {
+        for bookings in self.peers.values_mut() {
+            bookings.retain(|_, kept| now.saturating_duration_since(kept.told) < STALE);
+        }
+        self.peers.retain(|_, bookings| !bookings.is_empty());
+        self.sent.retain(|_, times| {
+            times.retain(|at| now.saturating_duration_since(*at) < COLD_WINDOW);
+            !times.is_empty()
+        });
+    }
+
+    /// Requests sent to a target within the last second.
+    pub fn sent_lately(&self, now: Instant, tag: Tag) -> usize {
+        let is_late = |at: &&Instant| now.saturating_duration_since(**at) < COLD_WINDOW;
+        self.sent.get(&tag).map_or(0, |times| times.iter().filter(is_late).count())
+    }
+
+    /// What each of the targets has to do.
+    pub fn loads(
+        &self,
+        now: Instant,
+        targets: &[Arc<Target>],
+        profile: Option<&Profile>,
+    ) -> Vec<Load> {
+        let places: HashMap<Tag, usize> =
+            targets.iter().enumerate().map(|(place, target)| (target.tag, place)).collect();
+        let mut loads = vec![Load::default(); targets.len()];
+        let mut reads: Vec<Vec<(Instant, Duration)>> = vec![Vec::new(); targets.len()];
+        let peers = self.peers.values().flat_map(HashMap::values);
+        let fresh = |kept: &&Kept| now.saturating_duration_since(kept.told) < STALE;
+        for kept in self.own.values().chain(peers.filter(fresh)) {
+            add_booking(kept, &places, &mut loads, &mut reads);
+        }
+        if profile.is_some() {
+            for (load, reads) in loads.iter_mut().zip(&mut reads) {
+                load.backlog = estimate_backlog(now, reads);
+            }
+        }
+        loads
+    }
+
+    fn note_sent(&mut self, at: Instant, tag: Tag) {
+        self.sent.entry(tag).or_default().push_back(at);
+    }
+}
+
+fn add_booking(
+    kept: &Kept,
+    places: &HashMap<Tag, usize>,
+    loads: &mut [Load],
+    reads: &mut [Vec<(Instant, Duration)>],
+) {
+    let booking = &kept.booking;
+    if let Some(&first) = places.get(&booking.first) {
+        let load = &mut loads[first];
+        load.requests += 1;
+        load.short += u32::from(booking.short);
+        load.gap = load.gap.into_iter().chain(booking.gap).min();
+        match booking.reading {
+            true => reads[first].push((kept.placed, booking.part)),
+            false => {
+                loads[first].writers += 1;
+                loads[first].context += booking.prompt + booking.answer;
+            }
+        }
+        if booking.memory.is_empty() {
+            loads[first].memory += booking.prompt + booking.answer;
+        }
+    }
+    for &(tag, tokens) in &booking.memory {
+        if let Some(&place) = places.get(&tag) {
+            loads[place].memory += tokens;
+        }
+    }
+    if !booking.reading {
+        return;
+    }
+    for place in booking.helpers.iter().filter_map(|tag| places.get(tag)) {
+        loads[*place].helping += 1;
+        reads[*place].push((kept.placed, booking.part));
+    }
+}
+
+/// Time until all is read that was placed on an engine, in order of placing.
+fn estimate_backlog(now: Instant, reads: &mut [(Instant, Duration)]) -> Duration {
+    reads.sort_unstable();
+    let mut finish: Option<Instant> = None;
+    for &(placed, part) in reads.iter() {
+        finish = Some(finish.map_or(placed, |finish| finish.max(placed)) + part);
+    }
+    let left = finish.map_or(Duration::ZERO, |finish| finish.saturating_duration_since(now));
+    let overdue: Duration = reads.iter().map(|(_, part)| *part / OVERDUE_PART).sum();
+    left.max(overdue)
+}
--- /dev/null
+++ b/crates/path/src/config.rs
@@ -0,0 +1,149 @@
+//! The configuration that operators set: routes, services, accounts, limits.
+
+use compact_str::CompactString;
+use hickory_policy::engine;
+use hickory_unit::{id, size};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A whole configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Configuration {
+    /// Its version; later ones are greater.
+    pub version: u64,
+    /// Routes by host, those with the longest prefix first.
+    pub routes: HashMap<CompactString, Vec<Arc<Route>>>,
+    /// Services by name.
+    pub services: HashMap<id::Service, Arc<Service>>,
+    /// Accounts by key; `None` where callers need no key.
+    pub accounts: Option<HashMap<CompactString, Arc<Account>>>,
+    /// What callers may send.
+    pub limits: Limits,
+}
+
+/// What may be repeated of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// It may run more than once.
+    Idempotent,
+    /// It runs at most once for each attempt of the caller.
+    Once,
+    /// A stream of events that begins once.
+    Stream,
+    /// A stream of events that another target may take up.
+    ResumableStream,
+}
+
+impl Kind {
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
+
+    /// Whether it may run more than once.
+    pub fn is_repeatable(self) -> bool {
+        matches!(self, Self::Idempotent | Self::ResumableStream)
+    }
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name, for logs.
+    pub name: CompactString,
+    /// The host it is for.
+    pub host: CompactString,
+    /// The beginning of the paths it is for.
+    pub prefix: CompactString,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// How long a caller may be kept waiting.
+    pub timeout: Duration,
+    /// The time within which an answer, or a stream's first event, is wanted.
+    pub goal: Duration,
+    /// The longest wanted pause between two events of a stream.
+    pub gap: Option<Duration>,
+    /// Its rank; 0 is the highest.
+    pub priority: u32,
+    /// The services it goes to, with their weights.
+    pub split: Vec<(id::Service, u32)>,
+    /// Targets that one attempt of a caller may be sent to.
+    pub targets_max: u32,
+    /// Whether callers need no key.
+    pub public: bool,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: id::Service,
+    /// Requests a second that a cold target bears; `None` where it bears all.
+    pub cold_rate: Option<f64>,
+    /// The figures of its engines, where it is a model's.
+    pub engine: Option<engine::Profile>,
+}
+
+/// A client account.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Account {
+    /// Its name.
+    pub name: id::Account,
+    /// Its rank, in place of the route's.
+    pub priority: Option<u32>,
+}
+
+/// What callers may send, and how long they may be idle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The head of a request.
+    pub header: size::Bytes,
+    /// Its body.
+    pub body: size::Bytes,
+    /// How long a connection may be idle.
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    /// In force before the first configuration is known: what HTTP servers
+    /// commonly take.
+    fn default() -> Self {
+        Self {
+            header: size::Bytes(16 << 10),
+            body: size::Bytes(4 << 20),
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+impl Configuration {
+    /// The route for a host and path.
+    pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(host)?;
+        routes.iter().find(|route| path.starts_with(route.prefix.as_str()))
+    }
+
+    /// The account of a key.
+    pub fn find_account(&self, key: &str) -> Option<&Arc<Account>> {
+        self.accounts.as_ref()?.get(key)
+    }
+
+    /// The engine figures of a service.
+    pub fn engine_of(&self, service: &id::Service) -> Option<&engine::Profile> {
+        self.services.get(service)?.engine.as_ref()
+    }
+}
+
+impl Route {
+    /// The service that a random number from 0 to 1 falls on, by weight.
+    pub fn pick_service(&self, random: f64) -> Option<&id::Service> {
+        let total: f64 = self.split.iter().map(|(_, weight)| f64::from(*weight)).sum();
+        let mut left = random * total;
+        let chosen = self.split.iter().find(|(_, weight)| {
+            left -= f64::from(*weight);
+            left < 0.0
+        });
+        chosen.or(self.split.last()).map(|(service, _)| service)
+    }
+}
--- /dev/null
+++ b/crates/path/src/core.rs
@@ -0,0 +1,230 @@
+//! What the parts of a node share.
+
+use crate::books::Books;
+use crate::dialect::Dialect;
+use crate::items::Items;
+use crate::peer::{Event, Peers};
+use crate::settings::{Bounds, Settings};
+use crate::suspect::Doubts;
+use crate::view::View;
+use hickory_client::Client;
+use hickory_policy::poison::Suspects;
+use hickory_policy::share::Budget;
+use hickory_state::member::Member;
+use hickory_store::store::Store;
+use hickory_unit::clock::Clock;
+use hickory_unit::id;
+use std::collections::HashMap;
+use std::marker::PhantomData;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify, watch};
+
+/// How long a connect to a target may take: the way there and back is a few
+/// milliseconds, and a target whose queue of connections is full answers only
+/// after seconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How long sent bytes may stay unacknowledged before a target counts as cut
+/// off: some hundred times the way there and back.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// How long the store must have answered before entries that go are taken as
+/// removed on purpose.
+const STORE_SETTLED: Duration = Duration::from_secs(3);
+
+/// What a node is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// It takes callers.
+    Serving,
+    /// It is stopping: it serves what comes, and sends callers elsewhere.
+    Draining,
+    /// It has stopped.
+    Closed,
+}
+
+/// The state of a node.
+#[derive(Debug)]
+pub(crate) struct Core<D, S: Store, C: Clock> {
+    pub(crate) settings: Settings,
+    bounds: RwLock<Arc<Bounds>>,
+    pub(crate) store: S,
+    pub(crate) clock: C,
+    pub(crate) incarnation: id::Incarnation,
+    pub(crate) client: Client,
+    pub(crate) member: OnceLock<Member<S, C>>,
+    items: Mutex<Items>,
+    view: RwLock<Arc<View>>,
+    books: Mutex<Books>,
+    peers: Mutex<Peers>,
+    doubts: Mutex<Doubts>,
+    suspects: Mutex<Suspects>,
+    budgets: Mutex<HashMap<id::Service, Budget>>,
+    store_failed: Mutex<Option<Instant>>,
+    outbox: Mutex<Vec<Event>>,
+    pub(crate) told: Notify,
+    pub(crate) stage: watch::Sender<Stage>,
+    active: AtomicUsize,
+    dialect: PhantomData<fn() -> D>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl<D: Dialect, S: Store, C: Clock> Core<D, S, C> {
+    pub(crate) fn open(settings: Settings, store: S, clock: C) -> Self {
+        Self {
+            bounds: RwLock::new(Arc::new(settings.bounds.clone())),
+            settings,
+            store,
+            incarnation: id::Incarnation(clock.wall_ms()),
+            clock,
+            client: Client::open(CONNECT_TIMEOUT).with_silence(SILENCE),
+            member: OnceLock::new(),
+            items: Mutex::default(),
+            view: RwLock::default(),
+            books: Mutex::default(),
+            peers: Mutex::default(),
+            doubts: Mutex::default(),
+            suspects: Mutex::default(),
+            budgets: Mutex::default(),
+            store_failed: Mutex::default(),
+            outbox: Mutex::default(),
+            told: Notify::new(),
+            stage: watch::channel(Stage::Serving).0,
+            active: AtomicUsize::new(0),
+            dialect: PhantomData,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    pub(crate) fn bounds(&self) -> Arc<Bounds> {
+        self.bounds.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn set_bounds(&self, bounds: Bounds) {
+        *self.bounds.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(bounds);
+    }
+
+    pub(crate) fn view(&self) -> Arc<View> {
+        self.view.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn books(&self) -> MutexGuard<'_, Books> {
+        lock(&self.books)
+    }
+
+    pub(crate) fn peers(&self) -> MutexGuard<'_, Peers> {
+        lock(&self.peers)
+    }
+
+    pub(crate) fn doubts(&self) -> MutexGuard<'_, Doubts> {
+        lock(&self.doubts)
+    }
+
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        lock(&self.suspects)
+    }
+
+    pub(crate) fn items(&self) -> MutexGuard<'_, Items> {
+        lock(&self.items)
+    }
+
+    /// Changes the items and reads them anew where that was news.
+    pub(crate) fn update(&self, change: impl FnOnce(&mut Items) -> bool) {
+        let mut items = self.items();
+        if !change(&mut items) {
+            return;
+        }
+        let next = self.view().read::<D>(&items, self.now(), self.is_store_away());
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(next);
+    }
+
+    /// Notes whether the store answered.
+    pub(crate) fn note_store(&self, answered: bool) {
+        let now = self.now();
+        let mut failed = lock(&self.store_failed);
+        let was_away = failed.is_some();
+        match answered {
+            false => *failed = Some(now),
+            true if failed.is_some_and(|at| now.duration_since(at) > STORE_SETTLED) => {
+                *failed = None;
+            }
+            true => {}
+        }
+        if was_away != failed.is_some() {
+            log::warn!(away = failed.is_some(); "the store's reach changed");
+        }
+    }
+
+    /// Whether the store has been out of reach lately.
+    pub(crate) fn is_store_away(&self) -> bool {
+        let failed = *lock(&self.store_failed);
+        failed.is_some_and(|at| self.now().duration_since(at) < STORE_SETTLED)
+    }
+
+    /// Notes a request of a service, which earns part of a repeat.
+    pub(crate) fn earn_repeat(&self, service: &id::Service) {
+        let (now, bounds) = (self.now(), self.bounds());
+        let mut budgets = lock(&self.budgets);
+        match budgets.get_mut(service) {
+            Some(budget) => budget.earn(now, &bounds.repeats),
+            None => budgets.entry(service.clone()).or_default().earn(now, &bounds.repeats),
+        }
+    }
+
+    /// Takes one repeat from this node's share of a service's budget.
+    pub(crate) fn spend_repeat(&self, service: &id::Service) -> bool {
+        let (now, bounds) = (self.now(), self.bounds());
+        let nodes = self.peers().count(now) + 1;
+        let mut budgets = lock(&self.budgets);
+        budgets.entry(service.clone()).or_default().spend(now, &bounds.repeats, nodes)
+    }
+
+    /// Tells all peers, with what else is told within a millisecond.
+    pub(crate) fn tell(&self, event: Event) {
+        lock(&self.outbox).push(event);
+        self.told.notify_one();
+    }
+
+    pub(crate) fn take_outbox(&self) -> Vec<Event> {
+        std::mem::take(&mut lock(&self.outbox))
+    }
+
+    pub(crate) fn stage(&self) -> Stage {
+        *self.stage.borrow()
+    }
+
+    /// Whether callers should be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.stage() == Stage::Serving && self.view().configuration.is_some()
+    }
+
+    /// Requests under way.
+    pub(crate) fn active(&self) -> usize {
+        self.active.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts a request as under way while it lives.
+#[derive(Debug)]
+pub(crate) struct Active<D: Dialect, S: Store, C: Clock>(Arc<Core<D, S, C>>);
+
+impl<D: Dialect, S: Store, C: Clock> Active<D, S, C> {
+    pub(crate) fn begin(core: &Arc<Core<D, S, C>>) -> Self {
+        core.active.fetch_add(1, Ordering::Relaxed);
+        Self(core.clone())
+    }
+}
+
+impl<D: Dialect, S: Store, C: Clock> Drop for Active<D, S, C> {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/path/src/drain.rs
@@ -0,0 +1,57 @@
+//! The planned stop.
+//!
+//! Callers may keep this node's address for a while, so it serves on after it
+//! has said that it leaves, and closes each connection with its next answer.
+
+use crate::core::{Core, Stage};
+use crate::dialect::Dialect;
+use hickory_store::store::Store;
+use hickory_unit::clock::Clock;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a stopping node is still named in kept answers: three times what
+/// they may be kept, and the time that its peers take to hear of the stop.
+const NAMED: Duration = Duration::from_millis(3_400);
+
+/// What is left of the grace time when the node stops at the latest: enough to
+/// end by itself before it is killed.
+const RESERVE: Duration = Duration::from_millis(500);
+
+/// Between two looks whether the last request has ended.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Begins a planned stop, once.
+pub(crate) fn begin<D: Dialect, S: Store, C: Clock>(core: &Arc<Core<D, S, C>>) {
+    let begun = core.stage.send_if_modified(|stage| {
+        let serving = *stage == Stage::Serving;
+        if serving {
+            *stage = Stage::Draining;
+        }
+        serving
+    });
+    if begun {
+        log::info!(active = core.active(); "planned stop begun");
+        // An empty telling carries the word that this node isn't ready.
+        core.told.notify_one();
+        tokio::spawn(finish(core.clone()));
+    }
+}
+
+async fn finish<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
+    if let Some(member) = core.member.get().cloned() {
+        // The store may be away, and the stop doesn't wait for it.
+        tokio::spawn(async move { member.leave().await });
+    }
+    let began = core.now();
+    let latest = core.bounds().grace.saturating_sub(RESERVE);
+    loop {
+        let passed = core.now().duration_since(began);
+        if passed >= latest || (passed >= NAMED && core.active() == 0) {
+            break;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    log::info!(active = core.active(); "planned stop done");
+    core.stage.send_replace(Stage::Closed);
+}
--- /dev/null
+++ b/crates/path/src/lib.rs
@@ -0,0 +1,78 @@
+//! The request path of an entry host.
+//!
+//! A request is decoded by a [`dialect::Dialect`] into the product's own terms
+//! ([`demand`]), matched to a route and an account ([`config`]), placed on
+//! targets by what all nodes have told of their work ([`books`]), sent
+//! ([`attempt`]), and relayed ([`serve`], [`stream`]). What a node believes
+//! comes from the store ([`sync`]) and from its peers ([`peer`]), merged by
+//! revision ([`items`]) and read as one [`view`].
+
+pub mod attempt;
+pub mod books;
+pub mod config;
+pub mod core;
+pub mod demand;
+pub mod dialect;
+mod drain;
+mod entry;
+mod intake;
+pub mod items;
+mod peer;
+mod place;
+pub mod reply;
+mod run;
+mod serve;
+pub mod settings;
+mod stream;
+mod suspect;
+mod sync;
+mod ticket;
+pub mod view;
+
+use crate::core::{Core, Stage};
+use crate::dialect::Dialect;
+use hickory_store::store::Store;
+use hickory_unit::clock::Clock;
+use settings::Settings;
+use std::io;
+use std::sync::Arc;
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node<D: Dialect, S: Store, C: Clock> {
+    core: Arc<Core<D, S, C>>,
+}
+
+impl<D: Dialect, S: Store, C: Clock> Node<D, S, C> {
+    /// Binds the addresses of the settings and starts the node on the current
+    /// Tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// An address that can't be bound.
+    pub async fn spawn(settings: Settings, store: S, clock: C) -> io::Result<Self> {
+        let sockets = intake::Sockets::bind(&settings).await?;
+        let core = Arc::new(Core::open(settings, store, clock));
+        sync::spawn(&core);
+        peer::spawn(&core, sockets.peers.clone());
+        intake::spawn(&core, sockets);
+        Ok(Self { core })
+    }
+
+    /// Takes settings that changed while the node runs; addresses stay.
+    pub fn reload(&self, settings: Settings) {
+        self.core.set_bounds(settings.bounds);
+    }
+
+    /// Begins a planned stop; [`Node::closed`] tells when it is done.
+    pub fn drain(&self) {
+        drain::begin(&self.core);
+    }
+
+    /// Waits until the node takes nothing more and its last request has ended.
+    pub async fn closed(&self) {
+        let mut stage = self.core.stage.subscribe();
+        // The sender lives as long as the node.
+        let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
+    }
+}
--- /dev/null
+++ b/crates/path/src/peer.rs
@@ -0,0 +1,288 @@
+//! What nodes tell each other by datagrams.
+//!
+//! A datagram may be lost, so nothing hangs on a single one: bookings and the
+//! sender's state are told again twice a second. What is too large for a
+//! datagram (the store's items) is fetched from the peer that has it; see
+//! [`crate::sync`].
+
+use crate::books::{Booking, Number};
+use crate::core::{Core, Stage};
+use crate::dialect::Dialect;
+use crate::view::Tag;
+use hickory_policy::poison::Suspect;
+use hickory_store::store::{Revision, Store};
+use hickory_unit::clock::Clock;
+use hickory_unit::id;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+
+/// Between two beats.
+const BEAT: Duration = Duration::from_millis(250);
+
+/// Beats between two tellings of all bookings.
+const FULL_EVERY: u32 = 2;
+
+/// A peer that was silent for this long is not named to callers: four beats
+/// and a half, so that a few lost datagrams don't hide a living node.
+const SILENT: Duration = Duration::from_millis(1_100);
+
+/// A peer that was silent for this long is forgotten, with its addresses.
+const FORGOTTEN: Duration = Duration::from_secs(10);
+
+/// Events gathered before a datagram goes out.
+const GATHER: Duration = Duration::from_millis(1);
+
+/// The greatest datagram: what goes through all links unfragmented.
+const DATAGRAM_MAX: usize = 1_200;
+
+/// The receive buffer: the greatest datagram of a peer.
+const RECEIVE: usize = 2_048;
+
+/// One thing that a node tells.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Event {
+    /// A request was placed, or still lasts.
+    Placed(Number, Booking),
+    /// Its first token came.
+    Writing(Number),
+    /// It ended.
+    Ended(Number),
+    /// A target failed a request.
+    Failed(Tag),
+    /// A request was running when a target died.
+    Suspect { fingerprint: u64, deaths: u32 },
+}
+
+/// What a node tells of itself in each datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Beat {
+    node: id::Node,
+    incarnation: id::Incarnation,
+    callers: SocketAddr,
+    sync: SocketAddr,
+    /// Whether callers should be sent to it.
+    ready: bool,
+    /// The newest revision of what operators wrote, of targets and of nodes.
+    operator: Revision,
+    targets: Revision,
+    events: Vec<Event>,
+}
+
+/// What is known of a peer.
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    incarnation: id::Incarnation,
+    pub(crate) callers: SocketAddr,
+    pub(crate) sync: SocketAddr,
+    address: SocketAddr,
+    ready: bool,
+    pub(crate) operator: Revision,
+    pub(crate) targets: Revision,
+    heard: Instant,
+}
+
+/// The peers that were heard.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Peers {
+    peers: HashMap<id::Node, Peer>,
+}
+
+impl Peers {
+    /// Peers heard lately.
+    pub(crate) fn count(&self, now: Instant) -> usize {
+        self.living(now).count()
+    }
+
+    /// Where callers may connect.
+    pub(crate) fn callers(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        self.living(now).filter(|peer| peer.ready).map(|peer| peer.callers)
+    }
+
+    /// The peers heard lately.
+    pub(crate) fn living(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let is_heard = move |peer: &&Peer| now.saturating_duration_since(peer.heard) < SILENT;
+        self.peers.values().filter(is_heard)
+    }
+
+    /// Takes what a peer tells of itself; whether it started anew.
+    fn take(&mut self, now: Instant, beat: &Beat, address: SocketAddr) -> bool {
+        let peer = Peer {
+            incarnation: beat.incarnation,
+            callers: beat.callers,
+            sync: beat.sync,
+            address,
+            ready: beat.ready,
+            operator: beat.operator,
+            targets: beat.targets,
+            heard: now,
+        };
+        let known = self.peers.insert(beat.node.clone(), peer);
+        known.is_some_and(|known| known.incarnation != beat.incarnation)
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.peers.retain(|_, peer| now.saturating_duration_since(peer.heard) < FORGOTTEN);
+    }
+}
+
+/// Starts sending and receiving.
+pub(crate) fn spawn<D: Dialect, S: Store, C: Clock>(
+    core: &Arc<Core<D, S, C>>,
+    socket: Arc<UdpSocket>,
+) {
+    tokio::spawn(receive(core.clone(), socket.clone()));
+    tokio::spawn(send_beats(core.clone(), socket.clone()));
+    tokio::spawn(send_events(core.clone(), socket));
+}
+
+async fn receive<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; RECEIVE];
+    loop {
+        // An error is the echo of a datagram to a peer that is gone.
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
+        match postcard::from_bytes::<Beat>(&buffer[..length]) {
+            Ok(beat) => take_beat(&core, beat, from),
+            Err(error) => log::warn!(from:%; "datagram can't be read: {error}"),
+        }
+    }
+}
+
+fn take_beat<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>, beat: Beat, from: SocketAddr) {
+    if beat.node == core.settings.node {
+        return;
+    }
+    let now = core.now();
+    let anew = core.peers().take(now, &beat, from);
+    if anew {
+        log::info!(peer:% = beat.node; "peer started anew");
+        core.books().forget(&beat.node);
+    }
+    for event in beat.events {
+        take_event(core, now, &beat.node, event);
+    }
+}
+
+fn take_event<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    now: Instant,
+    node: &id::Node,
+    event: Event,
+) {
+    match event {
+        Event::Placed(number, booking) => core.books().take(now, node, number, booking),
+        Event::Writing(number) => core.books().take_writing(node, number),
+        Event::Ended(number) => core.books().take_end(node, number),
+        Event::Failed(tag) => core.doubts().note_failure(now, tag),
+        Event::Suspect { fingerprint, deaths } => {
+            let suspect = Suspect { fingerprint, deaths, age: Duration::ZERO };
+            core.suspects().merge(now, [suspect]);
+        }
+    }
+}
+
+async fn send_beats<D: Dialect, S: Store, C: Clock>(
+    core: Arc<Core<D, S, C>>,
+    socket: Arc<UdpSocket>,
+) {
+    let mut count = 0_u32;
+    while core.stage() != Stage::Closed {
+        let now = core.now();
+        core.books().expire(now);
+        core.peers().expire(now);
+        let events: Vec<Event> = match count.is_multiple_of(FULL_EVERY) {
+            true => core.books().tell(now).map(|(n, b)| Event::Placed(n, b)).collect(),
+            false => Vec::new(),
+        };
+        send(&core, &socket, events).await;
+        count = count.wrapping_add(1);
+        tokio::time::sleep(BEAT).await;
+    }
+}
+
+async fn send_events<D: Dialect, S: Store, C: Clock>(
+    core: Arc<Core<D, S, C>>,
+    socket: Arc<UdpSocket>,
+) {
+    while core.stage() != Stage::Closed {
+        core.told.notified().await;
+        tokio::time::sleep(GATHER).await;
+        let events = core.take_outbox();
+        send(&core, &socket, events).await;
+    }
+}
+
+/// Sends events to all peers, in as many datagrams as they take.
+async fn send<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    socket: &UdpSocket,
+    events: Vec<Event>,
+) {
+    let addresses = find_addresses(core);
+    let mut rest = events;
+    loop {
+        let (datagram, left) = encode(core, rest);
+        for address in &addresses {
+            // A datagram that can't be sent is like one that is lost.
+            let _ = socket.send_to(&datagram, address).await;
+        }
+        if left.is_empty() {
+            return;
+        }
+        rest = left;
+    }
+}
+
+/// A datagram with as many of the events as it holds, and the others.
+fn encode<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    mut events: Vec<Event>,
+) -> (Vec<u8>, Vec<Event>) {
+    let mut left = Vec::new();
+    loop {
+        let beat = describe(core, events);
+        let datagram = postcard::to_stdvec(&beat).unwrap_or_else(|error| {
+            log::error!("datagram can't be written: {error}");
+            Vec::new()
+        });
+        events = beat.events;
+        if datagram.len() <= DATAGRAM_MAX || events.len() <= 1 {
+            return (datagram, left);
+        }
+        left.extend(events.split_off(events.len().div_ceil(2)));
+    }
+}
+
+fn describe<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>, events: Vec<Event>) -> Beat {
+    let items = core.items();
+    Beat {
+        node: core.settings.node.clone(),
+        incarnation: core.incarnation,
+        callers: core.settings.callers,
+        sync: core.settings.sync,
+        ready: core.is_ready(),
+        operator: items.newest(D::OPERATOR_PREFIX),
+        targets: items.newest(D::TARGET_PREFIX),
+        events,
+    }
+}
+
+/// Where peers may be: those heard, those registered, and the seeds.
+fn find_addresses<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> Vec<SocketAddr> {
+    let own = core.settings.peers;
+    let mut addresses: Vec<SocketAddr> = core.peers().peers.values().map(|p| p.address).collect();
+    if let Some(member) = core.member.get() {
+        addresses.extend(member.nodes().values().map(|info| info.peers));
+    }
+    if addresses.len() <= 1 {
+        let seeds = core.settings.seeds.iter();
+        addresses.extend(seeds.map(|seed| SocketAddr::new(seed.ip(), own.port())));
+    }
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses.retain(|address| *address != own);
+    addresses
+}
--- /dev/null
+++ b/crates/path/src/place.rs
@@ -0,0 +1,255 @@
+//! Choosing targets for one attempt, and booking them.
+
+use crate::books::{Booking, Number};
+use crate::config::{Configuration, Route};
+use crate::core::Core;
+use crate::demand::Prompt;
+use crate::dialect::Dialect;
+use crate::peer::Event;
+use crate::ticket::Tickets;
+use crate::view::{Tag, Target, View};
+use hickory_policy::engine::Profile;
+use hickory_policy::plan::{self, Load, Plan, Query, Refused, SHORT_READ};
+use hickory_store::store::Store;
+use hickory_unit::clock::Clock;
+use hickory_unit::id;
+use hickory_unit::size::Tokens;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Requests a second that a cold target is given, as a part of what it is
+/// configured to bear: peers hear of a sending some milliseconds late.
+const COLD_PART: f64 = 0.8;
+
+/// Requests that may wait at a replica of a plain service, as a multiple of
+/// those it runs: beyond it, a request waits longer than callers do.
+const WAITING: u32 = 3;
+
+/// The part of an answer's bound that answers have at the mean, where nothing
+/// better is known.
+const USUAL_PART: u64 = 2;
+
+/// When to come back where nothing is known of when room will be.
+const RELIEF: Duration = Duration::from_millis(200);
+
+/// What is to be placed.
+pub(crate) struct Want<'a> {
+    pub(crate) route: &'a Route,
+    pub(crate) service: &'a id::Service,
+    pub(crate) prompt: Option<Prompt>,
+    pub(crate) deadline: Instant,
+    /// Targets that were tried.
+    pub(crate) tried: &'a [Tag],
+}
+
+/// Where a request goes. Dropping it ends its booking.
+pub(crate) struct Place<D: Dialect, S: Store, C: Clock> {
+    core: Arc<Core<D, S, C>>,
+    number: Number,
+    pub(crate) target: Arc<Target>,
+    pub(crate) helpers: Vec<Arc<Target>>,
+    /// Memory to reserve, by target; empty where the first holds all.
+    pub(crate) memory: Vec<(Arc<Target>, Tokens)>,
+    /// When the first token, or the answer, is expected.
+    pub(crate) expected: Duration,
+    /// Released with the place.
+    tickets: Option<Tickets<D, S, C>>,
+}
+
+impl<D: Dialect, S: Store, C: Clock> Place<D, S, C> {
+    /// The place with the reservations that it needs.
+    pub(crate) fn with_tickets(mut self, tickets: Tickets<D, S, C>) -> Self {
+        self.tickets = Some(tickets);
+        self
+    }
+
+    /// Notes the first token.
+    pub(crate) fn begin_writing(&self) {
+        self.core.books().begin_writing(self.number);
+        self.core.tell(Event::Writing(self.number));
+    }
+}
+
+impl<D: Dialect, S: Store, C: Clock> Drop for Place<D, S, C> {
+    fn drop(&mut self) {
+        self.core.books().end(self.number);
+        self.core.tell(Event::Ended(self.number));
+    }
+}
+
+/// Why nothing is free: when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoPlace {
+    /// No target takes work.
+    NoTarget,
+    /// The prompt is greater than the fleet holds.
+    TooLong,
+    /// There may be room after this time.
+    Busy(Duration),
+}
+
+/// Chooses targets and books them.
+pub(crate) fn choose<D: Dialect, S: Store, C: Clock>(
+    core: &Arc<Core<D, S, C>>,
+    view: &View,
+    configuration: &Configuration,
+    want: &Want<'_>,
+) -> Result<Place<D, S, C>, NoPlace> {
+    let now = core.now();
+    let candidates = find_candidates(core, view, configuration, want, now);
+    if candidates.is_empty() {
+        return Err(NoPlace::NoTarget);
+    }
+    let profile = configuration.engine_of(want.service);
+    let mut loads = core.books().loads(now, &candidates, profile);
+    mark(core, now, &candidates, &mut loads);
+    let limit = want.deadline.saturating_duration_since(now);
+    match (profile, want.prompt) {
+        (Some(profile), Some(prompt)) => {
+            let answer = guess_answer(profile, prompt);
+            let goal = want.route.goal;
+            let query = Query { prompt: prompt.tokens, answer, goal, limit };
+            let plan = plan::choose_engines(&query, profile, &loads).map_err(read_refused)?;
+            Ok(book_plan(core, now, &candidates, want, &query, &plan))
+        }
+        _ => {
+            let place = choose_replica(&candidates, &loads)?;
+            let booking = Booking {
+                first: candidates[place].tag,
+                helpers: Vec::new(),
+                part: Duration::ZERO,
+                prompt: Tokens(0),
+                answer: Tokens(0),
+                memory: Vec::new(),
+                gap: None,
+                short: false,
+                reading: true,
+                age: Duration::ZERO,
+            };
+            let plan = Plan {
+                first: place,
+                helpers: Vec::new(),
+                memory: Vec::new(),
+                part: Duration::ZERO,
+                first_token: want.route.goal,
+            };
+            Ok(book(core, now, &candidates, booking, &plan))
+        }
+    }
+}
+
+fn read_refused(refused: Refused) -> NoPlace {
+    match refused {
+        Refused::NoEngine => NoPlace::NoTarget,
+        Refused::TooLong => NoPlace::TooLong,
+        Refused::Busy(time) => NoPlace::Busy(time),
+    }
+}
+
+/// Targets that may be sent the request. Those that were tried are left out
+/// while there are others.
+fn find_candidates<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    view: &View,
+    configuration: &Configuration,
+    want: &Want<'_>,
+    now: Instant,
+) -> Vec<Arc<Target>> {
+    let cold_rate = configuration.services.get(want.service).and_then(|s| s.cold_rate);
+    let books = core.books();
+    let bears = |target: &Target| match cold_rate {
+        Some(rate) if target.is_cold(now) => {
+            (books.sent_lately(now, target.tag) as f64) < rate * COLD_PART
+        }
+        _ => true,
+    };
+    let all = view.targets_of(want.service).iter();
+    let able: Vec<Arc<Target>> = all
+        .filter(|target| target.takes_work(now) && !view.evacuated.contains(&target.entry.zone))
+        .filter(|target| bears(target))
+        .cloned()
+        .collect();
+    let is_new = |target: &&Arc<Target>| !want.tried.contains(&target.tag);
+    let new: Vec<Arc<Target>> = able.iter().filter(is_new).cloned().collect();
+    if new.is_empty() { able } else { new }
+}
+
+fn mark<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    now: Instant,
+    targets: &[Arc<Target>],
+    loads: &mut [Load],
+) {
+    let doubts = core.doubts();
+    for (target, load) in targets.iter().zip(loads) {
+        load.near = target.entry.zone == core.settings.zone;
+        load.doubtful = doubts.holds(now, target.tag);
+    }
+}
+
+fn guess_answer(profile: &Profile, prompt: Prompt) -> Tokens {
+    let guess = prompt.answer_guess.unwrap_or(Tokens(prompt.answer_max.0 / USUAL_PART));
+    guess.max(profile.usual_answer).min(prompt.answer_max)
+}
+
+/// The replica of a plain service with the fewest requests for its slots.
+fn choose_replica(targets: &[Arc<Target>], loads: &[Load]) -> Result<usize, NoPlace> {
+    let share = |place: &usize| {
+        let (load, slots) = (&loads[*place], targets[*place].entry.slots.max(1));
+        // In thousandths, since keys must be ordered; beyond some, the way to
+        // another zone is shorter than the wait.
+        let busy = load.requests * 1_000 / slots;
+        (load.doubtful, busy, !load.near)
+    };
+    let place = (0..targets.len()).min_by_key(share).ok_or(NoPlace::NoTarget)?;
+    let slots = targets[place].entry.slots.max(1);
+    match loads[place].requests >= slots * WAITING {
+        true => Err(NoPlace::Busy(RELIEF)),
+        false => Ok(place),
+    }
+}
+
+fn book_plan<D: Dialect, S: Store, C: Clock>(
+    core: &Arc<Core<D, S, C>>,
+    now: Instant,
+    targets: &[Arc<Target>],
+    want: &Want<'_>,
+    query: &Query,
+    plan: &Plan,
+) -> Place<D, S, C> {
+    let tag = |place: usize| targets[place].tag;
+    let booking = Booking {
+        first: tag(plan.first),
+        helpers: plan.helpers.iter().map(|&place| tag(place)).collect(),
+        part: plan.part,
+        prompt: query.prompt,
+        answer: query.answer,
+        memory: plan.memory.iter().map(|&(place, tokens)| (tag(place), tokens)).collect(),
+        gap: want.route.gap,
+        short: plan.helpers.is_empty() && plan.part < SHORT_READ,
+        reading: true,
+        age: Duration::ZERO,
+    };
+    book(core, now, targets, booking, plan)
+}
+
+fn book<D: Dialect, S: Store, C: Clock>(
+    core: &Arc<Core<D, S, C>>,
+    now: Instant,
+    targets: &[Arc<Target>],
+    booking: Booking,
+    plan: &Plan,
+) -> Place<D, S, C> {
+    let number = core.books().place(now, booking.clone());
+    core.tell(Event::Placed(number, booking));
+    let target = |place: usize| targets[place].clone();
+    Place {
+        core: core.clone(),
+        number,
+        target: target(plan.first),
+        helpers: plan.helpers.iter().map(|&place| target(place)).collect(),
+        memory: plan.memory.iter().map(|&(place, tokens)| (target(place), tokens)).collect(),
+        expected: plan.first_token,
+        tickets: None,
+    }
+}
--- /dev/null
+++ b/crates/path/src/reply.rs
@@ -0,0 +1,92 @@
+//! Answers to callers.
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::{Body, Frame, SizeHint};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// A stream that ended before its last event. The connection is closed on it,
+/// so that what the caller has does not look complete.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+#[display("the stream broke off")]
+pub struct Broken;
+
+impl std::error::Error for Broken {}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum Reply {
+    /// A whole body.
+    Whole(Full<Bytes>),
+    /// A stream.
+    Events(mpsc::Receiver<Result<Bytes, Broken>>),
+}
+
+impl Body for Reply {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            Self::Whole(body) => {
+                let frame = ready!(Pin::new(body).poll_frame(cx));
+                Poll::Ready(frame.map(|frame| frame.map_err(|never| match never {})))
+            }
+            Self::Events(events) => {
+                let event = ready!(events.poll_recv(cx));
+                Poll::Ready(event.map(|event| event.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Events(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Events(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// A whole answer with a head of a target's.
+pub(crate) fn whole(head: http::response::Parts, body: Bytes) -> Response<Reply> {
+    Response::from_parts(head, Reply::Whole(Full::new(body)))
+}
+
+/// An answer of plain text.
+pub(crate) fn plain(status: StatusCode, text: &str) -> Response<Reply> {
+    let body = Bytes::copy_from_slice(text.as_bytes());
+    let mut response = Response::new(Reply::Whole(Full::new(body)));
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer in JSON.
+pub(crate) fn json(status: StatusCode, body: String) -> Response<Reply> {
+    let mut response = Response::new(Reply::Whole(Full::new(body.into())));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+/// Tells the caller when to come back.
+pub(crate) fn set_retry_after(response: &mut Response<Reply>, time: Duration) {
+    let text = format!("{:.2}", time.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&text) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+}
--- /dev/null
+++ b/crates/path/src/run.rs
@@ -0,0 +1,424 @@
+//! Running a request: attempts until there is an answer, or it is given up on.
+
+use crate::attempt::{self, Failure, Opened, Terms};
+use crate::core::{Active, Core};
+use crate::dialect::Dialect;
+use crate::peer::Event;
+use crate::place::{self, NoPlace, Place, Want};
+use crate::reply::{self, Reply};
+use crate::serve::{Job, Refusal};
+use crate::stream;
+use crate::ticket::Tickets;
+use crate::view::{Tag, Target};
+use bytes::Bytes;
+use hickory_client::Exchange;
+use hickory_policy::poison::Verdict;
+use hickory_policy::refuse::Reason;
+use hickory_store::store::Store;
+use hickory_unit::clock::Clock;
+use hickory_unit::id;
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use std::io::ErrorKind;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+/// Targets that may turn out to be gone before the request reached any; they
+/// do not count as sendings.
+const UNSENT_MAX: u32 = 4;
+
+/// How long a look at a target's port may take, to tell a death from a cut.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// When to come back after targets that say they are full.
+const FULL_RETRY: Duration = Duration::from_millis(150);
+
+/// When to come back where no target takes work.
+const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
+
+/// The most that callers are told to wait: beyond it, what is known of the
+/// load now says nothing.
+const RETRY_MAX: Duration = Duration::from_secs(3);
+
+/// A request under way.
+#[derive(Debug)]
+pub(crate) struct Run<D: Dialect, S: Store, C: Clock> {
+    pub(crate) core: Arc<Core<D, S, C>>,
+    pub(crate) job: Job,
+    pub(crate) service: id::Service,
+    fingerprint: u64,
+    /// Targets that were sent the request.
+    pub(crate) sends: u32,
+    unsent: u32,
+    tried: Vec<Tag>,
+    /// Whether it may have run.
+    ran: bool,
+    /// The last event that the caller has.
+    pub(crate) resume_after: Option<u64>,
+    /// When the first event came, counted from the arrival.
+    pub(crate) first_event: Option<Duration>,
+    /// The longest pause between two events so far.
+    pub(crate) longest_pause: Duration,
+}
+
+/// Runs a request to the head of its answer; the rest follows in the answer's
+/// body.
+pub(crate) async fn run<D: Dialect, S: Store, C: Clock>(
+    core: &Arc<Core<D, S, C>>,
+    job: Job,
+    active: Active<D, S, C>,
+) -> Result<Response<Reply>, Refusal> {
+    let service = job.route.pick_service(rand::random());
+    let service = service.ok_or_else(|| Refusal::new(Reason::NoTarget, "the route has none"))?;
+    let (service, fingerprint) = (service.clone(), fingerprint(&job));
+    let verdict = core.suspects().judge(core.now(), fingerprint);
+    if verdict == Verdict::Quarantined {
+        // It has not run this time, and a caller who comes back is told again.
+        let refusal = Refusal::new(Reason::Quarantined, "it crashed the targets that ran it");
+        return Err(refusal.with_status(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    core.earn_repeat(&service);
+    let resume_after = job.demand.resume_after;
+    let run = Run {
+        core: core.clone(),
+        job,
+        service,
+        fingerprint,
+        sends: 0,
+        unsent: 0,
+        tried: Vec::new(),
+        ran: false,
+        resume_after,
+        first_event: None,
+        longest_pause: Duration::ZERO,
+    };
+    match run.job.route.kind.is_stream() {
+        true => stream::run(run, active).await,
+        false => run.whole().await,
+    }
+}
+
+/// What tells a request that crashes targets when it comes again: who sends
+/// it, where to, and what.
+fn fingerprint(job: &Job) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    let account = job.account.as_ref().map_or("", |account| account.name.as_str());
+    hasher.update(account.as_bytes()).update(&[0]);
+    hasher.update(job.message.uri.path().as_bytes()).update(&[0]);
+    hasher.update(&job.message.body);
+    u64::from_le_bytes(*hasher.finalize().as_bytes().first_chunk().unwrap_or(&[0; 8]))
+}
+
+impl<D: Dialect, S: Store, C: Clock> Run<D, S, C> {
+    /// Runs a request whose answer is passed on whole.
+    async fn whole(mut self) -> Result<Response<Reply>, Refusal> {
+        loop {
+            let (opened, place) = self.open().await?;
+            match self.read_whole(opened).await {
+                Ok((exchange, keep, body)) => {
+                    let status = exchange.head.status;
+                    self.note_answer(&place, status);
+                    if status.is_server_error() && self.may_repeat() && self.spend() {
+                        self.note_repeat(&place, &format!("status {status}"));
+                        exchange.keep(keep);
+                        continue;
+                    }
+                    return self.deliver(exchange, keep, body, &place);
+                }
+                Err(failure) => self.settle(&place, failure)?,
+            }
+        }
+    }
+
+    /// Sends to targets until one answers; what fails is tried elsewhere where
+    /// that is allowed.
+    pub(crate) async fn open(&mut self) -> Result<(Opened, Place<D, S, C>), Refusal> {
+        loop {
+            let place = self.choose()?;
+            let time_left = self.time_left();
+            if time_left.is_zero() {
+                return Err(self.refuse_late());
+            }
+            let tickets = match Tickets::reserve(&self.core, &place).await {
+                Ok(tickets) => tickets,
+                Err(detail) => {
+                    self.sends += 1;
+                    self.tried.push(place.target.tag);
+                    self.settle(&place, Failure::NotSent(detail))?;
+                    continue;
+                }
+            };
+            let helpers = tickets.helpers(&place);
+            let terms = Terms {
+                attempt: &self.job.demand.attempt,
+                account: self.job.account.as_ref().map(|account| &account.name),
+                time_left,
+                urgency: None,
+                resume_after: self.resume_after,
+                helpers: &helpers,
+                once: !self.job.route.kind.is_repeatable(),
+            };
+            self.sends += 1;
+            self.tried.push(place.target.tag);
+            let sent = attempt::send(&self.core, &self.job.message, &place, &terms);
+            let limit = self.first_limit(&place);
+            match tokio::time::timeout(limit, sent).await {
+                Ok(Ok(opened)) => return Ok((opened, place.with_tickets(tickets))),
+                Ok(Err(failure)) => self.settle(&place, failure)?,
+                Err(_) => self.settle(&place, Failure::Late)?,
+            }
+        }
+    }
+
+    fn choose(&self) -> Result<Place<D, S, C>, Refusal> {
+        let view = self.core.view();
+        let want = Want {
+            route: &self.job.route,
+            service: &self.service,
+            prompt: self.job.demand.prompt,
+            deadline: self.job.deadline,
+            tried: &self.tried,
+        };
+        let chosen = place::choose(&self.core, &view, &self.job.configuration, &want);
+        chosen.map_err(|no_place| self.refuse_unplaced(no_place))
+    }
+
+    fn refuse_unplaced(&self, no_place: NoPlace) -> Refusal {
+        let refusal = match no_place {
+            NoPlace::NoTarget => {
+                Refusal::new(Reason::NoTarget, "no target takes work").after(NO_TARGET_RETRY)
+            }
+            NoPlace::TooLong => Refusal::new(Reason::TooLong, "longer than the fleet's memory")
+                .with_status(StatusCode::SERVICE_UNAVAILABLE),
+            NoPlace::Busy(time) => Refusal::new(Reason::Overloaded, "all targets are busy")
+                .with_status(StatusCode::SERVICE_UNAVAILABLE)
+                .after(time.min(RETRY_MAX)),
+        };
+        self.refuse(refusal)
+    }
+
+    /// A refusal as it must be said: where the request may have run, nothing
+    /// may promise that it hasn't.
+    fn refuse(&self, refusal: Refusal) -> Refusal {
+        match self.ran {
+            true => Refusal { retry_after: None, ..refusal }.with_status(StatusCode::BAD_GATEWAY),
+            false => refusal,
+        }
+    }
+
+    fn refuse_late(&self) -> Refusal {
+        let refusal = Refusal::new(Reason::Deadline, "the deadline passed");
+        match self.ran {
+            true => refusal,
+            false => refusal.with_status(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+
+    pub(crate) fn time_left(&self) -> Duration {
+        self.job.deadline.saturating_duration_since(self.core.now())
+    }
+
+    /// How long a target may take to its first word. Beyond it, another one is
+    /// tried where that is allowed.
+    pub(crate) fn first_limit(&self, place: &Place<D, S, C>) -> Duration {
+        let left = self.time_left();
+        let can_repeat = self.job.route.kind.is_repeatable()
+            && self.sends < self.job.route.targets_max
+            && left > self.job.route.goal;
+        match can_repeat {
+            true => left.min((place.expected * 3 + self.job.route.goal).max(FIRST_LEAST)),
+            false => left,
+        }
+    }
+
+    /// Takes a failed attempt in: an error ends the request.
+    pub(crate) fn settle(
+        &mut self,
+        place: &Place<D, S, C>,
+        failure: Failure,
+    ) -> Result<(), Refusal> {
+        self.note_failure(place, &failure);
+        match failure {
+            Failure::NotSent(detail) => {
+                self.sends -= 1;
+                self.unsent += 1;
+                if self.unsent > UNSENT_MAX {
+                    let refusal = Refusal::new(Reason::NoTarget, detail).after(NO_TARGET_RETRY);
+                    return Err(self.refuse(refusal));
+                }
+                return Ok(());
+            }
+            Failure::NotRun(status) => {
+                self.sends -= u32::from(status == StatusCode::MISDIRECTED_REQUEST);
+                self.unsent += 1;
+                if self.sends < self.job.route.targets_max
+                    && self.unsent <= UNSENT_MAX
+                    && self.spend()
+                {
+                    return Ok(());
+                }
+                let refusal = Refusal::new(Reason::Overloaded, format!("target said {status}"))
+                    .with_status(StatusCode::SERVICE_UNAVAILABLE)
+                    .after(FULL_RETRY);
+                return Err(self.refuse(refusal));
+            }
+            Failure::Unknown(_) => look_for_death(&self.core, &place.target, self.fingerprint),
+            Failure::Spoiled(_) | Failure::Late => {}
+        }
+        self.ran = true;
+        if self.time_left().is_zero() {
+            return Err(self.refuse_late());
+        }
+        match self.may_repeat() && self.spend() {
+            true => Ok(()),
+            false => Err(Refusal::new(Reason::TargetFailed, failure.to_string())),
+        }
+    }
+
+    /// Whether a further target may be sent what may have run.
+    pub(crate) fn may_repeat(&self) -> bool {
+        self.job.route.kind.is_repeatable() && self.sends < self.job.route.targets_max
+    }
+
+    pub(crate) fn spend(&self) -> bool {
+        let spent = self.core.spend_repeat(&self.service);
+        if !spent {
+            log::warn!(request = self.job.demand.attempt.as_str(); "no repeat left to spend");
+        }
+        spent
+    }
+
+    fn note_failure(&self, place: &Place<D, S, C>, failure: &Failure) {
+        let tag = place.target.tag;
+        self.core.doubts().note_failure(self.core.now(), tag);
+        self.core.tell(Event::Failed(tag));
+        self.note_repeat(place, &failure.to_string());
+    }
+
+    fn note_repeat(&self, place: &Place<D, S, C>, why: &str) {
+        log::info!(
+            request = self.job.demand.attempt.as_str(),
+            target_id = place.target.id.as_str(),
+            expected_ms = place.expected.as_millis() as u64,
+            age_ms = self.age().as_millis() as u64;
+            "attempt failed: {why}"
+        );
+    }
+
+    pub(crate) fn age(&self) -> Duration {
+        self.core.now().saturating_duration_since(self.job.arrived)
+    }
+
+    /// Notes that a target answered with this status.
+    pub(crate) fn note_answer(&self, place: &Place<D, S, C>, status: StatusCode) {
+        match status.is_server_error() {
+            true => {
+                self.core.doubts().note_failure(self.core.now(), place.target.tag);
+                self.core.tell(Event::Failed(place.target.tag));
+            }
+            false => self.core.doubts().note_success(place.target.tag),
+        }
+        self.core.suspects().note_success(self.core.now(), self.fingerprint);
+    }
+
+    async fn read_whole(
+        &self,
+        opened: Opened,
+    ) -> Result<(Exchange, Option<Duration>, Bytes), Failure> {
+        let Opened { mut exchange, answer } = opened;
+        let body = tokio::time::timeout(self.time_left(), (&mut exchange.body).collect()).await;
+        match body {
+            Ok(Ok(body)) => Ok((exchange, answer.keep, body.to_bytes())),
+            Ok(Err(error)) => Err(Failure::Unknown(error.to_string())),
+            Err(_) => Err(Failure::Late),
+        }
+    }
+
+    /// The answer of a target as the caller gets it.
+    pub(crate) fn deliver(
+        &self,
+        mut exchange: Exchange,
+        keep: Option<Duration>,
+        body: Bytes,
+        place: &Place<D, S, C>,
+    ) -> Result<Response<Reply>, Refusal> {
+        let status = exchange.head.status;
+        let is_promise = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+        if is_promise && !self.job.route.kind.is_repeatable() {
+            // The target doesn't say that it has not run, and the status would.
+            let detail = format!("target said {status} and not whether it ran");
+            return Err(Refusal::new(Reason::TargetFailed, detail));
+        }
+        self.log_end(place, status);
+        let mut head = take_head(&mut exchange);
+        exchange.keep(keep);
+        D::strip_answer(&mut head.headers);
+        Ok(reply::whole(head, body))
+    }
+
+    /// The one line of a request that went well.
+    pub(crate) fn log_end(&self, place: &Place<D, S, C>, status: StatusCode) {
+        log::info!(
+            request = self.job.demand.attempt.as_str(),
+            route = self.job.route.name.as_str(),
+            target_id = place.target.id.as_str(),
+            status = status.as_u16(),
+            sends = self.sends,
+            expected_ms = place.expected.as_millis() as u64,
+            first_ms = self.first_event.unwrap_or_default().as_millis() as u64,
+            pause_ms = self.longest_pause.as_millis() as u64,
+            prompt = self.job.demand.prompt.map_or(0, |prompt| prompt.tokens.0),
+            engines = place.helpers.len() + 1,
+            age_ms = self.age().as_millis() as u64;
+            "answered"
+        );
+    }
+}
+
+/// The least time that a target is given for its first word where another may
+/// be tried: shorter silences are passes of a busy engine.
+const FIRST_LEAST: Duration = Duration::from_millis(700);
+
+/// Takes the head out of an exchange.
+pub(crate) fn take_head(exchange: &mut Exchange) -> http::response::Parts {
+    let mut head = Response::new(()).into_parts().0;
+    head.status = exchange.head.status;
+    head.headers = std::mem::take(&mut exchange.head.headers);
+    head
+}
+
+/// Looks whether a target that broke off is dead, and if so notes the request
+/// as one that it died under. A connection that was merely cut says nothing
+/// against the request.
+fn look_for_death<D: Dialect, S: Store, C: Clock>(
+    core: &Arc<Core<D, S, C>>,
+    target: &Arc<Target>,
+    fingerprint: u64,
+) {
+    let (core, address) = (core.clone(), target.entry.address);
+    core.client.clear(address);
+    tokio::spawn(async move {
+        let looked = tokio::time::timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await;
+        let refused = matches!(&looked, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
+        if refused {
+            note_death(&core, core.now(), fingerprint);
+        }
+    });
+}
+
+fn note_death<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    now: Instant,
+    fingerprint: u64,
+) {
+    let told = {
+        let mut suspects = core.suspects();
+        suspects.note_death(now, [fingerprint]);
+        suspects.tell(now).into_iter().find(|suspect| suspect.fingerprint == fingerprint)
+    };
+    if let Some(suspect) = told {
+        log::warn!(fingerprint, deaths = suspect.deaths; "a target died under a request");
+        core.tell(Event::Suspect { fingerprint, deaths: suspect.deaths });
+    }
+}
--- /dev/null
+++ b/crates/path/src/serve.rs
@@ -0,0 +1,130 @@
+//! One request of a caller: route, account, body, then the run.
+
+use crate::attempt::Message;
+use crate::config::{Account, Configuration, Route};
+use crate::core::{Active, Core};
+use crate::demand::Demand;
+use crate::dialect::Dialect;
+use crate::reply::{self, Reply};
+use crate::run;
+use bytes::Bytes;
+use hickory_policy::refuse::Reason;
+use hickory_store::store::Store;
+use hickory_unit::clock::Clock;
+use hickory_unit::size;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// When to come back to a node that has no configuration yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+
+/// A request that is refused.
+#[derive(Clone, Debug)]
+pub(crate) struct Refusal {
+    pub(crate) reason: Reason,
+    pub(crate) status: StatusCode,
+    pub(crate) detail: String,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    pub(crate) fn new(reason: Reason, detail: impl Into<String>) -> Self {
+        let status = StatusCode::from_u16(reason.status());
+        let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        Self { reason, status, detail: detail.into(), retry_after: None }
+    }
+
+    pub(crate) fn after(self, time: Duration) -> Self {
+        Self { retry_after: Some(time), ..self }
+    }
+
+    pub(crate) fn with_status(self, status: StatusCode) -> Self {
+        Self { status, ..self }
+    }
+}
+
+/// A request that is to be run.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) configuration: Arc<Configuration>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) account: Option<Arc<Account>>,
+    pub(crate) demand: Demand,
+    pub(crate) message: Message,
+    pub(crate) arrived: Instant,
+    /// When the caller or the route gives up.
+    pub(crate) deadline: Instant,
+}
+
+/// Answers a caller.
+pub(crate) async fn serve<D: Dialect, S: Store, C: Clock>(
+    core: Arc<Core<D, S, C>>,
+    request: Request<Incoming>,
+) -> Response<Reply> {
+    let active = Active::begin(&core);
+    let arrived = core.now();
+    let answered = match read_job(&core, arrived, request).await {
+        Ok(job) => run::run(&core, job, active).await,
+        Err(refusal) => Err(refusal),
+    };
+    answered.unwrap_or_else(|refusal| answer_refusal(&refusal))
+}
+
+fn answer_refusal(refusal: &Refusal) -> Response<Reply> {
+    log::info!(reason:% = refusal.reason, status = refusal.status.as_u16(); "{}", refusal.detail);
+    let mut response = reply::plain(refusal.status, &refusal.detail);
+    if let Some(time) = refusal.retry_after {
+        reply::set_retry_after(&mut response, time);
+    }
+    response
+}
+
+async fn read_job<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    arrived: Instant,
+    request: Request<Incoming>,
+) -> Result<Job, Refusal> {
+    let configuration = core.view().configuration.clone().ok_or_else(|| {
+        Refusal::new(Reason::NotReady, "no configuration yet").after(NOT_READY_RETRY)
+    })?;
+    let (parts, body) = request.into_parts();
+    let demand = D::read_demand(&parts)
+        .map_err(|finding| Refusal::new(Reason::BadHeader, finding.to_string()))?;
+    let route = configuration.find_route(&demand.host, parts.uri.path()).cloned();
+    let route = route.ok_or_else(|| Refusal::new(Reason::NotFound, "no such route"))?;
+    let account = find_account(&configuration, &route, &demand)?;
+    let body = read_body(body, configuration.limits.body).await?;
+    let time = demand.time_left.map_or(route.timeout, |time| time.min(route.timeout));
+    let message = Message { method: parts.method, uri: parts.uri, headers: parts.headers, body };
+    let deadline = arrived + time;
+    Ok(Job { configuration, route, account, demand, message, arrived, deadline })
+}
+
+/// The account of the caller's key. A public route needs none, and takes the
+/// caller's where it is known.
+fn find_account(
+    configuration: &Configuration,
+    route: &Route,
+    demand: &Demand,
+) -> Result<Option<Arc<Account>>, Refusal> {
+    let known = demand.key.as_deref().and_then(|key| configuration.find_account(key));
+    if known.is_none() && configuration.accounts.is_some() && !route.public {
+        return Err(Refusal::new(Reason::Unauthenticated, "no such key"));
+    }
+    Ok(known.cloned())
+}
+
+async fn read_body(body: Incoming, limit: size::Bytes) -> Result<Bytes, Refusal> {
+    let too_large = || Refusal::new(Reason::TooLarge, format!("body: more than {limit} bytes"));
+    if body.size_hint().lower() > limit.0 {
+        return Err(too_large());
+    }
+    match Limited::new(body, limit.0 as usize).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(too_large()),
+        Err(error) => Err(Refusal::new(Reason::Malformed, format!("body: {error}"))),
+    }
+}
--- /dev/null
+++ b/crates/path/src/settings.rs
@@ -0,0 +1,51 @@
+//! What a node is told when it starts, in the product's terms.
+
+use hickory_policy::share;
+use hickory_unit::id;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// All settings of a node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The name of this node, unique in the fleet.
+    pub node: id::Node,
+    /// The availability zone it stands in.
+    pub zone: id::Zone,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether the node is ready.
+    pub ready: SocketAddr,
+    /// Where callers ask for addresses.
+    pub directory: SocketAddr,
+    /// Where other nodes fetch what they miss.
+    pub sync: SocketAddr,
+    /// Where other nodes send datagrams.
+    pub peers: SocketAddr,
+    /// Where other nodes may be found at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's key-value service.
+    pub store: SocketAddr,
+    /// Bounds that the operators set.
+    pub bounds: Bounds,
+}
+
+/// Bounds that the operators set, which may change while the node runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// Between SIGTERM and the kill.
+    pub grace: Duration,
+    /// How long work on a lost engine stands still before it is cut off.
+    pub stall: Duration,
+    /// How long callers may keep an answer to where to connect.
+    pub keep: Duration,
+    /// Requests sent beyond the first of each.
+    pub repeats: share::Bound,
+    /// What a cold target may get beyond its configured rate, as a factor and
+    /// as a number a second.
+    pub cold_factor: f64,
+    /// See [`Bounds::cold_factor`].
+    pub cold_extra: f64,
+    /// How long memory may be reserved at a time.
+    pub hold: Duration,
+}
--- /dev/null
+++ b/crates/path/src/suspect.rs
@@ -0,0 +1,55 @@
+//! Doubts about targets, from what requests met there.
+//!
+//! Load: a replica answers its health check and fails two requests in five, or
+//! has gone without a word. Harm prevented: each request finds out anew, and
+//! pays for it with its goal. A failure puts a target last for a time that
+//! doubles with each further one; a success halves it. Doubt never excludes:
+//! where all targets are doubtful, all are used.
+
+use crate::view::Tag;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// How long a first failure counts. Requests come to each target some times a
+/// second, so one in this time is enough to see it sound again.
+const FIRST: Duration = Duration::from_millis(1_500);
+
+/// Doublings at most: 12 s, after which a mended target is tried again.
+const DOUBLINGS_MAX: u32 = 3;
+
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    strikes: u32,
+    until: Instant,
+}
+
+/// The targets in doubt.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Doubts {
+    doubts: HashMap<Tag, Doubt>,
+}
+
+impl Doubts {
+    /// Notes a failure.
+    pub(crate) fn note_failure(&mut self, now: Instant, tag: Tag) {
+        let strikes = self.doubts.get(&tag).map_or(1, |doubt| doubt.strikes + 1);
+        let until = now + FIRST * 2_u32.pow((strikes - 1).min(DOUBLINGS_MAX));
+        self.doubts.insert(tag, Doubt { strikes, until });
+        self.doubts.retain(|_, doubt| doubt.until + FIRST * 8 > now);
+    }
+
+    /// Notes a success.
+    pub(crate) fn note_success(&mut self, tag: Tag) {
+        if let Some(doubt) = self.doubts.get_mut(&tag) {
+            doubt.strikes /= 2;
+            if doubt.strikes == 0 {
+                self.doubts.remove(&tag);
+            }
+        }
+    }
+
+    /// Whether a target is in doubt.
+    pub(crate) fn holds(&self, now: Instant, tag: Tag) -> bool {
+        self.doubts.get(&tag).is_some_and(|doubt| now < doubt.until)
+    }
+}
--- /dev/null
+++ b/crates/path/src/sync.rs
@@ -0,0 +1,152 @@
+//! Keeping the items up to date: from the store's watches, and from peers
+//! where the store turns this node away.
+
+use crate::core::{Core, Stage};
+use crate::dialect::Dialect;
+use crate::items::Word;
+use hickory_client::Call;
+use hickory_state::follow::{self, Follower};
+use hickory_state::member::{Info, Member};
+use hickory_store::store::{Revision, Store};
+use hickory_unit::clock::Clock;
+use http::Method;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time to live of the registration by which nodes find each other at the
+/// start; that a node is alive is told by its datagrams.
+const REGISTRATION: Duration = Duration::from_secs(15);
+
+/// How long a watch waits: each wait is a call that is paid for.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+
+/// Between two looks whether a peer knows more.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// How long a peer must have known more before it is asked: a watch that is
+/// well brings the same within a few milliseconds.
+const LAG: Duration = Duration::from_millis(150);
+
+/// How long a peer may take to answer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// The path that peers ask at.
+const PATH: &str = "/items";
+
+/// Starts following the store and the peers.
+pub(crate) fn spawn<D: Dialect, S: Store, C: Clock>(core: &Arc<Core<D, S, C>>) {
+    let settings = &core.settings;
+    let info = Info {
+        node: settings.node.clone(),
+        zone: settings.zone.clone(),
+        callers: settings.callers,
+        peers: settings.peers,
+        admin: settings.sync,
+        incarnation: core.incarnation,
+        draining: false,
+    };
+    let member = Member::spawn(core.store.clone(), core.clock.clone(), info, REGISTRATION);
+    // It is empty: nothing else sets it.
+    let _ = core.member.set(member);
+    for prefix in [D::OPERATOR_PREFIX, D::TARGET_PREFIX] {
+        tokio::spawn(follow_store(core.clone(), prefix));
+    }
+    tokio::spawn(follow_peers(core.clone()));
+}
+
+async fn follow_store<D: Dialect, S: Store, C: Clock>(
+    core: Arc<Core<D, S, C>>,
+    prefix: &'static str,
+) {
+    let options =
+        follow::Options { prefix: prefix.into(), wait: WATCH_WAIT, spread: Duration::ZERO };
+    let follower = Follower::open(options, rand::random());
+    let (store, clock) = (core.store.clone(), core.clock.clone());
+    follow::run(store, clock, follower, move |follower, step, _| {
+        core.note_store(step.confirmed || step.pause.is_zero());
+        if step.changed {
+            let now = core.now();
+            let entries = follower.view().values();
+            core.update(|items| items.take_all(now, prefix, entries, follower.revision()));
+        }
+        core.stage() != Stage::Closed
+    })
+    .await;
+}
+
+/// Fetches from peers what they know and this node doesn't.
+async fn follow_peers<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
+    let mut behind_since: Option<Instant> = None;
+    while core.stage() != Stage::Closed {
+        tokio::time::sleep(LOOK).await;
+        let now = core.now();
+        let Some((peer, query)) = find_ahead(&core, now) else {
+            behind_since = None;
+            continue;
+        };
+        if now.saturating_duration_since(*behind_since.get_or_insert(now)) < LAG {
+            continue;
+        }
+        match fetch(&core, peer, &query).await {
+            Ok(words) => {
+                log::info!(peer:%, words = words.len(); "items taken over from a peer");
+                core.update(|items| {
+                    let news = words.into_iter().map(|word| items.take(now, word));
+                    news.fold(false, |any, one| any | one)
+                });
+            }
+            Err(error) => log::warn!(peer:%; "peer gave no items: {error}"),
+        }
+        behind_since = None;
+    }
+}
+
+/// A peer that knows more, and what to ask it.
+fn find_ahead<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    now: Instant,
+) -> Option<(SocketAddr, String)> {
+    let (operator, targets) = {
+        let items = core.items();
+        (items.newest(D::OPERATOR_PREFIX), items.newest(D::TARGET_PREFIX))
+    };
+    let peers = core.peers();
+    let ahead = peers.living(now).filter(|p| p.operator > operator || p.targets > targets);
+    let ahead = ahead.max_by_key(|peer| (peer.operator, peer.targets))?;
+    Some((ahead.sync, format!("{PATH}?operator={operator}&targets={targets}")))
+}
+
+async fn fetch<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    peer: SocketAddr,
+    path: &str,
+) -> Result<Vec<Word>, String> {
+    let call = Call { method: Method::GET, path, key: None, body: bytes::Bytes::new() };
+    let answer = core.client.exchange(peer, call, PEER_TIMEOUT).await;
+    let answer = answer.map_err(|error| error.to_string())?;
+    if !answer.status.is_success() {
+        return Err(format!("status {}", answer.status));
+    }
+    serde_json::from_slice(&answer.body).map_err(|error| error.to_string())
+}
+
+/// The answer to a peer: all words after the revisions that it names.
+pub(crate) fn answer<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    query: &str,
+) -> Result<String, String> {
+    let read = |name: &str| {
+        let value = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+        let value = value.ok_or_else(|| format!("query {name}: missing"))?;
+        value.parse().map(Revision).map_err(|error| format!("query {name}: {error}"))
+    };
+    let (operator, targets) = (read("operator")?, read("targets")?);
+    let words = {
+        let items = core.items();
+        let mut words = items.words_after(D::OPERATOR_PREFIX, operator);
+        words.extend(items.words_after(D::TARGET_PREFIX, targets));
+        words
+    };
+    serde_json::to_string(&words).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/path/src/view.rs
@@ -0,0 +1,166 @@
+//! What the items say, decoded once for each change.
+
+use crate::config::Configuration;
+use crate::dialect::{Dialect, Entry};
+use crate::items::Items;
+use hickory_store::store::Revision;
+use hickory_unit::id;
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How long a target is still used whose entry went while the store was away.
+///
+/// Entries lapse while targets can't renew them; those of living targets are
+/// back within two seconds of the store's return. Dropping them at once would
+/// leave no target at all just when the store comes back.
+pub const LAPSED_KEPT: Duration = Duration::from_millis(2_200);
+
+/// Names a target in one incarnation, in the few bytes of a datagram.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct Tag(pub u64);
+
+/// A target as its entry has it.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its id.
+    pub id: id::Target,
+    /// Its name among nodes.
+    pub tag: Tag,
+    /// Its entry.
+    pub entry: Entry,
+    /// Until when it is cold.
+    pub cold_until: Option<Instant>,
+    /// Until when it is used although its entry is gone.
+    pub lapses: Option<Instant>,
+}
+
+/// What a node knows.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The configuration in force; `None` before the first one.
+    pub configuration: Option<Arc<Configuration>>,
+    /// Zones that are out of service.
+    pub evacuated: HashSet<id::Zone>,
+    /// Targets by service.
+    pub targets: HashMap<id::Service, Vec<Arc<Target>>>,
+    /// The revision of the configuration's item.
+    config_revision: Revision,
+}
+
+impl Target {
+    /// Whether new work may be sent to it at `now`.
+    pub fn takes_work(&self, now: Instant) -> bool {
+        !self.entry.draining && self.lapses.is_none_or(|at| now < at)
+    }
+
+    /// Whether it is cold at `now`.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|at| now < at)
+    }
+}
+
+impl View {
+    /// The view of changed items. `store_away` says whether the store has been
+    /// out of reach lately, so that entries may have lapsed.
+    pub fn read<D: Dialect>(&self, items: &Items, now: Instant, store_away: bool) -> Self {
+        let mut next = Self {
+            configuration: self.configuration.clone(),
+            evacuated: read_zones::<D>(items),
+            targets: HashMap::new(),
+            config_revision: self.config_revision,
+        };
+        next.read_configuration::<D>(items);
+        let before: HashMap<&str, &Arc<Target>> =
+            self.targets.values().flatten().map(|target| (target.id.as_str(), target)).collect();
+        for (key, item) in items.with_prefix(D::TARGET_PREFIX) {
+            let id = &key[D::TARGET_PREFIX.len()..];
+            let known = before.get(id).copied();
+            let target = match &item.value {
+                Some(text) => read_target::<D>(id, text, item.seen, known),
+                None => keep_lapsed(known, item.seen, now, store_away),
+            };
+            if let Some(target) = target {
+                next.targets.entry(target.entry.service.clone()).or_default().push(target);
+            }
+        }
+        next
+    }
+
+    fn read_configuration<D: Dialect>(&mut self, items: &Items) {
+        let Some(item) = items.get(D::CONFIG_KEY) else { return };
+        if item.revision <= self.config_revision {
+            return;
+        }
+        let Some(text) = &item.value else { return };
+        match D::read_configuration(text) {
+            Ok(configuration) => {
+                log::info!(version = configuration.version, revision:% = item.revision;
+                    "configuration taken over");
+                self.configuration = Some(Arc::new(configuration));
+                self.config_revision = item.revision;
+            }
+            Err(finding) => {
+                log::error!(revision:% = item.revision; "configuration can't be read: {finding}");
+            }
+        }
+    }
+
+    /// The targets of a service.
+    pub fn targets_of(&self, service: &id::Service) -> &[Arc<Target>] {
+        self.targets.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// The version of the configuration, 0 before the first one.
+    pub fn version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |configuration| configuration.version)
+    }
+}
+
+fn read_zones<D: Dialect>(items: &Items) -> HashSet<id::Zone> {
+    items
+        .with_prefix(D::ZONE_PREFIX)
+        .filter(|(_, item)| item.value.is_some())
+        .map(|(key, _)| id::Zone::from(&key[D::ZONE_PREFIX.len()..]))
+        .collect()
+}
+
+fn read_target<D: Dialect>(
+    id: &str,
+    text: &str,
+    seen: Instant,
+    known: Option<&Arc<Target>>,
+) -> Option<Arc<Target>> {
+    let Some(entry) = D::read_target(id, text) else {
+        log::warn!(target_id = id; "entry names no target to use");
+        return None;
+    };
+    if let Some(known) = known.filter(|known| known.lapses.is_none() && known.entry == entry) {
+        return Some(known.clone());
+    }
+    let cold_until = (!entry.cold_left.is_zero()).then(|| seen + entry.cold_left);
+    let tag = tag_target(id, entry.born);
+    Some(Arc::new(Target { id: id.into(), tag, entry, cold_until, lapses: None }))
+}
+
+/// A target whose entry is gone: dropped, unless entries may have lapsed.
+fn keep_lapsed(
+    known: Option<&Arc<Target>>,
+    seen: Instant,
+    now: Instant,
+    store_away: bool,
+) -> Option<Arc<Target>> {
+    let known = known?;
+    let lapses = known.lapses.or((store_away && !known.entry.draining).then(|| seen + LAPSED_KEPT));
+    let lapses = lapses.filter(|at| now < *at)?;
+    Some(Arc::new(Target { lapses: Some(lapses), ..Target::clone(known) }))
+}
+
+fn tag_target(id: &str, born: u64) -> Tag {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(id.as_bytes()).update(&born.to_le_bytes());
+    let hash = hasher.finalize();
+    Tag(u64::from_le_bytes(*hash.as_bytes().first_chunk().unwrap_or(&[0; 8])))
+}
--- /dev/null
+++ b/crates/policy/src/engine.rs
@@ -0,0 +1,59 @@
+//! What a prompt costs on an engine, from the figures that its operators
+//! configure.
+//!
+//! Reading is not linear: each token attends to all before it, so a prompt of
+//! 154,000 tokens costs a hundred times one of 5,000 and not thirty times.
+//! Placement, splitting and refusal all rest on this one function.
+
+use hickory_unit::size::Tokens;
+use std::time::Duration;
+
+/// An engine's configured figures.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Profile {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// KV memory.
+    pub memory: Tokens,
+    /// Time of a token step without any stream.
+    pub step: Duration,
+    /// What each writing stream adds to a step.
+    pub step_per_stream: Duration,
+    /// What each thousand tokens of context of writing streams add to a step.
+    pub step_per_kilotoken: Duration,
+    /// Prompt tokens read a second.
+    pub read_rate: f64,
+    /// What a million pairs of a token with an earlier one add to reading.
+    pub read_per_megapair: Duration,
+    /// Steps in a pass that has writers.
+    pub stride: u32,
+    /// What a prompt held by several engines adds to each step of the first.
+    pub hop: Duration,
+    /// Tokens of an answer at the mean; what answers are guessed to be.
+    pub usual_answer: Tokens,
+}
+
+impl Profile {
+    /// The time to read a prompt on one engine that does nothing else.
+    pub fn read_time(&self, prompt: Tokens) -> Duration {
+        let tokens = prompt.0 as f64;
+        let linear = tokens / self.read_rate.max(1.0);
+        let megapairs = tokens * tokens / 2.0 / 1e6;
+        Duration::from_secs_f64(linear + megapairs * self.read_per_megapair.as_secs_f64())
+    }
+
+    /// The time of a pass with this many writers and this much context.
+    pub fn pass_time(&self, writers: u32, context: Tokens) -> Duration {
+        if writers == 0 {
+            return self.step;
+        }
+        let context = self.step_per_kilotoken.as_secs_f64() * context.0 as f64 / 1e3;
+        let step = self.step + self.step_per_stream * writers + Duration::from_secs_f64(context);
+        step * self.stride.max(1)
+    }
+
+    /// The memory that a request takes at its end.
+    pub fn memory_of(&self, prompt: Tokens, answer: Tokens) -> Tokens {
+        prompt + answer
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan.rs
@@ -0,0 +1,329 @@
+//! Which engines a prompt is read on, and when its first token would come.
+//!
+//! Load: prompts of a thousand to a million tokens in alternating phases, some
+//! of which take an engine for seconds. An engine that has streams to write
+//! takes in one pass all that it has to read, up to its chunk for each step of
+//! the stride: a part of half a second is half a second in which none of its
+//! streams gets an event. Harm prevented: short streams pause beside long
+//! prompts, a short prompt waits behind a long one, a long one is late because
+//! a single engine can't read it in time.
+//!
+//! The books of all nodes say what runs where to a few milliseconds, so the
+//! choice is by predicted time. Short prompts are packed: a pass with sixteen
+//! short streams takes only half as long again as one with a single stream, so
+//! few engines carry them all, and the others are free of them. Long prompts
+//! are split over those others, in parts that no stream there feels.
+
+use crate::engine::Profile;
+use hickory_unit::size::Tokens;
+use std::time::Duration;
+
+/// Engines that may help the first one.
+pub const HELPERS_MAX: usize = 15;
+
+/// Prompts that are read in less than this on one engine are short: they are
+/// read whole, and their streams are the ones that pauses hurt.
+pub const SHORT_READ: Duration = Duration::from_millis(150);
+
+/// The part of the goal within which a short prompt's first token must be
+/// predicted on an engine for it to be packed there. The rest is for prompts
+/// that other nodes place meanwhile.
+const PACK_AIM: f64 = 0.6;
+
+/// The part of an engine's slots that short streams are packed into.
+const PACK_SLOTS: f64 = 0.75;
+
+/// What each engine reads of a long prompt, at most where there are engines
+/// enough: half of the shortest pause that long streams are to keep.
+const PART_AIM: Duration = Duration::from_millis(250);
+
+/// The part of its streams' wanted pause that an engine may read in one pass.
+const PAUSE_PART: f64 = 0.7;
+
+/// The part of the goal within which a long prompt's first token must be
+/// predicted for it to count as in time.
+const GOAL_PART: f64 = 0.8;
+
+/// The part of the time left that reading a late prompt may take: it is late
+/// in any case, and what it takes beyond is taken from prompts that could be in
+/// time.
+const LATE_PART: f64 = 0.35;
+
+/// The part of an engine's memory that prompts may fill. The rest is for the
+/// answers of the streams that are there already.
+const MEMORY_USED: f64 = 0.95;
+
+/// What is known of an engine.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Time until it has read all that is placed there.
+    pub backlog: Duration,
+    /// Requests that run or wait there.
+    pub requests: u32,
+    /// Requests for which it reads a part.
+    pub helping: u32,
+    /// Short requests among those that run or wait.
+    pub short: u32,
+    /// Streams that write.
+    pub writers: u32,
+    /// The shortest pause that its requests are to keep.
+    pub gap: Option<Duration>,
+    /// Context of the streams that write.
+    pub context: Tokens,
+    /// Memory taken or promised.
+    pub memory: Tokens,
+    /// Whether it is in the choosing node's zone.
+    pub near: bool,
+    /// Whether it failed lately; taken only where no other will do.
+    pub doubtful: bool,
+}
+
+/// A prompt to place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Query {
+    /// Its tokens.
+    pub prompt: Tokens,
+    /// Tokens of its answer, at a guess.
+    pub answer: Tokens,
+    /// The time within which its first token is wanted.
+    pub goal: Duration,
+    /// The time after which it is of no use.
+    pub limit: Duration,
+}
+
+/// Where a prompt is read; engines by their place in the list of loads.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// The engine that is sent the request.
+    pub first: usize,
+    /// Engines that read parts of it.
+    pub helpers: Vec<usize>,
+    /// Memory to reserve, by engine; empty where the first holds all.
+    pub memory: Vec<(usize, Tokens)>,
+    /// What each engine reads.
+    pub part: Duration,
+    /// When the first token is expected.
+    pub first_token: Duration,
+}
+
+/// Why a prompt has no place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// No engine is there.
+    NoEngine,
+    /// It is greater than the fleet's memory.
+    TooLong,
+    /// No engine has room; one has, at a guess, after this time.
+    Busy(Duration),
+}
+
+/// Whether a prompt is short.
+pub fn is_short(profile: &Profile, prompt: Tokens) -> bool {
+    profile.read_time(prompt) < SHORT_READ
+}
+
+/// Chooses the engines for a prompt.
+pub fn choose_engines(query: &Query, profile: &Profile, loads: &[Load]) -> Result<Plan, Refused> {
+    if loads.is_empty() {
+        return Err(Refused::NoEngine);
+    }
+    let scene = Scene::read(query, profile, loads);
+    let plan = match is_short(profile, query.prompt) {
+        true => scene.place_short(),
+        false => scene.place_long(),
+    };
+    match plan {
+        Some(plan) if plan.first_token < query.limit => Ok(plan),
+        Some(plan) => Err(Refused::Busy(plan.first_token.saturating_sub(query.limit))),
+        None if scene.needed.0 > scene.whole.0.saturating_mul(loads.len() as u64) => {
+            Err(Refused::TooLong)
+        }
+        None => Err(Refused::Busy(estimate_relief(profile, loads))),
+    }
+}
+
+/// One choice: a prompt before the engines.
+struct Scene<'a> {
+    query: &'a Query,
+    profile: &'a Profile,
+    loads: &'a [Load],
+    /// The time to read the prompt on one engine.
+    read: Duration,
+    /// The memory that it takes.
+    needed: Tokens,
+    /// The memory of an engine that prompts may fill.
+    whole: Tokens,
+}
+
+impl<'a> Scene<'a> {
+    fn read(query: &'a Query, profile: &'a Profile, loads: &'a [Load]) -> Self {
+        Self {
+            query,
+            profile,
+            loads,
+            read: profile.read_time(query.prompt),
+            needed: profile.memory_of(query.prompt, query.answer),
+            whole: Tokens((profile.memory.0 as f64 * MEMORY_USED) as u64),
+        }
+    }
+
+    fn has_place(&self, engine: usize) -> bool {
+        let load = &self.loads[engine];
+        load.requests < self.profile.slots && load.helping < self.profile.slots
+    }
+
+    fn free(&self, engine: usize) -> Tokens {
+        self.whole.saturating_sub(self.loads[engine].memory)
+    }
+
+    /// Time until a further prompt would begin to be read: what is to be read
+    /// before it, and half of the pass that runs.
+    fn delay(&self, engine: usize) -> Duration {
+        let load = &self.loads[engine];
+        load.backlog + self.pass(engine) / 2
+    }
+
+    fn pass(&self, engine: usize) -> Duration {
+        let load = &self.loads[engine];
+        self.profile.pass_time(load.writers, load.context)
+    }
+
+    /// When the first token of a part read here comes: with the end of the
+    /// pass in which the reading ends.
+    fn first_token(&self, engine: usize, part: Duration) -> Duration {
+        self.delay(engine) + part + self.pass(engine)
+    }
+
+    /// Packs a short prompt where short streams are already, as long as it is
+    /// in time there; else takes the engine where it is first.
+    fn place_short(&self) -> Option<Plan> {
+        let fits = |&engine: &usize| self.has_place(engine) && self.free(engine) >= self.needed;
+        let aim = self.query.goal.mul_f64(PACK_AIM);
+        let most = (f64::from(self.profile.slots) * PACK_SLOTS) as u32;
+        let rank = |&engine: &usize| {
+            let load = &self.loads[engine];
+            let first = self.first_token(engine, self.read);
+            let packs = first <= aim && load.requests < most;
+            let order = if packs { Duration::ZERO } else { first };
+            let packed = if packs { load.short } else { 0 };
+            (load.doubtful, !packs, order, std::cmp::Reverse(packed), !load.near, first)
+        };
+        let first = (0..self.loads.len()).filter(fits).min_by_key(rank)?;
+        Some(Plan {
+            first,
+            helpers: Vec::new(),
+            memory: Vec::new(),
+            part: self.read,
+            first_token: self.first_token(first, self.read),
+        })
+    }
+
+    /// Splits a long prompt so that it is in time and no stream feels it; else
+    /// so that it is in time and no short stream feels it; else so that it is
+    /// late and leaves as many engines as it can to others.
+    fn place_long(&self) -> Option<Plan> {
+        let clear = |engine: usize| self.loads[engine].short == 0;
+        let in_time = |plan: &Plan| plan.first_token <= self.query.goal.mul_f64(GOAL_PART);
+        let quiet = self.split(|engine, part| clear(engine) && self.bears(engine, part), PART_AIM);
+        if quiet.as_ref().is_some_and(in_time) {
+            return quiet;
+        }
+        let shared = self.split(|engine, part| self.bears(engine, part), PART_AIM);
+        if shared.as_ref().is_some_and(in_time) {
+            return shared;
+        }
+        let loud = self.split(|engine, _| clear(engine), PART_AIM);
+        if loud.as_ref().is_some_and(in_time) {
+            return loud;
+        }
+        let late = self.query.limit.mul_f64(LATE_PART);
+        let plans = [
+            self.split(|engine, _| clear(engine), late),
+            self.split(|engine, part| self.bears(engine, part), late),
+            self.split(|_, _| true, late),
+        ];
+        let is_useful = |plan: &Plan| plan.first_token < self.query.limit;
+        let mut plans = plans.into_iter().flatten();
+        plans.find(is_useful).or(loud)
+    }
+
+    /// Whether the streams of an engine bear that it reads this in a pass.
+    fn bears(&self, engine: usize, part: Duration) -> bool {
+        let load = &self.loads[engine];
+        match load.gap {
+            Some(gap) => load.backlog + part + self.pass(engine) <= gap.mul_f64(PAUSE_PART),
+            None => true,
+        }
+    }
+
+    /// Splits over as few engines as make the parts small enough, or over as
+    /// many as there are.
+    fn split(&self, takes: impl Fn(usize, Duration) -> bool, aim: Duration) -> Option<Plan> {
+        let mut order: Vec<usize> =
+            (0..self.loads.len()).filter(|&engine| self.has_place(engine)).collect();
+        order.sort_by_cached_key(|&engine| {
+            let load = &self.loads[engine];
+            (load.doubtful, self.delay(engine), !load.near)
+        });
+        let mut best: Option<Plan> = None;
+        for count in 1..=order.len().min(HELPERS_MAX + 1) {
+            let part = self.read / count as u32;
+            let taking = order.iter().copied().filter(|&engine| takes(engine, part));
+            let engines: Vec<usize> = taking.take(count).collect();
+            if engines.len() < count {
+                continue;
+            }
+            let Some(plan) = self.plan(&engines, part) else { continue };
+            if best.as_ref().is_none_or(|best| plan.first_token < best.first_token) {
+                best = Some(plan);
+            }
+            if part <= aim && best.is_some() {
+                break;
+            }
+        }
+        best
+    }
+
+    fn plan(&self, engines: &[usize], part: Duration) -> Option<Plan> {
+        let memory = self.spread_memory(engines)?;
+        let first = memory.first().map(|(engine, _)| *engine)?;
+        let last = engines.iter().map(|&engine| self.first_token(engine, part)).max()?;
+        Some(Plan {
+            first,
+            helpers: engines.iter().copied().filter(|&engine| engine != first).collect(),
+            memory: if memory.len() > 1 { memory } else { Vec::new() },
+            part,
+            first_token: last,
+        })
+    }
+
+    /// Which engines hold the prompt: one if one can, else as few as can, each
+    /// with what it has free.
+    fn spread_memory(&self, engines: &[usize]) -> Option<Vec<(usize, Tokens)>> {
+        let roomy = |&&engine: &&usize| self.free(engine) >= self.needed;
+        if let Some(&one) = engines.iter().find(roomy) {
+            return Some(vec![(one, self.needed)]);
+        }
+        let mut order = engines.to_vec();
+        order.sort_by_key(|&engine| std::cmp::Reverse(self.free(engine)));
+        let mut left = self.needed;
+        let mut memory = Vec::new();
+        for engine in order {
+            let part = self.free(engine).min(left);
+            memory.push((engine, part));
+            left = left.saturating_sub(part);
+            if left.0 == 0 {
+                return Some(memory);
+            }
+        }
+        None
+    }
+}
+
+/// When room is likely: after one usual answer on the engine that is nearest
+/// to its end, spread over the slots.
+fn estimate_relief(profile: &Profile, loads: &[Load]) -> Duration {
+    let steps = profile.usual_answer.0 as u32;
+    let busiest = loads.iter().map(|load| load.backlog).min().unwrap_or_default();
+    busiest + profile.step * steps / profile.slots.max(1)
+}
--- /dev/null
+++ b/crates/policy/src/share.rs
@@ -0,0 +1,65 @@
+//! A node's share of a bound that all nodes keep together.
+//!
+//! Load: targets fail and every node has requests to send again, or a zone
+//! comes back cold and every node has work for it. Harm prevented: nodes that
+//! each keep to the whole bound exceed it by as many times as there are nodes.
+//! A node counts what it did within the window, and takes its part by the
+//! number of nodes that it hears.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// The part of a common bound that the nodes use between them. The rest is for
+/// nodes that count fewer peers than there are, for a second or so after a
+/// partition.
+const USED: f64 = 0.7;
+
+/// The part of the per-request allowance that is used: the window of whoever
+/// judges may begin anywhere, also just after a burst of requests.
+const EARNED: f64 = 0.6;
+
+/// A bound on repeats: so many for each request, and so many besides.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bound {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats besides, of all nodes together.
+    pub extra: f64,
+    /// The window that both are counted in.
+    pub window: Duration,
+}
+
+/// What one node did within the window.
+#[derive(Clone, Debug, Default)]
+pub struct Budget {
+    requests: VecDeque<Instant>,
+    repeats: VecDeque<Instant>,
+}
+
+impl Budget {
+    /// Notes a request.
+    pub fn earn(&mut self, now: Instant, bound: &Bound) {
+        self.expire(now, bound.window);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one repeat, if this node's share has one left.
+    pub fn spend(&mut self, now: Instant, bound: &Bound, nodes: usize) -> bool {
+        self.expire(now, bound.window);
+        let earned = self.requests.len() as f64 * bound.ratio * EARNED;
+        let besides = bound.extra * USED / nodes.max(1) as f64;
+        let allowed = (self.repeats.len() as f64) + 1.0 <= earned + besides;
+        if allowed {
+            self.repeats.push_back(now);
+        }
+        allowed
+    }
+
+    fn expire(&mut self, now: Instant, window: Duration) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|at| now.saturating_duration_since(*at) > window) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -3,7 +3,7 @@
 //! They act on the socket or on whole calls and know nothing of what the
 //! stand-in serves.
 
-use hickory_platform::host::Standing;
+use hickory_store::host::Standing;
 use hickory_unit::clock::{self, Clock};
 use hickory_unit::id;
 use serde::{Deserialize, Serialize};
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -2,9 +2,9 @@
 
 use crate::control::Board;
 use crate::{engine, hosts, service, store, weights};
-use hickory_platform::host::{Host, Kind, Standing};
-use hickory_platform::http::Address;
-use hickory_platform::weight::Limit;
+use hickory_store::host::{Host, Kind, Standing};
+use hickory_store::http::Address;
+use hickory_store::weight::Limit;
 use hickory_unit::{id, size};
 use std::net::{Ipv4Addr, SocketAddr};
 
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -2,7 +2,7 @@
 
 use crate::fault::Switch;
 use crate::server::{self, Call, Reply};
-use hickory_platform::host::{Host, Standing};
+use hickory_store::host::{Host, Standing};
 use hickory_unit::id;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -1,9 +1,7 @@
 //! The state of the key-value service, without input or output: entries with
 //! revisions, leases, and the changes that watches see.
 
-use hickory_platform::store::{
-    Batch, Entry, Error, Event, Expect, Lease, Revision, VALUE_MAX, Write,
-};
+use hickory_store::store::{Batch, Entry, Error, Event, Expect, Lease, Revision, VALUE_MAX, Write};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -1,7 +1,7 @@
 //! The key-value service within a process, for tests without sockets.
 
 use crate::store::{Shared, Snapshot};
-use hickory_platform::store::{Batch, Entry, Error, Lease, Revision, Store, Write};
+use hickory_store::store::{Batch, Entry, Error, Lease, Revision, Store, Write};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -3,8 +3,8 @@
 use crate::fault::Switch;
 use crate::rate::Rate;
 use crate::server::{self, Reply};
-use hickory_platform::http::{Grant, Listing};
-use hickory_platform::store::{Batch, Entry, Error, Lease, Revision, Write};
+use hickory_store::http::{Grant, Listing};
+use hickory_store::store::{Batch, Entry, Error, Lease, Revision, Write};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
--- a/crates/standin/src/weights.rs
+++ b/crates/standin/src/weights.rs
@@ -2,7 +2,7 @@
 
 use crate::server::{self, Call, Reply};
 use hickory_model::pipe::{Busy, Pipe};
-use hickory_platform::weight::Limit;
+use hickory_store::weight::Limit;
 use hickory_unit::size;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
--- a/crates/standin/tests/core.rs
+++ b/crates/standin/tests/core.rs
@@ -1,8 +1,8 @@
 //! The core of the key-value service with the time passed in.
 
-use hickory_platform::store::{Error, Event, Expect, Lease, Revision, Write};
 use hickory_standin::rate::Rate;
 use hickory_standin::store::Core;
+use hickory_store::store::{Error, Event, Expect, Lease, Revision, Write};
 use std::time::{Duration, Instant};
 
 const TTL: Duration = Duration::from_secs(5);
--- a/crates/standin/tests/fleet.rs
+++ b/crates/standin/tests/fleet.rs
@@ -2,11 +2,11 @@
 
 use futures::StreamExt;
 use hickory_model::answer::Answer;
-use hickory_platform::host::List;
-use hickory_platform::http::Platform;
-use hickory_platform::store::{Expect, Store, Write};
-use hickory_platform::weight::Weights as _;
 use hickory_standin::fleet::{Fleet, Options};
+use hickory_store::host::List;
+use hickory_store::http::Platform;
+use hickory_store::store::{Expect, Store, Write};
+use hickory_store::weight::Weights as _;
 use hickory_target::engine::{Engines, Event, Generate, Priority, Weights};
 use hickory_target::http::Targets;
 use hickory_target::service::{Call, Services};
--- a/crates/standin/tests/memory.rs
+++ b/crates/standin/tests/memory.rs
@@ -1,9 +1,9 @@
 //! The key-value service within the process gives what the one behind a
 //! socket gives, and each client has faults of its own.
 
-use hickory_platform::http::{Address, Platform};
-use hickory_platform::store::{Error, Expect, Revision, Store, Write};
 use hickory_standin::store::{self, Memory};
+use hickory_store::http::{Address, Platform};
+use hickory_store::store::{Error, Expect, Revision, Store, Write};
 use std::time::Duration;
 
 const LONG: Duration = Duration::from_secs(10);
--- a/crates/state/examples/calls.rs
+++ b/crates/state/examples/calls.rs
@@ -5,13 +5,13 @@
 //! the calls of the given time are counted at rest, then with the claims, and
 //! then through one change of the configuration.
 
-use hickory_platform::store::{Batch, Entry, Error, Lease, Revision, Store, Write};
 use hickory_release::note::Note;
 use hickory_standin::store::Memory;
 use hickory_state::claim::{self, Answer, Ledger, Outcome};
 use hickory_state::config::Keeper;
 use hickory_state::member::{Info, Member};
 use hickory_state::owner::{Owners, Probe};
+use hickory_store::store::{Batch, Entry, Error, Lease, Revision, Store, Write};
 use hickory_unit::clock::{Clock, System};
 use hickory_unit::id::{self, Incarnation};
 use std::collections::BTreeMap;
--- a/crates/state/src/assign.rs
+++ b/crates/state/src/assign.rs
@@ -9,7 +9,7 @@
 use crate::owner::{Owned, Owner};
 use crate::table::{Document, Holder};
 use crate::terms::{self, Standing};
-use hickory_platform::store::{self, Error, Revision};
+use hickory_store::store::{self, Error, Revision};
 use hickory_unit::id;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- a/crates/state/src/claim.rs
+++ b/crates/state/src/claim.rs
@@ -9,7 +9,7 @@
 use crate::group::{Call, End, Group, Reply, Ticket};
 use crate::page::{Name, SHARDS, find_page};
 pub use crate::page::{Options, Outcome};
-use hickory_platform::store::{Error, Lease, Store};
+use hickory_store::store::{Error, Lease, Store};
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
 use std::collections::BTreeMap;
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -4,9 +4,9 @@
 
 use crate::follow::{self, Follower};
 use crate::head::{Acceptance, Call, Reply, supersedes};
-use hickory_platform::store::Store;
 use hickory_release::configuration::Configuration;
 use hickory_release::note::Note;
+use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::finding::Finding;
 use std::sync::Arc;
--- a/crates/state/src/follow.rs
+++ b/crates/state/src/follow.rs
@@ -4,7 +4,7 @@
 //! calls.
 
 use crate::retry::Backoff;
-use hickory_platform::store::{Batch, Entry, Error, Revision, Store};
+use hickory_store::store::{Batch, Entry, Error, Revision, Store};
 use hickory_unit::clock::Clock;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -90,6 +90,11 @@
         &self.view
     }
 
+    /// The revision of the service that the view is of.
+    pub fn revision(&self) -> Revision {
+        self.after
+    }
+
     /// Takes the size of the fleet: the larger, the wider its watches are
     /// spread after a change.
     pub fn set_fleet(&mut self, nodes: usize) {
@@ -140,7 +145,7 @@
         Step { changed, confirmed: true, pause: self.failures.spread(spread) }
     }
 
-    fn apply(&mut self, event: hickory_platform::store::Event) -> bool {
+    fn apply(&mut self, event: hickory_store::store::Event) -> bool {
         let known = self.view.get(&event.key).map_or(Revision(0), |entry| entry.revision);
         if event.revision <= known {
             return false;
@@ -158,7 +163,7 @@
 
 /// Follows until `take` says to stop. It is told of each step, with the time
 /// at which the call was sent: what the answer says held then or later.
-pub(crate) async fn run<S: Store, C: Clock>(
+pub async fn run<S: Store, C: Clock>(
     store: S,
     clock: C,
     mut follower: Follower,
--- a/crates/state/src/group.rs
+++ b/crates/state/src/group.rs
@@ -8,7 +8,7 @@
 use crate::op::{Op, Standing, Task};
 use crate::page::{Name, Options, Outcome, Page};
 use crate::retry::Backoff;
-use hickory_platform::store::{Entry, Error, Expect, Lease, Revision, Write};
+use hickory_store::store::{Entry, Error, Expect, Lease, Revision, Write};
 use std::time::{Duration, Instant};
 use uuid::Uuid;
 
--- a/crates/state/src/head.rs
+++ b/crates/state/src/head.rs
@@ -3,10 +3,10 @@
 
 use crate::config::{KEY, Rejection};
 use crate::retry::Backoff;
-use hickory_platform::store::{Entry, Error, Expect, Revision, Write};
 use hickory_release::accept::{self, accept_note};
 use hickory_release::configuration::Configuration;
 use hickory_release::note::Note;
+use hickory_store::store::{Entry, Error, Expect, Revision, Write};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -2,7 +2,7 @@
 
 use crate::member::{Info, PREFIX};
 use crate::retry::Backoff;
-use hickory_platform::store::{Error, Expect, Lease, Revision, Write};
+use hickory_store::store::{Error, Expect, Lease, Revision, Write};
 use hickory_unit::id;
 use std::time::{Duration, Instant};
 
--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -4,7 +4,7 @@
 
 use crate::follow::{self, Follower};
 use crate::lease::{Call, Keeper, Reply};
-use hickory_platform::store::Store;
+use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
 use serde::{Deserialize, Serialize};
@@ -204,7 +204,7 @@
     }
 
     fn take_view(&self, follower: &Follower) {
-        let read = |entry: &hickory_platform::store::Entry| {
+        let read = |entry: &hickory_store::store::Entry| {
             let info = serde_json::from_str::<Info>(&entry.value).ok()?;
             Some((info, entry.revision))
         };
--- a/crates/state/src/owner.rs
+++ b/crates/state/src/owner.rs
@@ -5,7 +5,7 @@
 use crate::follow::{self, Follower};
 use crate::member::{Info, Member};
 use crate::plan::Plan;
-use hickory_platform::store::{Revision, Store};
+use hickory_store::store::{Revision, Store};
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
 use serde::{Deserialize, Serialize};
--- a/crates/state/src/page.rs
+++ b/crates/state/src/page.rs
@@ -2,7 +2,7 @@
 //! time lies in one minute.
 
 use derive_more::Display;
-use hickory_platform::store::Lease;
+use hickory_store::store::Lease;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/state/src/plan.rs
+++ b/crates/state/src/plan.rs
@@ -7,7 +7,7 @@
 use crate::rank::{rank_nodes, spread_target};
 use crate::table::{Document, Entry, Holder};
 use crate::terms;
-use hickory_platform::store::{Expect, Revision, Write};
+use hickory_store::store::{Expect, Revision, Write};
 use hickory_unit::id;
 use std::time::{Duration, Instant};
 
--- a/crates/state/tests/claim.rs
+++ b/crates/state/tests/claim.rs
@@ -6,11 +6,11 @@
 //! `run` makes calls until there are none.
 
 use goldenscript::Context;
-use hickory_platform::store::{Error, Expect, Write};
 use hickory_standin::store::Core;
 use hickory_state::claim::{Answer, Claim};
 use hickory_state::group::{Call, End, Group, Reply};
 use hickory_state::page::{Options, Outcome, find_page};
+use hickory_store::store::{Error, Expect, Write};
 use hickory_unit::clock::{Clock, Manual};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
--- a/crates/state/tests/claim_walk.rs
+++ b/crates/state/tests/claim_walk.rs
@@ -1,11 +1,11 @@
 //! A seeded walk over two nodes, their calls to the service and one key, for
 //! what the scripts do not name: pauses, lost and late calls, lapsed leases.
 
-use hickory_platform::store::{Entry, Error, Write};
 use hickory_standin::store::Core;
 use hickory_state::claim::{Answer, Claim};
 use hickory_state::group::{Call, End, Group, Reply};
 use hickory_state::page::{Options, Outcome, find_page};
+use hickory_store::store::{Entry, Error, Write};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::time::{Duration, Instant};
--- a/crates/state/tests/config.rs
+++ b/crates/state/tests/config.rs
@@ -7,12 +7,12 @@
 //! what was there at `remember`, `lost=down` is refused by the service.
 
 use goldenscript::Context;
-use hickory_platform::store::{Entry, Error, Write};
 use hickory_release::configuration::Configuration;
 use hickory_release::note::Note;
 use hickory_standin::store::Core;
 use hickory_state::config::{KEY, Rejection};
 use hickory_state::head::{Acceptance, Call, Reply, Verdict, supersedes};
+use hickory_store::store::{Entry, Error, Write};
 use hickory_unit::id;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/crates/state/tests/drive.rs
+++ b/crates/state/tests/drive.rs
@@ -1,7 +1,6 @@
 //! The drivers over an in-memory service with faults. Waits are on
 //! conditions, with a bound that only a hang reaches.
 
-use hickory_platform::store::Store;
 use hickory_release::configuration::Configuration;
 use hickory_release::note::Note;
 use hickory_standin::store::Memory;
@@ -9,6 +8,7 @@
 use hickory_state::config::{Keeper, Rejection};
 use hickory_state::member::{Info, Member};
 use hickory_state::owner::{Owned, Owners, Probe, Terms};
+use hickory_store::store::Store;
 use hickory_unit::clock::{Clock, System};
 use hickory_unit::id::{self, Incarnation};
 use std::net::{Ipv4Addr, SocketAddr};
--- a/crates/state/tests/follow.rs
+++ b/crates/state/tests/follow.rs
@@ -1,8 +1,8 @@
 //! Scripted answers to a follower of keys.
 
 use goldenscript::Context;
-use hickory_platform::store::{Batch, Entry, Error, Event, Revision};
 use hickory_state::follow::{Follower, Options, Reply};
+use hickory_store::store::{Batch, Entry, Error, Event, Revision};
 use std::fmt::Write as _;
 use std::time::{Duration, Instant};
 
--- a/crates/state/tests/member.rs
+++ b/crates/state/tests/member.rs
@@ -5,10 +5,10 @@
 //! answer. `run` serves for so many seconds.
 
 use goldenscript::Context;
-use hickory_platform::store::Error;
 use hickory_standin::store::Core;
 use hickory_state::lease::{Call, Keeper, Reply};
 use hickory_state::member::Info;
+use hickory_store::store::Error;
 use hickory_unit::id::Incarnation;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
--- a/crates/state/tests/world/mod.rs
+++ b/crates/state/tests/world/mod.rs
@@ -4,7 +4,6 @@
 
 #![allow(dead_code, reason = "each test uses a part")]
 
-use hickory_platform::store::{Entry, Error, Expect, Revision, Write};
 use hickory_standin::store::Core;
 use hickory_state::assign::{Assigner, Options};
 use hickory_state::lease::{Call, Keeper, Reply};
@@ -12,6 +11,7 @@
 use hickory_state::owner::{KEY, Terms};
 use hickory_state::plan::Plan;
 use hickory_state::table::Document;
+use hickory_store::store::{Entry, Error, Expect, Revision, Write};
 use hickory_unit::id::{self, Incarnation};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
--- a/crates/platform/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -5,12 +5,12 @@
 //! effect would let a caller send an order twice or call it not run;
 //! `Unknown` where it is known to be not done only costs time.
 
-use hickory_platform::host::{Host, Kind, List, Standing};
-use hickory_platform::http::{Address, Platform};
-use hickory_platform::store::{Entry, Error, Expect, Lease, Revision, Store, Write};
-use hickory_platform::weight::{Limit, Weights};
 use hickory_standin::fault::{Faults, Loss};
 use hickory_standin::{hosts, store, weights};
+use hickory_store::host::{Host, Kind, List, Standing};
+use hickory_store::http::{Address, Platform};
+use hickory_store::store::{Entry, Error, Expect, Lease, Revision, Store, Write};
+use hickory_store::weight::{Limit, Weights};
 use hickory_unit::size;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -182,7 +182,7 @@
 }
 
 fn size_of_value() -> usize {
-    hickory_platform::store::VALUE_MAX.0 as usize
+    hickory_store::store::VALUE_MAX.0 as usize
 }
 
 fn open_platform(at: SocketAddr, timeout: Duration) -> Platform {
--- a/crates/platform/tests/status.rs
+++ b/crates/store/tests/status.rs
@@ -1,8 +1,8 @@
 //! What a caller concludes from a status, and from a body that can't be read.
 
-use hickory_platform::http::{Address, Platform};
-use hickory_platform::store::{Error, Expect, Store, Write};
 use hickory_standin::server::{self, Call, Reply, Service};
+use hickory_store::http::{Address, Platform};
+use hickory_store::store::{Error, Expect, Store, Write};
 use std::time::Duration;
 
 /// Answers every call alike.
--- /dev/null
+++ b/crates/telemetry/src/lines.rs
@@ -0,0 +1,77 @@
+//! Log lines by a thread of their own.
+//!
+//! A reader that stops reading must not stop the requests whose lines it does
+//! not read. Lines wait in a bounded queue; where it is full they are dropped,
+//! and the next one that is written says how many.
+
+use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
+use log::Record;
+use log4rs::append::Append;
+use log4rs::encode::Encode;
+use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::writer::simple::SimpleWriter;
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Lines that wait at most, some 100 KB.
+const WAITING_MAX: usize = 512;
+
+/// The writer's stack: it formats nothing.
+const STACK: usize = 64 << 10;
+
+/// An appender that never waits.
+#[derive(Debug)]
+pub(crate) struct Lines {
+    queue: Sender<Vec<u8>>,
+    dropped: AtomicU64,
+    encoder: JsonEncoder,
+}
+
+impl Lines {
+    /// Starts the writer.
+    pub(crate) fn spawn(out: impl Write + Send + 'static) -> std::io::Result<Self> {
+        let (queue, lines) = bounded(WAITING_MAX);
+        let writer = std::thread::Builder::new().name("log".into()).stack_size(STACK);
+        writer.spawn(move || write_lines(&lines, out))?;
+        Ok(Self { queue, dropped: AtomicU64::new(0), encoder: JsonEncoder::new() })
+    }
+
+    fn send(&self, line: Vec<u8>) {
+        if let Err(TrySendError::Full(_)) = self.queue.try_send(line) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn tell_dropped(&self) {
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let line = format!(
+                "{{\"level\":\"WARN\",\"message\":\"{dropped} log lines were dropped\"}}\n"
+            );
+            if self.queue.try_send(line.into_bytes()).is_err() {
+                self.dropped.fetch_add(dropped, Ordering::Relaxed);
+            }
+        }
+    }
+}
+
+impl Append for Lines {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        if self.dropped.load(Ordering::Relaxed) > 0 {
+            self.tell_dropped();
+        }
+        let mut line = SimpleWriter(Vec::with_capacity(256));
+        self.encoder.encode(&mut line, record)?;
+        self.send(line.0);
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+fn write_lines(lines: &Receiver<Vec<u8>>, mut out: impl Write) {
+    for line in lines {
+        // Nobody reads any more: there is no one left to tell.
+        let _ = out.write_all(&line).and_then(|()| out.flush());
+    }
+}
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -1,5 +1,6 @@
 //! Logs as JSON lines.
 
+use crate::lines::Lines;
 use hickory_unit::id;
 use log::kv::{self, Key, Source, Value, VisitSource};
 use log::{Level, LevelFilter, Record};
@@ -30,6 +31,20 @@
     Ok(log4rs::init_config(config)?)
 }
 
+/// Opens the process's log: JSON lines on standard output, which are written
+/// by a thread of their own and never waited for.
+///
+/// # Errors
+///
+/// The thread can't be started, or a log is open already.
+pub fn open_stdout(level: LevelFilter) -> eyre::Result<log4rs::Handle> {
+    let lines = Lines::spawn(std::io::stdout())?;
+    let config = Config::builder()
+        .appender(Appender::builder().build(APPENDER, Box::new(lines)))
+        .build(Root::builder().appender(APPENDER).build(level))?;
+    Ok(log4rs::init_config(config)?)
+}
+
 /// What a log line is about; what is unknown is left out of the line.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Subject {
--- a/crates/telemetry/src/metered.rs
+++ b/crates/telemetry/src/metered.rs
@@ -2,9 +2,9 @@
 
 use crate::label::{Call, Outcome};
 use crate::metrics::Metrics;
-use hickory_platform::host::{self, Host};
-use hickory_platform::store::{Batch, Entry, Error, Lease, Revision, Store, Write};
-use hickory_platform::weight;
+use hickory_store::host::{self, Host};
+use hickory_store::store::{Batch, Entry, Error, Lease, Revision, Store, Write};
+use hickory_store::weight;
 use hickory_unit::clock::Clock;
 use std::future::Future;
 use std::time::Duration;
--- a/crates/telemetry/tests/metered.rs
+++ b/crates/telemetry/tests/metered.rs
@@ -1,8 +1,8 @@
 //! Calls to the platform are counted by kind and result, and passed on.
 
-use hickory_platform::host::{Host, List};
-use hickory_platform::store::{Batch, Entry, Error, Expect, Lease, Revision, Store, Write};
-use hickory_platform::weight::{Limit, Weights};
+use hickory_store::host::{Host, List};
+use hickory_store::store::{Batch, Entry, Error, Expect, Lease, Revision, Store, Write};
+use hickory_store::weight::{Limit, Weights};
 use hickory_telemetry::label::{Call, Outcome};
 use hickory_telemetry::metered::Metered;
 use hickory_telemetry::metrics::Metrics;
@@ -97,13 +97,13 @@
             let text = metrics.render();
             let counted: Vec<&str> = text
                 .lines()
-                .filter(|line| line.starts_with("hickory_platform_calls_total{"))
+                .filter(|line| line.starts_with("hickory_store_calls_total{"))
                 .filter(|line| !line.ends_with(" 0"))
                 .collect();
             let series =
-                format!(r#"hickory_platform_calls_total{{call="{call}",result="{result}"}} 1"#);
+                format!(r#"hickory_store_calls_total{{call="{call}",result="{result}"}} 1"#);
             assert_eq!(counted, [series]);
-            let seconds = format!(r#"hickory_platform_call_seconds_sum{{call="{call}"}} "#);
+            let seconds = format!(r#"hickory_store_call_seconds_sum{{call="{call}"}} "#);
             let expected = if *call == Call::Watch { "0" } else { "0.04" };
             assert!(text.contains(&format!("{seconds}{expected}\n")), "{text}");
         }
--- a/crates/unit/src/clock.rs
+++ b/crates/unit/src/clock.rs
@@ -31,6 +31,39 @@
     }
 }
 
+/// The clock of a machine that may be suspended.
+///
+/// A suspended machine's monotonic clock stands still, so that a deadline or a
+/// lease measured by it would outlive its time by as long as the machine slept.
+/// This one counts the boot-time clock and shows it on the same scale.
+#[derive(Clone, Copy, Debug)]
+pub struct Boot {
+    origin: Instant,
+    booted: Duration,
+}
+
+impl Boot {
+    /// A clock that agrees with [`System`] now.
+    pub fn start() -> Self {
+        Self { origin: Instant::now(), booted: read_boot_time() }
+    }
+}
+
+impl Clock for Boot {
+    fn now(&self) -> Instant {
+        self.origin + read_boot_time().saturating_sub(self.booted)
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+fn read_boot_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
+}
+
 /// A clock that stands still until it is moved, for tests and simulations.
 #[derive(Clone, Debug)]
 pub struct Manual {
