Long prompts wait for idle engines; short ones are packed

Seen from placements and first events in the log: a part placed at 5.242 s behind 1.6 s of others was read at once.

Change: short prompts are packed on few engines; long ones wait at their node until enough engines without short streams are idle, and are read only where no stream's wanted pause is exceeded; late ones only where half are idle.

--- a/apps/hickory/tests/real.rs
+++ b/apps/hickory/tests/real.rs
@@ -127,7 +127,7 @@
     for node in &real.nodes {
         assert!(read_metric(node, "hickory_configuration_version") >= 2.0);
         assert!(
-            read_metric(node, "hickory_store_calls_total{call=\"hosts\",result=\"done\"}") > 0.0
+            read_metric(node, "hickory_platform_calls_total{call=\"hosts\",result=\"done\"}") > 0.0
         );
     }
     let owned = || real.nodes.iter().map(|n| read_metric(n, "hickory_targets_owned")).sum::<f64>();
--- a/crates/load/src/control_cost.rs
+++ b/crates/load/src/control_cost.rs
@@ -78,7 +78,7 @@
     let connections = socket::read_connections()?;
     let mut calls = 0.0;
     for node in 0..fleet.nodes.len() {
-        calls += fleet.read_metric(node, "hickory_store_calls_total").await?;
+        calls += fleet.read_metric(node, "hickory_platform_calls_total").await?;
     }
     Ok(Reading { at: Instant::now(), usage, connections, calls })
 }
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -9,7 +9,7 @@
 use crate::ticket::Tickets;
 use crate::view::{Tag, Target, View};
 use hickory_policy::engine::Profile;
-use hickory_policy::plan::{self, Load, Plan, Query, Refused, SHORT_READ};
+use hickory_policy::plan::{self, Choice, Load, Plan, Query, Refused, SHORT_READ};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
@@ -37,6 +37,8 @@
     pub(crate) route: &'a Route,
     pub(crate) service: &'a id::Service,
     pub(crate) prompt: Option<Prompt>,
+    /// When its first token is wanted.
+    pub(crate) due: Instant,
     pub(crate) deadline: Instant,
     /// Targets that were tried.
     pub(crate) tried: &'a [Tag],
@@ -50,6 +52,8 @@
     pub(crate) helpers: Vec<Arc<Target>>,
     /// Memory to reserve, by target; empty where the first holds all.
     pub(crate) memory: Vec<(Arc<Target>, Tokens)>,
+    /// What each engine reads.
+    pub(crate) part: Duration,
     /// When the first token, or the answer, is expected.
     pub(crate) expected: Duration,
     /// Released with the place.
@@ -86,6 +90,8 @@
     TooLong,
     /// There may be room after this time.
     Busy(Duration),
+    /// Its turn may come after this time.
+    Wait(Duration),
 }
 
 /// Chooses targets and books them.
@@ -107,10 +113,12 @@
     match (profile, want.prompt) {
         (Some(profile), Some(prompt)) => {
             let answer = guess_answer(profile, prompt);
-            let goal = want.route.goal;
+            let goal = want.due.saturating_duration_since(now);
             let query = Query { prompt: prompt.tokens, answer, goal, limit };
-            let plan = plan::choose_engines(&query, profile, &loads).map_err(read_refused)?;
-            Ok(book_plan(core, now, &candidates, want, &query, &plan))
+            match plan::choose_engines(&query, profile, &loads).map_err(read_refused)? {
+                Choice::Go(plan) => Ok(book_plan(core, now, &candidates, want, &query, &plan)),
+                Choice::Wait(time) => Err(NoPlace::Wait(time)),
+            }
         }
         _ => {
             let place = choose_replica(&candidates, &loads)?;
@@ -249,6 +257,7 @@
         target: target(plan.first),
         helpers: plan.helpers.iter().map(|&place| target(place)).collect(),
         memory: plan.memory.iter().map(|&(place, tokens)| (target(place), tokens)).collect(),
+        part: plan.part,
         expected: plan.first_token,
         tickets: None,
     }
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -135,11 +135,20 @@
     /// that is allowed.
     pub(crate) async fn open(&mut self) -> Result<(Opened, Place<D, S, C>), Refusal> {
         loop {
-            let place = self.choose()?;
+            let place = self.choose().await?;
             let time_left = self.time_left();
             if time_left.is_zero() {
                 return Err(self.refuse_late());
             }
+            log::info!(
+                request = self.job.demand.attempt.as_str(),
+                target_id = place.target.id.as_str(),
+                helpers:% = name_all(&place.helpers),
+                prompt = self.job.demand.prompt.map_or(0, |prompt| prompt.tokens.0),
+                part_ms = place.part.as_millis() as u64,
+                expected_ms = place.expected.as_millis() as u64;
+                "placed"
+            );
             let tickets = match Tickets::reserve(&self.core, &place).await {
                 Ok(tickets) => tickets,
                 Err(detail) => {
@@ -171,17 +180,24 @@
         }
     }
 
-    fn choose(&self) -> Result<Place<D, S, C>, Refusal> {
-        let view = self.core.view();
-        let want = Want {
-            route: &self.job.route,
-            service: &self.service,
-            prompt: self.job.demand.prompt,
-            deadline: self.job.deadline,
-            tried: &self.tried,
-        };
-        let chosen = place::choose(&self.core, &view, &self.job.configuration, &want);
-        chosen.map_err(|no_place| self.refuse_unplaced(no_place))
+    /// Waits for its turn, where it has to.
+    async fn choose(&self) -> Result<Place<D, S, C>, Refusal> {
+        loop {
+            let view = self.core.view();
+            let want = Want {
+                route: &self.job.route,
+                service: &self.service,
+                prompt: self.job.demand.prompt,
+                due: self.job.arrived + self.job.route.goal,
+                deadline: self.job.deadline,
+                tried: &self.tried,
+            };
+            match place::choose(&self.core, &view, &self.job.configuration, &want) {
+                Ok(place) => return Ok(place),
+                Err(NoPlace::Wait(time)) => tokio::time::sleep(time).await,
+                Err(no_place) => return Err(self.refuse_unplaced(no_place)),
+            }
+        }
     }
 
     fn refuse_unplaced(&self, no_place: NoPlace) -> Refusal {
@@ -191,9 +207,11 @@
             }
             NoPlace::TooLong => Refusal::new(Reason::TooLong, "longer than the fleet's memory")
                 .with_status(StatusCode::SERVICE_UNAVAILABLE),
-            NoPlace::Busy(time) => Refusal::new(Reason::Overloaded, "all targets are busy")
-                .with_status(StatusCode::SERVICE_UNAVAILABLE)
-                .after(time.min(RETRY_MAX)),
+            NoPlace::Busy(time) | NoPlace::Wait(time) => {
+                Refusal::new(Reason::Overloaded, "all targets are busy")
+                    .with_status(StatusCode::SERVICE_UNAVAILABLE)
+                    .after(time.min(RETRY_MAX))
+            }
         };
         self.refuse(refusal)
     }
@@ -422,3 +440,8 @@
         core.tell(Event::Suspect { fingerprint, deaths: suspect.deaths });
     }
 }
+
+fn name_all(targets: &[Arc<Target>]) -> String {
+    let names: Vec<&str> = targets.iter().map(|target| target.id.as_str()).collect();
+    names.join(",")
+}
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -13,6 +13,12 @@
 //! short streams takes only half as long again as one with a single stream, so
 //! few engines carry them all, and the others are free of them. Long prompts
 //! are split over those others, in parts that no stream there feels.
+//!
+//! Engines read the parts that others ask them for newest first. A part that
+//! is placed behind another one therefore overtakes it, and under load the
+//! older prompts are all late. So a long prompt waits at its node until enough
+//! engines are idle, and is then read at once: no engine ever has two parts to
+//! choose from.
 
 use crate::engine::Profile;
 use hickory_unit::size::Tokens;
@@ -37,17 +43,31 @@
 /// enough: half of the shortest pause that long streams are to keep.
 const PART_AIM: Duration = Duration::from_millis(250);
 
+/// What each engine reads at most where a long prompt does not wait for more
+/// engines to become idle.
+const PART_MOST: Duration = Duration::from_millis(500);
+
+/// The part of the engines without short streams that is enough to begin with,
+/// whatever the parts: waiting for the last ones leaves the others idle.
+const CROWD: f64 = 0.6;
+
 /// The part of its streams' wanted pause that an engine may read in one pass.
 const PAUSE_PART: f64 = 0.7;
 
-/// The part of the goal within which a long prompt's first token must be
-/// predicted for it to count as in time.
-const GOAL_PART: f64 = 0.8;
+/// An engine that has less than this to read counts as idle: it is done by the
+/// time that a request reaches it.
+const IDLE: Duration = Duration::from_millis(15);
 
-/// The part of the time left that reading a late prompt may take: it is late
-/// in any case, and what it takes beyond is taken from prompts that could be in
-/// time.
-const LATE_PART: f64 = 0.35;
+/// The part of the engines without short streams that must be idle before a
+/// prompt which is late in any case is read, and of these the part that it is
+/// given: what it takes beyond is taken from prompts that could be in time.
+const LATE_IDLE: f64 = 0.5;
+
+/// The part of the time left that reading a late prompt may take.
+const LATE_PART: f64 = 0.6;
+
+/// Between two looks whether engines are idle, at the longest.
+const LOOK: Duration = Duration::from_millis(20);
 
 /// The part of an engine's memory that prompts may fill. The rest is for the
 /// answers of the streams that are there already.
@@ -85,7 +105,7 @@
     pub prompt: Tokens,
     /// Tokens of its answer, at a guess.
     pub answer: Tokens,
-    /// The time within which its first token is wanted.
+    /// What is left of the time within which its first token is wanted.
     pub goal: Duration,
     /// The time after which it is of no use.
     pub limit: Duration,
@@ -106,6 +126,15 @@
     pub first_token: Duration,
 }
 
+/// What to do with a prompt now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Send it.
+    Go(Plan),
+    /// Look again after this time.
+    Wait(Duration),
+}
+
 /// Why a prompt has no place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refused {
@@ -123,22 +152,21 @@
 }
 
 /// Chooses the engines for a prompt.
-pub fn choose_engines(query: &Query, profile: &Profile, loads: &[Load]) -> Result<Plan, Refused> {
+///
+/// # Errors
+///
+/// No engines can serve it in the time left.
+pub fn choose_engines(query: &Query, profile: &Profile, loads: &[Load]) -> Result<Choice, Refused> {
     if loads.is_empty() {
         return Err(Refused::NoEngine);
     }
     let scene = Scene::read(query, profile, loads);
-    let plan = match is_short(profile, query.prompt) {
+    if scene.needed.0 > scene.whole.0.saturating_mul(loads.len() as u64) {
+        return Err(Refused::TooLong);
+    }
+    match is_short(profile, query.prompt) {
         true => scene.place_short(),
         false => scene.place_long(),
-    };
-    match plan {
-        Some(plan) if plan.first_token < query.limit => Ok(plan),
-        Some(plan) => Err(Refused::Busy(plan.first_token.saturating_sub(query.limit))),
-        None if scene.needed.0 > scene.whole.0.saturating_mul(loads.len() as u64) => {
-            Err(Refused::TooLong)
-        }
-        None => Err(Refused::Busy(estimate_relief(profile, loads))),
     }
 }
 
@@ -196,7 +224,7 @@
 
     /// Packs a short prompt where short streams are already, as long as it is
     /// in time there; else takes the engine where it is first.
-    fn place_short(&self) -> Option<Plan> {
+    fn place_short(&self) -> Result<Choice, Refused> {
         let fits = |&engine: &usize| self.has_place(engine) && self.free(engine) >= self.needed;
         let aim = self.query.goal.mul_f64(PACK_AIM);
         let most = (f64::from(self.profile.slots) * PACK_SLOTS) as u32;
@@ -208,43 +236,101 @@
             let packed = if packs { load.short } else { 0 };
             (load.doubtful, !packs, order, std::cmp::Reverse(packed), !load.near, first)
         };
-        let first = (0..self.loads.len()).filter(fits).min_by_key(rank)?;
-        Some(Plan {
+        let first = (0..self.loads.len()).filter(fits).min_by_key(rank);
+        let first = first.ok_or_else(|| Refused::Busy(self.estimate_relief()))?;
+        let first_token = self.first_token(first, self.read);
+        if first_token >= self.query.limit {
+            return Err(Refused::Busy(first_token.saturating_sub(self.query.limit)));
+        }
+        Ok(Choice::Go(Plan {
             first,
             helpers: Vec::new(),
             memory: Vec::new(),
             part: self.read,
-            first_token: self.first_token(first, self.read),
-        })
+            first_token,
+        }))
     }
 
-    /// Splits a long prompt so that it is in time and no stream feels it; else
-    /// so that it is in time and no short stream feels it; else so that it is
-    /// late and leaves as many engines as it can to others.
-    fn place_long(&self) -> Option<Plan> {
-        let clear = |engine: usize| self.loads[engine].short == 0;
-        let in_time = |plan: &Plan| plan.first_token <= self.query.goal.mul_f64(GOAL_PART);
-        let quiet = self.split(|engine, part| clear(engine) && self.bears(engine, part), PART_AIM);
-        if quiet.as_ref().is_some_and(in_time) {
-            return quiet;
+    /// Splits a long prompt over idle engines without short streams, once
+    /// there are enough of them.
+    fn place_long(&self) -> Result<Choice, Refused> {
+        let engines = self.find_clear();
+        let idle: Vec<usize> =
+            engines.iter().copied().filter(|&engine| self.loads[engine].backlog <= IDLE).collect();
+        let least = self.read / engines.len().clamp(1, HELPERS_MAX + 1) as u32;
+        if least >= self.query.limit {
+            return Err(Refused::Busy(least));
         }
-        let shared = self.split(|engine, part| self.bears(engine, part), PART_AIM);
-        if shared.as_ref().is_some_and(in_time) {
-            return shared;
+        let plan = match least <= self.query.goal {
+            true => self.split_in_time(&idle, engines.len()),
+            false => self.split_late(&idle, engines.len()),
+        };
+        Ok(plan.map_or_else(|| Choice::Wait(self.until_idle(&engines)), Choice::Go))
+    }
+
+    /// The engines that long prompts are read on: those without short streams;
+    /// where there are none, those with the fewest. Near ones first.
+    fn find_clear(&self) -> Vec<usize> {
+        let able = || (0..self.loads.len()).filter(|&engine| self.has_place(engine));
+        let least = able().map(|engine| self.class(engine)).min();
+        let mut engines: Vec<usize> =
+            able().filter(|&engine| Some(self.class(engine)) == least).collect();
+        engines
+            .sort_by_key(|&engine| (self.loads[engine].backlog > IDLE, !self.loads[engine].near));
+        engines
+    }
+
+    /// Sound engines before doubtful ones, those without short streams before
+    /// the others.
+    fn class(&self, engine: usize) -> (bool, u32) {
+        (self.loads[engine].doubtful, self.loads[engine].short)
+    }
+
+    /// Splits over as few idle engines as make the parts small; over most of
+    /// the engines where parts can't be small.
+    fn split_in_time(&self, idle: &[usize], clear: usize) -> Option<Plan> {
+        let crowd = ((clear as f64 * CROWD).ceil() as usize).min(HELPERS_MAX + 1);
+        let mut best = None;
+        for count in 1..=idle.len().min(HELPERS_MAX + 1) {
+            let part = self.read / count as u32;
+            let Some(plan) = self.plan_on(idle, count, part) else { continue };
+            if part <= PART_AIM {
+                return Some(plan);
+            }
+            let is_enough = part <= PART_MOST || count >= crowd;
+            if is_enough && plan.first_token <= self.query.goal {
+                best = Some(plan);
+            }
         }
-        let loud = self.split(|engine, _| clear(engine), PART_AIM);
-        if loud.as_ref().is_some_and(in_time) {
-            return loud;
+        best
+    }
+
+    /// Splits over few idle engines, where many are idle.
+    fn split_late(&self, idle: &[usize], clear: usize) -> Option<Plan> {
+        let spare = (clear as f64 * LATE_IDLE).ceil() as usize;
+        if idle.len() < spare.max(1) {
+            return None;
         }
-        let late = self.query.limit.mul_f64(LATE_PART);
-        let plans = [
-            self.split(|engine, _| clear(engine), late),
-            self.split(|engine, part| self.bears(engine, part), late),
-            self.split(|_, _| true, late),
-        ];
-        let is_useful = |plan: &Plan| plan.first_token < self.query.limit;
-        let mut plans = plans.into_iter().flatten();
-        plans.find(is_useful).or(loud)
+        let aim = self.query.limit.mul_f64(LATE_PART);
+        let counts = 1..=idle.len().min(HELPERS_MAX + 1);
+        let plans = counts.filter_map(|count| {
+            let part = self.read / count as u32;
+            self.plan_on(idle, count, part)
+        });
+        plans.into_iter().find(|plan| plan.first_token <= aim)
+    }
+
+    /// A plan on the first of the engines whose streams bear the part.
+    fn plan_on(&self, engines: &[usize], count: usize, part: Duration) -> Option<Plan> {
+        let bearing = engines.iter().copied().filter(|&engine| self.bears(engine, part));
+        let chosen: Vec<usize> = bearing.take(count).collect();
+        (chosen.len() == count).then(|| self.plan(&chosen, part)).flatten()
+    }
+
+    fn until_idle(&self, engines: &[usize]) -> Duration {
+        let busy = engines.iter().map(|&engine| self.loads[engine].backlog);
+        let next = busy.filter(|backlog| *backlog > IDLE).min().unwrap_or(LOOK);
+        next.saturating_sub(IDLE).clamp(Duration::from_millis(2), LOOK)
     }
 
     /// Whether the streams of an engine bear that it reads this in a pass.
@@ -256,34 +342,6 @@
         }
     }
 
-    /// Splits over as few engines as make the parts small enough, or over as
-    /// many as there are.
-    fn split(&self, takes: impl Fn(usize, Duration) -> bool, aim: Duration) -> Option<Plan> {
-        let mut order: Vec<usize> =
-            (0..self.loads.len()).filter(|&engine| self.has_place(engine)).collect();
-        order.sort_by_cached_key(|&engine| {
-            let load = &self.loads[engine];
-            (load.doubtful, self.delay(engine), !load.near)
-        });
-        let mut best: Option<Plan> = None;
-        for count in 1..=order.len().min(HELPERS_MAX + 1) {
-            let part = self.read / count as u32;
-            let taking = order.iter().copied().filter(|&engine| takes(engine, part));
-            let engines: Vec<usize> = taking.take(count).collect();
-            if engines.len() < count {
-                continue;
-            }
-            let Some(plan) = self.plan(&engines, part) else { continue };
-            if best.as_ref().is_none_or(|best| plan.first_token < best.first_token) {
-                best = Some(plan);
-            }
-            if part <= aim && best.is_some() {
-                break;
-            }
-        }
-        best
-    }
-
     fn plan(&self, engines: &[usize], part: Duration) -> Option<Plan> {
         let memory = self.spread_memory(engines)?;
         let first = memory.first().map(|(engine, _)| *engine)?;
@@ -318,12 +376,12 @@
         }
         None
     }
-}
 
-/// When room is likely: after one usual answer on the engine that is nearest
-/// to its end, spread over the slots.
-fn estimate_relief(profile: &Profile, loads: &[Load]) -> Duration {
-    let steps = profile.usual_answer.0 as u32;
-    let busiest = loads.iter().map(|load| load.backlog).min().unwrap_or_default();
-    busiest + profile.step * steps / profile.slots.max(1)
+    /// When room is likely: after one usual answer on the engine that is
+    /// nearest to its end, spread over the slots.
+    fn estimate_relief(&self) -> Duration {
+        let steps = self.profile.usual_answer.0 as u32;
+        let least = self.loads.iter().map(|load| load.backlog).min().unwrap_or_default();
+        least + self.profile.step * steps / self.profile.slots.max(1)
+    }
 }
--- a/crates/telemetry/tests/metered.rs
+++ b/crates/telemetry/tests/metered.rs
@@ -97,11 +97,11 @@
             let text = metrics.render();
             let counted: Vec<&str> = text
                 .lines()
-                .filter(|line| line.starts_with("hickory_store_calls_total{"))
+                .filter(|line| line.starts_with("hickory_platform_calls_total{"))
                 .filter(|line| !line.ends_with(" 0"))
                 .collect();
             let series =
-                format!(r#"hickory_store_calls_total{{call="{call}",result="{result}"}} 1"#);
+                format!(r#"hickory_platform_calls_total{{call="{call}",result="{result}"}} 1"#);
             assert_eq!(counted, [series]);
             let seconds = format!(r#"hickory_store_call_seconds_sum{{call="{call}"}} "#);
             let expected = if *call == Call::Watch { "0" } else { "0.04" };
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -52,7 +52,8 @@
         for result in Outcome::ALL {
             let metrics = Metrics::open().unwrap();
             metrics.platform_called(*call, *result, Duration::from_millis(3));
-            let series = format!(r#"hickory_store_calls_total{{call="{call}",result="{result}"}}"#);
+            let series =
+                format!(r#"hickory_platform_calls_total{{call="{call}",result="{result}"}}"#);
             assert_eq!(value(&metrics.render(), &series), Some(1.0));
         }
     }
