Waiting prompts are told to all nodes; what can't be in time is refused at once

Change: goals below 600 ms are placed at once, whatever the length; a prompt that waits is told to all nodes, which count it when they judge whether a larger one can be in time; what can't be is refused unless half of the engines idle; the time that callers wait for a first event bounds all of it.

--- a/crates/path/src/books.rs
+++ b/crates/path/src/books.rs
@@ -26,10 +26,23 @@
 /// should be done and no first token has come, as a part of what was placed.
 const OVERDUE_PART: u32 = 5;
 
+/// How far a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stage {
+    /// It waits for idle engines; its part is the whole prompt.
+    Waiting,
+    /// Its prompt is being read.
+    Reading,
+    /// Its stream is being written.
+    Writing,
+}
+
 /// A request's place, as told between nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Booking {
-    /// The target that was sent the request.
+    /// The service.
+    pub service: id::Service,
+    /// The target that was sent the request; of no meaning while it waits.
     pub first: Tag,
     /// Engines that read parts of it, besides.
     pub helpers: Vec<Tag>,
@@ -45,8 +58,8 @@
     pub gap: Option<Duration>,
     /// Whether it is a short prompt.
     pub short: bool,
-    /// Whether the prompt is still being read.
-    pub reading: bool,
+    /// How far it has come.
+    pub stage: Stage,
     /// How long ago it was placed.
     pub age: Duration,
 }
@@ -76,7 +89,9 @@
     pub fn place(&mut self, now: Instant, booking: Booking) -> Number {
         self.last = self.last.wrapping_add(1);
         let number = Number(self.last);
-        self.note_sent(now, booking.first);
+        if booking.stage != Stage::Waiting {
+            self.note_sent(now, booking.first);
+        }
         self.own.insert(number, Kept { booking, placed: now, told: now });
         number
     }
@@ -84,7 +99,7 @@
     /// Notes the first token of an own request.
     pub fn begin_writing(&mut self, number: Number) {
         if let Some(kept) = self.own.get_mut(&number) {
-            kept.booking.reading = false;
+            kept.booking.stage = Stage::Writing;
         }
     }
 
@@ -109,7 +124,9 @@
             Some(bookings) => bookings,
             None => self.peers.entry(node.clone()).or_default(),
         };
-        if bookings.insert(number, Kept { booking, placed, told: now }).is_none() {
+        let is_sent = booking.stage != Stage::Waiting;
+        let known = bookings.insert(number, Kept { booking, placed, told: now });
+        if is_sent && known.is_none() {
             self.note_sent(placed, first);
         }
     }
@@ -117,7 +134,7 @@
     /// Notes the first token of a peer's request.
     pub fn take_writing(&mut self, node: &id::Node, number: Number) {
         if let Some(kept) = self.peers.get_mut(node).and_then(|all| all.get_mut(&number)) {
-            kept.booking.reading = false;
+            kept.booking.stage = Stage::Writing;
         }
     }
 
@@ -151,6 +168,23 @@
         self.sent.get(&tag).map_or(0, |times| times.iter().filter(is_late).count())
     }
 
+    /// What is to be read of prompts of a service that wait and are smaller
+    /// than this: those come first, since they need fewer engines.
+    pub fn ahead(&self, now: Instant, service: &id::Service, read: Duration) -> Duration {
+        let waits = |kept: &&Kept| {
+            kept.booking.stage == Stage::Waiting
+                && kept.booking.part < read
+                && kept.booking.service == *service
+        };
+        self.all(now).filter(waits).map(|kept| kept.booking.part).sum()
+    }
+
+    fn all(&self, now: Instant) -> impl Iterator<Item = &Kept> {
+        let peers = self.peers.values().flat_map(HashMap::values);
+        let is_fresh = move |kept: &&Kept| now.saturating_duration_since(kept.told) < STALE;
+        self.own.values().chain(peers.filter(is_fresh))
+    }
+
     /// What each of the targets has to do.
     pub fn loads(
         &self,
@@ -162,9 +196,8 @@
             targets.iter().enumerate().map(|(place, target)| (target.tag, place)).collect();
         let mut loads = vec![Load::default(); targets.len()];
         let mut reads: Vec<Vec<(Instant, Duration)>> = vec![Vec::new(); targets.len()];
-        let peers = self.peers.values().flat_map(HashMap::values);
-        let fresh = |kept: &&Kept| now.saturating_duration_since(kept.told) < STALE;
-        for kept in self.own.values().chain(peers.filter(fresh)) {
+        let is_placed = |kept: &&Kept| kept.booking.stage != Stage::Waiting;
+        for kept in self.all(now).filter(is_placed) {
             add_booking(kept, &places, &mut loads, &mut reads);
         }
         if profile.is_some() {
@@ -192,12 +225,12 @@
         load.requests += 1;
         load.short += u32::from(booking.short);
         load.gap = load.gap.into_iter().chain(booking.gap).min();
-        match booking.reading {
-            true => reads[first].push((kept.placed, booking.part)),
-            false => {
-                loads[first].writers += 1;
-                loads[first].context += booking.prompt + booking.answer;
+        match booking.stage {
+            Stage::Writing => {
+                load.writers += 1;
+                load.context += booking.prompt + booking.answer;
             }
+            Stage::Reading | Stage::Waiting => reads[first].push((kept.placed, booking.part)),
         }
         if booking.memory.is_empty() {
             loads[first].memory += booking.prompt + booking.answer;
@@ -208,7 +241,7 @@
             loads[place].memory += tokens;
         }
     }
-    if !booking.reading {
+    if booking.stage == Stage::Writing {
         return;
     }
     for place in booking.helpers.iter().filter_map(|tag| places.get(tag)) {
--- a/crates/path/src/config.rs
+++ b/crates/path/src/config.rs
@@ -64,6 +64,8 @@
     pub goal: Duration,
     /// The longest wanted pause between two events of a stream.
     pub gap: Option<Duration>,
+    /// How long callers wait for a first event before they give up.
+    pub patience: Option<Duration>,
     /// Its rank; 0 is the highest.
     pub priority: u32,
     /// The services it goes to, with their weights.
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -1,6 +1,6 @@
 //! Choosing targets for one attempt, and booking them.
 
-use crate::books::{Booking, Number};
+use crate::books::{Booking, Number, Stage};
 use crate::config::{Configuration, Route};
 use crate::core::Core;
 use crate::demand::Prompt;
@@ -9,7 +9,7 @@
 use crate::ticket::Tickets;
 use crate::view::{Tag, Target, View};
 use hickory_policy::engine::Profile;
-use hickory_policy::plan::{self, Choice, Load, Plan, Query, Refused, SHORT_READ};
+use hickory_policy::plan::{self, Choice, Load, Plan, Query, Refused};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
@@ -39,7 +39,8 @@
     pub(crate) prompt: Option<Prompt>,
     /// When its first token is wanted.
     pub(crate) due: Instant,
-    pub(crate) deadline: Instant,
+    /// When its caller gives up on a first token.
+    pub(crate) limit: Instant,
     /// Targets that were tried.
     pub(crate) tried: &'a [Tag],
 }
@@ -81,6 +82,48 @@
     }
 }
 
+/// Tells the other nodes that a prompt waits. Dropping it ends that.
+pub(crate) struct Waiting<D: Dialect, S: Store, C: Clock> {
+    core: Arc<Core<D, S, C>>,
+    number: Number,
+}
+
+impl<D: Dialect, S: Store, C: Clock> Waiting<D, S, C> {
+    pub(crate) fn begin(
+        core: &Arc<Core<D, S, C>>,
+        service: &id::Service,
+        read: Duration,
+    ) -> Self {
+        let booking = Booking { part: read, ..empty_booking(service, Stage::Waiting) };
+        let number = core.books().place(core.now(), booking.clone());
+        core.tell(Event::Placed(number, booking));
+        Self { core: core.clone(), number }
+    }
+}
+
+impl<D: Dialect, S: Store, C: Clock> Drop for Waiting<D, S, C> {
+    fn drop(&mut self) {
+        self.core.books().end(self.number);
+        self.core.tell(Event::Ended(self.number));
+    }
+}
+
+fn empty_booking(service: &id::Service, stage: Stage) -> Booking {
+    Booking {
+        service: service.clone(),
+        first: Tag(0),
+        helpers: Vec::new(),
+        part: Duration::ZERO,
+        prompt: Tokens(0),
+        answer: Tokens(0),
+        memory: Vec::new(),
+        gap: None,
+        short: false,
+        stage,
+        age: Duration::ZERO,
+    }
+}
+
 /// Why nothing is free: when to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoPlace {
@@ -90,8 +133,8 @@
     TooLong,
     /// There may be room after this time.
     Busy(Duration),
-    /// Its turn may come after this time.
-    Wait(Duration),
+    /// Its turn may come after this time; reading it takes one engine so long.
+    Wait(Duration, Duration),
 }
 
 /// Chooses targets and books them.
@@ -109,30 +152,28 @@
     let profile = configuration.engine_of(want.service);
     let mut loads = core.books().loads(now, &candidates, profile);
     mark(core, now, &candidates, &mut loads);
-    let limit = want.deadline.saturating_duration_since(now);
+    let limit = want.limit.saturating_duration_since(now);
     match (profile, want.prompt) {
         (Some(profile), Some(prompt)) => {
-            let answer = guess_answer(profile, prompt);
-            let goal = want.due.saturating_duration_since(now);
-            let query = Query { prompt: prompt.tokens, answer, goal, limit };
+            let read = profile.read_time(prompt.tokens);
+            let query = Query {
+                prompt: prompt.tokens,
+                answer: guess_answer(profile, prompt),
+                short: plan::is_short(profile, prompt.tokens, want.route.goal),
+                goal: want.due.saturating_duration_since(now),
+                limit,
+                ahead: core.books().ahead(now, want.service, read),
+            };
             match plan::choose_engines(&query, profile, &loads).map_err(read_refused)? {
                 Choice::Go(plan) => Ok(book_plan(core, now, &candidates, want, &query, &plan)),
-                Choice::Wait(time) => Err(NoPlace::Wait(time)),
+                Choice::Wait(time) => Err(NoPlace::Wait(time, read)),
             }
         }
         _ => {
             let place = choose_replica(&candidates, &loads)?;
             let booking = Booking {
                 first: candidates[place].tag,
-                helpers: Vec::new(),
-                part: Duration::ZERO,
-                prompt: Tokens(0),
-                answer: Tokens(0),
-                memory: Vec::new(),
-                gap: None,
-                short: false,
-                reading: true,
-                age: Duration::ZERO,
+                ..empty_booking(want.service, Stage::Reading)
             };
             let plan = Plan {
                 first: place,
@@ -234,9 +275,8 @@
         answer: query.answer,
         memory: plan.memory.iter().map(|&(place, tokens)| (tag(place), tokens)).collect(),
         gap: want.route.gap,
-        short: plan.helpers.is_empty() && plan.part < SHORT_READ,
-        reading: true,
-        age: Duration::ZERO,
+        short: query.short,
+        ..empty_booking(want.service, Stage::Reading)
     };
     book(core, now, targets, booking, plan)
 }
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -4,7 +4,7 @@
 use crate::core::{Active, Core};
 use crate::dialect::Dialect;
 use crate::peer::Event;
-use crate::place::{self, NoPlace, Place, Want};
+use crate::place::{self, NoPlace, Place, Waiting, Want};
 use crate::reply::{self, Reply};
 use crate::serve::{Job, Refusal};
 use crate::stream;
@@ -182,6 +182,7 @@
 
     /// Waits for its turn, where it has to.
     async fn choose(&self) -> Result<Place<D, S, C>, Refusal> {
+        let mut waiting = None;
         loop {
             let view = self.core.view();
             let want = Want {
@@ -189,12 +190,15 @@
                 service: &self.service,
                 prompt: self.job.demand.prompt,
                 due: self.job.arrived + self.job.route.goal,
-                deadline: self.job.deadline,
+                limit: self.first_deadline(),
                 tried: &self.tried,
             };
             match place::choose(&self.core, &view, &self.job.configuration, &want) {
                 Ok(place) => return Ok(place),
-                Err(NoPlace::Wait(time)) => tokio::time::sleep(time).await,
+                Err(NoPlace::Wait(time, read)) => {
+                    waiting.get_or_insert_with(|| Waiting::begin(&self.core, &self.service, read));
+                    tokio::time::sleep(time).await;
+                }
                 Err(no_place) => return Err(self.refuse_unplaced(no_place)),
             }
         }
@@ -207,7 +211,7 @@
             }
             NoPlace::TooLong => Refusal::new(Reason::TooLong, "longer than the fleet's memory")
                 .with_status(StatusCode::SERVICE_UNAVAILABLE),
-            NoPlace::Busy(time) | NoPlace::Wait(time) => {
+            NoPlace::Busy(time) | NoPlace::Wait(time, _) => {
                 Refusal::new(Reason::Overloaded, "all targets are busy")
                     .with_status(StatusCode::SERVICE_UNAVAILABLE)
                     .after(time.min(RETRY_MAX))
@@ -233,6 +237,13 @@
         }
     }
 
+    /// When the caller gives up on a first event.
+    fn first_deadline(&self) -> Instant {
+        let patience = self.job.route.patience.filter(|_| self.first_event.is_none());
+        let gives_up = patience.map(|patience| self.job.arrived + patience);
+        gives_up.map_or(self.job.deadline, |at| at.min(self.job.deadline))
+    }
+
     pub(crate) fn time_left(&self) -> Duration {
         self.job.deadline.saturating_duration_since(self.core.now())
     }
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -28,8 +28,12 @@
 pub const HELPERS_MAX: usize = 15;
 
 /// Prompts that are read in less than this on one engine are short: they are
-/// read whole, and their streams are the ones that pauses hurt.
-pub const SHORT_READ: Duration = Duration::from_millis(150);
+/// read whole, at once. It is what a short stream beside them bears.
+const SHORT_READ: Duration = Duration::from_millis(100);
+
+/// Goals below this leave no time to wait for idle engines, whatever the
+/// prompt's length.
+const URGENT_GOAL: Duration = Duration::from_millis(600);
 
 /// The part of the goal within which a short prompt's first token must be
 /// predicted on an engine for it to be packed there. The rest is for prompts
@@ -66,6 +70,10 @@
 /// The part of the time left that reading a late prompt may take.
 const LATE_PART: f64 = 0.6;
 
+/// The least time after which a prompt that can't be in time should come back:
+/// a phase of long prompts doesn't end sooner.
+const LATE_RETRY: Duration = Duration::from_millis(1_500);
+
 /// Between two looks whether engines are idle, at the longest.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -105,10 +113,15 @@
     pub prompt: Tokens,
     /// Tokens of its answer, at a guess.
     pub answer: Tokens,
+    /// Whether it is placed as a short one, by [`is_short`].
+    pub short: bool,
     /// What is left of the time within which its first token is wanted.
     pub goal: Duration,
     /// The time after which it is of no use.
     pub limit: Duration,
+    /// What is to be read of prompts that wait and come before it, by the time
+    /// that one engine takes.
+    pub ahead: Duration,
 }
 
 /// Where a prompt is read; engines by their place in the list of loads.
@@ -146,9 +159,9 @@
     Busy(Duration),
 }
 
-/// Whether a prompt is short.
-pub fn is_short(profile: &Profile, prompt: Tokens) -> bool {
-    profile.read_time(prompt) < SHORT_READ
+/// Whether a prompt is read at once on one engine.
+pub fn is_short(profile: &Profile, prompt: Tokens, goal: Duration) -> bool {
+    goal < URGENT_GOAL || profile.read_time(prompt) < SHORT_READ
 }
 
 /// Chooses the engines for a prompt.
@@ -164,7 +177,7 @@
     if scene.needed.0 > scene.whole.0.saturating_mul(loads.len() as u64) {
         return Err(Refused::TooLong);
     }
-    match is_short(profile, query.prompt) {
+    match query.short {
         true => scene.place_short(),
         false => scene.place_long(),
     }
@@ -251,39 +264,36 @@
         }))
     }
 
-    /// Splits a long prompt over idle engines without short streams, once
-    /// there are enough of them.
+    /// Splits a long prompt over idle engines, once there are enough of them.
+    /// What can't be in time is read only while half of the engines have
+    /// nothing else to do, and refused otherwise: waiting would not help it,
+    /// and its caller can come back.
     fn place_long(&self) -> Result<Choice, Refused> {
-        let engines = self.find_clear();
+        let able = (0..self.loads.len()).filter(|&engine| self.has_place(engine));
+        let mut engines: Vec<usize> = able.collect();
+        engines.sort_by_key(|&engine| {
+            let load = &self.loads[engine];
+            (load.doubtful, load.short, !load.near)
+        });
+        let clear = engines.iter().filter(|&&engine| self.loads[engine].short == 0).count();
         let idle: Vec<usize> =
             engines.iter().copied().filter(|&engine| self.loads[engine].backlog <= IDLE).collect();
-        let least = self.read / engines.len().clamp(1, HELPERS_MAX + 1) as u32;
-        if least >= self.query.limit {
-            return Err(Refused::Busy(least));
+        let wait = self.estimate_wait(&engines[..clear]);
+        let least = self.read / clear.clamp(1, HELPERS_MAX + 1) as u32;
+        if wait + least <= self.query.goal {
+            let plan = self.split_in_time(&idle, clear);
+            return Ok(plan.map_or_else(|| Choice::Wait(self.until_idle(&engines)), Choice::Go));
         }
-        let plan = match least <= self.query.goal {
-            true => self.split_in_time(&idle, engines.len()),
-            false => self.split_late(&idle, engines.len()),
-        };
-        Ok(plan.map_or_else(|| Choice::Wait(self.until_idle(&engines)), Choice::Go))
-    }
-
-    /// The engines that long prompts are read on: those without short streams;
-    /// where there are none, those with the fewest. Near ones first.
-    fn find_clear(&self) -> Vec<usize> {
-        let able = || (0..self.loads.len()).filter(|&engine| self.has_place(engine));
-        let least = able().map(|engine| self.class(engine)).min();
-        let mut engines: Vec<usize> =
-            able().filter(|&engine| Some(self.class(engine)) == least).collect();
-        engines
-            .sort_by_key(|&engine| (self.loads[engine].backlog > IDLE, !self.loads[engine].near));
-        engines
+        let shared = self.split_in_time(&idle, engines.len());
+        let plan = shared.or_else(|| self.split_late(&idle, clear));
+        plan.map(Choice::Go).ok_or(Refused::Busy((wait + least).max(LATE_RETRY)))
     }
 
-    /// Sound engines before doubtful ones, those without short streams before
-    /// the others.
-    fn class(&self, engine: usize) -> (bool, u32) {
-        (self.loads[engine].doubtful, self.loads[engine].short)
+    /// Time until the engines have read what is placed and what waits before
+    /// this prompt, evenly spread.
+    fn estimate_wait(&self, engines: &[usize]) -> Duration {
+        let placed: Duration = engines.iter().map(|&engine| self.loads[engine].backlog).sum();
+        (placed + self.query.ahead) / engines.len().max(1) as u32
     }
 
     /// Splits over as few idle engines as make the parts small; over most of
