A removed target is not kept for lapsed; a stopping node takes no late streams

Cause of the first, by the node's log: its watch of targets hung on a connection that a partition had silenced, failed 18 s later, and for three seconds after that each removal counted as a lapse of the store's outage and was kept for 2.2 s. Ruled out: a missed event (the removal came at once). Change: only what is missing in the first answer after an outage may have lapsed, as told by the one whose answer it was; connections carry keep-alive probes, so that a silent watch ends within three seconds.

Cause of the second: a caller that kept an old address past all answers. Change: after the time for which kept answers can name it, a stopping node refuses streams with a true 'not run' and says to come back at once.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -6,11 +6,20 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use socket2::TcpKeepalive;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
+/// Probes of connections on which nothing is sent. A call that waits, as a
+/// watch does, sends nothing: on a connection that went silent it would wait
+/// for an answer that can't come any more.
+const KEEPALIVE: TcpKeepalive = TcpKeepalive::new()
+    .with_time(Duration::from_secs(1))
+    .with_interval(Duration::from_millis(500))
+    .with_retries(3);
+
 type Request = http::Request<Full<Bytes>>;
 
 /// A connection.
@@ -44,6 +53,7 @@
         socket.set_nodelay(true).map_err(|e| not_sent(&e))?;
         let options = socket2::SockRef::from(&socket);
         options.set_tcp_user_timeout(Some(silence)).map_err(|e| not_sent(&e))?;
+        options.set_tcp_keepalive(&KEEPALIVE).map_err(|e| not_sent(&e))?;
         let twin = socket.try_clone().map_err(|e| not_sent(&e))?;
         let stream = TcpStream::from_std(twin).map_err(|e| not_sent(&e))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -16,7 +16,7 @@
 use hickory_unit::id;
 use std::collections::HashMap;
 use std::marker::PhantomData;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
@@ -30,10 +30,6 @@
 /// off: some hundred times the way there and back.
 const SILENCE: Duration = Duration::from_millis(1_200);
 
-/// How long the store must have answered before entries that go are taken as
-/// removed on purpose.
-const STORE_SETTLED: Duration = Duration::from_secs(3);
-
 /// What a node is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stage {
@@ -62,7 +58,8 @@
     doubts: Mutex<Doubts>,
     suspects: Mutex<Suspects>,
     budgets: Mutex<HashMap<id::Service, Budget>>,
-    store_failed: Mutex<Option<Instant>>,
+    store_away: AtomicBool,
+    draining_since: OnceLock<Instant>,
     outbox: Mutex<Vec<Event>>,
     pub(crate) told: Notify,
     pub(crate) stage: watch::Sender<Stage>,
@@ -91,7 +88,8 @@
             doubts: Mutex::default(),
             suspects: Mutex::default(),
             budgets: Mutex::default(),
-            store_failed: Mutex::default(),
+            store_away: AtomicBool::new(false),
+            draining_since: OnceLock::new(),
             outbox: Mutex::default(),
             told: Notify::new(),
             stage: watch::channel(Stage::Serving).0,
@@ -136,37 +134,40 @@
         lock(&self.items)
     }
 
-    /// Changes the items and reads them anew where that was news.
-    pub(crate) fn update(&self, change: impl FnOnce(&mut Items) -> bool) {
+    /// Changes the items and reads them anew where that was news. Targets whose
+    /// entries go are kept for a while where `may_lapse`.
+    pub(crate) fn update(&self, may_lapse: bool, change: impl FnOnce(&mut Items) -> bool) {
         let mut items = self.items();
         if !change(&mut items) {
             return;
         }
-        let next = self.view().read::<D>(&items, self.now(), self.is_store_away());
+        let next = self.view().read::<D>(&items, self.now(), may_lapse);
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(next);
     }
 
     /// Notes whether the store answered.
     pub(crate) fn note_store(&self, answered: bool) {
-        let now = self.now();
-        let mut failed = lock(&self.store_failed);
-        let was_away = failed.is_some();
-        match answered {
-            false => *failed = Some(now),
-            true if failed.is_some_and(|at| now.duration_since(at) > STORE_SETTLED) => {
-                *failed = None;
-            }
-            true => {}
-        }
-        if was_away != failed.is_some() {
-            log::warn!(away = failed.is_some(); "the store's reach changed");
+        let was_away = self.store_away.swap(!answered, Ordering::Relaxed);
+        if was_away == answered {
+            log::warn!(away = !answered; "the store's reach changed");
         }
     }
 
-    /// Whether the store has been out of reach lately.
+    /// Whether the store is out of reach.
     pub(crate) fn is_store_away(&self) -> bool {
-        let failed = *lock(&self.store_failed);
-        failed.is_some_and(|at| self.now().duration_since(at) < STORE_SETTLED)
+        self.store_away.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the planned stop begins.
+    pub(crate) fn begin_draining(&self) {
+        // It begins once.
+        let _ = self.draining_since.set(self.now());
+    }
+
+    /// How long the planned stop has lasted.
+    pub(crate) fn draining_for(&self) -> Option<Duration> {
+        let since = self.draining_since.get()?;
+        Some(self.now().saturating_duration_since(*since))
     }
 
     /// Notes a request of a service, which earns part of a repeat.
--- a/crates/path/src/drain.rs
+++ b/crates/path/src/drain.rs
@@ -12,7 +12,7 @@
 
 /// How long a stopping node is still named in kept answers: three times what
 /// they may be kept, and the time that its peers take to hear of the stop.
-const NAMED: Duration = Duration::from_millis(3_400);
+pub(crate) const NAMED: Duration = Duration::from_millis(3_400);
 
 /// What is left of the grace time when the node stops at the latest: enough to
 /// end by itself before it is killed.
@@ -31,6 +31,7 @@
         serving
     });
     if begun {
+        core.begin_draining();
         log::info!(active = core.active(); "planned stop begun");
         // An empty telling carries the word that this node isn't ready.
         core.told.notify_one();
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -66,7 +66,9 @@
     sync: SocketAddr,
     /// Whether callers should be sent to it.
     ready: bool,
-    /// The newest revision of what operators wrote, of targets and of nodes.
+    /// Whether the store is out of its reach.
+    store_away: bool,
+    /// The newest revision of what operators wrote, and of targets.
     operator: Revision,
     targets: Revision,
     events: Vec<Event>,
@@ -80,6 +82,7 @@
     pub(crate) sync: SocketAddr,
     address: SocketAddr,
     ready: bool,
+    pub(crate) store_away: bool,
     pub(crate) operator: Revision,
     pub(crate) targets: Revision,
     heard: Instant,
@@ -116,6 +119,7 @@
             sync: beat.sync,
             address,
             ready: beat.ready,
+            store_away: beat.store_away,
             operator: beat.operator,
             targets: beat.targets,
             heard: now,
@@ -264,6 +268,7 @@
         callers: core.settings.callers,
         sync: core.settings.sync,
         ready: core.is_ready(),
+        store_away: core.is_store_away(),
         operator: items.newest(D::OPERATOR_PREFIX),
         targets: items.newest(D::TARGET_PREFIX),
         events,
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -89,11 +89,7 @@
 }
 
 impl<D: Dialect, S: Store, C: Clock> Waiting<D, S, C> {
-    pub(crate) fn begin(
-        core: &Arc<Core<D, S, C>>,
-        service: &id::Service,
-        read: Duration,
-    ) -> Self {
+    pub(crate) fn begin(core: &Arc<Core<D, S, C>>, service: &id::Service, read: Duration) -> Self {
         let booking = Booking { part: read, ..empty_booking(service, Stage::Waiting) };
         let number = core.books().place(core.now(), booking.clone());
         core.tell(Event::Placed(number, booking));
--- a/crates/path/src/serve.rs
+++ b/crates/path/src/serve.rs
@@ -5,6 +5,7 @@
 use crate::core::{Active, Core};
 use crate::demand::Demand;
 use crate::dialect::Dialect;
+use crate::drain::NAMED;
 use crate::reply::{self, Reply};
 use crate::run;
 use bytes::Bytes;
@@ -21,6 +22,9 @@
 /// When to come back to a node that has no configuration yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
 
+/// When to come back to another node than one that is stopping.
+const DRAINING_RETRY: Duration = Duration::from_millis(20);
+
 /// A request that is refused.
 #[derive(Clone, Debug)]
 pub(crate) struct Refusal {
@@ -95,6 +99,12 @@
         .map_err(|finding| Refusal::new(Reason::BadHeader, finding.to_string()))?;
     let route = configuration.find_route(&demand.host, parts.uri.path()).cloned();
     let route = route.ok_or_else(|| Refusal::new(Reason::NotFound, "no such route"))?;
+    // A stream that begins this late would be cut by the stop; its caller is
+    // better served by another node, and asks for one after this answer.
+    if route.kind.is_stream() && core.draining_for().is_some_and(|time| time > NAMED) {
+        let refusal = Refusal::new(Reason::Draining, "this node is stopping");
+        return Err(refusal.after(DRAINING_RETRY));
+    }
     let account = find_account(&configuration, &route, &demand)?;
     let body = read_body(body, configuration.limits.body).await?;
     let time = demand.time_left.map_or(route.timeout, |time| time.min(route.timeout));
--- a/crates/path/src/sync.rs
+++ b/crates/path/src/sync.rs
@@ -63,12 +63,18 @@
         follow::Options { prefix: prefix.into(), wait: WATCH_WAIT, spread: Duration::ZERO };
     let follower = Follower::open(options, rand::random());
     let (store, clock) = (core.store.clone(), core.clock.clone());
+    let mut failed = false;
     follow::run(store, clock, follower, move |follower, step, _| {
-        core.note_store(step.confirmed || step.pause.is_zero());
+        // What is missing in the first answer after an outage may have lapsed;
+        // what goes later was removed.
+        let may_lapse = failed;
+        failed = !step.confirmed && !step.pause.is_zero();
+        core.note_store(!failed);
         if step.changed {
             let now = core.now();
             let entries = follower.view().values();
-            core.update(|items| items.take_all(now, prefix, entries, follower.revision()));
+            let at = follower.revision();
+            core.update(may_lapse, |items| items.take_all(now, prefix, entries, at));
         }
         core.stage() != Stage::Closed
     })
@@ -81,7 +87,7 @@
     while core.stage() != Stage::Closed {
         tokio::time::sleep(LOOK).await;
         let now = core.now();
-        let Some((peer, query)) = find_ahead(&core, now) else {
+        let Some((peer, may_lapse, query)) = find_ahead(&core, now) else {
             behind_since = None;
             continue;
         };
@@ -91,7 +97,7 @@
         match fetch(&core, peer, &query).await {
             Ok(words) => {
                 log::info!(peer:%, words = words.len(); "items taken over from a peer");
-                core.update(|items| {
+                core.update(may_lapse, |items| {
                     let news = words.into_iter().map(|word| items.take(now, word));
                     news.fold(false, |any, one| any | one)
                 });
@@ -102,11 +108,12 @@
     }
 }
 
-/// A peer that knows more, and what to ask it.
+/// A peer that knows more, whether entries may have lapsed in its store's
+/// outage, and what to ask it.
 fn find_ahead<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     now: Instant,
-) -> Option<(SocketAddr, String)> {
+) -> Option<(SocketAddr, bool, String)> {
     let (operator, targets) = {
         let items = core.items();
         (items.newest(D::OPERATOR_PREFIX), items.newest(D::TARGET_PREFIX))
@@ -114,7 +121,7 @@
     let peers = core.peers();
     let ahead = peers.living(now).filter(|p| p.operator > operator || p.targets > targets);
     let ahead = ahead.max_by_key(|peer| (peer.operator, peer.targets))?;
-    Some((ahead.sync, format!("{PATH}?operator={operator}&targets={targets}")))
+    Some((ahead.sync, ahead.store_away, format!("{PATH}?operator={operator}&targets={targets}")))
 }
 
 async fn fetch<D: Dialect, S: Store, C: Clock>(
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -63,9 +63,9 @@
 }
 
 impl View {
-    /// The view of changed items. `store_away` says whether the store has been
-    /// out of reach lately, so that entries may have lapsed.
-    pub fn read<D: Dialect>(&self, items: &Items, now: Instant, store_away: bool) -> Self {
+    /// The view of changed items. `may_lapse` says whether entries that are
+    /// gone may have lapsed because the store was out of reach.
+    pub fn read<D: Dialect>(&self, items: &Items, now: Instant, may_lapse: bool) -> Self {
         let mut next = Self {
             configuration: self.configuration.clone(),
             evacuated: read_zones::<D>(items),
@@ -80,7 +80,7 @@
             let known = before.get(id).copied();
             let target = match &item.value {
                 Some(text) => read_target::<D>(id, text, item.seen, known),
-                None => keep_lapsed(known, item.seen, now, store_away),
+                None => keep_lapsed(known, item.seen, now, may_lapse),
             };
             if let Some(target) = target {
                 next.targets.entry(target.entry.service.clone()).or_default().push(target);
@@ -150,10 +150,10 @@
     known: Option<&Arc<Target>>,
     seen: Instant,
     now: Instant,
-    store_away: bool,
+    may_lapse: bool,
 ) -> Option<Arc<Target>> {
     let known = known?;
-    let lapses = known.lapses.or((store_away && !known.entry.draining).then(|| seen + LAPSED_KEPT));
+    let lapses = known.lapses.or((may_lapse && !known.entry.draining).then(|| seen + LAPSED_KEPT));
     let lapses = lapses.filter(|at| now < *at)?;
     Some(Arc::new(Target { lapses: Some(lapses), ..Target::clone(known) }))
 }
