--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -17,8 +17,8 @@
 /// for an answer that can't come any more.
 const KEEPALIVE: TcpKeepalive = TcpKeepalive::new()
     .with_time(Duration::from_secs(1))
-    .with_interval(Duration::from_millis(500))
-    .with_retries(3);
+    .with_interval(Duration::from_secs(1))
+    .with_retries(2);
 
 type Request = http::Request<Full<Bytes>>;
 
--- /dev/null
+++ b/crates/path/tests/items.rs
@@ -0,0 +1,71 @@
+//! Items merged by revision, from the store and from peers.
+
+use hickory_path::items::{Items, Word};
+use hickory_store::store::{Entry, Revision};
+use std::time::Instant;
+
+fn word(key: &str, revision: u64, value: Option<&str>) -> Word {
+    Word { key: key.into(), revision: Revision(revision), value: value.map(str::to_owned) }
+}
+
+fn value(items: &Items, key: &str) -> Option<String> {
+    items.get(key)?.value.as_deref().map(str::to_owned)
+}
+
+/// A route that was dropped serves again: a peer that was cut off tells an
+/// older word after the newer one.
+#[test]
+fn an_older_word_changes_nothing() {
+    let (mut items, now) = (Items::default(), Instant::now());
+    assert!(items.take(now, word("op/config", 5, Some("new"))));
+    assert!(!items.take(now, word("op/config", 4, Some("old"))));
+    assert!(!items.take(now, word("op/config", 5, Some("same"))));
+    assert_eq!(value(&items, "op/config").as_deref(), Some("new"));
+}
+
+/// A target that left gets requests: a peer tells of its entry after this node
+/// has seen it removed.
+#[test]
+fn a_removal_is_a_word_like_any_other() {
+    let (mut items, now) = (Items::default(), Instant::now());
+    items.take(now, word("servers/1", 5, Some("x")));
+    items.take(now, word("servers/1", 7, None));
+    assert!(!items.take(now, word("servers/1", 5, Some("x"))));
+    assert_eq!(value(&items, "servers/1"), None);
+    assert!(items.take(now, word("servers/1", 9, Some("back"))));
+}
+
+#[test]
+fn a_list_removes_what_it_does_not_name() {
+    let (mut items, now) = (Items::default(), Instant::now());
+    items.take(now, word("servers/1", 5, Some("x")));
+    items.take(now, word("servers/2", 6, Some("y")));
+    items.take(now, word("op/config", 3, Some("c")));
+    let entry = Entry { key: "servers/2".into(), value: "y".into(), revision: Revision(6) };
+    assert!(items.take_all(now, "servers/", [&entry].into_iter(), Revision(8)));
+    assert_eq!(value(&items, "servers/1"), None);
+    assert_eq!(value(&items, "servers/2").as_deref(), Some("y"));
+    assert_eq!(value(&items, "op/config").as_deref(), Some("c"));
+    assert!(!items.take_all(now, "servers/", [&entry].into_iter(), Revision(8)));
+}
+
+/// A target that has just registered vanishes again: a peer told of it, and a
+/// list from before it is taken afterwards.
+#[test]
+fn a_list_does_not_remove_what_is_newer() {
+    let (mut items, now) = (Items::default(), Instant::now());
+    items.take(now, word("servers/1", 9, Some("new")));
+    items.take_all(now, "servers/", std::iter::empty(), Revision(8));
+    assert_eq!(value(&items, "servers/1").as_deref(), Some("new"));
+}
+
+#[test]
+fn peers_are_told_what_they_miss() {
+    let (mut items, now) = (Items::default(), Instant::now());
+    items.take(now, word("servers/1", 5, Some("x")));
+    items.take(now, word("servers/2", 8, None));
+    items.take(now, word("op/config", 9, Some("c")));
+    assert_eq!(items.newest("servers/"), Revision(8));
+    assert_eq!(items.words_after("servers/", Revision(5)), [word("servers/2", 8, None)]);
+    assert_eq!(items.words_after("servers/", Revision(0)).len(), 2);
+}
