Waiting prompts take turns; late ones come back later

Change: a prompt that waits looks 3 ms later for each smaller one that waits; a late one is told four seconds.

--- a/crates/path/src/books.rs
+++ b/crates/path/src/books.rs
@@ -75,6 +75,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Number(pub u32);
 
+/// Prompts that come before another one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ahead {
+    /// How many.
+    pub count: u32,
+    /// What is to be read of them, by the time that one engine takes.
+    pub read: Duration,
+}
+
 /// The bookings of all nodes.
 #[derive(Clone, Debug, Default)]
 pub struct Books {
@@ -168,15 +177,17 @@
         self.sent.get(&tag).map_or(0, |times| times.iter().filter(is_late).count())
     }
 
-    /// What is to be read of prompts of a service that wait and are smaller
-    /// than this: those come first, since they need fewer engines.
-    pub fn ahead(&self, now: Instant, service: &id::Service, read: Duration) -> Duration {
+    /// The prompts of a service that wait and are smaller than this: those come
+    /// first, since they need fewer engines.
+    pub fn ahead(&self, now: Instant, service: &id::Service, read: Duration) -> Ahead {
         let waits = |kept: &&Kept| {
             kept.booking.stage == Stage::Waiting
                 && kept.booking.part < read
                 && kept.booking.service == *service
         };
-        self.all(now).filter(waits).map(|kept| kept.booking.part).sum()
+        let reads = self.all(now).filter(waits).map(|kept| kept.booking.part);
+        let add = |ahead: Ahead, read| Ahead { count: ahead.count + 1, read: ahead.read + read };
+        reads.fold(Ahead::default(), add)
     }
 
     fn all(&self, now: Instant) -> impl Iterator<Item = &Kept> {
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -29,6 +29,15 @@
 /// better is known.
 const USUAL_PART: u64 = 2;
 
+/// Between two prompts that wait for the same engines. All nodes expect the
+/// engines to be idle at the same moment; the smallest prompt looks first, and
+/// the next one when it has heard of where that went: a datagram is gathered
+/// for a millisecond and takes another one.
+const STAGGER: Duration = Duration::from_millis(3);
+
+/// Turns that are waited for at most.
+const STAGGERED_MAX: u32 = 5;
+
 /// When to come back where nothing is known of when room will be.
 const RELIEF: Duration = Duration::from_millis(200);
 
@@ -152,17 +161,21 @@
     match (profile, want.prompt) {
         (Some(profile), Some(prompt)) => {
             let read = profile.read_time(prompt.tokens);
+            let ahead = core.books().ahead(now, want.service, read);
             let query = Query {
                 prompt: prompt.tokens,
                 answer: guess_answer(profile, prompt),
                 short: plan::is_short(profile, prompt.tokens, want.route.goal),
                 goal: want.due.saturating_duration_since(now),
                 limit,
-                ahead: core.books().ahead(now, want.service, read),
+                ahead: ahead.read,
             };
             match plan::choose_engines(&query, profile, &loads).map_err(read_refused)? {
                 Choice::Go(plan) => Ok(book_plan(core, now, &candidates, want, &query, &plan)),
-                Choice::Wait(time) => Err(NoPlace::Wait(time, read)),
+                Choice::Wait(time) => {
+                    let turn = STAGGER * ahead.count.min(STAGGERED_MAX);
+                    Err(NoPlace::Wait(time + turn, read))
+                }
             }
         }
         _ => {
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -39,7 +39,7 @@
 
 /// The most that callers are told to wait: beyond it, what is known of the
 /// load now says nothing.
-const RETRY_MAX: Duration = Duration::from_secs(3);
+const RETRY_MAX: Duration = Duration::from_secs(5);
 
 /// A request under way.
 #[derive(Debug)]
--- a/crates/path/tests/books.rs
+++ b/crates/path/tests/books.rs
@@ -1,6 +1,6 @@
 //! What runs where, as nodes tell each other.
 
-use hickory_path::books::{Booking, Books, Number, Stage};
+use hickory_path::books::{Ahead, Booking, Books, Number, Stage};
 use hickory_path::dialect::Entry;
 use hickory_path::view::{Tag, Target};
 use hickory_policy::engine::Profile;
@@ -137,6 +137,6 @@
     books.place(now, waiting(400));
     books.take(now, &"other".into(), Number(1), waiting(3_000));
     books.place(now, Booking { service: "t".into(), ..waiting(100) });
-    assert_eq!(books.ahead(now, &"s".into(), ms(2_000)), ms(400));
+    assert_eq!(books.ahead(now, &"s".into(), ms(2_000)), Ahead { count: 1, read: ms(400) });
     assert_eq!(books.loads(now, &targets(), Some(&profile()))[0].requests, 0);
 }
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -72,7 +72,7 @@
 
 /// The least time after which a prompt that can't be in time should come back:
 /// a phase of long prompts doesn't end sooner.
-const LATE_RETRY: Duration = Duration::from_millis(1_500);
+const LATE_RETRY: Duration = Duration::from_millis(4_000);
 
 /// Between two looks whether engines are idle, at the longest.
 const LOOK: Duration = Duration::from_millis(20);
