--- a/crates/settings/tests/docs.rs
+++ b/crates/settings/tests/docs.rs
@@ -2,7 +2,7 @@
 
 use hickory_settings::{Times, check_node};
 
-const PAGE: &str = include_str!("../../../docs/OPERATING.md");
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 
 /// The findings of settings whose times are all `time`.
 fn read_findings(time: &str) -> Vec<String> {
--- a/crates/telemetry/tests/docs.rs
+++ b/crates/telemetry/tests/docs.rs
@@ -3,7 +3,7 @@
 use hickory_policy::refuse::{Reason, Retry};
 use hickory_telemetry::metrics::Metrics;
 
-const PAGE: &str = include_str!("../../../docs/OPERATING.md");
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 
 #[test]
 fn every_metric_is_explained_and_none_is_made_up() {
--- a/crates/telemetry/tests/metered.rs
+++ b/crates/telemetry/tests/metered.rs
@@ -103,7 +103,7 @@
             let series =
                 format!(r#"hickory_platform_calls_total{{call="{call}",result="{result}"}} 1"#);
             assert_eq!(counted, [series]);
-            let seconds = format!(r#"hickory_store_call_seconds_sum{{call="{call}"}} "#);
+            let seconds = format!(r#"hickory_platform_call_seconds_sum{{call="{call}"}} "#);
             let expected = if *call == Call::Watch { "0" } else { "0.04" };
             assert!(text.contains(&format!("{seconds}{expected}\n")), "{text}");
         }
