Three nodes watch the store, the others hear from them

Cause: each node watched two prefixes and the registrations; every change ended all watches, and each began again as a call that is paid for.

Change: the first three nodes by rank watch, and the first three of those that reach the store; a change goes out at once as a datagram, and whoever knows less fetches it from any node that knows it. Registrations are listed at the start and twice a minute instead of followed.

Weighed: one watcher (its death costs a second of configuration), a watch over the whole store (its changes are mostly of others' keys).

--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -16,6 +16,7 @@
 use hickory_unit::id;
 use std::collections::HashMap;
 use std::marker::PhantomData;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
@@ -59,6 +60,7 @@
     suspects: Mutex<Suspects>,
     budgets: Mutex<HashMap<id::Service, Budget>>,
     store_away: AtomicBool,
+    registered: Mutex<Vec<SocketAddr>>,
     draining_since: OnceLock<Instant>,
     outbox: Mutex<Vec<Event>>,
     pub(crate) told: Notify,
@@ -89,6 +91,7 @@
             suspects: Mutex::default(),
             budgets: Mutex::default(),
             store_away: AtomicBool::new(false),
+            registered: Mutex::default(),
             draining_since: OnceLock::new(),
             outbox: Mutex::default(),
             told: Notify::new(),
@@ -158,6 +161,15 @@
         self.store_away.load(Ordering::Relaxed)
     }
 
+    /// Takes where registered nodes hear datagrams.
+    pub(crate) fn set_registered(&self, addresses: impl Iterator<Item = SocketAddr>) {
+        *lock(&self.registered) = addresses.collect();
+    }
+
+    pub(crate) fn registered(&self) -> Vec<SocketAddr> {
+        lock(&self.registered).clone()
+    }
+
     /// Notes that the planned stop begins.
     pub(crate) fn begin_draining(&self) {
         // It begins once.
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -29,6 +29,7 @@
 mod sync;
 mod ticket;
 pub mod view;
+pub mod watcher;
 
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -107,8 +107,13 @@
 
     /// The peers heard lately.
     pub(crate) fn living(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        let is_heard = move |peer: &&Peer| now.saturating_duration_since(peer.heard) < SILENT;
-        self.peers.values().filter(is_heard)
+        self.named(now).map(|(_, peer)| peer)
+    }
+
+    /// The peers heard lately, with their names.
+    pub(crate) fn named(&self, now: Instant) -> impl Iterator<Item = (&id::Node, &Peer)> {
+        let is_heard = move |peer: &Peer| now.saturating_duration_since(peer.heard) < SILENT;
+        self.peers.iter().filter(move |(_, peer)| is_heard(peer))
     }
 
     /// Takes what a peer tells of itself; whether it started anew.
@@ -279,9 +284,7 @@
 fn find_addresses<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> Vec<SocketAddr> {
     let own = core.settings.peers;
     let mut addresses: Vec<SocketAddr> = core.peers().peers.values().map(|p| p.address).collect();
-    if let Some(member) = core.member.get() {
-        addresses.extend(member.nodes().values().map(|info| info.peers));
-    }
+    addresses.extend(core.registered());
     if addresses.len() <= 1 {
         let seeds = core.settings.seeds.iter();
         addresses.extend(seeds.map(|seed| SocketAddr::new(seed.ip(), own.port())));
--- a/crates/path/src/sync.rs
+++ b/crates/path/src/sync.rs
@@ -5,10 +5,12 @@
 use crate::dialect::Dialect;
 use crate::items::Word;
 use crate::outage::Outage;
+use crate::peer::Peer;
+use crate::watcher::{Candidate, watches};
 use hickory_client::Call;
 use hickory_state::follow::{self, Follower};
-use hickory_state::member::{Info, Member};
-use hickory_store::store::{Revision, Store};
+use hickory_state::member::{self, Info, Member};
+use hickory_store::store::{Entry, Revision, Store};
 use hickory_unit::clock::Clock;
 use http::Method;
 use std::net::SocketAddr;
@@ -22,13 +24,27 @@
 /// How long a watch waits: each wait is a call that is paid for.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
-/// Between two looks whether a peer knows more.
-const LOOK: Duration = Duration::from_millis(100);
+/// Between two looks whether a peer knows more, and whether it is this node's
+/// turn to watch.
+const LOOK: Duration = Duration::from_millis(50);
 
-/// How long a peer must have known more before it is asked: a watch that is
-/// well brings the same within a few milliseconds.
+/// How long a peer must have known more before it is asked by a node that
+/// watches itself: a watch that is well brings the same within milliseconds.
 const LAG: Duration = Duration::from_millis(150);
 
+/// How long others must have been watching before this node stops.
+const RELIEVED: Duration = Duration::from_secs(2);
+
+/// Between two looks at that.
+const RELIEF_LOOK: Duration = Duration::from_millis(500);
+
+/// Between two looks for registered nodes; nodes that were started since make
+/// themselves heard.
+const FIND: Duration = Duration::from_secs(30);
+
+/// The same while no node is heard.
+const FIND_ALONE: Duration = Duration::from_secs(2);
+
 /// How long a peer may take to answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -47,15 +63,77 @@
         incarnation: core.incarnation,
         draining: false,
     };
-    let member = Member::spawn(core.store.clone(), core.clock.clone(), info, REGISTRATION);
+    let member = Member::register(core.store.clone(), core.clock.clone(), info, REGISTRATION);
     // It is empty: nothing else sets it.
     let _ = core.member.set(member);
     for prefix in [D::OPERATOR_PREFIX, D::TARGET_PREFIX] {
-        tokio::spawn(follow_store(core.clone(), prefix));
+        tokio::spawn(watch_store(core.clone(), prefix));
     }
+    tokio::spawn(find_nodes(core.clone()));
     tokio::spawn(follow_peers(core.clone()));
 }
 
+/// Looks up the registered nodes, often as long as none is heard.
+async fn find_nodes<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
+    while core.stage() != Stage::Closed {
+        match core.store.list(member::PREFIX).await {
+            Ok((entries, _)) => core.set_registered(entries.iter().filter_map(read_address)),
+            Err(error) => log::warn!("registrations can't be listed: {error}"),
+        }
+        let is_alone = core.peers().count(core.now()) == 0;
+        tokio::time::sleep(if is_alone { FIND_ALONE } else { FIND }).await;
+    }
+}
+
+fn read_address(entry: &Entry) -> Option<SocketAddr> {
+    match serde_json::from_str::<Info>(&entry.value) {
+        Ok(info) => Some(info.peers),
+        Err(error) => {
+            log::warn!(key = entry.key.as_str(); "registration can't be read: {error}");
+            None
+        }
+    }
+}
+
+/// Watches a prefix of the store whenever it is this node's turn.
+async fn watch_store<D: Dialect, S: Store, C: Clock>(
+    core: Arc<Core<D, S, C>>,
+    prefix: &'static str,
+) {
+    while core.stage() != Stage::Closed {
+        if is_watcher(&core) {
+            tokio::select! {
+                () = follow_store(core.clone(), prefix) => {}
+                () = until_relieved(&core) => {}
+            }
+            // What is not watched is not known to be away.
+            core.note_store(true);
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+fn is_watcher<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> bool {
+    let me = &core.settings.node;
+    let own = Candidate { node: me, store_away: core.is_store_away() };
+    let peers = core.peers();
+    let heard =
+        peers.named(core.now()).map(|(node, peer)| Candidate { node, store_away: peer.store_away });
+    let nodes: Vec<Candidate<'_>> = heard.chain([own]).collect();
+    watches(me, &nodes)
+}
+
+/// Waits until others have watched for a while. A node that has just started
+/// hears nobody yet, and watches until it does.
+async fn until_relieved<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) {
+    let mut relieved = Duration::ZERO;
+    while relieved < RELIEVED {
+        tokio::time::sleep(RELIEF_LOOK).await;
+        let is_relieved = core.view().configuration.is_some() && !is_watcher(core);
+        relieved = if is_relieved { relieved + RELIEF_LOOK } else { Duration::ZERO };
+    }
+}
+
 async fn follow_store<D: Dialect, S: Store, C: Clock>(
     core: Arc<Core<D, S, C>>,
     prefix: &'static str,
@@ -82,6 +160,8 @@
             let entries = follower.view().values();
             let at = follower.revision();
             core.update(may_lapse, |items| items.take_all(now, prefix, entries, at));
+            // The word that there is news goes out at once, without an event.
+            core.told.notify_one();
         }
         core.stage() != Stage::Closed
     })
@@ -98,8 +178,8 @@
             behind_since = None;
             continue;
         };
-        let is_new = core.view().configuration.is_none();
-        if !is_new && now.saturating_duration_since(*behind_since.get_or_insert(now)) < LAG {
+        let watches = core.view().configuration.is_some() && is_watcher(&core);
+        if watches && now.saturating_duration_since(*behind_since.get_or_insert(now)) < LAG {
             continue;
         }
         match fetch(&core, peer, &query).await {
@@ -128,7 +208,10 @@
     };
     let peers = core.peers();
     let ahead = peers.living(now).filter(|p| p.operator > operator || p.targets > targets);
-    let ahead = ahead.max_by_key(|peer| (peer.operator, peer.targets))?;
+    let ahead: Vec<&Peer> = ahead.collect();
+    // Any of them, so that what one watcher brings goes from node to node and
+    // not through the watcher's link to all.
+    let ahead = ahead.get(rand::random_range(0..ahead.len().max(1)))?;
     Some((ahead.sync, ahead.store_away, format!("{PATH}?operator={operator}&targets={targets}")))
 }
 
--- /dev/null
+++ b/crates/path/src/watcher.rs
@@ -0,0 +1,36 @@
+//! Which nodes watch the store; the others hear of changes from them.
+//!
+//! Each watch that ends and begins again is a call that is paid for, and a
+//! change ends all of them: with 79 nodes that all watch, an hour of ordinary
+//! changes costs a tenth of what the nodes earn. A few watch, by rank, and
+//! tell the others within milliseconds. Two sets overlap, so that neither a
+//! node that died nor one that the store turns away leaves nobody watching.
+
+use hickory_state::rank::rank_nodes;
+use hickory_unit::id;
+
+/// Nodes that watch: one that dies is missed for a second, and two at once are
+/// to be borne.
+const WATCHERS: usize = 3;
+
+/// A node as far as watching goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate<'a> {
+    /// Its name.
+    pub node: &'a id::Node,
+    /// Whether the store is out of its reach.
+    pub store_away: bool,
+}
+
+/// Whether a node watches, among all nodes that are heard and itself: the first
+/// few do, and the first few of those that reach the store.
+pub fn watches(me: &id::Node, nodes: &[Candidate<'_>]) -> bool {
+    let reaching = nodes.iter().filter(|candidate| !candidate.store_away);
+    is_among_first(me, nodes.iter().map(|candidate| candidate.node))
+        || is_among_first(me, reaching.map(|candidate| candidate.node))
+}
+
+fn is_among_first<'a>(me: &id::Node, nodes: impl Iterator<Item = &'a id::Node>) -> bool {
+    let ranked = rank_nodes(&"watch".into(), nodes);
+    ranked.into_iter().take(WATCHERS).any(|node| node == me)
+}
--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -59,6 +59,10 @@
     pub draining: bool,
 }
 
+fn make_seed() -> u64 {
+    uuid::Uuid::new_v4().as_u128() as u64
+}
+
 #[derive(Debug)]
 struct Shared {
     keeper: Keeper,
@@ -80,14 +84,20 @@
     /// Registers the node and keeps its lease until the handle says it leaves.
     /// The lease lives for `ttl`, longer where the fleet is large.
     pub fn spawn(store: S, clock: C, info: Info, ttl: Duration) -> Self {
-        let seed = uuid::Uuid::new_v4().as_u128() as u64;
-        let keeper = Keeper::open(info, ttl, seed);
+        let member = Self::register(store, clock, info, ttl);
+        tokio::spawn(member.clone().keep_view(make_seed()));
+        member
+    }
+
+    /// Registers the node and keeps its lease, without following the others:
+    /// for nodes that learn of each other in another way.
+    pub fn register(store: S, clock: C, info: Info, ttl: Duration) -> Self {
+        let keeper = Keeper::open(info, ttl, make_seed());
         let shared = Shared { keeper, contact_since: None, left: false };
         let (nodes, _) = watch::channel(Arc::default());
         let wake = Arc::default();
         let member = Self { store, clock, shared: Arc::new(Mutex::new(shared)), nodes, wake };
         tokio::spawn(member.clone().keep_lease());
-        tokio::spawn(member.clone().keep_view(seed));
         member
     }
 
