Metrics on an address of the settings; logs that name node, request and what was known

Each refusal's line has the request's id, its reason, whether it ran and what was known; each answer's line has the wait, the first event, the longest pause, the target, the engines and the configuration; beliefs that change (targets, zones, peers, the store's reach) have a line each. Lines are written at most 200 a second, and dropped ones are counted in the next. The product's own metrics count the path as well.

--- a/apps/hickory-entry/src/main.rs
+++ b/apps/hickory-entry/src/main.rs
@@ -8,6 +8,7 @@
 use hickory_path::Node;
 use hickory_path::settings::Settings;
 use hickory_unit::clock;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
@@ -28,6 +29,9 @@
     /// Least level of log lines: off, error, warn, info, debug or trace.
     #[arg(long, default_value = "info")]
     log: log::LevelFilter,
+    /// Port on which metrics are served, at any path; none without it.
+    #[arg(long)]
+    metrics: Option<u16>,
     /// Read the settings, say what is wrong with them, and end.
     #[arg(long)]
     check: bool,
@@ -36,12 +40,14 @@
 fn main() -> eyre::Result<()> {
     let options = Options::parse();
     let path = options.settings.clone().unwrap_or_else(find_settings);
-    let settings = open_settings(&path)?;
+    let mut settings = open_settings(&path)?;
+    settings.metrics = options.metrics.map(|port| SocketAddr::new(settings.callers.ip(), port));
     if options.check {
         println!("{settings:#?}");
         return Ok(());
     }
     hickory_telemetry::logs::open_stdout(options.log)?;
+    hickory_telemetry::logs::set_node(&settings.node);
     // One thread: a host has a quarter of a core, and each further thread
     // costs memory for its stack and its allocations.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -73,7 +79,7 @@
             () = tokio::time::sleep(SETTINGS_LOOK) => {}
         }
         match open_settings(path) {
-            Ok(settings) if settings != known => {
+            Ok(settings) if settings.bounds != known.bounds => {
                 log::info!("settings taken over");
                 known = settings.clone();
                 node.reload(settings);
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use derive_more::Display;
 use hickory_client::{Error, Exchange, Reuse};
+use hickory_policy::refuse::Retry;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
@@ -59,6 +60,18 @@
     Late,
 }
 
+impl Failure {
+    /// What it is counted as.
+    pub(crate) fn reason(&self) -> Retry {
+        match self {
+            Self::NotSent(_) => Retry::NotSent,
+            Self::NotRun(_) => Retry::Refused,
+            Self::Unknown(_) | Self::Spoiled(_) => Retry::TargetFailed,
+            Self::Late => Retry::Stalled,
+        }
+    }
+}
+
 /// An answer whose head is there.
 #[derive(Debug)]
 pub(crate) struct Opened {
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -12,6 +12,8 @@
 use hickory_policy::share::Budget;
 use hickory_state::member::Member;
 use hickory_store::store::Store;
+use hickory_telemetry::metered::Metered;
+use hickory_telemetry::metrics::Metrics;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
 use std::collections::HashMap;
@@ -47,11 +49,12 @@
 pub(crate) struct Core<D, S: Store, C: Clock> {
     pub(crate) settings: Settings,
     bounds: RwLock<Arc<Bounds>>,
-    pub(crate) store: S,
+    pub(crate) store: Metered<S, C>,
+    pub(crate) metrics: Metrics,
     pub(crate) clock: C,
     pub(crate) incarnation: id::Incarnation,
     pub(crate) client: Client,
-    pub(crate) member: OnceLock<Member<S, C>>,
+    pub(crate) member: OnceLock<Member<Metered<S, C>, C>>,
     items: Mutex<Items>,
     view: RwLock<Arc<View>>,
     books: Mutex<Books>,
@@ -74,11 +77,12 @@
 }
 
 impl<D: Dialect, S: Store, C: Clock> Core<D, S, C> {
-    pub(crate) fn open(settings: Settings, store: S, clock: C) -> Self {
+    pub(crate) fn open(settings: Settings, store: S, clock: C, metrics: Metrics) -> Self {
         Self {
             bounds: RwLock::new(Arc::new(settings.bounds.clone())),
             settings,
-            store,
+            store: Metered::open(store, clock.clone(), metrics.clone()),
+            metrics,
             incarnation: id::Incarnation(clock.wall_ms()),
             clock,
             client: Client::open(CONNECT_TIMEOUT).with_silence(SILENCE),
@@ -145,6 +149,7 @@
             return;
         }
         let next = self.view().read::<D>(&items, self.now(), may_lapse);
+        self.metrics.configuration(id::Release(next.version()));
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(next);
     }
 
--- a/crates/path/src/dialect.rs
+++ b/crates/path/src/dialect.rs
@@ -23,6 +23,9 @@
     /// The prefix of the keys that name zones which are out of service.
     const ZONE_PREFIX: &str;
 
+    /// The caller's id of its attempt, empty where it names none.
+    fn read_attempt(headers: &HeaderMap) -> CompactString;
+
     /// Reads a request's head.
     ///
     /// # Errors
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -41,12 +41,18 @@
     ready: TcpListener,
     directory: TcpListener,
     sync: TcpListener,
+    metrics: Option<TcpListener>,
     pub(crate) peers: Arc<UdpSocket>,
 }
 
 impl Sockets {
     pub(crate) async fn bind(settings: &Settings) -> io::Result<Self> {
+        let metrics = match settings.metrics {
+            Some(address) => Some(TcpListener::bind(address).await?),
+            None => None,
+        };
         Ok(Self {
+            metrics,
             callers: TcpListener::bind(settings.callers).await?,
             ready: TcpListener::bind(settings.ready).await?,
             directory: TcpListener::bind(settings.directory).await?,
@@ -66,6 +72,9 @@
     tokio::spawn(accept(core.clone(), sockets.ready, control, answer_ready));
     tokio::spawn(accept(core.clone(), sockets.directory, control, answer_directory));
     tokio::spawn(accept(core.clone(), sockets.sync, control, answer_sync));
+    if let Some(metrics) = sockets.metrics {
+        tokio::spawn(accept(core.clone(), metrics, control, answer_metrics));
+    }
 }
 
 async fn accept<D, S, C, A, F>(
@@ -164,6 +173,15 @@
     }
 }
 
+async fn answer_metrics<D: Dialect, S: Store, C: Clock>(
+    core: Arc<Core<D, S, C>>,
+    _: Request<Incoming>,
+) -> Response<Reply> {
+    core.metrics.peers(core.peers().count(core.now()));
+    core.metrics.suspects(core.suspects().len());
+    reply::plain(StatusCode::OK, &core.metrics.render())
+}
+
 async fn answer_sync<D: Dialect, S: Store, C: Clock>(
     core: Arc<Core<D, S, C>>,
     request: Request<Incoming>,
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -34,6 +34,7 @@
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
 use hickory_store::store::Store;
+use hickory_telemetry::metrics::Metrics;
 use hickory_unit::clock::Clock;
 use settings::Settings;
 use std::io;
@@ -54,7 +55,8 @@
     /// An address that can't be bound.
     pub async fn spawn(settings: Settings, store: S, clock: C) -> io::Result<Self> {
         let sockets = intake::Sockets::bind(&settings).await?;
-        let core = Arc::new(Core::open(settings, store, clock));
+        let metrics = Metrics::open().map_err(io::Error::other)?;
+        let core = Arc::new(Core::open(settings, store, clock, metrics));
         sync::spawn(&core);
         peer::spawn(&core, sockets.peers.clone());
         intake::spawn(&core, sockets);
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -118,6 +118,9 @@
 
     /// Takes what a peer tells of itself; whether it started anew.
     fn take(&mut self, now: Instant, beat: &Beat, address: SocketAddr) -> bool {
+        if !self.peers.contains_key(&beat.node) {
+            log::info!(peer:% = beat.node, address:%; "peer heard");
+        }
         let peer = Peer {
             incarnation: beat.incarnation,
             callers: beat.callers,
@@ -134,7 +137,13 @@
     }
 
     fn expire(&mut self, now: Instant) {
-        self.peers.retain(|_, peer| now.saturating_duration_since(peer.heard) < FORGOTTEN);
+        self.peers.retain(|node, peer| {
+            let silent = now.saturating_duration_since(peer.heard);
+            if silent >= FORGOTTEN {
+                log::warn!(peer:% = node, silent_ms = silent.as_millis() as u64; "peer lost");
+            }
+            silent < FORGOTTEN
+        });
     }
 }
 
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -13,8 +13,10 @@
 use bytes::Bytes;
 use hickory_client::Exchange;
 use hickory_policy::poison::Verdict;
-use hickory_policy::refuse::Reason;
+use hickory_policy::refuse::{Ran, Reason};
 use hickory_store::store::Store;
+use hickory_telemetry::label::Work;
+use hickory_telemetry::metrics::Guard;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
 use http::{Response, StatusCode};
@@ -58,6 +60,10 @@
     pub(crate) resume_after: Option<u64>,
     /// When the first event came, counted from the arrival.
     pub(crate) first_event: Option<Duration>,
+    /// Counts it as admitted while it lives.
+    _admitted: Guard,
+    /// How long it waited for its turn.
+    waited: Duration,
     /// The longest pause between two events so far.
     pub(crate) longest_pause: Duration,
 }
@@ -80,6 +86,11 @@
     }
     core.earn_repeat(&service);
     let resume_after = job.demand.resume_after;
+    let work = match (job.route.kind.is_stream(), resume_after) {
+        (true, Some(_)) => Work::Resume,
+        (true, None) => Work::Completion,
+        (false, _) => Work::Service,
+    };
     let run = Run {
         core: core.clone(),
         job,
@@ -91,6 +102,8 @@
         ran: false,
         resume_after,
         first_event: None,
+        _admitted: core.metrics.begin(work),
+        waited: Duration::ZERO,
         longest_pause: Duration::ZERO,
     };
     match run.job.route.kind.is_stream() {
@@ -140,7 +153,7 @@
             if time_left.is_zero() {
                 return Err(self.refuse_late());
             }
-            log::info!(
+            log::debug!(
                 request = self.job.demand.attempt.as_str(),
                 target_id = place.target.id.as_str(),
                 helpers:% = name_all(&place.helpers),
@@ -181,7 +194,8 @@
     }
 
     /// Waits for its turn, where it has to.
-    async fn choose(&self) -> Result<Place<D, S, C>, Refusal> {
+    async fn choose(&mut self) -> Result<Place<D, S, C>, Refusal> {
+        let began = self.core.now();
         let mut waiting = None;
         loop {
             let view = self.core.view();
@@ -194,7 +208,11 @@
                 tried: &self.tried,
             };
             match place::choose(&self.core, &view, &self.job.configuration, &want) {
-                Ok(place) => return Ok(place),
+                Ok(place) => {
+                    self.waited += self.core.now().saturating_duration_since(began);
+                    self.core.metrics.permit_waited(self.waited);
+                    return Ok(place);
+                }
                 Err(NoPlace::Wait(time, read)) => {
                     waiting.get_or_insert_with(|| Waiting::begin(&self.core, &self.service, read));
                     tokio::time::sleep(time).await;
@@ -232,7 +250,8 @@
     /// may promise that it hasn't.
     fn refuse(&self, refusal: Refusal) -> Refusal {
         match self.ran {
-            true => Refusal { retry_after: None, ..refusal }.with_status(StatusCode::BAD_GATEWAY),
+            true => Refusal { retry_after: None, ran: Ran::Unknown, ..refusal }
+                .with_status(StatusCode::BAD_GATEWAY),
             false => refusal,
         }
     }
@@ -240,7 +259,7 @@
     fn refuse_late(&self) -> Refusal {
         let refusal = Refusal::new(Reason::Deadline, "the deadline passed");
         match self.ran {
-            true => refusal,
+            true => Refusal { ran: Ran::Unknown, ..refusal },
             false => refusal.with_status(StatusCode::SERVICE_UNAVAILABLE),
         }
     }
@@ -276,6 +295,7 @@
         failure: Failure,
     ) -> Result<(), Refusal> {
         self.note_failure(place, &failure);
+        self.core.metrics.retried(failure.reason());
         match failure {
             Failure::NotSent(detail) => {
                 self.sends -= 1;
@@ -309,7 +329,10 @@
         }
         match self.may_repeat() && self.spend() {
             true => Ok(()),
-            false => Err(Refusal::new(Reason::TargetFailed, failure.to_string())),
+            false => {
+                let refusal = Refusal::new(Reason::TargetFailed, failure.to_string());
+                Err(Refusal { ran: Ran::Unknown, ..refusal })
+            }
         }
     }
 
@@ -385,7 +408,8 @@
         if is_promise && !self.job.route.kind.is_repeatable() {
             // The target doesn't say that it has not run, and the status would.
             let detail = format!("target said {status} and not whether it ran");
-            return Err(Refusal::new(Reason::TargetFailed, detail));
+            let refusal = Refusal::new(Reason::TargetFailed, detail);
+            return Err(Refusal { ran: Ran::Unknown, ..refusal });
         }
         self.log_end(place, status);
         let mut head = take_head(&mut exchange);
@@ -404,9 +428,12 @@
             sends = self.sends,
             expected_ms = place.expected.as_millis() as u64,
             first_ms = self.first_event.unwrap_or_default().as_millis() as u64,
+            wait_ms = self.waited.as_millis() as u64,
             pause_ms = self.longest_pause.as_millis() as u64,
             prompt = self.job.demand.prompt.map_or(0, |prompt| prompt.tokens.0),
             engines = place.helpers.len() + 1,
+            peers = self.core.peers().count(self.core.now()),
+            config = self.job.configuration.version,
             age_ms = self.age().as_millis() as u64;
             "answered"
         );
--- a/crates/path/src/serve.rs
+++ b/crates/path/src/serve.rs
@@ -9,7 +9,7 @@
 use crate::reply::{self, Reply};
 use crate::run;
 use bytes::Bytes;
-use hickory_policy::refuse::Reason;
+use hickory_policy::refuse::{Ran, Reason};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::size;
@@ -40,13 +40,14 @@
     pub(crate) status: StatusCode,
     pub(crate) detail: String,
     pub(crate) retry_after: Option<Duration>,
+    pub(crate) ran: Ran,
 }
 
 impl Refusal {
     pub(crate) fn new(reason: Reason, detail: impl Into<String>) -> Self {
         let status = StatusCode::from_u16(reason.status());
         let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        Self { reason, status, detail: detail.into(), retry_after: None }
+        Self { reason, status, detail: detail.into(), retry_after: None, ran: Ran::No }
     }
 
     pub(crate) fn after(self, time: Duration) -> Self {
@@ -78,15 +79,31 @@
 ) -> Response<Reply> {
     let active = Active::begin(&core);
     let arrived = core.now();
+    let attempt = D::read_attempt(request.headers());
     let answered = match read_job(&core, arrived, request).await {
         Ok(job) => run::run(&core, job, active).await,
         Err(refusal) => Err(refusal),
     };
-    answered.unwrap_or_else(|refusal| answer_refusal(&refusal))
+    answered.unwrap_or_else(|refusal| answer_refusal(&core, &attempt, arrived, &refusal))
 }
 
-fn answer_refusal(refusal: &Refusal) -> Response<Reply> {
-    log::info!(reason:% = refusal.reason, status = refusal.status.as_u16(); "{}", refusal.detail);
+fn answer_refusal<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    attempt: &str,
+    arrived: Instant,
+    refusal: &Refusal,
+) -> Response<Reply> {
+    core.metrics.refused(refusal.reason, refusal.ran);
+    log::info!(
+        request = attempt,
+        reason:% = refusal.reason,
+        status = refusal.status.as_u16(),
+        ran:% = refusal.ran,
+        retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64,
+        config = core.view().version(),
+        age_ms = core.now().saturating_duration_since(arrived).as_millis() as u64;
+        "refused: {}", refusal.detail
+    );
     let mut response = reply::plain(refusal.status, &refusal.detail);
     if let Some(time) = refusal.retry_after {
         reply::set_retry_after(&mut response, time);
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -26,6 +26,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The platform's key-value service.
     pub store: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: Option<SocketAddr>,
     /// Bounds that the operators set.
     pub bounds: Bounds,
 }
--- a/crates/path/src/stream.rs
+++ b/crates/path/src/stream.rs
@@ -124,6 +124,9 @@
         };
         place.begin_writing();
         run.first_event = Some(run.age());
+        if let Some(prompt) = run.job.demand.prompt {
+            run.core.metrics.first_token(prompt.tokens, run.age());
+        }
         let mut head = take_head(&mut reader.exchange);
         D::strip_answer(&mut head.headers);
         // A stream that another target takes up has another length.
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -75,6 +75,7 @@
         next.read_configuration::<D>(items);
         let before: HashMap<&str, &Arc<Target>> =
             self.targets.values().flatten().map(|target| (target.id.as_str(), target)).collect();
+        log_zones(&self.evacuated, &next.evacuated);
         for (key, item) in items.with_prefix(D::TARGET_PREFIX) {
             let id = &key[D::TARGET_PREFIX.len()..];
             let known = before.get(id).copied();
@@ -127,6 +128,15 @@
         .collect()
 }
 
+fn log_zones(before: &HashSet<id::Zone>, after: &HashSet<id::Zone>) {
+    for zone in after.difference(before) {
+        log::info!(zone = zone.as_str(); "zone out of service");
+    }
+    for zone in before.difference(after) {
+        log::info!(zone = zone.as_str(); "zone back in service");
+    }
+}
+
 fn read_target<D: Dialect>(
     id: &str,
     text: &str,
@@ -140,6 +150,13 @@
     if let Some(known) = known.filter(|known| known.lapses.is_none() && known.entry == entry) {
         return Some(known.clone());
     }
+    log::info!(
+        target_id = id,
+        service = entry.service.as_str(),
+        draining = entry.draining,
+        cold_ms = entry.cold_left.as_millis() as u64;
+        "target known"
+    );
     let cold_until = (!entry.cold_left.is_zero()).then(|| seen + entry.cold_left);
     let tag = tag_target(id, entry.born);
     Some(Arc::new(Target { id: id.into(), tag, entry, cold_until, lapses: None }))
@@ -153,6 +170,9 @@
     may_lapse: bool,
 ) -> Option<Arc<Target>> {
     let known = known?;
+    if known.lapses.is_none() {
+        log::info!(target_id = known.id.as_str(), may_lapse; "target gone");
+    }
     let lapses = known.lapses.or((may_lapse && !known.entry.draining).then(|| seen + LAPSED_KEPT));
     let lapses = lapses.filter(|at| now < *at)?;
     Some(Arc::new(Target { lapses: Some(lapses), ..Target::clone(known) }))
--- a/crates/telemetry/src/lines.rs
+++ b/crates/telemetry/src/lines.rs
@@ -12,10 +12,18 @@
 use log4rs::encode::writer::simple::SimpleWriter;
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
 
 /// Lines that wait at most, some 100 KB.
 const WAITING_MAX: usize = 512;
 
+/// Lines a second that are written at most, and those that may come at once. A
+/// node with 35 requests a second writes some 40; a burst of refusals, of which
+/// each has a line, would otherwise take the processor from the requests.
+const RATE: f64 = 200.0;
+const BURST: f64 = 400.0;
+
 /// The writer's stack: it formats nothing.
 const STACK: usize = 64 << 10;
 
@@ -24,16 +32,38 @@
 pub(crate) struct Lines {
     queue: Sender<Vec<u8>>,
     dropped: AtomicU64,
+    allowance: Mutex<Allowance>,
     encoder: JsonEncoder,
 }
 
+/// Lines that may be written now.
+#[derive(Debug)]
+struct Allowance {
+    lines: f64,
+    at: Instant,
+}
+
+impl Allowance {
+    fn take(&mut self, now: Instant) -> bool {
+        let passed = now.saturating_duration_since(self.at);
+        self.at = now;
+        self.lines = (self.lines + RATE * passed.as_secs_f64()).min(BURST);
+        let allowed = self.lines >= 1.0;
+        if allowed {
+            self.lines -= 1.0;
+        }
+        allowed
+    }
+}
+
 impl Lines {
     /// Starts the writer.
     pub(crate) fn spawn(out: impl Write + Send + 'static) -> std::io::Result<Self> {
         let (queue, lines) = bounded(WAITING_MAX);
         let writer = std::thread::Builder::new().name("log".into()).stack_size(STACK);
         writer.spawn(move || write_lines(&lines, out))?;
-        Ok(Self { queue, dropped: AtomicU64::new(0), encoder: JsonEncoder::new() })
+        let allowance = Mutex::new(Allowance { lines: BURST, at: Instant::now() });
+        Ok(Self { queue, dropped: AtomicU64::new(0), allowance, encoder: JsonEncoder::new() })
     }
 
     fn send(&self, line: Vec<u8>) {
@@ -57,6 +87,14 @@
 
 impl Append for Lines {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        let allowed = {
+            let mut allowance = self.allowance.lock().unwrap_or_else(PoisonError::into_inner);
+            allowance.take(Instant::now())
+        };
+        if !allowed {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
         if self.dropped.load(Ordering::Relaxed) > 0 {
             self.tell_dropped();
         }
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -31,6 +31,11 @@
     Ok(log4rs::init_config(config)?)
 }
 
+/// Names the node in each line that the calling thread writes, under `mdc`.
+pub fn set_node(node: &id::Node) {
+    log_mdc::insert("node", node.as_str());
+}
+
 /// Opens the process's log: JSON lines on standard output, which are written
 /// by a thread of their own and never waited for.
 ///
