--- a/apps/hickory/src/args.rs
+++ b/apps/hickory/src/args.rs
@@ -82,6 +82,16 @@
     /// Check a file without a fleet; prints every finding.
     #[command(subcommand)]
     Check(Check),
+    /// Print the course of a request over all nodes, from their logs: what each
+    /// decision knew, and what the nodes came to believe meanwhile. Lines that
+    /// can't be read are counted and passed over.
+    Explain {
+        /// The caller's id of its attempt.
+        request: String,
+        /// Log files; `-` is standard input.
+        #[arg(default_value = "-")]
+        files: Vec<PathBuf>,
+    },
     /// Make operator and account tokens.
     #[command(subcommand)]
     Token(Token),
--- /dev/null
+++ b/apps/hickory/src/explain.rs
@@ -0,0 +1,187 @@
+//! The course of one request over all nodes, from their logs.
+
+use crate::failure::Failure;
+use crate::print::{print_json, read_input};
+use chrono::{DateTime, FixedOffset, TimeDelta};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
+
+/// How long before the request's arrival changes of belief are shown: what was
+/// believed when it came was learnt in these seconds, or long before.
+const BEFORE: TimeDelta = TimeDelta::seconds(5);
+
+/// The message of a placement.
+const PLACED: &str = "placed";
+
+/// A log line, as far as it is read.
+#[derive(Deserialize)]
+struct Line {
+    time: DateTime<FixedOffset>,
+    level: String,
+    message: String,
+    #[serde(default)]
+    mdc: BTreeMap<String, String>,
+    #[serde(default)]
+    attributes: BTreeMap<String, serde_json::Value>,
+}
+
+/// A step of the course.
+#[derive(Clone, Debug, Serialize)]
+struct Step {
+    time: DateTime<FixedOffset>,
+    node: String,
+    level: String,
+    /// What it is about.
+    about: About,
+    message: String,
+    known: BTreeMap<String, String>,
+}
+
+/// What a step is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum About {
+    /// The request.
+    Request,
+    /// What a node that had the request came to believe.
+    Belief,
+    /// Long work that was placed on a target of the request.
+    Work,
+    /// Another request.
+    Other,
+}
+
+/// What the logs say.
+#[derive(Debug, Serialize)]
+struct Course {
+    request: String,
+    steps: Vec<Step>,
+    /// Lines that could not be read.
+    skipped: usize,
+}
+
+/// Prints the course of a request; `-` stands for standard input.
+pub(crate) fn run(request: &str, files: &[PathBuf], json: bool) -> Result<(), Failure> {
+    let mut lines = Vec::new();
+    let mut skipped = 0;
+    for file in files {
+        let text = read_input(file)?;
+        let name = file.file_stem().unwrap_or_default().to_string_lossy();
+        for line in text.lines().filter(|line| !line.trim().is_empty()) {
+            match read_line(line) {
+                Some(line) => lines.push(read_step(line, &name, request)),
+                None => skipped += 1,
+            }
+        }
+    }
+    let steps = select(lines);
+    if steps.is_empty() {
+        return Err(Failure::Local(format!("no line names the request {request}")));
+    }
+    let course = Course { request: request.to_owned(), steps, skipped };
+    match json {
+        true => print_json(&course),
+        false => print!("{}", describe(&course)),
+    }
+    Ok(())
+}
+
+/// A line may stand behind columns of whatever gathered the logs.
+fn read_line(line: &str) -> Option<Line> {
+    serde_json::from_str(&line[line.find('{')?..]).ok()
+}
+
+fn read_step(line: Line, file: &str, request: &str) -> Step {
+    let mut known: BTreeMap<String, String> =
+        line.attributes.into_iter().map(|(name, value)| (name, show(value))).collect();
+    let about = match known.get("request").map(String::as_str) {
+        None => About::Belief,
+        Some(named) if named == request => About::Request,
+        Some(_) if line.message == PLACED => About::Work,
+        Some(_) => About::Other,
+    };
+    if about == About::Request {
+        known.remove("request");
+    }
+    Step {
+        time: line.time,
+        node: line.mdc.get("node").cloned().unwrap_or_else(|| file.to_owned()),
+        level: line.level,
+        about,
+        message: line.message,
+        known,
+    }
+}
+
+fn show(value: serde_json::Value) -> String {
+    match value {
+        serde_json::Value::String(text) => text,
+        other => other.to_string(),
+    }
+}
+
+/// The steps of the request, what its nodes came to believe meanwhile, and the
+/// long work on its targets.
+fn select(mut steps: Vec<Step>) -> Vec<Step> {
+    steps.retain(|step| step.about != About::Other);
+    steps.sort_by(|a, b| (a.time, &a.node).cmp(&(b.time, &b.node)));
+    let own = || steps.iter().filter(|step| step.about == About::Request);
+    let nodes: BTreeSet<String> = own().map(|step| step.node.clone()).collect();
+    let targets: BTreeSet<String> = own().flat_map(find_targets).map(str::to_owned).collect();
+    let (Some(begin), Some(end)) = (own().map(arrived).min(), own().map(|s| s.time).max()) else {
+        return Vec::new();
+    };
+    let window = begin - BEFORE..=end;
+    steps.retain(|step| match step.about {
+        About::Request => true,
+        About::Belief => nodes.contains(&step.node) && window.contains(&step.time),
+        About::Work => {
+            window.contains(&step.time) && find_targets(step).any(|t| targets.contains(t))
+        }
+        About::Other => false,
+    });
+    steps
+}
+
+/// The targets that a step names.
+fn find_targets(step: &Step) -> impl Iterator<Item = &str> {
+    let names = ["target_id", "helpers"].into_iter().filter_map(|name| step.known.get(name));
+    names.flat_map(|names| names.split(',')).filter(|name| !name.is_empty())
+}
+
+/// When the request came, by the age that a line gives it.
+fn arrived(step: &Step) -> DateTime<FixedOffset> {
+    let age = step.known.get("age_ms").and_then(|age| age.parse().ok()).unwrap_or(0);
+    step.time - TimeDelta::milliseconds(age)
+}
+
+fn describe(course: &Course) -> String {
+    let begin = course.steps.iter().filter(|s| s.about == About::Request).map(arrived).min();
+    let mut text = String::new();
+    for step in &course.steps {
+        let since = begin.map_or(TimeDelta::zero(), |begin| step.time - begin);
+        let known: Vec<String> =
+            step.known.iter().map(|(name, value)| format!("{name}={value}")).collect();
+        let mark = match step.about {
+            About::Request | About::Other => ' ',
+            About::Belief => '*',
+            About::Work => '+',
+        };
+        text.push_str(&format!(
+            "{:>8} ms {mark} {:<16} {:<5} {}  {}\n",
+            since.num_milliseconds(),
+            step.node,
+            step.level.to_lowercase(),
+            step.message,
+            known.join(" ")
+        ));
+    }
+    text.push_str(
+        "(* the node came to believe this, + long work on a target; times since the arrival)\n",
+    );
+    if course.skipped > 0 {
+        text.push_str(&format!("({} lines could not be read)\n", course.skipped));
+    }
+    text
+}
--- a/apps/hickory/src/main.rs
+++ b/apps/hickory/src/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod client;
 mod demo;
+mod explain;
 mod failure;
 mod print;
 mod show;
@@ -48,6 +49,7 @@
         Command::Check(Check::Release { file, configuration }) => {
             check::check_release(file, configuration.as_deref(), args.json)
         }
+        Command::Explain { request, files } => explain::run(request, files, args.json),
         Command::Token(Token::New) => token::print_new(args.json),
         Command::Token(Token::Digest) => token::print_digest(&args.fleet, args.json),
         Command::Demo(options) => demo::run(options),
--- a/apps/hickory/tests/offline.rs
+++ b/apps/hickory/tests/offline.rs
@@ -86,3 +86,22 @@
     std::fs::remove_file(&path).unwrap();
     assert_eq!(output.code, Some(0), "{output}");
 }
+
+/// A caller complains, and all that is left are log lines: an advice that came
+/// late beside long work on its engine, an order that ended without an answer,
+/// a stream that its engine cut and another one took up. Each cause must show.
+#[test]
+fn the_course_of_a_request_is_read_from_logs() {
+    let mut report = String::new();
+    for args in [
+        &["explain", "37d6693a9bed6092", "entry.log"][..],
+        &["explain", "0ea6cbd7717616a8", "entry.log"],
+        &["explain", "875fa90a67842076", "entry.log"],
+        &["explain", "nobody", "entry.log"],
+        &["explain", "nobody", "nowhere.log"],
+        &["--json", "explain", "0ea6cbd7717616a8", "entry.log"],
+    ] {
+        writeln!(report, "{}", run(args, &[])).unwrap();
+    }
+    insta::assert_snapshot!(report);
+}
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -62,6 +62,8 @@
     pub(crate) helpers: Vec<Arc<Target>>,
     /// Memory to reserve, by target; empty where the first holds all.
     pub(crate) memory: Vec<(Arc<Target>, Tokens)>,
+    /// Whether it is a short prompt, or none.
+    pub(crate) short: bool,
     /// What each engine reads.
     pub(crate) part: Duration,
     /// When the first token, or the answer, is expected.
@@ -297,6 +299,7 @@
     booking: Booking,
     plan: &Plan,
 ) -> Place<D, S, C> {
+    let short = booking.short || plan.part.is_zero();
     let number = core.books().place(now, booking.clone());
     core.tell(Event::Placed(number, booking));
     let target = |place: usize| targets[place].clone();
@@ -306,6 +309,7 @@
         target: target(plan.first),
         helpers: plan.helpers.iter().map(|&place| target(place)).collect(),
         memory: plan.memory.iter().map(|&(place, tokens)| (target(place), tokens)).collect(),
+        short,
         part: plan.part,
         expected: plan.first_token,
         tickets: None,
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -153,13 +153,18 @@
             if time_left.is_zero() {
                 return Err(self.refuse_late());
             }
-            log::debug!(
+            // Short prompts are too many for a line each; their answer's line
+            // names their engine.
+            let level = if place.short { log::Level::Debug } else { log::Level::Info };
+            log::log!(
+                level,
                 request = self.job.demand.attempt.as_str(),
                 target_id = place.target.id.as_str(),
                 helpers:% = name_all(&place.helpers),
                 prompt = self.job.demand.prompt.map_or(0, |prompt| prompt.tokens.0),
                 part_ms = place.part.as_millis() as u64,
-                expected_ms = place.expected.as_millis() as u64;
+                expected_ms = place.expected.as_millis() as u64,
+                age_ms = self.age().as_millis() as u64;
                 "placed"
             );
             let tickets = match Tickets::reserve(&self.core, &place).await {
