Watches of a second; what many nodes tell each other, and when

The store was silent to 36 of 84 nodes, the three that watch among them, and their watches of 25 s looked as if nothing changed. Ruled out: slow spreading between nodes (version 18 was on all 84 within 0.17 s once one had it).

For many nodes: only those that watch register; a node finds the others by seeds and hearsay; beats come twice a second beyond 32 peers; how short prompts go on is told with the next beat.

--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -211,6 +211,14 @@
         self.told.notify_one();
     }
 
+    /// Tells all peers, with the next datagram where there are many of them.
+    pub(crate) fn tell_later(&self, event: Event) {
+        lock(&self.outbox).push(event);
+        if self.peers().are_few() {
+            self.told.notify_one();
+        }
+    }
+
     pub(crate) fn take_outbox(&self) -> Vec<Event> {
         std::mem::take(&mut lock(&self.outbox))
     }
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -20,15 +20,29 @@
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
 
-/// Between two beats.
+/// Between two beats where a node has few peers.
 const BEAT: Duration = Duration::from_millis(250);
 
+/// The same at the longest. All beats of 79 nodes, four a second, are 2 MB a
+/// second between zones.
+const BEAT_MOST: Duration = Duration::from_millis(500);
+
+/// Peers up to which each event goes out at once and beats are the closest.
+/// Beyond them, how short prompts go on is told with the next beat: datagrams
+/// grow with the square of the nodes, and an engine with short streams is no
+/// place for long prompts either way.
+const FEW_PEERS: usize = 16;
+
+/// Addresses of other nodes that a beat with all bookings passes on, by which
+/// a node that knows the seeds alone comes to know all.
+const PASSED_ON: usize = 6;
+
 /// Beats between two tellings of all bookings.
 const FULL_EVERY: u32 = 2;
 
-/// A peer that was silent for this long is not named to callers: four beats
-/// and a half, so that a few lost datagrams don't hide a living node.
-const SILENT: Duration = Duration::from_millis(1_100);
+/// A peer that was silent for this many beats is not named to callers; a few
+/// lost datagrams must not hide a living node.
+const SILENT_BEATS: f64 = 4.4;
 
 /// A peer that was silent for this long is forgotten, with its addresses.
 const FORGOTTEN: Duration = Duration::from_secs(10);
@@ -71,6 +85,8 @@
     /// The newest revision of what operators wrote, and of targets.
     operator: Revision,
     targets: Revision,
+    /// Where some other nodes hear datagrams.
+    others: Vec<SocketAddr>,
     events: Vec<Event>,
 }
 
@@ -92,14 +108,50 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peers {
     peers: HashMap<id::Node, Peer>,
+    /// Where others say that nodes are; tried once each.
+    hearsay: Vec<SocketAddr>,
+}
+
+/// Addresses by hearsay that wait to be tried.
+const HEARSAY_MOST: usize = 64;
+
+/// How a peer was heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Heard {
+    /// For the first time.
+    First,
+    /// As a new process.
+    Anew,
+    /// As before.
+    Again,
+}
+
+/// Between two beats, with this many peers.
+fn beat(peers: usize) -> Duration {
+    let factor = (peers as f64 / FEW_PEERS as f64).max(1.0);
+    BEAT.mul_f64(factor).min(BEAT_MOST)
 }
 
 impl Peers {
+    /// Whether every event may go out at once.
+    pub(crate) fn are_few(&self) -> bool {
+        self.peers.len() <= FEW_PEERS
+    }
+
     /// Peers heard lately.
     pub(crate) fn count(&self, now: Instant) -> usize {
         self.living(now).count()
     }
 
+    /// Addresses of a few peers, others each time.
+    fn pick(&self, count: usize) -> Vec<SocketAddr> {
+        let skip = match self.peers.len() {
+            few if few <= count => 0,
+            many => rand::random_range(0..=many - count),
+        };
+        self.peers.values().skip(skip).take(count).map(|peer| peer.address).collect()
+    }
+
     /// Where callers may connect.
     pub(crate) fn callers(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
         self.living(now).filter(|peer| peer.ready).map(|peer| peer.callers)
@@ -112,15 +164,13 @@
 
     /// The peers heard lately, with their names.
     pub(crate) fn named(&self, now: Instant) -> impl Iterator<Item = (&id::Node, &Peer)> {
-        let is_heard = move |peer: &Peer| now.saturating_duration_since(peer.heard) < SILENT;
+        let silent = beat(self.peers.len()).mul_f64(SILENT_BEATS);
+        let is_heard = move |peer: &Peer| now.saturating_duration_since(peer.heard) < silent;
         self.peers.iter().filter(move |(_, peer)| is_heard(peer))
     }
 
-    /// Takes what a peer tells of itself; whether it started anew.
-    fn take(&mut self, now: Instant, beat: &Beat, address: SocketAddr) -> bool {
-        if !self.peers.contains_key(&beat.node) {
-            log::info!(peer:% = beat.node, address:%; "peer heard");
-        }
+    /// Takes what a peer tells of itself.
+    fn take(&mut self, now: Instant, beat: &Beat, address: SocketAddr) -> Heard {
         let peer = Peer {
             incarnation: beat.incarnation,
             callers: beat.callers,
@@ -132,8 +182,16 @@
             targets: beat.targets,
             heard: now,
         };
-        let known = self.peers.insert(beat.node.clone(), peer);
-        known.is_some_and(|known| known.incarnation != beat.incarnation)
+        for other in &beat.others {
+            if self.hearsay.len() < HEARSAY_MOST && !self.hearsay.contains(other) {
+                self.hearsay.push(*other);
+            }
+        }
+        match self.peers.insert(beat.node.clone(), peer) {
+            None => Heard::First,
+            Some(known) if known.incarnation != beat.incarnation => Heard::Anew,
+            Some(_) => Heard::Again,
+        }
     }
 
     fn expire(&mut self, now: Instant) {
@@ -163,25 +221,39 @@
         // An error is the echo of a datagram to a peer that is gone.
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
         match postcard::from_bytes::<Beat>(&buffer[..length]) {
-            Ok(beat) => take_beat(&core, beat, from),
+            Ok(beat) => {
+                if take_beat(&core, beat, from) != Heard::Again {
+                    // A node that has just started learns at once what is known.
+                    send_to(&core, &socket, &[from], Vec::new()).await;
+                }
+            }
             Err(error) => log::warn!(from:%; "datagram can't be read: {error}"),
         }
     }
 }
 
-fn take_beat<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>, beat: Beat, from: SocketAddr) {
+fn take_beat<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    beat: Beat,
+    from: SocketAddr,
+) -> Heard {
     if beat.node == core.settings.node {
-        return;
+        return Heard::Again;
     }
     let now = core.now();
-    let anew = core.peers().take(now, &beat, from);
-    if anew {
-        log::info!(peer:% = beat.node; "peer started anew");
-        core.books().forget(&beat.node);
+    let heard = core.peers().take(now, &beat, from);
+    match heard {
+        Heard::First => log::info!(peer:% = beat.node, address:% = from; "peer heard"),
+        Heard::Anew => {
+            log::info!(peer:% = beat.node; "peer started anew");
+            core.books().forget(&beat.node);
+        }
+        Heard::Again => {}
     }
     for event in beat.events {
         take_event(core, now, &beat.node, event);
     }
+    heard
 }
 
 fn take_event<D: Dialect, S: Store, C: Clock>(
@@ -211,13 +283,14 @@
         let now = core.now();
         core.books().expire(now);
         core.peers().expire(now);
-        let events: Vec<Event> = match count.is_multiple_of(FULL_EVERY) {
-            true => core.books().tell(now).map(|(n, b)| Event::Placed(n, b)).collect(),
-            false => Vec::new(),
-        };
+        let mut events = core.take_outbox();
+        if count.is_multiple_of(FULL_EVERY) {
+            events.extend(core.books().tell(now).map(|(n, b)| Event::Placed(n, b)));
+        }
         send(&core, &socket, events).await;
         count = count.wrapping_add(1);
-        tokio::time::sleep(BEAT).await;
+        let peers = core.peers().peers.len();
+        tokio::time::sleep(beat(peers)).await;
     }
 }
 
@@ -240,10 +313,19 @@
     events: Vec<Event>,
 ) {
     let addresses = find_addresses(core);
+    send_to(core, socket, &addresses, events).await;
+}
+
+async fn send_to<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    socket: &UdpSocket,
+    addresses: &[SocketAddr],
+    events: Vec<Event>,
+) {
     let mut rest = events;
     loop {
         let (datagram, left) = encode(core, rest);
-        for address in &addresses {
+        for address in addresses {
             // A datagram that can't be sent is like one that is lost.
             let _ = socket.send_to(&datagram, address).await;
         }
@@ -285,6 +367,7 @@
         store_away: core.is_store_away(),
         operator: items.newest(D::OPERATOR_PREFIX),
         targets: items.newest(D::TARGET_PREFIX),
+        others: if events.is_empty() { core.peers().pick(PASSED_ON) } else { Vec::new() },
         events,
     }
 }
@@ -292,7 +375,11 @@
 /// Where peers may be: those heard, those registered, and the seeds.
 fn find_addresses<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> Vec<SocketAddr> {
     let own = core.settings.peers;
-    let mut addresses: Vec<SocketAddr> = core.peers().peers.values().map(|p| p.address).collect();
+    let mut addresses: Vec<SocketAddr> = {
+        let mut peers = core.peers();
+        let hearsay = std::mem::take(&mut peers.hearsay);
+        peers.peers.values().map(|peer| peer.address).chain(hearsay).collect()
+    };
     addresses.extend(core.registered());
     if addresses.len() <= 1 {
         let seeds = core.settings.seeds.iter();
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -79,17 +79,24 @@
         self
     }
 
+    fn tell(&self, event: Event) {
+        match self.short {
+            true => self.core.tell_later(event),
+            false => self.core.tell(event),
+        }
+    }
+
     /// Notes the first token.
     pub(crate) fn begin_writing(&self) {
         self.core.books().begin_writing(self.number);
-        self.core.tell(Event::Writing(self.number));
+        self.tell(Event::Writing(self.number));
     }
 }
 
 impl<D: Dialect, S: Store, C: Clock> Drop for Place<D, S, C> {
     fn drop(&mut self) {
         self.core.books().end(self.number);
-        self.core.tell(Event::Ended(self.number));
+        self.tell(Event::Ended(self.number));
     }
 }
 
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -22,6 +22,8 @@
     pub sync: SocketAddr,
     /// Where other nodes send datagrams.
     pub peers: SocketAddr,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// Where other nodes may be found at the start.
     pub seeds: Vec<SocketAddr>,
     /// The platform's key-value service.
--- a/crates/path/src/sync.rs
+++ b/crates/path/src/sync.rs
@@ -21,8 +21,11 @@
 /// start; that a node is alive is told by its datagrams.
 const REGISTRATION: Duration = Duration::from_secs(15);
 
-/// How long a watch waits: each wait is a call that is paid for.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// How long a watch waits. A store that is silent to the few nodes that watch
+/// looks like one in which nothing changes, and all nodes would serve an old
+/// configuration until the wait and the call's timeout have passed: two seconds
+/// at most. Three nodes make six such calls a second.
+const WATCH_WAIT: Duration = Duration::from_secs(1);
 
 /// Between two looks whether a peer knows more, and whether it is this node's
 /// turn to watch.
@@ -33,17 +36,25 @@
 const LAG: Duration = Duration::from_millis(150);
 
 /// How long others must have been watching before this node stops.
-const RELIEVED: Duration = Duration::from_secs(2);
+const RELIEVED: Duration = Duration::from_secs(1);
 
 /// Between two looks at that.
 const RELIEF_LOOK: Duration = Duration::from_millis(500);
 
-/// Between two looks for registered nodes; nodes that were started since make
-/// themselves heard.
-const FIND: Duration = Duration::from_secs(30);
+/// How long a node that starts listens for peers that know what it needs: they
+/// answer its first datagram at once.
+const FIRST_HEARD: Duration = Duration::from_millis(60);
 
-/// The same while no node is heard.
-const FIND_ALONE: Duration = Duration::from_secs(2);
+/// The same where the whole system starts for the first time: nobody calls yet,
+/// and all nodes start within this time.
+const FIRST_START: Duration = Duration::from_millis(500);
+
+/// After a change, a watch goes out again at random within this time, so that
+/// changes that come together cost one call.
+const WATCH_SPREAD: Duration = Duration::from_millis(40);
+
+/// Between two looks for registered nodes while no node is heard.
+const FIND: Duration = Duration::from_secs(2);
 
 /// How long a peer may take to answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
@@ -53,6 +64,16 @@
 
 /// Starts following the store and the peers.
 pub(crate) fn spawn<D: Dialect, S: Store, C: Clock>(core: &Arc<Core<D, S, C>>) {
+    for prefix in [D::OPERATOR_PREFIX, D::TARGET_PREFIX] {
+        tokio::spawn(watch_store(core.clone(), prefix));
+    }
+    tokio::spawn(find_nodes(core.clone()));
+    tokio::spawn(follow_peers(core.clone()));
+}
+
+/// Registers this node while it is one of those that watch, so that nodes which
+/// know no living seed find one that knows all others.
+fn register<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) {
     let settings = &core.settings;
     let info = Info {
         node: settings.node.clone(),
@@ -63,25 +84,22 @@
         incarnation: core.incarnation,
         draining: false,
     };
-    let member = Member::register(core.store.clone(), core.clock.clone(), info, REGISTRATION);
-    // It is empty: nothing else sets it.
-    let _ = core.member.set(member);
-    for prefix in [D::OPERATOR_PREFIX, D::TARGET_PREFIX] {
-        tokio::spawn(watch_store(core.clone(), prefix));
-    }
-    tokio::spawn(find_nodes(core.clone()));
-    tokio::spawn(follow_peers(core.clone()));
+    core.member.get_or_init(|| {
+        Member::register(core.store.clone(), core.clock.clone(), info, REGISTRATION)
+    });
 }
 
-/// Looks up the registered nodes, often as long as none is heard.
+/// Looks up registered nodes as long as none is heard.
 async fn find_nodes<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
     while core.stage() != Stage::Closed {
+        tokio::time::sleep(FIND).await;
+        if core.peers().count(core.now()) > 0 {
+            continue;
+        }
         match core.store.list(member::PREFIX).await {
             Ok((entries, _)) => core.set_registered(entries.iter().filter_map(read_address)),
             Err(error) => log::warn!("registrations can't be listed: {error}"),
         }
-        let is_alone = core.peers().count(core.now()) == 0;
-        tokio::time::sleep(if is_alone { FIND_ALONE } else { FIND }).await;
     }
 }
 
@@ -100,8 +118,11 @@
     core: Arc<Core<D, S, C>>,
     prefix: &'static str,
 ) {
+    let first = core.settings.first_start;
+    tokio::time::sleep(if first { FIRST_START } else { FIRST_HEARD }).await;
     while core.stage() != Stage::Closed {
         if is_watcher(&core) {
+            register(&core);
             tokio::select! {
                 () = follow_store(core.clone(), prefix) => {}
                 () = until_relieved(&core) => {}
@@ -123,14 +144,13 @@
     watches(me, &nodes)
 }
 
-/// Waits until others have watched for a while. A node that has just started
-/// hears nobody yet, and watches until it does.
+/// Waits until others have had to watch for a while. A node that has just
+/// started hears nobody yet, and watches until it does.
 async fn until_relieved<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) {
     let mut relieved = Duration::ZERO;
     while relieved < RELIEVED {
         tokio::time::sleep(RELIEF_LOOK).await;
-        let is_relieved = core.view().configuration.is_some() && !is_watcher(core);
-        relieved = if is_relieved { relieved + RELIEF_LOOK } else { Duration::ZERO };
+        relieved = if is_watcher(core) { Duration::ZERO } else { relieved + RELIEF_LOOK };
     }
 }
 
@@ -138,8 +158,7 @@
     core: Arc<Core<D, S, C>>,
     prefix: &'static str,
 ) {
-    let options =
-        follow::Options { prefix: prefix.into(), wait: WATCH_WAIT, spread: Duration::ZERO };
+    let options = follow::Options { prefix: prefix.into(), wait: WATCH_WAIT, spread: WATCH_SPREAD };
     let follower = Follower::open(options, rand::random());
     let (store, clock) = (core.store.clone(), core.clock.clone());
     let mut outage = Outage::default();
