--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -186,3 +186,15 @@
     }
     request.body(Full::new(call.body)).map_err(|e| Error::NotSent(e.to_string()))
 }
+
+/// Escapes what a query value may not hold.
+pub fn escape(text: &str) -> String {
+    text.bytes()
+        .map(|b| match b {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'/' | b'-' | b'_' | b'.' => {
+                char::from(b).to_string()
+            }
+            _ => format!("%{b:02X}"),
+        })
+        .collect()
+}
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -2,11 +2,13 @@
 
 use crate::attempt::{self, Failure, Opened, Terms};
 use crate::core::{Active, Core};
+use crate::death::{look_for_death, read_fingerprint};
 use crate::dialect::Dialect;
 use crate::peer::Event;
 use crate::place::{self, NoPlace, Place, Waiting, Want};
+use crate::refusal::{NO_TARGET_RETRY, Refusal};
 use crate::reply::{self, Reply};
-use crate::serve::{Job, Refusal};
+use crate::serve::Job;
 use crate::stream;
 use crate::ticket::Tickets;
 use crate::view::{Tag, Target};
@@ -21,28 +23,16 @@
 use hickory_unit::id;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 
 /// Targets that may turn out to be gone before the request reached any; they
 /// do not count as sendings.
 const UNSENT_MAX: u32 = 4;
 
-/// How long a look at a target's port may take, to tell a death from a cut.
-const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// When to come back after targets that say they are full.
 const FULL_RETRY: Duration = Duration::from_millis(150);
 
-/// When to come back where no target takes work.
-const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
-
-/// The most that callers are told to wait: beyond it, what is known of the
-/// load now says nothing.
-const RETRY_MAX: Duration = Duration::from_secs(5);
-
 /// A request under way.
 #[derive(Debug)]
 pub(crate) struct Run<D: Dialect, S: Store, C: Clock> {
@@ -77,7 +67,7 @@
 ) -> Result<Response<Reply>, Refusal> {
     let service = job.route.pick_service(rand::random());
     let service = service.ok_or_else(|| Refusal::new(Reason::NoTarget, "the route has none"))?;
-    let (service, fingerprint) = (service.clone(), fingerprint(&job));
+    let (service, fingerprint) = (service.clone(), read_fingerprint(&job));
     let verdict = core.suspects().judge(core.now(), fingerprint);
     if verdict == Verdict::Quarantined {
         // It has not run this time, and a caller who comes back is told again.
@@ -112,17 +102,6 @@
     }
 }
 
-/// What tells a request that crashes targets when it comes again: who sends
-/// it, where to, and what.
-fn fingerprint(job: &Job) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    let account = job.account.as_ref().map_or("", |account| account.name.as_str());
-    hasher.update(account.as_bytes()).update(&[0]);
-    hasher.update(job.message.uri.path().as_bytes()).update(&[0]);
-    hasher.update(&job.message.body);
-    u64::from_le_bytes(*hasher.finalize().as_bytes().first_chunk().unwrap_or(&[0; 8]))
-}
-
 impl<D: Dialect, S: Store, C: Clock> Run<D, S, C> {
     /// Runs a request whose answer is passed on whole.
     async fn whole(mut self) -> Result<Response<Reply>, Refusal> {
@@ -236,37 +215,11 @@
     }
 
     fn refuse_unplaced(&self, no_place: NoPlace) -> Refusal {
-        let refusal = match no_place {
-            NoPlace::NoTarget => {
-                Refusal::new(Reason::NoTarget, "no target takes work").after(NO_TARGET_RETRY)
-            }
-            NoPlace::TooLong => Refusal::new(Reason::TooLong, "longer than the fleet's memory")
-                .with_status(StatusCode::SERVICE_UNAVAILABLE),
-            NoPlace::Busy(time) | NoPlace::Wait(time, _) => {
-                Refusal::new(Reason::Overloaded, "all targets are busy")
-                    .with_status(StatusCode::SERVICE_UNAVAILABLE)
-                    .after(time.min(RETRY_MAX))
-            }
-        };
-        self.refuse(refusal)
-    }
-
-    /// A refusal as it must be said: where the request may have run, nothing
-    /// may promise that it hasn't.
-    fn refuse(&self, refusal: Refusal) -> Refusal {
-        match self.ran {
-            true => Refusal { retry_after: None, ran: Ran::Unknown, ..refusal }
-                .with_status(StatusCode::BAD_GATEWAY),
-            false => refusal,
-        }
+        Refusal::unplaced(no_place).after_run(self.ran)
     }
 
     fn refuse_late(&self) -> Refusal {
-        let refusal = Refusal::new(Reason::Deadline, "the deadline passed");
-        match self.ran {
-            true => Refusal { ran: Ran::Unknown, ..refusal },
-            false => refusal.with_status(StatusCode::SERVICE_UNAVAILABLE),
-        }
+        Refusal::late(self.ran)
     }
 
     /// When the caller gives up on a first event.
@@ -307,7 +260,7 @@
                 self.unsent += 1;
                 if self.unsent > UNSENT_MAX {
                     let refusal = Refusal::new(Reason::NoTarget, detail).after(NO_TARGET_RETRY);
-                    return Err(self.refuse(refusal));
+                    return Err(refusal.after_run(self.ran));
                 }
                 return Ok(());
             }
@@ -323,7 +276,7 @@
                 let refusal = Refusal::new(Reason::Overloaded, format!("target said {status}"))
                     .with_status(StatusCode::SERVICE_UNAVAILABLE)
                     .after(FULL_RETRY);
-                return Err(self.refuse(refusal));
+                return Err(refusal.after_run(self.ran));
             }
             Failure::Unknown(_) => look_for_death(&self.core, &place.target, self.fingerprint),
             Failure::Spoiled(_) | Failure::Late => {}
@@ -461,41 +414,6 @@
     head
 }
 
-/// Looks whether a target that broke off is dead, and if so notes the request
-/// as one that it died under. A connection that was merely cut says nothing
-/// against the request.
-fn look_for_death<D: Dialect, S: Store, C: Clock>(
-    core: &Arc<Core<D, S, C>>,
-    target: &Arc<Target>,
-    fingerprint: u64,
-) {
-    let (core, address) = (core.clone(), target.entry.address);
-    core.client.clear(address);
-    tokio::spawn(async move {
-        let looked = tokio::time::timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await;
-        let refused = matches!(&looked, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
-        if refused {
-            note_death(&core, core.now(), fingerprint);
-        }
-    });
-}
-
-fn note_death<D: Dialect, S: Store, C: Clock>(
-    core: &Core<D, S, C>,
-    now: Instant,
-    fingerprint: u64,
-) {
-    let told = {
-        let mut suspects = core.suspects();
-        suspects.note_death(now, [fingerprint]);
-        suspects.tell(now).into_iter().find(|suspect| suspect.fingerprint == fingerprint)
-    };
-    if let Some(suspect) = told {
-        log::warn!(fingerprint, deaths = suspect.deaths; "a target died under a request");
-        core.tell(Event::Suspect { fingerprint, deaths: suspect.deaths });
-    }
-}
-
 fn name_all(targets: &[Arc<Target>]) -> String {
     let names: Vec<&str> = targets.iter().map(|target| target.id.as_str()).collect();
     names.join(",")
--- a/crates/path/src/serve.rs
+++ b/crates/path/src/serve.rs
@@ -6,14 +6,15 @@
 use crate::demand::Demand;
 use crate::dialect::Dialect;
 use crate::drain::NAMED;
-use crate::reply::{self, Reply};
+use crate::refusal::{Refusal, answer_refusal};
+use crate::reply::Reply;
 use crate::run;
 use bytes::Bytes;
-use hickory_policy::refuse::{Ran, Reason};
+use hickory_policy::refuse::Reason;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::size;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use std::sync::Arc;
@@ -33,32 +34,6 @@
 /// When to come back to another node than one that is stopping.
 const DRAINING_RETRY: Duration = Duration::from_millis(20);
 
-/// A request that is refused.
-#[derive(Clone, Debug)]
-pub(crate) struct Refusal {
-    pub(crate) reason: Reason,
-    pub(crate) status: StatusCode,
-    pub(crate) detail: String,
-    pub(crate) retry_after: Option<Duration>,
-    pub(crate) ran: Ran,
-}
-
-impl Refusal {
-    pub(crate) fn new(reason: Reason, detail: impl Into<String>) -> Self {
-        let status = StatusCode::from_u16(reason.status());
-        let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        Self { reason, status, detail: detail.into(), retry_after: None, ran: Ran::No }
-    }
-
-    pub(crate) fn after(self, time: Duration) -> Self {
-        Self { retry_after: Some(time), ..self }
-    }
-
-    pub(crate) fn with_status(self, status: StatusCode) -> Self {
-        Self { status, ..self }
-    }
-}
-
 /// A request that is to be run.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -87,30 +62,6 @@
     answered.unwrap_or_else(|refusal| answer_refusal(&core, &attempt, arrived, &refusal))
 }
 
-fn answer_refusal<D: Dialect, S: Store, C: Clock>(
-    core: &Core<D, S, C>,
-    attempt: &str,
-    arrived: Instant,
-    refusal: &Refusal,
-) -> Response<Reply> {
-    core.metrics.refused(refusal.reason, refusal.ran);
-    log::info!(
-        request = attempt,
-        reason:% = refusal.reason,
-        status = refusal.status.as_u16(),
-        ran:% = refusal.ran,
-        retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64,
-        config = core.view().version(),
-        age_ms = core.now().saturating_duration_since(arrived).as_millis() as u64;
-        "refused: {}", refusal.detail
-    );
-    let mut response = reply::plain(refusal.status, &refusal.detail);
-    if let Some(time) = refusal.retry_after {
-        reply::set_retry_after(&mut response, time);
-    }
-    response
-}
-
 async fn read_job<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     arrived: Instant,
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -39,17 +39,10 @@
 pub struct Bounds {
     /// Between SIGTERM and the kill.
     pub grace: Duration,
-    /// How long work on a lost engine stands still before it is cut off.
-    pub stall: Duration,
     /// How long callers may keep an answer to where to connect.
     pub keep: Duration,
     /// Requests sent beyond the first of each.
     pub repeats: share::Bound,
-    /// What a cold target may get beyond its configured rate, as a factor and
-    /// as a number a second.
-    pub cold_factor: f64,
-    /// See [`Bounds::cold_factor`].
-    pub cold_extra: f64,
     /// How long memory may be reserved at a time.
     pub hold: Duration,
 }
--- a/crates/path/src/ticket.rs
+++ b/crates/path/src/ticket.rs
@@ -112,7 +112,8 @@
     core: &Core<D, S, C>,
     held: &Held,
 ) -> Result<(), String> {
-    order(core, held, &D::write_reserve(&held.ticket, held.tokens.0, HOLD, false)).await
+    let hold = HOLD.min(core.bounds().hold);
+    order(core, held, &D::write_reserve(&held.ticket, held.tokens.0, hold, false)).await
 }
 
 async fn release<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>, held: Held) {
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -6,7 +6,7 @@
 use crate::host;
 use crate::store::{Batch, Entry, Error, Lease, Revision, Store, Write};
 use crate::weight;
-use hickory_client::{Answer, Call, Client};
+use hickory_client::{Answer, Call, Client, escape};
 use http::{Method, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -109,18 +109,6 @@
     Error::NotDone(error.to_string())
 }
 
-/// Escapes what a query value may not hold.
-fn escape(text: &str) -> String {
-    text.bytes()
-        .map(|b| match b {
-            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'/' | b'-' | b'_' | b'.' => {
-                char::from(b).to_string()
-            }
-            _ => format!("%{b:02X}"),
-        })
-        .collect()
-}
-
 impl Store for Platform {
     async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
         let path = format!("/kv/get?key={}", escape(key));
