A silent target is left only for another one; else its silence is waited out

Cause: a pause of a second ended the attempt whether or not another target could be tried; with all attempts used or no repeat left, the answer was broken off, though its replica would have gone on.

Change: a stall takes a repeat first, and without one the target is waited for until the deadline; the same before the first event.

--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -55,9 +55,12 @@
     /// What came is not an answer to it; it may have run.
     #[display("not its answer: {_0}")]
     Spoiled(&'static str),
-    /// Nothing came in time.
+    /// Nothing came until the deadline.
     #[display("timeout")]
     Late,
+    /// Nothing came for long, and a repeat was taken to try another target.
+    #[display("stalled")]
+    Stalled,
 }
 
 impl Failure {
@@ -67,7 +70,7 @@
             Self::NotSent(_) => Retry::NotSent,
             Self::NotRun(_) => Retry::Refused,
             Self::Unknown(_) | Self::Spoiled(_) => Retry::TargetFailed,
-            Self::Late => Retry::Stalled,
+            Self::Late | Self::Stalled => Retry::Stalled,
         }
     }
 }
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -23,6 +23,7 @@
 use hickory_unit::id;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
+use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -168,11 +169,9 @@
             self.sends += 1;
             self.tried.push(place.target.tag);
             let sent = attempt::send(&self.core, &self.job.message, &place, &terms);
-            let limit = self.first_limit(&place);
-            match tokio::time::timeout(limit, sent).await {
-                Ok(Ok(opened)) => return Ok((opened, place.with_tickets(tickets))),
-                Ok(Err(failure)) => self.settle(&place, failure)?,
-                Err(_) => self.settle(&place, Failure::Late)?,
+            match self.wait_first(&place, sent).await {
+                Ok(opened) => return Ok((opened, place.with_tickets(tickets))),
+                Err(failure) => self.settle(&place, failure)?,
             }
         }
     }
@@ -233,17 +232,32 @@
         self.job.deadline.saturating_duration_since(self.core.now())
     }
 
-    /// How long a target may take to its first word. Beyond it, another one is
-    /// tried where that is allowed.
-    pub(crate) fn first_limit(&self, place: &Place<D, S, C>) -> Duration {
-        let left = self.time_left();
-        let can_repeat = self.job.route.kind.is_repeatable()
-            && self.sends < self.job.route.targets_max
-            && left > self.job.route.goal;
-        match can_repeat {
-            true => left.min((place.expected * 3 + self.job.route.goal).max(FIRST_LEAST)),
-            false => left,
+    /// Waits for a target's first word, until the deadline or until another
+    /// target is to be tried.
+    pub(crate) async fn wait_first<T>(
+        &self,
+        place: &Place<D, S, C>,
+        first: impl Future<Output = Result<T, Failure>>,
+    ) -> Result<T, Failure> {
+        let stalled = (place.expected * 3 + self.job.route.goal).max(FIRST_LEAST);
+        let mut first = std::pin::pin!(first);
+        if stalled + self.job.route.goal < self.time_left() {
+            if let Ok(first) = tokio::time::timeout(stalled, &mut first).await {
+                return first;
+            }
+            if self.may_leave() {
+                return Err(Failure::Stalled);
+            }
         }
+        let left = self.time_left();
+        tokio::time::timeout(left, first).await.unwrap_or(Err(Failure::Late))
+    }
+
+    /// Whether a target that says nothing is to be left for another one; takes
+    /// a repeat for it. Where that can't be, the silence is waited out: the
+    /// target may go on, and an answer that is ended for its silence is lost.
+    pub(crate) fn may_leave(&self) -> bool {
+        self.may_repeat() && self.spend()
     }
 
     /// Takes a failed attempt in: an error ends the request.
@@ -278,6 +292,10 @@
                     .after(FULL_RETRY);
                 return Err(refusal.after_run(self.ran));
             }
+            Failure::Stalled => {
+                self.ran = true;
+                return Ok(());
+            }
             Failure::Unknown(_) => look_for_death(&self.core, &place.target, self.fingerprint),
             Failure::Spoiled(_) | Failure::Late => {}
         }
--- a/crates/path/src/stream.rs
+++ b/crates/path/src/stream.rs
@@ -110,17 +110,12 @@
             }
         }
         let mut reader = Reader::open(opened);
-        let limit = run.first_limit(&place);
-        let first = match tokio::time::timeout(limit, reader.next()).await {
-            Ok(Ok(first)) => first,
-            Ok(Err(failure)) => {
+        let first = match run.wait_first(&place, reader.next()).await {
+            Ok(first) => first,
+            Err(failure) => {
                 run.settle(&place, failure)?;
                 continue;
             }
-            Err(_) => {
-                run.settle(&place, Failure::Late)?;
-                continue;
-            }
         };
         place.begin_writing();
         run.first_event = Some(run.age());
@@ -262,15 +257,22 @@
 
     async fn read(&self, reader: &mut Reader) -> Result<Next, End> {
         let wanted = self.run.job.route.gap.unwrap_or(STALLED_LEAST);
-        let stalled = (wanted * STALLED_PAUSES).max(STALLED_LEAST);
-        let left = self.run.time_left();
-        tokio::select! {
-            next = reader.next() => next.map_err(End::Failed),
-            () = self.out.closed() => Err(End::Gone),
-            () = tokio::time::sleep(left.min(stalled)) => match left <= stalled {
-                true => Err(End::Deadline),
-                false => Err(End::Failed(Failure::Late)),
-            },
+        let mut stalled = Some((wanted * STALLED_PAUSES).max(STALLED_LEAST));
+        loop {
+            let left = self.run.time_left();
+            let limit = stalled.map_or(left, |stalled| left.min(stalled));
+            tokio::select! {
+                next = reader.next() => return next.map_err(End::Failed),
+                () = self.out.closed() => return Err(End::Gone),
+                () = tokio::time::sleep(limit) => {}
+            }
+            if limit == left {
+                return Err(End::Deadline);
+            }
+            if self.run.may_leave() {
+                return Err(End::Failed(Failure::Stalled));
+            }
+            stalled = None;
         }
     }
 
@@ -298,14 +300,12 @@
                 continue;
             }
             let mut reader = Reader::open(opened);
-            let limit = self.run.first_limit(&other);
-            match tokio::time::timeout(limit, reader.next()).await {
-                Ok(Ok(first)) => {
+            match self.run.wait_first(&other, reader.next()).await {
+                Ok(first) => {
                     other.begin_writing();
                     return Some((reader, other, first));
                 }
-                Ok(Err(failure)) => failed = self.run.settle(&other, failure),
-                Err(_) => failed = self.run.settle(&other, Failure::Late),
+                Err(failure) => failed = self.run.settle(&other, failure),
             }
         }
     }
