--- a/crates/path/src/dialect.rs
+++ b/crates/path/src/dialect.rs
@@ -57,10 +57,10 @@
     fn write_directory(addresses: &[SocketAddr], keep: Duration) -> String;
 
     /// An order that reserves memory on an engine.
-    fn write_reserve(ticket: &str, tokens: u64, hold: Duration, wait: bool) -> Order;
+    fn write_reserve(reservation: &str, tokens: u64, hold: Duration, wait: bool) -> Order;
 
     /// An order that ends a reservation.
-    fn write_release(ticket: &str) -> Order;
+    fn write_release(reservation: &str) -> Order;
 }
 
 /// What the path decides of one sending.
@@ -87,7 +87,7 @@
     /// Where it is.
     pub address: SocketAddr,
     /// The reservation of its memory.
-    pub ticket: Option<CompactString>,
+    pub reservation: Option<CompactString>,
 }
 
 /// An order to an engine.
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -24,13 +24,13 @@
 mod place;
 mod refusal;
 pub mod reply;
+mod reservation;
 mod run;
 mod serve;
 pub mod settings;
 mod stream;
 mod suspect;
 mod sync;
-mod ticket;
 pub mod view;
 pub mod watcher;
 
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -6,7 +6,7 @@
 use crate::demand::Prompt;
 use crate::dialect::Dialect;
 use crate::peer::Event;
-use crate::ticket::Tickets;
+use crate::reservation::Reservations;
 use crate::view::{Tag, Target, View};
 use hickory_policy::engine::Profile;
 use hickory_policy::plan::{self, Choice, Load, Plan, Query, Refused};
@@ -69,13 +69,13 @@
     /// When the first token, or the answer, is expected.
     pub(crate) expected: Duration,
     /// Released with the place.
-    tickets: Option<Tickets<D, S, C>>,
+    reservations: Option<Reservations<D, S, C>>,
 }
 
 impl<D: Dialect, S: Store, C: Clock> Place<D, S, C> {
     /// The place with the reservations that it needs.
-    pub(crate) fn with_tickets(mut self, tickets: Tickets<D, S, C>) -> Self {
-        self.tickets = Some(tickets);
+    pub(crate) fn with_reservations(mut self, reservations: Reservations<D, S, C>) -> Self {
+        self.reservations = Some(reservations);
         self
     }
 
@@ -232,7 +232,7 @@
     };
     let all = view.targets_of(want.service).iter();
     let able: Vec<Arc<Target>> = all
-        .filter(|target| target.takes_work(now) && !view.evacuated.contains(&target.entry.zone))
+        .filter(|target| target.takes_work(now) && !view.zones_out.contains(&target.entry.zone))
         .filter(|target| bears(target))
         .cloned()
         .collect();
@@ -321,6 +321,6 @@
         short,
         part: plan.part,
         expected: plan.first_token,
-        tickets: None,
+        reservations: None,
     }
 }
--- a/crates/path/src/ticket.rs
+++ b/crates/path/src/reservation.rs
@@ -36,41 +36,41 @@
 #[derive(Clone, Debug)]
 struct Held {
     target: Arc<Target>,
-    ticket: CompactString,
+    name: CompactString,
     tokens: Tokens,
 }
 
 /// The reservations of one request. Dropping them releases them.
-pub(crate) struct Tickets<D: Dialect, S: Store, C: Clock> {
+pub(crate) struct Reservations<D: Dialect, S: Store, C: Clock> {
     core: Arc<Core<D, S, C>>,
     held: Vec<Held>,
     renewing: Option<JoinHandle<()>>,
 }
 
-impl<D: Dialect, S: Store, C: Clock> Tickets<D, S, C> {
+impl<D: Dialect, S: Store, C: Clock> Reservations<D, S, C> {
     /// Reserves all that a place needs, or nothing.
     pub(crate) async fn reserve(
         core: &Arc<Core<D, S, C>>,
         place: &Place<D, S, C>,
     ) -> Result<Self, String> {
-        let name: u64 = rand::random();
+        let series: u64 = rand::random();
         let held = place.memory.iter().enumerate().map(|(number, (target, tokens))| Held {
             target: target.clone(),
-            ticket: format_compact!("{name:x}-{number}"),
+            name: format_compact!("{series:x}-{number}"),
             tokens: *tokens,
         });
-        let mut tickets = Self { core: core.clone(), held: held.collect(), renewing: None };
+        let mut reservations = Self { core: core.clone(), held: held.collect(), renewing: None };
         // A failed one is released with the others: its answer may be lost.
-        let orders = tickets.held.iter().map(|held| renew(core, held));
+        let orders = reservations.held.iter().map(|held| renew(core, held));
         let answers = futures::future::join_all(orders).await;
         if let Some(error) = answers.into_iter().find_map(Result::err) {
             return Err(error);
         }
-        if !tickets.held.is_empty() {
-            let renewing = keep_renewing(core.clone(), tickets.held.clone());
-            tickets.renewing = Some(tokio::spawn(renewing));
+        if !reservations.held.is_empty() {
+            let renewing = keep_renewing(core.clone(), reservations.held.clone());
+            reservations.renewing = Some(tokio::spawn(renewing));
         }
-        Ok(tickets)
+        Ok(reservations)
     }
 
     /// The engines that read a prompt, with their reservations; one of the
@@ -78,16 +78,17 @@
     pub(crate) fn helpers(&self, place: &Place<D, S, C>) -> Vec<Helper> {
         let held = self.held.iter().map(|held| Helper {
             address: held.target.entry.address,
-            ticket: Some(held.ticket.clone()),
+            reservation: Some(held.name.clone()),
         });
         let is_held = |target: &Target| self.held.iter().any(|held| held.target.tag == target.tag);
         let others = place.helpers.iter().filter(|target| !is_held(target));
-        let others = others.map(|target| Helper { address: target.entry.address, ticket: None });
+        let others =
+            others.map(|target| Helper { address: target.entry.address, reservation: None });
         held.chain(others).collect()
     }
 }
 
-impl<D: Dialect, S: Store, C: Clock> Drop for Tickets<D, S, C> {
+impl<D: Dialect, S: Store, C: Clock> Drop for Reservations<D, S, C> {
     fn drop(&mut self) {
         if let Some(renewing) = &self.renewing {
             renewing.abort();
@@ -113,12 +114,12 @@
     held: &Held,
 ) -> Result<(), String> {
     let hold = HOLD.min(core.bounds().hold);
-    order(core, held, &D::write_reserve(&held.ticket, held.tokens.0, hold, false)).await
+    order(core, held, &D::write_reserve(&held.name, held.tokens.0, hold, false)).await
 }
 
 async fn release<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>, held: Held) {
     for _ in 0..RELEASES {
-        match order(&core, &held, &D::write_release(&held.ticket)).await {
+        match order(&core, &held, &D::write_release(&held.name)).await {
             Ok(()) => return,
             Err(error) => log::warn!("reservation not released: {error}"),
         }
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -8,9 +8,9 @@
 use crate::place::{self, NoPlace, Place, Waiting, Want};
 use crate::refusal::{NO_TARGET_RETRY, Refusal};
 use crate::reply::{self, Reply};
+use crate::reservation::Reservations;
 use crate::serve::Job;
 use crate::stream;
-use crate::ticket::Tickets;
 use crate::view::{Tag, Target};
 use bytes::Bytes;
 use hickory_client::Exchange;
@@ -147,8 +147,8 @@
                 age_ms = self.age().as_millis() as u64;
                 "placed"
             );
-            let tickets = match Tickets::reserve(&self.core, &place).await {
-                Ok(tickets) => tickets,
+            let reservations = match Reservations::reserve(&self.core, &place).await {
+                Ok(reservations) => reservations,
                 Err(detail) => {
                     self.sends += 1;
                     self.tried.push(place.target.tag);
@@ -156,7 +156,7 @@
                     continue;
                 }
             };
-            let helpers = tickets.helpers(&place);
+            let helpers = reservations.helpers(&place);
             let terms = Terms {
                 attempt: &self.job.demand.attempt,
                 account: self.job.account.as_ref().map(|account| &account.name),
@@ -170,7 +170,7 @@
             self.tried.push(place.target.tag);
             let sent = attempt::send(&self.core, &self.job.message, &place, &terms);
             match self.wait_first(&place, sent).await {
-                Ok(opened) => return Ok((opened, place.with_tickets(tickets))),
+                Ok(opened) => return Ok((opened, place.with_reservations(reservations))),
                 Err(failure) => self.settle(&place, failure)?,
             }
         }
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -43,7 +43,7 @@
     /// The configuration in force; `None` before the first one.
     pub configuration: Option<Arc<Configuration>>,
     /// Zones that are out of service.
-    pub evacuated: HashSet<id::Zone>,
+    pub zones_out: HashSet<id::Zone>,
     /// Targets by service.
     pub targets: HashMap<id::Service, Vec<Arc<Target>>>,
     /// The revision of the configuration's item.
@@ -68,14 +68,14 @@
     pub fn read<D: Dialect>(&self, items: &Items, now: Instant, may_lapse: bool) -> Self {
         let mut next = Self {
             configuration: self.configuration.clone(),
-            evacuated: read_zones::<D>(items),
+            zones_out: read_zones::<D>(items),
             targets: HashMap::new(),
             config_revision: self.config_revision,
         };
         next.read_configuration::<D>(items);
         let before: HashMap<&str, &Arc<Target>> =
             self.targets.values().flatten().map(|target| (target.id.as_str(), target)).collect();
-        log_zones(&self.evacuated, &next.evacuated);
+        log_zones(&self.zones_out, &next.zones_out);
         for (key, item) in items.with_prefix(D::TARGET_PREFIX) {
             let id = &key[D::TARGET_PREFIX.len()..];
             let known = before.get(id).copied();
