--- /dev/null
+++ b/apps/hickory-entry/tests/logs.rs
@@ -0,0 +1,136 @@
+//! The daemon as a process: what its log says of requests that failed.
+
+use hickory_adapter_standin::caller::{self, Answer};
+use hickory_adapter_standin::replica::{Act, Replica};
+use hickory_adapter_standin::store::Store;
+use hickory_adapter_standin::{CONFIG, entry_key, settings, write_settings};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// A daemon before a store and two replicas of each service.
+struct Scene {
+    daemon: Child,
+    log: PathBuf,
+    callers: SocketAddr,
+    replicas: Vec<Replica>,
+}
+
+impl Drop for Scene {
+    fn drop(&mut self) {
+        // It fails where the daemon has ended by itself.
+        let _ = self.daemon.kill();
+        let _ = self.daemon.wait();
+    }
+}
+
+impl Scene {
+    async fn open(name: &str) -> Self {
+        let store = Store::spawn().await;
+        store.put_configuration(CONFIG);
+        let mut replicas = Vec::new();
+        for (service, name) in
+            [("plain", "p-1"), ("plain", "p-2"), ("model", "m-1"), ("model", "m-2")]
+        {
+            let replica = Replica::spawn(name, service, 5).await;
+            store.put(&entry_key(name), &replica.entry("ready"));
+            replicas.push(replica);
+        }
+        let settings = settings("node-1", store.address);
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let file = directory.join(format!("{name}.json"));
+        std::fs::write(&file, write_settings(&settings)).unwrap();
+        let log = directory.join(format!("{name}.log"));
+        let daemon = Command::new(env!("CARGO_BIN_EXE_hickory-entry"))
+            .arg(&file)
+            .stdout(std::fs::File::create(&log).unwrap())
+            .stdin(Stdio::null())
+            .spawn()
+            .unwrap();
+        caller::wait_ready(settings.ready).await;
+        Self { daemon, log, callers: settings.callers, replicas }
+    }
+
+    fn all(&self, service: &str, act: &Act) {
+        for replica in self.replicas.iter().filter(|replica| replica.service == service) {
+            replica.next(act.clone());
+        }
+    }
+
+    async fn ask(&self, attempt: &str, path: &str) -> Answer {
+        let text = caller::request_as(attempt, "POST", path, "body");
+        caller::send(self.callers, &text).await
+    }
+
+    /// The log's lines of a request, once there are so many.
+    async fn lines(&self, attempt: &str, count: usize) -> Vec<Value> {
+        for _ in 0..100 {
+            let text = std::fs::read_to_string(&self.log).unwrap();
+            let lines = text.lines().map(|line| serde_json::from_str::<Value>(line).unwrap());
+            let own: Vec<Value> =
+                lines.filter(|line| line["attributes"]["request"] == attempt).collect();
+            if own.len() >= count {
+                return own;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("fewer than {count} lines of {attempt}");
+    }
+}
+
+fn number(line: &Value, name: &str) -> u64 {
+    line["attributes"][name].as_str().unwrap().parse().unwrap()
+}
+
+/// A caller's advice came after a second and a half, and it asks why. One line
+/// says that it did not wait at the node, which target was late, and what had
+/// been expected of it.
+#[tokio::test]
+async fn a_late_first_event_names_its_target() {
+    let scene = Scene::open("late").await;
+    scene.all("model", &Act::Pause(1, 5));
+    assert_eq!(scene.ask("late-1", "/once/1").await.status, 200);
+    let lines = scene.lines("late-1", 1).await;
+    let line = &lines[0];
+    assert_eq!((&line["message"], &line["mdc"]["node"]), (&"answered".into(), &"node-1".into()));
+    assert!(number(line, "first_ms") >= 1_500, "{line}");
+    assert!(number(line, "expected_ms") < 300, "{line}");
+    assert_eq!(number(line, "wait_ms"), 0, "{line}");
+    assert!(line["attributes"]["target_id"].as_str().unwrap().starts_with("m-"), "{line}");
+}
+
+/// An order ended without an answer. The lines say that it reached a target,
+/// that the connection broke, and that it may have run.
+#[tokio::test]
+async fn an_order_without_an_answer_says_that_it_may_have_run() {
+    let scene = Scene::open("order").await;
+    scene.all("plain", &Act::Close);
+    assert_eq!(scene.ask("order-1", "/pay/1").await.status, 502);
+    let lines = scene.lines("order-1", 2).await;
+    assert!(lines[0]["message"].as_str().unwrap().starts_with("attempt failed: no answer"));
+    assert!(lines[0]["attributes"]["target_id"].as_str().unwrap().starts_with("p-"));
+    let refusal = &lines[1]["attributes"];
+    assert_eq!((&refusal["ran"], &refusal["reason"]), (&"unknown".into(), &"target-failed".into()));
+}
+
+/// A stream was cut in the middle and went on. The lines name the target that
+/// broke off and the one that took it up.
+#[tokio::test]
+async fn a_stream_that_was_cut_names_both_targets() {
+    let scene = Scene::open("cut").await;
+    scene.replicas[2].next(Act::Cut(2, 0));
+    scene.replicas[3].next(Act::Cut(2, 0));
+    scene.replicas[2].next(Act::Stream(5));
+    scene.replicas[3].next(Act::Stream(5));
+    // The first stream is cut by both; the second one finds both sound again.
+    let cut = scene.ask("cut-1", "/say/1").await;
+    assert_eq!((cut.ids(), cut.complete), (vec![1, 2], false));
+    let lines = scene.lines("cut-1", 3).await;
+    let targets: Vec<&str> =
+        lines[..2].iter().map(|line| line["attributes"]["target_id"].as_str().unwrap()).collect();
+    assert_ne!(targets[0], targets[1], "{lines:?}");
+    assert!(lines[2]["message"].as_str().unwrap().starts_with("given up on"), "{lines:?}");
+    assert_eq!(number(&lines[2], "last_event"), 2);
+}
