--- a/apps/hickory-entry/src/main.rs
+++ b/apps/hickory-entry/src/main.rs
@@ -20,6 +20,9 @@
 /// Between two looks whether the settings file has changed without a signal.
 const SETTINGS_LOOK: Duration = Duration::from_secs(5);
 
+/// How long connections are given to end after the node has closed.
+const LAST_BYTES: Duration = Duration::from_millis(100);
+
 /// Serves callers beside the other nodes of a fleet.
 #[derive(Debug, Parser)]
 #[command(name = "hickory-entry", version)]
@@ -94,6 +97,3 @@
     tokio::time::sleep(LAST_BYTES).await;
     Ok(())
 }
-
-/// How long connections are given to end after the node has closed.
-const LAST_BYTES: Duration = Duration::from_millis(100);
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -83,8 +83,9 @@
     ready: bool,
     /// Whether the store is out of its reach.
     store_away: bool,
-    /// The newest revision of what operators wrote, and of targets.
+    /// The newest revision that it knows of what operators wrote.
     operator: Revision,
+    /// The newest revision that it knows of targets' entries.
     targets: Revision,
     /// Where some other nodes hear datagrams.
     others: Vec<SocketAddr>,
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -19,6 +19,10 @@
 //! older prompts are all late. So a long prompt waits at its node until enough
 //! engines are idle, and is then read at once: no engine ever has two parts to
 //! choose from.
+//!
+//! Gain, by the replay of such phases in `tests/plan.rs` over six seeds: at least
+//! 0.85 of the short prompts, 0.90 of the middle and 0.75 of the long ones are in
+//! time, on each seed more of each than with whole prompts on the idlest engine.
 
 use crate::engine::Profile;
 use hickory_unit::size::Tokens;
@@ -40,7 +44,9 @@
 /// that other nodes place meanwhile.
 const PACK_AIM: f64 = 0.6;
 
-/// The part of an engine's slots that short streams are packed into.
+/// The part of an engine's slots that short streams are packed into. With fewer,
+/// more engines have short streams than are left to long prompts; with more,
+/// several prompts that arrive at once find no slot.
 const PACK_SLOTS: f64 = 0.75;
 
 /// First tokens that differ by less come at the same time for the caller.
@@ -59,6 +65,7 @@
 const CROWD: f64 = 0.6;
 
 /// The part of its streams' wanted pause that an engine may read in one pass.
+/// The rest is for a prompt that another node places there at the same moment.
 const PAUSE_PART: f64 = 0.7;
 
 /// An engine that has less than this to read counts as idle: it is done by the
@@ -66,8 +73,8 @@
 const IDLE: Duration = Duration::from_millis(15);
 
 /// The part of the engines without short streams that must be idle before a
-/// prompt which is late in any case is read, and of these the part that it is
-/// given: what it takes beyond is taken from prompts that could be in time.
+/// prompt which is late in any case is read: what it takes is otherwise taken
+/// from prompts that could be in time.
 const LATE_IDLE: f64 = 0.5;
 
 /// The part of the time left that reading a late prompt may take.
