--- a/crates/path/src/config.rs
+++ b/crates/path/src/config.rs
@@ -64,8 +64,6 @@
     pub goal: Duration,
     /// The longest wanted pause between two events of a stream.
     pub gap: Option<Duration>,
-    /// How long callers wait for a first event before they give up.
-    pub patience: Option<Duration>,
     /// Its rank; 0 is the highest.
     pub priority: u32,
     /// The services it goes to, with their weights.
@@ -137,7 +135,21 @@
     }
 }
 
+/// How long callers wait for an event before they leave a stream: the longest
+/// of this, of so many goals, and of so many wanted pauses. It is what the
+/// users say of their callers; work for one who has left is lost.
+const PATIENCE_LEAST: Duration = Duration::from_secs(2);
+const PATIENCE_GOALS: u32 = 4;
+const PATIENCE_PAUSES: u32 = 8;
+
 impl Route {
+    /// How long callers wait for the first event of a stream before they leave.
+    pub fn patience(&self) -> Option<Duration> {
+        let pause = self.gap.unwrap_or_default() * PATIENCE_PAUSES;
+        let longest = PATIENCE_LEAST.max(self.goal * PATIENCE_GOALS).max(pause);
+        self.kind.is_stream().then_some(longest)
+    }
+
     /// The service that a random number from 0 to 1 falls on, by weight.
     pub fn pick_service(&self, random: f64) -> Option<&id::Service> {
         let total: f64 = self.split.iter().map(|(_, weight)| f64::from(*weight)).sum();
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -223,7 +223,7 @@
 
     /// When the caller gives up on a first event.
     fn first_deadline(&self) -> Instant {
-        let patience = self.job.route.patience.filter(|_| self.first_event.is_none());
+        let patience = self.job.route.patience().filter(|_| self.first_event.is_none());
         let gives_up = patience.map(|patience| self.job.arrived + patience);
         gives_up.map_or(self.job.deadline, |at| at.min(self.job.deadline))
     }
