Long prompts that nodes place at the same moment no longer share engines

Waiting prompts were staggered by 3 ms; a datagram takes up to 10 ms there. Ruled out: the cost model (lone placements come as predicted) and too little capacity (the engines were idle before). Change: policy::claim. A node tells what it chose, waits until all must have heard, and chooses again where another prompt goes first; smaller prompts that wait get their turn for as long as a word takes.

--- a/crates/path/src/books.rs
+++ b/crates/path/src/books.rs
@@ -7,6 +7,7 @@
 //! lost or a node that dies leaves nothing behind.
 
 use crate::view::{Tag, Target};
+use hickory_policy::claim::Claim;
 use hickory_policy::engine::Profile;
 use hickory_policy::plan::Load;
 use hickory_unit::id;
@@ -68,9 +69,30 @@
 struct Kept {
     booking: Booking,
     placed: Instant,
+    /// When this node first knew of it.
+    known: Instant,
     told: Instant,
 }
 
+impl Kept {
+    fn claim<'a>(&self, node: &'a id::Node, number: Number) -> Claim<'a> {
+        let Number(number) = number;
+        Claim { at: self.placed, prompt: self.booking.prompt, node, number }
+    }
+
+    /// Whether it is a long prompt that is read on one of another's engines.
+    fn reads_beside(&self, other: &Booking) -> bool {
+        let is_long = self.booking.stage == Stage::Reading && !self.booking.short;
+        is_long && self.booking.engines().any(|engine| other.engines().any(|own| own == engine))
+    }
+}
+
+impl Booking {
+    fn engines(&self) -> impl Iterator<Item = Tag> {
+        std::iter::once(self.first).chain(self.helpers.iter().copied())
+    }
+}
+
 /// Names a booking within its node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Number(pub u32);
@@ -101,7 +123,7 @@
         if booking.stage != Stage::Waiting {
             self.note_sent(now, booking.first);
         }
-        self.own.insert(number, Kept { booking, placed: now, told: now });
+        self.own.insert(number, Kept { booking, placed: now, known: now, told: now });
         number
     }
 
@@ -134,8 +156,10 @@
             None => self.peers.entry(node.clone()).or_default(),
         };
         let is_sent = booking.stage != Stage::Waiting;
-        let known = bookings.insert(number, Kept { booking, placed, told: now });
-        if is_sent && known.is_none() {
+        let before = bookings.get(&number).map(|kept| kept.known);
+        let known = before.unwrap_or(now);
+        bookings.insert(number, Kept { booking, placed, known, told: now });
+        if is_sent && before.is_none() {
             self.note_sent(placed, first);
         }
     }
@@ -190,6 +214,18 @@
         reads.fold(Ahead::default(), add)
     }
 
+    /// Whether a peer's long prompt comes before this node's own one on engines
+    /// that both chose, neither knowing of the other.
+    pub fn is_contested(&self, me: &id::Node, number: Number, window: Duration) -> bool {
+        let Some(own) = self.own.get(&number) else { return false };
+        let claim = own.claim(me, number);
+        self.peers.iter().any(|(node, bookings)| {
+            let unknown = bookings.iter().filter(|(_, kept)| kept.known >= own.placed);
+            let rivals = unknown.filter(|(_, kept)| kept.reads_beside(&own.booking));
+            rivals.map(|(number, kept)| kept.claim(node, *number)).any(|r| claim.yields(&r, window))
+        })
+    }
+
     fn all(&self, now: Instant) -> impl Iterator<Item = &Kept> {
         let peers = self.peers.values().flat_map(HashMap::values);
         let is_fresh = move |kept: &&Kept| now.saturating_duration_since(kept.told) < STALE;
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -8,6 +8,7 @@
 use crate::suspect::Doubts;
 use crate::view::View;
 use hickory_client::Client;
+use hickory_policy::claim;
 use hickory_policy::poison::Suspects;
 use hickory_policy::share::Budget;
 use hickory_state::member::Member;
@@ -205,6 +206,12 @@
         budgets.entry(service.clone()).or_default().spend(now, &bounds.repeats, nodes)
     }
 
+    /// How long a node that told what it chose waits until it must have heard of
+    /// all that chose at the same moment.
+    pub(crate) fn settle_time(&self) -> Duration {
+        claim::settle_time(self.peers().count(self.now()))
+    }
+
     /// Tells all peers, with what else is told within a millisecond.
     pub(crate) fn tell(&self, event: Event) {
         lock(&self.outbox).push(event);
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -8,6 +8,7 @@
 use crate::peer::Event;
 use crate::reservation::Reservations;
 use crate::view::{Tag, Target, View};
+use hickory_policy::claim::Turn;
 use hickory_policy::engine::Profile;
 use hickory_policy::plan::{self, Choice, Load, Plan, Query, Refused};
 use hickory_store::store::Store;
@@ -29,15 +30,6 @@
 /// better is known.
 const USUAL_PART: u64 = 2;
 
-/// Between two prompts that wait for the same engines. All nodes expect the
-/// engines to be idle at the same moment; the smallest prompt looks first, and
-/// the next one when it has heard of where that went: a datagram is gathered
-/// for a millisecond and takes another one.
-const STAGGER: Duration = Duration::from_millis(3);
-
-/// Turns that are waited for at most.
-const STAGGERED_MAX: u32 = 5;
-
 /// When to come back where nothing is known of when room will be.
 const RELIEF: Duration = Duration::from_millis(200);
 
@@ -86,6 +78,13 @@
         }
     }
 
+    /// Whether another node's prompt comes before it on the same engines; asked
+    /// once both nodes must have heard of it.
+    pub(crate) fn is_contested(&self) -> bool {
+        let window = self.core.settle_time();
+        self.core.books().is_contested(&self.core.settings.node, self.number, window)
+    }
+
     /// Notes the first token.
     pub(crate) fn begin_writing(&self) {
         self.core.books().begin_writing(self.number);
@@ -157,6 +156,7 @@
     view: &View,
     configuration: &Configuration,
     want: &Want<'_>,
+    turn: &mut Turn,
 ) -> Result<Place<D, S, C>, NoPlace> {
     let now = core.now();
     let candidates = find_candidates(core, view, configuration, want, now);
@@ -179,13 +179,15 @@
                 limit,
                 ahead: ahead.read,
             };
-            match plan::choose_engines(&query, profile, &loads).map_err(read_refused)? {
-                Choice::Go(plan) => Ok(book_plan(core, now, &candidates, want, &query, &plan)),
-                Choice::Wait(time) => {
-                    let turn = STAGGER * ahead.count.min(STAGGERED_MAX);
-                    Err(NoPlace::Wait(time + turn, read))
-                }
+            let plan = match plan::choose_engines(&query, profile, &loads).map_err(read_refused)? {
+                Choice::Go(plan) => plan,
+                Choice::Wait(time) => return Err(NoPlace::Wait(time, read)),
+            };
+            let settle = core.settle_time();
+            if !query.short && !turn.wait(now, ahead.count, settle).is_zero() {
+                return Err(NoPlace::Wait(settle, read));
             }
+            Ok(book_plan(core, now, &candidates, want, &query, &plan))
         }
         _ => {
             let place = choose_replica(&candidates, &loads)?;
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -14,6 +14,7 @@
 use crate::view::{Tag, Target};
 use bytes::Bytes;
 use hickory_client::Exchange;
+use hickory_policy::claim::Turn;
 use hickory_policy::poison::Verdict;
 use hickory_policy::refuse::{Ran, Reason};
 use hickory_store::store::Store;
@@ -180,6 +181,7 @@
     async fn choose(&mut self) -> Result<Place<D, S, C>, Refusal> {
         let began = self.core.now();
         let mut waiting = None;
+        let mut turn = Turn::default();
         loop {
             let view = self.core.view();
             let want = Want {
@@ -190,8 +192,11 @@
                 limit: self.first_deadline(),
                 tried: &self.tried,
             };
-            match place::choose(&self.core, &view, &self.job.configuration, &want) {
+            match place::choose(&self.core, &view, &self.job.configuration, &want, &mut turn) {
                 Ok(place) => {
+                    if !place.short && self.is_contested(&place).await {
+                        continue;
+                    }
                     self.waited += self.core.now().saturating_duration_since(began);
                     self.core.metrics.permit_waited(self.waited);
                     return Ok(place);
@@ -205,6 +210,23 @@
         }
     }
 
+    /// Whether another node's prompt goes before a long one that was just
+    /// placed, once all nodes have heard of it.
+    async fn is_contested(&self, place: &Place<D, S, C>) -> bool {
+        tokio::time::sleep(self.core.settle_time()).await;
+        let contested = place.is_contested();
+        if contested {
+            log::info!(
+                request = self.job.demand.attempt.as_str(),
+                target_id = place.target.id.as_str(),
+                engines = place.helpers.len() + 1,
+                age_ms = self.age().as_millis() as u64;
+                "another prompt goes first"
+            );
+        }
+        contested
+    }
+
     /// The urgency at the engine: the caller's rank first, and of one rank the
     /// short prompts, which hold a place for the least time.
     fn urgency(&self, place: &Place<D, S, C>) -> u8 {
--- a/crates/path/tests/books.rs
+++ b/crates/path/tests/books.rs
@@ -140,3 +140,42 @@
     assert_eq!(books.ahead(now, &"s".into(), ms(2_000)), Ahead { count: 1, read: ms(400) });
     assert_eq!(books.loads(now, &targets(), Some(&profile()))[0].requests, 0);
 }
+
+/// Two callers' long prompts are read on the same engines, newest first, and
+/// the first one is late by the whole second one. Both nodes placed before they
+/// heard of each other; just the one whose prompt is larger must choose again.
+#[test]
+fn of_two_long_prompts_on_one_engine_the_larger_is_contested() {
+    let (a, b): (id::Node, id::Node) = ("a".into(), "b".into());
+    let now = Instant::now();
+    let long = |prompt| Booking { prompt: Tokens(prompt), short: false, ..booking(1, &[2], 200) };
+    let contested = |own: u64, other: Booking, heard: Duration| {
+        let mut books = Books::default();
+        let number = books.place(now, long(own));
+        books.take(now + heard, &b, Number(7), other);
+        books.is_contested(&a, number, ms(10))
+    };
+    assert!(contested(90_000, long(80_000), ms(3)));
+    assert!(!contested(80_000, long(90_000), ms(3)));
+    let elsewhere = Booking { first: Tag(3), helpers: Vec::new(), ..long(80_000) };
+    assert!(!contested(90_000, elsewhere, ms(3)), "on other engines");
+    let writing = Booking { stage: Stage::Writing, ..long(80_000) };
+    assert!(!contested(90_000, writing, ms(3)), "read already");
+    let short = Booking { short: true, ..long(80_000) };
+    assert!(!contested(90_000, short, ms(3)), "a short prompt");
+}
+
+/// A prompt that was known when this node chose is part of what it chose by; to
+/// yield to it would be to wait for ever.
+#[test]
+fn a_prompt_that_was_known_contests_nothing() {
+    let (a, b): (id::Node, id::Node) = ("a".into(), "b".into());
+    let now = Instant::now();
+    let long = |prompt| Booking { prompt: Tokens(prompt), short: false, ..booking(1, &[2], 200) };
+    let mut books = Books::default();
+    books.take(now, &b, Number(7), long(80_000));
+    let number = books.place(now + ms(1), long(90_000));
+    // It is told again while it lasts.
+    books.take(now + ms(2), &b, Number(7), Booking { age: ms(2), ..long(80_000) });
+    assert!(!books.is_contested(&a, number, ms(10)));
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod ask;
 pub mod baseline;
+pub mod claim;
 pub mod cost;
 pub mod engine;
 pub mod fair;
