--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -70,7 +70,7 @@
 
 /// The part of its streams' wanted pause that an engine may read in one pass.
 /// The rest is for a prompt that another node places there at the same moment.
-const PAUSE_PART: f64 = 0.7;
+const PAUSE_PART: f64 = 0.9;
 
 /// An engine that has less than this to read counts as idle: it is done by the
 /// time that a request reaches it.
--- a/crates/policy/tests/engines/mod.rs
+++ b/crates/policy/tests/engines/mod.rs
@@ -2,27 +2,12 @@
 //! reads all that is there, the newest part first, and then writes a stride of
 //! tokens for each stream. One event goes out at the end of each pass.
 
+use crate::profile::profile;
 use hickory_policy::engine::Profile;
 use hickory_policy::plan::Load;
 use hickory_unit::size::Tokens;
 use std::time::Duration;
 
-/// An engine of a 70-billion model on one accelerator, as both users run it.
-pub fn profile() -> Profile {
-    Profile {
-        slots: 16,
-        memory: Tokens(315_000),
-        step: Duration::from_micros(850),
-        step_per_stream: Duration::from_nanos(4_250),
-        step_per_kilotoken: Duration::from_nanos(2_850),
-        read_rate: 177_000.0,
-        read_per_megapair: Duration::from_micros(184),
-        stride: 51,
-        hop: Duration::from_micros(50),
-        usual_answer: Tokens(1_600),
-    }
-}
-
 /// A request in the simulation.
 #[derive(Clone, Debug)]
 pub struct Request {
--- a/crates/policy/tests/pass.rs
+++ b/crates/policy/tests/pass.rs
@@ -1,10 +1,10 @@
 //! What an engine has to do before a further prompt, by its passes.
 
-mod engines;
+mod profile;
 
-use engines::profile;
 use hickory_policy::pass::{Engine, Read};
 use hickory_unit::size::Tokens;
+use profile::profile;
 use std::time::{Duration, Instant};
 
 fn ms(ms: u64) -> Duration {
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -2,10 +2,12 @@
 //! published cost model.
 
 mod engines;
+mod profile;
 
-use engines::{Fleet, Request, profile};
+use engines::{Fleet, Request};
 use hickory_policy::plan::{self, Choice, Load, Plan, Query, Refused};
 use hickory_unit::size::Tokens;
+use profile::profile;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
