--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -201,7 +201,8 @@
 
 fn load(backlog: u64, short: u32) -> Load {
     let gap = (short > 0).then(|| ms(250));
-    Load { backlog: ms(backlog), requests: short, short, writers: short, gap, ..Load::default() }
+    let begins = ms(backlog);
+    Load { backlog: begins, begins, requests: short, short, writers: short, gap, ..Load::default() }
 }
 
 fn short_query() -> Query {
@@ -254,11 +255,23 @@
     let doubtful = Load { doubtful: true, ..load(0, 5) };
     let loads = [doubtful.clone(), load(0, 0)];
     assert_eq!(go(plan::choose_engines(&short_query(), &profile(), &loads)).first, 1);
-    let busy = Load { backlog: ms(400), ..doubtful.clone() };
+    let busy = Load { backlog: ms(400), begins: ms(400), ..doubtful.clone() };
     let loads = [busy, doubtful];
     assert_eq!(go(plan::choose_engines(&short_query(), &profile(), &loads)).first, 1);
 }
 
+/// Ten of sixteen engines lose one answer in forty, and each loss puts its engine
+/// in doubt. Callers of short prompts then all wait 1.7 s at the few engines that
+/// are not in doubt, beside idle ones.
+#[test]
+fn doubt_weighs_no_more_than_what_a_failure_costs() {
+    let doubtful = Load { doubtful: true, ..load(0, 0) };
+    let loads = [load(1_700, 5), doubtful.clone(), load(1_800, 5)];
+    assert_eq!(go(plan::choose_engines(&short_query(), &profile(), &loads)).first, 1);
+    let loads = [load(200, 5), doubtful, load(300, 5)];
+    assert_eq!(go(plan::choose_engines(&short_query(), &profile(), &loads)).first, 0);
+}
+
 #[test]
 fn long_prompts_keep_off_engines_with_short_streams() {
     let loads: Vec<Load> = (0..16).map(|i| load(0, if i < 4 { 10 } else { 0 })).collect();
