--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -47,7 +47,7 @@
 /// The part of an engine's slots that short streams are packed into. With fewer,
 /// more engines have short streams than are left to long prompts; with more,
 /// several prompts that arrive at once find no slot.
-const PACK_SLOTS: f64 = 0.75;
+const PACK_SLOTS: f64 = 0.9;
 
 /// What a first token takes beside the engine's work: the way there and back,
 /// and the turns of the hosts; measured by lone prompts on idle engines.
