--- a/crates/path/src/sync.rs
+++ b/crates/path/src/sync.rs
@@ -49,9 +49,14 @@
 /// and all nodes start within this time.
 const FIRST_START: Duration = Duration::from_millis(500);
 
-/// After a change, a watch goes out again at random within this time, so that
-/// changes that come together cost one call.
-const WATCH_SPREAD: Duration = Duration::from_millis(40);
+/// After a change by operators, a watch goes out again at random within this
+/// time, so that changes that come together cost one call.
+const OPERATOR_SPREAD: Duration = Duration::from_millis(40);
+
+/// The same after a change of targets. The entries of 57 replicas change eight
+/// times a second, and each change ended all watches: 30 calls a second. A target
+/// that leaves gets new work for two seconds or more after it said so.
+const TARGET_SPREAD: Duration = Duration::from_millis(400);
 
 /// Between two looks for registered nodes while no node is heard.
 const FIND: Duration = Duration::from_secs(2);
@@ -158,7 +163,8 @@
     core: Arc<Core<D, S, C>>,
     prefix: &'static str,
 ) {
-    let options = follow::Options { prefix: prefix.into(), wait: WATCH_WAIT, spread: WATCH_SPREAD };
+    let spread = if prefix == D::TARGET_PREFIX { TARGET_SPREAD } else { OPERATOR_SPREAD };
+    let options = follow::Options { prefix: prefix.into(), wait: WATCH_WAIT, spread };
     let follower = Follower::open(options, rand::random());
     let (store, clock) = (core.store.clone(), core.clock.clone());
     let mut outage = Outage::default();
