Prompts that an engine must have read are reckoned as written there

Beyond 16 peers a first token is told with the next beat, up to half a second later; until then nodes reckoned an engine without the strides that it wrote, and packed further prompts there. Ruled out: telling each first token at once (bytes grow with the square of the nodes). Change: policy::pass follows passes also from the first prompt on, takes for written what must be read, and waits for the word of a short prompt 600 ms (long: 100 ms).

--- a/crates/path/src/books.rs
+++ b/crates/path/src/books.rs
@@ -24,6 +24,14 @@
 /// The window in which sendings to a cold target are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
+/// How long the word of a long prompt's first token may take: a stride, the way
+/// to its node and a datagram.
+const LONG_WORD: Duration = Duration::from_millis(100);
+
+/// The same of a short prompt, which many nodes tell with their next beat, half a
+/// second apart.
+const SHORT_WORD: Duration = Duration::from_millis(600);
+
 /// How far a request has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Stage {
@@ -72,8 +80,9 @@
 }
 
 impl Kept {
-    fn read(&self) -> Read {
-        Read { placed: self.placed, part: self.booking.part }
+    fn read(&self, writes: bool) -> Read {
+        let word = if self.booking.short { SHORT_WORD } else { LONG_WORD };
+        Read { placed: self.placed, part: self.booking.part, writes, word }
     }
 
     fn claim<'a>(&self, node: &'a id::Node, number: Number) -> Claim<'a> {
@@ -261,6 +270,7 @@
                 let backlog = engine.backlog(now, profile);
                 load.backlog = backlog.unread;
                 load.begins = backlog.begins;
+                load.writers = backlog.writers;
             }
         }
         loads
@@ -288,7 +298,7 @@
                 load.writers += 1;
                 load.context += booking.prompt + booking.answer;
             }
-            Stage::Reading | Stage::Waiting => engines[first].reads.push(kept.read()),
+            Stage::Reading | Stage::Waiting => engines[first].reads.push(kept.read(true)),
         }
         if booking.memory.is_empty() {
             loads[first].memory += booking.prompt + booking.answer;
@@ -304,6 +314,6 @@
     }
     for place in booking.helpers.iter().filter_map(|tag| places.get(tag)) {
         loads[*place].helping += 1;
-        engines[*place].reads.push(kept.read());
+        engines[*place].reads.push(kept.read(false));
     }
 }
--- a/crates/policy/src/pass.rs
+++ b/crates/policy/src/pass.rs
@@ -15,21 +15,21 @@
 /// first token has come, as a part of what was placed.
 const OVERDUE_PART: u32 = 5;
 
-/// How long after an engine should have read all the first token may still be on
-/// its way: a stride, and the way to its node and from there to this one.
-const OVERDUE_AFTER: Duration = Duration::from_millis(100);
-
 /// Strides after which a pass that was known to end tells nothing more: each is
 /// estimated to a few per cent.
 const KNOWN_STRIDES: u32 = 8;
 
-/// A part that an engine was sent and whose first token has not come.
+/// A part that an engine was sent and whose first token is not known to have come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Read {
     /// When it was sent.
     pub placed: Instant,
     /// The time to read it.
     pub part: Duration,
+    /// Whether the engine writes the answer, too.
+    pub writes: bool,
+    /// How long after the reading the word of the first token may take to come.
+    pub word: Duration,
 }
 
 /// What is known of an engine's passes.
@@ -37,7 +37,7 @@
 pub struct Engine {
     /// What it has to read.
     pub reads: Vec<Read>,
-    /// Streams that it writes.
+    /// Streams that it is known to write.
     pub writers: u32,
     /// Their context.
     pub context: Tokens,
@@ -53,66 +53,64 @@
     /// Time until a further prompt is read: the pass that runs, and what is
     /// read before the prompt in the next one.
     pub begins: Duration,
+    /// Streams that it writes then, by this reckoning.
+    pub writers: u32,
 }
 
 impl Engine {
-    /// What it has to do at this moment.
+    /// What it has to do at this moment, by following its passes from the last
+    /// one that is known to have ended.
     pub fn backlog(&mut self, now: Instant, profile: &Profile) -> Backlog {
         self.reads.sort_unstable();
-        match self.writers {
-            0 => self.drain(now),
-            _ => self.follow_passes(now, profile),
-        }
-    }
-
-    /// An engine that does nothing else reads without a pause.
-    fn drain(&self, now: Instant) -> Backlog {
-        let mut done = now;
-        for (place, read) in self.reads.iter().enumerate() {
-            done = if place == 0 { read.placed } else { done.max(read.placed) } + read.part;
-        }
-        let unread = match now > done + OVERDUE_AFTER {
-            true => self.overdue(),
-            false => done.saturating_duration_since(now),
-        };
-        Backlog { unread, begins: unread }
-    }
-
-    /// What is left where an engine is slower than it should be.
-    fn overdue(&self) -> Duration {
-        self.reads.iter().map(|read| read.part / OVERDUE_PART).sum()
-    }
-
-    /// Follows the passes from the last one that is known to have ended.
-    fn follow_passes(&self, now: Instant, profile: &Profile) -> Backlog {
-        let stride = profile.pass_time(self.writers, self.context);
-        let oldest = self.reads.first().map(|read| read.placed);
-        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < stride * KNOWN_STRIDES;
-        let Some(mut end) = self.ended.filter(is_recent).or(oldest) else {
-            return Backlog { unread: Duration::ZERO, begins: stride / 2 };
+        let Some(mut end) = self.begin(now, profile) else {
+            let begins = self.stride(self.writers, profile) / 2;
+            return Backlog { unread: Duration::ZERO, begins, writers: self.writers };
         };
         let mut rest = self.reads.as_slice();
-        let mut last_read = None;
-        loop {
+        let mut writers = self.writers;
+        let mut last_read = end;
+        while end <= now {
+            if writers == 0 {
+                let Some(next) = rest.first() else { break };
+                end = end.max(next.placed);
+            }
             let (read, later) = rest.split_at(rest.partition_point(|read| read.placed <= end));
             let reading: Duration = read.iter().map(|read| read.part).sum();
-            end += reading + stride;
+            end += reading + self.stride(writers, profile);
+            writers += read.iter().filter(|read| read.writes).count() as u32;
             rest = later;
             if !read.is_empty() {
-                last_read = Some(end);
-            }
-            if end > now {
-                break;
+                last_read = end;
             }
         }
         let pending: Duration = rest.iter().map(|read| read.part).sum();
-        let begins = end - now + pending;
-        let unread = match last_read {
-            _ if !rest.is_empty() => begins,
-            Some(at) if at > now => at - now,
-            Some(at) if now > at + OVERDUE_AFTER => self.overdue(),
-            _ => Duration::ZERO,
+        let begins = end.saturating_duration_since(now) + pending;
+        let unread = match rest.is_empty() {
+            true => last_read.saturating_duration_since(now).max(self.overdue(now, last_read)),
+            false => begins,
         };
-        Backlog { unread, begins: begins.max(unread) }
+        Backlog { unread, begins: begins.max(unread), writers }
+    }
+
+    /// Where to follow the passes from; nothing where nothing is known.
+    fn begin(&self, now: Instant, profile: &Profile) -> Option<Instant> {
+        let known = self.stride(self.writers, profile) * KNOWN_STRIDES;
+        let ended = self.ended.filter(|&at| now.saturating_duration_since(at) < known);
+        ended.or(self.reads.first().map(|read| read.placed))
+    }
+
+    /// The time that a pass takes to write.
+    fn stride(&self, writers: u32, profile: &Profile) -> Duration {
+        match writers {
+            0 => Duration::ZERO,
+            _ => profile.pass_time(writers, self.context),
+        }
+    }
+
+    /// What is left to read where an engine is slower than it should be: the
+    /// word that it has read is long due.
+    fn overdue(&self, now: Instant, done: Instant) -> Duration {
+        let late = self.reads.iter().filter(|read| now > done + read.word);
+        late.map(|read| read.part / OVERDUE_PART).sum()
     }
 }
--- a/crates/policy/tests/pass.rs
+++ b/crates/policy/tests/pass.rs
@@ -12,7 +12,7 @@
 }
 
 fn read(placed: Instant, part: u64) -> Read {
-    Read { placed, part: ms(part) }
+    Read { placed, part: ms(part), writes: true, word: ms(100) }
 }
 
 /// A stride of an engine with these writers.
@@ -81,3 +81,21 @@
     assert!(unread(260, 2) > Duration::ZERO, "its pass still writes");
     assert_eq!(unread(340, 2), Duration::ZERO);
 }
+
+/// At the beginning of a phase of short prompts, callers wait twice their goal.
+/// Of many nodes, each hears half a second late that an engine writes; reckoned
+/// without its strides, it looks as if it read the next prompts at once. Prompts
+/// that must have been read are reckoned as written.
+#[test]
+fn what_must_have_been_read_is_reckoned_as_written() {
+    let now = Instant::now() + ms(1_000);
+    let placed = |ago| Read { word: ms(600), ..read(now - ms(ago), 30) };
+    let mut engine = Engine { reads: vec![placed(200), placed(190)], ..Engine::default() };
+    let backlog = engine.backlog(now, &profile());
+    assert_eq!((backlog.writers, backlog.unread), (2, Duration::ZERO));
+    // Read until 170 ms ago with the first one's stride between, it strides since.
+    assert!(backlog.begins > Duration::ZERO && backlog.begins <= stride(2), "{backlog:?}");
+    let helps = Read { writes: false, ..placed(200) };
+    let mut engine = Engine { reads: vec![helps], ..Engine::default() };
+    assert_eq!(engine.backlog(now, &profile()).writers, 0, "another engine writes");
+}
