--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -42,7 +42,7 @@
 /// The part of the goal within which a short prompt's first token must be
 /// predicted on an engine for it to be packed there. The rest is for prompts
 /// that other nodes place meanwhile.
-const PACK_AIM: f64 = 0.75;
+const PACK_AIM: f64 = 0.7;
 
 /// The part of an engine's slots that short streams are packed into. With fewer,
 /// more engines have short streams than are left to long prompts; with more,
