Just one of the nodes that watch hears of each target's change at once

Change: the first of the nodes that reach the store keeps its 40 ms and tells the others; the other two go out again within 400 ms.

--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -42,6 +42,7 @@
     pub(crate) job: Job,
     pub(crate) service: id::Service,
     fingerprint: u64,
+    work: Work,
     /// Targets that were sent the request.
     pub(crate) sends: u32,
     unsent: u32,
@@ -88,6 +89,7 @@
         job,
         service,
         fingerprint,
+        work,
         sends: 0,
         unsent: 0,
         tried: Vec::new(),
@@ -416,8 +418,9 @@
         Ok(reply::whole(head, body))
     }
 
-    /// The one line of a request that went well.
+    /// The one line of a request that was answered whole.
     pub(crate) fn log_end(&self, place: &Place<D, S, C>, status: StatusCode) {
+        self.core.metrics.answered(self.work, self.age());
         log::info!(
             request = self.job.demand.attempt.as_str(),
             route = self.job.route.name.as_str(),
--- a/crates/path/src/sync.rs
+++ b/crates/path/src/sync.rs
@@ -6,12 +6,13 @@
 use crate::items::Word;
 use crate::outage::Outage;
 use crate::peer::Peer;
-use crate::watcher::{Candidate, watches};
+use crate::watcher::{Candidate, leads, watches};
 use hickory_client::Call;
 use hickory_state::follow::{self, Follower};
 use hickory_state::member::{self, Info, Member};
 use hickory_store::store::{Entry, Revision, Store};
 use hickory_unit::clock::Clock;
+use hickory_unit::id;
 use http::Method;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -49,14 +50,15 @@
 /// and all nodes start within this time.
 const FIRST_START: Duration = Duration::from_millis(500);
 
-/// After a change by operators, a watch goes out again at random within this
-/// time, so that changes that come together cost one call.
-const OPERATOR_SPREAD: Duration = Duration::from_millis(40);
+/// After a change, a watch goes out again at random within this time, so that
+/// changes that come together cost one call.
+const WATCH_SPREAD: Duration = Duration::from_millis(40);
 
-/// The same after a change of targets. The entries of 57 replicas change eight
-/// times a second, and each change ended all watches: 30 calls a second. A target
-/// that leaves gets new work for two seconds or more after it said so.
-const TARGET_SPREAD: Duration = Duration::from_millis(400);
+/// The same after a change of targets, where another node watches for all. The
+/// entries of 57 replicas change eight times a second, and each change ended the
+/// watches of all three nodes: 30 calls a second. Should the first one be cut off,
+/// changes are known so much later, of the seconds that a leaving target serves.
+const FOLLOWING_SPREAD: Duration = Duration::from_millis(400);
 
 /// Between two looks for registered nodes while no node is heard.
 const FIND: Duration = Duration::from_secs(2);
@@ -140,13 +142,21 @@
 }
 
 fn is_watcher<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> bool {
+    is_watcher_by(core, watches)
+}
+
+/// Whether this node has a part in watching, of all that are heard.
+fn is_watcher_by<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    part: fn(&id::Node, &[Candidate<'_>]) -> bool,
+) -> bool {
     let me = &core.settings.node;
     let own = Candidate { node: me, store_away: core.is_store_away() };
     let peers = core.peers();
     let heard =
         peers.named(core.now()).map(|(node, peer)| Candidate { node, store_away: peer.store_away });
     let nodes: Vec<Candidate<'_>> = heard.chain([own]).collect();
-    watches(me, &nodes)
+    part(me, &nodes)
 }
 
 /// Waits until others have had to watch for a while. A node that has just
@@ -163,8 +173,7 @@
     core: Arc<Core<D, S, C>>,
     prefix: &'static str,
 ) {
-    let spread = if prefix == D::TARGET_PREFIX { TARGET_SPREAD } else { OPERATOR_SPREAD };
-    let options = follow::Options { prefix: prefix.into(), wait: WATCH_WAIT, spread };
+    let options = follow::Options { prefix: prefix.into(), wait: WATCH_WAIT, spread: WATCH_SPREAD };
     let follower = Follower::open(options, rand::random());
     let (store, clock) = (core.store.clone(), core.clock.clone());
     let mut outage = Outage::default();
@@ -181,6 +190,10 @@
             }
         };
         core.note_store(answered);
+        if prefix == D::TARGET_PREFIX {
+            let leads = is_watcher_by(&core, leads);
+            follower.set_spread(if leads { WATCH_SPREAD } else { FOLLOWING_SPREAD });
+        }
         if step.changed {
             let entries = follower.view().values();
             let at = follower.revision();
--- a/crates/path/src/watcher.rs
+++ b/crates/path/src/watcher.rs
@@ -30,6 +30,15 @@
         || is_among_first(me, reaching.map(|candidate| candidate.node))
 }
 
+/// Whether a node is the first of those that watch and reach the store. It hears
+/// of each change at once and tells the others, whose watches then only have to
+/// make up for it.
+pub fn leads(me: &id::Node, nodes: &[Candidate<'_>]) -> bool {
+    let reaching = nodes.iter().filter(|candidate| !candidate.store_away);
+    let ranked = rank_nodes(&"watch".into(), reaching.map(|candidate| candidate.node));
+    ranked.first().is_some_and(|first| *first == me)
+}
+
 fn is_among_first<'a>(me: &id::Node, nodes: impl Iterator<Item = &'a id::Node>) -> bool {
     let ranked = rank_nodes(&"watch".into(), nodes);
     ranked.into_iter().take(WATCHERS).any(|node| node == me)
--- a/crates/path/tests/watcher.rs
+++ b/crates/path/tests/watcher.rs
@@ -1,6 +1,6 @@
 //! Which nodes watch the store.
 
-use hickory_path::watcher::{Candidate, watches};
+use hickory_path::watcher::{Candidate, leads, watches};
 use hickory_unit::id;
 
 fn nodes(count: usize) -> Vec<id::Node> {
@@ -42,3 +42,22 @@
         assert!(watches(node, &[Candidate { node, store_away: true }]));
     }
 }
+
+/// Each change of a target's entry costs a call of every node that watches. Just
+/// one hears of it at once, and where the store turns that one away, another of
+/// those that watch.
+#[test]
+fn one_of_those_that_watch_leads() {
+    let nodes = nodes(9);
+    let leading = |away: &[usize]| -> Vec<usize> {
+        let candidate = |(place, node)| Candidate { node, store_away: away.contains(&place) };
+        let candidates: Vec<Candidate<'_>> = nodes.iter().enumerate().map(candidate).collect();
+        (0..nodes.len()).filter(|&place| leads(&nodes[place], &candidates)).collect()
+    };
+    let first = leading(&[]);
+    assert_eq!(first.len(), 1);
+    let next = leading(&first);
+    assert_eq!(next.len(), 1);
+    assert_ne!(next, first);
+    assert!(watching(&nodes, &first).contains(&next[0]));
+}
--- a/crates/state/src/follow.rs
+++ b/crates/state/src/follow.rs
@@ -105,6 +105,11 @@
         self.options.spread = self.options.spread.max(SPREAD_PER_NODE * nodes as u32);
     }
 
+    /// Changes how far watches are spread after a change, from the next one on.
+    pub fn set_spread(&mut self, spread: Duration) {
+        self.options.spread = spread;
+    }
+
     /// The next call.
     pub fn next(&self, now: Instant) -> Call {
         match self.listed {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -15,8 +15,9 @@
 };
 use std::time::Duration;
 
-/// Bounds in seconds of the time to first token: from a cached short prompt
-/// on loopback to a prompt of a million tokens on a busy fleet.
+/// Bounds in seconds of the time to first token and to the end of an answer: from
+/// a cached short prompt on loopback to a prompt of a million tokens on a busy
+/// fleet.
 const FIRST_TOKEN_BOUNDS: &[f64] = &[
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.71, 1.0, 1.5, 2.5, 5.0, 10.0, 20.0, 40.0,
     80.0, 160.0, 320.0, 640.0,
@@ -44,6 +45,7 @@
     admitted: Vec<IntCounter>,
     in_flight: Vec<IntGauge>,
     first_token: Vec<Histogram>,
+    answer: Vec<Histogram>,
     permit_wait: Histogram,
     tokens: Vec<IntCounter>,
     platform_calls: Vec<Vec<IntCounter>>,
@@ -91,6 +93,13 @@
                 Length::ALL,
                 FIRST_TOKEN_BOUNDS,
             )?,
+            answer: open_histograms(
+                r,
+                ("answer_seconds", "Time from a request to the end of its whole answer"),
+                "work",
+                Work::ALL,
+                FIRST_TOKEN_BOUNDS,
+            )?,
             permit_wait: open_histogram(
                 r,
                 ("permit_wait_seconds", "Time from asking for a permit to having it"),
@@ -188,6 +197,11 @@
         self.first_token[Length::of(prompt) as usize].observe(time.as_secs_f64());
     }
 
+    /// Notes the time to the end of a whole answer.
+    pub fn answered(&self, work: Work, time: Duration) {
+        self.answer[work as usize].observe(time.as_secs_f64());
+    }
+
     /// Notes the time from asking for a permit to having it.
     pub fn permit_waited(&self, time: Duration) {
         self.permit_wait.observe(time.as_secs_f64());
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -70,6 +70,16 @@
     assert_eq!(value(&metrics.render(), r#"hickory_requests_total{work="completion"}"#), Some(1.0));
 }
 
+#[test]
+fn whole_answers_are_kept_apart_by_work() {
+    let metrics = Metrics::open().unwrap();
+    for work in Work::ALL {
+        metrics.answered(*work, Duration::from_millis(250));
+        let series = format!(r#"hickory_answer_seconds_count{{work="{work}"}}"#);
+        assert_eq!(value(&metrics.render(), &series), Some(1.0));
+    }
+}
+
 #[test]
 fn first_tokens_are_kept_apart_by_prompt_length() {
     let metrics = Metrics::open().unwrap();
