--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod outage;
 mod peer;
 mod place;
+mod record;
 mod refusal;
 pub mod reply;
 mod reservation;
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -184,6 +184,7 @@
                 Choice::Wait(time) => return Err(NoPlace::Wait(time, read)),
             };
             let settle = core.settle_time();
+            // Smaller prompts that wait choose first; all see the same engines idle.
             if !query.short && !turn.wait(now, ahead.count, settle).is_zero() {
                 return Err(NoPlace::Wait(settle, read));
             }
--- /dev/null
+++ b/crates/path/src/record.rs
@@ -0,0 +1,78 @@
+//! The log lines of a request's course.
+
+use crate::dialect::Dialect;
+use crate::place::Place;
+use crate::run::Run;
+use crate::view::Target;
+use hickory_store::store::Store;
+use hickory_unit::clock::Clock;
+use http::StatusCode;
+use std::sync::Arc;
+
+impl<D: Dialect, S: Store, C: Clock> Run<D, S, C> {
+    /// Where it was placed. Short prompts are too many for a line each; their
+    /// answer's line names their engine.
+    pub(crate) fn log_placed(&self, place: &Place<D, S, C>) {
+        let level = if place.short { log::Level::Debug } else { log::Level::Info };
+        log::log!(
+            level,
+            request = self.job.demand.attempt.as_str(),
+            target_id = place.target.id.as_str(),
+            helpers:% = name_all(&place.helpers),
+            prompt = self.job.demand.prompt.map_or(0, |prompt| prompt.tokens.0),
+            part_ms = place.part.as_millis() as u64,
+            expected_ms = place.expected.as_millis() as u64,
+            age_ms = self.age().as_millis() as u64;
+            "placed"
+        );
+    }
+
+    /// That it gave a place up to another node's prompt.
+    pub(crate) fn log_contested(&self, place: &Place<D, S, C>) {
+        log::info!(
+            request = self.job.demand.attempt.as_str(),
+            target_id = place.target.id.as_str(),
+            engines = place.helpers.len() + 1,
+            age_ms = self.age().as_millis() as u64;
+            "another prompt goes first"
+        );
+    }
+
+    /// That an attempt failed.
+    pub(crate) fn log_repeat(&self, place: &Place<D, S, C>, why: &str) {
+        log::info!(
+            request = self.job.demand.attempt.as_str(),
+            target_id = place.target.id.as_str(),
+            expected_ms = place.expected.as_millis() as u64,
+            age_ms = self.age().as_millis() as u64;
+            "attempt failed: {why}"
+        );
+    }
+
+    /// The one line of a request that was answered whole.
+    pub(crate) fn log_end(&self, place: &Place<D, S, C>, status: StatusCode) {
+        self.core.metrics.answered(self.work, self.age());
+        log::info!(
+            request = self.job.demand.attempt.as_str(),
+            route = self.job.route.name.as_str(),
+            target_id = place.target.id.as_str(),
+            status = status.as_u16(),
+            sends = self.sends,
+            expected_ms = place.expected.as_millis() as u64,
+            first_ms = self.first_event.unwrap_or_default().as_millis() as u64,
+            wait_ms = self.waited.as_millis() as u64,
+            pause_ms = self.longest_pause.as_millis() as u64,
+            prompt = self.job.demand.prompt.map_or(0, |prompt| prompt.tokens.0),
+            engines = place.helpers.len() + 1,
+            peers = self.core.peers().count(self.core.now()),
+            config = self.job.configuration.version,
+            age_ms = self.age().as_millis() as u64;
+            "answered"
+        );
+    }
+}
+
+fn name_all(targets: &[Arc<Target>]) -> String {
+    let names: Vec<&str> = targets.iter().map(|target| target.id.as_str()).collect();
+    names.join(",")
+}
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -11,7 +11,7 @@
 use crate::reservation::Reservations;
 use crate::serve::Job;
 use crate::stream;
-use crate::view::{Tag, Target};
+use crate::view::Tag;
 use bytes::Bytes;
 use hickory_client::Exchange;
 use hickory_policy::claim::Turn;
@@ -42,7 +42,7 @@
     pub(crate) job: Job,
     pub(crate) service: id::Service,
     fingerprint: u64,
-    work: Work,
+    pub(crate) work: Work,
     /// Targets that were sent the request.
     pub(crate) sends: u32,
     unsent: u32,
@@ -56,7 +56,7 @@
     /// Counts it as admitted while it lives.
     _admitted: Guard,
     /// How long it waited for its turn.
-    waited: Duration,
+    pub(crate) waited: Duration,
     /// The longest pause between two events so far.
     pub(crate) longest_pause: Duration,
 }
@@ -116,7 +116,7 @@
                     let status = exchange.head.status;
                     self.note_answer(&place, status);
                     if status.is_server_error() && self.may_repeat() && self.spend() {
-                        self.note_repeat(&place, &format!("status {status}"));
+                        self.log_repeat(&place, &format!("status {status}"));
                         exchange.keep(keep);
                         continue;
                     }
@@ -136,20 +136,7 @@
             if time_left.is_zero() {
                 return Err(self.refuse_late());
             }
-            // Short prompts are too many for a line each; their answer's line
-            // names their engine.
-            let level = if place.short { log::Level::Debug } else { log::Level::Info };
-            log::log!(
-                level,
-                request = self.job.demand.attempt.as_str(),
-                target_id = place.target.id.as_str(),
-                helpers:% = name_all(&place.helpers),
-                prompt = self.job.demand.prompt.map_or(0, |prompt| prompt.tokens.0),
-                part_ms = place.part.as_millis() as u64,
-                expected_ms = place.expected.as_millis() as u64,
-                age_ms = self.age().as_millis() as u64;
-                "placed"
-            );
+            self.log_placed(&place);
             let reservations = match Reservations::reserve(&self.core, &place).await {
                 Ok(reservations) => reservations,
                 Err(detail) => {
@@ -218,13 +205,7 @@
         tokio::time::sleep(self.core.settle_time()).await;
         let contested = place.is_contested();
         if contested {
-            log::info!(
-                request = self.job.demand.attempt.as_str(),
-                target_id = place.target.id.as_str(),
-                engines = place.helpers.len() + 1,
-                age_ms = self.age().as_millis() as u64;
-                "another prompt goes first"
-            );
+            self.log_contested(place);
         }
         contested
     }
@@ -353,17 +334,7 @@
         let tag = place.target.tag;
         self.core.doubts().note_failure(self.core.now(), tag);
         self.core.tell(Event::Failed(tag));
-        self.note_repeat(place, &failure.to_string());
-    }
-
-    fn note_repeat(&self, place: &Place<D, S, C>, why: &str) {
-        log::info!(
-            request = self.job.demand.attempt.as_str(),
-            target_id = place.target.id.as_str(),
-            expected_ms = place.expected.as_millis() as u64,
-            age_ms = self.age().as_millis() as u64;
-            "attempt failed: {why}"
-        );
+        self.log_repeat(place, &failure.to_string());
     }
 
     pub(crate) fn age(&self) -> Duration {
@@ -417,28 +388,6 @@
         D::strip_answer(&mut head.headers);
         Ok(reply::whole(head, body))
     }
-
-    /// The one line of a request that was answered whole.
-    pub(crate) fn log_end(&self, place: &Place<D, S, C>, status: StatusCode) {
-        self.core.metrics.answered(self.work, self.age());
-        log::info!(
-            request = self.job.demand.attempt.as_str(),
-            route = self.job.route.name.as_str(),
-            target_id = place.target.id.as_str(),
-            status = status.as_u16(),
-            sends = self.sends,
-            expected_ms = place.expected.as_millis() as u64,
-            first_ms = self.first_event.unwrap_or_default().as_millis() as u64,
-            wait_ms = self.waited.as_millis() as u64,
-            pause_ms = self.longest_pause.as_millis() as u64,
-            prompt = self.job.demand.prompt.map_or(0, |prompt| prompt.tokens.0),
-            engines = place.helpers.len() + 1,
-            peers = self.core.peers().count(self.core.now()),
-            config = self.job.configuration.version,
-            age_ms = self.age().as_millis() as u64;
-            "answered"
-        );
-    }
 }
 
 /// Ranks that are told apart at an engine, of which two urgencies each fit
@@ -456,8 +405,3 @@
     head.headers = std::mem::take(&mut exchange.head.headers);
     head
 }
-
-fn name_all(targets: &[Arc<Target>]) -> String {
-    let names: Vec<&str> = targets.iter().map(|target| target.id.as_str()).collect();
-    names.join(",")
-}
--- a/crates/path/src/sync.rs
+++ b/crates/path/src/sync.rs
@@ -142,11 +142,11 @@
 }
 
 fn is_watcher<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> bool {
-    is_watcher_by(core, watches)
+    has_part(core, watches)
 }
 
 /// Whether this node has a part in watching, of all that are heard.
-fn is_watcher_by<D: Dialect, S: Store, C: Clock>(
+fn has_part<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     part: fn(&id::Node, &[Candidate<'_>]) -> bool,
 ) -> bool {
@@ -191,7 +191,7 @@
         };
         core.note_store(answered);
         if prefix == D::TARGET_PREFIX {
-            let leads = is_watcher_by(&core, leads);
+            let leads = has_part(&core, leads);
             follower.set_spread(if leads { WATCH_SPREAD } else { FOLLOWING_SPREAD });
         }
         if step.changed {
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -69,7 +69,9 @@
 const CROWD: f64 = 0.6;
 
 /// The part of its streams' wanted pause that an engine may read in one pass.
-/// The rest is for a prompt that another node places there at the same moment.
+/// The rest is for what a pass differs from its prediction: 10 ms for most. Nodes
+/// hear of each other's long prompts before they send theirs. With 0.7, a prompt
+/// of 253,000 tokens waits for two seconds beside idle engines.
 const PAUSE_PART: f64 = 0.9;
 
 /// An engine that has less than this to read counts as idle: it is done by the
