Lines of refused, waiting and placed prompts bear what decided them

Cause: a refusal said that all targets were busy, and nothing of the prompt's size, the time left, its wait so far, what was ahead of it or how the engines stood; the losses of the further customer could not be told apart by their logs. Change: policy::survey counts engines (idle, clear, full, doubted, unread); lines of refusals, of the begin of a wait and of long prompts' placements bear it with size and times. Tests: crates/policy/tests/survey.rs and one of the daemon's log.

--- a/apps/hickory-entry/tests/logs.rs
+++ b/apps/hickory-entry/tests/logs.rs
@@ -134,3 +134,23 @@
     assert!(lines[2]["message"].as_str().unwrap().starts_with("given up on"), "{lines:?}");
     assert_eq!(number(&lines[2], "last_event"), 2);
 }
+
+/// A report's caller was refused beside two idle engines. The line says how long
+/// the prompt is, what time was left, and that both engines together could not
+/// have read it in that time.
+#[tokio::test]
+async fn a_refusal_names_what_it_was_decided_by() {
+    let scene = Scene::open("refused").await;
+    let text = caller::request_as("refused-1", "POST", "/long/1", "body")
+        .replace("1460,80", "400000,80")
+        .replace("3000", "15000");
+    assert_eq!(caller::send(scene.callers, &text).await.status, 503);
+    let lines = scene.lines("refused-1", 1).await;
+    let line = &lines[0];
+    assert_eq!(number(line, "prompt"), 400_000, "{line}");
+    assert!((2_500..=3_000).contains(&number(line, "goal_left_ms")), "{line}");
+    let engines = ["engines_known", "idle", "clear", "doubted", "full"].map(|n| number(line, n));
+    assert_eq!(engines, [2, 2, 2, 0, 0], "{line}");
+    assert_eq!([number(line, "wait_ms"), number(line, "ahead_ms")], [0, 0], "{line}");
+    assert!(number(line, "retry_after_ms") > 0, "{line}");
+}
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -19,6 +19,7 @@
 mod entry;
 mod intake;
 pub mod items;
+mod known;
 pub mod outage;
 mod peer;
 mod place;
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -11,6 +11,7 @@
 use hickory_policy::claim::Turn;
 use hickory_policy::engine::Profile;
 use hickory_policy::plan::{self, Choice, Load, Plan, Query, Refused};
+use hickory_policy::survey::Survey;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
@@ -46,6 +47,14 @@
     pub(crate) tried: &'a [Tag],
 }
 
+/// What a request has met so far in its search for a place.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Search {
+    turn: Turn,
+    /// What the last choice found.
+    pub(crate) survey: Survey,
+}
+
 /// Where a request goes. Dropping it ends its booking.
 pub(crate) struct Place<D: Dialect, S: Store, C: Clock> {
     core: Arc<Core<D, S, C>>,
@@ -60,6 +69,8 @@
     pub(crate) part: Duration,
     /// When the first token, or the answer, is expected.
     pub(crate) expected: Duration,
+    /// What it was chosen by.
+    pub(crate) survey: Survey,
     /// Released with the place.
     reservations: Option<Reservations<D, S, C>>,
 }
@@ -156,10 +167,11 @@
     view: &View,
     configuration: &Configuration,
     want: &Want<'_>,
-    turn: &mut Turn,
+    search: &mut Search,
 ) -> Result<Place<D, S, C>, NoPlace> {
     let now = core.now();
     let candidates = find_candidates(core, view, configuration, want, now);
+    search.survey = Survey::default();
     if candidates.is_empty() {
         return Err(NoPlace::NoTarget);
     }
@@ -171,6 +183,7 @@
         (Some(profile), Some(prompt)) => {
             let read = profile.read_time(prompt.tokens);
             let ahead = core.books().ahead(now, want.service, read);
+            search.survey = Survey::read(Some(profile), &loads, ahead.read);
             let query = Query {
                 prompt: prompt.tokens,
                 answer: guess_answer(profile, prompt),
@@ -185,12 +198,15 @@
             };
             let settle = core.settle_time();
             // Smaller prompts that wait choose first; all see the same engines idle.
-            if !query.short && !turn.wait(now, ahead.count, settle).is_zero() {
+            if !query.short && !search.turn.wait(now, ahead.count, settle).is_zero() {
                 return Err(NoPlace::Wait(settle, read));
             }
-            Ok(book_plan(core, now, &candidates, want, &query, &plan))
+            let mut place = book_plan(core, now, &candidates, want, &query, &plan);
+            place.survey = search.survey;
+            Ok(place)
         }
         _ => {
+            search.survey = Survey::read(profile, &loads, Duration::ZERO);
             let place = choose_replica(&candidates, &loads)?;
             let booking = Booking {
                 first: candidates[place].tag,
@@ -203,7 +219,9 @@
                 part: Duration::ZERO,
                 first_token: want.route.goal,
             };
-            Ok(book(core, now, &candidates, booking, &plan))
+            let mut place = book(core, now, &candidates, booking, &plan);
+            place.survey = search.survey;
+            Ok(place)
         }
     }
 }
@@ -324,6 +342,7 @@
         short,
         part: plan.part,
         expected: plan.first_token,
+        survey: Survey::default(),
         reservations: None,
     }
 }
--- a/crates/path/src/record.rs
+++ b/crates/path/src/record.rs
@@ -1,32 +1,63 @@
 //! The log lines of a request's course.
 
 use crate::dialect::Dialect;
+use crate::known::{Known, log_known};
 use crate::place::Place;
 use crate::run::Run;
 use crate::view::Target;
+use hickory_policy::survey::Survey;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
+use hickory_unit::size::Tokens;
 use http::StatusCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 impl<D: Dialect, S: Store, C: Clock> Run<D, S, C> {
-    /// Where it was placed. Short prompts are too many for a line each; their
-    /// answer's line names their engine.
+    /// Where a long prompt was placed. Short prompts are too many for a line each;
+    /// their answer's line names their engine.
     pub(crate) fn log_placed(&self, place: &Place<D, S, C>) {
-        let level = if place.short { log::Level::Debug } else { log::Level::Info };
-        log::log!(
-            level,
-            request = self.job.demand.attempt.as_str(),
-            target_id = place.target.id.as_str(),
-            helpers:% = name_all(&place.helpers),
-            prompt = self.job.demand.prompt.map_or(0, |prompt| prompt.tokens.0),
-            part_ms = place.part.as_millis() as u64,
-            expected_ms = place.expected.as_millis() as u64,
-            age_ms = self.age().as_millis() as u64;
+        if place.short {
+            return;
+        }
+        log_known!(
+            &self.known(self.waited, place.survey),
+            {
+                request = self.job.demand.attempt.as_str(),
+                target_id = place.target.id.as_str(),
+                helpers:% = name_all(&place.helpers),
+                part_ms = place.part.as_millis() as u64,
+                expected_ms = place.expected.as_millis() as u64,
+                age_ms = self.age().as_millis() as u64,
+            },
             "placed"
         );
     }
 
+    /// That it begins to wait for engines.
+    pub(crate) fn log_waiting(&self, survey: Survey) {
+        log_known!(
+            &self.known(self.waited, survey),
+            {
+                request = self.job.demand.attempt.as_str(),
+                age_ms = self.age().as_millis() as u64,
+            },
+            "waits for engines"
+        );
+    }
+
+    /// What a decision about it knows now.
+    pub(crate) fn known(&self, waited: Duration, survey: Survey) -> Known {
+        let now = self.core.now();
+        Known {
+            prompt: self.job.demand.prompt.map_or(Tokens(0), |prompt| prompt.tokens),
+            goal_left: self.due().saturating_duration_since(now),
+            limit_left: self.first_deadline().saturating_duration_since(now),
+            waited,
+            survey,
+        }
+    }
+
     /// That it gave a place up to another node's prompt.
     pub(crate) fn log_contested(&self, place: &Place<D, S, C>) {
         log::info!(
@@ -44,6 +75,9 @@
             request = self.job.demand.attempt.as_str(),
             target_id = place.target.id.as_str(),
             expected_ms = place.expected.as_millis() as u64,
+            prompt = self.job.demand.prompt.map_or(0, |prompt| prompt.tokens.0),
+            sends = self.sends,
+            may_repeat = self.may_repeat(),
             age_ms = self.age().as_millis() as u64;
             "attempt failed: {why}"
         );
--- a/crates/path/src/refusal.rs
+++ b/crates/path/src/refusal.rs
@@ -2,6 +2,7 @@
 
 use crate::core::Core;
 use crate::dialect::Dialect;
+use crate::known::{Known, log_known};
 use crate::place::NoPlace;
 use crate::reply::{self, Reply};
 use hickory_policy::refuse::{Ran, Reason};
@@ -25,13 +26,15 @@
     pub(crate) detail: String,
     pub(crate) retry_after: Option<Duration>,
     pub(crate) ran: Ran,
+    /// What decided it, where it found no place.
+    pub(crate) known: Option<Box<Known>>,
 }
 
 impl Refusal {
     pub(crate) fn new(reason: Reason, detail: impl Into<String>) -> Self {
         let status = StatusCode::from_u16(reason.status());
         let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        Self { reason, status, detail: detail.into(), retry_after: None, ran: Ran::No }
+        Self { reason, status, detail: detail.into(), retry_after: None, ran: Ran::No, known: None }
     }
 
     pub(crate) fn after(self, time: Duration) -> Self {
@@ -86,19 +89,48 @@
     refusal: &Refusal,
 ) -> Response<Reply> {
     core.metrics.refused(refusal.reason, refusal.ran);
+    log_refusal(core, attempt, arrived, refusal);
+    let mut response = reply::plain(refusal.status, &refusal.detail);
+    if let Some(time) = refusal.retry_after {
+        reply::set_retry_after(&mut response, time);
+    }
+    response
+}
+
+fn log_refusal<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    attempt: &str,
+    arrived: Instant,
+    refusal: &Refusal,
+) {
+    let retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64;
+    let age_ms = core.now().saturating_duration_since(arrived).as_millis() as u64;
+    let status = refusal.status.as_u16();
+    let config = core.view().version();
+    if let Some(known) = &refusal.known {
+        log_known!(
+            known,
+            {
+                request = attempt,
+                reason:% = refusal.reason,
+                status,
+                ran:% = refusal.ran,
+                retry_after_ms,
+                config,
+                age_ms,
+            },
+            "refused: {}", refusal.detail
+        );
+        return;
+    }
     log::info!(
         request = attempt,
         reason:% = refusal.reason,
-        status = refusal.status.as_u16(),
+        status,
         ran:% = refusal.ran,
-        retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64,
-        config = core.view().version(),
-        age_ms = core.now().saturating_duration_since(arrived).as_millis() as u64;
+        retry_after_ms,
+        config,
+        age_ms;
         "refused: {}", refusal.detail
     );
-    let mut response = reply::plain(refusal.status, &refusal.detail);
-    if let Some(time) = refusal.retry_after {
-        reply::set_retry_after(&mut response, time);
-    }
-    response
 }
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -5,7 +5,7 @@
 use crate::death::{look_for_death, read_fingerprint};
 use crate::dialect::Dialect;
 use crate::peer::Event;
-use crate::place::{self, NoPlace, Place, Waiting, Want};
+use crate::place::{self, NoPlace, Place, Search, Waiting, Want};
 use crate::refusal::{NO_TARGET_RETRY, Refusal};
 use crate::reply::{self, Reply};
 use crate::reservation::Reservations;
@@ -14,9 +14,9 @@
 use crate::view::Tag;
 use bytes::Bytes;
 use hickory_client::Exchange;
-use hickory_policy::claim::Turn;
 use hickory_policy::poison::Verdict;
 use hickory_policy::refuse::{Ran, Reason};
+use hickory_policy::survey::Survey;
 use hickory_store::store::Store;
 use hickory_telemetry::label::Work;
 use hickory_telemetry::metrics::Guard;
@@ -170,18 +170,18 @@
     async fn choose(&mut self) -> Result<Place<D, S, C>, Refusal> {
         let began = self.core.now();
         let mut waiting = None;
-        let mut turn = Turn::default();
+        let mut search = Search::default();
         loop {
             let view = self.core.view();
             let want = Want {
                 route: &self.job.route,
                 service: &self.service,
                 prompt: self.job.demand.prompt,
-                due: self.job.arrived + self.job.route.goal,
+                due: self.due(),
                 limit: self.first_deadline(),
                 tried: &self.tried,
             };
-            match place::choose(&self.core, &view, &self.job.configuration, &want, &mut turn) {
+            match place::choose(&self.core, &view, &self.job.configuration, &want, &mut search) {
                 Ok(place) => {
                     if !place.short && self.is_contested(&place).await {
                         continue;
@@ -191,10 +191,13 @@
                     return Ok(place);
                 }
                 Err(NoPlace::Wait(time, read)) => {
-                    waiting.get_or_insert_with(|| Waiting::begin(&self.core, &self.service, read));
+                    waiting.get_or_insert_with(|| {
+                        self.log_waiting(search.survey);
+                        Waiting::begin(&self.core, &self.service, read)
+                    });
                     tokio::time::sleep(time).await;
                 }
-                Err(no_place) => return Err(self.refuse_unplaced(no_place)),
+                Err(no_place) => return Err(self.refuse_unplaced(no_place, began, search.survey)),
             }
         }
     }
@@ -218,16 +221,23 @@
         rank * 2 + u8::from(!place.helpers.is_empty())
     }
 
-    fn refuse_unplaced(&self, no_place: NoPlace) -> Refusal {
-        Refusal::unplaced(no_place).after_run(self.ran)
+    fn refuse_unplaced(&self, no_place: NoPlace, began: Instant, survey: Survey) -> Refusal {
+        let waited = self.waited + self.core.now().saturating_duration_since(began);
+        let known = self.known(waited, survey);
+        Refusal { known: Some(Box::new(known)), ..Refusal::unplaced(no_place).after_run(self.ran) }
     }
 
     fn refuse_late(&self) -> Refusal {
         Refusal::late(self.ran)
     }
 
+    /// When its first token is wanted.
+    pub(crate) fn due(&self) -> Instant {
+        self.job.arrived + self.job.route.goal
+    }
+
     /// When the caller gives up on a first event.
-    fn first_deadline(&self) -> Instant {
+    pub(crate) fn first_deadline(&self) -> Instant {
         let patience = self.job.route.patience().filter(|_| self.first_event.is_none());
         let gives_up = patience.map(|patience| self.job.arrived + patience);
         gives_up.map_or(self.job.deadline, |at| at.min(self.job.deadline))
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,7 +4,7 @@
 //! A request meets [`cost`], [`place`], [`limit`] (with [`fair`], [`room`],
 //! [`ramp`] and [`pace`] behind it), then [`retry`] and [`poison`];
 //! [`reserve`] and [`preempt`] serve the long prompts, [`layout`] the weights
-//! on engines. [`baseline`] is what all this is measured against.
+//! on engines. [`survey`] is what logs say of a choice. [`baseline`] is what all this is measured against.
 
 pub mod ask;
 pub mod baseline;
@@ -27,3 +27,4 @@
 pub mod retry;
 pub mod room;
 pub mod share;
+pub mod survey;
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -76,7 +76,7 @@
 
 /// An engine that has less than this to read counts as idle: it is done by the
 /// time that a request reaches it.
-const IDLE: Duration = Duration::from_millis(15);
+pub(crate) const IDLE: Duration = Duration::from_millis(15);
 
 /// The part of the engines without short streams that must be idle before a
 /// prompt which is late in any case is read: what it takes is otherwise taken
--- /dev/null
+++ b/crates/policy/src/survey.rs
@@ -0,0 +1,42 @@
+//! What a choice of engines rested on, for those who explain it afterwards.
+
+use crate::engine::Profile;
+use crate::plan::{IDLE, Load};
+use std::time::Duration;
+
+/// The engines as a choice found them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Survey {
+    /// Engines that may be chosen.
+    pub engines: u32,
+    /// Those that have no slot left.
+    pub full: u32,
+    /// Those that have nothing to read.
+    pub idle: u32,
+    /// Those without short streams.
+    pub clear: u32,
+    /// Those that failed lately.
+    pub doubted: u32,
+    /// What all of them have still to read, added up.
+    pub unread: Duration,
+    /// What waits and comes first, by the time that one engine takes to read it.
+    pub ahead: Duration,
+}
+
+impl Survey {
+    /// Counts the engines that a prompt meets behind others that wait.
+    pub fn read(profile: Option<&Profile>, loads: &[Load], ahead: Duration) -> Self {
+        let slots = profile.map_or(u32::MAX, |profile| profile.slots);
+        let count =
+            |is: fn(&Load, u32) -> bool| loads.iter().filter(|load| is(load, slots)).count() as u32;
+        Self {
+            engines: loads.len() as u32,
+            full: count(|load, slots| load.requests >= slots),
+            idle: count(|load, _| load.backlog <= IDLE),
+            clear: count(|load, _| load.short == 0),
+            doubted: count(|load, _| !load.doubt.is_zero()),
+            unread: loads.iter().map(|load| load.backlog).sum(),
+            ahead,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/survey.rs
@@ -0,0 +1,41 @@
+//! What logs say of the engines that a choice found.
+
+use hickory_policy::plan::Load;
+use hickory_policy::survey::Survey;
+use std::time::Duration;
+
+mod profile;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A caller's long prompt was refused beside engines that looked free. The line
+/// must tell an idle engine from one that is merely without short streams, and
+/// both from one that has no slot or failed lately.
+#[test]
+fn engines_are_counted_by_what_keeps_a_prompt_off_them() {
+    let idle = Load::default();
+    let reading = Load { backlog: ms(400), ..Load::default() };
+    let short = Load { short: 3, requests: 3, ..Load::default() };
+    let full = Load { short: 16, requests: 16, backlog: ms(40), ..Load::default() };
+    let doubted = Load { doubt: ms(300), ..Load::default() };
+    let loads = [idle, reading, short, full, doubted];
+    let survey = Survey::read(Some(&profile::profile()), &loads, ms(700));
+    let expected = Survey {
+        engines: 5,
+        full: 1,
+        idle: 3,
+        clear: 3,
+        doubted: 1,
+        unread: ms(440),
+        ahead: ms(700),
+    };
+    assert_eq!(survey, expected);
+}
+
+#[test]
+fn replicas_of_plain_services_are_never_full_by_an_engine_s_slots() {
+    let load = Load { requests: 40, ..Load::default() };
+    assert_eq!(Survey::read(None, &[load], Duration::ZERO).full, 0);
+}
