An engine that refuses a part of a prompt is named, left out and told to all nodes

Four engines were leaving while the store was away, so no entry said so; all that was sent there was refused, they looked idle, and each split named them again. The answer names the engine at fault; the name was decoded and used by nothing, the first engine was blamed in its place. Likewise a reservation that one engine refused blamed another. Ruled out: engines without a slot (books and reports agree on free ones). Change: the engine at fault is shut for 3 s (up to 12), whatever its own streams come to, told to all nodes, and left out of the next split; the first engine is not doubted, and the attempt doesn't count against the route's targets. Test: an_engine_that_reads_no_parts_is_left_out_of_the_next_split (seen failing without the shut).

--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::core::Core;
 use crate::dialect::{Answer, Dialect, Helper, Sending};
 use crate::place::Place;
+use crate::view::Tag;
 use bytes::Bytes;
 use derive_more::Display;
 use hickory_client::{Error, Exchange, Reuse};
@@ -12,6 +13,7 @@
 use hickory_unit::id;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use http_body_util::Full;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// How fresh a connection must be for a request that may run only once.
@@ -46,9 +48,12 @@
     /// No byte reached the target.
     #[display("not sent: {_0}")]
     NotSent(String),
-    /// The target says that it has not run it.
-    #[display("not run, status {_0}")]
-    NotRun(StatusCode),
+    /// A target says that it has not run, and may name the one at fault.
+    #[display("not run, status {status}{}", name_fault(*at_fault))]
+    NotRun { status: StatusCode, at_fault: Option<SocketAddr> },
+    /// A target reserved no memory for it.
+    #[display("not sent: {detail}")]
+    NotReserved { target: Tag, detail: String },
     /// It may have run.
     #[display("no answer: {_0}")]
     Unknown(String),
@@ -63,12 +68,16 @@
     Stalled,
 }
 
+fn name_fault(at_fault: Option<SocketAddr>) -> String {
+    at_fault.map_or_else(String::new, |target| format!(", because of {target}"))
+}
+
 impl Failure {
     /// What it is counted as.
     pub(crate) fn reason(&self) -> Retry {
         match self {
-            Self::NotSent(_) => Retry::NotSent,
-            Self::NotRun(_) => Retry::Refused,
+            Self::NotSent(_) | Self::NotReserved { .. } => Retry::NotSent,
+            Self::NotRun { .. } => Retry::Refused,
             Self::Unknown(_) | Self::Spoiled(_) => Retry::TargetFailed,
             Self::Late | Self::Stalled => Retry::Stalled,
         }
@@ -108,7 +117,7 @@
         return Err(Failure::Spoiled("it bears another id"));
     }
     if answer.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        return Err(Failure::NotRun(status));
+        return Err(Failure::NotRun { status, at_fault: answer.at_fault });
     }
     if status.is_success() && !answer.signed {
         return Err(Failure::Spoiled("it is not signed"));
--- a/crates/path/src/dialect.rs
+++ b/crates/path/src/dialect.rs
@@ -112,8 +112,9 @@
     pub encoded: bool,
     /// How long the connection may be idle.
     pub keep: Option<Duration>,
-    /// The target that answered or is at fault, where it says so.
-    pub target: Option<id::Target>,
+    /// Where the target is that kept the request from running, where that is said;
+    /// it may be one that was to read a part of the prompt.
+    pub at_fault: Option<SocketAddr>,
 }
 
 /// A target's entry.
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -68,6 +68,8 @@
     Ended(Number),
     /// A target failed a request.
     Failed(Tag),
+    /// A target refused to read a part of a prompt for another one.
+    Shut(Tag),
     /// A request was running when a target died.
     Suspect { fingerprint: u64, deaths: u32 },
 }
@@ -290,6 +292,7 @@
         Event::Writing(number) => core.books().take_writing(now, node, number),
         Event::Ended(number) => core.books().take_end(node, number),
         Event::Failed(tag) => core.doubts().note_failure(now, tag),
+        Event::Shut(tag) => core.doubts().note_shut(now, tag),
         Event::Suspect { fingerprint, deaths } => {
             let suspect = Suspect { fingerprint, deaths, age: Duration::ZERO };
             core.suspects().merge(now, [suspect]);
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -1,5 +1,6 @@
 //! Choosing targets for one attempt, and booking them.
 
+use crate::attempt::Failure;
 use crate::books::{Booking, Number, Stage};
 use crate::config::{Configuration, Route};
 use crate::core::Core;
@@ -96,6 +97,19 @@
         self.core.books().is_contested(&self.core.settings.node, self.number, window)
     }
 
+    /// The engine that kept the prompt from being read, where it isn't the one
+    /// that was sent it.
+    pub(crate) fn find_at_fault(&self, failure: &Failure) -> Option<Tag> {
+        match failure {
+            Failure::NotReserved { target, .. } => Some(*target),
+            Failure::NotRun { at_fault, .. } => {
+                let is_at_fault = |target: &&Arc<Target>| Some(target.entry.address) == *at_fault;
+                self.helpers.iter().find(is_at_fault).map(|target| target.tag)
+            }
+            _ => None,
+        }
+    }
+
     /// Notes the first token.
     pub(crate) fn begin_writing(&self) {
         self.core.books().begin_writing(self.core.now(), self.number);
@@ -274,6 +288,7 @@
         load.near = target.entry.zone == core.settings.zone;
         load.preference = cell.prefer(target.tag);
         load.doubt = doubts.cost(now, target.tag);
+        load.shut = doubts.is_shut(now, target.tag);
     }
 }
 
--- a/crates/path/src/reservation.rs
+++ b/crates/path/src/reservation.rs
@@ -4,6 +4,7 @@
 //! holds are short and renewed while the request lasts: an engine whose memory
 //! is held for nobody is lost to all others.
 
+use crate::attempt::Failure;
 use crate::core::Core;
 use crate::dialect::{Dialect, Helper, Order};
 use crate::place::Place;
@@ -52,7 +53,7 @@
     pub(crate) async fn reserve(
         core: &Arc<Core<D, S, C>>,
         place: &Place<D, S, C>,
-    ) -> Result<Self, String> {
+    ) -> Result<Self, Failure> {
         let series: u64 = rand::random();
         let held = place.memory.iter().enumerate().map(|(number, (target, tokens))| Held {
             target: target.clone(),
@@ -63,8 +64,9 @@
         // A failed one is released with the others: its answer may be lost.
         let orders = reservations.held.iter().map(|held| renew(core, held));
         let answers = futures::future::join_all(orders).await;
-        if let Some(error) = answers.into_iter().find_map(Result::err) {
-            return Err(error);
+        for (held, answer) in reservations.held.iter().zip(answers) {
+            let target = held.target.tag;
+            answer.map_err(|detail| Failure::NotReserved { target, detail })?;
         }
         if !reservations.held.is_empty() {
             let renewing = keep_renewing(core.clone(), reservations.held.clone());
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -139,10 +139,9 @@
             self.log_placed(&place);
             let reservations = match Reservations::reserve(&self.core, &place).await {
                 Ok(reservations) => reservations,
-                Err(detail) => {
+                Err(failure) => {
                     self.sends += 1;
-                    self.tried.push(place.target.tag);
-                    self.settle(&place, Failure::NotSent(detail))?;
+                    self.settle(&place, failure)?;
                     continue;
                 }
             };
@@ -281,10 +280,14 @@
         place: &Place<D, S, C>,
         failure: Failure,
     ) -> Result<(), Refusal> {
-        self.note_failure(place, &failure);
+        let other = place.find_at_fault(&failure);
+        match other {
+            Some(tag) => self.note_shut(place, tag, &failure),
+            None => self.note_failure(place, &failure),
+        }
         self.core.metrics.retried(failure.reason());
         match failure {
-            Failure::NotSent(detail) => {
+            Failure::NotSent(detail) | Failure::NotReserved { detail, .. } => {
                 self.sends -= 1;
                 self.unsent += 1;
                 if self.unsent > UNSENT_MAX {
@@ -293,8 +296,10 @@
                 }
                 return Ok(());
             }
-            Failure::NotRun(status) => {
-                self.sends -= u32::from(status == StatusCode::MISDIRECTED_REQUEST);
+            Failure::NotRun { status, .. } => {
+                // No target but the one at fault is known to be unable to run it.
+                let counts = status != StatusCode::MISDIRECTED_REQUEST && other.is_none();
+                self.sends -= u32::from(!counts);
                 self.unsent += 1;
                 if self.sends < self.job.route.targets_max
                     && self.unsent <= UNSENT_MAX
@@ -351,6 +356,16 @@
         self.core.now().saturating_duration_since(self.job.arrived)
     }
 
+    /// Notes that another engine than the first kept a prompt from being read: the
+    /// first is as good as before.
+    fn note_shut(&mut self, place: &Place<D, S, C>, tag: Tag, failure: &Failure) {
+        self.tried.retain(|tried| *tried != place.target.tag);
+        self.tried.push(tag);
+        self.core.doubts().note_shut(self.core.now(), tag);
+        self.core.tell(Event::Shut(tag));
+        self.log_repeat(place, &failure.to_string());
+    }
+
     /// Notes that a target answered with this status.
     pub(crate) fn note_answer(&self, place: &Place<D, S, C>, status: StatusCode) {
         match status.is_server_error() {
--- a/crates/path/src/suspect.rs
+++ b/crates/path/src/suspect.rs
@@ -6,6 +6,12 @@
 //! doubles with each further one; a success halves it. Doubt never excludes: of
 //! sixteen engines that lose an answer each now and then, ten are in doubt, and
 //! left out they make requests wait 1.8 s at the others beside idle ones.
+//!
+//! Load: engines leave while the store is away, and nobody hears that they do.
+//! They look idle, since all that is sent there is refused, and each long prompt
+//! that is split over them fails as a whole: thirty in five seconds, of which none
+//! was read. What refused to read a part for another engine is therefore shut: it
+//! is given no part for a time, whatever its own streams come to.
 
 use crate::view::Tag;
 use std::collections::HashMap;
@@ -22,16 +28,30 @@
 /// another target. Each further failure makes the next one likelier.
 const COST: Duration = Duration::from_millis(300);
 
+/// How long a target is shut that refused to read a part, doubled by each further
+/// refusal. A target that leaves is gone from the store's entries within seconds.
+const SHUT: Duration = Duration::from_secs(3);
+
+/// Doublings of that at most: 12 s. One that was only busy is then tried again.
+const SHUT_DOUBLINGS: u32 = 2;
+
 #[derive(Clone, Copy, Debug)]
 struct Doubt {
     strikes: u32,
     until: Instant,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Shut {
+    refusals: u32,
+    until: Instant,
+}
+
 /// The targets in doubt.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Doubts {
     doubts: HashMap<Tag, Doubt>,
+    shut: HashMap<Tag, Shut>,
 }
 
 impl Doubts {
@@ -59,4 +79,22 @@
         let doublings = doubt.map(|doubt| (doubt.strikes - 1).min(DOUBLINGS_MAX));
         doublings.map_or(Duration::ZERO, |doublings| COST * 2_u32.pow(doublings))
     }
+
+    /// Notes that a target refused to read a part for another one. Several prompts
+    /// that are refused at the same moment count once.
+    pub(crate) fn note_shut(&mut self, now: Instant, tag: Tag) {
+        let known = self.shut.get(&tag);
+        if known.is_some_and(|shut| now < shut.until) {
+            return;
+        }
+        let refusals = known.map_or(0, |shut| shut.refusals + 1);
+        let until = now + SHUT * 2_u32.pow(refusals.min(SHUT_DOUBLINGS));
+        self.shut.insert(tag, Shut { refusals, until });
+        self.shut.retain(|_, shut| shut.until + SHUT * 4 > now);
+    }
+
+    /// Whether a target is given no parts.
+    pub(crate) fn is_shut(&self, now: Instant, tag: Tag) -> bool {
+        self.shut.get(&tag).is_some_and(|shut| now < shut.until)
+    }
 }
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -125,6 +125,8 @@
     pub preference: u64,
     /// What it is expected to cost to try it, since it failed lately.
     pub doubt: Duration,
+    /// Whether it refused lately to read a part for another engine.
+    pub shut: bool,
 }
 
 /// A prompt to place.
@@ -288,8 +290,8 @@
     /// nothing else to do, and refused otherwise: waiting would not help it,
     /// and its caller can come back.
     fn place_long(&self) -> Result<Choice, Refused> {
-        let able = (0..self.loads.len()).filter(|&engine| self.has_place(engine));
-        let mut engines: Vec<usize> = able.collect();
+        let takes = |&engine: &usize| self.has_place(engine) && !self.loads[engine].shut;
+        let mut engines: Vec<usize> = (0..self.loads.len()).filter(takes).collect();
         engines.sort_by_key(|&engine| {
             let load = &self.loads[engine];
             (load.doubt, load.short, !load.near)
