A bound and the regret of placement, over loads that tests share

Cause: a figure of the replay says little by itself. The example regret plays our choice, two simpler ones and an upper bound of credit over phases, bursts, a zone out and a restart of all, for two engines' profiles; the loads moved out of tests/plan.rs into a module that both use.

--- /dev/null
+++ b/crates/policy/examples/regret/bound.rs
@@ -0,0 +1,119 @@
+//! An upper bound of the credit that any placement can get from a load that it
+//! knows in advance.
+//!
+//! Engines are taken for one machine of their joint rate, any prompt may be read
+//! by all of them at once, in any pieces, and served in any part for that part of
+//! its credit. Three real limits are left, each by itself: prompts are read between
+//! their arrival and their goal; reading and writing fit into the engines' time,
+//! writing at the rate of a full engine; and streams hold slots, for as long as an
+//! engine takes that writes just one. No span of time holds more than the engines
+//! do in it. For such loads the greatest credit is found by taking prompts by credit
+//! for what they use, each as far as every span around it has room; the least of the
+//! three is the bound.
+
+use crate::engines::Request;
+use crate::phases::{self, Mix};
+use hickory_policy::engine::Profile;
+use hickory_unit::size::Tokens;
+use std::time::Duration;
+
+/// The grain of time. Spans are rounded outwards to it, which can only raise the
+/// bound.
+const GRAIN: Duration = Duration::from_millis(200);
+
+/// What prompts use up.
+#[derive(Clone, Copy)]
+enum Limit {
+    /// Time to read, until the goal.
+    Reading,
+    /// Time to read and to write.
+    Work,
+    /// Slots.
+    Slots,
+}
+
+/// The part of all credit that could be got.
+pub fn most_credit(mix: &Mix, profile: &Profile, engines: usize, requests: &[Request]) -> f64 {
+    let owed: f64 = requests.iter().map(|request| phases::worth(mix, request)).sum();
+    let earn = |limit: Limit| {
+        let tasks = requests.iter().map(|request| Task::read(mix, profile, request, limit));
+        earn(tasks.collect(), engines) / owed
+    };
+    [Limit::Reading, Limit::Work, Limit::Slots].map(earn).into_iter().fold(1.0, f64::min)
+}
+
+struct Task {
+    credit: f64,
+    /// What one engine needs for it.
+    work: Duration,
+    /// The grains in which it may be worked on.
+    begin: usize,
+    end: usize,
+}
+
+impl Task {
+    fn read(mix: &Mix, profile: &Profile, request: &Request, limit: Limit) -> Self {
+        let events = (request.answer.0 / u64::from(profile.stride)).max(1) as u32;
+        let read = profile.read_time(request.prompt);
+        let stride = |writers| profile.pass_time(writers, Tokens(0));
+        let goal = request.arrival + request.goal;
+        // It is written within the pauses that its caller bears.
+        let last = goal + request.gap * events;
+        let (work, end) = match limit {
+            Limit::Reading => (read, goal),
+            Limit::Work => (read + stride(profile.slots) / profile.slots * events, last),
+            Limit::Slots => (stride(1) * events / profile.slots, last),
+        };
+        Self {
+            credit: phases::worth(mix, request),
+            work,
+            begin: (request.arrival.as_millis() / GRAIN.as_millis()) as usize,
+            end: end.as_millis().div_ceil(GRAIN.as_millis()) as usize,
+        }
+    }
+
+    fn density(&self) -> f64 {
+        self.credit / self.work.as_secs_f64()
+    }
+}
+
+fn earn(mut tasks: Vec<Task>, engines: usize) -> f64 {
+    tasks.sort_by(|one, other| other.density().total_cmp(&one.density()));
+    let grains = tasks.iter().map(|task| task.end).max().unwrap_or(0);
+    let mut spans = Spans::new(grains, engines);
+    tasks.iter().map(|task| task.credit * spans.take(task)).sum()
+}
+
+/// What is still free in each span of grains.
+struct Spans {
+    grains: usize,
+    free: Vec<f64>,
+}
+
+impl Spans {
+    fn new(grains: usize, engines: usize) -> Self {
+        let grain = GRAIN.as_secs_f64() * engines as f64;
+        let free = (0..grains).flat_map(|begin| {
+            (1..=grains).map(move |end| end.saturating_sub(begin) as f64 * grain)
+        });
+        Self { grains, free: free.collect() }
+    }
+
+    /// Takes as much of a task as all spans around it have room for; returns the
+    /// part.
+    fn take(&mut self, task: &Task) -> f64 {
+        let around = (0..=task.begin)
+            .flat_map(|begin| (task.end..=self.grains).map(move |end| (begin, end)));
+        let work = task.work.as_secs_f64();
+        let least = around.clone().map(|span| self.free[self.at(span)]).fold(work, f64::min);
+        for span in around {
+            let at = self.at(span);
+            self.free[at] -= least;
+        }
+        least / work
+    }
+
+    fn at(&self, (begin, end): (usize, usize)) -> usize {
+        begin * self.grains + end - 1
+    }
+}
--- a/crates/policy/tests/engines/mod.rs
+++ b/crates/policy/tests/engines/mod.rs
@@ -2,14 +2,13 @@
 //! reads all that is there, the newest part first, and then writes a stride of
 //! tokens for each stream. One event goes out at the end of each pass.
 
-use crate::profile::profile;
 use hickory_policy::engine::Profile;
 use hickory_policy::plan::Load;
 use hickory_unit::size::Tokens;
 use std::time::Duration;
 
 /// A request in the simulation.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Request {
     pub arrival: Duration,
     pub prompt: Tokens,
@@ -19,6 +18,7 @@
     /// Engines that have still to read their part.
     pub unread: u32,
     pub placed: Option<(usize, Vec<usize>, Duration)>,
+    pub placed_at: Option<Duration>,
     pub first: Option<Duration>,
     pub last: Duration,
     pub longest_pause: Duration,
@@ -50,21 +50,46 @@
     pub profile: Profile,
     engines: Vec<Engine>,
     pub requests: Vec<Request>,
+    /// What was placed before is not known.
+    known_since: Duration,
 }
 
 impl Fleet {
-    pub fn open(engines: usize, requests: Vec<Request>) -> Self {
-        Self { profile: profile(), engines: vec![Engine::default(); engines], requests }
+    pub fn open(profile: Profile, engines: usize, requests: Vec<Request>) -> Self {
+        let engines = vec![Engine::default(); engines];
+        Self { profile, engines, requests, known_since: Duration::ZERO }
+    }
+
+    pub fn engines(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Forgets what was placed so far: the engines go on with it unseen.
+    pub fn forget(&mut self) {
+        let placed = self.requests.iter().filter_map(|request| request.placed_at);
+        self.known_since = placed.max().unwrap_or_default() + Duration::from_nanos(1);
+    }
+
+    fn is_known(&self, request: usize) -> bool {
+        self.requests[request].placed_at.is_some_and(|at| at >= self.known_since)
     }
 
     /// Places a request: each engine gets its part.
-    pub fn place(&mut self, request: usize, first: usize, helpers: &[usize], part: Duration) {
+    pub fn place(
+        &mut self,
+        request: usize,
+        first: usize,
+        helpers: &[usize],
+        part: Duration,
+        now: Duration,
+    ) {
         let all = std::iter::once(&first).chain(helpers);
         for &engine in all.clone() {
             self.engines[engine].parts.push((request, part));
         }
         self.requests[request].unread = all.count() as u32;
         self.requests[request].placed = Some((first, helpers.to_vec(), part));
+        self.requests[request].placed_at = Some(now);
     }
 
     /// Runs every engine whose pass has ended by `now`.
@@ -133,7 +158,8 @@
     pub fn loads(&self, now: Duration) -> Vec<Load> {
         let mut loads: Vec<Load> =
             self.engines.iter().map(|engine| self.load(engine, now)).collect();
-        for request in self.requests.iter().filter(|request| !request.done) {
+        let known = (0..self.requests.len()).filter(|&request| self.is_known(request));
+        for request in known.map(|request| &self.requests[request]).filter(|r| !r.done) {
             let Some((first, helpers, _)) = &request.placed else { continue };
             let load = &mut loads[*first];
             load.requests += 1;
@@ -148,20 +174,25 @@
     }
 
     fn load(&self, engine: &Engine, now: Duration) -> Load {
-        let parts: Duration = engine.parts.iter().map(|(_, part)| *part).sum();
-        let running = match engine.parts.is_empty() && engine.writers.is_empty() {
+        let parts = engine.parts.iter().filter(|(request, _)| self.is_known(*request));
+        let parts: Duration = parts.map(|(_, part)| *part).sum();
+        let writers: Vec<usize> =
+            engine.writers.iter().copied().filter(|&w| self.is_known(w)).collect();
+        // Of an engine that is taken for empty, no pass is known to run.
+        let running = match parts.is_zero() && writers.is_empty() {
+            true if self.known_since.is_zero() => engine.busy_until.saturating_sub(now),
             true => Duration::ZERO,
             false => engine.busy_until.saturating_sub(now),
         };
-        let reading = match engine.writers.is_empty() {
+        let reading = match writers.is_empty() {
             true => running,
             false => running.saturating_sub(Duration::from_millis(60)),
         };
         Load {
             backlog: parts + reading,
             begins: parts + running,
-            writers: engine.writers.len() as u32,
-            context: engine.writers.iter().map(|&w| self.requests[w].prompt).sum(),
+            writers: writers.len() as u32,
+            context: writers.iter().map(|&w| self.requests[w].prompt).sum(),
             ..Load::default()
         }
     }
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -2,164 +2,31 @@
 //! published cost model.
 
 mod engines;
+mod phases;
 mod profile;
+mod replay;
 
-use engines::{Fleet, Request};
+use engines::Request;
 use hickory_policy::plan::{self, Choice, Load, Plan, Query, Refused};
 use hickory_unit::size::Tokens;
+use phases::{ADVICE, alternate, arrive};
 use profile::profile;
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
+use replay::{Chooser, Scene, choose, choose_least};
 use std::time::Duration;
 
-const STEP: Duration = Duration::from_millis(5);
-
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
-/// A number with this mean and spread, as callers' prompts are: most are
-/// smaller, a few several times as large.
-fn draw(random: &mut StdRng, mean: f64, spread: f64, most: f64) -> u64 {
-    let normal: f64 = (0..12).map(|_| random.random::<f64>()).sum::<f64>() - 6.0;
-    let sigma = (1.0 + spread * spread).ln().sqrt();
-    (mean * (sigma * normal - sigma * sigma / 2.0).exp()).min(most) as u64
-}
-
-struct Kind {
-    a_second: f64,
-    prompt: (f64, f64, f64),
-    events: f64,
-    goal: Duration,
-    gap: Duration,
-}
-
-fn kinds(short: f64, middle: f64, long: f64) -> [Kind; 3] {
-    [
-        Kind {
-            a_second: 32.6 * short,
-            prompt: (4_960.0, 0.9, 23_800.0),
-            events: 33.0,
-            goal: ms(300),
-            gap: ms(250),
-        },
-        Kind {
-            a_second: 1.66 * middle,
-            prompt: (45_000.0, 0.5, 110_000.0),
-            events: 20.0,
-            goal: ms(1_500),
-            gap: ms(600),
-        },
-        Kind {
-            a_second: long,
-            prompt: (154_000.0, 0.55, 700_000.0),
-            events: 16.0,
-            goal: ms(3_000),
-            gap: ms(1_000),
-        },
-    ]
-}
-
 /// Phases of ten seconds: long prompts, short ones, long ones again.
 fn phases(seed: u64) -> Vec<Request> {
-    let mut random = StdRng::seed_from_u64(seed);
-    let mut requests = Vec::new();
-    let long = || kinds(0.35, 1.3, 2.8);
-    for (begin, kinds) in [(0, long()), (10, kinds(2.4, 0.5, 0.05)), (20, long())] {
-        for kind in kinds {
-            let mut at = f64::from(begin);
-            loop {
-                at += -random.random::<f64>().max(1e-9).ln() / kind.a_second;
-                if at > f64::from(begin + 10) {
-                    break;
-                }
-                let (mean, spread, most) = kind.prompt;
-                let events = draw(&mut random, kind.events, 0.6, 80.0).max(1);
-                requests.push(Request {
-                    arrival: Duration::from_secs_f64(at),
-                    prompt: Tokens(draw(&mut random, mean, spread, most).max(100)),
-                    answer: Tokens(events * 51),
-                    goal: kind.goal,
-                    gap: kind.gap,
-                    unread: 0,
-                    placed: None,
-                    first: None,
-                    last: Duration::ZERO,
-                    longest_pause: Duration::ZERO,
-                    written: 0,
-                    done: false,
-                    refused: false,
-                });
-            }
-        }
-    }
-    requests.sort_by_key(|request| request.arrival);
-    requests
-}
-
-type Chooser = fn(&Fleet, usize, Duration) -> Result<Choice, Refused>;
-
-fn query(fleet: &Fleet, request: usize, now: Duration) -> Query {
-    let r = &fleet.requests[request];
-    let read = fleet.profile.read_time(r.prompt);
-    let waiting = fleet
-        .requests
-        .iter()
-        .filter(|other| other.arrival <= now && other.placed.is_none() && !other.refused);
-    let reads = waiting.map(|other| fleet.profile.read_time(other.prompt));
-    Query {
-        prompt: r.prompt,
-        answer: r.answer,
-        short: plan::is_short(&fleet.profile, r.prompt, r.goal),
-        goal: (r.arrival + r.goal).saturating_sub(now),
-        limit: (r.arrival + r.goal * 4).saturating_sub(now),
-        ahead: reads.filter(|other| *other < read).sum(),
-    }
-}
-
-fn choose(fleet: &Fleet, request: usize, now: Duration) -> Result<Choice, Refused> {
-    plan::choose_engines(&query(fleet, request, now), &fleet.profile, &fleet.loads(now))
-}
-
-/// What nodes did that sent each prompt whole to the engine with the least to
-/// read.
-fn choose_least(fleet: &Fleet, request: usize, now: Duration) -> Result<Choice, Refused> {
-    let loads = fleet.loads(now);
-    let first = (0..loads.len()).min_by_key(|&i| (loads[i].backlog, loads[i].requests));
-    let part = fleet.profile.read_time(fleet.requests[request].prompt);
-    Ok(Choice::Go(Plan {
-        first: first.unwrap_or_default(),
-        helpers: Vec::new(),
-        memory: Vec::new(),
-        part,
-        first_token: part,
-    }))
+    let phases = alternate([0.35, 1.3, 2.8], [2.4, 0.5, 0.05]);
+    arrive(&ADVICE, &phases, seed)
 }
 
 /// Parts of the short, middle and long requests that were served in time.
 fn play(engines: usize, requests: Vec<Request>, chooser: Chooser) -> [f64; 3] {
-    let mut fleet = Fleet::open(engines, requests);
-    let mut now = Duration::ZERO;
-    while now < Duration::from_secs(45) {
-        fleet.run(now);
-        for request in 0..fleet.requests.len() {
-            let r = &fleet.requests[request];
-            if r.arrival > now || r.placed.is_some() || r.refused {
-                continue;
-            }
-            match chooser(&fleet, request, now) {
-                Ok(Choice::Go(plan)) => fleet.place(request, plan.first, &plan.helpers, plan.part),
-                Ok(Choice::Wait(_)) => {}
-                Err(_) => fleet.requests[request].refused = true,
-            }
-        }
-        now += STEP;
-    }
-    [250, 600, 1_000].map(|gap| {
-        let kind: Vec<&Request> = fleet.requests.iter().filter(|r| r.gap == ms(gap)).collect();
-        let served = kind.iter().filter(|r| r.in_time()).count();
-        served as f64 / kind.len() as f64
-    })
+    replay::play(&Scene::new(engines), &profile(), requests, chooser).in_time()
 }
 
 /// Callers of short prompts get answers that pause, and callers of long ones
--- a/crates/policy/tests/profile/mod.rs
+++ b/crates/policy/tests/profile/mod.rs
@@ -19,3 +19,20 @@
         usual_answer: Tokens(1_600),
     }
 }
+
+/// A faster reader with less memory, whose steps take longer.
+#[allow(dead_code, reason = "each test binary uses a part")]
+pub fn small() -> Profile {
+    Profile {
+        memory: Tokens(232_000),
+        step: Duration::from_micros(1_020),
+        step_per_stream: Duration::from_nanos(2_260),
+        step_per_kilotoken: Duration::from_nanos(4_310),
+        read_rate: 206_000.0,
+        read_per_megapair: Duration::from_micros(138),
+        stride: 43,
+        hop: Duration::from_micros(75),
+        usual_answer: Tokens(1_350),
+        ..profile()
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/replay/mod.rs
@@ -0,0 +1,138 @@
+//! Replays a load against engines, with one choice for all prompts.
+#![allow(dead_code, reason = "each test binary uses a part")]
+
+use crate::engines::{Fleet, Request};
+use crate::phases::{self, Mix};
+use hickory_policy::engine::Profile;
+use hickory_policy::plan::{self, Choice, Plan, Query, Refused};
+use std::time::Duration;
+
+/// Between two looks of prompts that wait.
+const STEP: Duration = Duration::from_millis(5);
+
+/// When the last answers have ended.
+const END: Duration = Duration::from_secs(45);
+
+/// The part of its credit that an answer gets which is late.
+const LATE: f64 = 0.25;
+
+/// What chooses for a request, by its number.
+pub type Chooser = fn(&Fleet, usize, Duration) -> Result<Choice, Refused>;
+
+/// The engines of a replay.
+#[derive(Clone, Copy, Debug)]
+pub struct Scene {
+    pub engines: usize,
+    /// When all that was known of the engines is forgotten.
+    pub forget: Option<Duration>,
+}
+
+impl Scene {
+    pub fn new(engines: usize) -> Self {
+        Self { engines, forget: None }
+    }
+}
+
+/// The requests as they ended.
+pub struct Outcome {
+    pub requests: Vec<Request>,
+}
+
+impl Outcome {
+    /// The parts of the short, middle and long requests that were in time.
+    pub fn in_time(&self) -> [f64; 3] {
+        [250, 600, 1_000].map(|gap| {
+            let is_kind = |r: &&Request| r.gap == Duration::from_millis(gap);
+            let kind: Vec<&Request> = self.requests.iter().filter(is_kind).collect();
+            let served = kind.iter().filter(|r| r.in_time()).count();
+            served as f64 / kind.len().max(1) as f64
+        })
+    }
+
+    /// The part of all credit that was earned.
+    pub fn credit(&self, mix: &Mix) -> f64 {
+        let owed: f64 = self.requests.iter().map(|r| phases::worth(mix, r)).sum();
+        let earned = self.requests.iter().map(|r| match (r.in_time(), r.done) {
+            (true, _) => phases::worth(mix, r),
+            (false, true) => phases::worth(mix, r) * LATE,
+            (false, false) => 0.0,
+        });
+        earned.sum::<f64>() / owed
+    }
+}
+
+/// Plays requests, by arrival, with this choice.
+pub fn play(scene: &Scene, profile: &Profile, requests: Vec<Request>, chooser: Chooser) -> Outcome {
+    let mut fleet = Fleet::open(profile.clone(), scene.engines, requests);
+    let mut now = Duration::ZERO;
+    while now < END {
+        if scene.forget.is_some_and(|at| at == now) {
+            fleet.forget();
+        }
+        fleet.run(now);
+        for request in waiting(&fleet, now) {
+            match chooser(&fleet, request, now) {
+                Ok(Choice::Go(plan)) => {
+                    fleet.place(request, plan.first, &plan.helpers, plan.part, now)
+                }
+                Ok(Choice::Wait(_)) => {}
+                Err(_) => fleet.requests[request].refused = true,
+            }
+        }
+        now += STEP;
+    }
+    Outcome { requests: fleet.requests }
+}
+
+/// Requests that wait, the smallest first.
+fn waiting(fleet: &Fleet, now: Duration) -> Vec<usize> {
+    let waits = |&request: &usize| {
+        let r = &fleet.requests[request];
+        r.arrival <= now && r.placed.is_none() && !r.refused
+    };
+    let mut waiting: Vec<usize> = (0..fleet.requests.len()).filter(waits).collect();
+    waiting.sort_by_key(|&request| fleet.requests[request].prompt);
+    waiting
+}
+
+/// What a request asks of the plan.
+fn query(fleet: &Fleet, request: usize, now: Duration) -> Query {
+    let r = &fleet.requests[request];
+    let read = fleet.profile.read_time(r.prompt);
+    let waiting = fleet
+        .requests
+        .iter()
+        .filter(|other| other.arrival <= now && other.placed.is_none() && !other.refused);
+    let reads = waiting.map(|other| fleet.profile.read_time(other.prompt));
+    Query {
+        prompt: r.prompt,
+        answer: r.answer,
+        short: plan::is_short(&fleet.profile, r.prompt, r.goal),
+        goal: (r.arrival + r.goal).saturating_sub(now),
+        limit: (r.arrival + r.goal * 4).saturating_sub(now),
+        ahead: reads.filter(|other| *other < read).sum(),
+    }
+}
+
+/// What nodes do.
+pub fn choose(fleet: &Fleet, request: usize, now: Duration) -> Result<Choice, Refused> {
+    plan::choose_engines(&query(fleet, request, now), &fleet.profile, &fleet.loads(now))
+}
+
+/// Each prompt whole to the engine with the least to read.
+pub fn choose_least(fleet: &Fleet, request: usize, now: Duration) -> Result<Choice, Refused> {
+    let loads = fleet.loads(now);
+    let first = (0..loads.len()).min_by_key(|&i| (loads[i].backlog, loads[i].requests));
+    Ok(whole(fleet, request, first.unwrap_or_default()))
+}
+
+/// Each prompt whole to the next engine in a circle, as it comes.
+pub fn choose_fifo(fleet: &Fleet, request: usize, _: Duration) -> Result<Choice, Refused> {
+    Ok(whole(fleet, request, request % fleet.engines()))
+}
+
+fn whole(fleet: &Fleet, request: usize, first: usize) -> Choice {
+    let part = fleet.profile.read_time(fleet.requests[request].prompt);
+    let (helpers, memory) = (Vec::new(), Vec::new());
+    Choice::Go(Plan { first, helpers, memory, part, first_token: part })
+}
