Log and metrics of what nodes fetch from each other, and how far behind they are

On-call engineers could not tell whether links or processors kept a large configuration from spreading: only the takers' timeouts were logged. Givers now log large answers with size and time to write; takers log size and time; the line of a configuration taken over says how long it was waited for, a refusal says how old the configuration is that it rests on and for how long the node has known of a newer one. Metrics: configuration_delay_seconds, peer_fetches_total, peer_fetch_bytes_total. No decision changes.

--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -3,6 +3,7 @@
 use crate::books::Books;
 use crate::dialect::Dialect;
 use crate::items::Items;
+use crate::news::{Lag, News};
 use crate::peer::{Event, Peers};
 use crate::settings::{Bounds, Settings};
 use crate::suspect::Doubts;
@@ -12,7 +13,7 @@
 use hickory_policy::poison::Suspects;
 use hickory_policy::share::Budget;
 use hickory_state::member::Member;
-use hickory_store::store::Store;
+use hickory_store::store::{Revision, Store};
 use hickory_telemetry::metered::Metered;
 use hickory_telemetry::metrics::Metrics;
 use hickory_unit::clock::Clock;
@@ -57,6 +58,7 @@
     pub(crate) client: Client,
     pub(crate) member: OnceLock<Member<Metered<S, C>, C>>,
     items: Mutex<Items>,
+    news: Mutex<News>,
     view: RwLock<Arc<View>>,
     books: Mutex<Books>,
     peers: Mutex<Peers>,
@@ -89,6 +91,7 @@
             client: Client::open(CONNECT_TIMEOUT).with_silence(SILENCE),
             member: OnceLock::new(),
             items: Mutex::default(),
+            news: Mutex::default(),
             view: RwLock::default(),
             books: Mutex::default(),
             peers: Mutex::default(),
@@ -149,11 +152,39 @@
         if !change(&mut items) {
             return;
         }
-        let next = self.view().read::<D>(&items, self.now(), may_lapse);
-        self.metrics.configuration(id::Release(next.version()));
+        let now = self.now();
+        let before = self.view();
+        let next = before.read::<D>(&items, now, may_lapse);
+        let waited = lock(&self.news).settle(now, items.newest(D::OPERATOR_PREFIX));
+        if next.config_revision != before.config_revision {
+            self.note_configuration(&next, waited);
+        }
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(next);
     }
 
+    fn note_configuration(&self, view: &View, waited: Option<Duration>) {
+        self.metrics.configuration(id::Release(view.version()));
+        self.metrics.configuration_delayed(waited.unwrap_or_default());
+        log::info!(
+            version = view.version(),
+            revision:% = view.config_revision,
+            waited_ms = waited.unwrap_or_default().as_millis() as u64;
+            "configuration taken over"
+        );
+    }
+
+    /// Notes the newest revision of operators' data that a peer has.
+    pub(crate) fn hear(&self, told: Revision) {
+        let known = self.items().newest(D::OPERATOR_PREFIX);
+        lock(&self.news).hear(self.now(), told, known);
+    }
+
+    /// How far this node is behind what it has heard operators wrote.
+    pub(crate) fn lag(&self) -> Option<Lag> {
+        let known = self.items().newest(D::OPERATOR_PREFIX);
+        lock(&self.news).lag(self.now(), known)
+    }
+
     /// Notes whether the store answered.
     pub(crate) fn note_store(&self, answered: bool) {
         let was_away = self.store_away.swap(!answered, Ordering::Relaxed);
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -20,6 +20,7 @@
 mod intake;
 pub mod items;
 mod known;
+mod news;
 pub mod outage;
 mod peer;
 mod place;
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -267,6 +267,7 @@
     }
     let now = core.now();
     let heard = core.peers().take(now, &beat, from);
+    core.hear(beat.operator);
     match heard {
         Heard::First => log::info!(peer:% = beat.node, address:% = from; "peer heard"),
         Heard::Anew => {
--- a/crates/path/src/refusal.rs
+++ b/crates/path/src/refusal.rs
@@ -106,7 +106,11 @@
     let retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64;
     let age_ms = core.now().saturating_duration_since(arrived).as_millis() as u64;
     let status = refusal.status.as_u16();
-    let config = core.view().version();
+    let view = core.view();
+    let config = view.version();
+    let config_age = view.configured.map(|at| core.now().saturating_duration_since(at));
+    let config_age_ms = config_age.unwrap_or_default().as_millis() as u64;
+    let behind_ms = core.lag().map_or(0, |lag| lag.time.as_millis() as u64);
     if let Some(known) = &refusal.known {
         log_known!(
             known,
@@ -117,6 +121,8 @@
                 ran:% = refusal.ran,
                 retry_after_ms,
                 config,
+                config_age_ms,
+                behind_ms,
                 age_ms,
             },
             "refused: {}", refusal.detail
@@ -130,6 +136,8 @@
         ran:% = refusal.ran,
         retry_after_ms,
         config,
+        config_age_ms,
+        behind_ms,
         age_ms;
         "refused: {}", refusal.detail
     );
--- a/crates/path/src/sync.rs
+++ b/crates/path/src/sync.rs
@@ -11,8 +11,9 @@
 use hickory_state::follow::{self, Follower};
 use hickory_state::member::{self, Info, Member};
 use hickory_store::store::{Entry, Revision, Store};
+use hickory_telemetry::label::{Fetch, Way};
 use hickory_unit::clock::Clock;
-use hickory_unit::id;
+use hickory_unit::{id, size};
 use http::Method;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -66,6 +67,10 @@
 /// How long a peer may take to answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Answers to peers above this size get a log line: many small ones go around
+/// each second, and a large one is what fills a link.
+const LOGGED: size::Bytes = size::Bytes(16 << 10);
+
 /// The path that peers ask at.
 const PATH: &str = "/items";
 
@@ -221,14 +226,23 @@
             continue;
         }
         match fetch(&core, peer, &query).await {
-            Ok(words) => {
-                log::info!(peer:%, words = words.len(); "items taken over from a peer");
+            Ok((words, size)) => {
+                let took_ms = core.now().saturating_duration_since(now).as_millis() as u64;
+                core.metrics.fetch(Fetch::Taken);
+                core.metrics.fetch_bytes(Way::Taken, size);
+                log::info!(peer:%, words = words.len(), bytes = size.0, took_ms;
+                    "items taken over from a peer");
                 core.update(may_lapse, |items| {
                     let news = words.into_iter().map(|word| items.take(now, word));
                     news.fold(false, |any, one| any | one)
                 });
             }
-            Err(error) => log::warn!(peer:%; "peer gave no items: {error}"),
+            Err(error) => {
+                let took_ms = core.now().saturating_duration_since(now).as_millis() as u64;
+                let behind_ms = core.lag().map_or(0, |lag| lag.time.as_millis() as u64);
+                core.metrics.fetch(Fetch::Failed);
+                log::warn!(peer:%, took_ms, behind_ms; "peer gave no items: {error}");
+            }
         }
         behind_since = None;
     }
@@ -257,14 +271,15 @@
     core: &Core<D, S, C>,
     peer: SocketAddr,
     path: &str,
-) -> Result<Vec<Word>, String> {
+) -> Result<(Vec<Word>, size::Bytes), String> {
     let call = Call { method: Method::GET, path, key: None, body: bytes::Bytes::new() };
     let answer = core.client.exchange(peer, call, PEER_TIMEOUT).await;
     let answer = answer.map_err(|error| error.to_string())?;
     if !answer.status.is_success() {
         return Err(format!("status {}", answer.status));
     }
-    serde_json::from_slice(&answer.body).map_err(|error| error.to_string())
+    let words = serde_json::from_slice(&answer.body).map_err(|error| error.to_string())?;
+    Ok((words, size::Bytes(answer.body.len() as u64)))
 }
 
 /// The answer to a peer: all words after the revisions that it names.
@@ -284,5 +299,22 @@
         words.extend(items.words_after(D::TARGET_PREFIX, targets));
         words
     };
-    serde_json::to_string(&words).map_err(|error| error.to_string())
+    let began = core.now();
+    let body = serde_json::to_string(&words).map_err(|error| error.to_string())?;
+    note_given(core, words.len(), size::Bytes(body.len() as u64), began);
+    Ok(body)
+}
+
+fn note_given<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    words: usize,
+    size: size::Bytes,
+    began: Instant,
+) {
+    core.metrics.fetch(Fetch::Given);
+    core.metrics.fetch_bytes(Way::Given, size);
+    if size > LOGGED {
+        let write_us = core.now().saturating_duration_since(began).as_micros() as u64;
+        log::info!(words, bytes = size.0, write_us; "items given to a peer");
+    }
 }
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -46,8 +46,10 @@
     pub zones_out: HashSet<id::Zone>,
     /// Targets by service.
     pub targets: HashMap<id::Service, Vec<Arc<Target>>>,
+    /// When it was taken over.
+    pub configured: Option<Instant>,
     /// The revision of the configuration's item.
-    config_revision: Revision,
+    pub config_revision: Revision,
 }
 
 impl Target {
@@ -70,9 +72,10 @@
             configuration: self.configuration.clone(),
             zones_out: read_zones::<D>(items),
             targets: HashMap::new(),
+            configured: self.configured,
             config_revision: self.config_revision,
         };
-        next.read_configuration::<D>(items);
+        next.read_configuration::<D>(items, now);
         let before: HashMap<&str, &Arc<Target>> =
             self.targets.values().flatten().map(|target| (target.id.as_str(), target)).collect();
         log_zones(&self.zones_out, &next.zones_out);
@@ -90,7 +93,7 @@
         next
     }
 
-    fn read_configuration<D: Dialect>(&mut self, items: &Items) {
+    fn read_configuration<D: Dialect>(&mut self, items: &Items, now: Instant) {
         let Some(item) = items.get(D::CONFIG_KEY) else { return };
         if item.revision <= self.config_revision {
             return;
@@ -98,8 +101,7 @@
         let Some(text) = &item.value else { return };
         match D::read_configuration(text) {
             Ok(configuration) => {
-                log::info!(version = configuration.version, revision:% = item.revision;
-                    "configuration taken over");
+                self.configured = Some(now);
                 self.configuration = Some(Arc::new(configuration));
                 self.config_revision = item.revision;
             }
--- a/crates/telemetry/src/label.rs
+++ b/crates/telemetry/src/label.rs
@@ -133,6 +133,28 @@
         Failed = "failed",
     }
 
+    /// What came of documents that nodes ask each other for.
+    Fetch {
+        /// Given to a peer.
+        Given = "given",
+        /// A peer was turned away, since the link was busy.
+        TurnedAway = "turned_away",
+        /// Taken from a peer.
+        Taken = "taken",
+        /// A peer that was asked was busy.
+        Busy = "busy",
+        /// A peer gave no answer, or broke off.
+        Failed = "failed",
+    }
+
+    /// The way of a document's bytes.
+    Way {
+        /// To a peer.
+        Given = "given",
+        /// From a peer.
+        Taken = "taken",
+    }
+
     /// The way of a token.
     Direction {
         /// Prompt tokens received.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -4,7 +4,7 @@
 //! the request path is one atomic addition, with no lock and no map.
 
 use crate::label::{
-    Call, Claim, Direction, Length, Order, Orphan, Outcome, Ownership, Permit, Work,
+    Call, Claim, Direction, Fetch, Length, Order, Orphan, Outcome, Ownership, Permit, Way, Work,
 };
 use derive_more::Display;
 use hickory_policy::refuse::{Ran, Reason, Retry};
@@ -31,6 +31,10 @@
 /// milliseconds and is given up on after a second by default.
 const CALL_BOUNDS: &[f64] = &[0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
 
+/// Bounds in seconds of the time in which a node that heard of a new configuration
+/// has it in force; it should be seconds at the most.
+const DELAY_BOUNDS: &[f64] = &[0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 8.0, 15.0, 30.0];
+
 /// A registration that failed: a metric's name stands twice or is malformed.
 #[derive(Debug, Display, derive_more::Error, derive_more::From)]
 #[display("metrics: {_0}")]
@@ -61,6 +65,9 @@
     target_restarts: IntCounter,
     target_silences: IntCounter,
     configuration: IntGauge,
+    configuration_delay: Histogram,
+    fetches: Vec<IntCounter>,
+    fetched: Vec<IntCounter>,
     peers: IntGauge,
 }
 
@@ -169,6 +176,28 @@
                 "configuration_version",
                 "Version of the configuration in force",
             )?,
+            configuration_delay: open_histogram(
+                r,
+                (
+                    "configuration_delay_seconds",
+                    "Time from the first word of newer operators' data to having it in force",
+                ),
+                DELAY_BOUNDS,
+            )?,
+            fetches: open_counters(
+                r,
+                "peer_fetches_total",
+                "What nodes asked each other for, by what came of it",
+                "result",
+                Fetch::ALL,
+            )?,
+            fetched: open_counters(
+                r,
+                "peer_fetch_bytes_total",
+                "Bytes of what nodes asked each other for",
+                "way",
+                Way::ALL,
+            )?,
             peers: open_gauge(r, "peers_connected", "Nodes that this node has a link to")?,
             registry,
         })
@@ -276,6 +305,21 @@
         self.configuration.set(version.0 as i64);
     }
 
+    /// Notes the time from the first word of newer data to having it in force.
+    pub fn configuration_delayed(&self, time: Duration) {
+        self.configuration_delay.observe(time.as_secs_f64());
+    }
+
+    /// Counts what came of a fetch between nodes.
+    pub fn fetch(&self, result: Fetch) {
+        self.fetches[result as usize].inc();
+    }
+
+    /// Counts the bytes of a fetch between nodes.
+    pub fn fetch_bytes(&self, way: Way, bytes: size::Bytes) {
+        self.fetched[way as usize].inc_by(bytes.0);
+    }
+
     /// Sets how many peers this node has a link to.
     pub fn peers(&self, connected: usize) {
         self.peers.set(connected as i64);
