--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -35,8 +35,9 @@
 /// A pause after a failed accept: out of descriptors, most likely.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// The node's sockets.
-pub(crate) struct Sockets {
+/// The listening sockets of a node.
+#[derive(Debug)]
+pub struct Sockets {
     callers: TcpListener,
     ready: TcpListener,
     directory: TcpListener,
@@ -46,7 +47,23 @@
 }
 
 impl Sockets {
-    pub(crate) async fn bind(settings: &Settings) -> io::Result<Self> {
+    /// Binds the addresses of the settings.
+    ///
+    /// # Errors
+    ///
+    /// An address that can't be bound.
+    pub async fn bind(settings: &Settings) -> io::Result<Self> {
+        Self::bind_with(settings, TcpListener::bind(settings.sync).await?).await
+    }
+
+    /// Binds the addresses of the settings, and listens for peers at another
+    /// socket than the one that they are told of: what stands before a host's
+    /// address, as a stand-in of its link does, listens there.
+    ///
+    /// # Errors
+    ///
+    /// An address that can't be bound.
+    pub async fn bind_with(settings: &Settings, sync: TcpListener) -> io::Result<Self> {
         let metrics = match settings.metrics {
             Some(address) => Some(TcpListener::bind(address).await?),
             None => None,
@@ -56,7 +73,7 @@
             callers: TcpListener::bind(settings.callers).await?,
             ready: TcpListener::bind(settings.ready).await?,
             directory: TcpListener::bind(settings.directory).await?,
-            sync: TcpListener::bind(settings.sync).await?,
+            sync,
             peers: Arc::new(UdpSocket::bind(settings.peers).await?),
         })
     }
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -42,6 +42,7 @@
 use hickory_store::store::Store;
 use hickory_telemetry::metrics::Metrics;
 use hickory_unit::clock::Clock;
+pub use intake::Sockets;
 use settings::Settings;
 use std::io;
 use std::sync::Arc;
@@ -58,9 +59,18 @@
     ///
     /// # Errors
     ///
-    /// An address that can't be bound.
+    /// An address that can't be bound, and metrics that can't be opened.
     pub async fn spawn(settings: Settings, store: S, clock: C) -> io::Result<Self> {
-        let sockets = intake::Sockets::bind(&settings).await?;
+        let sockets = Sockets::bind(&settings).await?;
+        Self::serve(settings, sockets, store, clock)
+    }
+
+    /// Starts the node on sockets that are bound, on the current Tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Metrics that can't be opened.
+    pub fn serve(settings: Settings, sockets: Sockets, store: S, clock: C) -> io::Result<Self> {
         let metrics = Metrics::open().map_err(io::Error::other)?;
         let core = Arc::new(Core::open(settings, store, clock, metrics));
         sync::spawn(&core);
