Large values go from node to node in pieces, by what links carry

What callers saw: requests on routes that operators had added were refused with 404, for seconds after the configuration was in the store. 79 nodes, links of 20 Mbit/s, 1,200 routes more (310 KB): the last node had it 4.1 s after the store's word, a second change 5.1 to 9.3 s.

Cause: a broadcast whose unit grows with the document. All nodes asked the three that watch for the whole of it at once; a giver wrote 52 answers in a second for a link that carries eight; each was given up on after 0.7 s by a timeout that doesn't know the size, thrown away and asked for again. 1,218 answers given, 308 taken.

Now a value above 8 KB is told by its outline and fetched in pieces cut by content (fastcdc); what an older version or a giver that broke off has given is kept. A giver takes on only what its link begins within 0.1 s, turns the others away at once and names those that it gave to, so that givers double with each round (policy::spread). What makes progress is never given up on: 0.7 s bound the silence, not the answer. Words come oldest first and in parts of some 24 KB, and targets' words by themselves: the word that one leaves no longer waits behind a configuration. Why it holds: no part of a fetch grows with the document but its number of pieces, and those a link can't carry are never begun.

Paths between nodes changed (/words, /pieces in place of /items): during a rolling change of version, nodes of the two hear each other's beats, and take items from the store or from nodes of their own version.

--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -2,6 +2,7 @@
 
 use crate::books::Books;
 use crate::dialect::Dialect;
+use crate::give::Giving;
 use crate::items::Items;
 use crate::news::{Lag, News};
 use crate::peer::{Event, Peers};
@@ -59,6 +60,7 @@
     pub(crate) member: OnceLock<Member<Metered<S, C>, C>>,
     items: Mutex<Items>,
     news: Mutex<News>,
+    giving: Mutex<Giving>,
     view: RwLock<Arc<View>>,
     books: Mutex<Books>,
     peers: Mutex<Peers>,
@@ -92,6 +94,7 @@
             member: OnceLock::new(),
             items: Mutex::default(),
             news: Mutex::default(),
+            giving: Mutex::default(),
             view: RwLock::default(),
             books: Mutex::default(),
             peers: Mutex::default(),
@@ -141,6 +144,10 @@
         lock(&self.suspects)
     }
 
+    pub(crate) fn giving(&self) -> MutexGuard<'_, Giving> {
+        lock(&self.giving)
+    }
+
     pub(crate) fn items(&self) -> MutexGuard<'_, Items> {
         lock(&self.items)
     }
--- /dev/null
+++ b/crates/path/src/fetch.rs
@@ -0,0 +1,389 @@
+//! Fetching from peers what they know and this node doesn't.
+
+use crate::core::{Core, Stage};
+use crate::dialect::Dialect;
+use crate::give::{PIECES_PATH, TurnedAway, WORDS_PATH};
+use crate::items::Word;
+use crate::peer::Peer;
+use crate::piece::{Gathering, Outline};
+use crate::sync;
+use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
+use hickory_client::{Call, Exchange, Reuse};
+use hickory_policy::spread::{Busy, Choice, Givers};
+use hickory_store::store::{Revision, Store};
+use hickory_telemetry::label::{Fetch, Way};
+use hickory_unit::clock::Clock;
+use hickory_unit::size;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+use tokio_util::codec::{Decoder, LengthDelimitedCodec};
+
+/// Between two looks whether a peer knows more.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// How long a peer must have known more before it is asked by a node that
+/// watches itself: a watch that is well brings the same within milliseconds.
+const WATCH_LAG: Duration = Duration::from_millis(150);
+
+/// How long a peer may be silent: until the head of its answer, and from one
+/// part of it to the next. An answer that goes on is never given up on, however
+/// large it is; a giver takes on only what its link can begin well before this.
+const SILENCE: Duration = Duration::from_millis(700);
+
+/// What is followed of the store's items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Part {
+    /// What operators write.
+    Operator,
+    /// Targets' entries.
+    Targets,
+}
+
+impl Part {
+    fn prefix<D: Dialect>(self) -> &'static str {
+        match self {
+            Self::Operator => D::OPERATOR_PREFIX,
+            Self::Targets => D::TARGET_PREFIX,
+        }
+    }
+
+    fn query(self) -> &'static str {
+        match self {
+            Self::Operator => "operator",
+            Self::Targets => "targets",
+        }
+    }
+
+    fn of_peer(self, peer: &Peer) -> Revision {
+        match self {
+            Self::Operator => peer.operator,
+            Self::Targets => peer.targets,
+        }
+    }
+}
+
+/// What came of asking a peer.
+enum Answer<T> {
+    /// All that it has of what was asked for.
+    Whole(T),
+    /// It is busy, and names others.
+    Busy(Busy, Vec<SocketAddr>),
+    /// Nothing, or not all of it.
+    Failed(String),
+}
+
+/// Follows one part of the items by what peers know.
+struct Follow<D: Dialect, S: Store, C: Clock> {
+    core: Arc<Core<D, S, C>>,
+    part: Part,
+    /// Since when some peer has known more.
+    behind_since: Option<Instant>,
+    givers: Givers<SocketAddr>,
+    /// Pieces of a value that could not be completed yet.
+    kept: Option<(CompactString, Gathering)>,
+}
+
+/// Starts fetching. Each part by itself, so that the word that a target leaves
+/// doesn't wait behind a large configuration.
+pub(crate) fn spawn<D: Dialect, S: Store, C: Clock>(core: &Arc<Core<D, S, C>>) {
+    for part in [Part::Operator, Part::Targets] {
+        let mut follow = Follow {
+            core: core.clone(),
+            part,
+            behind_since: None,
+            givers: Givers::default(),
+            kept: None,
+        };
+        tokio::spawn(async move { follow.run().await });
+    }
+}
+
+impl<D: Dialect, S: Store, C: Clock> Follow<D, S, C> {
+    async fn run(&mut self) {
+        while self.core.stage() != Stage::Closed {
+            tokio::time::sleep(LOOK).await;
+            let now = self.core.now();
+            let ahead = self.find_ahead(now, self.known());
+            if ahead.is_empty() {
+                self.behind_since = None;
+                self.givers = Givers::default();
+                continue;
+            }
+            let since = *self.behind_since.get_or_insert(now);
+            let watches = self.core.view().configuration.is_some() && sync::is_watcher(&self.core);
+            if watches && now.saturating_duration_since(since) < WATCH_LAG {
+                continue;
+            }
+            self.ask_words(&ahead).await;
+        }
+    }
+
+    /// The newest revision that this node knows.
+    fn known(&self) -> Revision {
+        self.core.items().newest(self.part.prefix::<D>())
+    }
+
+    /// Where peers are that know of a revision after this one.
+    fn find_ahead(&self, now: Instant, after: Revision) -> Vec<SocketAddr> {
+        let peers = self.core.peers();
+        let ahead = peers.living(now).filter(|peer| self.part.of_peer(peer) > after);
+        ahead.map(|peer| peer.sync).collect()
+    }
+
+    /// Asks one of those that are ahead for its words, and takes them.
+    async fn ask_words(&mut self, ahead: &[SocketAddr]) {
+        let now = self.core.now();
+        let peer = match self.givers.choose(now, ahead, rand::random()) {
+            Choice::Ask(peer) => peer,
+            Choice::Wait(_) | Choice::Nobody => return,
+        };
+        let path = format!("{WORDS_PATH}?{}={}", self.part.query(), self.known());
+        match fetch_words(&self.core, peer, &path).await {
+            Answer::Whole(words) => {
+                let may_lapse = self.is_store_away(peer);
+                self.take_words(words, may_lapse).await;
+            }
+            Answer::Busy(busy, others) => self.note_busy(peer, busy, &others),
+            Answer::Failed(error) => self.note_failed(peer, now, &error),
+        }
+    }
+
+    /// Whether entries may have lapsed in the outage of a peer's store.
+    fn is_store_away(&self, at: SocketAddr) -> bool {
+        let now = self.core.now();
+        self.core.peers().living(now).any(|peer| peer.sync == at && peer.store_away)
+    }
+
+    /// Takes words, the oldest first. Those behind a value that can't be had yet
+    /// are left, or the node would believe that it has all up to them.
+    async fn take_words(&mut self, words: Vec<Word>, may_lapse: bool) {
+        let mut taken = Vec::new();
+        for word in words {
+            let Some(outline) = word.outline else {
+                taken.push(word);
+                continue;
+            };
+            self.update(std::mem::take(&mut taken), may_lapse);
+            let Some(value) = self.gather(&word.key, word.revision, outline).await else { return };
+            taken.push(Word::whole(word.key, word.revision, Some(value)));
+        }
+        self.update(taken, may_lapse);
+    }
+
+    fn update(&self, words: Vec<Word>, may_lapse: bool) {
+        if words.is_empty() {
+            return;
+        }
+        log::info!(words = words.len(); "items taken over from peers");
+        let now = self.core.now();
+        self.core.update(may_lapse, |items| {
+            let news = words.into_iter().map(|word| items.take(now, word));
+            news.fold(false, |any, one| any | one)
+        });
+    }
+
+    /// Gathers the pieces of a value from those that have it. `None` where it
+    /// can't be had: the peers have a newer one, or are gone.
+    async fn gather(
+        &mut self,
+        key: &CompactString,
+        revision: Revision,
+        outline: Outline,
+    ) -> Option<String> {
+        let began = self.core.now();
+        let mut gathering = self.begin(key, outline);
+        let wanted = gathering.missing().len();
+        loop {
+            if gathering.missing().is_empty() {
+                return self.complete(key, &gathering, wanted, began);
+            }
+            let now = self.core.now();
+            let holders = self.find_ahead(now, Revision(revision.0.saturating_sub(1)));
+            match self.givers.choose(now, &holders, rand::random()) {
+                Choice::Ask(peer) => {
+                    if !self.ask_pieces(peer, key, &mut gathering).await {
+                        break;
+                    }
+                }
+                Choice::Wait(time) => tokio::time::sleep(time.min(LOOK)).await,
+                Choice::Nobody => break,
+            }
+            if self.core.stage() == Stage::Closed {
+                break;
+            }
+        }
+        self.kept = Some((key.clone(), gathering));
+        None
+    }
+
+    fn begin(&mut self, key: &CompactString, outline: Outline) -> Gathering {
+        let kept = self.kept.take().filter(|(kept, _)| kept == key);
+        let items = self.core.items();
+        let older = items.get(key).and_then(|item| item.cut.as_deref());
+        match kept {
+            Some((_, kept)) => kept.turn(outline, older),
+            None => Gathering::open(outline, older),
+        }
+    }
+
+    fn complete(
+        &self,
+        key: &CompactString,
+        gathering: &Gathering,
+        pieces: usize,
+        began: Instant,
+    ) -> Option<String> {
+        let took_ms = self.core.now().saturating_duration_since(began).as_millis() as u64;
+        match gathering.assemble() {
+            Ok(value) => {
+                log::info!(key = key.as_str(), pieces, bytes = value.len(), took_ms;
+                    "value gathered from peers");
+                Some(value)
+            }
+            Err(error) => {
+                log::error!(key = key.as_str(), pieces, took_ms; "value dropped: {error}");
+                None
+            }
+        }
+    }
+
+    /// Asks a peer for the missing pieces; whether to go on with this outline.
+    async fn ask_pieces(&mut self, peer: SocketAddr, key: &str, gathering: &mut Gathering) -> bool {
+        let now = self.core.now();
+        match fetch_pieces(&self.core, peer, key, gathering).await {
+            // What it lacks it has in another version.
+            Answer::Whole(()) => gathering.missing().is_empty(),
+            Answer::Busy(busy, others) => {
+                self.note_busy(peer, busy, &others);
+                true
+            }
+            Answer::Failed(error) => {
+                self.note_failed(peer, now, &error);
+                true
+            }
+        }
+    }
+
+    fn note_busy(&mut self, peer: SocketAddr, busy: Busy, others: &[SocketAddr]) {
+        self.core.metrics.fetch(Fetch::Busy);
+        let others: Vec<SocketAddr> =
+            others.iter().filter(|other| **other != self.core.settings.sync).copied().collect();
+        self.givers.note_busy(self.core.now(), peer, busy, &others, rand::random());
+    }
+
+    fn note_failed(&mut self, peer: SocketAddr, began: Instant, error: &str) {
+        let now = self.core.now();
+        let took_ms = now.saturating_duration_since(began).as_millis() as u64;
+        let behind_ms = self.core.lag().map_or(0, |lag| lag.time.as_millis() as u64);
+        log::warn!(peer:%, took_ms, behind_ms; "peer gave no items: {error}");
+        self.core.metrics.fetch(Fetch::Failed);
+        self.givers.note_failed(now, peer);
+    }
+}
+
+async fn fetch_words<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    peer: SocketAddr,
+    path: &str,
+) -> Answer<Vec<Word>> {
+    let call = Call { method: Method::GET, path, key: None, body: Bytes::new() };
+    let answer = match core.client.exchange(peer, call, SILENCE).await {
+        Ok(answer) => answer,
+        Err(error) => return Answer::Failed(error.to_string()),
+    };
+    core.metrics.fetch_bytes(Way::Taken, size::Bytes(answer.body.len() as u64));
+    match answer.status {
+        StatusCode::OK => match serde_json::from_slice(&answer.body) {
+            Ok(words) => {
+                core.metrics.fetch(Fetch::Taken);
+                Answer::Whole(words)
+            }
+            Err(error) => Answer::Failed(error.to_string()),
+        },
+        StatusCode::SERVICE_UNAVAILABLE => read_busy(&answer.body),
+        status => Answer::Failed(format!("status {status}")),
+    }
+}
+
+fn read_busy<T>(body: &[u8]) -> Answer<T> {
+    match serde_json::from_slice::<TurnedAway>(body) {
+        Ok(TurnedAway { wait_ms, others }) => {
+            Answer::Busy(Busy { wait: Duration::from_millis(wait_ms) }, others)
+        }
+        Err(error) => Answer::Failed(error.to_string()),
+    }
+}
+
+/// Asks a peer for the missing pieces; those that come are kept also where the
+/// answer breaks off.
+async fn fetch_pieces<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    peer: SocketAddr,
+    key: &str,
+    gathering: &mut Gathering,
+) -> Answer<()> {
+    let of: Vec<String> = gathering.missing().iter().map(ToString::to_string).collect();
+    let from = core.settings.sync;
+    let path = format!("{PIECES_PATH}?key={key}&from={from}&of={}", of.join(","));
+    let request = Request::get(path).header(http::header::HOST, peer.to_string());
+    let request = match request.body(Full::default()) {
+        Ok(request) => request,
+        Err(error) => return Answer::Failed(error.to_string()),
+    };
+    let exchange = match timeout(SILENCE, core.client.send(peer, request, Reuse::Any)).await {
+        Ok(Ok(exchange)) => exchange,
+        Ok(Err(error)) => return Answer::Failed(error.to_string()),
+        Err(_) => return Answer::Failed("no answer in time".to_owned()),
+    };
+    match exchange.head.status {
+        StatusCode::OK => read_pieces(core, exchange, gathering).await,
+        StatusCode::SERVICE_UNAVAILABLE => read_refusal(exchange).await,
+        status => Answer::Failed(format!("status {status}")),
+    }
+}
+
+async fn read_refusal(mut exchange: Exchange) -> Answer<()> {
+    match timeout(SILENCE, (&mut exchange.body).collect()).await {
+        Ok(Ok(body)) => {
+            exchange.keep(None);
+            read_busy(&body.to_bytes())
+        }
+        Ok(Err(error)) => Answer::Failed(error.to_string()),
+        Err(_) => Answer::Failed("silent within its answer".to_owned()),
+    }
+}
+
+async fn read_pieces<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    mut exchange: Exchange,
+    gathering: &mut Gathering,
+) -> Answer<()> {
+    let mut codec = LengthDelimitedCodec::new();
+    let mut buffer = BytesMut::new();
+    loop {
+        let frame = match timeout(SILENCE, exchange.body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(error))) => return Answer::Failed(error.to_string()),
+            Ok(None) => break,
+            Err(_) => return Answer::Failed("silent within its answer".to_owned()),
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        core.metrics.fetch_bytes(Way::Taken, size::Bytes(data.len() as u64));
+        buffer.extend_from_slice(&data);
+        loop {
+            match codec.decode(&mut buffer) {
+                Ok(Some(piece)) => gathering.take(piece.freeze()),
+                Ok(None) => break,
+                Err(error) => return Answer::Failed(error.to_string()),
+            };
+        }
+    }
+    exchange.keep(None);
+    core.metrics.fetch(Fetch::Taken);
+    Answer::Whole(())
+}
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -6,7 +6,7 @@
 use crate::dialect::Dialect;
 use crate::reply::{self, Reply};
 use crate::settings::Settings;
-use crate::{entry, serve, sync};
+use crate::{entry, give, serve};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -203,8 +203,5 @@
     core: Arc<Core<D, S, C>>,
     request: Request<Incoming>,
 ) -> Response<Reply> {
-    match sync::answer(&core, request.uri().query().unwrap_or_default()) {
-        Ok(body) => reply::json(StatusCode::OK, body),
-        Err(error) => reply::plain(StatusCode::BAD_REQUEST, &error),
-    }
+    give::answer(&core, request.uri())
 }
--- a/crates/path/src/items.rs
+++ b/crates/path/src/items.rs
@@ -5,6 +5,7 @@
 //! revision of a key is the later word, and a removal is a word like any
 //! other. A node that the store turns away stays up to date by its peers.
 
+use crate::piece::{Cut, Outline};
 use compact_str::CompactString;
 use hickory_store::store::{Entry, Revision};
 use serde::{Deserialize, Serialize};
@@ -18,8 +19,17 @@
 /// with items of before; some hundred bytes each.
 const REMOVAL_KEPT: Duration = Duration::from_secs(600);
 
+/// Values up to this size go whole from node to node, greater ones in pieces:
+/// an answer must be short enough to end in time over a link that others use
+/// as well.
+const WHOLE_MOST: usize = 8 << 10;
+
+/// Bytes of values in one answer to a peer, for the same reason. The rest
+/// follows in the next answer.
+const ANSWER_MOST: usize = 24 << 10;
+
 /// What the store last said of a key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct Item {
     /// The revision of that word.
     pub revision: Revision,
@@ -27,6 +37,17 @@
     pub value: Option<Arc<str>>,
     /// When this node learned of it.
     pub seen: Instant,
+    /// The pieces of a large value.
+    pub cut: Option<Arc<Cut>>,
+}
+
+impl Item {
+    fn of(word: Word, seen: Instant) -> Self {
+        let value: Option<Arc<str>> = word.value.map(Arc::from);
+        let large = value.as_ref().filter(|value| value.len() > WHOLE_MOST);
+        let cut = large.map(|value| Arc::new(Cut::of(value.clone())));
+        Self { revision: word.revision, value, seen, cut }
+    }
 }
 
 /// An item on its way between nodes.
@@ -36,8 +57,26 @@
     pub key: CompactString,
     /// The revision.
     pub revision: Revision,
-    /// The value; `None` where the key was removed.
+    /// The value; `None` where the key was removed, or where there is an outline.
     pub value: Option<String>,
+    /// What a large value consists of: its pieces are fetched by themselves.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub outline: Option<Outline>,
+}
+
+impl Word {
+    /// A word that has all that it says.
+    pub fn whole(key: CompactString, revision: Revision, value: Option<String>) -> Self {
+        Self { key, revision, value, outline: None }
+    }
+
+    fn of(key: &CompactString, item: &Item) -> Self {
+        let (value, outline) = match &item.cut {
+            Some(cut) => (None, Some(cut.outline().clone())),
+            None => (item.value.as_deref().map(str::to_owned), None),
+        };
+        Self { key: key.clone(), revision: item.revision, value, outline }
+    }
 }
 
 /// Items by key.
@@ -49,16 +88,15 @@
 impl Items {
     /// Takes a word; whether it was news.
     pub fn take(&mut self, now: Instant, word: Word) -> bool {
-        let item = Item { revision: word.revision, value: word.value.map(Arc::from), seen: now };
-        match self.items.entry(word.key) {
+        match self.items.entry(word.key.clone()) {
             btree_map::Entry::Vacant(vacant) => {
-                vacant.insert(item);
+                vacant.insert(Item::of(word, now));
                 true
             }
             btree_map::Entry::Occupied(mut known) => {
-                let newer = item.revision > known.get().revision;
+                let newer = word.revision > known.get().revision;
                 if newer {
-                    known.insert(item);
+                    known.insert(Item::of(word, now));
                 }
                 newer
             }
@@ -85,11 +123,11 @@
             .collect();
         let mut news = false;
         for key in gone {
-            news |= self.take(now, Word { key, revision: at, value: None });
+            news |= self.take(now, Word::whole(key, at, None));
         }
         for entry in entries {
             let (key, value) = (CompactString::from(&entry.key), Some(entry.value.clone()));
-            news |= self.take(now, Word { key, revision: entry.revision, value });
+            news |= self.take(now, Word::whole(key, entry.revision, value));
         }
         let is_kept = |item: &Item| {
             item.value.is_some() || now.saturating_duration_since(item.seen) < REMOVAL_KEPT
@@ -115,15 +153,25 @@
         self.with_prefix(prefix).map(|(_, item)| item.revision).max().unwrap_or_default()
     }
 
-    /// All words under a prefix after a revision.
+    /// Words under a prefix after a revision, the oldest first, as many as go into
+    /// one answer. Whoever takes them in this order has all words up to the last
+    /// one that it took, and asks for the next ones from there.
     pub fn words_after(&self, prefix: &str, after: Revision) -> Vec<Word> {
-        self.with_prefix(prefix)
-            .filter(|(_, item)| item.revision > after)
-            .map(|(key, item)| Word {
-                key: key.clone(),
-                revision: item.revision,
-                value: item.value.as_deref().map(str::to_owned),
-            })
-            .collect()
+        let newer = self.with_prefix(prefix).filter(|(_, item)| item.revision > after);
+        let mut newer: Vec<_> = newer.collect();
+        newer.sort_by_key(|(_, item)| item.revision);
+        let (mut words, mut bytes) = (Vec::new(), 0);
+        for (key, item) in newer {
+            // Words of one revision stay together: what lies behind the last
+            // revision that is known is never asked for again.
+            let begins = words.last().is_none_or(|last: &Word| last.revision < item.revision);
+            if begins && bytes > ANSWER_MOST {
+                break;
+            }
+            let word = Word::of(key, item);
+            bytes += key.len() + word.value.as_deref().map_or(0, str::len);
+            words.push(word);
+        }
+        words
     }
 }
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -4,8 +4,8 @@
 //! ([`demand`]), matched to a route and an account ([`config`]), placed on
 //! targets by what all nodes have told of their work ([`books`]), sent
 //! ([`attempt`]), and relayed ([`serve`], [`stream`]). What a node believes
-//! comes from the store ([`sync`]) and from its peers ([`peer`]), merged by
-//! revision ([`items`]) and read as one [`view`].
+//! comes from the store ([`sync`]) and from its peers ([`peer`], [`fetch`],
+//! [`give`], large values in pieces by [`piece`]), merged by revision ([`items`]) and read as one [`view`].
 
 pub mod attempt;
 pub mod books;
@@ -17,12 +17,15 @@
 pub mod dialect;
 mod drain;
 mod entry;
+mod fetch;
+mod give;
 mod intake;
 pub mod items;
 mod known;
 mod news;
 pub mod outage;
 mod peer;
+pub mod piece;
 mod place;
 mod record;
 mod refusal;
@@ -74,6 +77,7 @@
         let metrics = Metrics::open().map_err(io::Error::other)?;
         let core = Arc::new(Core::open(settings, store, clock, metrics));
         sync::spawn(&core);
+        fetch::spawn(&core);
         peer::spawn(&core, sockets.peers.clone());
         intake::spawn(&core, sockets);
         Ok(Self { core })
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -1,13 +1,18 @@
 //! Answers to callers.
 
-use bytes::Bytes;
+use crate::piece::{self, Cut};
+use bytes::{Bytes, BytesMut};
+use hickory_unit::size;
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
+use std::collections::VecDeque;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio_util::codec::{Encoder, LengthDelimitedCodec};
 
 /// A stream that ended before its last event. The connection is closed on it,
 /// so that what the caller has does not look complete.
@@ -17,6 +22,36 @@
 
 impl std::error::Error for Broken {}
 
+/// Pieces of a value, each with its length before it. They are written as the
+/// connection takes them, so that a large value is not copied as a whole for
+/// each peer that asks for it.
+#[derive(Debug)]
+pub struct Pieces {
+    cut: Arc<Cut>,
+    left: VecDeque<piece::Id>,
+}
+
+impl Pieces {
+    /// Those of the named pieces that the value has.
+    pub(crate) fn of(cut: Arc<Cut>, pieces: &[piece::Id]) -> Self {
+        let left = pieces.iter().copied().filter(|id| cut.piece(*id).is_some()).collect();
+        Self { cut, left }
+    }
+
+    /// Their bytes.
+    pub(crate) fn size(&self) -> size::Bytes {
+        let pieces = self.left.iter().filter_map(|id| self.cut.piece(*id));
+        size::Bytes(pieces.map(|piece| piece.len() as u64).sum())
+    }
+
+    fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        let piece = self.cut.piece(self.left.pop_front()?)?;
+        let mut frame = BytesMut::new();
+        let written = LengthDelimitedCodec::new().encode(Bytes::copy_from_slice(piece), &mut frame);
+        Some(written.map(|()| frame.freeze()).map_err(|_| Broken))
+    }
+}
+
 /// The body of an answer.
 #[derive(Debug)]
 pub enum Reply {
@@ -24,6 +59,8 @@
     Whole(Full<Bytes>),
     /// A stream.
     Events(mpsc::Receiver<Result<Bytes, Broken>>),
+    /// Pieces of a value, for a peer.
+    Pieces(Pieces),
 }
 
 impl Body for Reply {
@@ -43,20 +80,21 @@
                 let event = ready!(events.poll_recv(cx));
                 Poll::Ready(event.map(|event| event.map(Frame::data)))
             }
+            Self::Pieces(pieces) => Poll::Ready(pieces.next().map(|piece| piece.map(Frame::data))),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(body) => body.is_end_stream(),
-            Self::Events(_) => false,
+            Self::Events(_) | Self::Pieces(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(body) => body.size_hint(),
-            Self::Events(_) => SizeHint::default(),
+            Self::Events(_) | Self::Pieces(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -1,7 +1,7 @@
 //! What a node is told when it starts, in the product's terms.
 
 use hickory_policy::share;
-use hickory_unit::id;
+use hickory_unit::{id, rate};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -22,6 +22,8 @@
     pub sync: SocketAddr,
     /// Where other nodes send datagrams.
     pub peers: SocketAddr,
+    /// The rate of the host's link, where it is told.
+    pub link: Option<rate::BytesPerSecond>,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
     /// Where other nodes may be found at the start.
@@ -46,3 +48,14 @@
     /// How long memory may be reserved at a time.
     pub hold: Duration,
 }
+
+/// A link of which nothing is told counts as a slow one: on a faster one, peers
+/// are given large values a little later than could be.
+const LINK_UNTOLD: rate::BytesPerSecond = rate::BytesPerSecond(2_500_000.0);
+
+impl Settings {
+    /// The rate of the host's link.
+    pub fn link(&self) -> rate::BytesPerSecond {
+        self.link.filter(|link| link.0 > 0.0).unwrap_or(LINK_UNTOLD)
+    }
+}
--- a/crates/path/src/sync.rs
+++ b/crates/path/src/sync.rs
@@ -1,23 +1,17 @@
-//! Keeping the items up to date: from the store's watches, and from peers
-//! where the store turns this node away.
+//! Keeping the items up to date from the store's watches.
 
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
-use crate::items::Word;
 use crate::outage::Outage;
-use crate::peer::Peer;
 use crate::watcher::{Candidate, leads, watches};
-use hickory_client::Call;
 use hickory_state::follow::{self, Follower};
 use hickory_state::member::{self, Info, Member};
-use hickory_store::store::{Entry, Revision, Store};
-use hickory_telemetry::label::{Fetch, Way};
+use hickory_store::store::{Entry, Store};
 use hickory_unit::clock::Clock;
-use hickory_unit::{id, size};
-use http::Method;
+use hickory_unit::id;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Time to live of the registration by which nodes find each other at the
 /// start; that a node is alive is told by its datagrams.
@@ -29,14 +23,9 @@
 /// at most. Three nodes make six such calls a second.
 const WATCH_WAIT: Duration = Duration::from_secs(1);
 
-/// Between two looks whether a peer knows more, and whether it is this node's
-/// turn to watch.
+/// Between two looks whether it is this node's turn to watch.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// How long a peer must have known more before it is asked by a node that
-/// watches itself: a watch that is well brings the same within milliseconds.
-const LAG: Duration = Duration::from_millis(150);
-
 /// How long others must have been watching before this node stops.
 const RELIEVED: Duration = Duration::from_secs(1);
 
@@ -64,23 +53,12 @@
 /// Between two looks for registered nodes while no node is heard.
 const FIND: Duration = Duration::from_secs(2);
 
-/// How long a peer may take to answer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(700);
-
-/// Answers to peers above this size get a log line: many small ones go around
-/// each second, and a large one is what fills a link.
-const LOGGED: size::Bytes = size::Bytes(16 << 10);
-
-/// The path that peers ask at.
-const PATH: &str = "/items";
-
-/// Starts following the store and the peers.
+/// Starts following the store.
 pub(crate) fn spawn<D: Dialect, S: Store, C: Clock>(core: &Arc<Core<D, S, C>>) {
     for prefix in [D::OPERATOR_PREFIX, D::TARGET_PREFIX] {
         tokio::spawn(watch_store(core.clone(), prefix));
     }
     tokio::spawn(find_nodes(core.clone()));
-    tokio::spawn(follow_peers(core.clone()));
 }
 
 /// Registers this node while it is one of those that watch, so that nodes which
@@ -146,7 +124,7 @@
     }
 }
 
-fn is_watcher<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> bool {
+pub(crate) fn is_watcher<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> bool {
     has_part(core, watches)
 }
 
@@ -210,111 +188,3 @@
     })
     .await;
 }
-
-/// Fetches from peers what they know and this node doesn't.
-async fn follow_peers<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
-    let mut behind_since: Option<Instant> = None;
-    while core.stage() != Stage::Closed {
-        tokio::time::sleep(LOOK).await;
-        let now = core.now();
-        let Some((peer, may_lapse, query)) = find_ahead(&core, now) else {
-            behind_since = None;
-            continue;
-        };
-        let watches = core.view().configuration.is_some() && is_watcher(&core);
-        if watches && now.saturating_duration_since(*behind_since.get_or_insert(now)) < LAG {
-            continue;
-        }
-        match fetch(&core, peer, &query).await {
-            Ok((words, size)) => {
-                let took_ms = core.now().saturating_duration_since(now).as_millis() as u64;
-                core.metrics.fetch(Fetch::Taken);
-                core.metrics.fetch_bytes(Way::Taken, size);
-                log::info!(peer:%, words = words.len(), bytes = size.0, took_ms;
-                    "items taken over from a peer");
-                core.update(may_lapse, |items| {
-                    let news = words.into_iter().map(|word| items.take(now, word));
-                    news.fold(false, |any, one| any | one)
-                });
-            }
-            Err(error) => {
-                let took_ms = core.now().saturating_duration_since(now).as_millis() as u64;
-                let behind_ms = core.lag().map_or(0, |lag| lag.time.as_millis() as u64);
-                core.metrics.fetch(Fetch::Failed);
-                log::warn!(peer:%, took_ms, behind_ms; "peer gave no items: {error}");
-            }
-        }
-        behind_since = None;
-    }
-}
-
-/// A peer that knows more, whether entries may have lapsed in its store's
-/// outage, and what to ask it.
-fn find_ahead<D: Dialect, S: Store, C: Clock>(
-    core: &Core<D, S, C>,
-    now: Instant,
-) -> Option<(SocketAddr, bool, String)> {
-    let (operator, targets) = {
-        let items = core.items();
-        (items.newest(D::OPERATOR_PREFIX), items.newest(D::TARGET_PREFIX))
-    };
-    let peers = core.peers();
-    let ahead = peers.living(now).filter(|p| p.operator > operator || p.targets > targets);
-    let ahead: Vec<&Peer> = ahead.collect();
-    // Any of them, so that what one watcher brings goes from node to node and
-    // not through the watcher's link to all.
-    let ahead = ahead.get(rand::random_range(0..ahead.len().max(1)))?;
-    Some((ahead.sync, ahead.store_away, format!("{PATH}?operator={operator}&targets={targets}")))
-}
-
-async fn fetch<D: Dialect, S: Store, C: Clock>(
-    core: &Core<D, S, C>,
-    peer: SocketAddr,
-    path: &str,
-) -> Result<(Vec<Word>, size::Bytes), String> {
-    let call = Call { method: Method::GET, path, key: None, body: bytes::Bytes::new() };
-    let answer = core.client.exchange(peer, call, PEER_TIMEOUT).await;
-    let answer = answer.map_err(|error| error.to_string())?;
-    if !answer.status.is_success() {
-        return Err(format!("status {}", answer.status));
-    }
-    let words = serde_json::from_slice(&answer.body).map_err(|error| error.to_string())?;
-    Ok((words, size::Bytes(answer.body.len() as u64)))
-}
-
-/// The answer to a peer: all words after the revisions that it names.
-pub(crate) fn answer<D: Dialect, S: Store, C: Clock>(
-    core: &Core<D, S, C>,
-    query: &str,
-) -> Result<String, String> {
-    let read = |name: &str| {
-        let value = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
-        let value = value.ok_or_else(|| format!("query {name}: missing"))?;
-        value.parse().map(Revision).map_err(|error| format!("query {name}: {error}"))
-    };
-    let (operator, targets) = (read("operator")?, read("targets")?);
-    let words = {
-        let items = core.items();
-        let mut words = items.words_after(D::OPERATOR_PREFIX, operator);
-        words.extend(items.words_after(D::TARGET_PREFIX, targets));
-        words
-    };
-    let began = core.now();
-    let body = serde_json::to_string(&words).map_err(|error| error.to_string())?;
-    note_given(core, words.len(), size::Bytes(body.len() as u64), began);
-    Ok(body)
-}
-
-fn note_given<D: Dialect, S: Store, C: Clock>(
-    core: &Core<D, S, C>,
-    words: usize,
-    size: size::Bytes,
-    began: Instant,
-) {
-    core.metrics.fetch(Fetch::Given);
-    core.metrics.fetch_bytes(Way::Given, size);
-    if size > LOGGED {
-        let write_us = core.now().saturating_duration_since(began).as_micros() as u64;
-        log::info!(words, bytes = size.0, write_us; "items given to a peer");
-    }
-}
--- a/crates/path/tests/items.rs
+++ b/crates/path/tests/items.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 fn word(key: &str, revision: u64, value: Option<&str>) -> Word {
-    Word { key: key.into(), revision: Revision(revision), value: value.map(str::to_owned) }
+    Word::whole(key.into(), Revision(revision), value.map(str::to_owned))
 }
 
 fn value(items: &Items, key: &str) -> Option<String> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,7 +4,9 @@
 //! A request meets [`cost`], [`place`], [`limit`] (with [`fair`], [`room`],
 //! [`ramp`] and [`pace`] behind it), then [`retry`] and [`poison`];
 //! [`reserve`] and [`preempt`] serve the long prompts, [`layout`] the weights
-//! on engines. [`survey`] is what logs say of a choice. [`baseline`] is what all this is measured against.
+//! on engines. [`spread`] is how a large document goes from node to node.
+//! [`survey`] is what logs say of a choice. [`baseline`] is what all this is
+//! measured against.
 
 pub mod ask;
 pub mod baseline;
@@ -27,4 +29,5 @@
 pub mod retry;
 pub mod room;
 pub mod share;
+pub mod spread;
 pub mod survey;
--- /dev/null
+++ b/crates/policy/src/spread.rs
@@ -0,0 +1,180 @@
+//! How a large document spreads from node to node.
+//!
+//! Load: operators write a configuration of hundreds of kilobytes. A few nodes
+//! hear it from the store, and all others want it of them at the same moment,
+//! over links that carry a few copies a second. Harm prevented: a node that
+//! gives to all at once gives to none in time; those who wait give up and begin
+//! anew, what was sent to them is lost, and the fleet stays on the old
+//! configuration for as long as that goes on.
+//!
+//! So a node takes on only what its link sends within a moment ([`Meter`]), and
+//! names those it gave to before ([`Given`]) to those it turns away. Whoever
+//! was given the whole gives it on: the givers double with each round, and the
+//! last of `n` nodes has it after the logarithm of `n` rounds. Those who ask
+//! go to any giver that is not known to be busy ([`Givers`]).
+
+use hickory_unit::rate;
+use hickory_unit::size::Bytes;
+use std::collections::{HashMap, VecDeque};
+use std::hash::Hash;
+use std::time::{Duration, Instant};
+
+/// The part of a node's link that it gives documents with; the rest is for its
+/// callers' answers.
+const LINK_SHARE: f64 = 0.75;
+
+/// Answers up to this size are always taken on: the word that a target leaves
+/// must not wait behind a document.
+const SMALL: Bytes = Bytes(2 << 10);
+
+/// How long what was taken on may keep the link busy before one more is turned
+/// away. Whoever is admitted waits this long for its first byte, which has to
+/// be far below the time after which it would take the giver for silent.
+const BACKLOG_MOST: Duration = Duration::from_millis(100);
+
+/// The longest that one is told to wait before it asks the same giver again:
+/// others have the document by then.
+const WAIT_MOST: Duration = Duration::from_millis(400);
+
+/// Nodes named to one that is turned away.
+const NAMED: usize = 6;
+
+/// What a node has taken on to send.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Meter {
+    free_at: Option<Instant>,
+}
+
+/// An answer that was taken on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Admission {
+    /// How long until the link has sent it.
+    pub sent_in: Duration,
+}
+
+/// An answer that was not taken on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Busy {
+    /// How long until it may be asked for again.
+    pub wait: Duration,
+}
+
+impl Meter {
+    /// Takes on an answer of this size, if the link can begin it soon.
+    ///
+    /// What was taken on counts by the time that the link needs for it, and
+    /// not until its end: one who asks and then stops reading takes a place
+    /// only for as long as others would have needed it.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        size: Bytes,
+        link: rate::BytesPerSecond,
+    ) -> Result<Admission, Busy> {
+        let free_at = self.free_at.map_or(now, |at| at.max(now));
+        let backlog = free_at - now;
+        if size > SMALL && backlog > BACKLOG_MOST {
+            return Err(Busy { wait: (backlog - BACKLOG_MOST).min(WAIT_MOST) });
+        }
+        let takes = link.time_for(size).div_f64(LINK_SHARE);
+        self.free_at = Some(free_at + takes);
+        Ok(Admission { sent_in: backlog + takes })
+    }
+}
+
+/// The nodes that were given a document lately, which can give it on.
+#[derive(Clone, Debug)]
+pub struct Given<K> {
+    /// With the time at which each has it, the oldest first.
+    nodes: VecDeque<(Instant, K)>,
+}
+
+impl<K> Default for Given<K> {
+    fn default() -> Self {
+        Self { nodes: VecDeque::new() }
+    }
+}
+
+impl<K: Clone + PartialEq> Given<K> {
+    /// Notes a node that will have the document at `at`.
+    pub fn note(&mut self, at: Instant, node: K) {
+        self.nodes.retain(|(_, known)| *known != node);
+        self.nodes.push_back((at, node));
+        if self.nodes.len() > NAMED * 2 {
+            self.nodes.pop_front();
+        }
+    }
+
+    /// The latest of those that have it by now.
+    pub fn name(&self, now: Instant) -> Vec<K> {
+        let done = self.nodes.iter().rev().filter(|(at, _)| *at <= now);
+        done.take(NAMED).map(|(_, node)| node.clone()).collect()
+    }
+
+    /// Forgets all: the document has changed.
+    pub fn clear(&mut self) {
+        self.nodes.clear();
+    }
+}
+
+/// What one who wants a document does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice<K> {
+    /// Asks this node.
+    Ask(K),
+    /// All that are known to have it are busy: looks again after this time.
+    Wait(Duration),
+    /// None is known to have it.
+    Nobody,
+}
+
+/// Who can give a document, as one who wants it knows them.
+#[derive(Clone, Debug)]
+pub struct Givers<K> {
+    named: Vec<K>,
+    busy_until: HashMap<K, Instant>,
+}
+
+impl<K> Default for Givers<K> {
+    fn default() -> Self {
+        Self { named: Vec::new(), busy_until: HashMap::new() }
+    }
+}
+
+/// How long a giver that failed is left alone while there are others.
+const FAILED_FOR: Duration = Duration::from_secs(1);
+
+impl<K: Copy + Eq + Hash> Givers<K> {
+    /// Notes that a giver is busy and whom it named in its place. `random` is
+    /// from 0 to 1: those who were turned away together come back apart.
+    pub fn note_busy(&mut self, now: Instant, giver: K, busy: Busy, others: &[K], random: f64) {
+        self.busy_until.insert(giver, now + busy.wait.mul_f64(1.0 + random));
+        for other in others {
+            if !self.named.contains(other) {
+                self.named.push(*other);
+            }
+        }
+    }
+
+    /// Notes a giver that gave no answer, or broke off.
+    pub fn note_failed(&mut self, now: Instant, giver: K) {
+        self.busy_until.insert(giver, now + FAILED_FOR);
+    }
+
+    /// Whom to ask next, of those that are `heard` to have the document and
+    /// those that were named. `random` is from 0 to 1.
+    pub fn choose(&self, now: Instant, heard: &[K], random: f64) -> Choice<K> {
+        let named = self.named.iter().filter(|node| !heard.contains(node));
+        let all: Vec<K> = heard.iter().chain(named).copied().collect();
+        let wait = |node: &K| {
+            let until = self.busy_until.get(node);
+            until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+        };
+        let free: Vec<K> = all.iter().copied().filter(|node| wait(node).is_zero()).collect();
+        if !free.is_empty() {
+            let place = (random * free.len() as f64) as usize;
+            return Choice::Ask(free[place.min(free.len() - 1)]);
+        }
+        all.iter().map(wait).min().map_or(Choice::Nobody, Choice::Wait)
+    }
+}
--- a/crates/unit/src/rate.rs
+++ b/crates/unit/src/rate.rs
@@ -18,3 +18,22 @@
         Duration::try_from_secs_f64(tokens.0 as f64 / self.0).unwrap_or(Duration::MAX)
     }
 }
+
+/// Bytes per second.
+#[derive(
+    Clone, Copy, Debug, Default, Display, FromStr, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct BytesPerSecond(pub f64);
+
+impl BytesPerSecond {
+    /// The rate of a link of so many megabits a second.
+    pub fn of_megabits(megabits: f64) -> Self {
+        Self(megabits * 1e6 / 8.0)
+    }
+
+    /// How long `bytes` take at this rate; [`Duration::MAX`] at rate zero.
+    pub fn time_for(self, bytes: size::Bytes) -> Duration {
+        Duration::try_from_secs_f64(bytes.0 as f64 / self.0).unwrap_or(Duration::MAX)
+    }
+}
