A node that knows itself behind doesn't refuse for good

What callers saw: a 404 on a route, or a 401 with a key, that operators had allowed seconds before, from a node that had heard of the newer configuration and did not have it yet. Callers don't come back after such an answer.

Cause: routes and keys were looked up in the configuration at hand, whatever the node had heard since. It is a fault of its own: anything that keeps a node behind (a cut link, a store that turns it away) brings it about.

Now such a request waits for the newer configuration, 0.8 s or a quarter of its caller's time at most, and is looked up again; then it is refused with 503, reason "behind", and half a second to wait: true, since it has not run, and another node is likely to know. The same for a body that the old limits refuse. Weighed against it: passing the request on to a node that knows needs a second request path; leaving the answers to where to connect would send all callers to the few that watch. A node that is not behind answers 404 as before, at once.

--- a/crates/path/src/serve.rs
+++ b/crates/path/src/serve.rs
@@ -31,6 +31,13 @@
 /// store. Outages last seconds, and callers come back only once or twice.
 const NOT_READY_RETRY: Duration = Duration::from_secs(2);
 
+/// How long a request waits for a newer configuration that the node has heard
+/// of: large ones take about a second. Less where its caller has less time.
+const BEHIND_WAIT: Duration = Duration::from_millis(800);
+
+/// When to come back to a node that is behind, or to another one.
+const BEHIND_RETRY: Duration = Duration::from_millis(500);
+
 /// When to come back to another node than one that is stopping.
 const DRAINING_RETRY: Duration = Duration::from_millis(20);
 
@@ -71,22 +78,83 @@
     let (parts, body) = request.into_parts();
     let demand = D::read_demand(&parts)
         .map_err(|finding| Refusal::new(Reason::BadHeader, finding.to_string()))?;
-    let route = configuration.find_route(&demand.host, parts.uri.path()).cloned();
-    let route = route.ok_or_else(|| Refusal::new(Reason::NotFound, "no such route"))?;
+    let entitled = wait_entitled(core, arrived, configuration, parts.uri.path(), &demand).await?;
+    let Entitled { configuration, route, account } = entitled;
     // A stream that begins this late would be cut by the stop; its caller is
     // better served by another node, and asks for one after this answer.
     if route.kind.is_stream() && core.draining_for().is_some_and(|time| time > NAMED) {
         let refusal = Refusal::new(Reason::Draining, "this node is stopping");
         return Err(refusal.after(DRAINING_RETRY));
     }
-    let account = find_account(&configuration, &route, &demand)?;
-    let body = read_body(body, configuration.limits.body).await?;
+    let body = read_body(body, configuration.limits.body).await;
+    let body = body.map_err(|refusal| defer(core, refusal))?;
     let time = demand.time_left.map_or(route.timeout, |time| time.min(route.timeout));
     let message = Message { method: parts.method, uri: parts.uri, headers: parts.headers, body };
     let deadline = arrived + time;
     Ok(Job { configuration, route, account, demand, message, arrived, deadline })
 }
 
+/// What entitles a request to be run.
+struct Entitled {
+    configuration: Arc<Configuration>,
+    route: Arc<Route>,
+    account: Option<Arc<Account>>,
+}
+
+/// Finds the route and the account of a request.
+///
+/// A node that knows itself behind waits a little for the newer configuration:
+/// by the old one it would refuse for good what operators have just allowed,
+/// and callers don't come back after that.
+async fn wait_entitled<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    arrived: Instant,
+    mut configuration: Arc<Configuration>,
+    path: &str,
+    demand: &Demand,
+) -> Result<Entitled, Refusal> {
+    let patience = demand.time_left.map_or(BEHIND_WAIT, |time| BEHIND_WAIT.min(time / 4));
+    loop {
+        let refusal = match find_entitled(&configuration, path, demand) {
+            Ok(entitled) => return Ok(entitled),
+            Err(refusal) => refusal,
+        };
+        let is_behind = core.lag().is_some();
+        let newest = core.view().configuration.clone().unwrap_or_else(|| configuration.clone());
+        if !Arc::ptr_eq(&newest, &configuration) {
+            configuration = newest;
+            continue;
+        }
+        let waited = core.now().saturating_duration_since(arrived);
+        if !is_behind || waited > patience {
+            return Err(defer(core, refusal));
+        }
+        tokio::time::sleep(START_LOOK).await;
+    }
+}
+
+fn find_entitled(
+    configuration: &Arc<Configuration>,
+    path: &str,
+    demand: &Demand,
+) -> Result<Entitled, Refusal> {
+    let route = configuration.find_route(&demand.host, path).cloned();
+    let route = route.ok_or_else(|| Refusal::new(Reason::NotFound, "no such route"))?;
+    let account = find_account(configuration, &route, demand)?;
+    Ok(Entitled { configuration: configuration.clone(), route, account })
+}
+
+/// A refusal by the configuration, which is not for good where a newer one is
+/// known to be in force.
+fn defer<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>, refusal: Refusal) -> Refusal {
+    let by_configuration =
+        matches!(refusal.reason, Reason::NotFound | Reason::Unauthenticated | Reason::TooLarge);
+    if by_configuration && core.lag().is_some() {
+        return Refusal::new(Reason::Behind, refusal.detail).after(BEHIND_RETRY);
+    }
+    refusal
+}
+
 /// The configuration in force; the first one is waited for a little.
 async fn wait_configuration<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
--- a/crates/policy/src/refuse.rs
+++ b/crates/policy/src/refuse.rs
@@ -68,6 +68,9 @@
     Quarantined = "quarantined", 422;
     /// The node has no configuration yet.
     NotReady = "not-ready", 503;
+    /// The node has heard of a newer configuration than the one it has, by which
+    /// the request has no route, account or room.
+    Behind = "behind", 503;
     /// The node is stopping.
     Draining = "draining", 503;
     /// The queue is too long for the deadline.
