A store's or peer's answer that goes on is read to its end

What callers would see: 503 from a node that starts, or refusals by an old configuration, although the store answers. The same cause as of the refused requests, elsewhere: Client::exchange bounded the whole answer by one timeout, so that a megabyte of configuration (1.33 MB as the store sends it, 0.53 s of a free link of 20 Mbit/s) beside other traffic is given up on after a second, thrown away and asked for again, and the store is taken for away.

Now the timeout bounds the head, and the silence from one part to the next; in all an answer may take ten times as long, so that one which trickles holds nobody for good.

--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -10,7 +10,7 @@
 mod exchange;
 mod pool;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use connection::Connection;
 use derive_more::Display;
 pub use exchange::{Exchange, Reuse};
@@ -65,6 +65,10 @@
     silence: Duration,
 }
 
+/// How much longer than a silence a whole answer may take: one that comes a byte
+/// now and then must not hold its caller for good.
+const ANSWER_SILENCES: u32 = 10;
+
 /// How long sent bytes may stay unacknowledged where nothing else is asked
 /// for; longer than any timeout that callers put on their calls.
 const SILENCE: Duration = Duration::from_secs(10);
@@ -87,7 +91,12 @@
         self.pool.clear(at);
     }
 
-    /// Makes a call and reads the answer whole, within `timeout`.
+    /// Makes a call and reads the answer whole.
+    ///
+    /// The head of the answer has to come within `timeout`, and then each part
+    /// of it within `timeout` of the one before: a bound on the whole answer
+    /// would give up on large ones that a slow link carries steadily, and what
+    /// came of them would be lost. In all it may take ten times as long.
     ///
     /// The connection is used again only after an answer that came whole and
     /// in time, so that a late answer is never taken for that of a later
@@ -100,13 +109,7 @@
         call: Call<'_>,
         timeout: Duration,
     ) -> Result<Answer, Error> {
-        let written = AtomicBool::new(false);
-        let exchange = self.exchange_on_any(at, call, &written);
-        let result = match tokio::time::timeout(timeout, exchange).await {
-            Ok(result) => result,
-            Err(_) if written.load(Ordering::Relaxed) => Err(Error::Unknown("timeout".into())),
-            Err(_) => Err(Error::NotSent("timeout".into())),
-        };
+        let result = self.exchange_within(at, call, timeout).await;
         if result.is_err() {
             self.pool.clear(at);
         }
@@ -129,12 +132,37 @@
         })
     }
 
-    async fn exchange_on_any(
+    async fn exchange_within(
         &self,
         at: SocketAddr,
         call: Call<'_>,
-        written: &AtomicBool,
+        timeout: Duration,
     ) -> Result<Answer, Error> {
+        let written = AtomicBool::new(false);
+        let head = self.send_on_any(at, call, &written);
+        let (connection, response) = match tokio::time::timeout(timeout, head).await {
+            Ok(result) => result?,
+            Err(_) if written.load(Ordering::Relaxed) => {
+                return Err(Error::Unknown("timeout".into()));
+            }
+            Err(_) => return Err(Error::NotSent("timeout".into())),
+        };
+        let status = response.status();
+        let whole = read_whole(response.into_body(), timeout);
+        let body = match tokio::time::timeout(timeout * ANSWER_SILENCES, whole).await {
+            Ok(body) => body?,
+            Err(_) => return Err(Error::Unknown("the answer takes too long".into())),
+        };
+        self.pool.put(at, connection, IDLE_TIME);
+        Ok(Answer { status, body })
+    }
+
+    async fn send_on_any(
+        &self,
+        at: SocketAddr,
+        call: Call<'_>,
+        written: &AtomicBool,
+    ) -> Result<(Connection, http::Response<Incoming>), Error> {
         let mut request = make_request(at, call)?;
         loop {
             let pooled = self.pool.take(at, IDLE_TIME);
@@ -145,7 +173,7 @@
             };
             written.store(true, Ordering::Relaxed);
             let failure = match connection.send(request).await {
-                Ok(response) => return self.read_whole(at, connection, response).await,
+                Ok(response) => return Ok((connection, response)),
                 Err(failure) => failure,
             };
             // The request comes back only where none of it has been written,
@@ -160,18 +188,22 @@
             request = unsent;
         }
     }
+}
 
-    async fn read_whole(
-        &self,
-        at: SocketAddr,
-        connection: Connection,
-        response: http::Response<Incoming>,
-    ) -> Result<Answer, Error> {
-        let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|e| Error::Unknown(e.to_string()))?.to_bytes();
-        self.pool.put(at, connection, IDLE_TIME);
-        Ok(Answer { status, body })
+/// Reads a body whose parts come within `silence` of each other.
+async fn read_whole(mut body: Incoming, silence: Duration) -> Result<Bytes, Error> {
+    let mut whole = BytesMut::new();
+    loop {
+        match tokio::time::timeout(silence, body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    whole.extend_from_slice(&data);
+                }
+            }
+            Ok(Some(Err(error))) => return Err(Error::Unknown(error.to_string())),
+            Ok(None) => return Ok(whole.freeze()),
+            Err(_) => return Err(Error::Unknown("timeout".into())),
+        }
     }
 }
 
