--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -33,9 +33,9 @@
 /// better is known.
 const USUAL_PART: u64 = 2;
 
-/// Over how many times as long as news takes the rate of placements is measured, by
-/// which what is unseen is guessed. Over one time alone, four of some hundred
-/// prompts a second often come together by chance.
+/// Over how many times as long as news takes the rate of placements counts, by
+/// which what is unseen is guessed. Over one time alone, prompts that come
+/// together by chance look like a surge.
 const SEEN: u32 = 4;
 
 /// When to come back where nothing is known of when room will be.
--- a/crates/path/src/suspect.rs
+++ b/crates/path/src/suspect.rs
@@ -3,14 +3,13 @@
 //! Load: a replica answers its health check and fails two requests in five, or
 //! has gone without a word. Harm prevented: each request finds out anew, and
 //! pays for it with its goal. A failure makes a target cost more, for a time that
-//! doubles with each further one; a success halves it. Doubt never excludes: of
-//! sixteen engines that lose an answer each now and then, ten are in doubt, and
-//! left out they make requests wait 1.8 s at the others beside idle ones.
+//! doubles with each further one; a success halves it. Doubt never excludes: where
+//! every engine loses an answer now and then, most are in doubt, and left out they
+//! make requests wait at the others beside idle ones.
 //!
 //! Load: engines leave while the store is away, and nobody hears that they do.
 //! They look idle, since all that is sent there is refused, and each long prompt
-//! that is split over them fails as a whole: thirty in five seconds, of which none
-//! was read. What refused to read a part for another engine is therefore shut: it
+//! that is split over them fails as a whole. What refused to read a part for another engine is therefore shut: it
 //! is given no part for a time, whatever its own streams come to.
 
 use crate::view::Tag;
--- a/crates/path/src/sync.rs
+++ b/crates/path/src/sync.rs
@@ -44,10 +44,11 @@
 /// changes that come together cost one call.
 const WATCH_SPREAD: Duration = Duration::from_millis(40);
 
-/// The same after a change of targets, where another node watches for all. The
-/// entries of 57 replicas change eight times a second, and each change ended the
-/// watches of all three nodes: 30 calls a second. Should the first one be cut off,
-/// changes are known so much later, of the seconds that a leaving target serves.
+/// The same after a change of targets, where another node watches for all.
+/// Targets' entries change several times a second, and each change ends the
+/// watches of all nodes that watch, which costs a call each. Should the first one
+/// be cut off, changes are known so much later, of the seconds that a leaving
+/// target serves.
 const FOLLOWING_SPREAD: Duration = Duration::from_millis(400);
 
 /// Between two looks for registered nodes while no node is heard.
--- a/crates/path/src/watcher.rs
+++ b/crates/path/src/watcher.rs
@@ -1,9 +1,8 @@
 //! Which nodes watch the store; the others hear of changes from them.
 //!
 //! Each watch that ends and begins again is a call that is paid for, and a
-//! change ends all of them: with 79 nodes that all watch, an hour of ordinary
-//! changes costs a tenth of what the nodes earn. A few watch, by rank, and
-//! tell the others within milliseconds. Two sets overlap, so that neither a
+//! change ends all of them: calls would grow with the number of nodes. A few
+//! watch, by rank, and tell the others within milliseconds. Two sets overlap, so that neither a
 //! node that died nor one that the store turns away leaves nobody watching.
 
 use hickory_state::rank::rank_nodes;
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -12,17 +12,14 @@
 //! choice is by predicted time. Short prompts are packed: a pass with sixteen
 //! short streams takes only half as long again as one with a single stream, so
 //! few engines carry them all, and the others are free of them, as long as no pass
-//! grows longer than the streams there bear. Long prompts are split over those others, in parts that no stream there feels.
+//! grows longer than the streams there bear. Long prompts are split over those
+//! others, in parts that no stream there feels.
 //!
 //! Engines read the parts that others ask them for newest first. A part that
 //! is placed behind another one therefore overtakes it, and under load the
 //! older prompts are all late. So a long prompt waits at its node until enough
 //! engines are idle, and is then read at once: no engine ever has two parts to
 //! choose from.
-//!
-//! Gain, by the replay of such phases in `tests/plan.rs` over six seeds: at least
-//! 0.85 of the short prompts, 0.90 of the middle and 0.75 of the long ones are in
-//! time, on each seed more of each than with whole prompts on the idlest engine.
 
 use crate::engine::Profile;
 use hickory_unit::size::Tokens;
@@ -51,14 +48,13 @@
 
 /// What is unseen of other nodes' short prompts at the least for a node to take
 /// engines in its own order: two prompts of the usual size. Load: all nodes start
-/// at once, and 140 callers come back within half a second. Harm prevented: eight
-/// nodes fill the engine that all of them prefer before they hear of each other;
-/// twelve prompts came to it within 8 ms, and all were late. Over twenty plays with
-/// such a restart, 560 short answers were late after it in place of 807.
+/// at once, and their callers come back within half a second. Harm prevented: all
+/// nodes fill the engine that they prefer before they hear of each other, and all
+/// prompts there are late.
 const SURGE: Duration = Duration::from_millis(50);
 
 /// What a first token takes beside the engine's work: the way there and back,
-/// and the turns of the hosts; measured by lone prompts on idle engines.
+/// and the turns of the hosts.
 const REACH: Duration = Duration::from_millis(10);
 
 /// First tokens that differ by less come at the same time for the caller.
@@ -77,9 +73,9 @@
 const CROWD: f64 = 0.6;
 
 /// The part of its streams' wanted pause that an engine may read in one pass.
-/// The rest is for what a pass differs from its prediction: 10 ms for most. Nodes
-/// hear of each other's long prompts before they send theirs. With 0.7, a prompt
-/// of 253,000 tokens waits for two seconds beside idle engines.
+/// The rest is for what a pass differs from its prediction. It is small, since
+/// nodes hear of each other's long prompts before they send theirs, and since a
+/// large one would make the longest prompts wait beside idle engines.
 const PAUSE_PART: f64 = 0.9;
 
 /// An engine that has less than this to read counts as idle: it is done by the
