Replay of how a large configuration spreads, and rules that it changed

What callers saw: routes refused with 404 while a large configuration spreads. The decisions of policy::spread had no test of their own, and none at sizes to come.

--- a/crates/path/src/fetch.rs
+++ b/crates/path/src/fetch.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use hickory_client::{Call, Exchange, Reuse};
-use hickory_policy::spread::{Busy, Choice, Givers};
+use hickory_policy::spread::{Busy, Choice, Givers, SILENCE};
 use hickory_store::store::{Revision, Store};
 use hickory_telemetry::label::{Fetch, Way};
 use hickory_unit::clock::Clock;
@@ -30,11 +30,6 @@
 /// watches itself: a watch that is well brings the same within milliseconds.
 const WATCH_LAG: Duration = Duration::from_millis(150);
 
-/// How long a peer may be silent: until the head of its answer, and from one
-/// part of it to the next. An answer that goes on is never given up on, however
-/// large it is; a giver takes on only what its link can begin well before this.
-const SILENCE: Duration = Duration::from_millis(700);
-
 /// What is followed of the store's items.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Part {
@@ -143,7 +138,8 @@
             Choice::Wait(_) | Choice::Nobody => return,
         };
         let path = format!("{WORDS_PATH}?{}={}", self.part.query(), self.known());
-        match fetch_words(&self.core, peer, &path).await {
+        let patience = self.givers.patience(peer, ahead);
+        match fetch_words(&self.core, peer, &path, patience).await {
             Answer::Whole(words) => {
                 let may_lapse = self.is_store_away(peer);
                 self.take_words(words, may_lapse).await;
@@ -206,7 +202,8 @@
             let holders = self.find_ahead(now, Revision(revision.0.saturating_sub(1)));
             match self.givers.choose(now, &holders, rand::random()) {
                 Choice::Ask(peer) => {
-                    if !self.ask_pieces(peer, key, &mut gathering).await {
+                    let patience = self.givers.patience(peer, &holders);
+                    if !self.ask_pieces(peer, key, &mut gathering, patience).await {
                         break;
                     }
                 }
@@ -253,9 +250,15 @@
     }
 
     /// Asks a peer for the missing pieces; whether to go on with this outline.
-    async fn ask_pieces(&mut self, peer: SocketAddr, key: &str, gathering: &mut Gathering) -> bool {
+    async fn ask_pieces(
+        &mut self,
+        peer: SocketAddr,
+        key: &str,
+        gathering: &mut Gathering,
+        patience: Duration,
+    ) -> bool {
         let now = self.core.now();
-        match fetch_pieces(&self.core, peer, key, gathering).await {
+        match fetch_pieces(&self.core, peer, key, gathering, patience).await {
             // What it lacks it has in another version.
             Answer::Whole(()) => gathering.missing().is_empty(),
             Answer::Busy(busy, others) => {
@@ -290,9 +293,10 @@
     core: &Core<D, S, C>,
     peer: SocketAddr,
     path: &str,
+    patience: Duration,
 ) -> Answer<Vec<Word>> {
     let call = Call { method: Method::GET, path, key: None, body: Bytes::new() };
-    let answer = match core.client.exchange(peer, call, SILENCE).await {
+    let answer = match core.client.exchange(peer, call, patience).await {
         Ok(answer) => answer,
         Err(error) => return Answer::Failed(error.to_string()),
     };
@@ -326,6 +330,7 @@
     peer: SocketAddr,
     key: &str,
     gathering: &mut Gathering,
+    patience: Duration,
 ) -> Answer<()> {
     let of: Vec<String> = gathering.missing().iter().map(ToString::to_string).collect();
     let from = core.settings.sync;
@@ -335,7 +340,7 @@
         Ok(request) => request,
         Err(error) => return Answer::Failed(error.to_string()),
     };
-    let exchange = match timeout(SILENCE, core.client.send(peer, request, Reuse::Any)).await {
+    let exchange = match timeout(patience, core.client.send(peer, request, Reuse::Any)).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(error)) => return Answer::Failed(error.to_string()),
         Err(_) => return Answer::Failed("no answer in time".to_owned()),
--- /dev/null
+++ b/crates/policy/examples/spread.rs
@@ -0,0 +1,68 @@
+//! How long a configuration takes to spread over a fleet, and what is sent for
+//! it: everybody asks at once, or givers take turns.
+//!
+//! `cargo run --release -p hickory-policy --example spread -- --seeds 10`
+
+#[path = "../tests/spread/mod.rs"]
+mod model;
+
+use clap::Parser;
+use model::case::{Case, Outcome, Policy};
+use std::time::Duration;
+
+/// Bytes of the configurations.
+const SIZES: [u64; 4] = [10_000, 60_000, 270_000, 1_000_000];
+
+/// Nodes of the fleets.
+const NODES: [usize; 5] = [9, 30, 80, 300, 380];
+
+/// Measures how configurations spread.
+#[derive(Parser)]
+struct Options {
+    /// Seeds to play, from 1.
+    #[arg(long, default_value_t = 10)]
+    seeds: u64,
+}
+
+fn main() {
+    let options = Options::parse();
+    println!("                    all at once                by turns");
+    println!("  bytes  nodes    last   0.9  sent  most    last   0.9  sent  most  busy");
+    for size in SIZES {
+        for nodes in NODES {
+            let case = Case::new(nodes, size);
+            print!("{size:7}  {nodes:5}");
+            for policy in [Policy::AtOnce, Policy::ByTurns] {
+                let play = |seed| model::play(&case, policy, seed);
+                let outcomes: Vec<Outcome> = (1..=options.seeds).map(play).collect();
+                print_row(&case, policy, &outcomes);
+            }
+            println!();
+        }
+    }
+    println!("last, 0.9: seconds until the last node and 0.9 of them have it (- not within");
+    println!("{} s for some seed); sent: bytes for each that had to be;", model::END.as_secs());
+    println!("most: answers on one link; busy: answers for each taker.");
+}
+
+fn print_row(case: &Case, policy: Policy, outcomes: &[Outcome]) {
+    let mean = |figure: fn(&Outcome) -> f64| {
+        outcomes.iter().map(figure).sum::<f64>() / outcomes.len() as f64
+    };
+    let last = mean_time(outcomes, 1.0);
+    let most = mean_time(outcomes, 0.9);
+    let sent = outcomes.iter().map(|outcome| outcome.overhead(case)).sum::<f64>();
+    let widest = outcomes.iter().map(|outcome| outcome.widest).max().unwrap_or(0);
+    print!("  {last:>6} {most:>5} {:5.2} {widest:5}", sent / outcomes.len() as f64);
+    if policy == Policy::ByTurns {
+        print!(" {:5.1}", mean(|outcome| outcome.busy as f64 / outcome.takers as f64));
+    }
+}
+
+fn mean_time(outcomes: &[Outcome], part: f64) -> String {
+    let times: Option<Vec<Duration>> = outcomes.iter().map(|outcome| outcome.part(part)).collect();
+    times.map_or("-".into(), |times| {
+        let sum = times.iter().sum::<Duration>().as_secs_f64();
+        format!("{:.2}", sum / times.len() as f64)
+    })
+}
--- a/crates/policy/src/spread.rs
+++ b/crates/policy/src/spread.rs
@@ -19,10 +19,6 @@
 use std::hash::Hash;
 use std::time::{Duration, Instant};
 
-/// The part of a node's link that it gives documents with; the rest is for its
-/// callers' answers.
-const LINK_SHARE: f64 = 0.75;
-
 /// Answers up to this size are always taken on: the word that a target leaves
 /// must not wait behind a document.
 const SMALL: Bytes = Bytes(2 << 10);
@@ -30,12 +26,16 @@
 /// How long what was taken on may keep the link busy before one more is turned
 /// away. Whoever is admitted waits this long for its first byte, which has to
 /// be far below the time after which it would take the giver for silent.
-const BACKLOG_MOST: Duration = Duration::from_millis(100);
+const BACKLOG_MOST: Duration = Duration::from_millis(50);
 
 /// The longest that one is told to wait before it asks the same giver again:
 /// others have the document by then.
 const WAIT_MOST: Duration = Duration::from_millis(400);
 
+/// A longer time isn't foretold: the rate of the link is not what it was taken
+/// for.
+const SEND_MOST: Duration = Duration::from_secs(60);
+
 /// Nodes named to one that is turned away.
 const NAMED: usize = 6;
 
@@ -62,6 +62,10 @@
 impl Meter {
     /// Takes on an answer of this size, if the link can begin it soon.
     ///
+    /// Whoever is turned away waits until the link is idle, and not just until
+    /// the next can be taken on: many wait for that, and their asking would
+    /// fill the link.
+    ///
     /// What was taken on counts by the time that the link needs for it, and
     /// not until its end: one who asks and then stops reading takes a place
     /// only for as long as others would have needed it.
@@ -74,9 +78,9 @@
         let free_at = self.free_at.map_or(now, |at| at.max(now));
         let backlog = free_at - now;
         if size > SMALL && backlog > BACKLOG_MOST {
-            return Err(Busy { wait: (backlog - BACKLOG_MOST).min(WAIT_MOST) });
+            return Err(Busy { wait: backlog.min(WAIT_MOST) });
         }
-        let takes = link.time_for(size).div_f64(LINK_SHARE);
+        let takes = link.time_for(size).min(SEND_MOST);
         self.free_at = Some(free_at + takes);
         Ok(Admission { sent_in: backlog + takes })
     }
@@ -96,7 +100,9 @@
 }
 
 impl<K: Clone + PartialEq> Given<K> {
-    /// Notes a node that will have the document at `at`.
+    /// Notes a node once the whole was sent to it: one that died, was cut off or
+    /// stopped reading is never named. It has the document at `at`, no sooner
+    /// than its [`Admission`] foretold, as the end may still be in buffers.
     pub fn note(&mut self, at: Instant, node: K) {
         self.nodes.retain(|(_, known)| *known != node);
         self.nodes.push_back((at, node));
@@ -141,16 +147,29 @@
     }
 }
 
-/// How long a giver that failed is left alone while there are others.
+/// How long a giver that failed is left alone.
 const FAILED_FOR: Duration = Duration::from_secs(1);
 
+/// How long a giver may take to begin its answer where others have the document
+/// as well. It takes on only what it can begin at once, so one that says nothing
+/// has most likely died or is cut off, and each moment spent on it is one that
+/// every node behind this one waits for.
+const BEGIN_WITHIN: Duration = Duration::from_millis(250);
+
+/// The same where no other is known, and how long an answer that has begun may
+/// be silent: a host that was short of its processor goes on after that.
+pub const SILENCE: Duration = Duration::from_millis(700);
+
+/// Named givers that are remembered; more are as good as these.
+const REMEMBERED: usize = 64;
+
 impl<K: Copy + Eq + Hash> Givers<K> {
     /// Notes that a giver is busy and whom it named in its place. `random` is
     /// from 0 to 1: those who were turned away together come back apart.
     pub fn note_busy(&mut self, now: Instant, giver: K, busy: Busy, others: &[K], random: f64) {
         self.busy_until.insert(giver, now + busy.wait.mul_f64(1.0 + random));
         for other in others {
-            if !self.named.contains(other) {
+            if self.named.len() < REMEMBERED && !self.named.contains(other) {
                 self.named.push(*other);
             }
         }
@@ -161,6 +180,12 @@
         self.busy_until.insert(giver, now + FAILED_FOR);
     }
 
+    /// How long one that is asked may take to begin its answer.
+    pub fn patience(&self, asked: K, heard: &[K]) -> Duration {
+        let others = heard.iter().chain(&self.named).any(|node| *node != asked);
+        if others { BEGIN_WITHIN } else { SILENCE }
+    }
+
     /// Whom to ask next, of those that are `heard` to have the document and
     /// those that were named. `random` is from 0 to 1.
     pub fn choose(&self, now: Instant, heard: &[K], random: f64) -> Choice<K> {
--- /dev/null
+++ b/crates/policy/tests/spread.rs
@@ -0,0 +1,167 @@
+//! Giving a large document on: what a giver takes on, whom it names, and whom
+//! those who want it ask.
+
+use hickory_policy::spread::{Busy, Choice, Given, Givers, Meter};
+use hickory_unit::rate::BytesPerSecond;
+use hickory_unit::size::Bytes;
+use std::time::{Duration, Instant};
+
+/// 2.5 MB in a second.
+const LINK: BytesPerSecond = BytesPerSecond(2.5e6);
+
+/// A document that the link needs 100 ms for.
+const DOCUMENT: Bytes = Bytes(250_000);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Nobody would ever get a document that takes longer than the backlog allows.
+/// A giver whose link is idle takes it on, whatever its size.
+#[test]
+fn an_idle_giver_takes_on_any_size() {
+    for size in [0, 1, 250_000, 50_000_000, u64::MAX] {
+        let taken = Meter::default().admit(Instant::now(), Bytes(size), LINK);
+        assert!(taken.is_ok(), "{size} bytes: {taken:?}");
+    }
+    let taken = Meter::default().admit(Instant::now(), DOCUMENT, LINK).unwrap();
+    assert!(taken.sent_in >= ms(100), "no sooner than the link can: {taken:?}");
+}
+
+/// Takers give up and begin anew if a giver sends to all of them at once. It
+/// takes on the first, turns the rest away until the link is nearly through
+/// with that, and then takes on another one.
+#[test]
+fn a_giver_turns_away_what_its_link_cannot_begin_soon() {
+    let (begin, mut meter) = (Instant::now(), Meter::default());
+    let taken = meter.admit(begin, DOCUMENT, LINK).unwrap();
+    for after in [0, 1, 20] {
+        let busy = meter.admit(begin + ms(after), DOCUMENT, LINK).unwrap_err();
+        assert!(busy.wait > Duration::ZERO, "after {after} ms");
+    }
+    let next = meter.admit(begin + taken.sent_in, DOCUMENT, LINK);
+    assert_eq!(next, Ok(taken), "those turned away left nothing on the link");
+}
+
+/// Small documents go to many at once: a giver takes them on one after the
+/// other, each with a later end, until it has enough for its link.
+#[test]
+fn a_giver_takes_on_several_small_ones() {
+    let (now, mut meter) = (Instant::now(), Meter::default());
+    let admit = |_| meter.admit(now, Bytes(2_500), LINK).ok();
+    let ends: Vec<Duration> = (0..1_000).map_while(admit).map(|taken| taken.sent_in).collect();
+    assert!(ends.len() > 10 && ends.len() < 200, "{} at once", ends.len());
+    assert!(ends.is_sorted_by(|one, next| one < next));
+}
+
+/// All who were turned away would come back while the link is still busy, and
+/// their asking alone would fill it. However little is left on the link and
+/// however much, the wait is neither a moment nor longer than others need to
+/// have the document.
+#[test]
+fn whoever_is_turned_away_waits_a_while() {
+    for size in [DOCUMENT, Bytes(130_000), Bytes(50_000_000)] {
+        let (now, mut meter) = (Instant::now(), Meter::default());
+        meter.admit(now, size, LINK).unwrap();
+        let busy = meter.admit(now, size, LINK).unwrap_err();
+        assert!(busy.wait >= ms(50) && busy.wait <= ms(500), "{size}: {busy:?}");
+    }
+}
+
+/// A taker asks and then reads nothing. The others are turned away for as long
+/// as its answer would have needed, and not one moment longer.
+#[test]
+fn a_taker_that_stops_reading_holds_its_place_for_a_while_only() {
+    let (mut now, mut meter) = (Instant::now(), Meter::default());
+    for _ in 0..100 {
+        let never_read = meter.admit(now, DOCUMENT, LINK).unwrap();
+        now += never_read.sent_in;
+        assert!(meter.admit(now, DOCUMENT, LINK).is_ok());
+        now += ms(10_000);
+    }
+}
+
+/// Whoever is sent to a node that has no document yet has asked in vain. A giver
+/// names those alone that have it by now, the latest first, and few of them.
+#[test]
+fn a_giver_names_only_those_that_have_it() {
+    let (begin, mut given) = (Instant::now(), Given::default());
+    assert!(given.name(begin).is_empty());
+    given.note(begin + ms(100), 1);
+    given.note(begin + ms(200), 2);
+    assert!(given.name(begin + ms(99)).is_empty());
+    assert_eq!(given.name(begin + ms(100)), [1]);
+    assert_eq!(given.name(begin + ms(200)), [2, 1]);
+    for node in 3..100 {
+        given.note(begin + ms(300), node);
+    }
+    let named = given.name(begin + ms(300));
+    assert!(named.len() > 1 && named.len() < 20, "{named:?}");
+    assert_eq!(named[0], 99);
+    given.clear();
+    assert!(given.name(begin + ms(300)).is_empty(), "of another document they have nothing");
+}
+
+/// A node that was given the document twice, as after a broken answer, is named
+/// once, and not before it has it.
+#[test]
+fn a_node_that_was_given_it_twice_is_named_once() {
+    let (begin, mut given) = (Instant::now(), Given::default());
+    given.note(begin, 1);
+    given.note(begin + ms(100), 1);
+    assert!(given.name(begin).is_empty());
+    assert_eq!(given.name(begin + ms(100)), [1]);
+}
+
+/// A taker that asks busy givers again and again fills their links. It asks the
+/// one that is free, whichever chance would have it, be that one heard or named.
+#[test]
+fn a_busy_giver_is_not_asked_while_another_is_free() {
+    let (now, mut givers) = (Instant::now(), Givers::default());
+    let busy = Busy { wait: ms(100) };
+    givers.note_busy(now, 1, busy, &[], 0.5);
+    givers.note_busy(now, 2, busy, &[4], 0.5);
+    givers.note_failed(now, 3);
+    for chance in [0.0, 0.3, 0.6, 0.99, 1.0] {
+        assert_eq!(givers.choose(now, &[1, 2, 3], chance), Choice::Ask(4), "it was named");
+        assert_eq!(givers.choose(now, &[1, 2, 3, 4], chance), Choice::Ask(4));
+    }
+}
+
+/// All that are known are busy: a taker waits, no shorter than it was told, and
+/// then asks again. Two that were turned away together come back apart.
+#[test]
+fn a_taker_asks_again_after_the_wait() {
+    let now = Instant::now();
+    let waits = [0.0, 0.5].map(|chance| {
+        let mut givers = Givers::default();
+        givers.note_busy(now, 1, Busy { wait: ms(100) }, &[], chance);
+        let Choice::Wait(wait) = givers.choose(now, &[1], 0.0) else { panic!("asks a busy one") };
+        assert!(wait >= ms(100) && wait <= ms(200), "{wait:?}");
+        assert_eq!(givers.choose(now + wait, &[1], 0.0), Choice::Ask(1));
+        wait
+    });
+    assert_ne!(waits[0], waits[1]);
+}
+
+/// A link of no rate at all, as a wrong setting may have it, must not stop the
+/// node, nor hold back documents for ever once it is set right.
+#[test]
+fn a_link_without_rate_is_survived() {
+    let (now, mut meter) = (Instant::now(), Meter::default());
+    for rate in [0.0, -1.0, f64::NAN, f64::MIN_POSITIVE] {
+        let _ = meter.admit(now, DOCUMENT, BytesPerSecond(rate));
+    }
+    assert!(meter.admit(now + Duration::from_secs(120), DOCUMENT, LINK).is_ok());
+}
+
+/// A giver that failed is left alone, but not for ever: it may be the only one.
+#[test]
+fn a_giver_that_failed_is_asked_again_later() {
+    let (now, mut givers) = (Instant::now(), Givers::default());
+    assert_eq!(givers.choose(now, &[], 0.5), Choice::Nobody);
+    givers.note_failed(now, 1);
+    let Choice::Wait(wait) = givers.choose(now, &[1], 0.5) else { panic!("asks at once") };
+    assert!(wait <= Duration::from_secs(5), "{wait:?}");
+    assert_eq!(givers.choose(now + wait, &[1], 0.5), Choice::Ask(1));
+}
