A giver goes by what its link takes, not by what it should

A giver reckoned that its link sends at the told rate; the kernel's send buffer took whole documents at once, so nothing told it otherwise, and it took on one after the other until none of them ended.

Now the meter counts the bytes that its connections have not taken yet, over small send buffers; who stops reading, or reads for longer than two seconds, holds no place; a taker is named to others once it was sent all. Words are never turned away: beside documents they come in smaller answers. Each piece is sent once to one who names it twice.

--- a/crates/path/src/give.rs
+++ b/crates/path/src/give.rs
@@ -6,7 +6,7 @@
 use crate::items::Word;
 use crate::piece::{self, Cut};
 use crate::reply::{self, Pieces, Reply};
-use hickory_policy::spread::{Busy, Given, Meter};
+use hickory_policy::spread::{Busy, Given, Meter, Ticket};
 use hickory_store::store::{Revision, Store};
 use hickory_telemetry::label::{Fetch, Way};
 use hickory_unit::clock::Clock;
@@ -16,7 +16,8 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use tokio::sync::watch;
 
 /// Where peers ask for words.
 pub(crate) const WORDS_PATH: &str = "/words";
@@ -24,6 +25,16 @@
 /// Where peers ask for pieces.
 pub(crate) const PIECES_PATH: &str = "/pieces";
 
+/// Bytes of words in one answer: it has to end in time also on a link that others
+/// use. The rest follows in the next one.
+const WORDS_MOST: size::Bytes = size::Bytes(24 << 10);
+
+/// The same while the link is busy with documents.
+const WORDS_BUSY: size::Bytes = size::Bytes(2 << 10);
+
+/// How long the end of an answer may be on its way after the connection took it.
+const LAST_BYTES: Duration = Duration::from_millis(50);
+
 /// What this node gives, and gave.
 #[derive(Debug, Default)]
 pub(crate) struct Giving {
@@ -52,7 +63,7 @@
 
 /// Answers a peer.
 pub(crate) fn answer<D: Dialect, S: Store, C: Clock>(
-    core: &Core<D, S, C>,
+    core: &Arc<Core<D, S, C>>,
     uri: &Uri,
 ) -> Response<Reply> {
     let query = uri.query().unwrap_or_default();
@@ -64,32 +75,31 @@
     answered.unwrap_or_else(|error| reply::plain(StatusCode::BAD_REQUEST, &error))
 }
 
-/// The words after the revision that is named, of one prefix or of both.
+/// The words after the revision that is named, of one prefix or of both. A node
+/// whose link is busy gives the first few: the word that a target leaves must not
+/// wait behind a document, however many there are.
 fn answer_words<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     query: &str,
 ) -> Result<Response<Reply>, String> {
-    let began = core.now();
+    let is_busy = core.giving().meter.is_busy(core.now(), core.settings.link());
+    let most = if is_busy { WORDS_BUSY } else { WORDS_MOST };
     let mut words: Vec<Word> = Vec::new();
     for (name, prefix) in [("operator", D::OPERATOR_PREFIX), ("targets", D::TARGET_PREFIX)] {
         if find(query, name).is_some() {
             let after = Revision(read(query, name)?);
-            words.extend(core.items().words_after(prefix, after));
+            words.extend(core.items().words_after(prefix, after, most));
         }
     }
     let body = serde_json::to_string(&words).map_err(|error| error.to_string())?;
-    let size = size::Bytes(body.len() as u64);
-    if let Err(busy) = core.giving().meter.admit(began, size, core.settings.link()) {
-        return Ok(turn_away(core, busy, Vec::new()));
-    }
     core.metrics.fetch(Fetch::Given);
-    core.metrics.fetch_bytes(Way::Given, size);
+    core.metrics.fetch_bytes(Way::Given, size::Bytes(body.len() as u64));
     Ok(reply::json(StatusCode::OK, body))
 }
 
 /// The pieces that are named, as far as this node has them.
 fn answer_pieces<D: Dialect, S: Store, C: Clock>(
-    core: &Core<D, S, C>,
+    core: &Arc<Core<D, S, C>>,
     query: &str,
 ) -> Result<Response<Reply>, String> {
     let ask = read_ask(query)?;
@@ -97,25 +107,71 @@
         return Ok(reply::plain(StatusCode::NOT_FOUND, "no such value"));
     };
     let pieces = Pieces::of(cut, &ask.pieces);
-    let size = pieces.size();
+    let size = *pieces.unsent().borrow();
+    let admitted = admit(core, revision, size);
+    let ticket = match admitted {
+        Ok(ticket) => ticket,
+        Err((busy, others)) => return Ok(turn_away(core, busy, others)),
+    };
+    core.metrics.fetch(Fetch::Given);
+    core.metrics.fetch_bytes(Way::Given, size);
+    let gift = Gift { ticket, revision, to: ask.from, pieces: pieces.len(), size };
+    tokio::spawn(follow_gift(core.clone(), gift, pieces.unsent()));
+    Ok(Response::new(Reply::Pieces(pieces)))
+}
+
+/// Takes on an answer, or says when to ask again, and whom else.
+fn admit<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    revision: Revision,
+    size: size::Bytes,
+) -> Result<Ticket, (Busy, Vec<SocketAddr>)> {
     let now = core.now();
     let mut giving = core.giving();
     if giving.revision != revision {
         giving.revision = revision;
         giving.given.clear();
     }
-    let admission = match giving.meter.admit(now, size, core.settings.link()) {
-        Ok(admission) => admission,
-        Err(busy) => {
-            let others = giving.given.name(now);
-            drop(giving);
-            return Ok(turn_away(core, busy, others));
-        }
-    };
-    giving.given.note(now + admission.sent_in, ask.from);
+    let admitted = giving.meter.admit(now, size, core.settings.link());
+    admitted.map_err(|busy| (busy, giving.given.name(now)))
+}
+
+/// An answer with pieces, on its way.
+struct Gift {
+    ticket: Ticket,
+    revision: Revision,
+    to: SocketAddr,
+    pieces: usize,
+    size: size::Bytes,
+}
+
+/// Tells the meter how far an answer is, until it ends.
+async fn follow_gift<D: Dialect, S: Store, C: Clock>(
+    core: Arc<Core<D, S, C>>,
+    gift: Gift,
+    mut unsent: watch::Receiver<size::Bytes>,
+) {
+    let began = core.now();
+    while unsent.changed().await.is_ok() {
+        let left = *unsent.borrow_and_update();
+        core.giving().meter.note_left(core.now(), gift.ticket, left);
+    }
+    let now = core.now();
+    let left = *unsent.borrow();
+    let mut giving = core.giving();
+    giving.meter.end(gift.ticket);
+    if left == size::Bytes(0) && giving.revision == gift.revision {
+        giving.given.note(now + LAST_BYTES, gift.to);
+    }
     drop(giving);
-    note_given(core, &ask, &pieces, admission.sent_in, now);
-    Ok(Response::new(Reply::Pieces(pieces)))
+    log::info!(
+        peer:% = gift.to,
+        pieces = gift.pieces,
+        bytes = gift.size.0,
+        unsent = left.0,
+        took_ms = now.saturating_duration_since(began).as_millis() as u64;
+        "pieces given to a peer"
+    );
 }
 
 fn find_cut<D: Dialect, S: Store, C: Clock>(
@@ -127,26 +183,6 @@
     Some((item.revision, item.cut.clone()?))
 }
 
-fn note_given<D: Dialect, S: Store, C: Clock>(
-    core: &Core<D, S, C>,
-    ask: &Ask<'_>,
-    pieces: &Pieces,
-    sent_in: Duration,
-    began: Instant,
-) {
-    core.metrics.fetch(Fetch::Given);
-    core.metrics.fetch_bytes(Way::Given, pieces.size());
-    log::info!(
-        key = ask.key,
-        peer:% = ask.from,
-        pieces = ask.pieces.len(),
-        bytes = pieces.size().0,
-        sent_in_ms = sent_in.as_millis() as u64,
-        find_us = core.now().saturating_duration_since(began).as_micros() as u64;
-        "pieces given to a peer"
-    );
-}
-
 fn turn_away<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     busy: Busy,
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -32,6 +32,10 @@
 /// How long a connection for control may be idle.
 const CONTROL_IDLE: Duration = Duration::from_secs(5);
 
+/// The kernel's buffer of what is sent to a peer. A larger one takes a whole
+/// document at once, and the node would not know what its link has carried.
+const SYNC_BUFFER: usize = 32 << 10;
+
 /// A pause after a failed accept: out of descriptors, most likely.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -88,6 +92,10 @@
     tokio::spawn(accept(core.clone(), sockets.callers, limits, serve::serve));
     tokio::spawn(accept(core.clone(), sockets.ready, control, answer_ready));
     tokio::spawn(accept(core.clone(), sockets.directory, control, answer_directory));
+    // Inherited by the connections of peers.
+    if let Err(error) = socket2::SockRef::from(&sockets.sync).set_send_buffer_size(SYNC_BUFFER) {
+        log::warn!("send buffer for peers: {error}");
+    }
     tokio::spawn(accept(core.clone(), sockets.sync, control, answer_sync));
     if let Some(metrics) = sockets.metrics {
         tokio::spawn(accept(core.clone(), metrics, control, answer_metrics));
--- a/crates/path/src/items.rs
+++ b/crates/path/src/items.rs
@@ -8,6 +8,7 @@
 use crate::piece::{Cut, Outline};
 use compact_str::CompactString;
 use hickory_store::store::{Entry, Revision};
+use hickory_unit::size;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::collections::btree_map;
@@ -24,10 +25,6 @@
 /// as well.
 const WHOLE_MOST: usize = 8 << 10;
 
-/// Bytes of values in one answer to a peer, for the same reason. The rest
-/// follows in the next answer.
-const ANSWER_MOST: usize = 24 << 10;
-
 /// What the store last said of a key.
 #[derive(Clone, Debug)]
 pub struct Item {
@@ -153,10 +150,10 @@
         self.with_prefix(prefix).map(|(_, item)| item.revision).max().unwrap_or_default()
     }
 
-    /// Words under a prefix after a revision, the oldest first, as many as go into
-    /// one answer. Whoever takes them in this order has all words up to the last
+    /// Words under a prefix after a revision, the oldest first, and no further ones
+    /// once their values have this many bytes. Whoever takes them in this order has all words up to the last
     /// one that it took, and asks for the next ones from there.
-    pub fn words_after(&self, prefix: &str, after: Revision) -> Vec<Word> {
+    pub fn words_after(&self, prefix: &str, after: Revision, most: size::Bytes) -> Vec<Word> {
         let newer = self.with_prefix(prefix).filter(|(_, item)| item.revision > after);
         let mut newer: Vec<_> = newer.collect();
         newer.sort_by_key(|(_, item)| item.revision);
@@ -165,7 +162,7 @@
             // Words of one revision stay together: what lies behind the last
             // revision that is known is never asked for again.
             let begins = words.last().is_none_or(|last: &Word| last.revision < item.revision);
-            if begins && bytes > ANSWER_MOST {
+            if begins && bytes > most.0 as usize {
                 break;
             }
             let word = Word::of(key, item);
--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -6,12 +6,12 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::codec::{Encoder, LengthDelimitedCodec};
 
 /// A stream that ended before its last event. The connection is closed on it,
@@ -29,23 +29,35 @@
 pub struct Pieces {
     cut: Arc<Cut>,
     left: VecDeque<piece::Id>,
+    /// Bytes that the connection has not taken yet.
+    unsent: watch::Sender<size::Bytes>,
 }
 
 impl Pieces {
-    /// Those of the named pieces that the value has.
+    /// Those of the named pieces that the value has, each once.
     pub(crate) fn of(cut: Arc<Cut>, pieces: &[piece::Id]) -> Self {
-        let left = pieces.iter().copied().filter(|id| cut.piece(*id).is_some()).collect();
-        Self { cut, left }
+        let mut named = HashSet::new();
+        let is_wanted = |id: &piece::Id| cut.piece(*id).is_some() && named.insert(*id);
+        let left: VecDeque<_> = pieces.iter().copied().filter(is_wanted).collect();
+        let sizes = left.iter().filter_map(|id| cut.piece(*id)).map(|piece| piece.len() as u64);
+        let unsent = watch::channel(size::Bytes(sizes.sum())).0;
+        Self { cut, left, unsent }
     }
 
-    /// Their bytes.
-    pub(crate) fn size(&self) -> size::Bytes {
-        let pieces = self.left.iter().filter_map(|id| self.cut.piece(*id));
-        size::Bytes(pieces.map(|piece| piece.len() as u64).sum())
+    /// Their number.
+    pub(crate) fn len(&self) -> usize {
+        self.left.len()
+    }
+
+    /// The bytes that are still to be sent, until the answer ends.
+    pub(crate) fn unsent(&self) -> watch::Receiver<size::Bytes> {
+        self.unsent.subscribe()
     }
 
     fn next(&mut self) -> Option<Result<Bytes, Broken>> {
         let piece = self.cut.piece(self.left.pop_front()?)?;
+        let size = size::Bytes(piece.len() as u64);
+        self.unsent.send_modify(|unsent| *unsent = unsent.saturating_sub(size));
         let mut frame = BytesMut::new();
         let written = LengthDelimitedCodec::new().encode(Bytes::copy_from_slice(piece), &mut frame);
         Some(written.map(|()| frame.freeze()).map_err(|_| Broken))
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -49,8 +49,7 @@
     pub hold: Duration,
 }
 
-/// A link of which nothing is told counts as a slow one: on a faster one, peers
-/// are given large values a little later than could be.
+/// A link of which nothing is told counts as a slow one.
 const LINK_UNTOLD: rate::BytesPerSecond = rate::BytesPerSecond(2_500_000.0);
 
 impl Settings {
--- a/crates/policy/src/spread.rs
+++ b/crates/policy/src/spread.rs
@@ -39,19 +39,32 @@
 /// Nodes named to one that is turned away.
 const NAMED: usize = 6;
 
-/// What a node has taken on to send.
-#[derive(Clone, Copy, Debug, Default)]
+/// What a node is sending.
+///
+/// It counts the bytes that its link has not taken yet, and not those that the
+/// link should have: one that carries less than it is said to, or is full of
+/// callers' answers, would be promised to many at once, and none would get its
+/// document in time.
+#[derive(Clone, Debug, Default)]
 pub struct Meter {
-    free_at: Option<Instant>,
+    open: Vec<Open>,
+    last: u32,
 }
 
-/// An answer that was taken on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Admission {
-    /// How long until the link has sent it.
-    pub sent_in: Duration,
+/// An answer that is being sent.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    ticket: Ticket,
+    left: Bytes,
+    begun: Instant,
+    /// When the link last took some of it.
+    moved: Instant,
 }
 
+/// Names an answer that was taken on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ticket(u32);
+
 /// An answer that was not taken on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Busy {
@@ -65,24 +78,47 @@
     /// Whoever is turned away waits until the link is idle, and not just until
     /// the next can be taken on: many wait for that, and their asking would
     /// fill the link.
-    ///
-    /// What was taken on counts by the time that the link needs for it, and
-    /// not until its end: one who asks and then stops reading takes a place
-    /// only for as long as others would have needed it.
     pub fn admit(
         &mut self,
         now: Instant,
         size: Bytes,
         link: rate::BytesPerSecond,
-    ) -> Result<Admission, Busy> {
-        let free_at = self.free_at.map_or(now, |at| at.max(now));
-        let backlog = free_at - now;
+    ) -> Result<Ticket, Busy> {
+        let backlog = self.backlog(now, link);
         if size > SMALL && backlog > BACKLOG_MOST {
             return Err(Busy { wait: backlog.min(WAIT_MOST) });
         }
-        let takes = link.time_for(size).min(SEND_MOST);
-        self.free_at = Some(free_at + takes);
-        Ok(Admission { sent_in: backlog + takes })
+        self.last = self.last.wrapping_add(1);
+        let ticket = Ticket(self.last);
+        self.open.push(Open { ticket, left: size, begun: now, moved: now });
+        Ok(ticket)
+    }
+
+    /// Whether the link is too busy for more than the smallest answers.
+    pub fn is_busy(&mut self, now: Instant, link: rate::BytesPerSecond) -> bool {
+        self.backlog(now, link) > BACKLOG_MOST
+    }
+
+    /// Notes what is left of an answer.
+    pub fn note_left(&mut self, now: Instant, ticket: Ticket, left: Bytes) {
+        let open = self.open.iter_mut().find(|open| open.ticket == ticket);
+        if let Some(open) = open.filter(|open| open.left != left) {
+            (open.left, open.moved) = (left, now);
+        }
+    }
+
+    /// Notes that an answer has ended.
+    pub fn end(&mut self, ticket: Ticket) {
+        self.open.retain(|open| open.ticket != ticket);
+    }
+
+    /// How long the link is busy with what was taken on. One who stopped
+    /// reading, or reads for longer than takers do, holds no place.
+    fn backlog(&mut self, now: Instant, link: rate::BytesPerSecond) -> Duration {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        self.open.retain(|open| age(open.begun) < ANSWER_MOST && age(open.moved) < SILENCE);
+        let left = self.open.iter().map(|open| open.left.0).fold(0, u64::saturating_add);
+        link.time_for(Bytes(left)).min(SEND_MOST)
     }
 }
 
@@ -101,8 +137,8 @@
 
 impl<K: Clone + PartialEq> Given<K> {
     /// Notes a node once the whole was sent to it: one that died, was cut off or
-    /// stopped reading is never named. It has the document at `at`, no sooner
-    /// than its [`Admission`] foretold, as the end may still be in buffers.
+    /// stopped reading is never named. It has the document at `at`, a moment
+    /// later, as the end may still be in buffers.
     pub fn note(&mut self, at: Instant, node: K) {
         self.nodes.retain(|(_, known)| *known != node);
         self.nodes.push_back((at, node));
@@ -160,6 +196,11 @@
 /// be silent: a host that was short of its processor goes on after that.
 pub const SILENCE: Duration = Duration::from_millis(700);
 
+/// How long a taker reads one answer. It keeps what came and asks for the rest
+/// anew, of one that sends faster if there is any: a giver whose link is nearly
+/// cut would hold it for as long as it sends a byte now and then.
+pub const ANSWER_MOST: Duration = Duration::from_secs(2);
+
 /// Named givers that are remembered; more are as good as these.
 const REMEMBERED: usize = 64;
 
