A large value that others have replaced is let go

What callers would see: a node that serves an old configuration, and says 503 to all that is new, until it is restarted. It was gathering a large configuration when the operators took that back and wrote a small one, or removed the key: whoever it asked for the missing pieces answered that there are none any more, which counted as a failure of that peer, and it asked again once a second for good. A bad release that is taken back at once would have done it to most of a fleet.

A peer that answers and gives nothing new now ends the gathering: the node asks for words again. So does the store's watch, when it brings the value meanwhile. Pieces are asked for 256 at a time, so that a larger value doesn't outgrow the head of a request; what a peer says of its wait is bounded; both parts are named in the question for words, as nodes of the version before want it.

--- a/crates/path/src/fetch.rs
+++ b/crates/path/src/fetch.rs
@@ -30,6 +30,12 @@
 /// watches itself: a watch that is well brings the same within milliseconds.
 const WATCH_LAG: Duration = Duration::from_millis(150);
 
+/// Pieces asked for at once: their names have to go into the head of a request.
+const ASKED_MOST: usize = 256;
+
+/// How long a busy peer may tell this node to wait, whatever it says.
+const WAIT_BOUNDS: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(1));
+
 /// What is followed of the store's items.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Part {
@@ -47,11 +53,15 @@
         }
     }
 
-    fn query(self) -> &'static str {
-        match self {
-            Self::Operator => "operator",
-            Self::Targets => "targets",
-        }
+    /// The path at which words of this part after a revision are asked for. A
+    /// node of an older version wants both parts named, and has nothing after the
+    /// last of all revisions.
+    fn name_words(self, after: Revision) -> String {
+        let (operator, targets) = match self {
+            Self::Operator => (after.0, u64::MAX),
+            Self::Targets => (u64::MAX, after.0),
+        };
+        format!("{WORDS_PATH}?operator={operator}&targets={targets}")
     }
 
     fn of_peer(self, peer: &Peer) -> Revision {
@@ -137,7 +147,7 @@
             Choice::Ask(peer) => peer,
             Choice::Wait(_) | Choice::Nobody => return,
         };
-        let path = format!("{WORDS_PATH}?{}={}", self.part.query(), self.known());
+        let path = self.part.name_words(self.known());
         let patience = self.givers.patience(peer, ahead);
         match fetch_words(&self.core, peer, &path, patience).await {
             Answer::Whole(words) => {
@@ -194,7 +204,8 @@
         let began = self.core.now();
         let mut gathering = self.begin(key, outline);
         let wanted = gathering.missing().len();
-        loop {
+        // The store's watch may bring it meanwhile.
+        while self.known() < revision && self.core.stage() != Stage::Closed {
             if gathering.missing().is_empty() {
                 return self.complete(key, &gathering, wanted, began);
             }
@@ -210,9 +221,6 @@
                 Choice::Wait(time) => tokio::time::sleep(time.min(LOOK)).await,
                 Choice::Nobody => break,
             }
-            if self.core.stage() == Stage::Closed {
-                break;
-            }
         }
         self.kept = Some((key.clone(), gathering));
         None
@@ -249,7 +257,8 @@
         }
     }
 
-    /// Asks a peer for the missing pieces; whether to go on with this outline.
+    /// Asks a peer for missing pieces; whether to go on with this outline. Where a
+    /// peer answers and has none of them, the value has changed since.
     async fn ask_pieces(
         &mut self,
         peer: SocketAddr,
@@ -259,8 +268,7 @@
     ) -> bool {
         let now = self.core.now();
         match fetch_pieces(&self.core, peer, key, gathering, patience).await {
-            // What it lacks it has in another version.
-            Answer::Whole(()) => gathering.missing().is_empty(),
+            Answer::Whole(taken) => taken > 0,
             Answer::Busy(busy, others) => {
                 self.note_busy(peer, busy, &others);
                 true
@@ -317,7 +325,8 @@
 fn read_busy<T>(body: &[u8]) -> Answer<T> {
     match serde_json::from_slice::<TurnedAway>(body) {
         Ok(TurnedAway { wait_ms, others }) => {
-            Answer::Busy(Busy { wait: Duration::from_millis(wait_ms) }, others)
+            let wait = Duration::from_millis(wait_ms).clamp(WAIT_BOUNDS.0, WAIT_BOUNDS.1);
+            Answer::Busy(Busy { wait }, others)
         }
         Err(error) => Answer::Failed(error.to_string()),
     }
@@ -331,8 +340,9 @@
     key: &str,
     gathering: &mut Gathering,
     patience: Duration,
-) -> Answer<()> {
-    let of: Vec<String> = gathering.missing().iter().map(ToString::to_string).collect();
+) -> Answer<usize> {
+    let missing = gathering.missing();
+    let of: Vec<String> = missing.iter().take(ASKED_MOST).map(ToString::to_string).collect();
     let from = core.settings.sync;
     let path = format!("{PIECES_PATH}?key={key}&from={from}&of={}", of.join(","));
     let request = Request::get(path).header(http::header::HOST, peer.to_string());
@@ -348,11 +358,13 @@
     match exchange.head.status {
         StatusCode::OK => read_pieces(core, exchange, gathering).await,
         StatusCode::SERVICE_UNAVAILABLE => read_refusal(exchange).await,
+        // It has no such value any more, or a small one, which goes whole.
+        StatusCode::NOT_FOUND => Answer::Whole(0),
         status => Answer::Failed(format!("status {status}")),
     }
 }
 
-async fn read_refusal(mut exchange: Exchange) -> Answer<()> {
+async fn read_refusal(mut exchange: Exchange) -> Answer<usize> {
     match timeout(SILENCE, (&mut exchange.body).collect()).await {
         Ok(Ok(body)) => {
             exchange.keep(None);
@@ -367,14 +379,19 @@
     core: &Core<D, S, C>,
     mut exchange: Exchange,
     gathering: &mut Gathering,
-) -> Answer<()> {
+) -> Answer<usize> {
     let mut codec = LengthDelimitedCodec::new();
     let mut buffer = BytesMut::new();
+    let mut taken = 0;
     loop {
         let frame = match timeout(SILENCE, exchange.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => return Answer::Failed(error.to_string()),
-            Ok(None) => break,
+            Ok(None) => {
+                exchange.keep(None);
+                core.metrics.fetch(Fetch::Taken);
+                return Answer::Whole(taken);
+            }
             Err(_) => return Answer::Failed("silent within its answer".to_owned()),
         };
         let Ok(data) = frame.into_data() else { continue };
@@ -382,13 +399,10 @@
         buffer.extend_from_slice(&data);
         loop {
             match codec.decode(&mut buffer) {
-                Ok(Some(piece)) => gathering.take(piece.freeze()),
+                Ok(Some(piece)) => taken += usize::from(gathering.take(piece.freeze())),
                 Ok(None) => break,
                 Err(error) => return Answer::Failed(error.to_string()),
-            };
+            }
         }
     }
-    exchange.keep(None);
-    core.metrics.fetch(Fetch::Taken);
-    Answer::Whole(())
 }
