--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -91,12 +91,7 @@
         self.pool.clear(at);
     }
 
-    /// Makes a call and reads the answer whole.
-    ///
-    /// The head of the answer has to come within `timeout`, and then each part
-    /// of it within `timeout` of the one before: a bound on the whole answer
-    /// would give up on large ones that a slow link carries steadily, and what
-    /// came of them would be lost. In all it may take ten times as long.
+    /// Makes a call and reads the answer whole, within `timeout`.
     ///
     /// The connection is used again only after an answer that came whole and
     /// in time, so that a late answer is never taken for that of a later
@@ -109,11 +104,22 @@
         call: Call<'_>,
         timeout: Duration,
     ) -> Result<Answer, Error> {
-        let result = self.exchange_within(at, call, timeout).await;
-        if result.is_err() {
-            self.pool.clear(at);
-        }
-        result
+        self.exchange_within(at, call, timeout, timeout).await
+    }
+
+    /// Makes a call whose answer may be large.
+    ///
+    /// As [`Client::exchange`], but `timeout` bounds the time until the head of
+    /// the answer, and then from one part of it to the next. A bound on the
+    /// whole would give up on what a slow link carries steadily, and what came
+    /// of it would be lost. In all it may take ten times as long.
+    pub async fn exchange_steady(
+        &self,
+        at: SocketAddr,
+        call: Call<'_>,
+        timeout: Duration,
+    ) -> Result<Answer, Error> {
+        self.exchange_within(at, call, timeout, timeout * ANSWER_SILENCES).await
     }
 
     /// Makes a call over a connection of its own and gives the answer as soon
@@ -132,31 +138,51 @@
         })
     }
 
+    /// A call whose answer is never silent for longer than `silence`, and comes
+    /// whole within `most`.
     async fn exchange_within(
         &self,
         at: SocketAddr,
         call: Call<'_>,
-        timeout: Duration,
+        silence: Duration,
+        most: Duration,
     ) -> Result<Answer, Error> {
         let written = AtomicBool::new(false);
-        let head = self.send_on_any(at, call, &written);
-        let (connection, response) = match tokio::time::timeout(timeout, head).await {
-            Ok(result) => result?,
-            Err(_) if written.load(Ordering::Relaxed) => {
-                return Err(Error::Unknown("timeout".into()));
-            }
-            Err(_) => return Err(Error::NotSent("timeout".into())),
+        let exchange = self.exchange_on_any(at, call, silence, &written);
+        let result = match tokio::time::timeout(most, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(Self::late(&written)),
         };
+        if result.is_err() {
+            self.pool.clear(at);
+        }
+        result
+    }
+
+    async fn exchange_on_any(
+        &self,
+        at: SocketAddr,
+        call: Call<'_>,
+        silence: Duration,
+        written: &AtomicBool,
+    ) -> Result<Answer, Error> {
+        let head = self.send_on_any(at, call, written);
+        let head = tokio::time::timeout(silence, head).await;
+        let (connection, response) = head.unwrap_or_else(|_| Err(Self::late(written)))?;
         let status = response.status();
-        let whole = read_whole(response.into_body(), timeout);
-        let body = match tokio::time::timeout(timeout * ANSWER_SILENCES, whole).await {
-            Ok(body) => body?,
-            Err(_) => return Err(Error::Unknown("the answer takes too long".into())),
-        };
+        let body = read_whole(response.into_body(), silence).await?;
         self.pool.put(at, connection, IDLE_TIME);
         Ok(Answer { status, body })
     }
 
+    /// What a call is that was given up on.
+    fn late(written: &AtomicBool) -> Error {
+        match written.load(Ordering::Relaxed) {
+            true => Error::Unknown("timeout".into()),
+            false => Error::NotSent("timeout".into()),
+        }
+    }
+
     async fn send_on_any(
         &self,
         at: SocketAddr,
--- a/crates/client/tests/progress.rs
+++ b/crates/client/tests/progress.rs
@@ -36,7 +36,7 @@
 
 async fn call(at: SocketAddr) -> Result<Answer, Error> {
     let call = Call { method: Method::GET, path: "/", key: None, body: Bytes::new() };
-    Client::open(SILENCE).exchange(at, call, SILENCE).await
+    Client::open(SILENCE).exchange_steady(at, call, SILENCE).await
 }
 
 /// A node stays without its configuration although the store sends it. The
@@ -64,3 +64,15 @@
     assert!(matches!(result, Err(Error::Unknown(_))), "{result:?}");
     assert!(began.elapsed() < SILENCE * 20, "{:?}", began.elapsed());
 }
+
+/// A caller that has no time left waits on for an answer which trickles. A call
+/// that is bounded as a whole ends by its time, whatever comes of the answer.
+#[tokio::test]
+async fn a_call_that_is_bounded_as_a_whole_ends_in_time() {
+    let began = Instant::now();
+    let call = Call { method: Method::GET, path: "/", key: None, body: Bytes::new() };
+    let at = open(10, 10).await;
+    let result = Client::open(SILENCE).exchange(at, call, SILENCE).await;
+    assert!(matches!(result, Err(Error::Unknown(_))), "{result:?}");
+    assert!(began.elapsed() < SILENCE * 2, "{:?}", began.elapsed());
+}
