Log lines bear what an answer is judged by

The line of an answer has the route's goal and longest wanted pause, whether it was placed as a short prompt and what each engine reads; lines of refusals and of streams that ended early have the prompt's size. An engine's 5xx before a stream's first event has its line of a failed attempt, as it has for answers that are no streams. So whoever reads the lines can tell which requests were in time, by size, and how engines were occupied.

Tested: the daemon's log tests look for the fields, and a new one for a stream that two engines failed; tests of hickory-path and hickory-entry pass.

--- a/apps/hickory-entry/tests/logs.rs
+++ b/apps/hickory-entry/tests/logs.rs
@@ -98,6 +98,9 @@
     assert!(number(line, "first_ms") >= 1_500, "{line}");
     assert!(number(line, "expected_ms") < 300, "{line}");
     assert_eq!(number(line, "wait_ms"), 0, "{line}");
+    assert!(number(line, "goal_ms") < number(line, "first_ms"), "{line}");
+    assert!(number(line, "part_ms") < number(line, "expected_ms"), "{line}");
+    assert_eq!(line["attributes"]["short"], "true", "{line}");
     assert!(line["attributes"]["target_id"].as_str().unwrap().starts_with("m-"), "{line}");
 }
 
@@ -113,6 +116,23 @@
     assert!(lines[0]["attributes"]["target_id"].as_str().unwrap().starts_with("p-"));
     let refusal = &lines[1]["attributes"];
     assert_eq!((&refusal["ran"], &refusal["reason"]), (&"unknown".into(), &"target-failed".into()));
+    assert_eq!(number(&lines[1], "prompt"), 1_460);
+}
+
+/// A stream that its engines failed before its first event. The lines name both,
+/// and the answer's line bears what a stream of its route is judged by.
+#[tokio::test]
+async fn a_stream_that_two_targets_failed_names_both() {
+    let scene = Scene::open("failed").await;
+    scene.all("model", &Act::Status(500));
+    assert_eq!(scene.ask("failed-1", "/say/1").await.status, 500);
+    let lines = scene.lines("failed-1", 2).await;
+    let [first, last] = &lines[..] else { panic!("{lines:?}") };
+    assert!(first["message"].as_str().unwrap().starts_with("attempt failed: status 500"));
+    assert_ne!(first["attributes"]["target_id"], last["attributes"]["target_id"]);
+    assert_eq!((&last["message"], number(last, "status")), (&"answered".into(), 500));
+    assert_eq!(number(last, "sends"), 2, "{last}");
+    assert!(number(last, "goal_ms") > 0 && number(last, "pause_max_ms") > 0, "{last}");
 }
 
 /// A stream was cut in the middle and went on. The lines name the target that
@@ -133,6 +153,7 @@
     assert_ne!(targets[0], targets[1], "{lines:?}");
     assert!(lines[2]["message"].as_str().unwrap().starts_with("given up on"), "{lines:?}");
     assert_eq!(number(&lines[2], "last_event"), 2);
+    assert_eq!(number(&lines[2], "prompt"), 1_460);
 }
 
 /// A report's caller was refused beside two idle engines. The line says how long
--- a/crates/path/src/refusal.rs
+++ b/crates/path/src/refusal.rs
@@ -8,6 +8,7 @@
 use hickory_policy::refuse::{Ran, Reason};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
+use hickory_unit::size::Tokens;
 use http::{Response, StatusCode};
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,8 @@
     pub(crate) detail: String,
     pub(crate) retry_after: Option<Duration>,
     pub(crate) ran: Ran,
+    /// The size of its prompt, as far as it was read.
+    pub(crate) prompt: Tokens,
     /// What decided it, where it found no place.
     pub(crate) known: Option<Box<Known>>,
 }
@@ -34,7 +37,19 @@
     pub(crate) fn new(reason: Reason, detail: impl Into<String>) -> Self {
         let status = StatusCode::from_u16(reason.status());
         let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        Self { reason, status, detail: detail.into(), retry_after: None, ran: Ran::No, known: None }
+        Self {
+            reason,
+            status,
+            detail: detail.into(),
+            retry_after: None,
+            ran: Ran::No,
+            prompt: Tokens(0),
+            known: None,
+        }
+    }
+
+    pub(crate) fn with_prompt(self, prompt: Tokens) -> Self {
+        Self { prompt, ..self }
     }
 
     pub(crate) fn after(self, time: Duration) -> Self {
@@ -135,6 +150,7 @@
         status,
         ran:% = refusal.ran,
         retry_after_ms,
+        prompt = refusal.prompt.0,
         config,
         config_age_ms,
         behind_ms,
--- a/crates/path/src/serve.rs
+++ b/crates/path/src/serve.rs
@@ -13,7 +13,7 @@
 use hickory_policy::refuse::Reason;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
-use hickory_unit::size;
+use hickory_unit::size::{self, Tokens};
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -63,7 +63,11 @@
     let arrived = core.now();
     let attempt = D::read_attempt(request.headers());
     let answered = match read_job(&core, arrived, request).await {
-        Ok(job) => run::run(&core, job, active).await,
+        Ok(job) => {
+            let prompt = job.demand.prompt.map_or(Tokens(0), |prompt| prompt.tokens);
+            let answered = run::run(&core, job, active).await;
+            answered.map_err(|refusal| refusal.with_prompt(prompt))
+        }
         Err(refusal) => Err(refusal),
     };
     answered.unwrap_or_else(|refusal| answer_refusal(&core, &attempt, arrived, &refusal))
--- a/crates/path/src/stream.rs
+++ b/crates/path/src/stream.rs
@@ -142,6 +142,7 @@
 ) -> Option<Result<Response<Reply>, Refusal>> {
     run.note_answer(place, status);
     if status.is_server_error() && run.may_repeat() && run.spend() {
+        run.log_repeat(place, &format!("status {status}"));
         return None;
     }
     let Opened { mut exchange, answer } = opened;
@@ -218,6 +219,7 @@
             request = self.run.job.demand.attempt.as_str(),
             route = self.run.job.route.name.as_str(),
             target_id = place.target.id.as_str(),
+            prompt = self.run.job.demand.prompt.map_or(0, |prompt| prompt.tokens.0),
             last_event = self.run.resume_after.unwrap_or_default(),
             age_ms = self.run.age().as_millis() as u64;
             "{what}"
