A crate that sums up the nodes' log lines over time

Lines that can't be read and unknown fields are counted with their places.

plotters draws SVG with its SVG back end alone, without fonts of the system; maud writes the page and escapes what callers named.

--- /dev/null
+++ b/crates/report/src/plot.rs
@@ -0,0 +1,354 @@
+//! Draws what was counted over time, as SVG.
+
+use crate::outcome::{self, Outcome};
+use crate::summary::{Cell, Point, Summary, show_time};
+use eyre::Result;
+use plotters::chart::SeriesAnno;
+use plotters::coord::Shift;
+use plotters::coord::types::RangedCoordf64;
+use plotters::prelude::*;
+
+/// The width of a plot, in pixels.
+const WIDTH: u32 = 960;
+
+/// The height of a plot.
+const HEIGHT: u32 = 230;
+
+/// The height of the plot of predicted against real first tokens.
+const SQUARE: u32 = 480;
+
+/// The height of an engine's row, and of what stands around the rows.
+const ROW: u32 = 14;
+const AROUND: u32 = 70;
+
+/// Engines that are drawn, those that read the most.
+pub(crate) const ENGINES_DRAWN: usize = 40;
+
+/// The font; a browser takes its own of the kind.
+const FONT: &str = "sans-serif";
+
+/// The least time on axes of times by their logarithm.
+const LEAST_MS: f64 = 1.0;
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+type Chart<'a, 'b> = ChartContext<'a, SVGBackend<'b>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
+
+/// A line of a plot: its name, its colour, and its value at a point.
+type Series = (&'static str, RGBColor, fn(&Point) -> Option<f64>);
+
+/// The colour of an outcome.
+fn paint(outcome: Outcome) -> RGBColor {
+    match outcome {
+        Outcome::InTime => RGBColor(90, 160, 90),
+        Outcome::Late => RGBColor(230, 170, 40),
+        Outcome::Refused => RGBColor(90, 120, 200),
+        Outcome::Failed => RGBColor(200, 50, 50),
+        Outcome::Invalid => RGBColor(170, 140, 190),
+        Outcome::Gone => RGBColor(150, 150, 150),
+        Outcome::Unjudged => RGBColor(205, 205, 195),
+    }
+}
+
+/// Outcomes as they stand on each other: what is bad from the ground up, where it
+/// compares best.
+const STACK: [Outcome; outcome::COUNT] = [
+    Outcome::Failed,
+    Outcome::Refused,
+    Outcome::Late,
+    Outcome::InTime,
+    Outcome::Invalid,
+    Outcome::Gone,
+    Outcome::Unjudged,
+];
+
+const FIRST_COLOR: RGBColor = RGBColor(30, 90, 180);
+const SECOND_COLOR: RGBColor = RGBColor(210, 100, 30);
+
+/// The span that plots are drawn over.
+#[derive(Clone, Copy)]
+struct Span {
+    begin_ms: i64,
+    step_s: f64,
+    length_s: f64,
+}
+
+impl Span {
+    fn of(summary: &Summary) -> Option<Self> {
+        let (first, last) = (summary.series.first()?, summary.series.last()?);
+        let step_s = summary.step_s as f64;
+        let length_s = (last.time_ms - first.time_ms) as f64 / 1_000.0 + step_s;
+        Some(Self { begin_ms: first.time_ms, step_s, length_s })
+    }
+
+    /// Where a step begins and ends.
+    fn place(&self, point: &Point) -> (f64, f64) {
+        let begin = (point.time_ms - self.begin_ms) as f64 / 1_000.0;
+        (begin, begin + self.step_s)
+    }
+
+    fn label(&self, at: f64) -> String {
+        let time = show_time(self.begin_ms + (at * 1_000.0) as i64);
+        time.get(11..19).unwrap_or_default().to_owned()
+    }
+}
+
+/// A plot with its name.
+pub(crate) struct Plot {
+    pub(crate) title: String,
+    pub(crate) svg: String,
+}
+
+/// Draws requests by outcome over time, a plot for each size.
+pub(crate) fn draw_outcomes(summary: &Summary) -> Result<Vec<Plot>> {
+    let Some(span) = Span::of(summary) else { return Ok(Vec::new()) };
+    let sizes = summary.outcomes.iter().map(|row| row.size);
+    sizes.map(|size| draw_size(summary, span, size)).collect()
+}
+
+fn draw_size(summary: &Summary, span: Span, size: &'static str) -> Result<Plot> {
+    let sum = |point: &Point| STACK.iter().map(|o| count(point, size, *o)).sum::<f64>();
+    let top = summary.series.iter().map(sum).fold(1.0, f64::max);
+    draw(format!("Outcomes: {size}"), HEIGHT, |area| {
+        let mut chart = open_chart(area, span, top, "requests a step")?;
+        for (index, outcome) in STACK.into_iter().enumerate() {
+            let color = paint(outcome);
+            let stand = |point: &Point| {
+                let below: f64 = STACK[..index].iter().map(|o| count(point, size, *o)).sum();
+                let (from, to) = span.place(point);
+                [(from, below), (to, below + count(point, size, outcome))]
+            };
+            let points = summary.series.iter().filter(|p| count(p, size, outcome) > 0.0);
+            let bars: Vec<[(f64, f64); 2]> = points.map(stand).collect();
+            if bars.is_empty() {
+                continue;
+            }
+            let fills = bars.iter().map(|corners| Rectangle::new(*corners, color.filled()));
+            name(chart.draw_series(fills)?, outcome.name(), color);
+            // Few beside many have no height of their own.
+            let edges = bars.iter().filter(|_| outcome.is_bad()).map(|[(from, _), (to, above)]| {
+                PathElement::new(vec![(*from, *above), (*to, *above)], color.stroke_width(2))
+            });
+            chart.draw_series(edges)?;
+        }
+        draw_names(&mut chart)
+    })
+}
+
+/// Requests of a size that came in a step and ended in a way.
+fn count(point: &Point, size: &str, outcome: Outcome) -> f64 {
+    let row = point.outcomes.iter().find(|row| row.size == size);
+    row.map_or(0.0, |row| row.counts[outcome as usize] as f64)
+}
+
+/// Draws first tokens as they were expected and as they came, over time.
+pub(crate) fn draw_first(summary: &Summary) -> Result<Option<Plot>> {
+    draw_lines(
+        summary,
+        "First tokens over time",
+        &[
+            ("expected, p95", FIRST_COLOR, |p| Some(p.expected_ms?.p95 as f64)),
+            ("real, p95", SECOND_COLOR, |p| Some(p.first_ms?.p95 as f64)),
+        ],
+    )
+}
+
+/// Draws how long requests waited, over time.
+pub(crate) fn draw_waits(summary: &Summary) -> Result<Option<Plot>> {
+    draw_lines(
+        summary,
+        "Waits over time",
+        &[
+            ("wait, p50", FIRST_COLOR, |p| Some(p.wait_ms?.p50 as f64)),
+            ("wait, p95", SECOND_COLOR, |p| Some(p.wait_ms?.p95 as f64)),
+        ],
+    )
+}
+
+/// Draws by how much pauses were over the wanted one, over time.
+pub(crate) fn draw_pauses(summary: &Summary) -> Result<Option<Plot>> {
+    draw_lines(
+        summary,
+        "Pauses over what is wanted",
+        &[
+            ("over by, p50", FIRST_COLOR, |p| Some(p.over_ms?.p50 as f64)),
+            ("over by, max", SECOND_COLOR, |p| Some(p.over_ms?.max as f64)),
+        ],
+    )
+}
+
+/// Draws values of each step that has them; `None` where none has.
+fn draw_lines(summary: &Summary, title: &str, series: &[Series]) -> Result<Option<Plot>> {
+    let points = &summary.series;
+    let values = series.iter().flat_map(|(_, _, value)| points.iter().filter_map(value));
+    let top = values.fold(None, |top: Option<f64>, value| Some(top.unwrap_or(1.0).max(value)));
+    let (Some(top), Some(span)) = (top, Span::of(summary)) else { return Ok(None) };
+    let plot = draw(title.to_owned(), HEIGHT, |area| {
+        let mut chart = open_chart(area, span, top, "ms")?;
+        for (label, color, value) in series {
+            let marks = points.iter().filter_map(|point| {
+                let (from, to) = span.place(point);
+                let value = value(point)?;
+                Some(PathElement::new(vec![(from, value), (to, value)], color.stroke_width(3)))
+            });
+            name(chart.draw_series(marks)?, label, *color);
+        }
+        draw_names(&mut chart)
+    })?;
+    Ok(Some(plot))
+}
+
+/// Draws attempts that failed, over time.
+pub(crate) fn draw_attempts(summary: &Summary) -> Result<Option<Plot>> {
+    let points = summary.series.iter().filter(|point| point.failed_attempts > 0);
+    let top = points.clone().map(|point| point.failed_attempts).max();
+    let (Some(top), Some(span)) = (top, Span::of(summary)) else { return Ok(None) };
+    let plot = draw("Failed attempts over time".to_owned(), HEIGHT, |area| {
+        let mut chart = open_chart(area, span, top as f64, "attempts a step")?;
+        let color = paint(Outcome::Failed);
+        let bars = points.map(|point| {
+            let (from, to) = span.place(point);
+            Rectangle::new([(from, 0.0), (to, point.failed_attempts as f64)], color.filled())
+        });
+        name(chart.draw_series(bars)?, "failed attempts", color);
+        draw_names(&mut chart)
+    })?;
+    Ok(Some(plot))
+}
+
+/// Draws how often a first token that was expected at a time came at another.
+pub(crate) fn draw_predicted(summary: &Summary) -> Result<Option<Plot>> {
+    let cells = &summary.predicted.cells;
+    let most = cells.iter().map(|cell| cell.count).max().unwrap_or(0) as f64;
+    if cells.is_empty() {
+        return Ok(None);
+    }
+    let greatest = |cell: &Cell| cell.expected_ms.max(cell.first_ms);
+    let top = cells.iter().map(greatest).fold(LEAST_MS, f64::max) * 2.0;
+    let range = || (LEAST_MS..top).log_scale();
+    let plot = draw("Predicted against real first token".to_owned(), SQUARE, |area| {
+        let mut chart = ChartBuilder::on(area)
+            .margin(8)
+            .x_label_area_size(40)
+            .y_label_area_size(64)
+            .build_cartesian_2d(range(), range())?;
+        chart.configure_mesh().x_desc("expected, ms").y_desc("real, ms").draw()?;
+        chart.draw_series(cells.iter().map(|cell| {
+            let strength = 0.2 + 0.8 * (1.0 + cell.count as f64).ln() / (1.0 + most).ln();
+            let (x, y) = (cell.expected_ms.max(LEAST_MS), cell.first_ms.max(LEAST_MS));
+            let corner = (x * std::f64::consts::SQRT_2, y * std::f64::consts::SQRT_2);
+            Rectangle::new([(x, y), corner], FIRST_COLOR.mix(strength).filled())
+        }))?;
+        let equal = PathElement::new(vec![(LEAST_MS, LEAST_MS), (top, top)], SECOND_COLOR);
+        chart.draw_series([equal])?;
+        Ok(())
+    })?;
+    Ok(Some(plot))
+}
+
+/// Draws the part of each step in which engines read: short prompts, and long
+/// ones, each in a plot.
+pub(crate) fn draw_occupancy(summary: &Summary) -> Result<Vec<Plot>> {
+    let busy = summary.engines.iter().filter(|row| row.short_ms + row.long_ms > 0);
+    let mut names: Vec<&str> = busy.map(|row| row.name.as_str()).take(ENGINES_DRAWN).collect();
+    // Rows are drawn from below.
+    names.reverse();
+    let Some(span) = Span::of(summary).filter(|_| !names.is_empty()) else {
+        return Ok(Vec::new());
+    };
+    let kinds = [("short prompts", FIRST_COLOR), ("long prompts", SECOND_COLOR)];
+    let draw_kind = |(index, (kind, color)): (usize, (&str, RGBColor))| {
+        let height = AROUND + ROW * names.len() as u32;
+        draw(format!("Occupancy of engines: {kind}"), height, |area| {
+            draw_rows(area, summary, span, &names, (index, color))
+        })
+    };
+    kinds.into_iter().enumerate().map(draw_kind).collect()
+}
+
+fn draw_rows(
+    area: &Area<'_>,
+    summary: &Summary,
+    span: Span,
+    names: &[&str],
+    (index, color): (usize, RGBColor),
+) -> Result<()> {
+    let count = names.len();
+    let mut chart = ChartBuilder::on(area)
+        .margin(8)
+        .x_label_area_size(24)
+        .y_label_area_size(130)
+        .build_cartesian_2d(0.0..span.length_s, -0.5..count as f64 - 0.5)?;
+    // The axis may be marked between rows, too.
+    let label = |at: &f64| {
+        let name = names.get(at.round() as usize).filter(|_| (at - at.round()).abs() < 1e-6);
+        name.map_or_else(String::new, |name| name.chars().take(18).collect())
+    };
+    chart
+        .configure_mesh()
+        .disable_mesh()
+        .x_labels(8)
+        .x_label_formatter(&|at| span.label(*at))
+        .y_labels(count + 1)
+        .y_label_formatter(&label)
+        .draw()?;
+    for (row, name) in names.iter().enumerate() {
+        let (below, above) = (row as f64 - 0.45, row as f64 + 0.45);
+        chart.draw_series(summary.series.iter().filter_map(|point| {
+            let part = point.engines.get(*name)?[index] as f64 / (span.step_s * 1_000.0);
+            let (from, to) = span.place(point);
+            let fill = color.mix(part.clamp(0.0, 1.0)).filled();
+            (part > 0.0).then(|| Rectangle::new([(from, below), (to, above)], fill))
+        }))?;
+    }
+    Ok(())
+}
+
+fn draw(title: String, height: u32, fill: impl FnOnce(&Area<'_>) -> Result<()>) -> Result<Plot> {
+    let mut svg = String::new();
+    {
+        let root = SVGBackend::with_string(&mut svg, (WIDTH, height)).into_drawing_area();
+        root.fill(&WHITE)?;
+        let area = root.titled(&title, (FONT, 15))?;
+        fill(&area)?;
+        root.present()?;
+    }
+    Ok(Plot { title, svg })
+}
+
+fn open_chart<'a, 'b>(
+    area: &'a Area<'b>,
+    span: Span,
+    top: f64,
+    unit: &str,
+) -> Result<Chart<'a, 'b>> {
+    let mut chart = ChartBuilder::on(area)
+        .margin(8)
+        .x_label_area_size(24)
+        .y_label_area_size(64)
+        .build_cartesian_2d(0.0..span.length_s, 0.0..top * 1.05)?;
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .x_labels(8)
+        .x_label_formatter(&|at| span.label(*at))
+        .y_labels(5)
+        .y_desc(unit)
+        .draw()?;
+    Ok(chart)
+}
+
+fn name(series: &mut SeriesAnno<'_, SVGBackend<'_>>, label: &str, color: RGBColor) {
+    series
+        .label(label)
+        .legend(move |(x, y)| Rectangle::new([(x, y - 4), (x + 12, y + 4)], color.filled()));
+}
+
+fn draw_names<'a, 'b: 'a>(chart: &mut Chart<'a, 'b>) -> Result<()> {
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::UpperLeft)
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK.mix(0.3))
+        .draw()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/report/src/table.rs
@@ -0,0 +1,178 @@
+//! Tables of a page.
+
+use crate::outcome::Outcome;
+use crate::summary::{Quantiles, Summary};
+use maud::{Markup, html};
+
+/// A table: its title, the names of its columns, and its rows.
+pub(crate) struct Table {
+    pub(crate) title: &'static str,
+    pub(crate) note: String,
+    pub(crate) head: Vec<&'static str>,
+    pub(crate) rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    fn new(title: &'static str, head: &[&'static str], rows: Vec<Vec<String>>) -> Self {
+        Self { title, note: String::new(), head: head.to_vec(), rows }
+    }
+
+    fn with_note(self, note: impl Into<String>) -> Self {
+        Self { note: note.into(), ..self }
+    }
+
+    /// The table as a part of the page; a table without rows says so.
+    pub(crate) fn render(&self) -> Markup {
+        html! {
+            h3 { (self.title) }
+            @if !self.note.is_empty() { p { (self.note) } }
+            @if self.rows.is_empty() {
+                p.none { "none" }
+            } @else {
+                table {
+                    tr { @for name in &self.head { th { (name) } } }
+                    @for row in &self.rows { tr { @for cell in row { td { (cell) } } } }
+                }
+            }
+        }
+    }
+}
+
+const SPREAD: [&str; 5] = ["count", "p50", "p95", "p99", "max"];
+
+fn show_spread(spread: Option<&Quantiles>) -> Vec<String> {
+    match spread {
+        None => vec!["0".into(), String::new(), String::new(), String::new(), String::new()],
+        Some(q) => [q.count, q.p50, q.p95, q.p99, q.max].map(|n| n.to_string()).to_vec(),
+    }
+}
+
+fn spread_row(name: &str, spread: Option<&Quantiles>) -> Vec<String> {
+    [vec![name.to_owned()], show_spread(spread)].concat()
+}
+
+fn spread_head(first: &'static str) -> Vec<&'static str> {
+    [&[first][..], &SPREAD].concat()
+}
+
+/// The steps that went worst, with requests to go on with.
+pub(crate) fn list_worst(summary: &Summary) -> Table {
+    let head = ["from", "late", "refused", "failed", "go on with hickory explain"];
+    let row = |worst: &crate::summary::Worst| {
+        let examples = worst.examples.iter().map(|example| {
+            format!("{} ({}, {})", example.request, example.outcome.name(), example.node)
+        });
+        let counts = [worst.late, worst.refused, worst.failed].map(|n| n.to_string());
+        let examples = examples.collect::<Vec<_>>().join(" ");
+        [&[worst.time.clone()][..], &counts, &[examples]].concat()
+    };
+    Table::new("Worst steps", &head, summary.worst.iter().map(row).collect())
+}
+
+/// Requests by size and outcome.
+pub(crate) fn list_outcomes(summary: &Summary) -> Table {
+    let mut head = vec!["prompt, tokens"];
+    head.extend(Outcome::ALL.map(Outcome::name));
+    let row = |row: &crate::summary::Row| {
+        let counts = row.counts.iter().map(u64::to_string);
+        std::iter::once(row.size.to_owned()).chain(counts).collect()
+    };
+    Table::new("Outcomes by size", &head, summary.outcomes.iter().map(row).collect())
+}
+
+/// Predicted and real first tokens.
+pub(crate) fn list_first(summary: &Summary) -> Table {
+    let predicted = &summary.predicted;
+    let rows = vec![
+        spread_row("expected", predicted.expected_ms.as_ref()),
+        spread_row("real", predicted.first_ms.as_ref()),
+    ];
+    Table::new("First tokens, ms", &spread_head("first token"), rows)
+        .with_note("Streams that were sent once; both times count from the placing.")
+}
+
+/// Waits by size.
+pub(crate) fn list_waits(summary: &Summary) -> Table {
+    let rows = summary.waits.iter().map(|(size, spread)| spread_row(size, Some(spread)));
+    Table::new("Waits by size, ms", &spread_head("prompt, tokens"), rows.collect())
+        .with_note(format!("{} requests began to wait for engines.", summary.began_to_wait))
+}
+
+/// Pauses over the wanted one.
+pub(crate) fn list_pauses(summary: &Summary) -> Table {
+    let rows = vec![spread_row("over by", summary.pauses.over_ms.as_ref())];
+    Table::new("Pauses over what is wanted, ms", &spread_head("longest pause"), rows)
+        .with_note(format!("Of {} streams of which one is wanted.", summary.pauses.streams))
+}
+
+/// Engines by what they read.
+pub(crate) fn list_engines(summary: &Summary) -> Table {
+    let head =
+        ["engine", "answered", "late", "failed attempts", "long parts", "short ms", "long ms"];
+    let row = |row: &crate::summary::EngineRow| {
+        let counts = [row.answered, row.late, row.failed, row.placed, row.short_ms, row.long_ms];
+        [&[row.name.clone()][..], &counts.map(|n| n.to_string())].concat()
+    };
+    let note = format!(
+        "Reading time by the books: short prompts as they were answered, long ones as they \
+         were placed. {} answers don't say whether they were short.",
+        summary.occupancy_unsaid
+    );
+    Table::new("Engines", &head, summary.engines.iter().map(row).collect()).with_note(note)
+}
+
+/// Refusals by reason.
+pub(crate) fn list_refusals(summary: &Summary) -> Table {
+    let row = |r: &crate::summary::Refusal| {
+        vec![r.reason.clone(), r.count.to_string(), r.may_have_run.to_string()]
+    };
+    let rows = summary.refusals.iter().map(row).collect();
+    Table::new("Refusals by reason", &["reason", "count", "may have run"], rows)
+}
+
+/// What was known at refusals.
+pub(crate) fn list_known(summary: &Summary) -> Table {
+    let head = [&["reason"][..], &spread_head("known")].concat();
+    let rows = summary.refusals.iter().flat_map(|refusal| {
+        let known = refusal.known.iter();
+        known.map(|(name, spread)| {
+            [vec![refusal.reason.clone()], spread_row(name, Some(spread))].concat()
+        })
+    });
+    Table::new("What refusals knew", &head, rows.collect())
+}
+
+/// Answers by sendings.
+pub(crate) fn list_sends(summary: &Summary) -> Table {
+    let row = |(index, count): (usize, &u64)| {
+        let more = if index + 1 == summary.sends.answered.len() { " or more" } else { "" };
+        vec![format!("{}{more}", index + 1), count.to_string()]
+    };
+    let rows = summary.sends.answered.iter().enumerate().map(row).collect();
+    Table::new("Answers by sends", &["targets sent to", "answers"], rows)
+        .with_note(format!("No repeat was left to spend: {} times.", summary.sends.spent))
+}
+
+/// Failed attempts by why.
+pub(crate) fn list_attempts(summary: &Summary) -> Table {
+    let rows = summary.sends.failed.iter().map(|(why, n)| vec![why.clone(), n.to_string()]);
+    Table::new("Failed attempts", &["why", "count"], rows.collect())
+}
+
+/// What nodes came to believe or do.
+pub(crate) fn list_news(summary: &Summary) -> Table {
+    let row = |news: &crate::summary::NewsRow| {
+        vec![news.message.into(), news.count.to_string(), news.first.clone(), news.last.clone()]
+    };
+    let head = ["message", "count", "first", "last"];
+    Table::new("What nodes came to believe", &head, summary.news.iter().map(row).collect())
+}
+
+/// Lines that could not be read, and fields that aren't known.
+pub(crate) fn list_faults(summary: &Summary) -> Table {
+    let faults = summary.lines.faults.iter().map(|fault| vec![fault.clone()]);
+    let unknown = summary.lines.unknown.iter();
+    let unknown = unknown.map(|(name, met)| vec![format!("unknown field {name}: {met}")]);
+    let rows = faults.chain(unknown).collect();
+    Table::new("Lines that could not be read whole", &["first of them"], rows)
+}
