hickory report: a page of the nodes' logs, and how to find a bad minute

The command reads log files or standard input and writes one page that needs nothing from elsewhere, prints the same numbers as JSON, or both.

--- a/apps/hickory/src/args.rs
+++ b/apps/hickory/src/args.rs
@@ -92,6 +92,10 @@
         #[arg(default_value = "-")]
         files: Vec<PathBuf>,
     },
+    /// Sum up the nodes' logs over time: write a page of tables and plots, or
+    /// print the same as JSON. Lines that can't be read are counted and passed
+    /// over.
+    Report(Report),
     /// Make operator and account tokens.
     #[command(subcommand)]
     Token(Token),
@@ -156,6 +160,22 @@
     },
 }
 
+/// Options of the report.
+#[derive(clap::Args, Debug)]
+pub(crate) struct Report {
+    /// Log files; `-` is standard input.
+    #[arg(default_value = "-")]
+    pub(crate) logs: Vec<PathBuf>,
+
+    /// Where the page goes. Needed unless --json is given.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) out: Option<PathBuf>,
+
+    /// End with a failure at a line that can't be read and at an unknown field.
+    #[arg(long)]
+    pub(crate) strict: bool,
+}
+
 /// Tokens.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Token {
--- a/apps/hickory/src/main.rs
+++ b/apps/hickory/src/main.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod failure;
 mod print;
+mod report;
 mod show;
 mod table;
 mod token;
@@ -50,6 +51,7 @@
             check::check_release(file, configuration.as_deref(), args.json)
         }
         Command::Explain { request, files } => explain::run(request, files, args.json),
+        Command::Report(options) => report::run(options, args.json),
         Command::Token(Token::New) => token::print_new(args.json),
         Command::Token(Token::Digest) => token::print_digest(&args.fleet, args.json),
         Command::Demo(options) => demo::run(options),
--- /dev/null
+++ b/apps/hickory/src/report.rs
@@ -0,0 +1,69 @@
+//! The report of nodes' logs: reading, the page and the document.
+
+use crate::args::Report;
+use crate::failure::Failure;
+use crate::print::print_json;
+use hickory_report::page::write_page;
+use hickory_report::read::read_lines;
+use hickory_report::save::save;
+use hickory_report::summary::Summary;
+use hickory_report::tally::Tally;
+use std::fmt::Display;
+use std::fs::{self, File};
+use std::io::{self, BufReader};
+use std::path::Path;
+
+/// Writes the page, prints the document, or both.
+pub(crate) fn run(options: &Report, json: bool) -> Result<(), Failure> {
+    if options.out.is_none() && !json {
+        return Err(Failure::Usage("nothing to do: give --out FILE, --json, or both".into()));
+    }
+    if let Some(out) = &options.out {
+        check_out(out, options)?;
+    }
+    let mut tally = Tally::default();
+    for log in &options.logs {
+        read_log(log, &mut tally).map_err(|error| fail(log, error))?;
+    }
+    if let Some(fault) = tally.first_fault().filter(|_| options.strict) {
+        return Err(Failure::Local(fault));
+    }
+    let summary = Summary::of(&tally);
+    if let Some(out) = &options.out {
+        let page = write_page(&summary).map_err(|error| fail(out, error))?;
+        save(out, &page).map_err(|error| fail(out, error))?;
+    }
+    match (&options.out, json) {
+        (_, true) => print_json(&summary),
+        (Some(out), false) => println!(
+            "{}: {} lines read, {} could not be read",
+            out.display(),
+            summary.lines.read,
+            summary.lines.skipped
+        ),
+        (None, false) => {}
+    }
+    Ok(())
+}
+
+fn fail(place: &Path, error: impl Display) -> Failure {
+    Failure::Local(format!("{}: {error}", place.display()))
+}
+
+/// A page in the place of a log would end the log.
+fn check_out(out: &Path, options: &Report) -> Result<(), Failure> {
+    // What isn't there is no log.
+    let Ok(place) = fs::canonicalize(out) else { return Ok(()) };
+    let is_log = |log: &&std::path::PathBuf| fs::canonicalize(log).is_ok_and(|log| log == place);
+    match options.logs.iter().find(is_log) {
+        Some(_) => Err(Failure::Usage(format!("{}: it is one of the logs", out.display()))),
+        None => Ok(()),
+    }
+}
+
+fn read_log(log: &Path, tally: &mut Tally) -> io::Result<()> {
+    if log == Path::new("-") {
+        return read_lines(io::stdin().lock(), "-", tally);
+    }
+    read_lines(BufReader::new(File::open(log)?), &log.display().to_string(), tally)
+}
--- a/apps/hickory/tests/run/mod.rs
+++ b/apps/hickory/tests/run/mod.rs
@@ -35,12 +35,17 @@
 /// Runs in the directory of the test data, with nothing of the environment
 /// but `env`.
 pub fn run(args: &[&str], env: &[(&str, &str)]) -> Output {
+    run_on(Stdio::null(), args, env)
+}
+
+/// Runs as [`run`] does, on an input.
+pub fn run_on(input: Stdio, args: &[&str], env: &[(&str, &str)]) -> Output {
     let output = Command::new(env!("CARGO_BIN_EXE_hickory"))
         .args(args)
         .env_clear()
         .envs(env.iter().copied())
         .current_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data"))
-        .stdin(Stdio::null())
+        .stdin(input)
         .output()
         .unwrap();
     Output {
