--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -160,6 +160,9 @@
             return;
         }
         let now = self.now();
+        for prefix in [D::OPERATOR_PREFIX, D::TARGET_PREFIX] {
+            items.forget(now, prefix);
+        }
         let before = self.view();
         let next = before.read::<D>(&items, now, may_lapse);
         let waited = lock(&self.news).settle(now, items.newest(D::OPERATOR_PREFIX));
--- a/crates/path/src/items.rs
+++ b/crates/path/src/items.rs
@@ -126,11 +126,20 @@
             let (key, value) = (CompactString::from(&entry.key), Some(entry.value.clone()));
             news |= self.take(now, Word::whole(key, entry.revision, value));
         }
+        news
+    }
+
+    /// Forgets old removals under a prefix, but for the newest word there: by its
+    /// revision nodes tell how far they are, and one that goes back would look to
+    /// itself as if it missed something that nobody has.
+    pub fn forget(&mut self, now: Instant, prefix: &str) {
+        let newest = self.newest(prefix);
         let is_kept = |item: &Item| {
-            item.value.is_some() || now.saturating_duration_since(item.seen) < REMOVAL_KEPT
+            item.value.is_some()
+                || item.revision == newest
+                || now.saturating_duration_since(item.seen) < REMOVAL_KEPT
         };
-        self.items.retain(|_, item| is_kept(item));
-        news
+        self.items.retain(|key, item| !key.starts_with(prefix) || is_kept(item));
     }
 
     /// The items with a prefix, removals included.
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -22,7 +22,7 @@
 mod intake;
 pub mod items;
 mod known;
-mod news;
+pub mod news;
 pub mod outage;
 mod peer;
 pub mod piece;
--- a/crates/path/src/serve.rs
+++ b/crates/path/src/serve.rs
@@ -35,6 +35,9 @@
 /// of: large ones take about a second. Less where its caller has less time.
 const BEHIND_WAIT: Duration = Duration::from_millis(800);
 
+/// Between two looks whether it has come.
+const BEHIND_LOOK: Duration = Duration::from_millis(25);
+
 /// When to come back to a node that is behind, or to another one.
 const BEHIND_RETRY: Duration = Duration::from_millis(500);
 
@@ -133,7 +136,7 @@
         if !is_behind || waited > patience {
             return Err(defer(core, refusal));
         }
-        tokio::time::sleep(START_LOOK).await;
+        tokio::time::sleep(BEHIND_LOOK).await;
     }
 }
 
