A taker that all givers fail grows patient

What callers would see: a node that stays on an old configuration, and sends to targets that have left, while its own link is full: it leaves each giver after a quarter of a second, before any answer can have come, and begins with the next one. After three failures in a row it waits as long as for a giver that is the only one.

--- a/crates/path/src/fetch.rs
+++ b/crates/path/src/fetch.rs
@@ -151,6 +151,7 @@
         let patience = self.givers.patience(peer, ahead);
         match fetch_words(&self.core, peer, &path, patience).await {
             Answer::Whole(words) => {
+                self.givers.note_answered();
                 let may_lapse = self.is_store_away(peer);
                 self.take_words(words, may_lapse).await;
             }
@@ -268,7 +269,10 @@
     ) -> bool {
         let now = self.core.now();
         match fetch_pieces(&self.core, peer, key, gathering, patience).await {
-            Answer::Whole(taken) => taken > 0,
+            Answer::Whole(taken) => {
+                self.givers.note_answered();
+                taken > 0
+            }
             Answer::Busy(busy, others) => {
                 self.note_busy(peer, busy, &others);
                 true
--- a/crates/policy/src/spread.rs
+++ b/crates/policy/src/spread.rs
@@ -175,11 +175,13 @@
 pub struct Givers<K> {
     named: Vec<K>,
     busy_until: HashMap<K, Instant>,
+    /// Failures without an answer between them.
+    failures: u32,
 }
 
 impl<K> Default for Givers<K> {
     fn default() -> Self {
-        Self { named: Vec::new(), busy_until: HashMap::new() }
+        Self { named: Vec::new(), busy_until: HashMap::new(), failures: 0 }
     }
 }
 
@@ -192,6 +194,10 @@
 /// every node behind this one waits for.
 const BEGIN_WITHIN: Duration = Duration::from_millis(250);
 
+/// Failures in a row after which a taker is patient: not the givers are silent
+/// then, but its own link or host is slow.
+const FAILURES_OF_OTHERS: u32 = 3;
+
 /// The same where no other is known, and how long an answer that has begun may
 /// be silent: a host that was short of its processor goes on after that.
 pub const SILENCE: Duration = Duration::from_millis(700);
@@ -208,6 +214,7 @@
     /// Notes that a giver is busy and whom it named in its place. `random` is
     /// from 0 to 1: those who were turned away together come back apart.
     pub fn note_busy(&mut self, now: Instant, giver: K, busy: Busy, others: &[K], random: f64) {
+        self.note_answered();
         self.busy_until.insert(giver, now + busy.wait.mul_f64(1.0 + random));
         for other in others {
             if self.named.len() < REMEMBERED && !self.named.contains(other) {
@@ -216,15 +223,22 @@
         }
     }
 
+    /// Notes that a giver answered.
+    pub fn note_answered(&mut self) {
+        self.failures = 0;
+    }
+
     /// Notes a giver that gave no answer, or broke off.
     pub fn note_failed(&mut self, now: Instant, giver: K) {
+        self.failures += 1;
         self.busy_until.insert(giver, now + FAILED_FOR);
     }
 
     /// How long one that is asked may take to begin its answer.
     pub fn patience(&self, asked: K, heard: &[K]) -> Duration {
         let others = heard.iter().chain(&self.named).any(|node| *node != asked);
-        if others { BEGIN_WITHIN } else { SILENCE }
+        let is_patient = !others || self.failures >= FAILURES_OF_OTHERS;
+        if is_patient { SILENCE } else { BEGIN_WITHIN }
     }
 
     /// Whom to ask next, of those that are `heard` to have the document and
--- a/crates/policy/tests/spread.rs
+++ b/crates/policy/tests/spread.rs
@@ -199,3 +199,20 @@
     assert!(wait <= Duration::from_secs(5), "{wait:?}");
     assert_eq!(givers.choose(now + wait, &[1], 0.5), Choice::Ask(1));
 }
+
+/// A taker whose own link is full never gets an answer: it leaves each giver
+/// before its answer can have come, and begins with the next one. After some such
+/// failures it waits as long as for a giver that is the only one.
+#[test]
+fn a_taker_that_all_givers_fail_grows_patient() {
+    let (now, mut givers) = (Instant::now(), Givers::default());
+    let heard = [1, 2, 3, 4, 5];
+    let hasty = givers.patience(1, &heard);
+    assert!(hasty < givers.patience(1, &[1]), "another one is known");
+    for giver in heard {
+        givers.note_failed(now, giver);
+    }
+    assert_eq!(givers.patience(1, &heard), givers.patience(1, &[1]));
+    givers.note_answered();
+    assert_eq!(givers.patience(1, &heard), hasty);
+}
