A node writes its log to standard output

Operators' collectors read standard output of every daemon and had no line of hickory-node: its lines went to standard error, since its first line on standard output, with its addresses, is read by who starts it. That line was printed in a way that ends the process where the pipe is closed already.

The writer holds all lines until the one with the addresses is there, so this stays the first. Neither it nor any other is waited for, and errors of the pipe are passed over. The last lines have 100 ms before the process ends. Whoever starts a process for the load experiments goes on reading its output and keeps it in the file with its errors.

The proofs logs:: failed first: no line came on standard output, and a node whose pipe was closed before its first line ended with "failed printing to stdout: Broken pipe". The test of crates/load/tests/process.rs failed since the rest of the output was lost. They pass now, with the other tests of hickory-telemetry, hickory-load and hickory-settings.

--- a/apps/hickory-node/src/main.rs
+++ b/apps/hickory-node/src/main.rs
@@ -3,13 +3,18 @@
 use clap::Parser;
 use hickory_node::Node;
 use hickory_settings::Level;
+use hickory_telemetry::logs::First;
 use std::path::PathBuf;
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// How long the last log lines are given to be written.
+const LAST_LINES: Duration = Duration::from_millis(100);
+
 /// Serves callers beside the other nodes of a fleet.
 ///
 /// Prints one JSON line with its addresses on standard output when it is
-/// ready. SIGTERM and SIGINT begin a planned stop, which cuts no request; the
+/// ready, and its log behind that. SIGTERM and SIGINT begin a planned stop, which cuts no request; the
 /// exit status is 0 after one.
 #[derive(Debug, Parser)]
 #[command(name = "hickory-node", version)]
@@ -21,7 +26,7 @@
     #[arg(long)]
     log: Option<log::LevelFilter>,
     /// File that log lines are appended to, in place of the one in the
-    /// settings; without either they go to standard error.
+    /// settings; without either they go to standard output.
     #[arg(long)]
     log_file: Option<PathBuf>,
     /// Threads that serve.
@@ -34,12 +39,14 @@
     let settings = hickory_settings::open(&options.settings)?;
     let level = options.log.unwrap_or_else(|| read_level(settings.logs.level));
     let file = options.log_file.as_deref().or(settings.logs.file.as_deref());
-    hickory_telemetry::logs::open(level, file)?;
+    let first = hickory_telemetry::logs::open_with_first(level, file)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(options.threads)
         .enable_all()
         .build()?;
-    runtime.block_on(run(settings))
+    let ended = runtime.block_on(run(settings, first));
+    std::thread::sleep(LAST_LINES);
+    ended
 }
 
 fn read_level(level: Level) -> log::LevelFilter {
@@ -53,17 +60,17 @@
     }
 }
 
-async fn run(settings: hickory_settings::Node) -> eyre::Result<()> {
+async fn run(settings: hickory_settings::Node, first: First) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let name = settings.node.clone();
     let node = Node::spawn(settings).await?;
-    println!(
+    first.write(&format!(
         r#"{{"node":"{name}","callers":"{}","admin":"{}","peers":"{}"}}"#,
         node.callers(),
         node.admin(),
         node.peers()
-    );
+    ));
     log::info!("serving callers on {}", node.callers());
     tokio::select! {
         _ = terminate.recv() => {}
--- a/apps/hickory-node/tests/proofs/logs.rs
+++ b/apps/hickory-node/tests/proofs/logs.rs
@@ -1,7 +1,148 @@
-//! What the log tells of a request that met a failure.
+//! What the log tells of a request that met a failure, and where lines go.
 
-use crate::support::{Scene, eventually, expected, options};
-use serde_json::Value;
+use crate::support::{
+    Node, OPERATOR, PATIENCE, Scene, configure, eventually, expected, launch, options, times,
+    wait_exit, write_settings,
+};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+use std::process::ChildStdout;
+use std::sync::mpsc;
+use std::time::Duration;
+
+/// What a pipe is taken to be full with: the kernel's usual size, less the page
+/// that a line doesn't fit in.
+const PIPE_FULL: u64 = (64 - 4) << 10;
+
+/// Requests whose lines neither a pipe nor the daemon's queue can hold.
+const FLOOD: usize = 1_500;
+
+/// Reads lines by a thread of its own, since a pipe can't be waited for.
+fn read_lines(output: BufReader<ChildStdout>) -> mpsc::Receiver<String> {
+    let (sender, lines) = mpsc::channel();
+    std::thread::spawn(move || {
+        for line in output.lines() {
+            let Ok(line) = line else { return };
+            let _ = sender.send(line);
+        }
+    });
+    lines
+}
+
+/// Waits for a line whose message ends with `end`; all lines must be JSON.
+async fn find_line(lines: &mpsc::Receiver<String>, end: &str) -> Value {
+    eventually(end, || async {
+        lines.try_iter().find_map(|line| {
+            let line: Value = serde_json::from_str(&line).expect("a line is JSON");
+            let found = line["message"].as_str().is_some_and(|message| message.ends_with(end));
+            found.then_some(line)
+        })
+    })
+    .await
+}
+
+impl Scene {
+    /// Asks for what can't be answered in time, which the log has a line about.
+    async fn ask_too_late(&self, node: &Node) {
+        let answer = self.complete_within(node.callers, "late", 100, Duration::from_millis(1));
+        answer.await.expect("the node answers").rest().await;
+    }
+
+    async fn assert_serves(&self, node: &Node) {
+        let mut stream = self.complete(node.callers, "still served", 5).await.expect("an answer");
+        stream.rest().await;
+        assert_eq!(stream.text, expected("still served", 5), "{:?}", stream.problem);
+    }
+}
+
+/// The operators' collector reads standard output of every daemon, and had no
+/// line of a node: they went to standard error. They must come on standard
+/// output, behind the line that tells who started the node that it is ready,
+/// up to the last one before the process ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn lines_come_on_standard_output_behind_the_addresses() {
+    let scene = Scene::start(1, options()).await;
+    let (mut node, output) = Node::start_printing("node-out", "b", &scene.standins, "info");
+    let lines = read_lines(output);
+    let line = find_line(&lines, &format!("serving callers on {}", node.callers)).await;
+    assert_eq!(line["level"], "INFO");
+    find_line(&lines, "configuration in force").await;
+    node.signal(Signal::TERM);
+    assert!(node.exited().await.success());
+    find_line(&lines, "planned stop done").await;
+}
+
+/// Who started a node reads its first line and then nothing more, while many
+/// requests are refused and logged: the pipe fills. Were a line waited for, the
+/// threads that serve would stand still with it. Callers must be answered as
+/// before, a planned stop must end the process, and who reads on must find how
+/// many lines are missing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pipe_that_nobody_reads_holds_up_no_caller() {
+    let scene = Scene::start(1, options()).await;
+    let (mut unread, output) = Node::start_printing("node-full", "b", &scene.standins, "debug");
+    let (late, late_output) = Node::start_printing("node-late", "c", &scene.standins, "debug");
+    for (node, output) in [(&unread, &output), (&late, &late_output)] {
+        scene.ready(node, options().engines + options().replicas).await;
+        for _ in 0..FLOOD {
+            scene.ask_too_late(node).await;
+        }
+        let waits = rustix::io::ioctl_fionread(output.get_ref()).expect("a pipe tells its size");
+        assert!(waits >= PIPE_FULL, "the pipe is not full: {waits} bytes");
+        scene.assert_serves(node).await;
+    }
+    let lines = read_lines(late_output);
+    let dropped = eventually("a line about dropped ones", || async {
+        scene.ask_too_late(&late).await;
+        let messages = lines.try_iter().filter_map(|line| {
+            let line: Value = serde_json::from_str(&line).expect("a line is JSON");
+            Some(line["message"].as_str()?.to_owned())
+        });
+        messages.into_iter().find_map(|message| {
+            message.strip_suffix(" log lines were dropped")?.parse::<u64>().ok()
+        })
+    });
+    assert!(dropped.await > 0);
+    unread.signal(Signal::TERM);
+    assert!(unread.exited().await.success());
+    drop(output);
+}
+
+/// Who started a node closes the pipe, behind its first line or before it. No
+/// one is left to tell anything, and the node has callers: it must serve and
+/// stop as if it were read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_closed_pipe_ends_no_node() {
+    let scene = Scene::start(1, options()).await;
+    let (mut node, output) = Node::start_printing("node-shut", "b", &scene.standins, "debug");
+    drop(output);
+    scene.ready(&node, options().engines + options().replicas).await;
+    for _ in 0..20 {
+        scene.ask_too_late(&node).await;
+    }
+    scene.assert_serves(&node).await;
+    node.signal(Signal::TERM);
+    assert!(node.exited().await.success());
+
+    let mut child = launch();
+    drop(child.stdout.take());
+    let platform = scene.standins.platform();
+    let logs = json!({ "level": "debug" });
+    configure(&mut child, &write_settings("node-mute", "c", platform, &times(), &logs));
+    let registered = eventually("the node is registered", || async {
+        let nodes = scene.get(scene.nodes[0].admin, "/v1/admin/nodes", OPERATOR).await?;
+        let mut nodes = nodes.as_array()?.iter();
+        nodes.any(|node| node["node"] == "node-mute").then_some(())
+    });
+    registered.await;
+    // A node that ends for want of a reader does so by itself, soon after.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(child.try_wait().expect("the node can be waited for"), None, "it runs");
+    kill_process(Pid::from_child(&child), Signal::TERM).expect("the node can be signalled");
+    let status = tokio::time::timeout(PATIENCE, wait_exit(&mut child)).await;
+    assert!(status.expect("the node ends").success());
+}
 
 /// The engine dies in the middle of a stream and another one goes on. The
 /// caller sees nothing of it; the operator finds one line that names the
--- a/crates/load/src/process.rs
+++ b/crates/load/src/process.rs
@@ -32,9 +32,11 @@
 
 impl Process {
     /// Starts `binary` and returns it with the first line it prints, which
-    /// says that it is ready.
-    pub fn spawn(binary: &Path, arguments: &[&str], errors: &Path) -> Result<(Self, String)> {
-        let errors = std::fs::File::create(errors)?;
+    /// says that it is ready. What it prints behind that goes to the file
+    /// `log`, with its errors.
+    pub fn spawn(binary: &Path, arguments: &[&str], log: &Path) -> Result<(Self, String)> {
+        let errors = std::fs::File::create(log)?;
+        let mut rest = errors.try_clone()?;
         let mut child = Command::new(binary)
             .args(arguments)
             .stdin(Stdio::null())
@@ -48,8 +50,11 @@
         lock(&STARTED).push(child.clone());
         let process = Self { child, pid };
         let mut line = String::new();
-        BufReader::new(output).read_line(&mut line)?;
+        let mut output = BufReader::new(output);
+        output.read_line(&mut line)?;
         eyre::ensure!(!line.is_empty(), "{} ended before it was ready", binary.display());
+        // It ends with the process, or where the file can't be written any more.
+        std::thread::spawn(move || std::io::copy(&mut output, &mut rest));
         Ok((process, line))
     }
 
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -47,7 +47,7 @@
 pub struct Logs {
     /// The least urgent level that is written.
     pub level: Level,
-    /// The file that lines are appended to; standard error without one.
+    /// The file that lines are appended to; standard output without one.
     pub file: Option<PathBuf>,
 }
 
--- a/crates/telemetry/src/lines.rs
+++ b/crates/telemetry/src/lines.rs
@@ -4,7 +4,7 @@
 //! not read. Lines wait in a bounded queue; where it is full they are dropped,
 //! and the next one that is written says how many.
 
-use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
+use crossbeam::channel::{Sender, TrySendError, bounded};
 use log::Record;
 use log4rs::append::Append;
 use log4rs::encode::Encode;
@@ -56,14 +56,38 @@
     }
 }
 
+/// The line that comes before all others. Until it is written, or given up by
+/// being dropped, they wait.
+#[derive(Debug)]
+pub struct First(Sender<Vec<u8>>);
+
+impl First {
+    /// Lets the line be written, and does not wait for it.
+    pub fn write(self, line: &str) {
+        // Without a writer there is no one to read it either.
+        let _ = self.0.try_send(format!("{line}\n").into_bytes());
+    }
+}
+
 impl Lines {
     /// Starts the writer.
     pub(crate) fn spawn(out: impl Write + Send + 'static) -> std::io::Result<Self> {
+        let (first, lines) = Self::spawn_with_first(out)?;
+        drop(first);
+        Ok(lines)
+    }
+
+    /// Starts the writer, which writes nothing before the first line.
+    pub(crate) fn spawn_with_first(
+        out: impl Write + Send + 'static,
+    ) -> std::io::Result<(First, Self)> {
+        let (first, ready) = bounded(1);
         let (queue, lines) = bounded(WAITING_MAX);
         let writer = std::thread::Builder::new().name("log".into()).stack_size(STACK);
-        writer.spawn(move || write_lines(&lines, out))?;
+        writer.spawn(move || write_lines(ready.into_iter().take(1).chain(lines), out))?;
         let allowance = Mutex::new(Allowance { lines: BURST, at: Instant::now() });
-        Ok(Self { queue, dropped: AtomicU64::new(0), allowance, encoder: JsonEncoder::new() })
+        let dropped = AtomicU64::new(0);
+        Ok((First(first), Self { queue, dropped, allowance, encoder: JsonEncoder::new() }))
     }
 
     fn send(&self, line: Vec<u8>) {
@@ -107,7 +131,7 @@
     fn flush(&self) {}
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>, mut out: impl Write) {
+fn write_lines(lines: impl Iterator<Item = Vec<u8>>, mut out: impl Write) {
     for line in lines {
         // Nobody reads any more: there is no one left to tell.
         let _ = out.write_all(&line).and_then(|()| out.flush());
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -1,11 +1,11 @@
 //! Logs as JSON lines.
 
+pub use crate::lines::First;
 use crate::lines::Lines;
 use hickory_unit::id;
 use log::kv::{self, Key, Source, Value, VisitSource};
 use log::{Level, LevelFilter, Record};
 use log4rs::append::Append;
-use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::append::file::FileAppender;
 use log4rs::config::{Appender, Config, Root};
 use log4rs::encode::json::JsonEncoder;
@@ -14,17 +14,17 @@
 /// The name of the only appender.
 const APPENDER: &str = "lines";
 
-/// Opens the process's log: JSON lines on standard error, or appended to
-/// `file` where one is given. Fails where the file can't be opened or a log
-/// is open already.
-pub fn open(level: LevelFilter, file: Option<&Path>) -> eyre::Result<log4rs::Handle> {
+/// Opens the process's log: JSON lines appended to `file`.
+///
+/// # Errors
+///
+/// The file can't be opened, or a log is open already.
+pub fn open(level: LevelFilter, file: &Path) -> eyre::Result<log4rs::Handle> {
     let encoder = Box::new(JsonEncoder::new());
-    let appender: Box<dyn Append> = match file {
-        Some(path) => Box::new(FileAppender::builder().encoder(encoder).build(path)?),
-        None => {
-            Box::new(ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build())
-        }
-    };
+    init(level, Box::new(FileAppender::builder().encoder(encoder).build(file)?))
+}
+
+fn init(level: LevelFilter, appender: Box<dyn Append>) -> eyre::Result<log4rs::Handle> {
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, appender))
         .build(Root::builder().appender(APPENDER).build(level))?;
@@ -43,11 +43,23 @@
 ///
 /// The thread can't be started, or a log is open already.
 pub fn open_stdout(level: LevelFilter) -> eyre::Result<log4rs::Handle> {
-    let lines = Lines::spawn(std::io::stdout())?;
-    let config = Config::builder()
-        .appender(Appender::builder().build(APPENDER, Box::new(lines)))
-        .build(Root::builder().appender(APPENDER).build(level))?;
-    Ok(log4rs::init_config(config)?)
+    init(level, Box::new(Lines::spawn(std::io::stdout())?))
+}
+
+/// Opens the process's log as [`open_stdout`] does, or appends it to `file`
+/// where one is given. Either way standard output begins with the line that
+/// [`First`] is given.
+///
+/// # Errors
+///
+/// As of [`open`] and [`open_stdout`].
+pub fn open_with_first(level: LevelFilter, file: Option<&Path>) -> eyre::Result<First> {
+    let (first, lines) = Lines::spawn_with_first(std::io::stdout())?;
+    match file {
+        Some(path) => open(level, path)?,
+        None => init(level, Box::new(lines))?,
+    };
+    Ok(first)
 }
 
 /// What a log line is about; what is unknown is left out of the line.
--- a/crates/telemetry/tests/logs.rs
+++ b/crates/telemetry/tests/logs.rs
@@ -8,7 +8,7 @@
 #[test]
 fn lines_are_json_with_what_they_are_about() {
     let path = std::env::temp_dir().join(format!("hickory-logs-{}.jsonl", std::process::id()));
-    logs::open(LevelFilter::Info, Some(&path)).unwrap();
+    logs::open(LevelFilter::Info, &path).unwrap();
 
     let subject = Subject {
         request: Some("01890a5d-ac96-774b-bcce-b302099a8057".parse().unwrap()),
