A node that is behind refuses nothing for good

Operators allowed something and callers used it at once, at a node that had heard from its peers of the newer configuration and did not have it yet.

While a living peer has a newer release in force, a request whose token, model, version, adapter or service the configuration doesn't know or allow waits for a newer one, for 800 ms or a quarter of the caller's time at most, and is looked up again by each that comes. After that it is refused with 503 `behind` and Retry-After. Whether the node is behind is read before the configuration is, so that one which comes in between can't turn a refusal into a final one. A request without a token, wrong paths and malformed requests are refused at once as before, and so is everything where no peer that was heard within 5 s is ahead. The deadline that goes to targets in wall time counts what was waited.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -91,6 +91,12 @@
         self.keeper.current()
     }
 
+    /// Whether a living peer has a newer configuration than this node.
+    pub(crate) fn is_behind(&self) -> bool {
+        let known = self.configuration().map(|configuration| configuration.version);
+        self.view.newest_release(self.now()) > known
+    }
+
     pub(crate) fn time(&self, millis: u64) -> Duration {
         Duration::from_millis(millis)
     }
--- a/crates/node/src/parse.rs
+++ b/crates/node/src/parse.rs
@@ -93,18 +93,20 @@
     Refusal { reason, ran: Ran::No, retry_after: None, detail: detail.into() }
 }
 
-/// Finds the account that the bearer token belongs to.
-pub(crate) fn parse_caller(
-    headers: &HeaderMap,
-    configuration: &Configuration,
-) -> Result<Caller, Refusal> {
-    let token = headers
+/// Reads the bearer token.
+pub(crate) fn parse_token(headers: &HeaderMap) -> Result<&str, Refusal> {
+    headers
         .get(http::header::AUTHORIZATION)
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.strip_prefix("Bearer "))
-        .ok_or_else(|| refuse(Reason::Unauthenticated, "header authorization: no bearer token"))?;
+        .map(str::trim)
+        .ok_or_else(|| refuse(Reason::Unauthenticated, "header authorization: no bearer token"))
+}
+
+/// Finds the account that a token belongs to.
+pub(crate) fn find_caller(token: &str, configuration: &Configuration) -> Result<Caller, Refusal> {
     let (account, entry) = configuration
-        .find_account(token.trim())
+        .find_account(token)
         .ok_or_else(|| refuse(Reason::Unauthenticated, "the token belongs to no account"))?;
     Ok(Caller { account: account.clone(), partner: entry.partner.clone() })
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -8,7 +8,8 @@
 use crate::core::{Core, Stage};
 use crate::entry::answer_entry;
 use crate::parse::{
-    BODY_MAX, Head, parse_caller, parse_completion, parse_key, parse_time_left, refuse,
+    BODY_MAX, Caller, Head, find_caller, parse_completion, parse_key, parse_time_left, parse_token,
+    refuse,
 };
 use crate::reply::{self, Body, Encoder};
 use crate::resume;
@@ -16,7 +17,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use hickory_policy::refuse::{Reason, Refusal};
-use hickory_release::configuration::Configuration;
+use hickory_release::configuration::{Configuration, Service};
 use hickory_target::engine::Weights;
 use hickory_unit::clock::Clock;
 use hickory_unit::{id, size};
@@ -41,6 +42,13 @@
 /// closes the connection: what lies between the ends may have forgotten it.
 const USER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How long a request waits for a newer configuration that a peer has: large
+/// ones take about a second. Less where its caller has less time.
+const BEHIND_WAIT: Duration = Duration::from_millis(800);
+
+/// When to come back to a node that is behind, or to another one.
+const BEHIND_RETRY: Duration = Duration::from_millis(500);
+
 /// Events written ahead of a slow caller.
 const EVENTS_AHEAD: usize = 64;
 
@@ -135,11 +143,50 @@
     }
 }
 
-fn require_configuration(core: &Core) -> Result<Arc<Configuration>, Refusal> {
-    core.configuration().ok_or_else(|| Refusal {
+fn refuse_not_ready() -> Refusal {
+    Refusal {
         retry_after: Some(Duration::from_secs(1)),
         ..refuse(Reason::NotReady, "this node has no configuration yet")
-    })
+    }
+}
+
+/// Finds what a request may have by the configuration in force.
+///
+/// A node that is behind waits a little for the newer configuration: by the
+/// old one it would refuse for good what operators have just allowed, and
+/// callers don't come back after that.
+async fn wait_entitled<T>(
+    core: &Core,
+    time_left: Duration,
+    find: impl Fn(&Configuration) -> Result<T, Refusal>,
+) -> Result<T, Refusal> {
+    let end = core.now() + BEHIND_WAIT.min(time_left / 4);
+    let mut changes = core.keeper.subscribe();
+    loop {
+        // Before the look at the configuration, so that one which comes in
+        // between is not taken for the one that the node was behind with.
+        let is_behind = core.is_behind();
+        let configuration = changes.borrow_and_update().clone().ok_or_else(refuse_not_ready)?;
+        let refusal = match find(&configuration) {
+            Err(refusal) if is_behind && is_by_configuration(refusal.reason) => refusal,
+            found => return found,
+        };
+        let wait = end.saturating_duration_since(core.now());
+        if !matches!(tokio::time::timeout(wait, changes.changed()).await, Ok(Ok(()))) {
+            let behind = refuse(Reason::Behind, refusal.detail);
+            return Err(Refusal { retry_after: Some(BEHIND_RETRY), ..behind });
+        }
+    }
+}
+
+fn is_by_configuration(reason: Reason) -> bool {
+    matches!(reason, Reason::Unauthenticated | Reason::Forbidden | Reason::NotFound)
+}
+
+/// Reads the bearer token; a node without a configuration refuses all alike.
+fn read_token<'a>(core: &Core, headers: &'a HeaderMap) -> Result<&'a str, Refusal> {
+    core.configuration().ok_or_else(refuse_not_ready)?;
+    parse_token(headers)
 }
 
 async fn read_body(body: Incoming) -> Result<Bytes, Refusal> {
@@ -165,12 +212,13 @@
 fn open_request(
     core: &Core,
     arrived: Instant,
+    token: &str,
     headers: &HeaderMap,
     configuration: &Configuration,
 ) -> Result<Head, Refusal> {
-    let caller = parse_caller(headers, configuration)?;
-    let time_left = parse_time_left(headers)?;
-    let deadline = arrived + time_left;
+    let caller = find_caller(token, configuration)?;
+    let deadline = arrived + parse_time_left(headers)?;
+    let time_left = deadline.saturating_duration_since(core.now());
     let deadline_ms = core.clock.wall_ms() + time_left.as_millis() as u64;
     Ok(Head { caller, deadline, deadline_ms })
 }
@@ -180,12 +228,20 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
     let arrived = core.now();
-    let configuration = require_configuration(core)?;
     let (parts, body) = request.into_parts();
-    let head = open_request(core, arrived, &parts.headers, &configuration)?;
+    let token = read_token(core, &parts.headers)?;
+    let time_left = parse_time_left(&parts.headers).unwrap_or_default();
+    let head = wait_entitled(core, time_left, |configuration| {
+        open_request(core, arrived, token, &parts.headers, configuration)
+    });
+    let head = head.await?;
     let body = read_body(body).await?;
     let is_served = |weights: &Weights| core.view.count_ready(weights) > 0;
-    let completion = parse_completion(head, &body, &configuration, is_served)?;
+    let time_left = head.deadline.saturating_duration_since(core.now());
+    let completion = wait_entitled(core, time_left, |configuration| {
+        parse_completion(head.clone(), &body, configuration, is_served)
+    });
+    let completion = completion.await?;
     let encoder = Encoder {
         request: completion.request,
         account: completion.caller.account.clone(),
@@ -206,8 +262,10 @@
     request: &Request<Incoming>,
     name: &str,
 ) -> Result<Response<Body>, Refusal> {
-    let configuration = require_configuration(core)?;
-    let caller = parse_caller(request.headers(), &configuration)?;
+    let token = read_token(core, request.headers())?;
+    let time_left = parse_time_left(request.headers()).unwrap_or_default();
+    let find = |configuration: &Configuration| find_caller(token, configuration);
+    let caller = wait_entitled(core, time_left, find).await?;
     let position = parse_position(core, request, &caller.account, name)?;
     let encoder = Encoder {
         request: position.stream.request,
@@ -299,6 +357,23 @@
     Err(refuse(Reason::TargetFailed, "ended without an answer"))
 }
 
+fn find_service<'a>(
+    caller: &Caller,
+    service: &id::Service,
+    configuration: &'a Configuration,
+) -> Result<&'a Service, Refusal> {
+    let entry = configuration
+        .services
+        .get(service)
+        .ok_or_else(|| refuse(Reason::NotFound, format!("path: no service {service}")))?;
+    let account = configuration.accounts.get(&caller.account);
+    if !account.is_some_and(|account| account.services.contains(service)) {
+        let detail = format!("path: account {} may not call {service}", caller.account);
+        return Err(refuse(Reason::Forbidden, detail));
+    }
+    Ok(entry)
+}
+
 async fn answer_call(
     core: &Arc<Core>,
     request: Request<Incoming>,
@@ -306,21 +381,18 @@
     path: String,
 ) -> Result<Response<Body>, Refusal> {
     let arrived = core.now();
-    let configuration = require_configuration(core)?;
     let (parts, body) = request.into_parts();
-    let head = open_request(core, arrived, &parts.headers, &configuration)?;
-    let key = parse_key(&parts.headers)?;
-    let entry = configuration
-        .services
-        .get(&service)
-        .ok_or_else(|| refuse(Reason::NotFound, format!("path: no service {service}")))?;
-    let account = configuration.accounts.get(&head.caller.account);
-    if !account.is_some_and(|account| account.services.contains(&service)) {
-        let detail = format!("path: account {} may not call {service}", head.caller.account);
-        return Err(refuse(Reason::Forbidden, detail));
-    }
+    let token = read_token(core, &parts.headers)?;
+    let time_left = parse_time_left(&parts.headers).unwrap_or_default();
+    let opened = wait_entitled(core, time_left, |configuration| {
+        let head = open_request(core, arrived, token, &parts.headers, configuration)?;
+        let key = parse_key(&parts.headers)?;
+        let entry = find_service(&head.caller, &service, configuration)?;
+        Ok((head, key, entry.once.contains(&path)))
+    });
+    let (head, key, once) = opened.await?;
     let call = Call {
-        once: entry.once.contains(&path),
+        once,
         body: read_body(body).await?,
         caller: head.caller,
         service,
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -17,9 +17,9 @@
 /// Shards of the target states; more than the threads that meet there.
 const SHARDS: usize = 16;
 
-/// An owner that was not heard for this long is taken to be gone: many
-/// exchanges were missed, and a takeover is under way.
-const OWNER_MAX_AGE: Duration = Duration::from_secs(5);
+/// A peer that was not heard for this long is taken to be gone: many exchanges
+/// were missed, and a takeover of what it owns is under way.
+const PEER_MAX_AGE: Duration = Duration::from_secs(5);
 
 /// How long the address of a node that is registered no more is kept after it
 /// was last heard.
@@ -173,6 +173,13 @@
         }
     }
 
+    /// The newest release that a living peer has in force.
+    pub(crate) fn newest_release(&self, now: Instant) -> Option<id::Release> {
+        let peers = self.peers();
+        let living = peers.values().filter(|peer| is_living(now, peer));
+        living.map(|peer| peer.release).max()
+    }
+
     pub(crate) fn peers_seen(&self) -> HashMap<id::Node, PeerSeen> {
         self.peers().clone()
     }
@@ -212,9 +219,7 @@
     ) -> Vec<Candidate> {
         let hosts = self.hosts();
         let peers = self.peers();
-        let is_heard = |node: &id::Node| {
-            peers.get(node).is_some_and(|p| now.saturating_duration_since(p.at) < OWNER_MAX_AGE)
-        };
+        let is_heard = |node: &id::Node| peers.get(node).is_some_and(|peer| is_living(now, peer));
         hosts
             .values()
             .filter(|host| is_in_service(host, configuration) && !excluded.contains(&host.target))
@@ -291,6 +296,10 @@
     }
 }
 
+fn is_living(now: Instant, peer: &PeerSeen) -> bool {
+    now.saturating_duration_since(peer.at) < PEER_MAX_AGE
+}
+
 fn is_in_service(host: &Host, configuration: &Configuration) -> bool {
     host.standing == Standing::Live && !configuration.zone_out(&host.zone)
 }
--- a/crates/policy/src/refuse.rs
+++ b/crates/policy/src/refuse.rs
@@ -69,7 +69,7 @@
     /// The node has no configuration yet.
     NotReady = "not-ready", 503;
     /// The node has heard of a newer configuration than the one it has, by which
-    /// the request has no route, account or room.
+    /// the request has no route, account or room, or may not have what it names.
     Behind = "behind", 503;
     /// The node is stopping.
     Draining = "draining", 503;
