A node fetches a document from one peer at a time

With a large configuration, links between nodes filled and permits failed whenever a node lagged behind. Each exchange of gossip with a peer that had a newer configuration or ownership table began a fetch of its own, so that all peers sent the same document at once. Their calls timed out together, each timeout closes its link, and the permits on these links failed with them.

For each of the two documents there is now one fetch at a time, and a peer that tells of a newer one while another peer is asked is not asked. Whether the node still lacks the document is looked at when its turn has come, and the turn ends after the document has been taken, so that no peer sends what is there already. A fetch that fails ends with its timeout; a peer tells again with each exchange, so the next one begins then. The two documents don't wait for each other.

The test in crates/node/tests/peers.rs counts what eight made-up peers are asked for, which take 300 ms over a document.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,5 +1,6 @@
 //! What the parts of a node share.
 
+use crate::peers::Fetches;
 use crate::suspect::Record;
 use crate::table::Table;
 use crate::view::View;
@@ -62,6 +63,7 @@
     pub(crate) platform: Port,
     pub(crate) targets: Targets,
     pub(crate) links: Arc<OnceLock<Links>>,
+    pub(crate) fetches: Fetches,
     pub(crate) member: Member<Port, System>,
     pub(crate) keeper: Keeper<Port, System>,
     pub(crate) owners: Owners<Port, System, LinkProbe>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -182,6 +182,7 @@
         clock,
         targets: Targets::open(TARGET_TIMEOUT),
         links,
+        fetches: peers::Fetches::default(),
         keeper: Keeper::spawn(platform.clone(), clock),
         ledger: Ledger::open(platform.clone(), clock, me, claim::Options::default()),
         member,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -9,6 +9,14 @@
 use hickory_wire::message::{Adopt, Ask, Document, Gossip, Outcome, Permit, Refusal};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Weak};
+use tokio::sync::Mutex;
+
+/// Held while a document is fetched: one fetch at a time for each.
+#[derive(Debug, Default)]
+pub(crate) struct Fetches {
+    release: Mutex<()>,
+    owners: Mutex<()>,
+}
 
 /// Answers peers on behalf of the node.
 #[derive(Clone, Debug)]
@@ -128,17 +136,30 @@
 }
 
 /// Fetches what a peer knows better.
+///
+/// All peers tell of a new document within one exchange. Were each asked for
+/// it, they would fill the links with the same bytes, and a call that times out
+/// closes its link, with all that waits there. So nobody is asked while another
+/// one is, and who told meanwhile tells again with the next exchange.
 async fn fetch_newer(core: &Core, links: &Links, info: &Info, gossip: &Gossip) {
-    let timeout = core.peer_timeout();
+    tokio::join!(fetch_release(core, links, info, gossip), fetch_owners(core, links, info, gossip));
+}
+
+async fn fetch_release(core: &Core, links: &Links, info: &Info, gossip: &Gossip) {
+    let Ok(_fetch) = core.fetches.release.try_lock() else { return };
     let known = core.configuration().map_or(id::Release(0), |c| c.version);
     if gossip.release > known
-        && let Ok(Some(document)) = links.release(info.peers, timeout).await
+        && let Ok(Some(document)) = links.release(info.peers, core.peer_timeout()).await
         && let Ok(configuration) = serde_json::from_str(&document.text)
     {
         core.keeper.offer(configuration);
     }
+}
+
+async fn fetch_owners(core: &Core, links: &Links, info: &Info, gossip: &Gossip) {
+    let Ok(_fetch) = core.fetches.owners.try_lock() else { return };
     if gossip.owners > core.owners.revision()
-        && let Ok(Some(document)) = links.owners(info.peers, timeout).await
+        && let Ok(Some(document)) = links.owners(info.peers, core.peer_timeout()).await
     {
         core.owners.offer(document.version, &document.text);
     }
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -40,26 +40,65 @@
 /// Less than a request waits for a newer configuration.
 const AT_ONCE: Duration = Duration::from_millis(700);
 
+/// A revision of the ownership table that no write of the test reaches.
+const FAR_REVISION: u64 = 1_000_000;
+
 /// What the made-up peers tell and give, and what they were asked for.
 #[derive(Debug, Default)]
 struct Peers {
     /// The release that they say is in force.
     release: AtomicU64,
+    /// The revision of the ownership table that they say they know.
+    owners: AtomicU64,
     /// The configuration that they give.
     document: Mutex<Option<Document>>,
+    /// How long a document takes.
+    slow: Mutex<Duration>,
     /// Whether they have ended.
     gone: AtomicBool,
-    /// How often they were asked for it.
-    releases: AtomicUsize,
+    releases: Asked,
+    tables: Asked,
+}
+
+/// How often something was asked for.
+#[derive(Debug, Default)]
+struct Asked {
+    count: AtomicUsize,
+    now: AtomicUsize,
+    most: AtomicUsize,
+}
+
+impl Asked {
+    fn give<T>(&self, slow: Duration, value: T) -> T {
+        self.count.fetch_add(1, Ordering::SeqCst);
+        let now = self.now.fetch_add(1, Ordering::SeqCst) + 1;
+        self.most.fetch_max(now, Ordering::SeqCst);
+        std::thread::sleep(slow);
+        self.now.fetch_sub(1, Ordering::SeqCst);
+        value
+    }
+
+    fn count(&self) -> usize {
+        self.count.load(Ordering::SeqCst)
+    }
+
+    /// The most that were asked for at the same time.
+    fn most(&self) -> usize {
+        self.most.load(Ordering::SeqCst)
+    }
 }
 
 impl Peers {
+    fn slow(&self) -> Duration {
+        *self.slow.lock().unwrap()
+    }
+
     fn tell(&self, node: &id::Node) -> Gossip {
         Gossip {
             node: node.clone(),
             incarnation: id::Incarnation(1),
             release: id::Release(self.release.load(Ordering::SeqCst)),
-            owners: 0,
+            owners: self.owners.load(Ordering::SeqCst),
             draining: false,
             version: 0,
             seen: 0,
@@ -96,12 +135,12 @@
     }
 
     fn release(&self) -> Option<Document> {
-        self.peers.releases.fetch_add(1, Ordering::SeqCst);
-        self.peers.document.lock().unwrap().clone()
+        let document = self.peers.document.lock().unwrap().clone();
+        self.peers.releases.give(self.peers.slow(), document)
     }
 
     fn owners(&self) -> Option<Document> {
-        None
+        self.peers.tables.give(self.peers.slow(), None)
     }
 }
 
@@ -293,6 +332,31 @@
     }
 }
 
+/// The configuration grows, and a node lags behind. Each of its peers tells it
+/// many times a second that it has the newer one, and it asked each of them at
+/// each word, so that all sent the same large document at once: links filled,
+/// calls timed out and took the permits on the same links with them. It must
+/// ask one peer at a time for each document, and nobody any more when it has it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_is_asked_of_one_peer_at_a_time() {
+    let scene = Scene::start(8).await;
+    let Peers { releases, tables, .. } = &*scene.peers;
+    *scene.peers.slow.lock().unwrap() = Duration::from_millis(300);
+    *scene.peers.document.lock().unwrap() = Some(write_newer(5));
+    scene.peers.release.store(5, Ordering::SeqCst);
+    scene.peers.owners.store(FAR_REVISION, Ordering::SeqCst);
+    eventually("the newer configuration", || async {
+        scene.complete(NEW_TOKEN, "oak").await.status == 200
+    })
+    .await;
+    eventually("some asks for the table", || async { tables.count() >= 5 }).await;
+    assert_eq!(
+        (releases.count(), releases.most(), tables.most()),
+        (1, 1, 1),
+        "asks for the configuration, and most at the same time for it and for the table"
+    );
+}
+
 /// Operators allow something and a caller uses it, at a node that has heard
 /// from its peers that there is a newer configuration and can't get it. It
 /// refused for good by the one that it has, and callers don't come back after
@@ -316,8 +380,7 @@
     }
 
     scene.peers.release.store(5, Ordering::SeqCst);
-    eventually("the node has heard", || async { scene.peers.releases.load(Ordering::SeqCst) > 0 })
-        .await;
+    eventually("the node has heard", || async { scene.peers.releases.count() > 0 }).await;
     let answers = scene.ask_all().await;
     let behind = wanted.map(|(what, _)| (what, (503, "behind", true)));
     assert_eq!(answers.each_ref().map(|(what, answer)| (*what, answer.told())), behind);
@@ -354,8 +417,7 @@
 async fn what_waits_for_a_newer_configuration_is_served_by_it() {
     let scene = Scene::start(2).await;
     scene.peers.release.store(5, Ordering::SeqCst);
-    eventually("the node has heard", || async { scene.peers.releases.load(Ordering::SeqCst) > 0 })
-        .await;
+    eventually("the node has heard", || async { scene.peers.releases.count() > 0 }).await;
     let give = async {
         tokio::time::sleep(Duration::from_millis(200)).await;
         *scene.peers.document.lock().unwrap() = Some(write_newer(5));
