The proof of the log on standard output takes lines in any order

It passed over the lines before the one that it waited for, but "serving callers" and "configuration in force" come in either order, as the node reads its configuration beside its start; the second was then waited for in vain. It now keeps all lines and finds each among them; it still wants every one of them, and as JSON.

With the line "serving callers" delayed by half a second, a trial run once with each, the old proof failed and the new one passed. Without the delay the new one passed seven times of seven.

--- a/apps/hickory-node/tests/proofs/logs.rs
+++ b/apps/hickory-node/tests/proofs/logs.rs
@@ -9,7 +9,7 @@
 use std::io::{BufRead, BufReader};
 use std::process::ChildStdout;
 use std::sync::mpsc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What a pipe is taken to be full with: the kernel's usual size, less the page
 /// that a line doesn't fit in.
@@ -30,16 +30,32 @@
     lines
 }
 
-/// Waits for a line whose message ends with `end`; all lines must be JSON.
-async fn find_line(lines: &mpsc::Receiver<String>, end: &str) -> Value {
-    eventually(end, || async {
-        lines.try_iter().find_map(|line| {
-            let line: Value = serde_json::from_str(&line).expect("a line is JSON");
-            let found = line["message"].as_str().is_some_and(|message| message.ends_with(end));
-            found.then_some(line)
-        })
-    })
-    .await
+/// The lines of a node, all of which must be JSON.
+struct Lines {
+    source: mpsc::Receiver<String>,
+    seen: Vec<Value>,
+}
+
+impl Lines {
+    fn read(output: BufReader<ChildStdout>) -> Self {
+        Self { source: read_lines(output), seen: Vec::new() }
+    }
+
+    /// Waits for a line whose message ends with `end`, in whatever order with
+    /// others.
+    async fn find(&mut self, end: &str) -> Value {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let parse = |line: String| serde_json::from_str(&line).expect("a line is JSON");
+            self.seen.extend(self.source.try_iter().map(parse));
+            let ends = |line: &&Value| line["message"].as_str().is_some_and(|m| m.ends_with(end));
+            if let Some(line) = self.seen.iter().find(ends) {
+                return line.clone();
+            }
+            assert!(Instant::now() < until, "{end:?} never came, but {:?}", self.seen);
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
 }
 
 impl Scene {
@@ -64,13 +80,13 @@
 async fn lines_come_on_standard_output_behind_the_addresses() {
     let scene = Scene::start(1, options()).await;
     let (mut node, output) = Node::start_printing("node-out", "b", &scene.standins, "info");
-    let lines = read_lines(output);
-    let line = find_line(&lines, &format!("serving callers on {}", node.callers)).await;
+    let mut lines = Lines::read(output);
+    let line = lines.find(&format!("serving callers on {}", node.callers)).await;
     assert_eq!(line["level"], "INFO");
-    find_line(&lines, "configuration in force").await;
+    lines.find("configuration in force").await;
     node.signal(Signal::TERM);
     assert!(node.exited().await.success());
-    find_line(&lines, "planned stop done").await;
+    lines.find("planned stop done").await;
 }
 
 /// Who started a node reads its first line and then nothing more, while many
