--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,5 +1,6 @@
 //! What the parts of a node share.
 
+use crate::peers::Fetches;
 use crate::suspect::Record;
 use crate::table::Table;
 use crate::view::View;
@@ -62,6 +63,7 @@
     pub(crate) platform: Port,
     pub(crate) targets: Targets,
     pub(crate) links: Arc<OnceLock<Links>>,
+    pub(crate) fetches: Fetches,
     pub(crate) member: Member<Port, System>,
     pub(crate) keeper: Keeper<Port, System>,
     pub(crate) owners: Owners<Port, System, LinkProbe>,
@@ -91,6 +93,12 @@
         self.keeper.current()
     }
 
+    /// Whether a living peer has a newer configuration than this node.
+    pub(crate) fn is_behind(&self) -> bool {
+        let known = self.configuration().map(|configuration| configuration.version);
+        self.view.newest_release(self.now()) > known
+    }
+
     pub(crate) fn time(&self, millis: u64) -> Duration {
         Duration::from_millis(millis)
     }
