After a failure the limiter grants nothing until a load report

What callers would see: an innocent request refused as quarantined. A suspect waited behind the request that crashed an engine, was granted the dead engine by an owner that had not seen the death yet, and counted as having run on it. Permits for dead targets cost each of those that waited an attempt besides.

The limiter now holds its grants after Outcome::Failed until the next load report shows that the target lives, and refuses new asks with NoTarget, so that their nodes go elsewhere at once. Test: nothing_is_granted_after_a_death_until_the_target_reports, red before the change.

--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -84,6 +84,8 @@
     claimed: Option<(Claim, Instant)>,
     confirmed: bool,
     accepting: bool,
+    /// Whether work failed on the target and no load report has come since.
+    may_be_dead: bool,
     pub(crate) queue_bound: usize,
     pub(crate) shed: Option<Instant>,
     next: Ticket,
@@ -108,6 +110,7 @@
             claimed: None,
             confirmed: true,
             accepting: true,
+            may_be_dead: false,
             queue_bound: QUEUE_BOUND,
             shed: None,
             next: 1,
@@ -162,9 +165,10 @@
         tickets.into_iter().map(|ticket| (ticket, Reason::NoTarget)).collect()
     }
 
-    /// Takes in a load report; says why the target ramps anew, if it does.
+    /// Takes in a load report, which shows that the target lives; says why the target ramps anew, if it does.
     pub fn observe(&mut self, now: Instant, observed: &Observed) -> Option<Cold> {
         self.advance(now);
+        self.may_be_dead = false;
         self.room.set_foreign(observed.foreign, observed.foreign_kv);
         for (ticket, left) in &observed.prefill_left {
             if let Some(grant) = self.granted.get(ticket) {
@@ -188,7 +192,7 @@
         if ask.cost.kv() > self.capacity.kv {
             return Answer::Refused(Reason::TooLong, Duration::ZERO);
         }
-        if !self.accepting {
+        if !self.accepting || self.may_be_dead {
             return Answer::Refused(Reason::NoTarget, Duration::ZERO);
         }
         if let Some(refusal) = self.refuse_late(now, &ask) {
@@ -267,6 +271,10 @@
 
     /// Takes back a permit and learns from how its work went; says why the
     /// target ramps anew, if it does.
+    ///
+    /// After a failure nothing is granted until the next load report: a permit
+    /// for a dead target costs an attempt, and a suspect that waited behind
+    /// the request that killed the target would be blamed for the death.
     pub fn settle(&mut self, now: Instant, ticket: Ticket, outcome: Outcome) -> Option<Cold> {
         self.advance(now);
         self.forget(ticket);
@@ -274,6 +282,7 @@
         match outcome {
             Outcome::Dropped => None,
             Outcome::Failed => {
+                self.may_be_dead = true;
                 self.ramp.fail(now);
                 None
             }
@@ -373,10 +382,15 @@
         self.asks.insert(ticket, Waiting { ask, came_with, latest });
     }
 
+    fn may_grant(&self, now: Instant) -> bool {
+        let held = self.hold.is_some_and(|until| now < until);
+        self.accepting && !self.may_be_dead && !held
+    }
+
     /// The ticket that may be granted now, by the fair order over the lanes
     /// that have room.
     fn next_grant(&self, now: Instant) -> Option<Ticket> {
-        if !self.accepting || self.hold.is_some_and(|until| now < until) {
+        if !self.may_grant(now) {
             return None;
         }
         if self.granted.values().next().is_some_and(|grant| grant.ask.alone) {
@@ -443,13 +457,12 @@
 
     /// Whether an urgent ask fits into the room that is held.
     fn fits_claimed(&self, now: Instant, ticket: Ticket) -> bool {
-        let open = self.accepting && self.hold.is_none_or(|until| now >= until);
         let alone = self.granted.values().next().is_some_and(|grant| grant.ask.alone);
         let Some(Waiting { ask, .. }) = self.asks.get(&ticket).filter(|w| !w.ask.alone) else {
             return false;
         };
         let fits = self.room.fits(self.present_bound(), ask.lane(), ask.cost, Claim::default());
-        open && !alone && self.live_claim(now).is_some() && fits.is_ok()
+        self.may_grant(now) && !alone && self.live_claim(now).is_some() && fits.is_ok()
     }
 
     fn grant(&mut self, now: Instant, ticket: Ticket) {
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -98,6 +98,28 @@
     assert_eq!(granted(&mut limiter, now + ms(100)), [behind]);
 }
 
+/// A suspect kills the target that it runs on, and its node tells before the
+/// owner has seen the death. The innocent suspect behind it must get no permit
+/// for a dead target, or it counts as having run on it; a new ask goes
+/// elsewhere at once. The next load report shows that the target lives.
+#[test]
+fn nothing_is_granted_after_a_death_until_the_target_reports() {
+    let (now, mut limiter) = warm(Instant::now(), NARROW);
+    let suspect = |now| Ask { alone: true, ..ask(now, "mawe", 10) };
+    let crashing = ticket(limiter.ask(now, suspect(now)));
+    let innocent = ticket(limiter.ask(now, suspect(now)));
+    limiter.settle(now, crashing, Outcome::Failed);
+    assert_eq!(granted(&mut limiter, now + ms(100)), []);
+    for urgent in [false, true] {
+        let elsewhere = Ask { urgent, ..ask(now, "caucao", 10) };
+        let answer = limiter.ask(now + ms(100), elsewhere);
+        assert_eq!(answer, Answer::Refused(Reason::NoTarget, Duration::ZERO));
+    }
+    assert_eq!((limiter.running(), limiter.waiting()), (0, 1));
+    limiter.observe(now + ms(200), &observed(2, 100));
+    assert_eq!(granted(&mut limiter, now + ms(200)), [innocent]);
+}
+
 /// Operators take the zone out while asks wait here: all of them are answered
 /// at once, so that their nodes can go to another zone, nothing new is taken,
 /// and when the zone is back the target serves again.
