The limit and the fair queue are split by job

Moves only; public paths stay (fair re-exports the lanes).

- limit.rs to grant.rs: which of the asks that wait is granted next, and the room held for long ones.
- fair.rs to lane.rs: the kinds of asks and sets of them.
- fair.rs to flow.rs: what a flow has used, and one level of the hierarchy.

The lines before and after are the same but for visibility, imports and impl headers.

--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -18,6 +18,9 @@
 //! keep at least half of their share and the debt is still paid.
 
 use crate::cost::Class;
+use crate::flow::{Flow, Level};
+use crate::lane::LANES;
+pub use crate::lane::{Lane, Lanes};
 use hickory_unit::id;
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
@@ -27,189 +30,10 @@
 /// that reports arrive.
 pub const BATCH_AGE: Duration = Duration::from_secs(10);
 
-/// Kinds of asks that are let in or held back separately.
-const LANES: usize = 4;
-
-/// Fixed-point scale of the tags.
-const SCALE: f64 = 65_536.0;
-
 /// The weight of a flow that has none set, and the least weight.
 const DEFAULT_WEIGHT: f64 = 1.0;
 const LEAST_WEIGHT: f64 = 0.001;
 
-/// The kind of an ask: its class, and whether it is long.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Lane {
-    /// Who waits.
-    pub class: Class,
-    /// Whether the prompt is long.
-    pub long: bool,
-}
-
-impl Lane {
-    /// All lanes, in the order of their index.
-    pub const ALL: [Self; LANES] = [
-        Self { class: Class::Interactive, long: false },
-        Self { class: Class::Batch, long: false },
-        Self { class: Class::Interactive, long: true },
-        Self { class: Class::Batch, long: true },
-    ];
-
-    fn index(self) -> usize {
-        usize::from(self.long) * 2 + usize::from(self.class == Class::Batch)
-    }
-
-    /// Whether only the asks for which the headroom is kept are in it.
-    pub fn is_short_interactive(self) -> bool {
-        self.index() == 0
-    }
-}
-
-/// A set of lanes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Lanes(u8);
-
-impl Lanes {
-    /// Every lane.
-    pub const ALL: Self = Self((1 << LANES) - 1);
-
-    /// The set without `lane`.
-    pub fn without(self, lane: Lane) -> Self {
-        Self(self.0 & !(1 << lane.index()))
-    }
-
-    /// Only the lanes of long asks.
-    pub fn only_long(self) -> Self {
-        Self(self.0 & 0b1100)
-    }
-
-    /// Only the lanes of short asks.
-    pub fn only_short(self) -> Self {
-        Self(self.0 & 0b0011)
-    }
-
-    /// Whether `lane` is in the set.
-    pub fn contains(self, lane: Lane) -> bool {
-        self.has(lane.index())
-    }
-
-    fn has(self, index: usize) -> bool {
-        self.0 & (1 << index) != 0
-    }
-
-    fn of_size(self, long: bool) -> Self {
-        Self(self.0 & if long { 0b1100 } else { 0b0011 })
-    }
-}
-
-/// What a partner or an account has used, and what waits.
-#[derive(Clone, Debug)]
-struct Flow {
-    weight: f64,
-    /// Start tag: the work received, over the weight.
-    tag: u64,
-    /// Long work received that the tag does not hold yet, over the weight.
-    debt: u64,
-    waiting: [u32; LANES],
-    /// Work that waits, short and long.
-    queued_work: [u64; 2],
-}
-
-impl Flow {
-    fn open(weight: f64) -> Self {
-        Self { weight, tag: 0, debt: 0, waiting: [0; LANES], queued_work: [0; 2] }
-    }
-
-    fn key(&self, lane: usize) -> u64 {
-        if lane < 2 { self.tag } else { self.tag.saturating_add(self.debt) }
-    }
-
-    fn waits_short(&self) -> bool {
-        self.waiting[0] + self.waiting[1] > 0
-    }
-
-    fn waits(&self) -> bool {
-        self.waiting.iter().any(|&n| n > 0)
-    }
-
-    /// Moves the tag up to the virtual time; the debt shrinks by as much.
-    fn catch_up(&mut self, virtual_time: u64) {
-        let total = self.tag.saturating_add(self.debt);
-        self.tag = self.tag.max(virtual_time);
-        self.debt = total.saturating_sub(self.tag);
-    }
-
-    fn charge(&mut self, work: u64, long: bool) {
-        let charge = ((work as f64 * SCALE / self.weight) as u64).max(1);
-        if long {
-            self.debt = self.debt.saturating_add(charge);
-            return;
-        }
-        let paid = self.debt.min(charge);
-        self.debt -= paid;
-        self.tag = self.tag.saturating_add(charge).saturating_add(paid);
-    }
-}
-
-/// One level of the hierarchy: flows that wait, by lane and key.
-#[derive(Clone, Debug, Default)]
-struct Level {
-    order: [BTreeSet<(u64, u32)>; LANES],
-    virtual_time: u64,
-}
-
-impl Level {
-    fn enter(&mut self, flow: &mut Flow, index: u32, lane: usize) {
-        let joins = if lane < 2 { !flow.waits_short() } else { !flow.waits() };
-        if joins {
-            self.withdraw(flow, index);
-            flow.catch_up(self.virtual_time);
-        }
-        flow.waiting[lane] += 1;
-        self.insert(flow, index);
-    }
-
-    fn leave(&mut self, flow: &mut Flow, index: u32, lane: usize) {
-        flow.waiting[lane] -= 1;
-        if flow.waiting[lane] == 0 {
-            self.order[lane].remove(&(flow.key(lane), index));
-        }
-    }
-
-    fn charge(&mut self, flow: &mut Flow, index: u32, work: u64, long: bool) {
-        self.withdraw(flow, index);
-        let key = flow.key(if long { 2 } else { 0 });
-        let short_waits = !(self.order[0].is_empty() && self.order[1].is_empty());
-        if !long || !short_waits {
-            self.virtual_time = self.virtual_time.max(key);
-        }
-        flow.charge(work, long);
-        self.insert(flow, index);
-    }
-
-    fn withdraw(&mut self, flow: &Flow, index: u32) {
-        for lane in (0..LANES).filter(|&l| flow.waiting[l] > 0) {
-            self.order[lane].remove(&(flow.key(lane), index));
-        }
-    }
-
-    fn insert(&mut self, flow: &Flow, index: u32) {
-        for lane in (0..LANES).filter(|&l| flow.waiting[l] > 0) {
-            self.order[lane].insert((flow.key(lane), index));
-        }
-    }
-
-    /// The flow with the least key over `lanes`, and whether its turn is one
-    /// for long work. Long goes first where both are equal: a flow's short
-    /// key is never above its long one, so that its long work would else
-    /// wait as long as any of its short work does.
-    fn first(&self, lanes: Lanes) -> Option<(u32, bool)> {
-        let firsts = (0..LANES).filter(|&l| lanes.has(l));
-        let firsts = firsts.filter_map(|l| self.order[l].first().map(|&(key, i)| (key, l < 2, i)));
-        firsts.min().map(|(_, short, index)| (index, !short))
-    }
-}
-
 #[derive(Clone, Debug)]
 struct PartnerFlow {
     flow: Flow,
--- /dev/null
+++ b/crates/policy/src/flow.rs
@@ -0,0 +1,115 @@
+//! One level of the fair queue: what each flow has used, and whose turn it is.
+
+use crate::lane::{LANES, Lanes};
+use std::collections::BTreeSet;
+
+/// Fixed-point scale of the tags.
+const SCALE: f64 = 65_536.0;
+
+/// What a partner or an account has used, and what waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Flow {
+    pub(crate) weight: f64,
+    /// Start tag: the work received, over the weight.
+    tag: u64,
+    /// Long work received that the tag does not hold yet, over the weight.
+    debt: u64,
+    pub(crate) waiting: [u32; LANES],
+    /// Work that waits, short and long.
+    pub(crate) queued_work: [u64; 2],
+}
+
+impl Flow {
+    pub(crate) fn open(weight: f64) -> Self {
+        Self { weight, tag: 0, debt: 0, waiting: [0; LANES], queued_work: [0; 2] }
+    }
+
+    fn key(&self, lane: usize) -> u64 {
+        if lane < 2 { self.tag } else { self.tag.saturating_add(self.debt) }
+    }
+
+    fn waits_short(&self) -> bool {
+        self.waiting[0] + self.waiting[1] > 0
+    }
+
+    pub(crate) fn waits(&self) -> bool {
+        self.waiting.iter().any(|&n| n > 0)
+    }
+
+    /// Moves the tag up to the virtual time; the debt shrinks by as much.
+    fn catch_up(&mut self, virtual_time: u64) {
+        let total = self.tag.saturating_add(self.debt);
+        self.tag = self.tag.max(virtual_time);
+        self.debt = total.saturating_sub(self.tag);
+    }
+
+    pub(crate) fn charge(&mut self, work: u64, long: bool) {
+        let charge = ((work as f64 * SCALE / self.weight) as u64).max(1);
+        if long {
+            self.debt = self.debt.saturating_add(charge);
+            return;
+        }
+        let paid = self.debt.min(charge);
+        self.debt -= paid;
+        self.tag = self.tag.saturating_add(charge).saturating_add(paid);
+    }
+}
+
+/// One level of the hierarchy: flows that wait, by lane and key.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Level {
+    pub(crate) order: [BTreeSet<(u64, u32)>; LANES],
+    virtual_time: u64,
+}
+
+impl Level {
+    pub(crate) fn enter(&mut self, flow: &mut Flow, index: u32, lane: usize) {
+        let joins = if lane < 2 { !flow.waits_short() } else { !flow.waits() };
+        if joins {
+            self.withdraw(flow, index);
+            flow.catch_up(self.virtual_time);
+        }
+        flow.waiting[lane] += 1;
+        self.insert(flow, index);
+    }
+
+    pub(crate) fn leave(&mut self, flow: &mut Flow, index: u32, lane: usize) {
+        flow.waiting[lane] -= 1;
+        if flow.waiting[lane] == 0 {
+            self.order[lane].remove(&(flow.key(lane), index));
+        }
+    }
+
+    pub(crate) fn charge(&mut self, flow: &mut Flow, index: u32, work: u64, long: bool) {
+        self.withdraw(flow, index);
+        let key = flow.key(if long { 2 } else { 0 });
+        let short_waits = !(self.order[0].is_empty() && self.order[1].is_empty());
+        if !long || !short_waits {
+            self.virtual_time = self.virtual_time.max(key);
+        }
+        flow.charge(work, long);
+        self.insert(flow, index);
+    }
+
+    fn withdraw(&mut self, flow: &Flow, index: u32) {
+        for lane in (0..LANES).filter(|&l| flow.waiting[l] > 0) {
+            self.order[lane].remove(&(flow.key(lane), index));
+        }
+    }
+
+    fn insert(&mut self, flow: &Flow, index: u32) {
+        for lane in (0..LANES).filter(|&l| flow.waiting[l] > 0) {
+            self.order[lane].insert((flow.key(lane), index));
+        }
+    }
+
+    /// The flow with the least key over `lanes`, and whether its turn is one
+    /// for long work. Long goes first where both are equal: a flow's short
+    /// key is never above its long one, so that its long work would else
+    /// wait as long as any of its short work does.
+    pub(crate) fn first(&self, lanes: Lanes) -> Option<(u32, bool)> {
+        let firsts = (0..LANES).filter(|&l| lanes.has(l));
+        let firsts = firsts.filter_map(|l| self.order[l].first().map(|&(key, i)| (key, l < 2, i)));
+        firsts.min().map(|(_, short, index)| (index, !short))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lane.rs
@@ -0,0 +1,71 @@
+//! The kinds of asks that are let in or held back separately.
+
+use crate::cost::Class;
+
+/// Kinds of asks that are let in or held back separately.
+pub(crate) const LANES: usize = 4;
+
+/// The kind of an ask: its class, and whether it is long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lane {
+    /// Who waits.
+    pub class: Class,
+    /// Whether the prompt is long.
+    pub long: bool,
+}
+
+impl Lane {
+    /// All lanes, in the order of their index.
+    pub const ALL: [Self; LANES] = [
+        Self { class: Class::Interactive, long: false },
+        Self { class: Class::Batch, long: false },
+        Self { class: Class::Interactive, long: true },
+        Self { class: Class::Batch, long: true },
+    ];
+
+    pub(crate) fn index(self) -> usize {
+        usize::from(self.long) * 2 + usize::from(self.class == Class::Batch)
+    }
+
+    /// Whether only the asks for which the headroom is kept are in it.
+    pub fn is_short_interactive(self) -> bool {
+        self.index() == 0
+    }
+}
+
+/// A set of lanes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lanes(u8);
+
+impl Lanes {
+    /// Every lane.
+    pub const ALL: Self = Self((1 << LANES) - 1);
+
+    /// The set without `lane`.
+    pub fn without(self, lane: Lane) -> Self {
+        Self(self.0 & !(1 << lane.index()))
+    }
+
+    /// Only the lanes of long asks.
+    pub fn only_long(self) -> Self {
+        Self(self.0 & 0b1100)
+    }
+
+    /// Only the lanes of short asks.
+    pub fn only_short(self) -> Self {
+        Self(self.0 & 0b0011)
+    }
+
+    /// Whether `lane` is in the set.
+    pub fn contains(self, lane: Lane) -> bool {
+        self.has(lane.index())
+    }
+
+    pub(crate) fn has(self, index: usize) -> bool {
+        self.0 & (1 << index) != 0
+    }
+
+    pub(crate) fn of_size(self, long: bool) -> Self {
+        Self(self.0 & if long { 0b1100 } else { 0b0011 })
+    }
+}
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -6,14 +6,14 @@
 //! a target holds more than it bears and fails all that runs on it, or an ask
 //! waits for what can't come before its deadline. Room is granted by
 //! [`crate::room`] under the bound of [`crate::ramp`], in the order of
-//! [`crate::fair`].
+//! [`crate::fair`]; `crate::grant` joins them.
 
 pub use crate::ask::{Answer, Ask, Capacity, Observed, Outcome, Ticket, priority_of};
-use crate::fair::{Lanes, Queue};
+use crate::fair::Queue;
 use crate::pace::Pace;
 use crate::ramp::{Cold, Ramp};
 use crate::refuse::Reason;
-use crate::room::{Bound, Claim, Full, Room};
+use crate::room::{Bound, Claim, Room};
 use hickory_unit::{id, size};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -33,11 +33,6 @@
 /// engine, more could not start within the greatest usual deadline.
 pub const QUEUE_BOUND: usize = 4_096;
 
-/// How long a long ask waits before room is held for it, and a suspect
-/// before other grants stop: shorter, and each long ask would idle slots that
-/// short ones could use; longer, and it would starve behind them.
-const CLAIM_AFTER: Duration = Duration::from_secs(1);
-
 /// How long room is held for an urgent long ask that was refused, or whose
 /// permit came back unused. Such an ask is one part of a prompt that needs
 /// several engines at once and can't queue at any; without held room short
@@ -58,11 +53,11 @@
 }
 
 #[derive(Clone, Debug)]
-struct Grant {
-    ask: Ask,
-    at: Instant,
+pub(crate) struct Grant {
+    pub(crate) ask: Ask,
+    pub(crate) at: Instant,
     /// The time to the first token that was to be expected.
-    expected: Duration,
+    pub(crate) expected: Duration,
 }
 
 /// The permits and the queue of one target.
@@ -74,18 +69,18 @@
     pub(crate) pace: Pace,
     pub(crate) queue: Queue,
     pub(crate) asks: HashMap<Ticket, Waiting>,
-    alone: VecDeque<(Ticket, Instant)>,
-    granted: HashMap<Ticket, Grant>,
-    expiry: BTreeSet<(Instant, Ticket)>,
+    pub(crate) alone: VecDeque<(Ticket, Instant)>,
+    pub(crate) granted: HashMap<Ticket, Grant>,
+    pub(crate) expiry: BTreeSet<(Instant, Ticket)>,
     latest: BTreeSet<(Instant, Ticket)>,
     now: Option<Instant>,
     pub(crate) hold: Option<Instant>,
     /// Room held for urgent long asks, and until when.
-    claimed: Option<(Claim, Instant)>,
+    pub(crate) claimed: Option<(Claim, Instant)>,
     confirmed: bool,
-    accepting: bool,
+    pub(crate) accepting: bool,
     /// Whether work failed on the target and no load report has come since.
-    may_be_dead: bool,
+    pub(crate) may_be_dead: bool,
     pub(crate) queue_bound: usize,
     pub(crate) shed: Option<Instant>,
     next: Ticket,
@@ -346,7 +341,7 @@
         self.accepting
     }
 
-    fn present_bound(&self) -> Bound {
+    pub(crate) fn present_bound(&self) -> Bound {
         let halves = if self.confirmed { 1 } else { 2 };
         Bound {
             slots: self.ramp.bound() / halves,
@@ -382,106 +377,6 @@
         self.asks.insert(ticket, Waiting { ask, came_with, latest });
     }
 
-    fn may_grant(&self, now: Instant) -> bool {
-        let held = self.hold.is_some_and(|until| now < until);
-        self.accepting && !self.may_be_dead && !held
-    }
-
-    /// The ticket that may be granted now, by the fair order over the lanes
-    /// that have room.
-    fn next_grant(&self, now: Instant) -> Option<Ticket> {
-        if !self.may_grant(now) {
-            return None;
-        }
-        if self.granted.values().next().is_some_and(|grant| grant.ask.alone) {
-            return None;
-        }
-        let bound = self.present_bound();
-        if let Some(&(ticket, since)) = self.alone.front() {
-            if self.room.slots() == 0 && bound.slots > 0 {
-                return Some(ticket);
-            }
-            // Grants stop only after a while: a target that drains for each
-            // suspect at once would let one caller idle it at will.
-            if now.saturating_duration_since(since) >= CLAIM_AFTER {
-                return None;
-            }
-        }
-        self.next_beside(now, bound)
-    }
-
-    fn next_beside(&self, now: Instant, bound: Bound) -> Option<Ticket> {
-        let mut lanes = Lanes::ALL;
-        let claim = match self.live_claim(now) {
-            Some(claim) => {
-                lanes = lanes.only_short();
-                claim
-            }
-            None => self.claim(now, bound),
-        };
-        while let Some((ticket, lane)) = self.queue.peek(now, lanes) {
-            let cost = self.asks.get(&ticket)?.ask.cost;
-            if self.room.fits(bound, lane, cost, claim).is_ok() {
-                return Some(ticket);
-            }
-            lanes = lanes.without(lane);
-        }
-        None
-    }
-
-    /// The room held for the long ask whose turn it is, once it has waited
-    /// for slots or memory that short work keeps taking as it comes free.
-    fn claim(&self, now: Instant, bound: Bound) -> Claim {
-        let waits = self.queue.peek(now, Lanes::ALL.only_long()).and_then(|(ticket, lane)| {
-            let old = self.queue.age(now, ticket)? >= CLAIM_AFTER;
-            old.then_some((self.asks.get(&ticket)?.ask.cost, lane))
-        });
-        let Some((cost, lane)) = waits else { return Claim::default() };
-        match self.room.fits(bound, lane, cost, Claim::default()) {
-            Err(Full::Slots | Full::Memory) => Claim { slots: 1, kv: cost.kv() },
-            Ok(()) | Err(Full::Prefill) => Claim::default(),
-        }
-    }
-
-    /// Holds room for an urgent long ask, unless it is held for another.
-    fn keep_claim(&mut self, now: Instant, ask: &Ask) {
-        if ask.cost.is_long() && self.live_claim(now).is_none() {
-            let claim = Claim { slots: 1, kv: ask.cost.kv() };
-            self.claimed = Some((claim, now + CLAIM_LIFE));
-        }
-    }
-
-    fn live_claim(&self, now: Instant) -> Option<Claim> {
-        self.claimed.filter(|&(_, until)| now < until).map(|(claim, _)| claim)
-    }
-
-    /// Whether an urgent ask fits into the room that is held.
-    fn fits_claimed(&self, now: Instant, ticket: Ticket) -> bool {
-        let alone = self.granted.values().next().is_some_and(|grant| grant.ask.alone);
-        let Some(Waiting { ask, .. }) = self.asks.get(&ticket).filter(|w| !w.ask.alone) else {
-            return false;
-        };
-        let fits = self.room.fits(self.present_bound(), ask.lane(), ask.cost, Claim::default());
-        self.may_grant(now) && !alone && self.live_claim(now).is_some() && fits.is_ok()
-    }
-
-    fn grant(&mut self, now: Instant, ticket: Ticket) {
-        self.queue.grant(ticket);
-        let Some(ask) = self.forget(ticket) else { return };
-        if ask.urgent && ask.cost.is_long() {
-            self.claimed = None;
-        }
-        if !self.queue.is_empty() {
-            self.pace.grant(ask.cost.work(), ask.cost.is_long());
-        }
-        let ahead =
-            size::Tokens(self.room.in_flight(false) as u64 + self.room.in_flight(true) as u64);
-        let expected = self.pace.first_token(ask.cost.prefill + ahead);
-        self.room.add(ticket, ask.lane(), ask.cost);
-        self.expiry.insert((ask.deadline + GRACE, ticket));
-        self.granted.insert(ticket, Grant { ask, at: now, expected });
-    }
-
     /// Takes an ask out of the queue.
     pub(crate) fn forget(&mut self, ticket: Ticket) -> Option<Ask> {
         let Waiting { ask, latest, .. } = self.asks.remove(&ticket)?;
