The engine model's steps stand apart from its surface

Moves only: engine.rs to step.rs, what takes streams into the batch, moves them on and ends them. Public paths stay.

Run: cargo test -p hickory-policy -p hickory-model; fmt; clippy of both with all targets.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod option;
 pub mod pipe;
 mod seen;
+mod step;
 mod transfer;
 pub mod warmth;
 
