The experiment's fleet is split by job

Moves only: fleet.rs to flight.rs, a request on its way and its record; to placement.rs, how requests are placed, sent and refused. The imports go one way: flight, fleet, placement.

Run: cargo test -p hickory-policy -p hickory-model; fmt; clippy of both with all targets.

--- a/crates/policy/examples/experiment/figure.rs
+++ b/crates/policy/examples/experiment/figure.rs
@@ -1,6 +1,7 @@
 //! Figures of a run.
 
-use crate::fleet::{Record, Run};
+use crate::fleet::Run;
+use crate::flight::Record;
 use hickory_policy::refuse::Reason;
 use std::time::Duration;
 
--- a/crates/policy/examples/experiment/fleet.rs
+++ b/crates/policy/examples/experiment/fleet.rs
@@ -1,28 +1,28 @@
 //! A fleet of engine models behind owners and nodes, on a clock of its own.
 
+use crate::flight::{Flight, Record, stream_of};
 use crate::load::Request;
 use hickory_model::engine::Engine;
-use hickory_model::job::{Job, State};
+use hickory_model::job::State;
 use hickory_model::option::Options;
 use hickory_policy::baseline::{Limit, Place};
-use hickory_policy::limit::{Answer, Ask, Capacity, Observed, Outcome, Ticket};
-use hickory_policy::place::{ASKS_AT_ONCE, Candidate, Query, asks_at_once, counts, hash_target};
+use hickory_policy::limit::{Capacity, Observed, Outcome, Ticket};
+use hickory_policy::place::{Candidate, hash_target};
 use hickory_policy::ramp::Sample;
 use hickory_policy::refuse::Reason;
-use hickory_target::engine::{Priority, Weights};
+use hickory_target::engine::Weights;
 use hickory_unit::{id, size};
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 /// Nodes, each with its own view of the targets.
-const NODES: usize = 6;
+pub(crate) const NODES: usize = 6;
 /// Between two exchanges of states, and two load reports.
 const EXCHANGE: u64 = 1_000;
 const REPORT: u64 = 250;
 /// Between two looks at a queue.
 const POLL: u64 = 5;
-/// Targets that a node asks for one attempt, and attempts of a request.
-const ASKS: usize = 4;
+/// Attempts of a request.
 const ATTEMPTS: u32 = 3;
 /// From the crash of an engine to its restart.
 const RESTART: u64 = 5_000;
@@ -38,61 +38,36 @@
     Shares(&'static [(&'static str, f64)]),
 }
 
-/// How a request went.
-#[derive(Clone, Debug)]
-pub struct Record {
-    pub request: Request,
-    /// Time to the first token.
-    pub first: Option<Duration>,
-    /// Time to the end.
-    pub ended: Option<Duration>,
-    /// The refusal and when it came.
-    pub refused: Option<(Reason, Duration)>,
-    /// Sent to a target, whatever came of it.
-    pub begun: bool,
-}
-
-struct Flight {
-    record: Record,
-    target: Option<usize>,
-    ticket: Ticket,
-    attempt: u32,
-    tried: Vec<usize>,
-    /// When the attempt was sent, and the time to its first token from then.
-    sent: Duration,
-    first: Option<Duration>,
-}
-
-struct Target<L> {
+pub(crate) struct Target<L> {
     id: id::Target,
-    engine: Engine,
-    limit: L,
-    zone: usize,
+    pub(crate) engine: Engine,
+    pub(crate) limit: L,
+    pub(crate) zone: usize,
     incarnation: u64,
     accepting: bool,
     restart: Option<u64>,
-    tickets: HashMap<Ticket, usize>,
-    running: BTreeSet<usize>,
+    pub(crate) tickets: HashMap<Ticket, usize>,
+    pub(crate) running: BTreeSet<usize>,
 }
 
-struct Node<P> {
-    place: P,
-    view: Vec<(Candidate, bool)>,
+pub(crate) struct Node<P> {
+    pub(crate) place: P,
+    pub(crate) view: Vec<(Candidate, bool)>,
 }
 
 /// The fleet under a policy.
 pub struct Fleet<L, P> {
     options: Options,
-    start: Instant,
+    pub(crate) start: Instant,
     ms: u64,
-    targets: Vec<Target<L>>,
-    nodes: Vec<Node<P>>,
-    flights: Vec<Flight>,
-    deadlines: BTreeSet<(Duration, usize)>,
+    pub(crate) targets: Vec<Target<L>>,
+    pub(crate) nodes: Vec<Node<P>>,
+    pub(crate) flights: Vec<Flight>,
+    pub(crate) deadlines: BTreeSet<(Duration, usize)>,
     crashes: u32,
     /// The last moment at which work was sent to a zone that was out.
-    late_send: Option<Duration>,
-    zone_out: Option<(usize, Duration)>,
+    pub(crate) late_send: Option<Duration>,
+    pub(crate) zone_out: Option<(usize, Duration)>,
 }
 
 /// What came of a run.
@@ -102,7 +77,7 @@
     pub late_send: Option<Duration>,
 }
 
-fn weights() -> Weights {
+pub(crate) fn weights() -> Weights {
     Weights { model: "paint".into(), version: "1".into(), adapter: None }
 }
 
@@ -176,11 +151,11 @@
         Run { records, crashes: self.crashes, late_send: self.late_send }
     }
 
-    fn now(&self) -> Instant {
+    pub(crate) fn now(&self) -> Instant {
         self.start + Duration::from_millis(self.ms)
     }
 
-    fn passed(&self) -> Duration {
+    pub(crate) fn passed(&self) -> Duration {
         Duration::from_millis(self.ms)
     }
 
@@ -263,126 +238,6 @@
         (candidate, target.accepting)
     }
 
-    fn submit(&mut self, request: Request) {
-        let index = self.flights.len();
-        self.deadlines.insert((request.at + request.left, index));
-        let record = Record { request, first: None, ended: None, refused: None, begun: false };
-        self.flights.push(Flight {
-            record,
-            target: None,
-            ticket: 0,
-            attempt: 0,
-            tried: Vec::new(),
-            sent: Duration::ZERO,
-            first: None,
-        });
-        self.place(index);
-    }
-
-    /// Chooses targets for a request until one takes it or queues it.
-    fn place(&mut self, index: usize) {
-        let mut reason = Reason::NoTarget;
-        let (mut asked, mut full) = (0, Vec::new());
-        while asked < ASKS {
-            // Who was asked for an answer at once may queue the ask now.
-            if asked >= ASKS_AT_ONCE {
-                full.clear();
-            }
-            let Some((target, at_once)) = self.choose(index, asked, &full) else { break };
-            let now = self.now();
-            let wanted = Ask { urgent: at_once, ..self.ask_of(index) };
-            match self.targets[target].limit.ask(now, wanted) {
-                Answer::Granted(ticket) => {
-                    self.flights[index].tried.push(target);
-                    self.targets[target].tickets.insert(ticket, index);
-                    return self.send(index, target, ticket);
-                }
-                Answer::Queued(ticket) => {
-                    self.flights[index].tried.push(target);
-                    self.targets[target].tickets.insert(ticket, index);
-                    let flight = &mut self.flights[index];
-                    (flight.target, flight.ticket) = (Some(target), ticket);
-                    return;
-                }
-                Answer::Refused(why, _) => {
-                    reason = why;
-                    asked += usize::from(counts(why));
-                    let list = if at_once && counts(why) {
-                        &mut full
-                    } else {
-                        &mut self.flights[index].tried
-                    };
-                    list.push(target);
-                }
-            }
-        }
-        self.refuse(index, reason);
-    }
-
-    fn choose(&mut self, index: usize, ask: usize, full: &[usize]) -> Option<(usize, bool)> {
-        let flight = &self.flights[index];
-        let node = &mut self.nodes[index % NODES];
-        let able = |i: &usize| node.view[*i].1 && !flight.tried.contains(i) && !full.contains(i);
-        let able: Vec<usize> = (0..node.view.len()).filter(able).collect();
-        let candidates: Vec<Candidate> = able.iter().map(|&i| node.view[i].0.clone()).collect();
-        if candidates.is_empty() {
-            return None;
-        }
-        let request = &flight.record.request;
-        let random = (index as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ ask as u64;
-        let query = Query { cost: request.cost, class: request.class, prefix: None, random };
-        let chosen = able[node.place.choose(&query, &candidates)?];
-        let view = &mut node.view[chosen].0;
-        view.queued_prefill += request.cost.prefill;
-        if request.cost.is_long() {
-            view.queued_long += request.cost.prefill;
-        }
-        view.kv_free = view.kv_free.saturating_sub(request.cost.kv());
-        view.running += 1;
-        Some((chosen, asks_at_once(request.cost, ask, able.len())))
-    }
-
-    fn ask_of(&self, index: usize) -> Ask {
-        let request = &self.flights[index].record.request;
-        Ask {
-            partner: request.partner.into(),
-            account: format!("{}-{}", request.partner, index % 10).as_str().into(),
-            class: request.class,
-            cost: request.cost,
-            deadline: self.start + request.at + request.left,
-            alone: false,
-            urgent: false,
-        }
-    }
-
-    fn send(&mut self, index: usize, target: usize, ticket: Ticket) {
-        let (now, passed) = (self.now(), self.passed());
-        let lane = self.ask_of(index).lane();
-        let flight = &mut self.flights[index];
-        flight.record.begun = true;
-        (flight.target, flight.ticket) = (Some(target), ticket);
-        (flight.sent, flight.first) = (passed, None);
-        let t = &mut self.targets[target];
-        if let Some((zone, out)) = self.zone_out.filter(|&(zone, _)| zone == t.zone) {
-            self.late_send = Some(passed - out);
-            debug_assert_eq!(zone, t.zone);
-        }
-        let job = Job {
-            stream: stream_of(index, flight.attempt),
-            weights: weights(),
-            prompt: flight.record.request.cost.prefill,
-            blocks: Vec::new(),
-            max_tokens: flight.record.request.cost.decode,
-            priority: Priority(L::priority(lane)),
-            import: None,
-            keep: None,
-            crash: false,
-        };
-        t.running.insert(index);
-        // A refusal shows in the engine's state, which the next look finds.
-        let _ = t.engine.begin(now, job);
-    }
-
     fn advance(&mut self, target: usize) {
         let now = self.now();
         let t = &mut self.targets[target];
@@ -509,13 +364,6 @@
             self.refuse(index, Reason::Deadline);
         }
     }
-
-    fn refuse(&mut self, index: usize, reason: Reason) {
-        let passed = self.passed();
-        let record = &mut self.flights[index].record;
-        record.refused = Some((reason, passed.saturating_sub(record.request.at)));
-        self.deadlines.remove(&(record.request.at + record.request.left, index));
-    }
 }
 
 fn capacity(options: &Options) -> Capacity {
@@ -525,12 +373,3 @@
         prefill_rate: options.prefill_rate,
     }
 }
-
-fn stream_of(index: usize, attempt: u32) -> id::Stream {
-    id::Stream {
-        request: id::Request(uuid::Uuid::from_u128(index as u128)),
-        attempt,
-        sender: "node".into(),
-        deadline_ms: 0,
-    }
-}
--- a/crates/policy/examples/experiment/main.rs
+++ b/crates/policy/examples/experiment/main.rs
@@ -5,10 +5,13 @@
 
 mod figure;
 mod fleet;
+mod flight;
 mod load;
+mod placement;
 
 use clap::{Parser, ValueEnum};
-use fleet::{Event, Fleet, Record, Run};
+use fleet::{Event, Fleet, Run};
+use flight::Record;
 use hickory_policy::baseline::{Estimate, Fifo, LeastLoaded, Limit, Place, RoundRobin, Unbounded};
 use hickory_policy::cost::Class;
 use hickory_policy::limit::Limiter;
