Two pieces of logic that stood twice are one each

- crates/policy/src/baseline.rs: why an ask can't be taken at all, asked by both limits without a queue order of their own, is find_refusal.
- crates/load: the outcome of an exchange of which nothing has come is Outcome::open, used by the direct caller and by the baseline's refusal of calls.

--- a/crates/load/src/direct.rs
+++ b/crates/load/src/direct.rs
@@ -53,16 +53,7 @@
 
     /// Asks an engine for a completion; times count from `intended`.
     pub async fn complete(&self, ask: &Completion, prompt: String, intended: Instant) -> Outcome {
-        let mut outcome = Outcome {
-            end: End::Unanswered,
-            first_token: None,
-            gaps: Vec::new(),
-            time: Duration::ZERO,
-            tokens: 0,
-            refusals: Vec::new(),
-            resumes: 0,
-            resends: 0,
-        };
+        let mut outcome = Outcome::open(End::Unanswered);
         let engine = self.choose_engine();
         let generate = self.make_request(ask, prompt);
         let limit = tokio::time::Instant::from_std(intended + ask.deadline);
--- a/crates/load/src/outcome.rs
+++ b/crates/load/src/outcome.rs
@@ -97,6 +97,23 @@
     pub resends: u32,
 }
 
+impl Outcome {
+    /// An exchange of which nothing has come yet, with the end that it has if
+    /// nothing does.
+    pub fn open(end: End) -> Self {
+        Self {
+            end,
+            first_token: None,
+            gaps: Vec::new(),
+            time: Duration::ZERO,
+            tokens: 0,
+            refusals: Vec::new(),
+            resumes: 0,
+            resends: 0,
+        }
+    }
+}
+
 /// One request of a run with its outcome.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Sample {
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -144,16 +144,7 @@
 
 /// A baseline has no way for calls of plain services.
 fn refuse_call() -> Outcome {
-    Outcome {
-        end: End::Failed(Failure::Unreachable),
-        first_token: None,
-        gaps: Vec::new(),
-        time: Duration::ZERO,
-        tokens: 0,
-        refusals: Vec::new(),
-        resumes: 0,
-        resends: 0,
-    }
+    Outcome::open(End::Failed(Failure::Unreachable))
 }
 
 async fn send_call(
--- a/crates/policy/src/baseline.rs
+++ b/crates/policy/src/baseline.rs
@@ -117,6 +117,17 @@
     }
 }
 
+/// Why an ask can't be taken at all, whatever else runs or waits.
+fn find_refusal(now: Instant, ask: &Ask, accepting: bool, capacity: Capacity) -> Option<Reason> {
+    if !accepting {
+        return Some(Reason::NoTarget);
+    }
+    if ask.deadline <= now {
+        return Some(Reason::Deadline);
+    }
+    (ask.cost.kv() > capacity.kv).then_some(Reason::TooLong)
+}
+
 /// Slots and memory in the order of arrival.
 #[derive(Clone, Debug)]
 pub struct Fifo {
@@ -147,14 +158,8 @@
     }
 
     fn ask(&mut self, now: Instant, ask: Ask) -> Answer {
-        if !self.accepting {
-            return Answer::Refused(Reason::NoTarget, Duration::ZERO);
-        }
-        if ask.deadline <= now {
-            return Answer::Refused(Reason::Deadline, Duration::ZERO);
-        }
-        if ask.cost.kv() > self.capacity.kv {
-            return Answer::Refused(Reason::TooLong, Duration::ZERO);
+        if let Some(reason) = find_refusal(now, &ask, self.accepting, self.capacity) {
+            return Answer::Refused(reason, Duration::ZERO);
         }
         let ticket = self.next;
         self.next += 1;
@@ -252,14 +257,8 @@
     }
 
     fn ask(&mut self, now: Instant, ask: Ask) -> Answer {
-        if !self.accepting {
-            return Answer::Refused(Reason::NoTarget, Duration::ZERO);
-        }
-        if ask.deadline <= now {
-            return Answer::Refused(Reason::Deadline, Duration::ZERO);
-        }
-        if ask.cost.kv() > self.capacity.kv {
-            return Answer::Refused(Reason::TooLong, Duration::ZERO);
+        if let Some(reason) = find_refusal(now, &ask, self.accepting, self.capacity) {
+            return Answer::Refused(reason, Duration::ZERO);
         }
         let ticket = self.next;
         self.next += 1;
