The load's fleet no longer imports the run that drives it

crates/load/src/run.rs to credential.rs: an account with its token, which fleet.rs took from run.rs while run.rs takes the fleet's names through direct.rs. run::Credential stays as a re-export. The circle fleet, run, direct is gone.

--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -4,9 +4,9 @@
 //! The platform and the targets are stand-ins on threads of this process, so
 //! that an experiment can look into them without a lag.
 
+use crate::credential::Credential;
 use crate::http::{self, Http};
 use crate::process::Process;
-use crate::run::Credential;
 use bytes::Bytes;
 use eyre::{Context, Result, bail, ensure};
 use hickory_model::engine::Options as Engine;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -9,6 +9,7 @@
 mod configuration;
 pub mod content;
 mod control_cost;
+mod credential;
 pub mod direct;
 pub mod entry;
 pub mod experiment;
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -5,11 +5,11 @@
 //! can't slow its own measurement down.
 
 use crate::caller::{Call, Caller, Completion};
+pub use crate::credential::Credential;
 use crate::direct::Direct;
 use crate::mix::{self, Class, Options, Request, Work};
 use crate::outcome::{End, Failure, Kind, Outcome, Sample};
 use crate::report::Report;
-use hickory_unit::id;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
@@ -22,15 +22,6 @@
 /// body of four megabytes doesn't count as waiting.
 const BODY_LEAD: Duration = Duration::from_millis(200);
 
-/// An account with its token.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Credential {
-    /// The account.
-    pub account: id::Account,
-    /// The token.
-    pub token: String,
-}
-
 /// Sends the workload to the fleet that any of `entries` belongs to, and sums
 /// up what the callers saw.
 ///
