Only nodes that go on watching register

What is paid: two calls and a renewal each five seconds for every node. Cause: nodes that start together all watch until they hear each other, and who had watched was registered from then on. A node now registers once it has watched for 1.5 seconds. Why it holds: those that watch in the end register as before, within the first look of a node that hears nobody (two seconds), and each that hears nobody goes on watching.

--- a/crates/path/src/sync.rs
+++ b/crates/path/src/sync.rs
@@ -32,6 +32,12 @@
 /// Between two looks at that.
 const RELIEF_LOOK: Duration = Duration::from_millis(500);
 
+/// How long a node watches before it registers. Nodes that start together all
+/// watch until they hear each other, and a registration costs two calls and
+/// its renewals from then on. Shorter than [`FIND`], so that who looks for nodes
+/// finds those that watch at its first look.
+const REGISTERED_AFTER: Duration = Duration::from_millis(1_500);
+
 /// How long a node that starts listens for peers that know what it needs: they
 /// answer its first datagram at once.
 const FIRST_HEARD: Duration = Duration::from_millis(60);
@@ -62,9 +68,10 @@
     tokio::spawn(find_nodes(core.clone()));
 }
 
-/// Registers this node while it is one of those that watch, so that nodes which
-/// know no living seed find one that knows all others.
-fn register<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) {
+/// Registers this node once it has watched for a while, so that nodes which know
+/// no living seed find one that knows all others.
+async fn keep_registered<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) {
+    tokio::time::sleep(REGISTERED_AFTER).await;
     let settings = &core.settings;
     let info = Info {
         node: settings.node.clone(),
@@ -78,6 +85,7 @@
     core.member.get_or_init(|| {
         Member::register(core.store.clone(), core.clock.clone(), info, REGISTRATION)
     });
+    std::future::pending().await
 }
 
 /// Looks up registered nodes as long as none is heard.
@@ -113,10 +121,10 @@
     tokio::time::sleep(if first { FIRST_START } else { FIRST_HEARD }).await;
     while core.stage() != Stage::Closed {
         if is_watcher(&core) {
-            register(&core);
             tokio::select! {
                 () = follow_store(core.clone(), prefix) => {}
                 () = until_relieved(&core) => {}
+                () = keep_registered(&core) => {}
             }
             // What is not watched is not known to be away.
             core.note_store(true);
