At a first start nodes hear each other before they look whose turn it is

What is paid: of 79 nodes 72 listed both prefixes and watched them at the start. Cause: addresses pass from node to node with the beats, which are up to half a second apart, and each looked after half a second whether it is among the first. Now after one second. Why it holds: nobody calls yet at a first start, and all other starts wait as before.

--- a/crates/path/src/sync.rs
+++ b/crates/path/src/sync.rs
@@ -42,9 +42,11 @@
 /// answer its first datagram at once.
 const FIRST_HEARD: Duration = Duration::from_millis(60);
 
-/// The same where the whole system starts for the first time: nobody calls yet,
-/// and all nodes start within this time.
-const FIRST_START: Duration = Duration::from_millis(500);
+/// The same where the whole system starts for the first time: nobody calls yet.
+/// Addresses pass from node to node with the beats, and within this time all have
+/// heard each other though they started one after the other. Who hears only a
+/// few believes that it is among the first of all, and watches.
+const FIRST_START: Duration = Duration::from_millis(1_000);
 
 /// After a change, a watch goes out again at random within this time, so that
 /// changes that come together cost one call.
