A death of a target is counted once against what ran there

What callers saw: an innocent request refused as quarantined after one death of an engine. The owner saw the closed port first and counted the death against all permits that were out; then their nodes told of the same death, and its next look counted it again. A permit is now counted once, by whoever comes first.

--- a/crates/node/src/owned.rs
+++ b/crates/node/src/owned.rs
@@ -95,6 +95,8 @@
     pub(crate) left: Option<Instant>,
     /// When it was granted, while its asker has not been told.
     pub(crate) untold: Option<Instant>,
+    /// Whether the target's death is counted against it already.
+    pub(crate) counted: bool,
     /// The node that serves it.
     pub(crate) node: id::Node,
 }
@@ -371,7 +373,10 @@
                 self.give_back(now, outcome.permit, limit::Outcome::Dropped);
             }
             Ending::TargetDied => {
+                // The owner may have seen the death before its node told of it:
+                // counted twice, it would quarantine a request after one death.
                 let granted = self.permits.get(&outcome.permit);
+                let granted = granted.filter(|granted| !granted.counted);
                 self.fallen.extend(granted.map(|granted| granted.fingerprint));
                 self.give_back(now, outcome.permit, limit::Outcome::Failed);
             }
@@ -437,7 +442,18 @@
     fn to(stream: id::Stream, until: Instant, priority: u8) -> Self {
         let node = stream.sender.clone();
         let (fingerprint, kv, weights) = (0, size::Tokens(0), None);
-        Self { stream, until, priority, fingerprint, kv, weights, left: None, untold: None, node }
+        Self {
+            stream,
+            until,
+            priority,
+            fingerprint,
+            kv,
+            weights,
+            left: None,
+            untold: None,
+            counted: false,
+            node,
+        }
     }
 
     pub(crate) fn is_overdue(&self, now: Instant, resume: Duration) -> bool {
--- a/crates/node/src/sweep.rs
+++ b/crates/node/src/sweep.rs
@@ -204,7 +204,10 @@
         if std::mem::replace(&mut self.dead, true) {
             return told;
         }
-        let ran = self.permits.values().map(|granted| granted.fingerprint);
+        let ran = self.permits.values_mut().map(|granted| {
+            granted.counted = true;
+            granted.fingerprint
+        });
         ran.filter(|fingerprint| *fingerprint != 0).chain(told).collect()
     }
 
