--- a/apps/hickory-node/tests/proofs/config.rs
+++ b/apps/hickory-node/tests/proofs/config.rs
@@ -2,7 +2,8 @@
 //! reverts.
 
 use crate::passage::Passage;
-use crate::support::{Node, OPERATOR, Scene, eventually, options, times};
+use crate::process::Node;
+use crate::support::{OPERATOR, Scene, eventually, options, times};
 use serde_json::{Value, json};
 
 fn share_note(against: u64, share: f64) -> Value {
--- a/apps/hickory-node/tests/proofs/logs.rs
+++ b/apps/hickory-node/tests/proofs/logs.rs
@@ -1,9 +1,7 @@
 //! What the log tells of a request that met a failure, and where lines go.
 
-use crate::support::{
-    Node, OPERATOR, PATIENCE, Scene, configure, eventually, expected, launch, options, times,
-    wait_exit, write_settings,
-};
+use crate::process::{Node, configure, launch, wait_exit, write_settings};
+use crate::support::{OPERATOR, PATIENCE, Scene, eventually, expected, options, times};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
--- a/apps/hickory-node/tests/proofs/main.rs
+++ b/apps/hickory-node/tests/proofs/main.rs
@@ -12,6 +12,7 @@
 mod passage;
 mod path;
 mod poison;
+mod process;
 mod stop;
 mod support;
 mod versions;
--- a/apps/hickory-node/tests/proofs/support.rs
+++ b/apps/hickory-node/tests/proofs/support.rs
@@ -1,25 +1,20 @@
-//! A small fleet: stand-ins in this process, nodes as processes of their own,
-//! ended by id when the test ends.
+//! A small fleet: stand-ins in this process, and nodes as processes of their own.
 
 use crate::passage::Path;
+use crate::process::Node;
 use bytes::Bytes;
 use hickory_model::answer::Answer;
 use hickory_release::configuration::digest_token;
 use hickory_standin::fleet::{self, Fleet};
-use hickory_store::http::Address;
 use hickory_target::engine::Weights;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use serde::Deserialize;
 use serde_json::{Value, json};
 use std::future::Future;
-use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 /// The bound of every wait on a condition. It only ends a test that has
@@ -41,21 +36,6 @@
     pub http: Http,
 }
 
-/// A node process.
-pub struct Node {
-    pub callers: SocketAddr,
-    pub admin: SocketAddr,
-    /// Its log lines.
-    pub log: PathBuf,
-    child: Child,
-}
-
-#[derive(Deserialize)]
-struct Ready {
-    callers: SocketAddr,
-    admin: SocketAddr,
-}
-
 /// Waits until `check` brings a value.
 pub async fn eventually<T, F: Future<Output = Option<T>>>(
     what: &str,
@@ -92,126 +72,6 @@
     })
 }
 
-fn name_log() -> PathBuf {
-    std::env::temp_dir().join(format!("hickory-proof-{}.jsonl", uuid::Uuid::now_v7()))
-}
-
-/// The settings of a node.
-pub fn write_settings(
-    name: &str,
-    zone: &str,
-    platform: Address,
-    times: &Value,
-    logs: &Value,
-) -> Value {
-    json!({
-        "node": name,
-        "zone": zone,
-        "callers": "127.0.0.1:0",
-        "admin": "127.0.0.1:0",
-        "peers": "127.0.0.1:0",
-        "platform": {
-            "store": platform.store, "hosts": platform.hosts, "weights": platform.weights,
-        },
-        "fleet_key": "2a".repeat(32),
-        "first_operator": digest_token(OPERATOR),
-        "times": times,
-        "logs": logs,
-    })
-}
-
-/// Starts the program, which waits for its settings.
-pub fn launch() -> Child {
-    Command::new(env!("CARGO_BIN_EXE_hickory-node"))
-        .arg("/dev/stdin")
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("the node starts")
-}
-
-/// Gives a started program its settings.
-pub fn configure(child: &mut Child, settings: &Value) {
-    let mut stdin = child.stdin.take().expect("stdin is piped");
-    stdin.write_all(settings.to_string().as_bytes()).expect("settings are read");
-}
-
-/// Waits for a process to end by itself.
-pub async fn wait_exit(child: &mut Child) -> ExitStatus {
-    let end = Instant::now() + PATIENCE;
-    loop {
-        if let Some(status) = child.try_wait().expect("the node can be waited for") {
-            return status;
-        }
-        assert!(Instant::now() < end, "the node never ended");
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
-impl Node {
-    pub fn start(name: &str, zone: &str, standins: &Fleet, times: &Value) -> Self {
-        Self::start_at(name, zone, standins.platform(), times)
-    }
-
-    /// Starts a node that finds the platform's services at the addresses given.
-    pub fn start_at(name: &str, zone: &str, platform: Address, times: &Value) -> Self {
-        let log = name_log();
-        let logs = json!({ "level": "warn", "file": log });
-        let mut child = launch();
-        configure(&mut child, &write_settings(name, zone, platform, times, &logs));
-        Self::read_ready(child, log).0
-    }
-
-    /// Starts a node whose log lines go to standard output, and returns it with
-    /// what it prints behind its first line.
-    pub fn start_printing(
-        name: &str,
-        zone: &str,
-        standins: &Fleet,
-        level: &str,
-    ) -> (Self, BufReader<ChildStdout>) {
-        let logs = json!({ "level": level });
-        let mut child = launch();
-        let settings = write_settings(name, zone, standins.platform(), &times(), &logs);
-        configure(&mut child, &settings);
-        Self::read_ready(child, name_log())
-    }
-
-    fn read_ready(mut child: Child, log: PathBuf) -> (Self, BufReader<ChildStdout>) {
-        let mut line = String::new();
-        let mut stdout = BufReader::new(child.stdout.take().expect("stdout is piped"));
-        stdout.read_line(&mut line).expect("the node says that it is ready");
-        let ready: Ready = serde_json::from_str(&line).expect("the node's line is JSON");
-        (Self { callers: ready.callers, admin: ready.admin, log, child }, stdout)
-    }
-
-    pub fn signal(&self, signal: rustix::process::Signal) {
-        let id = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(id, signal).expect("the node can be signalled");
-    }
-
-    pub fn kill(&mut self) {
-        self.child.kill().expect("the node can be killed");
-        self.child.wait().expect("the node has ended");
-    }
-
-    /// Waits for the process to end by itself.
-    pub async fn exited(&mut self) -> ExitStatus {
-        wait_exit(&mut self.child).await
-    }
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        if std::thread::panicking() {
-            eprintln!("{}", std::fs::read_to_string(&self.log).unwrap_or_default());
-        }
-        let _ = std::fs::remove_file(&self.log);
-    }
-}
-
 /// A note that sets the usual tests up.
 pub fn first_note() -> Value {
     json!({
--- a/crates/path/src/peer.rs
+++ b/crates/path/src/peer.rs
@@ -3,7 +3,7 @@
 //! A datagram may be lost, so nothing hangs on a single one: bookings and the
 //! sender's state are told again twice a second. What is too large for a
 //! datagram (the store's items) is fetched from the peer that has it; see
-//! [`crate::sync`].
+//! [`crate::fetch`].
 
 use crate::books::{Booking, Number};
 use crate::cell::Cell;
