--- a/apps/hickory-node/src/main.rs
+++ b/apps/hickory-node/src/main.rs
@@ -13,9 +13,9 @@
 
 /// Serves callers beside the other nodes of a fleet.
 ///
-/// Prints one JSON line with its addresses on standard output when it is
-/// ready, and its log behind that. SIGTERM and SIGINT begin a planned stop, which cuts no request; the
-/// exit status is 0 after one.
+/// Prints one JSON line with its addresses on standard output when it is ready,
+/// and its log behind that. SIGTERM and SIGINT begin a planned stop, which cuts
+/// no request; the exit status is 0 after one.
 #[derive(Debug, Parser)]
 #[command(name = "hickory-node", version)]
 struct Options {
--- a/crates/path/src/give.rs
+++ b/crates/path/src/give.rs
@@ -115,8 +115,8 @@
     };
     core.metrics.fetch(Fetch::Given);
     core.metrics.fetch_bytes(Way::Given, size);
-    let gift = Gift { ticket, revision, to: ask.from, pieces: pieces.len(), size };
-    tokio::spawn(follow_gift(core.clone(), gift, pieces.unsent()));
+    let transfer = Transfer { ticket, revision, to: ask.from, pieces: pieces.len(), size };
+    tokio::spawn(follow_transfer(core.clone(), transfer, pieces.unsent()));
     Ok(Response::new(Reply::Pieces(pieces)))
 }
 
@@ -137,7 +137,7 @@
 }
 
 /// An answer with pieces, on its way.
-struct Gift {
+struct Transfer {
     ticket: Ticket,
     revision: Revision,
     to: SocketAddr,
@@ -146,28 +146,28 @@
 }
 
 /// Tells the meter how far an answer is, until it ends.
-async fn follow_gift<D: Dialect, S: Store, C: Clock>(
+async fn follow_transfer<D: Dialect, S: Store, C: Clock>(
     core: Arc<Core<D, S, C>>,
-    gift: Gift,
+    transfer: Transfer,
     mut unsent: watch::Receiver<size::Bytes>,
 ) {
     let began = core.now();
     while unsent.changed().await.is_ok() {
         let left = *unsent.borrow_and_update();
-        core.giving().meter.note_left(core.now(), gift.ticket, left);
+        core.giving().meter.note_left(core.now(), transfer.ticket, left);
     }
     let now = core.now();
     let left = *unsent.borrow();
     let mut giving = core.giving();
-    giving.meter.end(gift.ticket);
-    if left == size::Bytes(0) && giving.revision == gift.revision {
-        giving.given.note(now + LAST_BYTES, gift.to);
+    giving.meter.end(transfer.ticket);
+    if left == size::Bytes(0) && giving.revision == transfer.revision {
+        giving.given.note(now + LAST_BYTES, transfer.to);
     }
     drop(giving);
     log::info!(
-        peer:% = gift.to,
-        pieces = gift.pieces,
-        bytes = gift.size.0,
+        peer:% = transfer.to,
+        pieces = transfer.pieces,
+        bytes = transfer.size.0,
         unsent = left.0,
         took_ms = now.saturating_duration_since(began).as_millis() as u64;
         "pieces given to a peer"
--- a/crates/path/src/items.rs
+++ b/crates/path/src/items.rs
@@ -159,9 +159,10 @@
         self.with_prefix(prefix).map(|(_, item)| item.revision).max().unwrap_or_default()
     }
 
-    /// Words under a prefix after a revision, the oldest first, and no further ones
-    /// once their values have this many bytes. Whoever takes them in this order has all words up to the last
-    /// one that it took, and asks for the next ones from there.
+    /// Words under a prefix after a revision, the oldest first, and no further
+    /// ones once their values have this many bytes. Whoever takes them in this
+    /// order has all words up to the last one that it took, and asks for the
+    /// next ones from there.
     pub fn words_after(&self, prefix: &str, after: Revision, most: size::Bytes) -> Vec<Word> {
         let newer = self.with_prefix(prefix).filter(|(_, item)| item.revision > after);
         let mut newer: Vec<_> = newer.collect();
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -5,7 +5,8 @@
 //! targets by what all nodes have told of their work ([`books`]), sent
 //! ([`attempt`]), and relayed ([`serve`], [`stream`]). What a node believes
 //! comes from the store ([`sync`]) and from its peers ([`peer`], [`fetch`],
-//! [`give`], large values in pieces by [`piece`]), merged by revision ([`items`]) and read as one [`view`].
+//! [`give`], large values in pieces by [`piece`]), merged by revision
+//! ([`items`]) and read as one [`view`].
 
 pub mod attempt;
 pub mod books;
--- a/crates/path/src/suspect.rs
+++ b/crates/path/src/suspect.rs
@@ -8,9 +8,10 @@
 //! make requests wait at the others beside idle ones.
 //!
 //! Load: engines leave while the store is away, and nobody hears that they do.
-//! They look idle, since all that is sent there is refused, and each long prompt
-//! that is split over them fails as a whole. What refused to read a part for another engine is therefore shut: it
-//! is given no part for a time, whatever its own streams come to.
+//! They look idle, since all that is sent there is refused, and each long
+//! prompt that is split over them fails as a whole. What refused to read a part
+//! for another engine is therefore shut: it is given no part for a time,
+//! whatever its own streams come to.
 
 use crate::view::Tag;
 use std::collections::HashMap;
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -160,7 +160,8 @@
         tickets.into_iter().map(|ticket| (ticket, Reason::NoTarget)).collect()
     }
 
-    /// Takes in a load report, which shows that the target lives; says why the target ramps anew, if it does.
+    /// Takes in a load report, which shows that the target lives; says why the
+    /// target ramps anew, if it does.
     pub fn observe(&mut self, now: Instant, observed: &Observed) -> Option<Cold> {
         self.advance(now);
         self.may_be_dead = false;
