--- /dev/null
+++ b/crates/path/src/ask.rs
@@ -0,0 +1,257 @@
+//! Asking the owner of a group of targets for a place.
+//!
+//! An owner that is silent for some milliseconds is passed over for its successor,
+//! which was told the same. Where that one is silent, too, a node decides alone by
+//! what it placed itself, and in an order of its own.
+
+use crate::books::Number;
+use crate::dialect::Dialect;
+use crate::gossip::Event;
+use crate::group::{self, Group};
+use crate::owner::{self, Asker, Ticket};
+use crate::place::Place;
+use crate::placement::{Answer, Grant, NoPlace, Request, Scope, Sight, Verdict};
+use crate::run::Run;
+use crate::view::{Tag, Target, View};
+use hickory_policy::survey::Survey;
+use hickory_store::store::Store;
+use hickory_telemetry::label::Decider;
+use hickory_unit::clock::Clock;
+use hickory_unit::id;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// How long an owner may be silent: some times the way there and back between
+/// zones, with the turns of both hosts.
+const PATIENCE: Duration = Duration::from_millis(20);
+
+/// Owners that are asked before a node decides alone.
+const OWNERS_ASKED: usize = 2;
+
+/// After which a prompt that waits is asked for again, which shows its owner that
+/// it is still wanted, and its node that the owner is there.
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+
+/// Between two attempts of a node that decides alone.
+const ALONE_AGAIN: Duration = Duration::from_millis(20);
+
+/// Groups of a service that a request is tried in.
+const GROUPS_TRIED: u16 = 2;
+
+/// A request for a place that is under way. Dropping it withdraws it.
+struct Inquiry<'a, D: Dialect, S: Store, C: Clock> {
+    run: &'a Run<D, S, C>,
+    group: Group,
+    number: Number,
+    answers: UnboundedReceiver<Answer>,
+    /// Targets that are left out.
+    tried: Vec<Tag>,
+    is_placed: bool,
+    is_queued: bool,
+}
+
+/// Finds a place for what a request is about to send.
+pub(crate) async fn place<D: Dialect, S: Store, C: Clock>(
+    run: &Run<D, S, C>,
+    tried: &[Tag],
+) -> Result<Place<D, S, C>, (NoPlace, Survey)> {
+    let groups = group::count_groups(run.core.view().targets_of(&run.service).len());
+    let first = rand::random_range(0..groups);
+    let mut refused = (NoPlace::NoTarget, Survey::default());
+    for step in 0..groups.min(GROUPS_TRIED) {
+        let group = Group { service: run.service.clone(), index: (first + step) % groups };
+        match Inquiry::open(run, group, tried).run().await {
+            Ok(place) => return Ok(place),
+            Err(error) => refused = error,
+        }
+    }
+    Err(refused)
+}
+
+impl<'a, D: Dialect, S: Store, C: Clock> Inquiry<'a, D, S, C> {
+    fn open(run: &'a Run<D, S, C>, group: Group, tried: &[Tag]) -> Self {
+        let number = run.core.books().next_number();
+        let answers = run.core.expect_answer(number);
+        let tried = tried.to_vec();
+        Self { run, group, number, answers, tried, is_placed: false, is_queued: false }
+    }
+
+    fn request(&self) -> Request {
+        let (run, now) = (self.run, self.run.core.now());
+        Request {
+            service: self.group.service.clone(),
+            group: self.group.index,
+            prompt: run.job.demand.prompt,
+            goal: run.job.route.goal,
+            goal_left: run.due().saturating_duration_since(now),
+            limit_left: run.first_deadline().saturating_duration_since(now),
+            gap: run.job.route.gap,
+            zone: run.core.settings.zone.clone(),
+            tried: self.tried.clone(),
+        }
+    }
+
+    async fn run(mut self) -> Result<Place<D, S, C>, (NoPlace, Survey)> {
+        let mut silent: Vec<id::Node> = Vec::new();
+        loop {
+            let owner = (silent.len() < OWNERS_ASKED).then(|| self.next_owner(&silent)).flatten();
+            let Some(owner) = owner else {
+                match self.decide_alone() {
+                    Verdict::Answered(answer) => match self.take(answer, Decider::Alone) {
+                        Some(taken) => return taken,
+                        None => continue,
+                    },
+                    Verdict::Wait(time, survey) => self.wait_alone(time, survey).await,
+                }
+                silent.clear();
+                continue;
+            };
+            self.ask(&owner);
+            let Some(answer) = self.next_answer(PATIENCE).await else {
+                self.run.core.note_silent(&owner);
+                silent.push(owner);
+                continue;
+            };
+            self.run.core.note_heard(&owner);
+            let decider = if silent.is_empty() { Decider::Owner } else { Decider::Successor };
+            silent.clear();
+            if let Some(taken) = self.take(answer, decider) {
+                return taken;
+            }
+            if !self.is_queued {
+                continue;
+            }
+            if let Some(answer) = self.next_answer(ASK_AGAIN).await
+                && let Some(taken) = self.take(answer, decider)
+            {
+                return taken;
+            }
+        }
+    }
+
+    fn next_owner(&self, silent: &[id::Node]) -> Option<id::Node> {
+        let owners = self.run.core.answering_owners(&self.group);
+        owners.into_iter().find(|owner| !silent.contains(owner))
+    }
+
+    fn ask(&self, owner: &id::Node) {
+        let core = &self.run.core;
+        let request = self.request();
+        if *owner == core.settings.node {
+            let ticket = Ticket { node: owner.clone(), number: self.number };
+            owner::take_ask(core, Asker { ticket, address: core.settings.peers }, request);
+        } else if let Some(to) = core.find_peer(owner) {
+            core.send(to, Event::Ask(self.number, request));
+        }
+    }
+
+    async fn next_answer(&mut self, patience: Duration) -> Option<Answer> {
+        tokio::time::timeout(patience, self.answers.recv()).await.ok().flatten()
+    }
+
+    /// Takes an answer; nothing where it has to be asked again.
+    fn take(
+        &mut self,
+        answer: Answer,
+        decider: Decider,
+    ) -> Option<Result<Place<D, S, C>, (NoPlace, Survey)>> {
+        match answer {
+            Answer::Placed(grant) => self.open_place(*grant, decider).map(Ok),
+            Answer::Queued(survey) => {
+                if !std::mem::replace(&mut self.is_queued, true) {
+                    self.run.log_waiting(survey);
+                }
+                None
+            }
+            // This node may know a target that the owner has not heard of.
+            Answer::Refused(NoPlace::NoTarget, _) if decider != Decider::Alone => {
+                match self.decide_alone() {
+                    Verdict::Answered(answer) => self.take(answer, Decider::Alone),
+                    Verdict::Wait(_, survey) => Some(Err((NoPlace::NoTarget, survey))),
+                }
+            }
+            Answer::Refused(no_place, survey) => Some(Err((no_place, survey))),
+        }
+    }
+
+    /// The place that was granted, unless this node knows that it can't be used.
+    fn open_place(&mut self, grant: Grant, decider: Decider) -> Option<Place<D, S, C>> {
+        let core = &self.run.core;
+        let view = core.view();
+        let unusable = find_unusable(&view, &grant, core.now());
+        let group = self.group.clone();
+        let place = Place::open(core, &view, group, self.number, grant);
+        let Some(place) = place.filter(|_| unusable.is_none()) else {
+            self.try_others(unusable);
+            return None;
+        };
+        self.is_placed = true;
+        core.metrics.placed(decider);
+        place.book();
+        Some(place)
+    }
+
+    /// Gives a grant back, to ask again without one of its targets.
+    fn try_others(&mut self, unusable: Option<Tag>) {
+        let core = &self.run.core;
+        log::info!(
+            request = self.run.job.demand.attempt.as_str(),
+            group = self.group.index;
+            "the granted target takes no work"
+        );
+        self.withdraw();
+        self.tried.extend(unusable);
+        self.number = core.books().next_number();
+        self.answers = core.expect_answer(self.number);
+        self.is_queued = false;
+    }
+
+    fn decide_alone(&self) -> Verdict {
+        let core = &self.run.core;
+        let request = self.request();
+        let scope = Scope::Alone(core.count_nodes());
+        let refused = |no_place| Verdict::Answered(Answer::Refused(no_place, Survey::default()));
+        let sight = Sight::open(core, core.now(), &request.service, scope);
+        sight.map_or_else(
+            || refused(NoPlace::NoTarget),
+            |sight| sight.decide(&request, Duration::ZERO),
+        )
+    }
+
+    async fn wait_alone(&mut self, time: Duration, survey: Survey) {
+        if !std::mem::replace(&mut self.is_queued, true) {
+            self.run.log_waiting(survey);
+        }
+        tokio::time::sleep(time.max(ALONE_AGAIN)).await;
+    }
+
+    fn withdraw(&self) {
+        let core = &self.run.core;
+        core.forget_answer(self.number);
+        core.books().end(core.now(), self.number);
+        let ticket = Ticket { node: core.settings.node.clone(), number: self.number };
+        core.owner().withdraw(core.now(), &ticket);
+        core.tell_owners(&self.group, &Event::Ended(self.number));
+    }
+}
+
+impl<D: Dialect, S: Store, C: Clock> Drop for Inquiry<'_, D, S, C> {
+    fn drop(&mut self) {
+        match self.is_placed {
+            true => self.run.core.forget_answer(self.number),
+            false => self.withdraw(),
+        }
+    }
+}
+
+/// A target of a grant that this node knows can't be used.
+fn find_unusable(view: &View, grant: &Grant, now: Instant) -> Option<Tag> {
+    let booking = &grant.booking;
+    let targets = view.targets_of(&booking.service);
+    let is_usable = |tag: &Tag| {
+        let target: Option<&Arc<Target>> = targets.iter().find(|target| target.tag == *tag);
+        target.is_some_and(|target| view.may_send(target, now))
+    };
+    booking.engines().find(|tag| !is_usable(tag))
+}
--- a/crates/path/src/books.rs
+++ b/crates/path/src/books.rs
@@ -1,13 +1,11 @@
-//! What runs where, of all nodes.
+//! What runs where, as far as this node was told.
 //!
-//! Load: nodes that choose by reports which are 200 ms old choose alike and
-//! put two long prompts on one engine. Each node therefore tells all others of
-//! what it places, within milliseconds. A booking is told again every half
-//! second while it lasts, and forgotten where it isn't: a datagram that is
-//! lost or a node that dies leaves nothing behind.
+//! A node knows what it placed itself. The owner of a group of targets and its
+//! successor are told by all nodes what they placed there. A booking is told again
+//! every half second while it lasts, and forgotten where it isn't: a datagram that
+//! is lost or a node that dies leaves nothing behind.
 
 use crate::view::{Tag, Target};
-use hickory_policy::claim::Claim;
 use hickory_policy::engine::Profile;
 use hickory_policy::pass::{Engine, Read};
 use hickory_policy::plan::Load;
@@ -24,19 +22,16 @@
 /// The window in which sendings to a cold target are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
-/// How long the word of a long prompt's first token may take: a stride, the way
-/// to its node and a datagram.
-const LONG_WORD: Duration = Duration::from_millis(100);
+/// How long the word of a first token may take: a stride, the way to its node and
+/// a datagram.
+const WORD: Duration = Duration::from_millis(100);
 
-/// The same of a short prompt, which many nodes tell with their next beat, half a
-/// second apart.
-const SHORT_WORD: Duration = Duration::from_millis(600);
+/// The weight of the last answer in what an answer of a plain service usually takes.
+const USUAL_WEIGHT: u32 = 16;
 
 /// How far a request has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Stage {
-    /// It waits for idle engines; its part is the whole prompt.
-    Waiting,
     /// Its prompt is being read.
     Reading,
     /// Its stream is being written.
@@ -48,7 +43,7 @@
 pub struct Booking {
     /// The service.
     pub service: id::Service,
-    /// The target that was sent the request; of no meaning while it waits.
+    /// The target that was sent the request.
     pub first: Tag,
     /// Engines that read parts of it, besides.
     pub helpers: Vec<Tag>,
@@ -74,31 +69,18 @@
 struct Kept {
     booking: Booking,
     placed: Instant,
-    /// When this node first knew of it.
-    known: Instant,
     told: Instant,
 }
 
 impl Kept {
     fn read(&self, writes: bool) -> Read {
-        let word = if self.booking.short { SHORT_WORD } else { LONG_WORD };
-        Read { placed: self.placed, part: self.booking.part, writes, word }
-    }
-
-    fn claim<'a>(&self, node: &'a id::Node, number: Number) -> Claim<'a> {
-        let Number(number) = number;
-        Claim { at: self.placed, prompt: self.booking.prompt, node, number }
-    }
-
-    /// Whether it is a long prompt that is read on one of another's engines.
-    fn reads_beside(&self, other: &Booking) -> bool {
-        let is_long = self.booking.stage == Stage::Reading && !self.booking.short;
-        is_long && self.booking.engines().any(|engine| other.engines().any(|own| own == engine))
+        Read { placed: self.placed, part: self.booking.part, writes, word: WORD }
     }
 }
 
 impl Booking {
-    fn engines(&self) -> impl Iterator<Item = Tag> {
+    /// The engines that read it.
+    pub(crate) fn engines(&self) -> impl Iterator<Item = Tag> {
         std::iter::once(self.first).chain(self.helpers.iter().copied())
     }
 }
@@ -107,16 +89,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Number(pub u32);
 
-/// Prompts that come before another one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Ahead {
-    /// How many.
-    pub count: u32,
-    /// What is to be read of them, by the time that one engine takes.
-    pub read: Duration,
-}
-
-/// The bookings of all nodes.
+/// The bookings that are known.
 #[derive(Clone, Debug, Default)]
 pub struct Books {
     own: HashMap<Number, Kept>,
@@ -125,18 +98,24 @@
     sent: HashMap<Tag, VecDeque<Instant>>,
     /// When a pass of an engine was last seen to end, by a first token.
     passes: HashMap<Tag, Instant>,
+    /// What an answer of a plain service usually takes.
+    usual: HashMap<id::Service, Duration>,
 }
 
 impl Books {
-    /// Notes a request that this node places now.
-    pub fn place(&mut self, now: Instant, booking: Booking) -> Number {
+    /// A number for a further request of this node.
+    pub fn next_number(&mut self) -> Number {
         self.last = self.last.wrapping_add(1);
-        let number = Number(self.last);
-        if booking.stage != Stage::Waiting {
-            self.note_sent(now, booking.first);
+        Number(self.last)
+    }
+
+    /// Notes a request that this node places now.
+    pub fn place(&mut self, now: Instant, number: Number, booking: Booking) {
+        let first = booking.first;
+        let kept = Kept { booking, placed: now, told: now };
+        if self.own.insert(number, kept).is_none() {
+            self.note_sent(now, first);
         }
-        self.own.insert(number, Kept { booking, placed: now, known: now, told: now });
-        number
     }
 
     /// Notes the first token of an own request.
@@ -148,8 +127,22 @@
     }
 
     /// Forgets an own request.
-    pub fn end(&mut self, number: Number) {
-        self.own.remove(&number);
+    pub fn end(&mut self, now: Instant, number: Number) {
+        let kept = self.own.remove(&number);
+        self.note_usual(now, kept);
+    }
+
+    fn note_usual(&mut self, now: Instant, kept: Option<Kept>) {
+        // A prompt's answer takes as long as it is.
+        let Some(kept) = kept.filter(|kept| kept.booking.prompt.0 == 0) else { return };
+        let took = now.saturating_duration_since(kept.placed);
+        let usual = self.usual.entry(kept.booking.service).or_insert(took);
+        *usual = (*usual * (USUAL_WEIGHT - 1) + took) / USUAL_WEIGHT;
+    }
+
+    /// What an answer of a plain service usually takes, if one was seen.
+    pub fn usual_time(&self, service: &id::Service) -> Option<Duration> {
+        self.usual.get(service).copied()
     }
 
     /// The own requests, as they are told to peers.
@@ -168,11 +161,8 @@
             Some(bookings) => bookings,
             None => self.peers.entry(node.clone()).or_default(),
         };
-        let is_sent = booking.stage != Stage::Waiting;
-        let before = bookings.get(&number).map(|kept| kept.known);
-        let known = before.unwrap_or(now);
-        bookings.insert(number, Kept { booking, placed, known, told: now });
-        if is_sent && before.is_none() {
+        let kept = Kept { booking, placed, told: now };
+        if bookings.insert(number, kept).is_none() {
             self.note_sent(placed, first);
         }
     }
@@ -186,10 +176,9 @@
     }
 
     /// Forgets a peer's request.
-    pub fn take_end(&mut self, node: &id::Node, number: Number) {
-        if let Some(bookings) = self.peers.get_mut(node) {
-            bookings.remove(&number);
-        }
+    pub fn take_end(&mut self, now: Instant, node: &id::Node, number: Number) {
+        let kept = self.peers.get_mut(node).and_then(|bookings| bookings.remove(&number));
+        self.note_usual(now, kept);
     }
 
     /// Forgets all requests of a peer, which started anew.
@@ -216,42 +205,6 @@
         self.sent.get(&tag).map_or(0, |times| times.iter().filter(is_late).count())
     }
 
-    /// The prompts of a service that wait and are smaller than this: those come
-    /// first, since they need fewer engines.
-    pub fn ahead(&self, now: Instant, service: &id::Service, read: Duration) -> Ahead {
-        let waits = |kept: &&Kept| {
-            kept.booking.stage == Stage::Waiting
-                && kept.booking.part < read
-                && kept.booking.service == *service
-        };
-        let reads = self.all(now).filter(waits).map(|kept| kept.booking.part);
-        let add = |ahead: Ahead, read| Ahead { count: ahead.count + 1, read: ahead.read + read };
-        reads.fold(Ahead::default(), add)
-    }
-
-    /// Whether a peer's long prompt comes before this node's own one on engines
-    /// that both chose, neither knowing of the other.
-    pub fn is_contested(&self, me: &id::Node, number: Number, window: Duration) -> bool {
-        let Some(own) = self.own.get(&number) else { return false };
-        let claim = own.claim(me, number);
-        self.peers.iter().any(|(node, bookings)| {
-            let unknown = bookings.iter().filter(|(_, kept)| kept.known >= own.placed);
-            let rivals = unknown.filter(|(_, kept)| kept.reads_beside(&own.booking));
-            rivals.map(|(number, kept)| kept.claim(node, *number)).any(|r| claim.yields(&r, window))
-        })
-    }
-
-    /// What was placed of a service's short prompts within this time, by the time
-    /// that one engine takes to read it.
-    pub fn placed_lately(&self, now: Instant, service: &id::Service, window: Duration) -> Duration {
-        let is_new = |kept: &&Kept| {
-            kept.booking.short
-                && now.saturating_duration_since(kept.placed) < window
-                && kept.booking.service == *service
-        };
-        self.all(now).filter(is_new).map(|kept| kept.booking.part).sum()
-    }
-
     fn all(&self, now: Instant) -> impl Iterator<Item = &Kept> {
         let peers = self.peers.values().flat_map(HashMap::values);
         let is_fresh = move |kept: &&Kept| now.saturating_duration_since(kept.told) < STALE;
@@ -269,8 +222,7 @@
             targets.iter().enumerate().map(|(place, target)| (target.tag, place)).collect();
         let mut loads = vec![Load::default(); targets.len()];
         let mut engines = vec![Engine::default(); targets.len()];
-        let is_placed = |kept: &&Kept| kept.booking.stage != Stage::Waiting;
-        for kept in self.all(now).filter(is_placed) {
+        for kept in self.all(now) {
             add_booking(kept, &places, &mut loads, &mut engines);
         }
         if let Some(profile) = profile {
@@ -310,7 +262,7 @@
                 load.writers += 1;
                 load.context += booking.prompt + booking.answer;
             }
-            Stage::Reading | Stage::Waiting => engines[first].reads.push(kept.read(true)),
+            Stage::Reading => engines[first].reads.push(kept.read(true)),
         }
         if booking.memory.is_empty() {
             loads[first].memory += booking.prompt + booking.answer;
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -1,16 +1,20 @@
 //! What the parts of a node share.
 
-use crate::books::Books;
+use crate::books::{Books, Number};
 use crate::dialect::Dialect;
+use crate::fleet::{Running, Silence};
 use crate::give::Giving;
+use crate::gossip::{Event, Hearing};
 use crate::items::Items;
 use crate::news::{Lag, News};
-use crate::peer::{Event, Peers};
+use crate::owner::Owner;
+use crate::placement::Answer;
 use crate::settings::{Bounds, Settings};
-use crate::suspect::Doubts;
-use crate::view::View;
+use crate::view::{Tag, View};
 use hickory_client::Client;
-use hickory_policy::claim;
+use hickory_policy::ejection::Ejection;
+use hickory_policy::member::{Contact, Record, State};
+use hickory_policy::membership::Membership;
 use hickory_policy::poison::Suspects;
 use hickory_policy::share::Budget;
 use hickory_state::member::Member;
@@ -25,6 +29,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, watch};
 
 /// How long a connect to a target may take: the way there and back is a few
@@ -63,15 +68,27 @@
     giving: Mutex<Giving>,
     view: RwLock<Arc<View>>,
     books: Mutex<Books>,
-    peers: Mutex<Peers>,
-    doubts: Mutex<Doubts>,
+    membership: Mutex<Membership>,
+    hearing: Mutex<Hearing>,
+    owner: Mutex<Owner>,
+    silences: Mutex<HashMap<id::Node, Silence>>,
+    expected: Mutex<HashMap<Number, UnboundedSender<Answer>>>,
+    ejection: Mutex<Ejection<Tag>>,
     suspects: Mutex<Suspects>,
     budgets: Mutex<HashMap<id::Service, Budget>>,
     store_away: AtomicBool,
-    registered: Mutex<Vec<SocketAddr>>,
     draining_since: OnceLock<Instant>,
-    outbox: Mutex<Vec<Event>>,
-    pub(crate) told: Notify,
+    revisions: Mutex<(Revision, Revision)>,
+    /// Since when this node has been told what runs where.
+    running: Mutex<Running>,
+    outgoing: UnboundedSender<(SocketAddr, Option<Event>)>,
+    outgoing_end: Mutex<Option<UnboundedReceiver<(SocketAddr, Option<Event>)>>>,
+    /// News of members waits to be told.
+    pub(crate) members_due: Notify,
+    /// Newer revisions wait to be told.
+    pub(crate) revisions_due: Notify,
+    /// Something may have changed for prompts that wait.
+    pub(crate) queue_due: Notify,
     pub(crate) stage: watch::Sender<Stage>,
     active: AtomicUsize,
     dialect: PhantomData<fn() -> D>,
@@ -83,12 +100,16 @@
 
 impl<D: Dialect, S: Store, C: Clock> Core<D, S, C> {
     pub(crate) fn open(settings: Settings, store: S, clock: C, metrics: Metrics) -> Self {
+        let now = clock.now();
+        let incarnation = id::Incarnation(clock.wall_ms());
+        let (outgoing, outgoing_end) = unbounded_channel();
+        let membership = open_membership(&settings, incarnation, now);
         Self {
             bounds: RwLock::new(Arc::new(settings.bounds.clone())),
             settings,
             store: Metered::open(store, clock.clone(), metrics.clone()),
             metrics,
-            incarnation: id::Incarnation(clock.wall_ms()),
+            incarnation,
             clock,
             client: Client::open(CONNECT_TIMEOUT).with_silence(SILENCE),
             member: OnceLock::new(),
@@ -97,15 +118,23 @@
             giving: Mutex::default(),
             view: RwLock::default(),
             books: Mutex::default(),
-            peers: Mutex::default(),
-            doubts: Mutex::default(),
+            membership: Mutex::new(membership),
+            hearing: Mutex::default(),
+            owner: Mutex::default(),
+            silences: Mutex::default(),
+            expected: Mutex::default(),
+            ejection: Mutex::default(),
             suspects: Mutex::default(),
             budgets: Mutex::default(),
             store_away: AtomicBool::new(false),
-            registered: Mutex::default(),
             draining_since: OnceLock::new(),
-            outbox: Mutex::default(),
-            told: Notify::new(),
+            revisions: Mutex::default(),
+            running: Mutex::new(Running { since: now, ticked: now }),
+            outgoing,
+            outgoing_end: Mutex::new(Some(outgoing_end)),
+            members_due: Notify::new(),
+            revisions_due: Notify::new(),
+            queue_due: Notify::new(),
             stage: watch::channel(Stage::Serving).0,
             active: AtomicUsize::new(0),
             dialect: PhantomData,
@@ -132,12 +161,20 @@
         lock(&self.books)
     }
 
-    pub(crate) fn peers(&self) -> MutexGuard<'_, Peers> {
-        lock(&self.peers)
+    pub(crate) fn membership(&self) -> MutexGuard<'_, Membership> {
+        lock(&self.membership)
     }
 
-    pub(crate) fn doubts(&self) -> MutexGuard<'_, Doubts> {
-        lock(&self.doubts)
+    pub(crate) fn hearing(&self) -> MutexGuard<'_, Hearing> {
+        lock(&self.hearing)
+    }
+
+    pub(crate) fn owner(&self) -> MutexGuard<'_, Owner> {
+        lock(&self.owner)
+    }
+
+    pub(crate) fn ejection(&self) -> MutexGuard<'_, Ejection<Tag>> {
+        lock(&self.ejection)
     }
 
     pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
@@ -170,6 +207,13 @@
             self.note_configuration(&next, waited);
         }
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(next);
+        *lock(&self.revisions) = (items.newest(D::OPERATOR_PREFIX), items.newest(D::TARGET_PREFIX));
+        self.revisions_due.notify_one();
+    }
+
+    /// The newest revisions that this node has of what operators and targets wrote.
+    pub(crate) fn revisions(&self) -> (Revision, Revision) {
+        *lock(&self.revisions)
     }
 
     fn note_configuration(&self, view: &View, waited: Option<Duration>) {
@@ -185,8 +229,10 @@
 
     /// Notes the newest revision of operators' data that a peer has.
     pub(crate) fn hear(&self, told: Revision) {
-        let known = self.items().newest(D::OPERATOR_PREFIX);
-        lock(&self.news).hear(self.now(), told, known);
+        let (known, _) = self.revisions();
+        if told > known {
+            lock(&self.news).hear(self.now(), told, known);
+        }
     }
 
     /// How far this node is behind what it has heard operators wrote.
@@ -208,15 +254,6 @@
         self.store_away.load(Ordering::Relaxed)
     }
 
-    /// Takes where registered nodes hear datagrams.
-    pub(crate) fn set_registered(&self, addresses: impl Iterator<Item = SocketAddr>) {
-        *lock(&self.registered) = addresses.collect();
-    }
-
-    pub(crate) fn registered(&self) -> Vec<SocketAddr> {
-        lock(&self.registered).clone()
-    }
-
     /// Notes that the planned stop begins.
     pub(crate) fn begin_draining(&self) {
         // It begins once.
@@ -242,33 +279,32 @@
     /// Takes one repeat from this node's share of a service's budget.
     pub(crate) fn spend_repeat(&self, service: &id::Service) -> bool {
         let (now, bounds) = (self.now(), self.bounds());
-        let nodes = self.peers().count(now) + 1;
+        let nodes = self.count_nodes();
         let mut budgets = lock(&self.budgets);
         budgets.entry(service.clone()).or_default().spend(now, &bounds.repeats, nodes)
     }
 
-    /// How long a node that told what it chose waits until it must have heard of
-    /// all that chose at the same moment.
-    pub(crate) fn settle_time(&self) -> Duration {
-        claim::settle_time(self.peers().count(self.now()))
+    pub(crate) fn silences(&self) -> MutexGuard<'_, HashMap<id::Node, Silence>> {
+        lock(&self.silences)
     }
 
-    /// Tells all peers, with what else is told within a millisecond.
-    pub(crate) fn tell(&self, event: Event) {
-        lock(&self.outbox).push(event);
-        self.told.notify_one();
+    pub(crate) fn running(&self) -> MutexGuard<'_, Running> {
+        lock(&self.running)
     }
 
-    /// Tells all peers, with the next datagram where there are many of them.
-    pub(crate) fn tell_later(&self, event: Event) {
-        lock(&self.outbox).push(event);
-        if self.peers().are_few() {
-            self.told.notify_one();
-        }
+    pub(crate) fn expected(&self) -> MutexGuard<'_, HashMap<Number, UnboundedSender<Answer>>> {
+        lock(&self.expected)
     }
 
-    pub(crate) fn take_outbox(&self) -> Vec<Event> {
-        std::mem::take(&mut lock(&self.outbox))
+    /// Hands an event to the task that sends.
+    pub(crate) fn send_some(&self, to: SocketAddr, event: Option<Event>) {
+        // It ends with the node.
+        let _ = self.outgoing.send((to, event));
+    }
+
+    /// What is to be sent, once.
+    pub(crate) fn take_outgoing(&self) -> Option<UnboundedReceiver<(SocketAddr, Option<Event>)>> {
+        lock(&self.outgoing_end).take()
     }
 
     pub(crate) fn stage(&self) -> Stage {
@@ -286,6 +322,23 @@
     }
 }
 
+fn open_membership(settings: &Settings, incarnation: id::Incarnation, now: Instant) -> Membership {
+    let contact = Contact {
+        peers: settings.peers,
+        callers: settings.callers,
+        sync: settings.sync,
+        ready: false,
+        settled: false,
+        store_away: false,
+        capacity: settings.capacity,
+    };
+    let node = settings.node.clone();
+    let own = Record { node, incarnation, version: 0, state: State::Alive, contact };
+    let seeds = settings.seeds.iter();
+    let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), settings.peers.port()));
+    Membership::open(now, own, seeds.collect(), rand::random())
+}
+
 /// Counts a request as under way while it lives.
 #[derive(Debug)]
 pub(crate) struct Active<D: Dialect, S: Store, C: Clock>(Arc<Core<D, S, C>>);
--- a/crates/path/src/death.rs
+++ b/crates/path/src/death.rs
@@ -2,7 +2,7 @@
 
 use crate::core::Core;
 use crate::dialect::Dialect;
-use crate::peer::Event;
+use crate::gossip::Event;
 use crate::serve::Job;
 use crate::view::Target;
 use hickory_store::store::Store;
@@ -57,6 +57,6 @@
     };
     if let Some(suspect) = told {
         log::warn!(fingerprint, deaths = suspect.deaths; "a target died under a request");
-        core.tell(Event::Suspect { fingerprint, deaths: suspect.deaths });
+        core.send_to_all(&Event::Suspect { fingerprint, deaths: suspect.deaths });
     }
 }
--- a/crates/path/src/demand.rs
+++ b/crates/path/src/demand.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 use hickory_unit::size::Tokens;
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// A request's head in the product's terms.
@@ -22,7 +23,7 @@
 }
 
 /// The size of a prompt and its answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Prompt {
     /// Tokens to read.
     pub tokens: Tokens,
--- a/crates/path/src/drain.rs
+++ b/crates/path/src/drain.rs
@@ -33,8 +33,7 @@
     if begun {
         core.begin_draining();
         log::info!(active = core.active(); "planned stop begun");
-        // An empty telling carries the word that this node isn't ready.
-        core.told.notify_one();
+        core.update_contact();
         tokio::spawn(finish(core.clone()));
     }
 }
--- a/crates/path/src/entry.rs
+++ b/crates/path/src/entry.rs
@@ -17,10 +17,9 @@
 /// The answer to a caller who asks where to connect; `None` where no node
 /// takes callers.
 pub(crate) fn answer<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> Option<String> {
-    let now = core.now();
     let own = core.is_ready().then_some(core.settings.callers);
     let mut addresses: Vec<SocketAddr> = own.into_iter().collect();
-    addresses.extend(core.peers().callers(now).take(ADDRESSES_MAX - addresses.len()));
+    addresses.extend(core.callers().into_iter().take(ADDRESSES_MAX - addresses.len()));
     let keep = KEEP.min(core.bounds().keep);
     (!addresses.is_empty()).then(|| D::write_directory(&addresses, keep))
 }
--- a/crates/path/src/fetch.rs
+++ b/crates/path/src/fetch.rs
@@ -3,13 +3,14 @@
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
 use crate::give::{PIECES_PATH, TurnedAway, WORDS_PATH};
+use crate::gossip::Part;
 use crate::items::Word;
-use crate::peer::Peer;
 use crate::piece::{Gathering, Outline};
 use crate::sync;
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use hickory_client::{Call, Exchange, Reuse};
+use hickory_policy::member::State;
 use hickory_policy::spread::{ANSWER_MOST, Busy, Choice, Givers, SILENCE};
 use hickory_store::store::{Revision, Store};
 use hickory_telemetry::label::{Fetch, Way};
@@ -36,15 +37,6 @@
 /// How long a busy peer may tell this node to wait, whatever it says.
 const WAIT_BOUNDS: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(1));
 
-/// What is followed of the store's items.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Part {
-    /// What operators write.
-    Operator,
-    /// Targets' entries.
-    Targets,
-}
-
 impl Part {
     fn prefix<D: Dialect>(self) -> &'static str {
         match self {
@@ -63,13 +55,6 @@
         };
         format!("{WORDS_PATH}?operator={operator}&targets={targets}")
     }
-
-    fn of_peer(self, peer: &Peer) -> Revision {
-        match self {
-            Self::Operator => peer.operator,
-            Self::Targets => peer.targets,
-        }
-    }
 }
 
 /// What came of asking a peer.
@@ -113,7 +98,7 @@
         while self.core.stage() != Stage::Closed {
             tokio::time::sleep(LOOK).await;
             let now = self.core.now();
-            let ahead = self.find_ahead(now, self.known());
+            let ahead = self.find_ahead(self.known());
             if ahead.is_empty() {
                 self.behind_since = None;
                 self.givers = Givers::default();
@@ -134,10 +119,12 @@
     }
 
     /// Where peers are that know of a revision after this one.
-    fn find_ahead(&self, now: Instant, after: Revision) -> Vec<SocketAddr> {
-        let peers = self.core.peers();
-        let ahead = peers.living(now).filter(|peer| self.part.of_peer(peer) > after);
-        ahead.map(|peer| peer.sync).collect()
+    fn find_ahead(&self, after: Revision) -> Vec<SocketAddr> {
+        let ahead = self.core.hearing().ahead(self.part, after);
+        let membership = self.core.membership();
+        let records = ahead.iter().filter_map(|node| membership.get(node));
+        let alive = records.filter(|record| record.state == State::Alive);
+        alive.map(|record| record.contact.sync).collect()
     }
 
     /// Asks one of those that are ahead for its words, and takes them.
@@ -162,8 +149,8 @@
 
     /// Whether entries may have lapsed in the outage of a peer's store.
     fn is_store_away(&self, at: SocketAddr) -> bool {
-        let now = self.core.now();
-        self.core.peers().living(now).any(|peer| peer.sync == at && peer.store_away)
+        let membership = self.core.membership();
+        membership.alive().any(|r| r.contact.sync == at && r.contact.store_away)
     }
 
     /// Takes words, the oldest first. Those behind a value that can't be had yet
@@ -211,7 +198,7 @@
                 return self.complete(key, &gathering, wanted, began);
             }
             let now = self.core.now();
-            let holders = self.find_ahead(now, Revision(revision.0.saturating_sub(1)));
+            let holders = self.find_ahead(Revision(revision.0.saturating_sub(1)));
             match self.givers.choose(now, &holders, rand::random()) {
                 Choice::Ask(peer) => {
                     let patience = self.givers.patience(peer, &holders);
--- /dev/null
+++ b/crates/path/src/gossip.rs
@@ -0,0 +1,344 @@
+//! What nodes tell each other by datagrams.
+//!
+//! A datagram may be lost, so nothing hangs on a single one: bookings are told
+//! again, asks are repeated, and who is alive is known by
+//! [`hickory_policy::membership`]. What is too large for a datagram (the store's
+//! items) is fetched from a peer that has it; see [`crate::fetch`].
+
+use crate::books::{Booking, Number};
+use crate::core::{Core, Stage};
+use crate::dialect::Dialect;
+use crate::owner::{self, Asker, Ticket};
+use crate::placement::{Answer, Request};
+use crate::view::Tag;
+use hickory_policy::membership::{self, TICK};
+use hickory_policy::poison::Suspect;
+use hickory_store::store::{Revision, Store};
+use hickory_unit::clock::Clock;
+use hickory_unit::id;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// Peers that are told at once of a newer revision.
+const REVISION_FANOUT: usize = 4;
+
+/// Between two such tellings.
+const REVISION_EVERY: Duration = Duration::from_millis(50);
+
+/// How long news of members is gathered before it is pushed.
+const GATHER: Duration = Duration::from_millis(10);
+
+/// Between two tellings of all bookings.
+const BOOKINGS_EVERY: Duration = Duration::from_millis(500);
+
+/// How long a peer's revisions count after it was last heard.
+const HEARD_FOR: Duration = Duration::from_secs(10);
+
+/// The greatest datagram: what goes through all links unfragmented.
+const DATAGRAM_MAX: usize = 1_200;
+
+/// The receive buffer: the greatest datagram of a peer.
+const RECEIVE: usize = 2_048;
+
+/// Events that are sent together at most.
+const BATCH: usize = 256;
+
+/// One thing that a node tells.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Event {
+    /// Who is alive.
+    Member(membership::Message),
+    /// A request for a place.
+    Ask(Number, Request),
+    /// The answer to it.
+    Answer(Number, Answer),
+    /// A request was placed, or still lasts.
+    Placed(Number, Booking),
+    /// Its first token came.
+    Writing(Number),
+    /// It ended, or is no longer asked for.
+    Ended(Number),
+    /// A target served or failed a request.
+    Outcome { target: Tag, served: bool },
+    /// A target refused to read a part of a prompt for another one.
+    Shut(Tag),
+    /// A request was running when a target died.
+    Suspect { fingerprint: u64, deaths: u32 },
+}
+
+/// What goes in one datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Datagram {
+    node: id::Node,
+    incarnation: id::Incarnation,
+    /// The newest revision that the node has of what operators wrote.
+    operator: Revision,
+    /// The newest revision that it has of targets' entries.
+    targets: Revision,
+    events: Vec<Event>,
+}
+
+/// What a node's datagrams said last.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    incarnation: id::Incarnation,
+    operator: Revision,
+    targets: Revision,
+    at: Instant,
+}
+
+/// What was heard of peers directly.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Hearing {
+    peers: HashMap<id::Node, Heard>,
+}
+
+/// What is followed of the store's items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Part {
+    /// What operators write.
+    Operator,
+    /// Targets' entries.
+    Targets,
+}
+
+impl Hearing {
+    /// Takes what a datagram says; whether its node started anew.
+    fn take(&mut self, now: Instant, datagram: &Datagram) -> bool {
+        let heard = Heard {
+            incarnation: datagram.incarnation,
+            operator: datagram.operator,
+            targets: datagram.targets,
+            at: now,
+        };
+        let before = self.peers.insert(datagram.node.clone(), heard);
+        before.is_some_and(|before| before.incarnation != datagram.incarnation)
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.peers.retain(|_, heard| now.saturating_duration_since(heard.at) < HEARD_FOR);
+    }
+
+    /// Peers that have a revision of a part after this one.
+    pub(crate) fn ahead(&self, part: Part, after: Revision) -> Vec<id::Node> {
+        let revision = |heard: &Heard| match part {
+            Part::Operator => heard.operator,
+            Part::Targets => heard.targets,
+        };
+        let ahead = self.peers.iter().filter(|(_, heard)| revision(heard) > after);
+        ahead.map(|(node, _)| node.clone()).collect()
+    }
+}
+
+/// Starts sending and receiving.
+pub(crate) fn spawn<D: Dialect, S: Store, C: Clock>(
+    core: &Arc<Core<D, S, C>>,
+    socket: Arc<UdpSocket>,
+) {
+    tokio::spawn(receive(core.clone(), socket.clone()));
+    if let Some(outgoing) = core.take_outgoing() {
+        tokio::spawn(send_all(core.clone(), socket, outgoing));
+    }
+    tokio::spawn(keep_members(core.clone()));
+    tokio::spawn(push_news(core.clone()));
+    tokio::spawn(tell_revisions(core.clone()));
+    tokio::spawn(tell_bookings(core.clone()));
+    tokio::spawn(owner::run(core.clone()));
+}
+
+async fn receive<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; RECEIVE];
+    loop {
+        // An error is the echo of a datagram to a peer that is gone.
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
+        match postcard::from_bytes::<Datagram>(&buffer[..length]) {
+            Ok(datagram) => take(&core, datagram, from),
+            Err(error) => log::warn!(from:%; "datagram can't be read: {error}"),
+        }
+    }
+}
+
+fn take<D: Dialect, S: Store, C: Clock>(
+    core: &Arc<Core<D, S, C>>,
+    datagram: Datagram,
+    from: SocketAddr,
+) {
+    if datagram.node == core.settings.node {
+        return;
+    }
+    let now = core.now();
+    if core.hearing().take(now, &datagram) {
+        log::info!(peer:% = datagram.node; "peer started anew");
+        core.books().forget(&datagram.node);
+        core.owner().forget(&datagram.node);
+    }
+    core.hear(datagram.operator);
+    for event in datagram.events {
+        take_event(core, now, &datagram.node, from, event);
+    }
+}
+
+fn take_event<D: Dialect, S: Store, C: Clock>(
+    core: &Arc<Core<D, S, C>>,
+    now: Instant,
+    node: &id::Node,
+    from: SocketAddr,
+    event: Event,
+) {
+    let ticket = |number| Ticket { node: node.clone(), number };
+    match event {
+        Event::Member(message) => {
+            let out = core.membership().receive(now, node, from, message);
+            core.send_members(out);
+        }
+        Event::Ask(number, request) => {
+            owner::take_ask(core, Asker { ticket: ticket(number), address: from }, request);
+        }
+        Event::Answer(number, answer) => core.deliver(number, answer),
+        Event::Placed(number, booking) => core.books().take(now, node, number, booking),
+        Event::Writing(number) => {
+            core.books().take_writing(now, node, number);
+            core.queue_due.notify_one();
+        }
+        Event::Ended(number) => {
+            core.books().take_end(now, node, number);
+            core.owner().withdraw(now, &ticket(number));
+            core.queue_due.notify_one();
+        }
+        Event::Outcome { target, served } => core.ejection().note(now, target, served),
+        Event::Shut(target) => core.ejection().note_shut(now, target),
+        Event::Suspect { fingerprint, deaths } => {
+            let suspect = Suspect { fingerprint, deaths, age: Duration::ZERO };
+            core.suspects().merge(now, [suspect]);
+        }
+    }
+}
+
+/// Keeps the table of members, and forgets what is over.
+async fn keep_members<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
+    while core.stage() != Stage::Closed {
+        let now = core.now();
+        core.note_tick(now);
+        core.update_contact();
+        let out = core.membership().tick(now);
+        core.send_members(out);
+        core.books().expire(now);
+        core.owner().expire(now);
+        core.hearing().expire(now);
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+async fn push_news<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
+    while core.stage() != Stage::Closed {
+        core.members_due.notified().await;
+        tokio::time::sleep(GATHER).await;
+        let out = core.membership().push();
+        core.send_members(out);
+    }
+}
+
+/// Tells a few peers at once that this node has newer items; they fetch them and
+/// tell others in turn.
+async fn tell_revisions<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
+    while core.stage() != Stage::Closed {
+        core.revisions_due.notified().await;
+        let peers = core.membership().pick(REVISION_FANOUT);
+        peers.into_iter().for_each(|peer| core.send_revisions(peer));
+        tokio::time::sleep(REVISION_EVERY).await;
+    }
+}
+
+/// Tells what this node has placed to those who decide: now and then, and at once
+/// where somebody else decides than before.
+async fn tell_bookings<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
+    let mut told: HashMap<id::Node, Instant> = HashMap::new();
+    while core.stage() != Stage::Closed {
+        tokio::time::sleep(TICK).await;
+        let now = core.now();
+        let mut by_node: HashMap<id::Node, Vec<Event>> = HashMap::new();
+        for (number, booking) in core.tell_own(now) {
+            let group = core.group_of(&booking);
+            for node in core.told_owners(&group) {
+                let event = Event::Placed(number, booking.clone());
+                by_node.entry(node).or_default().push(event);
+            }
+        }
+        told.retain(|node, at| by_node.contains_key(node) && *at <= now);
+        for (node, events) in by_node {
+            let last = told.get(&node).copied();
+            if last.is_some_and(|at| now.saturating_duration_since(at) < BOOKINGS_EVERY) {
+                continue;
+            }
+            let Some(to) = core.find_peer(&node) else { continue };
+            events.into_iter().for_each(|event| core.send(to, event));
+            told.insert(node, now);
+        }
+    }
+}
+
+async fn send_all<D: Dialect, S: Store, C: Clock>(
+    core: Arc<Core<D, S, C>>,
+    socket: Arc<UdpSocket>,
+    mut outgoing: UnboundedReceiver<(SocketAddr, Option<Event>)>,
+) {
+    let mut batch = Vec::new();
+    while outgoing.recv_many(&mut batch, BATCH).await > 0 {
+        let mut by_peer: HashMap<SocketAddr, Vec<Event>> = HashMap::new();
+        for (to, event) in batch.drain(..) {
+            by_peer.entry(to).or_default().extend(event);
+        }
+        for (to, events) in by_peer {
+            send_to(&core, &socket, to, events).await;
+        }
+    }
+}
+
+/// Sends events to a peer, in as many datagrams as they take.
+async fn send_to<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    socket: &UdpSocket,
+    to: SocketAddr,
+    events: Vec<Event>,
+) {
+    let mut rest = events;
+    loop {
+        let (datagram, left) = encode(core, rest);
+        core.metrics.datagram(hickory_unit::size::Bytes(datagram.len() as u64));
+        // A datagram that can't be sent is like one that is lost.
+        let _ = socket.send_to(&datagram, to).await;
+        if left.is_empty() {
+            return;
+        }
+        rest = left;
+    }
+}
+
+/// A datagram with as many of the events as it holds, and the others.
+fn encode<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    mut events: Vec<Event>,
+) -> (Vec<u8>, Vec<Event>) {
+    let mut left = Vec::new();
+    loop {
+        let (operator, targets) = core.revisions();
+        let (node, incarnation) = (core.settings.node.clone(), core.incarnation);
+        let datagram = Datagram { node, incarnation, operator, targets, events };
+        let bytes = postcard::to_stdvec(&datagram).unwrap_or_else(|error| {
+            log::error!("datagram can't be written: {error}");
+            Vec::new()
+        });
+        events = datagram.events;
+        if bytes.len() <= DATAGRAM_MAX || events.len() <= 1 {
+            return (bytes, left);
+        }
+        let mut rest = events.split_off(events.len().div_ceil(2));
+        rest.append(&mut left);
+        left = rest;
+    }
+}
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -202,7 +202,7 @@
     core: Arc<Core<D, S, C>>,
     _: Request<Incoming>,
 ) -> Response<Reply> {
-    core.metrics.peers(core.peers().count(core.now()));
+    core.metrics.peers(core.count_peers());
     core.metrics.suspects(core.suspects().len());
     reply::plain(StatusCode::OK, &core.metrics.render())
 }
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -2,15 +2,16 @@
 //!
 //! A request is decoded by a [`dialect::Dialect`] into the product's own terms
 //! ([`demand`]), matched to a route and an account ([`config`]), placed on
-//! targets by what all nodes have told of their work ([`books`]), sent
-//! ([`attempt`]), and relayed ([`serve`], [`stream`]). What a node believes
-//! comes from the store ([`sync`]) and from its peers ([`peer`], [`fetch`],
-//! [`give`], large values in pieces by [`piece`]), merged by revision
-//! ([`items`]) and read as one [`view`].
+//! targets by the owner of their group ([`ask`], [`group`], [`owner`],
+//! [`placement`]) and by what runs there ([`books`]), sent ([`attempt`]), and
+//! relayed ([`serve`], [`stream`]). What a node believes comes from the store
+//! ([`sync`]) and from its peers ([`gossip`], [`fetch`], [`give`], large values
+//! in pieces by [`piece`]), merged by revision ([`items`]) and read as one
+//! [`view`].
 
+mod ask;
 pub mod attempt;
 pub mod books;
-pub mod cell;
 pub mod config;
 pub mod core;
 mod death;
@@ -19,15 +20,19 @@
 mod drain;
 mod entry;
 mod fetch;
+mod fleet;
 mod give;
+mod gossip;
+pub mod group;
 mod intake;
 pub mod items;
 mod known;
 pub mod news;
 pub mod outage;
-mod peer;
+mod owner;
 pub mod piece;
 mod place;
+pub mod placement;
 mod record;
 mod refusal;
 pub mod reply;
@@ -36,7 +41,6 @@
 mod serve;
 pub mod settings;
 mod stream;
-mod suspect;
 mod sync;
 pub mod view;
 pub mod watcher;
@@ -79,7 +83,7 @@
         let core = Arc::new(Core::open(settings, store, clock, metrics));
         sync::spawn(&core);
         fetch::spawn(&core);
-        peer::spawn(&core, sockets.peers.clone());
+        gossip::spawn(&core, sockets.peers.clone());
         intake::spawn(&core, sockets);
         Ok(Self { core })
     }
--- a/crates/path/src/record.rs
+++ b/crates/path/src/record.rs
@@ -58,17 +58,6 @@
         }
     }
 
-    /// That it gave a place up to another node's prompt.
-    pub(crate) fn log_contested(&self, place: &Place<D, S, C>) {
-        log::info!(
-            request = self.job.demand.attempt.as_str(),
-            target_id = place.target.id.as_str(),
-            engines = place.helpers.len() + 1,
-            age_ms = self.age().as_millis() as u64;
-            "another prompt goes first"
-        );
-    }
-
     /// That an attempt failed.
     pub(crate) fn log_repeat(&self, place: &Place<D, S, C>, why: &str) {
         log::info!(
@@ -102,7 +91,7 @@
             part_ms = place.part.as_millis() as u64,
             prompt = self.job.demand.prompt.map_or(0, |prompt| prompt.tokens.0),
             engines = place.helpers.len() + 1,
-            peers = self.core.peers().count(self.core.now()),
+            peers = self.core.count_peers(),
             config = self.job.configuration.version,
             age_ms = self.age().as_millis() as u64;
             "answered"
--- a/crates/path/src/refusal.rs
+++ b/crates/path/src/refusal.rs
@@ -3,7 +3,7 @@
 use crate::core::Core;
 use crate::dialect::Dialect;
 use crate::known::{Known, log_known};
-use crate::place::NoPlace;
+use crate::placement::NoPlace;
 use crate::reply::{self, Reply};
 use hickory_policy::refuse::{Ran, Reason};
 use hickory_store::store::Store;
@@ -68,11 +68,9 @@
             }
             NoPlace::TooLong => Self::new(Reason::TooLong, "longer than the fleet's memory")
                 .with_status(StatusCode::SERVICE_UNAVAILABLE),
-            NoPlace::Busy(time) | NoPlace::Wait(time, _) => {
-                Self::new(Reason::Overloaded, "all targets are busy")
-                    .with_status(StatusCode::SERVICE_UNAVAILABLE)
-                    .after(time.min(RETRY_MAX))
-            }
+            NoPlace::Busy(time) => Self::new(Reason::Overloaded, "all targets are busy")
+                .with_status(StatusCode::SERVICE_UNAVAILABLE)
+                .after(time.min(RETRY_MAX)),
         }
     }
 
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -1,11 +1,12 @@
 //! Running a request: attempts until there is an answer, or it is given up on.
 
+use crate::ask;
 use crate::attempt::{self, Failure, Opened, Terms};
 use crate::core::{Active, Core};
 use crate::death::{look_for_death, read_fingerprint};
 use crate::dialect::Dialect;
-use crate::peer::Event;
-use crate::place::{self, NoPlace, Place, Search, Waiting, Want};
+use crate::place::Place;
+use crate::placement::NoPlace;
 use crate::refusal::{NO_TARGET_RETRY, Refusal};
 use crate::reply::{self, Reply};
 use crate::reservation::Reservations;
@@ -165,53 +166,20 @@
         }
     }
 
-    /// Waits for its turn, where it has to.
+    /// Finds a place, and waits for its turn where it has to.
     async fn choose(&mut self) -> Result<Place<D, S, C>, Refusal> {
         let began = self.core.now();
-        let mut waiting = None;
-        let mut search = Search::default();
-        loop {
-            let view = self.core.view();
-            let want = Want {
-                route: &self.job.route,
-                service: &self.service,
-                prompt: self.job.demand.prompt,
-                due: self.due(),
-                limit: self.first_deadline(),
-                tried: &self.tried,
-            };
-            match place::choose(&self.core, &view, &self.job.configuration, &want, &mut search) {
-                Ok(place) => {
-                    if !place.short && self.is_contested(&place).await {
-                        continue;
-                    }
-                    self.waited += self.core.now().saturating_duration_since(began);
-                    self.core.metrics.permit_waited(self.waited);
-                    return Ok(place);
-                }
-                Err(NoPlace::Wait(time, read)) => {
-                    waiting.get_or_insert_with(|| {
-                        self.log_waiting(search.survey);
-                        Waiting::begin(&self.core, &self.service, read)
-                    });
-                    tokio::time::sleep(time).await;
-                }
-                Err(no_place) => return Err(self.refuse_unplaced(no_place, began, search.survey)),
+        let tried = self.tried.clone();
+        match ask::place(self, &tried).await {
+            Ok(place) => {
+                self.waited += self.core.now().saturating_duration_since(began);
+                self.core.metrics.permit_waited(self.waited);
+                Ok(place)
             }
+            Err((no_place, survey)) => Err(self.refuse_unplaced(no_place, began, survey)),
         }
     }
 
-    /// Whether another node's prompt goes before a long one that was just
-    /// placed, once all nodes have heard of it.
-    async fn is_contested(&self, place: &Place<D, S, C>) -> bool {
-        tokio::time::sleep(self.core.settle_time()).await;
-        let contested = place.is_contested();
-        if contested {
-            self.log_contested(place);
-        }
-        contested
-    }
-
     /// The urgency at the engine: the caller's rank first, and of one rank the
     /// short prompts, which hold a place for the least time.
     fn urgency(&self, place: &Place<D, S, C>) -> u8 {
@@ -346,9 +314,7 @@
     }
 
     fn note_failure(&self, place: &Place<D, S, C>, failure: &Failure) {
-        let tag = place.target.tag;
-        self.core.doubts().note_failure(self.core.now(), tag);
-        self.core.tell(Event::Failed(tag));
+        place.note_outcome(false);
         self.log_repeat(place, &failure.to_string());
     }
 
@@ -361,20 +327,13 @@
     fn note_shut(&mut self, place: &Place<D, S, C>, tag: Tag, failure: &Failure) {
         self.tried.retain(|tried| *tried != place.target.tag);
         self.tried.push(tag);
-        self.core.doubts().note_shut(self.core.now(), tag);
-        self.core.tell(Event::Shut(tag));
+        place.note_shut(tag);
         self.log_repeat(place, &failure.to_string());
     }
 
     /// Notes that a target answered with this status.
     pub(crate) fn note_answer(&self, place: &Place<D, S, C>, status: StatusCode) {
-        match status.is_server_error() {
-            true => {
-                self.core.doubts().note_failure(self.core.now(), place.target.tag);
-                self.core.tell(Event::Failed(place.target.tag));
-            }
-            false => self.core.doubts().note_success(place.target.tag),
-        }
+        place.note_outcome(!status.is_server_error());
         self.core.suspects().note_success(self.core.now(), self.fingerprint);
     }
 
--- a/crates/path/src/settings.rs
+++ b/crates/path/src/settings.rs
@@ -1,5 +1,6 @@
 //! What a node is told when it starts, in the product's terms.
 
+use hickory_policy::member::Capacity;
 use hickory_policy::share;
 use hickory_unit::{id, rate};
 use std::net::SocketAddr;
@@ -24,6 +25,8 @@
     pub peers: SocketAddr,
     /// The rate of the host's link, where it is told.
     pub link: Option<rate::BytesPerSecond>,
+    /// What the host can do beside its callers' requests, where it is told.
+    pub capacity: Capacity,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
     /// Where other nodes may be found at the start.
--- a/crates/path/src/sync.rs
+++ b/crates/path/src/sync.rs
@@ -94,11 +94,13 @@
 async fn find_nodes<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
     while core.stage() != Stage::Closed {
         tokio::time::sleep(FIND).await;
-        if core.peers().count(core.now()) > 0 {
+        if core.count_peers() > 0 {
             continue;
         }
         match core.store.list(member::PREFIX).await {
-            Ok((entries, _)) => core.set_registered(entries.iter().filter_map(read_address)),
+            Ok((entries, _)) => {
+                core.membership().add_seeds(entries.iter().filter_map(read_address));
+            }
             Err(error) => log::warn!("registrations can't be listed: {error}"),
         }
     }
@@ -146,10 +148,10 @@
 ) -> bool {
     let me = &core.settings.node;
     let own = Candidate { node: me, store_away: core.is_store_away() };
-    let peers = core.peers();
-    let heard =
-        peers.named(core.now()).map(|(node, peer)| Candidate { node, store_away: peer.store_away });
-    let nodes: Vec<Candidate<'_>> = heard.chain([own]).collect();
+    let membership = core.membership();
+    let peers = membership.alive();
+    let peers = peers.map(|r| Candidate { node: &r.node, store_away: r.contact.store_away });
+    let nodes: Vec<Candidate<'_>> = peers.chain([own]).collect();
     part(me, &nodes)
 }
 
@@ -192,8 +194,6 @@
             let entries = follower.view().values();
             let at = follower.revision();
             core.update(may_lapse, |items| items.take_all(now, prefix, entries, at));
-            // The word that there is news goes out at once, without an event.
-            core.told.notify_one();
         }
         core.stage() != Stage::Closed
     })
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -116,6 +116,11 @@
         self.targets.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether new work may be sent to a target at `now`.
+    pub fn may_send(&self, target: &Target, now: Instant) -> bool {
+        target.takes_work(now) && !self.zones_out.contains(&target.entry.zone)
+    }
+
     /// The version of the configuration, 0 before the first one.
     pub fn version(&self) -> u64 {
         self.configuration.as_ref().map_or(0, |configuration| configuration.version)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,13 +5,15 @@
 //! [`ramp`] and [`pace`] behind it), then [`retry`] and [`poison`];
 //! [`reserve`] and [`preempt`] serve the long prompts, [`layout`] the weights
 //! on engines. [`spread`] is how a large document goes from node to node.
+//! [`membership`] is which nodes are alive, [`queue`] the order of prompts that
+//! wait, [`replica`] the choice for a plain service, [`ejection`] what is avoided.
 //! [`survey`] is what logs say of a choice. [`baseline`] is what all this is
 //! measured against.
 
 pub mod ask;
 pub mod baseline;
-pub mod claim;
 pub mod cost;
+pub mod ejection;
 pub mod engine;
 pub mod fair;
 mod flow;
@@ -20,14 +22,18 @@
 mod late;
 pub mod layout;
 pub mod limit;
+pub mod member;
+pub mod membership;
 pub mod pace;
 pub mod pass;
 pub mod place;
 pub mod plan;
 pub mod poison;
 pub mod preempt;
+pub mod queue;
 pub mod ramp;
 pub mod refuse;
+pub mod replica;
 pub mod reserve;
 pub mod retry;
 pub mod room;
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -46,13 +46,6 @@
 /// several prompts that arrive at once find no slot.
 const PACK_SLOTS: f64 = 0.9;
 
-/// What is unseen of other nodes' short prompts at the least for a node to take
-/// engines in its own order: two prompts of the usual size. Load: all nodes start
-/// at once, and their callers come back within half a second. Harm prevented: all
-/// nodes fill the engine that they prefer before they hear of each other, and all
-/// prompts there are late.
-const SURGE: Duration = Duration::from_millis(50);
-
 /// What a first token takes beside the engine's work: the way there and back,
 /// and the turns of the hosts.
 const REACH: Duration = Duration::from_millis(10);
@@ -126,11 +119,8 @@
     pub memory: Tokens,
     /// Whether it is in the choosing node's zone.
     pub near: bool,
-    /// The choosing node's order of the engines for short prompts, the least
-    /// first; the same on nodes that hear of each other's placements soonest.
+    /// The order of the engines for short prompts, the least first.
     pub preference: u64,
-    /// The choosing node's own order of the engines, unlike any other node's.
-    pub own_preference: u64,
     /// What it is expected to cost to try it, since it failed lately.
     pub doubt: Duration,
     /// Whether it refused lately to read a part for another engine.
@@ -153,9 +143,6 @@
     /// What is to be read of prompts that wait and come before it, by the time
     /// that one engine takes.
     pub ahead: Duration,
-    /// What other nodes have placed of short prompts and this one has not heard
-    /// of yet, at a guess, by the time that one engine takes to read it.
-    pub unseen: Duration,
 }
 
 /// Where a prompt is read; engines by their place in the list of loads.
@@ -270,21 +257,18 @@
         let aim = self.query.goal.mul_f64(PACK_AIM);
         let most = (f64::from(self.profile.slots) * PACK_SLOTS) as u32;
         let first = |engine: usize| self.first_token(engine, self.read);
-        let unseen = self.query.unseen;
-        let is_surge = unseen >= SURGE;
         let packs = |&engine: &usize| {
             let load = &self.loads[engine];
             load.short > 0
                 && load.requests < most
                 && load.doubt.is_zero()
-                && first(engine) + unseen <= aim
+                && first(engine) <= aim
                 && self.bears_in_pass(engine)
         };
         let rank = |&engine: &usize| {
             let load = &self.loads[engine];
             let steps = (first(engine) + load.doubt).as_millis() / ALIKE.as_millis();
-            let order = if is_surge { load.own_preference } else { load.preference };
-            (!self.bears_in_pass(engine), steps, order)
+            (!self.bears_in_pass(engine), steps, load.preference)
         };
         let fitting = || (0..self.loads.len()).filter(fits);
         let packed = fitting().filter(packs).min_by_key(|&engine| self.loads[engine].preference);
--- /dev/null
+++ b/crates/policy/src/replica.rs
@@ -0,0 +1,51 @@
+//! The replica of a plain service that a request is sent to.
+//!
+//! Load pattern: short requests on a few slots, of which some replicas answer
+//! late or fail. A replica that fails at times is still better than one behind
+//! whose queue the request would wait for longer than a failure costs.
+
+use crate::plan::Load;
+use std::time::Duration;
+
+/// Requests that may run or wait at a replica, as a multiple of its slots: beyond
+/// it, a request waits longer than callers do.
+const WAITING: u32 = 3;
+
+/// A replica's load and how many requests it runs at once.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// What is placed there.
+    pub load: &'a Load,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+impl Candidate<'_> {
+    fn is_full(&self) -> bool {
+        self.load.requests >= self.slots.max(1) * WAITING
+    }
+
+    /// What a request is expected to wait for a slot, where a request takes
+    /// `usual`.
+    fn wait(&self, usual: Duration) -> Duration {
+        let slots = self.slots.max(1);
+        let queued = (self.load.requests + 1).saturating_sub(slots);
+        usual * queued / slots
+    }
+}
+
+/// The candidate that is expected to answer first, where a request takes `usual`.
+///
+/// # Errors
+///
+/// All are full; the time after which there is room.
+pub fn choose(candidates: &[Candidate<'_>], usual: Duration) -> Result<usize, Duration> {
+    let rank = |&place: &usize| {
+        let candidate = &candidates[place];
+        let load = candidate.load;
+        let busy = load.requests * 1_000 / candidate.slots.max(1);
+        (candidate.wait(usual) + load.doubt, busy, !load.near, load.preference)
+    };
+    let open = (0..candidates.len()).filter(|&place| !candidates[place].is_full());
+    open.min_by_key(rank).ok_or(usual * (WAITING - 1))
+}
--- a/crates/policy/src/survey.rs
+++ b/crates/policy/src/survey.rs
@@ -2,10 +2,11 @@
 
 use crate::engine::Profile;
 use crate::plan::{IDLE, Load};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// The engines as a choice found them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Survey {
     /// Engines that may be chosen.
     pub engines: u32,
--- /dev/null
+++ b/crates/policy/tests/ejection.rs
@@ -0,0 +1,94 @@
+//! Which targets are avoided since they fail more than their fellows.
+
+use hickory_policy::ejection::Ejection;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::time::{Duration, Instant};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Plays requests over targets that fail by these rates, as many a second, and
+/// counts for each target how often it was avoided after one.
+fn play(rates: &[f64], per_second: u64, seconds: u64) -> Vec<f64> {
+    let mut random = StdRng::seed_from_u64(1);
+    let (mut ejection, mut now) = (Ejection::default(), Instant::now());
+    let mut avoided = vec![0_u32; rates.len()];
+    let requests = per_second * seconds;
+    for _ in 0..requests {
+        now += Duration::from_secs(1) / per_second as u32;
+        let target = random.random_range(0..rates.len());
+        ejection.note(now, target, !random.random_bool(rates[target]));
+        let costs = ejection.costs(now, 0..rates.len());
+        for (count, cost) in avoided.iter_mut().zip(costs) {
+            *count += u32::from(cost >= ms(300));
+        }
+    }
+    avoided.into_iter().map(|count| f64::from(count) / requests as f64).collect()
+}
+
+/// Guards against a service whose replicas are mostly avoided, as its application
+/// fails one request in twelve and many nodes send many requests.
+#[test]
+fn replicas_that_fail_alike_are_not_avoided_whatever_the_rate_of_requests() {
+    for per_second in [25, 250, 2_500] {
+        let avoided = play(&[0.08; 5], per_second, 20);
+        let most = avoided.iter().copied().fold(0.0, f64::max);
+        assert!(most < 0.25, "{per_second} a second: {avoided:.2?}");
+        let mean = avoided.iter().sum::<f64>() / 5.0;
+        assert!(mean < 0.15, "{per_second} a second: {avoided:.2?}");
+    }
+}
+
+/// Guards against requests that are sent again and again to the one replica that
+/// fails half of them.
+#[test]
+fn a_replica_that_fails_more_than_the_others_is_avoided() {
+    for per_second in [25, 250] {
+        let avoided = play(&[0.02, 0.5, 0.02, 0.02, 0.02], per_second, 20);
+        assert!(avoided[1] > 0.5, "{per_second} a second: {avoided:.2?}");
+        assert!(avoided[0] < 0.1, "{per_second} a second: {avoided:.2?}");
+    }
+}
+
+/// Guards against a fleet that avoids all its targets, where most of them fail.
+#[test]
+fn at_most_half_are_avoided() {
+    let (mut ejection, now) = (Ejection::default(), Instant::now());
+    for target in 0..7 {
+        (0..3).for_each(|_| ejection.note(now, target, false));
+    }
+    let avoided = |ejection: &Ejection<u32>| {
+        ejection.costs(now, 0..10).into_iter().filter(|cost| !cost.is_zero()).count()
+    };
+    assert_eq!(avoided(&ejection), 0, "seven of ten fail alike");
+    let mut ejection = Ejection::default();
+    (0..3).for_each(|_| ejection.note(now, 1, false));
+    assert_eq!(avoided(&ejection), 1);
+}
+
+/// Guards against a target that is never tried again after it was mended.
+#[test]
+fn what_failed_is_tried_again() {
+    let (mut ejection, now) = (Ejection::default(), Instant::now());
+    (0..8).for_each(|_| ejection.note(now, 1, false));
+    let cost = |ejection: &Ejection<u32>, at| ejection.costs(now + ms(at), 0..4)[1];
+    assert!(cost(&ejection, 0) > ms(2_000));
+    assert!(cost(&ejection, 12_000) < ms(60), "by time alone");
+    (0..4).for_each(|_| ejection.note(now, 1, true));
+    assert!(cost(&ejection, 0) < ms(100), "by its answers");
+}
+
+/// Guards against long prompts that fail one after the other, since engines that are
+/// leaving unheard look idle and refuse each part.
+#[test]
+fn an_engine_that_refuses_parts_is_given_none_for_a_time() {
+    let (mut ejection, now) = (Ejection::default(), Instant::now());
+    ejection.note_shut(now, 1);
+    ejection.note_shut(now + ms(5), 1);
+    assert!(ejection.is_shut(now + ms(2_900), 1) && !ejection.is_shut(now, 2));
+    assert!(!ejection.is_shut(now + ms(3_100), 1), "refusals of one moment count once");
+    ejection.note_shut(now + ms(3_100), 1);
+    assert!(ejection.is_shut(now + ms(9_000), 1), "longer after a further one");
+}
--- a/crates/telemetry/src/label.rs
+++ b/crates/telemetry/src/label.rs
@@ -45,6 +45,16 @@
         Service = "service",
     }
 
+    /// Who chose the targets of a request.
+    Decider {
+        /// The owner of their group.
+        Owner = "owner",
+        /// The owner's successor, as the owner was silent.
+        Successor = "successor",
+        /// The request's own node, as both were silent.
+        Alone = "alone",
+    }
+
     /// A call to the platform.
     Call {
         /// Read of a key.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -4,7 +4,8 @@
 //! the request path is one atomic addition, with no lock and no map.
 
 use crate::label::{
-    Call, Claim, Direction, Fetch, Length, Order, Orphan, Outcome, Ownership, Permit, Way, Work,
+    Call, Claim, Decider, Direction, Fetch, Length, Order, Orphan, Outcome, Ownership, Permit, Way,
+    Work,
 };
 use derive_more::Display;
 use hickory_policy::refuse::{Ran, Reason, Retry};
@@ -68,6 +69,9 @@
     configuration_delay: Histogram,
     fetches: Vec<IntCounter>,
     fetched: Vec<IntCounter>,
+    placements: Vec<IntCounter>,
+    datagrams: IntCounter,
+    datagram_bytes: IntCounter,
     peers: IntGauge,
 }
 
@@ -184,6 +188,15 @@
                 ),
                 DELAY_BOUNDS,
             )?,
+            placements: open_counters(
+                r,
+                "placements_total",
+                "Requests that were placed, by who decided",
+                "by",
+                Decider::ALL,
+            )?,
+            datagrams: open_counter(r, "datagrams_sent_total", "Datagrams sent to other nodes")?,
+            datagram_bytes: open_counter(r, "datagram_bytes_sent_total", "Their bytes")?,
             fetches: open_counters(
                 r,
                 "peer_fetches_total",
@@ -320,6 +333,17 @@
         self.fetched[way as usize].inc_by(bytes.0);
     }
 
+    /// Counts a request that was placed.
+    pub fn placed(&self, by: Decider) {
+        self.placements[by as usize].inc();
+    }
+
+    /// Counts a datagram that is sent to another node.
+    pub fn datagram(&self, bytes: size::Bytes) {
+        self.datagrams.inc();
+        self.datagram_bytes.inc_by(bytes.0);
+    }
+
     /// Sets how many peers this node has a link to.
     pub fn peers(&self, connected: usize) {
         self.peers.set(connected as i64);
