--- a/crates/path/src/ask.rs
+++ b/crates/path/src/ask.rs
@@ -10,7 +10,7 @@
 use crate::group::{self, Group};
 use crate::owner::{self, Asker, Ticket};
 use crate::place::Place;
-use crate::placement::{Answer, Grant, NoPlace, Request, Scope, Sight, Verdict};
+use crate::placement::{Answer, Grant, NoPlace, Request, Scope, Sight, Unplaced, Verdict};
 use crate::run::Run;
 use crate::view::{Tag, Target, View};
 use hickory_policy::survey::Survey;
@@ -39,6 +39,9 @@
 /// Groups of a service that a request is tried in.
 const GROUPS_TRIED: u16 = 2;
 
+/// What comes of asking.
+type Outcome<D, S, C> = Result<Place<D, S, C>, Unplaced>;
+
 /// A request for a place that is under way. Dropping it withdraws it.
 struct Inquiry<'a, D: Dialect, S: Store, C: Clock> {
     run: &'a Run<D, S, C>,
@@ -55,18 +58,18 @@
 pub(crate) async fn place<D: Dialect, S: Store, C: Clock>(
     run: &Run<D, S, C>,
     tried: &[Tag],
-) -> Result<Place<D, S, C>, (NoPlace, Survey)> {
+) -> Outcome<D, S, C> {
     let groups = group::count_groups(run.core.view().targets_of(&run.service).len());
     let first = rand::random_range(0..groups);
-    let mut refused = (NoPlace::NoTarget, Survey::default());
+    let mut unplaced = Unplaced { why: NoPlace::NoTarget, survey: Survey::default() };
     for step in 0..groups.min(GROUPS_TRIED) {
         let group = Group { service: run.service.clone(), index: (first + step) % groups };
         match Inquiry::open(run, group, tried).run().await {
             Ok(place) => return Ok(place),
-            Err(error) => refused = error,
+            Err(error) => unplaced = error,
         }
     }
-    Err(refused)
+    Err(unplaced)
 }
 
 impl<'a, D: Dialect, S: Store, C: Clock> Inquiry<'a, D, S, C> {
@@ -92,7 +95,7 @@
         }
     }
 
-    async fn run(mut self) -> Result<Place<D, S, C>, (NoPlace, Survey)> {
+    async fn run(mut self) -> Outcome<D, S, C> {
         let mut silent: Vec<id::Node> = Vec::new();
         loop {
             let owner = (silent.len() < OWNERS_ASKED).then(|| self.next_owner(&silent)).flatten();
@@ -151,11 +154,7 @@
     }
 
     /// Takes an answer; nothing where it has to be asked again.
-    fn take(
-        &mut self,
-        answer: Answer,
-        decider: Decider,
-    ) -> Option<Result<Place<D, S, C>, (NoPlace, Survey)>> {
+    fn take(&mut self, answer: Answer, decider: Decider) -> Option<Outcome<D, S, C>> {
         match answer {
             Answer::Placed(grant) => self.open_place(*grant, decider).map(Ok),
             Answer::Queued(survey) => {
@@ -165,13 +164,15 @@
                 None
             }
             // This node may know a target that the owner has not heard of.
-            Answer::Refused(NoPlace::NoTarget, _) if decider != Decider::Alone => {
+            Answer::Refused(unplaced)
+                if unplaced.why == NoPlace::NoTarget && decider != Decider::Alone =>
+            {
                 match self.decide_alone() {
                     Verdict::Answered(answer) => self.take(answer, Decider::Alone),
-                    Verdict::Wait(_, survey) => Some(Err((NoPlace::NoTarget, survey))),
+                    Verdict::Wait(..) => Some(Err(unplaced)),
                 }
             }
-            Answer::Refused(no_place, survey) => Some(Err((no_place, survey))),
+            Answer::Refused(unplaced) => Some(Err(unplaced)),
         }
     }
 
@@ -211,10 +212,9 @@
         let core = &self.run.core;
         let request = self.request();
         let scope = Scope::Alone(core.count_nodes());
-        let refused = |no_place| Verdict::Answered(Answer::Refused(no_place, Survey::default()));
         let sight = Sight::open(core, core.now(), &request.service, scope);
         sight.map_or_else(
-            || refused(NoPlace::NoTarget),
+            || Verdict::refused(NoPlace::NoTarget, Survey::default()),
             |sight| sight.decide(&request, Duration::ZERO),
         )
     }
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -4,7 +4,7 @@
 use crate::dialect::Dialect;
 use crate::fleet::{Running, Silence};
 use crate::give::Giving;
-use crate::gossip::{Event, Hearing};
+use crate::gossip::{Hearing, Letter};
 use crate::items::Items;
 use crate::news::{Lag, News};
 use crate::owner::Owner;
@@ -81,8 +81,9 @@
     revisions: Mutex<(Revision, Revision)>,
     /// Since when this node has been told what runs where.
     running: Mutex<Running>,
-    outgoing: UnboundedSender<(SocketAddr, Option<Event>)>,
-    outgoing_end: Mutex<Option<UnboundedReceiver<(SocketAddr, Option<Event>)>>>,
+    letters: UnboundedSender<Letter>,
+    /// Until the task that sends takes it.
+    unsent: Mutex<Option<UnboundedReceiver<Letter>>>,
     /// News of members waits to be told.
     pub(crate) members_due: Notify,
     /// Newer revisions wait to be told.
@@ -102,7 +103,7 @@
     pub(crate) fn open(settings: Settings, store: S, clock: C, metrics: Metrics) -> Self {
         let now = clock.now();
         let incarnation = id::Incarnation(clock.wall_ms());
-        let (outgoing, outgoing_end) = unbounded_channel();
+        let (letters, unsent) = unbounded_channel();
         let membership = open_membership(&settings, incarnation, now);
         Self {
             bounds: RwLock::new(Arc::new(settings.bounds.clone())),
@@ -130,8 +131,8 @@
             draining_since: OnceLock::new(),
             revisions: Mutex::default(),
             running: Mutex::new(Running { since: now, ticked: now }),
-            outgoing,
-            outgoing_end: Mutex::new(Some(outgoing_end)),
+            letters,
+            unsent: Mutex::new(Some(unsent)),
             members_due: Notify::new(),
             revisions_due: Notify::new(),
             queue_due: Notify::new(),
@@ -297,14 +298,14 @@
     }
 
     /// Hands an event to the task that sends.
-    pub(crate) fn send_some(&self, to: SocketAddr, event: Option<Event>) {
-        // It ends with the node.
-        let _ = self.outgoing.send((to, event));
+    pub(crate) fn post(&self, letter: Letter) {
+        // The task ends with the node.
+        let _ = self.letters.send(letter);
     }
 
     /// What is to be sent, once.
-    pub(crate) fn take_outgoing(&self) -> Option<UnboundedReceiver<(SocketAddr, Option<Event>)>> {
-        lock(&self.outgoing_end).take()
+    pub(crate) fn take_letters(&self) -> Option<UnboundedReceiver<Letter>> {
+        lock(&self.unsent).take()
     }
 
     pub(crate) fn stage(&self) -> Stage {
--- a/crates/path/src/fleet.rs
+++ b/crates/path/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::books::{Booking, Number};
 use crate::core::Core;
 use crate::dialect::Dialect;
-use crate::gossip::Event;
+use crate::gossip::{Event, Letter};
 use crate::group::{self, Group};
 use crate::placement::Answer;
 use hickory_policy::member::{Contact, Record};
@@ -103,12 +103,12 @@
 
     /// Sends an event to a node.
     pub(crate) fn send(&self, to: SocketAddr, event: Event) {
-        self.send_some(to, Some(event));
+        self.post(Letter { to, event: Some(event) });
     }
 
     /// Tells a node the newest revisions that this one has.
     pub(crate) fn send_revisions(&self, to: SocketAddr) {
-        self.send_some(to, None);
+        self.post(Letter { to, event: None });
     }
 
     /// Tells all other nodes.
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -71,6 +71,13 @@
     Suspect { fingerprint: u64, deaths: u32 },
 }
 
+/// An event and where it goes; none where only the sender's revisions are told.
+#[derive(Clone, Debug)]
+pub(crate) struct Letter {
+    pub(crate) to: SocketAddr,
+    pub(crate) event: Option<Event>,
+}
+
 /// What goes in one datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Datagram {
@@ -141,8 +148,8 @@
     socket: Arc<UdpSocket>,
 ) {
     tokio::spawn(receive(core.clone(), socket.clone()));
-    if let Some(outgoing) = core.take_outgoing() {
-        tokio::spawn(send_all(core.clone(), socket, outgoing));
+    if let Some(letters) = core.take_letters() {
+        tokio::spawn(send_all(core.clone(), socket, letters));
     }
     tokio::spawn(keep_members(core.clone()));
     tokio::spawn(push_news(core.clone()));
@@ -285,13 +292,13 @@
 async fn send_all<D: Dialect, S: Store, C: Clock>(
     core: Arc<Core<D, S, C>>,
     socket: Arc<UdpSocket>,
-    mut outgoing: UnboundedReceiver<(SocketAddr, Option<Event>)>,
+    mut letters: UnboundedReceiver<Letter>,
 ) {
     let mut batch = Vec::new();
-    while outgoing.recv_many(&mut batch, BATCH).await > 0 {
+    while letters.recv_many(&mut batch, BATCH).await > 0 {
         let mut by_peer: HashMap<SocketAddr, Vec<Event>> = HashMap::new();
-        for (to, event) in batch.drain(..) {
-            by_peer.entry(to).or_default().extend(event);
+        for letter in batch.drain(..) {
+            by_peer.entry(letter.to).or_default().extend(letter.event);
         }
         for (to, events) in by_peer {
             send_to(&core, &socket, to, events).await;
--- a/crates/path/src/placement.rs
+++ b/crates/path/src/placement.rs
@@ -92,6 +92,15 @@
     Busy(Duration),
 }
 
+/// A request that found no place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Unplaced {
+    /// Why.
+    pub why: NoPlace,
+    /// What was found.
+    pub survey: Survey,
+}
+
 /// The answer to a request for a place.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
@@ -99,8 +108,8 @@
     Placed(Box<Grant>),
     /// It waits for engines, with what it found.
     Queued(Survey),
-    /// It has no place, by what was found.
-    Refused(NoPlace, Survey),
+    /// It has no place.
+    Refused(Unplaced),
 }
 
 /// What a choice says: an answer, or to look again after a time.
@@ -109,6 +118,12 @@
     Wait(Duration, Survey),
 }
 
+impl Verdict {
+    pub(crate) fn refused(why: NoPlace, survey: Survey) -> Self {
+        Self::Answered(Answer::Refused(Unplaced { why, survey }))
+    }
+}
+
 /// The targets that may be chosen, and their loads.
 pub(crate) struct Sight {
     configuration: Arc<Configuration>,
@@ -199,7 +214,7 @@
         match plan::choose_engines(&query, profile, loads) {
             Ok(Choice::Go(plan)) => self.grant(request, &query, &plan, places, survey),
             Ok(Choice::Wait(time)) => Verdict::Wait(time, survey),
-            Err(refused) => Verdict::Answered(Answer::Refused(read_refused(refused), survey)),
+            Err(refused) => Verdict::refused(read_refused(refused), survey),
         }
     }
 
@@ -237,7 +252,7 @@
         survey: Survey,
     ) -> Verdict {
         if places.is_empty() {
-            return Verdict::Answered(Answer::Refused(NoPlace::NoTarget, survey));
+            return Verdict::refused(NoPlace::NoTarget, survey);
         }
         let slots = places.iter().map(|&place| self.targets[place].entry.slots);
         let candidates = loads.iter().zip(slots).map(|(load, slots)| Candidate { load, slots });
@@ -245,7 +260,7 @@
         let usual = self.usual.unwrap_or(request.goal / USUAL_OF_GOAL);
         let first = match replica::choose(&candidates, usual) {
             Ok(first) => first,
-            Err(time) => return Verdict::Answered(Answer::Refused(NoPlace::Busy(time), survey)),
+            Err(time) => return Verdict::refused(NoPlace::Busy(time), survey),
         };
         let query = Query {
             prompt: Tokens(0),
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -6,7 +6,7 @@
 use crate::death::{look_for_death, read_fingerprint};
 use crate::dialect::Dialect;
 use crate::place::Place;
-use crate::placement::NoPlace;
+use crate::placement::Unplaced;
 use crate::refusal::{NO_TARGET_RETRY, Refusal};
 use crate::reply::{self, Reply};
 use crate::reservation::Reservations;
@@ -17,7 +17,6 @@
 use hickory_client::Exchange;
 use hickory_policy::poison::Verdict;
 use hickory_policy::refuse::{Ran, Reason};
-use hickory_policy::survey::Survey;
 use hickory_store::store::Store;
 use hickory_telemetry::label::Work;
 use hickory_telemetry::metrics::Guard;
@@ -176,7 +175,7 @@
                 self.core.metrics.permit_waited(self.waited);
                 Ok(place)
             }
-            Err((no_place, survey)) => Err(self.refuse_unplaced(no_place, began, survey)),
+            Err(unplaced) => Err(self.refuse_unplaced(unplaced, began)),
         }
     }
 
@@ -188,10 +187,13 @@
         rank * 2 + u8::from(!place.helpers.is_empty())
     }
 
-    fn refuse_unplaced(&self, no_place: NoPlace, began: Instant, survey: Survey) -> Refusal {
+    fn refuse_unplaced(&self, unplaced: Unplaced, began: Instant) -> Refusal {
         let waited = self.waited + self.core.now().saturating_duration_since(began);
-        let known = self.known(waited, survey);
-        Refusal { known: Some(Box::new(known)), ..Refusal::unplaced(no_place).after_run(self.ran) }
+        let known = self.known(waited, unplaced.survey);
+        Refusal {
+            known: Some(Box::new(known)),
+            ..Refusal::unplaced(unplaced.why).after_run(self.ran)
+        }
     }
 
     fn refuse_late(&self) -> Refusal {
