Long prompts wait for engines whose short streams end

Change: before such a prompt is read late or refused, the time is estimated at which it would be read on the engines that short prompts don't need once packed, after the streams there have ended. Where that is within the goal, it waits.

Test: long_prompts_wait_for_engines_whose_short_streams_end, seen failing without the change (a prompt read late on one engine).

--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -52,6 +52,12 @@
         step * self.stride.max(1)
     }
 
+    /// The time that a stream of the usual length takes beside so many others.
+    pub fn stream_time(&self, others: u32) -> Duration {
+        let step = self.pass_time(others + 1, Tokens(0)) / self.stride.max(1);
+        step * self.usual_answer.0 as u32
+    }
+
     /// The memory that a request takes at its end.
     pub fn memory_of(&self, prompt: Tokens, answer: Tokens) -> Tokens {
         prompt + answer
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -308,10 +308,27 @@
             return Ok(plan.map_or_else(|| Choice::Wait(self.until_idle(&engines)), Choice::Go));
         }
         let shared = self.split_in_time(&idle, engines.len());
+        if shared.is_none() && self.estimate_cleared(&engines) <= self.query.goal {
+            return Ok(Choice::Wait(self.until_idle(&engines)));
+        }
         let plan = shared.or_else(|| self.split_late(&idle, clear));
         plan.map(Choice::Go).ok_or(Refused::Busy((wait + least).max(LATE_RETRY)))
     }
 
+    /// When the prompt would be read on engines whose short streams have ended: all
+    /// but those that short prompts need if they are packed.
+    fn estimate_cleared(&self, engines: &[usize]) -> Duration {
+        let short: u32 = engines.iter().map(|&engine| self.loads[engine].short).sum();
+        let packed = (f64::from(self.profile.slots) * PACK_SLOTS).max(1.0);
+        let needed = (f64::from(short) / packed).ceil() as usize;
+        let Some(cleared) = engines.len().checked_sub(needed).filter(|&count| count > 0) else {
+            return Duration::MAX;
+        };
+        let streams = self.profile.stream_time(short / engines.len().max(1) as u32);
+        let read = self.read / cleared.min(HELPERS_MAX + 1) as u32;
+        streams.max(self.estimate_wait(&engines[..cleared])) + read
+    }
+
     /// Time until the engines have read what is placed and what waits before
     /// this prompt, evenly spread.
     fn estimate_wait(&self, engines: &[usize]) -> Duration {
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -174,6 +174,24 @@
     assert!(matches!(choice, Ok(Choice::Wait(_))), "{choice:?}");
 }
 
+/// Guards against long prompts that are refused at once when a phase of short ones has
+/// just ended: few engines are without streams, and most will be before the goal.
+#[test]
+fn long_prompts_wait_for_engines_whose_short_streams_end() {
+    let loads: Vec<Load> = (0..16).map(|i| load(0, if i < 15 { 3 } else { 0 })).collect();
+    let choice = plan::choose_engines(&long_query(200_000), &profile(), &loads);
+    assert!(matches!(choice, Ok(Choice::Wait(_))), "{choice:?}");
+    // Short prompts need all of the engines.
+    let loads: Vec<Load> = (0..16).map(|i| load(0, if i < 15 { 15 } else { 0 })).collect();
+    let choice = plan::choose_engines(&long_query(200_000), &profile(), &loads);
+    assert!(!matches!(choice, Ok(Choice::Wait(_))), "{choice:?}");
+    // What is left of the goal is less than the streams last.
+    let loads: Vec<Load> = (0..16).map(|i| load(0, if i < 15 { 3 } else { 0 })).collect();
+    let query = Query { goal: ms(1_000), ..long_query(200_000) };
+    let choice = plan::choose_engines(&query, &profile(), &loads);
+    assert!(!matches!(choice, Ok(Choice::Wait(_))), "{choice:?}");
+}
+
 #[test]
 fn what_cannot_be_in_time_is_refused_with_a_time() {
     let loads: Vec<Load> = (0..16).map(|_| load(2_000, 0)).collect();
