--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -185,6 +185,8 @@
         core.owner().forget(&datagram.node);
     }
     core.hear(datagram.operator);
+    // What stands before a host's address may send from another one.
+    let from = core.find_peer(&datagram.node).unwrap_or(from);
     for event in datagram.events {
         take_event(core, now, &datagram.node, from, event);
     }
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -57,17 +57,22 @@
     ///
     /// An address that can't be bound.
     pub async fn bind(settings: &Settings) -> io::Result<Self> {
-        Self::bind_with(settings, TcpListener::bind(settings.sync).await?).await
+        let sync = TcpListener::bind(settings.sync).await?;
+        Self::bind_with(settings, sync, UdpSocket::bind(settings.peers).await?).await
     }
 
-    /// Binds the addresses of the settings, and listens for peers at another
-    /// socket than the one that they are told of: what stands before a host's
+    /// Binds the addresses of the settings, and listens for peers at other
+    /// sockets than those that they are told of: what stands before a host's
     /// address, as a stand-in of its link does, listens there.
     ///
     /// # Errors
     ///
     /// An address that can't be bound.
-    pub async fn bind_with(settings: &Settings, sync: TcpListener) -> io::Result<Self> {
+    pub async fn bind_with(
+        settings: &Settings,
+        sync: TcpListener,
+        peers: UdpSocket,
+    ) -> io::Result<Self> {
         let metrics = match settings.metrics {
             Some(address) => Some(TcpListener::bind(address).await?),
             None => None,
@@ -78,7 +83,7 @@
             ready: TcpListener::bind(settings.ready).await?,
             directory: TcpListener::bind(settings.directory).await?,
             sync,
-            peers: Arc::new(UdpSocket::bind(settings.peers).await?),
+            peers: Arc::new(peers),
         })
     }
 }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -331,8 +331,9 @@
                 Vec::new()
             }
             Message::Pull(own) => {
+                let to = own.contact.peers;
                 self.take(now, own);
-                self.tell_all(from)
+                self.tell_all(to)
             }
         }
     }
