--- a/crates/path/src/ask.rs
+++ b/crates/path/src/ask.rs
@@ -182,7 +182,7 @@
         let view = core.view();
         let unusable = find_unusable(&view, &grant, core.now());
         let group = self.group.clone();
-        let place = Place::open(core, &view, group, self.number, grant);
+        let place = Place::open(core, &view, group, self.number, grant, decider);
         let Some(place) = place.filter(|_| unusable.is_none()) else {
             self.try_others(unusable);
             return None;
--- a/crates/path/src/fleet.rs
+++ b/crates/path/src/fleet.rs
@@ -132,6 +132,19 @@
         group::rank_owners(group, nodes).into_iter().cloned().collect()
     }
 
+    /// The groups that this node owns.
+    pub(crate) fn owned_groups(&self) -> Vec<Group> {
+        let view = self.view();
+        let groups = view.targets.iter().flat_map(|(service, targets)| {
+            let indexes = 0..group::count_groups(targets.len());
+            indexes.map(|index| Group { service: service.clone(), index })
+        });
+        let is_owned = |group: &Group| self.owners(group).first() == Some(&self.settings.node);
+        let mut owned: Vec<Group> = groups.filter(is_owned).collect();
+        owned.sort_unstable();
+        owned
+    }
+
     /// Other nodes that are told what is placed in a group.
     pub(crate) fn told_owners(&self, group: &Group) -> Vec<id::Node> {
         let mut told = self.owners(group);
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -8,10 +8,11 @@
 use crate::books::{Booking, Number};
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
+use crate::group::Group;
 use crate::owner::{self, Asker, Ticket};
 use crate::placement::{Answer, Request};
 use crate::view::Tag;
-use hickory_policy::membership::{self, TICK};
+use hickory_policy::membership::{self, Count, TICK};
 use hickory_policy::poison::Suspect;
 use hickory_store::store::{Revision, Store};
 use hickory_unit::clock::Clock;
@@ -30,6 +31,9 @@
 /// Between two such tellings.
 const REVISION_EVERY: Duration = Duration::from_millis(50);
 
+/// Between two log lines about members.
+const LOGGED_EVERY: Duration = Duration::from_secs(1);
+
 /// How long news of members is gathered before it is pushed.
 const GATHER: Duration = Duration::from_millis(10);
 
@@ -230,6 +234,7 @@
 
 /// Keeps the table of members, and forgets what is over.
 async fn keep_members<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
+    let mut told = Told::default();
     while core.stage() != Stage::Closed {
         let now = core.now();
         core.note_tick(now);
@@ -239,10 +244,46 @@
         core.books().expire(now);
         core.owner().expire(now);
         core.hearing().expire(now);
+        told.log(&core, now);
         tokio::time::sleep(TICK).await;
     }
 }
 
+/// What the log was last told of members and groups.
+#[derive(Debug, Default)]
+struct Told {
+    at: Option<Instant>,
+    count: Count,
+    owned: Vec<Group>,
+}
+
+impl Told {
+    /// Logs what changed, at most once in a while: many nodes come and go at once.
+    fn log<D: Dialect, S: Store, C: Clock>(&mut self, core: &Core<D, S, C>, now: Instant) {
+        if self.at.is_some_and(|at| now.saturating_duration_since(at) < LOGGED_EVERY) {
+            return;
+        }
+        self.at = Some(now);
+        let (count, silent) = {
+            let mut membership = core.membership();
+            (membership.count(), membership.take_silent())
+        };
+        if count != self.count {
+            let Count { alive, suspect, dead } = count;
+            let silent: Vec<&str> = silent.iter().map(id::Node::as_str).collect();
+            log::info!(alive, suspect, dead, silent:% = silent.join(","); "members changed");
+            self.count = count;
+        }
+        let owned = core.owned_groups();
+        if owned != self.owned {
+            let names: Vec<String> = owned.iter().map(ToString::to_string).collect();
+            log::info!(groups:% = names.join(","); "groups owned by this node");
+            core.metrics.owned(owned.len());
+            self.owned = owned;
+        }
+    }
+}
+
 async fn push_news<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
     while core.stage() != Stage::Closed {
         core.members_due.notified().await;
--- a/crates/path/src/group.rs
+++ b/crates/path/src/group.rs
@@ -5,7 +5,8 @@
 //! told the same and succeeds it. Nodes find both by the table of members alone.
 
 use crate::view::Tag;
-use compact_str::format_compact;
+use compact_str::ToCompactString;
+use derive_more::Display;
 use hickory_policy::member::Contact;
 use hickory_state::rank::rank_nodes;
 use hickory_unit::id;
@@ -18,7 +19,8 @@
 const CAPACITY_PART: u32 = 2;
 
 /// A group of a service's targets.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{service}/{index}")]
 pub struct Group {
     /// The service.
     pub service: id::Service,
@@ -57,8 +59,7 @@
     let strong = able()
         .filter(|(_, contact)| u32::from(contact.capacity.0) * CAPACITY_PART >= most)
         .map(|(node, _)| *node);
-    let key = format_compact!("{}/{}", group.service, group.index);
-    rank_nodes(&id::Target(key), strong)
+    rank_nodes(&id::Target(group.to_compact_string()), strong)
 }
 
 /// A node's own order of targets, unlike any other node's.
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -11,6 +11,7 @@
 use crate::view::{Tag, Target, View};
 use hickory_policy::survey::Survey;
 use hickory_store::store::Store;
+use hickory_telemetry::label::Decider;
 use hickory_unit::clock::Clock;
 use hickory_unit::size::Tokens;
 use std::sync::Arc;
@@ -34,6 +35,8 @@
     pub(crate) expected: Duration,
     /// What it was chosen by.
     pub(crate) survey: Survey,
+    /// Who chose it.
+    pub(crate) decider: Decider,
     /// Released with the place.
     reservations: Option<Reservations<D, S, C>>,
 }
@@ -46,6 +49,7 @@
         group: Group,
         number: Number,
         grant: Grant,
+        decider: Decider,
     ) -> Option<Self> {
         let Grant { booking, expected, survey } = grant;
         let targets = view.targets_of(&booking.service);
@@ -62,6 +66,7 @@
             part: booking.part,
             expected,
             survey,
+            decider,
             booking,
             reservations: None,
         })
--- a/crates/path/src/record.rs
+++ b/crates/path/src/record.rs
@@ -28,6 +28,7 @@
                 helpers:% = name_all(&place.helpers),
                 part_ms = place.part.as_millis() as u64,
                 expected_ms = place.expected.as_millis() as u64,
+                by:% = place.decider,
                 age_ms = self.age().as_millis() as u64,
             },
             "placed"
@@ -91,6 +92,7 @@
             part_ms = place.part.as_millis() as u64,
             prompt = self.job.demand.prompt.map_or(0, |prompt| prompt.tokens.0),
             engines = place.helpers.len() + 1,
+            by:% = place.decider,
             peers = self.core.count_peers(),
             config = self.job.configuration.version,
             age_ms = self.age().as_millis() as u64;
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -175,9 +175,22 @@
     reconnected: Instant,
     pulled: Option<Instant>,
     digest: u64,
+    /// Nodes that this one found silent, for its log.
+    silent: Vec<id::Node>,
     random: SmallRng,
 }
 
+/// How many other nodes are in each state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// That are alive.
+    pub alive: usize,
+    /// That are suspected.
+    pub suspect: usize,
+    /// That are remembered as dead.
+    pub dead: usize,
+}
+
 impl Membership {
     /// Opens the table of a node that knows where some others may be.
     pub fn open(now: Instant, own: Record, seeds: Vec<SocketAddr>, seed: u64) -> Self {
@@ -198,6 +211,7 @@
             reconnected: now,
             pulled: None,
             digest,
+            silent: Vec::new(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -244,6 +258,24 @@
         self.peers.get(node).map(|peer| &peer.record)
     }
 
+    /// How many other nodes are in each state.
+    pub fn count(&self) -> Count {
+        let mut count = Count::default();
+        for peer in self.peers.values() {
+            match peer.record.state {
+                State::Alive => count.alive += 1,
+                State::Suspect => count.suspect += 1,
+                State::Dead => count.dead += 1,
+            }
+        }
+        count
+    }
+
+    /// The nodes that this one itself found silent since it was last asked.
+    pub fn take_silent(&mut self) -> Vec<id::Node> {
+        std::mem::take(&mut self.silent)
+    }
+
     /// Some nodes that are alive, chosen at random.
     pub fn pick(&mut self, count: usize) -> Vec<SocketAddr> {
         let alive = self.peers.values().filter(|peer| peer.record.state == State::Alive);
@@ -512,6 +544,7 @@
         let record = Record { state: State::Suspect, ..record };
         // The suspect hears of it and can refute it at once.
         out.push((record.contact.peers, Message::Rumor(vec![record.clone()])));
+        self.silent.push(record.node.clone());
         self.change(now, record);
     }
 
