--- a/crates/path/src/ask.rs
+++ b/crates/path/src/ask.rs
@@ -4,13 +4,13 @@
 //! which was told the same. Where that one is silent, too, a node decides alone by
 //! what it placed itself, and in an order of its own.
 
-use crate::books::Number;
 use crate::dialect::Dialect;
 use crate::gossip::Event;
 use crate::group::{self, Group};
+use crate::ledger::Number;
 use crate::owner::{self, Asker, Ticket};
 use crate::place::Place;
-use crate::placement::{Answer, Grant, NoPlace, Request, Scope, Sight, Unplaced, Verdict};
+use crate::placement::{Answer, Grant, NoPlace, Request, Scope, Snapshot, Unplaced, Verdict};
 use crate::run::Run;
 use crate::view::{Tag, Target, View};
 use hickory_policy::survey::Survey;
@@ -74,7 +74,7 @@
 
 impl<'a, D: Dialect, S: Store, C: Clock> Inquiry<'a, D, S, C> {
     fn open(run: &'a Run<D, S, C>, group: Group, tried: &[Tag]) -> Self {
-        let number = run.core.books().next_number();
+        let number = run.core.ledger().next_number();
         let answers = run.core.expect_answer(number);
         let tried = tried.to_vec();
         Self { run, group, number, answers, tried, is_placed: false, is_queued: false }
@@ -203,7 +203,7 @@
         );
         self.withdraw();
         self.tried.extend(unusable);
-        self.number = core.books().next_number();
+        self.number = core.ledger().next_number();
         self.answers = core.expect_answer(self.number);
         self.is_queued = false;
     }
@@ -212,10 +212,10 @@
         let core = &self.run.core;
         let request = self.request();
         let scope = Scope::Alone(core.count_nodes());
-        let sight = Sight::open(core, core.now(), &request.service, scope);
-        sight.map_or_else(
+        let snapshot = Snapshot::open(core, core.now(), &request.service, scope);
+        snapshot.map_or_else(
             || Verdict::refused(NoPlace::NoTarget, Survey::default()),
-            |sight| sight.decide(&request, Duration::ZERO),
+            |snapshot| snapshot.decide(&request, Duration::ZERO),
         )
     }
 
@@ -229,7 +229,7 @@
     fn withdraw(&self) {
         let core = &self.run.core;
         core.forget_answer(self.number);
-        core.books().end(core.now(), self.number);
+        core.ledger().end(core.now(), self.number);
         let ticket = Ticket { node: core.settings.node.clone(), number: self.number };
         core.owner().withdraw(core.now(), &ticket);
         core.tell_owners(&self.group, &Event::Ended(self.number));
@@ -247,11 +247,11 @@
 
 /// A target of a grant that this node knows can't be used.
 fn find_unusable(view: &View, grant: &Grant, now: Instant) -> Option<Tag> {
-    let booking = &grant.booking;
-    let targets = view.targets_of(&booking.service);
+    let allocation = &grant.allocation;
+    let targets = view.targets_of(&allocation.service);
     let is_usable = |tag: &Tag| {
         let target: Option<&Arc<Target>> = targets.iter().find(|target| target.tag == *tag);
         target.is_some_and(|target| view.may_send(target, now))
     };
-    booking.engines().find(|tag| !is_usable(tag))
+    allocation.engines().find(|tag| !is_usable(tag))
 }
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -1,11 +1,11 @@
 //! What the parts of a node share.
 
-use crate::books::{Books, Number};
 use crate::dialect::Dialect;
 use crate::fleet::{Running, Silence};
 use crate::give::Giving;
-use crate::gossip::{Hearing, Letter};
+use crate::gossip::{Outgoing, PeerStates};
 use crate::items::Items;
+use crate::ledger::{Ledger, Number};
 use crate::news::{Lag, News};
 use crate::owner::Owner;
 use crate::placement::Answer;
@@ -67,9 +67,9 @@
     news: Mutex<News>,
     giving: Mutex<Giving>,
     view: RwLock<Arc<View>>,
-    books: Mutex<Books>,
+    ledger: Mutex<Ledger>,
     membership: Mutex<Membership>,
-    hearing: Mutex<Hearing>,
+    peer_states: Mutex<PeerStates>,
     owner: Mutex<Owner>,
     silences: Mutex<HashMap<id::Node, Silence>>,
     expected: Mutex<HashMap<Number, UnboundedSender<Answer>>>,
@@ -81,9 +81,9 @@
     revisions: Mutex<(Revision, Revision)>,
     /// Since when this node has been told what runs where.
     running: Mutex<Running>,
-    letters: UnboundedSender<Letter>,
+    outgoing: UnboundedSender<Outgoing>,
     /// Until the task that sends takes it.
-    unsent: Mutex<Option<UnboundedReceiver<Letter>>>,
+    unsent: Mutex<Option<UnboundedReceiver<Outgoing>>>,
     /// News of members waits to be told.
     pub(crate) members_due: Notify,
     /// Newer revisions wait to be told.
@@ -103,7 +103,7 @@
     pub(crate) fn open(settings: Settings, store: S, clock: C, metrics: Metrics) -> Self {
         let now = clock.now();
         let incarnation = id::Incarnation(clock.wall_ms());
-        let (letters, unsent) = unbounded_channel();
+        let (outgoing, unsent) = unbounded_channel();
         let membership = open_membership(&settings, incarnation, now);
         Self {
             bounds: RwLock::new(Arc::new(settings.bounds.clone())),
@@ -118,9 +118,9 @@
             news: Mutex::default(),
             giving: Mutex::default(),
             view: RwLock::default(),
-            books: Mutex::default(),
+            ledger: Mutex::default(),
             membership: Mutex::new(membership),
-            hearing: Mutex::default(),
+            peer_states: Mutex::default(),
             owner: Mutex::default(),
             silences: Mutex::default(),
             expected: Mutex::default(),
@@ -131,7 +131,7 @@
             draining_since: OnceLock::new(),
             revisions: Mutex::default(),
             running: Mutex::new(Running { since: now, ticked: now }),
-            letters,
+            outgoing,
             unsent: Mutex::new(Some(unsent)),
             members_due: Notify::new(),
             revisions_due: Notify::new(),
@@ -158,16 +158,16 @@
         self.view.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    pub(crate) fn books(&self) -> MutexGuard<'_, Books> {
-        lock(&self.books)
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        lock(&self.ledger)
     }
 
     pub(crate) fn membership(&self) -> MutexGuard<'_, Membership> {
         lock(&self.membership)
     }
 
-    pub(crate) fn hearing(&self) -> MutexGuard<'_, Hearing> {
-        lock(&self.hearing)
+    pub(crate) fn peer_states(&self) -> MutexGuard<'_, PeerStates> {
+        lock(&self.peer_states)
     }
 
     pub(crate) fn owner(&self) -> MutexGuard<'_, Owner> {
@@ -298,13 +298,13 @@
     }
 
     /// Hands an event to the task that sends.
-    pub(crate) fn post(&self, letter: Letter) {
+    pub(crate) fn post(&self, outgoing: Outgoing) {
         // The task ends with the node.
-        let _ = self.letters.send(letter);
+        let _ = self.outgoing.send(outgoing);
     }
 
     /// What is to be sent, once.
-    pub(crate) fn take_letters(&self) -> Option<UnboundedReceiver<Letter>> {
+    pub(crate) fn take_unsent(&self) -> Option<UnboundedReceiver<Outgoing>> {
         lock(&self.unsent).take()
     }
 
--- a/crates/path/src/fetch.rs
+++ b/crates/path/src/fetch.rs
@@ -120,7 +120,7 @@
 
     /// Where peers are that know of a revision after this one.
     fn find_ahead(&self, after: Revision) -> Vec<SocketAddr> {
-        let ahead = self.core.hearing().ahead(self.part, after);
+        let ahead = self.core.peer_states().ahead(self.part, after);
         let membership = self.core.membership();
         let records = ahead.iter().filter_map(|node| membership.get(node));
         let alive = records.filter(|record| record.state == State::Alive);
--- a/crates/path/src/fleet.rs
+++ b/crates/path/src/fleet.rs
@@ -1,13 +1,13 @@
 //! How a node reaches the others: those who decide on a group, and all.
 
-use crate::books::{Booking, Number};
 use crate::core::Core;
 use crate::dialect::Dialect;
-use crate::gossip::{Event, Letter};
+use crate::gossip::{Event, Outgoing};
 use crate::group::{self, Group};
+use crate::ledger::{Allocation, Number};
 use crate::placement::Answer;
 use hickory_policy::member::{Contact, Record};
-use hickory_policy::membership::Outgoing;
+use hickory_policy::membership;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
@@ -94,7 +94,7 @@
     }
 
     /// Sends what the table of members wants sent.
-    pub(crate) fn send_members(&self, out: Vec<Outgoing>) {
+    pub(crate) fn send_members(&self, out: Vec<membership::Outgoing>) {
         for (to, message) in out {
             self.send(to, Event::Member(message));
         }
@@ -103,12 +103,12 @@
 
     /// Sends an event to a node.
     pub(crate) fn send(&self, to: SocketAddr, event: Event) {
-        self.post(Letter { to, event: Some(event) });
+        self.post(Outgoing { to, event: Some(event) });
     }
 
     /// Tells a node the newest revisions that this one has.
     pub(crate) fn send_revisions(&self, to: SocketAddr) {
-        self.post(Letter { to, event: None });
+        self.post(Outgoing { to, event: None });
     }
 
     /// Tells all other nodes.
@@ -195,15 +195,15 @@
     }
 
     /// What this node has placed, as it is told.
-    pub(crate) fn tell_own(&self, now: Instant) -> Vec<(Number, Booking)> {
-        self.books().tell(now).collect()
+    pub(crate) fn tell_own(&self, now: Instant) -> Vec<(Number, Allocation)> {
+        self.ledger().tell(now).collect()
     }
 
-    /// The group that a booking is in.
-    pub(crate) fn group_of(&self, booking: &Booking) -> Group {
-        let groups = group::count_groups(self.view().targets_of(&booking.service).len());
-        let index = group::find_group(booking.first, groups);
-        Group { service: booking.service.clone(), index }
+    /// The group that an allocation is in.
+    pub(crate) fn group_of(&self, allocation: &Allocation) -> Group {
+        let groups = group::count_groups(self.view().targets_of(&allocation.service).len());
+        let index = group::find_group(allocation.first, groups);
+        Group { service: allocation.service.clone(), index }
     }
 
     /// The answers to an ask, as they come.
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -1,14 +1,14 @@
 //! What nodes tell each other by datagrams.
 //!
-//! A datagram may be lost, so nothing hangs on a single one: bookings are told
+//! A datagram may be lost, so nothing hangs on a single one: allocations are told
 //! again, asks are repeated, and who is alive is known by
 //! [`hickory_policy::membership`]. What is too large for a datagram (the store's
 //! items) is fetched from a peer that has it; see [`crate::fetch`].
 
-use crate::books::{Booking, Number};
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
 use crate::group::Group;
+use crate::ledger::{Allocation, Number};
 use crate::owner::{self, Asker, Ticket};
 use crate::placement::{Answer, Request};
 use crate::view::Tag;
@@ -37,8 +37,8 @@
 /// How long news of members is gathered before it is pushed.
 const GATHER: Duration = Duration::from_millis(10);
 
-/// Between two tellings of all bookings.
-const BOOKINGS_EVERY: Duration = Duration::from_millis(500);
+/// Between two tellings of all allocations.
+const ALLOCATIONS_EVERY: Duration = Duration::from_millis(500);
 
 /// How long a peer's revisions count after it was last heard.
 const HEARD_FOR: Duration = Duration::from_secs(10);
@@ -62,7 +62,7 @@
     /// The answer to it.
     Answer(Number, Answer),
     /// A request was placed, or still lasts.
-    Placed(Number, Booking),
+    Placed(Number, Allocation),
     /// Its first token came.
     Writing(Number),
     /// It ended, or is no longer asked for.
@@ -77,7 +77,7 @@
 
 /// An event and where it goes; none where only the sender's revisions are told.
 #[derive(Clone, Debug)]
-pub(crate) struct Letter {
+pub(crate) struct Outgoing {
     pub(crate) to: SocketAddr,
     pub(crate) event: Option<Event>,
 }
@@ -105,7 +105,7 @@
 
 /// What was heard of peers directly.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Hearing {
+pub(crate) struct PeerStates {
     peers: HashMap<id::Node, Heard>,
 }
 
@@ -118,7 +118,7 @@
     Targets,
 }
 
-impl Hearing {
+impl PeerStates {
     /// Takes what a datagram says; whether its node started anew.
     fn take(&mut self, now: Instant, datagram: &Datagram) -> bool {
         let heard = Heard {
@@ -152,13 +152,13 @@
     socket: Arc<UdpSocket>,
 ) {
     tokio::spawn(receive(core.clone(), socket.clone()));
-    if let Some(letters) = core.take_letters() {
-        tokio::spawn(send_all(core.clone(), socket, letters));
+    if let Some(outgoing) = core.take_unsent() {
+        tokio::spawn(send_all(core.clone(), socket, outgoing));
     }
     tokio::spawn(keep_members(core.clone()));
     tokio::spawn(push_news(core.clone()));
     tokio::spawn(tell_revisions(core.clone()));
-    tokio::spawn(tell_bookings(core.clone()));
+    tokio::spawn(tell_allocations(core.clone()));
     tokio::spawn(owner::run(core.clone()));
 }
 
@@ -183,9 +183,9 @@
         return;
     }
     let now = core.now();
-    if core.hearing().take(now, &datagram) {
+    if core.peer_states().take(now, &datagram) {
         log::info!(peer:% = datagram.node; "peer started anew");
-        core.books().forget(&datagram.node);
+        core.ledger().forget(&datagram.node);
         core.owner().forget(&datagram.node);
     }
     core.hear(datagram.operator);
@@ -213,13 +213,13 @@
             owner::take_ask(core, Asker { ticket: ticket(number), address: from }, request);
         }
         Event::Answer(number, answer) => core.deliver(number, answer),
-        Event::Placed(number, booking) => core.books().take(now, node, number, booking),
+        Event::Placed(number, allocation) => core.ledger().take(now, node, number, allocation),
         Event::Writing(number) => {
-            core.books().take_writing(now, node, number);
+            core.ledger().take_writing(now, node, number);
             core.queue_due.notify_one();
         }
         Event::Ended(number) => {
-            core.books().take_end(now, node, number);
+            core.ledger().take_end(now, node, number);
             core.owner().withdraw(now, &ticket(number));
             core.queue_due.notify_one();
         }
@@ -241,9 +241,9 @@
         core.update_contact();
         let out = core.membership().tick(now);
         core.send_members(out);
-        core.books().expire(now);
+        core.ledger().expire(now);
         core.owner().expire(now);
-        core.hearing().expire(now);
+        core.peer_states().expire(now);
         told.log(&core, now);
         tokio::time::sleep(TICK).await;
     }
@@ -306,23 +306,23 @@
 
 /// Tells what this node has placed to those who decide: now and then, and at once
 /// where somebody else decides than before.
-async fn tell_bookings<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
+async fn tell_allocations<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
     let mut told: HashMap<id::Node, Instant> = HashMap::new();
     while core.stage() != Stage::Closed {
         tokio::time::sleep(TICK).await;
         let now = core.now();
         let mut by_node: HashMap<id::Node, Vec<Event>> = HashMap::new();
-        for (number, booking) in core.tell_own(now) {
-            let group = core.group_of(&booking);
+        for (number, allocation) in core.tell_own(now) {
+            let group = core.group_of(&allocation);
             for node in core.told_owners(&group) {
-                let event = Event::Placed(number, booking.clone());
+                let event = Event::Placed(number, allocation.clone());
                 by_node.entry(node).or_default().push(event);
             }
         }
         told.retain(|node, at| by_node.contains_key(node) && *at <= now);
         for (node, events) in by_node {
             let last = told.get(&node).copied();
-            if last.is_some_and(|at| now.saturating_duration_since(at) < BOOKINGS_EVERY) {
+            if last.is_some_and(|at| now.saturating_duration_since(at) < ALLOCATIONS_EVERY) {
                 continue;
             }
             let Some(to) = core.find_peer(&node) else { continue };
@@ -335,13 +335,13 @@
 async fn send_all<D: Dialect, S: Store, C: Clock>(
     core: Arc<Core<D, S, C>>,
     socket: Arc<UdpSocket>,
-    mut letters: UnboundedReceiver<Letter>,
+    mut outgoing: UnboundedReceiver<Outgoing>,
 ) {
     let mut batch = Vec::new();
-    while letters.recv_many(&mut batch, BATCH).await > 0 {
+    while outgoing.recv_many(&mut batch, BATCH).await > 0 {
         let mut by_peer: HashMap<SocketAddr, Vec<Event>> = HashMap::new();
-        for letter in batch.drain(..) {
-            by_peer.entry(letter.to).or_default().extend(letter.event);
+        for outgoing in batch.drain(..) {
+            by_peer.entry(outgoing.to).or_default().extend(outgoing.event);
         }
         for (to, events) in by_peer {
             send_to(&core, &socket, to, events).await;
--- a/crates/path/src/known.rs
+++ b/crates/path/src/known.rs
@@ -33,7 +33,7 @@
             full = known.survey.full,
             idle = known.survey.idle,
             clear = known.survey.clear,
-            doubted = known.survey.doubted,
+            penalized = known.survey.penalized,
             unread_ms = known.survey.unread.as_millis() as u64,
             ahead_ms = known.survey.ahead.as_millis() as u64;
             $($message)*
--- a/crates/path/src/books.rs
+++ b/crates/path/src/ledger.rs
@@ -1,7 +1,7 @@
 //! What runs where, as far as this node was told.
 //!
 //! A node knows what it placed itself. The owner of a group of targets and its
-//! successor are told by all nodes what they placed there. A booking is told again
+//! successor are told by all nodes what they placed there. An allocation is told again
 //! every half second while it lasts, and forgotten where it isn't: a datagram that
 //! is lost or a node that dies leaves nothing behind.
 
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// How long a peer's booking lasts without being told again: four tellings.
+/// How long a peer's allocation lasts without being told again: four tellings.
 const STALE: Duration = Duration::from_secs(2);
 
 /// The window in which sendings to a cold target are counted.
@@ -40,7 +40,7 @@
 
 /// A request's place, as told between nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Booking {
+pub struct Allocation {
     /// The service.
     pub service: id::Service,
     /// The target that was sent the request.
@@ -66,34 +66,34 @@
 }
 
 #[derive(Clone, Debug)]
-struct Kept {
-    booking: Booking,
+struct Entry {
+    allocation: Allocation,
     placed: Instant,
     told: Instant,
 }
 
-impl Kept {
+impl Entry {
     fn read(&self, writes: bool) -> Read {
-        Read { placed: self.placed, part: self.booking.part, writes, word: WORD }
+        Read { placed: self.placed, part: self.allocation.part, writes, word: WORD }
     }
 }
 
-impl Booking {
+impl Allocation {
     /// The engines that read it.
     pub(crate) fn engines(&self) -> impl Iterator<Item = Tag> {
         std::iter::once(self.first).chain(self.helpers.iter().copied())
     }
 }
 
-/// Names a booking within its node.
+/// Names an allocation within its node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Number(pub u32);
 
-/// The bookings that are known.
+/// The allocations that are known.
 #[derive(Clone, Debug, Default)]
-pub struct Books {
-    own: HashMap<Number, Kept>,
-    peers: HashMap<id::Node, HashMap<Number, Kept>>,
+pub struct Ledger {
+    own: HashMap<Number, Entry>,
+    peers: HashMap<id::Node, HashMap<Number, Entry>>,
     last: u32,
     sent: HashMap<Tag, VecDeque<Instant>>,
     /// When a pass of an engine was last seen to end, by a first token.
@@ -102,7 +102,7 @@
     usual: HashMap<id::Service, Duration>,
 }
 
-impl Books {
+impl Ledger {
     /// A number for a further request of this node.
     pub fn next_number(&mut self) -> Number {
         self.last = self.last.wrapping_add(1);
@@ -110,33 +110,33 @@
     }
 
     /// Notes a request that this node places now.
-    pub fn place(&mut self, now: Instant, number: Number, booking: Booking) {
-        let first = booking.first;
-        let kept = Kept { booking, placed: now, told: now };
-        if self.own.insert(number, kept).is_none() {
+    pub fn place(&mut self, now: Instant, number: Number, allocation: Allocation) {
+        let first = allocation.first;
+        let entry = Entry { allocation, placed: now, told: now };
+        if self.own.insert(number, entry).is_none() {
             self.note_sent(now, first);
         }
     }
 
     /// Notes the first token of an own request.
     pub fn begin_writing(&mut self, now: Instant, number: Number) {
-        if let Some(kept) = self.own.get_mut(&number) {
-            kept.booking.stage = Stage::Writing;
-            self.passes.insert(kept.booking.first, now);
+        if let Some(entry) = self.own.get_mut(&number) {
+            entry.allocation.stage = Stage::Writing;
+            self.passes.insert(entry.allocation.first, now);
         }
     }
 
     /// Forgets an own request.
     pub fn end(&mut self, now: Instant, number: Number) {
-        let kept = self.own.remove(&number);
-        self.note_usual(now, kept);
+        let entry = self.own.remove(&number);
+        self.note_usual(now, entry);
     }
 
-    fn note_usual(&mut self, now: Instant, kept: Option<Kept>) {
+    fn note_usual(&mut self, now: Instant, entry: Option<Entry>) {
         // A prompt's answer takes as long as it is.
-        let Some(kept) = kept.filter(|kept| kept.booking.prompt.0 == 0) else { return };
-        let took = now.saturating_duration_since(kept.placed);
-        let usual = self.usual.entry(kept.booking.service).or_insert(took);
+        let Some(entry) = entry.filter(|entry| entry.allocation.prompt.0 == 0) else { return };
+        let took = now.saturating_duration_since(entry.placed);
+        let usual = self.usual.entry(entry.allocation.service).or_insert(took);
         *usual = (*usual * (USUAL_WEIGHT - 1) + took) / USUAL_WEIGHT;
     }
 
@@ -146,39 +146,39 @@
     }
 
     /// The own requests, as they are told to peers.
-    pub fn tell(&self, now: Instant) -> impl Iterator<Item = (Number, Booking)> {
-        self.own.iter().map(move |(&number, kept)| {
-            let age = now.saturating_duration_since(kept.placed);
-            (number, Booking { age, ..kept.booking.clone() })
+    pub fn tell(&self, now: Instant) -> impl Iterator<Item = (Number, Allocation)> {
+        self.own.iter().map(move |(&number, entry)| {
+            let age = now.saturating_duration_since(entry.placed);
+            (number, Allocation { age, ..entry.allocation.clone() })
         })
     }
 
-    /// Takes a peer's booking.
-    pub fn take(&mut self, now: Instant, node: &id::Node, number: Number, booking: Booking) {
-        let placed = now.checked_sub(booking.age).unwrap_or(now);
-        let first = booking.first;
-        let bookings = match self.peers.get_mut(node) {
-            Some(bookings) => bookings,
+    /// Takes a peer's allocation.
+    pub fn take(&mut self, now: Instant, node: &id::Node, number: Number, allocation: Allocation) {
+        let placed = now.checked_sub(allocation.age).unwrap_or(now);
+        let first = allocation.first;
+        let allocations = match self.peers.get_mut(node) {
+            Some(allocations) => allocations,
             None => self.peers.entry(node.clone()).or_default(),
         };
-        let kept = Kept { booking, placed, told: now };
-        if bookings.insert(number, kept).is_none() {
+        let entry = Entry { allocation, placed, told: now };
+        if allocations.insert(number, entry).is_none() {
             self.note_sent(placed, first);
         }
     }
 
     /// Notes the first token of a peer's request.
     pub fn take_writing(&mut self, now: Instant, node: &id::Node, number: Number) {
-        if let Some(kept) = self.peers.get_mut(node).and_then(|all| all.get_mut(&number)) {
-            kept.booking.stage = Stage::Writing;
-            self.passes.insert(kept.booking.first, now);
+        if let Some(entry) = self.peers.get_mut(node).and_then(|all| all.get_mut(&number)) {
+            entry.allocation.stage = Stage::Writing;
+            self.passes.insert(entry.allocation.first, now);
         }
     }
 
     /// Forgets a peer's request.
     pub fn take_end(&mut self, now: Instant, node: &id::Node, number: Number) {
-        let kept = self.peers.get_mut(node).and_then(|bookings| bookings.remove(&number));
-        self.note_usual(now, kept);
+        let entry = self.peers.get_mut(node).and_then(|allocations| allocations.remove(&number));
+        self.note_usual(now, entry);
     }
 
     /// Forgets all requests of a peer, which started anew.
@@ -188,10 +188,10 @@
 
     /// Forgets what peers no longer tell of.
     pub fn expire(&mut self, now: Instant) {
-        for bookings in self.peers.values_mut() {
-            bookings.retain(|_, kept| now.saturating_duration_since(kept.told) < STALE);
+        for allocations in self.peers.values_mut() {
+            allocations.retain(|_, entry| now.saturating_duration_since(entry.told) < STALE);
         }
-        self.peers.retain(|_, bookings| !bookings.is_empty());
+        self.peers.retain(|_, allocations| !allocations.is_empty());
         self.passes.retain(|_, at| now.saturating_duration_since(*at) < STALE);
         self.sent.retain(|_, times| {
             times.retain(|at| now.saturating_duration_since(*at) < COLD_WINDOW);
@@ -205,9 +205,9 @@
         self.sent.get(&tag).map_or(0, |times| times.iter().filter(is_late).count())
     }
 
-    fn all(&self, now: Instant) -> impl Iterator<Item = &Kept> {
+    fn all(&self, now: Instant) -> impl Iterator<Item = &Entry> {
         let peers = self.peers.values().flat_map(HashMap::values);
-        let is_fresh = move |kept: &&Kept| now.saturating_duration_since(kept.told) < STALE;
+        let is_fresh = move |entry: &&Entry| now.saturating_duration_since(entry.told) < STALE;
         self.own.values().chain(peers.filter(is_fresh))
     }
 
@@ -222,8 +222,8 @@
             targets.iter().enumerate().map(|(place, target)| (target.tag, place)).collect();
         let mut loads = vec![Load::default(); targets.len()];
         let mut engines = vec![Engine::default(); targets.len()];
-        for kept in self.all(now) {
-            add_booking(kept, &places, &mut loads, &mut engines);
+        for entry in self.all(now) {
+            add_allocation(entry, &places, &mut loads, &mut engines);
         }
         if let Some(profile) = profile {
             for ((load, engine), target) in loads.iter_mut().zip(&mut engines).zip(targets) {
@@ -245,39 +245,39 @@
     }
 }
 
-fn add_booking(
-    kept: &Kept,
+fn add_allocation(
+    entry: &Entry,
     places: &HashMap<Tag, usize>,
     loads: &mut [Load],
     engines: &mut [Engine],
 ) {
-    let booking = &kept.booking;
-    if let Some(&first) = places.get(&booking.first) {
+    let allocation = &entry.allocation;
+    if let Some(&first) = places.get(&allocation.first) {
         let load = &mut loads[first];
         load.requests += 1;
-        load.short += u32::from(booking.short);
-        load.gap = load.gap.into_iter().chain(booking.gap).min();
-        match booking.stage {
+        load.short += u32::from(allocation.short);
+        load.gap = load.gap.into_iter().chain(allocation.gap).min();
+        match allocation.stage {
             Stage::Writing => {
                 load.writers += 1;
-                load.context += booking.prompt + booking.answer;
+                load.context += allocation.prompt + allocation.answer;
             }
-            Stage::Reading => engines[first].reads.push(kept.read(true)),
+            Stage::Reading => engines[first].reads.push(entry.read(true)),
         }
-        if booking.memory.is_empty() {
-            loads[first].memory += booking.prompt + booking.answer;
+        if allocation.memory.is_empty() {
+            loads[first].memory += allocation.prompt + allocation.answer;
         }
     }
-    for &(tag, tokens) in &booking.memory {
+    for &(tag, tokens) in &allocation.memory {
         if let Some(&place) = places.get(&tag) {
             loads[place].memory += tokens;
         }
     }
-    if booking.stage == Stage::Writing {
+    if allocation.stage == Stage::Writing {
         return;
     }
-    for place in booking.helpers.iter().filter_map(|tag| places.get(tag)) {
+    for place in allocation.helpers.iter().filter_map(|tag| places.get(tag)) {
         loads[*place].helping += 1;
-        engines[*place].reads.push(kept.read(false));
+        engines[*place].reads.push(entry.read(false));
     }
 }
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -3,7 +3,7 @@
 //! A request is decoded by a [`dialect::Dialect`] into the product's own terms
 //! ([`demand`]), matched to a route and an account ([`config`]), placed on
 //! targets by the owner of their group ([`ask`], [`group`], [`owner`],
-//! [`placement`]) and by what runs there ([`books`]), sent ([`attempt`]), and
+//! [`placement`]) and by what runs there ([`ledger`]), sent ([`attempt`]), and
 //! relayed ([`serve`], [`stream`]). What a node believes comes from the store
 //! ([`sync`]) and from its peers ([`gossip`], [`fetch`], [`give`], large values
 //! in pieces by [`piece`]), merged by revision ([`items`]) and read as one
@@ -11,7 +11,6 @@
 
 mod ask;
 pub mod attempt;
-pub mod books;
 pub mod config;
 pub mod core;
 mod death;
@@ -27,6 +26,7 @@
 mod intake;
 pub mod items;
 mod known;
+pub mod ledger;
 pub mod news;
 pub mod outage;
 mod owner;
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -1,11 +1,11 @@
 //! Deciding where requests of all nodes go, as the owner of a group of targets.
 
-use crate::books::Number;
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
 use crate::gossip::Event;
 use crate::group::Group;
-use crate::placement::{Answer, Request, Scope, Sight, Verdict};
+use crate::ledger::Number;
+use crate::placement::{Answer, Request, Scope, Snapshot, Verdict};
 use hickory_policy::plan;
 use hickory_policy::queue::Queue;
 use hickory_store::store::Store;
@@ -102,13 +102,14 @@
         return;
     }
     let scope = Scope::Group(request.group);
-    let Some(sight) = Sight::open(core, now, &request.service, scope) else { return };
-    let read = sight.profile(&request.service).zip(request.prompt).and_then(|(profile, prompt)| {
-        let is_short = plan::is_short(profile, prompt.tokens, request.goal);
-        (!is_short).then(|| profile.read_time(prompt.tokens))
-    });
+    let Some(snapshot) = Snapshot::open(core, now, &request.service, scope) else { return };
+    let read =
+        snapshot.profile(&request.service).zip(request.prompt).and_then(|(profile, prompt)| {
+            let is_short = plan::is_short(profile, prompt.tokens, request.goal);
+            (!is_short).then(|| profile.read_time(prompt.tokens))
+        });
     let Some(read) = read else {
-        if let Verdict::Answered(answer) = sight.decide(&request, Duration::ZERO) {
+        if let Verdict::Answered(answer) = snapshot.decide(&request, Duration::ZERO) {
             settle(core, now, &asker, answer);
         }
         return;
@@ -147,10 +148,10 @@
     let mut next = LOOK_MOST;
     let queues = core.owner().in_order();
     for (group, entries) in queues {
-        let open = || Sight::open(core, now, &group.service, Scope::Group(group.index));
-        let mut sight = open();
+        let open = || Snapshot::open(core, now, &group.service, Scope::Group(group.index));
+        let mut snapshot = open();
         for (ticket, waiting) in entries {
-            let Some(seen) = &sight else { break };
+            let Some(seen) = &snapshot else { break };
             let request = waiting.request.aged(now.saturating_duration_since(waiting.asked));
             let profile = seen.profile(&request.service);
             let read = profile.zip(request.prompt).map(|(p, prompt)| p.read_time(prompt.tokens));
@@ -167,7 +168,7 @@
                     let is_placed = matches!(answer, Answer::Placed(_));
                     settle(core, now, &waiting.asker, answer);
                     if is_placed {
-                        sight = open();
+                        snapshot = open();
                     }
                 }
             }
@@ -176,7 +177,7 @@
     next
 }
 
-/// Books what was decided, and tells the asker.
+/// Ledger what was decided, and tells the asker.
 fn settle<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     now: Instant,
@@ -185,10 +186,10 @@
 ) {
     let Ticket { node, number } = &asker.ticket;
     if let Answer::Placed(grant) = &answer {
-        let booking = grant.booking.clone();
+        let allocation = grant.allocation.clone();
         match *node == core.settings.node {
-            true => core.books().place(now, *number, booking),
-            false => core.books().take(now, node, *number, booking),
+            true => core.ledger().place(now, *number, allocation),
+            false => core.ledger().take(now, node, *number, allocation),
         }
     }
     core.owner().answered.insert(asker.ticket.clone(), (now, answer.clone()));
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -1,11 +1,11 @@
 //! Where a request was placed, for as long as it lasts.
 
 use crate::attempt::Failure;
-use crate::books::{Booking, Number};
 use crate::core::Core;
 use crate::dialect::Dialect;
 use crate::gossip::Event;
 use crate::group::Group;
+use crate::ledger::{Allocation, Number};
 use crate::placement::Grant;
 use crate::reservation::Reservations;
 use crate::view::{Tag, Target, View};
@@ -17,12 +17,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Where a request goes. Dropping it ends its booking.
+/// Where a request goes. Dropping it ends its allocation.
 pub(crate) struct Place<D: Dialect, S: Store, C: Clock> {
     core: Arc<Core<D, S, C>>,
     group: Group,
     number: Number,
-    booking: Booking,
+    allocation: Allocation,
     pub(crate) target: Arc<Target>,
     pub(crate) helpers: Vec<Arc<Target>>,
     /// Memory to reserve, by target; empty where the first holds all.
@@ -51,31 +51,31 @@
         grant: Grant,
         decider: Decider,
     ) -> Option<Self> {
-        let Grant { booking, expected, survey } = grant;
-        let targets = view.targets_of(&booking.service);
+        let Grant { allocation, expected, survey } = grant;
+        let targets = view.targets_of(&allocation.service);
         let find = |tag: Tag| targets.iter().find(|target| target.tag == tag).cloned();
-        let memory = booking.memory.iter().map(|&(tag, tokens)| Some((find(tag)?, tokens)));
+        let memory = allocation.memory.iter().map(|&(tag, tokens)| Some((find(tag)?, tokens)));
         Some(Self {
             core: core.clone(),
             group,
             number,
-            target: find(booking.first)?,
-            helpers: booking.helpers.iter().map(|&tag| find(tag)).collect::<Option<_>>()?,
+            target: find(allocation.first)?,
+            helpers: allocation.helpers.iter().map(|&tag| find(tag)).collect::<Option<_>>()?,
             memory: memory.collect::<Option<_>>()?,
-            short: booking.short || booking.part.is_zero(),
-            part: booking.part,
+            short: allocation.short || allocation.part.is_zero(),
+            part: allocation.part,
             expected,
             survey,
             decider,
-            booking,
+            allocation,
             reservations: None,
         })
     }
 
-    /// Books it here, and tells those who decide on its group.
+    /// Ledger it here, and tells those who decide on its group.
     pub(crate) fn book(&self) {
-        self.core.books().place(self.core.now(), self.number, self.booking.clone());
-        self.tell(&Event::Placed(self.number, self.booking.clone()));
+        self.core.ledger().place(self.core.now(), self.number, self.allocation.clone());
+        self.tell(&Event::Placed(self.number, self.allocation.clone()));
     }
 
     /// The place with the reservations that it needs.
@@ -103,7 +103,7 @@
 
     /// Notes the first token.
     pub(crate) fn begin_writing(&self) {
-        self.core.books().begin_writing(self.core.now(), self.number);
+        self.core.ledger().begin_writing(self.core.now(), self.number);
         self.core.queue_due.notify_one();
         self.tell(&Event::Writing(self.number));
     }
@@ -124,7 +124,7 @@
 
 impl<D: Dialect, S: Store, C: Clock> Drop for Place<D, S, C> {
     fn drop(&mut self) {
-        self.core.books().end(self.core.now(), self.number);
+        self.core.ledger().end(self.core.now(), self.number);
         self.core.queue_due.notify_one();
         self.tell(&Event::Ended(self.number));
     }
--- a/crates/path/src/placement.rs
+++ b/crates/path/src/placement.rs
@@ -1,11 +1,11 @@
 //! Choosing targets for one attempt, by all that is known of what runs where.
 
-use crate::books::{Booking, Stage};
 use crate::config::Configuration;
 use crate::core::Core;
 use crate::demand::Prompt;
 use crate::dialect::Dialect;
 use crate::group::{self, Group};
+use crate::ledger::{Allocation, Stage};
 use crate::view::{Tag, Target, View};
 use hickory_policy::engine::Profile;
 use hickory_policy::plan::{self, Choice, Load, Plan, Query, Refused};
@@ -74,7 +74,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
     /// What is booked.
-    pub booking: Booking,
+    pub allocation: Allocation,
     /// When the first token, or the answer, is expected.
     pub expected: Duration,
     /// What it was chosen by.
@@ -125,7 +125,7 @@
 }
 
 /// The targets that may be chosen, and their loads.
-pub(crate) struct Sight {
+pub(crate) struct Snapshot {
     configuration: Arc<Configuration>,
     targets: Vec<Arc<Target>>,
     loads: Vec<Load>,
@@ -141,7 +141,7 @@
     Alone(usize),
 }
 
-impl Sight {
+impl Snapshot {
     /// What is known of a service's targets; `None` where the service is not known.
     pub(crate) fn open<D: Dialect, S: Store, C: Clock>(
         core: &Core<D, S, C>,
@@ -153,10 +153,10 @@
         let configuration = view.configuration.clone()?;
         let cold_rate = configuration.services.get(service)?.cold_rate;
         let targets = find_targets(core, &view, service, cold_rate, scope, now);
-        let books = core.books();
-        let mut loads = books.loads(now, &targets, configuration.engine_of(service));
-        let usual = books.usual_time(service);
-        drop(books);
+        let ledger = core.ledger();
+        let mut loads = ledger.loads(now, &targets, configuration.engine_of(service));
+        let usual = ledger.usual_time(service);
+        drop(ledger);
         mark(core, now, &targets, &mut loads, scope);
         Some(Self { configuration, targets, loads, usual })
     }
@@ -227,7 +227,7 @@
         survey: Survey,
     ) -> Verdict {
         let tag = |place: usize| self.targets[places[place]].tag;
-        let booking = Booking {
+        let allocation = Allocation {
             service: request.service.clone(),
             first: tag(plan.first),
             helpers: plan.helpers.iter().map(|&place| tag(place)).collect(),
@@ -240,7 +240,7 @@
             stage: Stage::Reading,
             age: Duration::ZERO,
         };
-        let grant = Grant { booking, expected: plan.first_token, survey };
+        let grant = Grant { allocation, expected: plan.first_token, survey };
         Verdict::Answered(Answer::Placed(Box::new(grant)))
     }
 
@@ -302,14 +302,14 @@
     scope: Scope,
     now: Instant,
 ) -> Vec<Arc<Target>> {
-    let books = core.books();
+    let ledger = core.ledger();
     let nodes = match scope {
         Scope::Group(_) => 1,
         Scope::Alone(nodes) => nodes.max(1),
     };
     let bears = |target: &Target| match cold_rate {
         Some(rate) if target.is_cold(now) => {
-            let sent = books.sent_lately(now, target.tag) as f64;
+            let sent = ledger.sent_lately(now, target.tag) as f64;
             sent + 1.0 <= (rate * COLD_PART / nodes as f64).max(f64::from(u8::from(nodes == 1)))
         }
         _ => true,
@@ -343,7 +343,7 @@
             true => target.tag.0,
             false => group::own_order(&core.settings.node, target.tag),
         };
-        load.doubt = cost;
+        load.penalty = cost;
         load.shut = ejection.is_shut(now, target.tag);
     }
 }
--- a/crates/path/tests/books.rs
+++ b/crates/path/tests/ledger.rs
@@ -1,7 +1,7 @@
 //! What runs where, as nodes tell each other.
 
-use hickory_path::books::{Booking, Books, Number, Stage};
 use hickory_path::dialect::Entry;
+use hickory_path::ledger::{Allocation, Ledger, Number, Stage};
 use hickory_path::view::{Tag, Target};
 use hickory_policy::engine::Profile;
 use hickory_unit::id;
@@ -47,8 +47,8 @@
     (1..=3).map(target).map(Arc::new).collect()
 }
 
-fn booking(first: u64, helpers: &[u64], part: u64) -> Booking {
-    Booking {
+fn allocation(first: u64, helpers: &[u64], part: u64) -> Allocation {
+    Allocation {
         service: "s".into(),
         first: Tag(first),
         helpers: helpers.iter().map(|&tag| Tag(tag)).collect(),
@@ -63,35 +63,35 @@
     }
 }
 
-fn place(books: &mut Books, now: Instant, booking: Booking) -> Number {
-    let number = books.next_number();
-    books.place(now, number, booking);
+fn place(ledger: &mut Ledger, now: Instant, allocation: Allocation) -> Number {
+    let number = ledger.next_number();
+    ledger.place(now, number, allocation);
     number
 }
 
 #[test]
 fn what_is_placed_is_to_be_read_in_turn() {
-    let (mut books, now) = (Books::default(), Instant::now());
+    let (mut ledger, now) = (Ledger::default(), Instant::now());
     let node: id::Node = "other".into();
-    place(&mut books, now, booking(1, &[2], 100));
-    books.take(now, &node, Number(1), booking(1, &[], 50));
-    let loads = books.loads(now, &targets(), Some(&profile()));
+    place(&mut ledger, now, allocation(1, &[2], 100));
+    ledger.take(now, &node, Number(1), allocation(1, &[], 50));
+    let loads = ledger.loads(now, &targets(), Some(&profile()));
     assert_eq!([loads[0].backlog, loads[1].backlog, loads[2].backlog], [ms(150), ms(100), ms(0)]);
     assert_eq!((loads[0].requests, loads[0].short, loads[1].helping), (2, 2, 1));
-    let later = books.loads(now + ms(60), &targets(), Some(&profile()));
+    let later = ledger.loads(now + ms(60), &targets(), Some(&profile()));
     assert_eq!([later[0].backlog, later[1].backlog], [ms(90), ms(40)]);
 }
 
 #[test]
 fn the_first_token_ends_the_reading_and_the_end_the_rest() {
-    let (mut books, now) = (Books::default(), Instant::now());
-    let number = place(&mut books, now, booking(1, &[2], 100));
-    books.begin_writing(now, number);
-    let loads = books.loads(now, &targets(), Some(&profile()));
+    let (mut ledger, now) = (Ledger::default(), Instant::now());
+    let number = place(&mut ledger, now, allocation(1, &[2], 100));
+    ledger.begin_writing(now, number);
+    let loads = ledger.loads(now, &targets(), Some(&profile()));
     assert_eq!((loads[0].backlog, loads[0].writers, loads[1].helping), (ms(0), 1, 0));
     assert_eq!((loads[0].context, loads[0].memory), (Tokens(1_100), Tokens(1_100)));
-    books.end(now, number);
-    assert_eq!(books.loads(now, &targets(), Some(&profile()))[0].requests, 0);
+    ledger.end(now, number);
+    assert_eq!(ledger.loads(now, &targets(), Some(&profile()))[0].requests, 0);
 }
 
 /// An engine looks full for good: the node that had placed work there died, or
@@ -99,12 +99,12 @@
 /// forgotten.
 #[test]
 fn what_is_not_told_again_is_forgotten() {
-    let (mut books, now) = (Books::default(), Instant::now());
+    let (mut ledger, now) = (Ledger::default(), Instant::now());
     let node: id::Node = "other".into();
-    books.take(now, &node, Number(1), booking(1, &[], 50));
-    books.take(now, &node, Number(2), booking(1, &[], 50));
-    books.take(now + ms(1_500), &node, Number(2), booking(1, &[], 50));
-    let requests = |at| books.loads(at, &targets(), None)[0].requests;
+    ledger.take(now, &node, Number(1), allocation(1, &[], 50));
+    ledger.take(now, &node, Number(2), allocation(1, &[], 50));
+    ledger.take(now + ms(1_500), &node, Number(2), allocation(1, &[], 50));
+    let requests = |at| ledger.loads(at, &targets(), None)[0].requests;
     assert_eq!(requests(now + ms(1_900)), 2);
     assert_eq!(requests(now + ms(2_100)), 1);
     assert_eq!(requests(now + ms(4_000)), 0);
@@ -114,11 +114,11 @@
 /// must not stand beside the new ones.
 #[test]
 fn a_node_that_starts_anew_has_placed_nothing() {
-    let (mut books, now) = (Books::default(), Instant::now());
+    let (mut ledger, now) = (Ledger::default(), Instant::now());
     let node: id::Node = "other".into();
-    books.take(now, &node, Number(1), booking(1, &[], 50));
-    books.forget(&node);
-    assert_eq!(books.loads(now, &targets(), None)[0].requests, 0);
+    ledger.take(now, &node, Number(1), allocation(1, &[], 50));
+    ledger.forget(&node);
+    assert_eq!(ledger.loads(now, &targets(), None)[0].requests, 0);
 }
 
 /// A target that comes back cold falls over: each of nine nodes keeps to its
@@ -126,39 +126,39 @@
 /// also those that have ended.
 #[test]
 fn sendings_of_all_nodes_count_for_a_second() {
-    let (mut books, now) = (Books::default(), Instant::now());
+    let (mut ledger, now) = (Ledger::default(), Instant::now());
     let node: id::Node = "other".into();
-    let number = place(&mut books, now, booking(1, &[], 50));
-    books.end(now, number);
-    books.take(now, &node, Number(1), booking(1, &[], 50));
-    books.take(now + ms(500), &node, Number(1), booking(1, &[], 50));
-    assert_eq!(books.sent_lately(now + ms(900), Tag(1)), 2);
-    assert_eq!(books.sent_lately(now + ms(1_100), Tag(1)), 0);
+    let number = place(&mut ledger, now, allocation(1, &[], 50));
+    ledger.end(now, number);
+    ledger.take(now, &node, Number(1), allocation(1, &[], 50));
+    ledger.take(now + ms(500), &node, Number(1), allocation(1, &[], 50));
+    assert_eq!(ledger.sent_lately(now + ms(900), Tag(1)), 2);
+    assert_eq!(ledger.sent_lately(now + ms(1_100), Tag(1)), 0);
 }
 
 /// Guards against requests that count twice at a cold target, where the owner that
 /// granted a place is told of it again by the node that asked.
 #[test]
 fn what_is_placed_again_was_sent_once() {
-    let (mut books, now) = (Books::default(), Instant::now());
-    let number = place(&mut books, now, booking(1, &[], 50));
-    books.place(now + ms(1), number, booking(1, &[], 50));
-    assert_eq!(books.sent_lately(now + ms(10), Tag(1)), 1);
-    assert_eq!(books.loads(now + ms(10), &targets(), None)[0].requests, 1);
+    let (mut ledger, now) = (Ledger::default(), Instant::now());
+    let number = place(&mut ledger, now, allocation(1, &[], 50));
+    ledger.place(now + ms(1), number, allocation(1, &[], 50));
+    assert_eq!(ledger.sent_lately(now + ms(10), Tag(1)), 1);
+    assert_eq!(ledger.loads(now + ms(10), &targets(), None)[0].requests, 1);
 }
 
 #[test]
 fn what_an_answer_usually_takes_follows_plain_requests() {
-    let (mut books, now) = (Books::default(), Instant::now());
-    let plain = || Booking { prompt: Tokens(0), ..booking(1, &[], 0) };
-    assert_eq!(books.usual_time(&"s".into()), None);
-    let number = place(&mut books, now, plain());
-    books.end(now + ms(60), number);
-    assert_eq!(books.usual_time(&"s".into()), Some(ms(60)));
-    books.take(now, &"other".into(), Number(1), plain());
-    books.take_end(now + ms(220), &"other".into(), Number(1));
-    assert_eq!(books.usual_time(&"s".into()), Some(ms(70)));
-    let number = place(&mut books, now, booking(1, &[], 50));
-    books.end(now + ms(900), number);
-    assert_eq!(books.usual_time(&"s".into()), Some(ms(70)), "a prompt's answer");
+    let (mut ledger, now) = (Ledger::default(), Instant::now());
+    let plain = || Allocation { prompt: Tokens(0), ..allocation(1, &[], 0) };
+    assert_eq!(ledger.usual_time(&"s".into()), None);
+    let number = place(&mut ledger, now, plain());
+    ledger.end(now + ms(60), number);
+    assert_eq!(ledger.usual_time(&"s".into()), Some(ms(60)));
+    ledger.take(now, &"other".into(), Number(1), plain());
+    ledger.take_end(now + ms(220), &"other".into(), Number(1));
+    assert_eq!(ledger.usual_time(&"s".into()), Some(ms(70)));
+    let number = place(&mut ledger, now, allocation(1, &[], 50));
+    ledger.end(now + ms(900), number);
+    assert_eq!(ledger.usual_time(&"s".into()), Some(ms(70)), "a prompt's answer");
 }
--- a/crates/policy/src/pass.rs
+++ b/crates/policy/src/pass.rs
@@ -1,11 +1,10 @@
 //! When an engine begins to read a further prompt.
 //!
-//! Load: short prompts are packed, and several nodes send to one engine within
-//! a pass of it. An engine that writes reads what is there at the beginning of a
-//! pass, all of it, and then writes a stride; what comes meanwhile is read in the
-//! next one. Harm prevented: by a backlog that drains evenly, six prompts that
-//! wait for the end of a pass look as if half of them were read, further ones
-//! are sent after them, and all are late by the whole pass.
+//! An engine that writes reads all that is there at the beginning of a pass, and
+//! then writes a stride; what comes meanwhile is read in the next pass. A backlog
+//! that drains evenly would send further prompts into a pass that is already full.
+//!
+//! Load pattern: several short prompts within one pass.
 
 use crate::engine::Profile;
 use hickory_unit::size::Tokens;
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -1,25 +1,15 @@
 //! Which engines a prompt is read on, and when its first token would come.
 //!
-//! Load: prompts of a thousand to a million tokens in alternating phases, some
-//! of which take an engine for seconds. An engine that has streams to write
-//! takes in one pass all that it has to read, up to its chunk for each step of
-//! the stride: a part of half a second is half a second in which none of its
-//! streams gets an event. Harm prevented: short streams pause beside long
-//! prompts, a short prompt waits behind a long one, a long one is late because
-//! a single engine can't read it in time.
+//! Short prompts are packed on few engines while they are predicted to be in time
+//! and no pass grows longer than the streams there bear; a pass with all slots in
+//! use takes little more than one with a single stream. Long prompts are split over
+//! the engines that are left, in parts that no stream there feels. Engines read the
+//! parts that others ask them for newest first, so a long prompt waits until enough
+//! engines are idle, and no engine has two parts to choose from.
 //!
-//! The books of all nodes say what runs where to a few milliseconds, so the
-//! choice is by predicted time. Short prompts are packed: a pass with sixteen
-//! short streams takes only half as long again as one with a single stream, so
-//! few engines carry them all, and the others are free of them, as long as no pass
-//! grows longer than the streams there bear. Long prompts are split over those
-//! others, in parts that no stream there feels.
-//!
-//! Engines read the parts that others ask them for newest first. A part that
-//! is placed behind another one therefore overtakes it, and under load the
-//! older prompts are all late. So a long prompt waits at its node until enough
-//! engines are idle, and is then read at once: no engine ever has two parts to
-//! choose from.
+//! Load pattern: prompts of a thousand to a million tokens in alternating phases,
+//! some of which take an engine for seconds, in which none of its streams gets an
+//! event.
 
 use crate::engine::Profile;
 use hickory_unit::size::Tokens;
@@ -37,8 +27,8 @@
 const URGENT_GOAL: Duration = Duration::from_millis(600);
 
 /// The part of the goal within which a short prompt's first token must be
-/// predicted on an engine for it to be packed there. The rest is for prompts
-/// that other nodes place meanwhile.
+/// predicted on an engine for it to be packed there. The rest is for what
+/// predictions are off.
 const PACK_AIM: f64 = 0.7;
 
 /// The part of an engine's slots that short streams are packed into. With fewer,
@@ -66,9 +56,7 @@
 const CROWD: f64 = 0.6;
 
 /// The part of its streams' wanted pause that an engine may read in one pass.
-/// The rest is for what a pass differs from its prediction. It is small, since
-/// nodes hear of each other's long prompts before they send theirs, and since a
-/// large one would make the longest prompts wait beside idle engines.
+/// The rest is for what a pass differs from its prediction.
 const PAUSE_PART: f64 = 0.9;
 
 /// An engine that has less than this to read counts as idle: it is done by the
@@ -122,7 +110,7 @@
     /// The order of the engines for short prompts, the least first.
     pub preference: u64,
     /// What it is expected to cost to try it, since it failed lately.
-    pub doubt: Duration,
+    pub penalty: Duration,
     /// Whether it refused lately to read a part for another engine.
     pub shut: bool,
 }
@@ -261,13 +249,13 @@
             let load = &self.loads[engine];
             load.short > 0
                 && load.requests < most
-                && load.doubt.is_zero()
+                && load.penalty.is_zero()
                 && first(engine) <= aim
                 && self.bears_in_pass(engine)
         };
         let rank = |&engine: &usize| {
             let load = &self.loads[engine];
-            let steps = (first(engine) + load.doubt).as_millis() / ALIKE.as_millis();
+            let steps = (first(engine) + load.penalty).as_millis() / ALIKE.as_millis();
             (!self.bears_in_pass(engine), steps, load.preference)
         };
         let fitting = || (0..self.loads.len()).filter(fits);
@@ -296,7 +284,7 @@
         let mut engines: Vec<usize> = (0..self.loads.len()).filter(takes).collect();
         engines.sort_by_key(|&engine| {
             let load = &self.loads[engine];
-            (load.doubt, load.short, !load.near)
+            (load.penalty, load.short, !load.near)
         });
         let clear = engines.iter().filter(|&&engine| self.loads[engine].short == 0).count();
         let idle: Vec<usize> =
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -44,7 +44,7 @@
         let candidate = &candidates[place];
         let load = candidate.load;
         let busy = load.requests * 1_000 / candidate.slots.max(1);
-        (candidate.wait(usual) + load.doubt, busy, !load.near, load.preference)
+        (candidate.wait(usual) + load.penalty, busy, !load.near, load.preference)
     };
     let open = (0..candidates.len()).filter(|&place| !candidates[place].is_full());
     open.min_by_key(rank).ok_or(usual * (WAITING - 1))
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -1,10 +1,7 @@
-//! A node's share of a bound that all nodes keep together.
+//! A node's share of a bound that all nodes keep together: its part by the number
+//! of nodes, of what was done within a window.
 //!
-//! Load: targets fail and every node has requests to send again, or a zone
-//! comes back cold and every node has work for it. Harm prevented: nodes that
-//! each keep to the whole bound exceed it by as many times as there are nodes.
-//! A node counts what it did within the window, and takes its part by the
-//! number of nodes that it hears.
+//! Load pattern: targets fail, and every node has requests to send again.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
--- a/crates/policy/src/survey.rs
+++ b/crates/policy/src/survey.rs
@@ -17,7 +17,7 @@
     /// Those without short streams.
     pub clear: u32,
     /// Those that failed lately.
-    pub doubted: u32,
+    pub penalized: u32,
     /// What all of them have still to read, added up.
     pub unread: Duration,
     /// What waits and comes first, by the time that one engine takes to read it.
@@ -35,7 +35,7 @@
             full: count(|load, slots| load.requests >= slots),
             idle: count(|load, _| load.backlog <= IDLE),
             clear: count(|load, _| load.short == 0),
-            doubted: count(|load, _| !load.doubt.is_zero()),
+            penalized: count(|load, _| !load.penalty.is_zero()),
             unread: loads.iter().map(|load| load.backlog).sum(),
             ahead,
         }
--- a/crates/policy/tests/engines/mod.rs
+++ b/crates/policy/tests/engines/mod.rs
@@ -154,7 +154,7 @@
         }
     }
 
-    /// What the books of the nodes say.
+    /// What the ledger of an owner says.
     pub fn loads(&self, now: Duration) -> Vec<Load> {
         let mut loads: Vec<Load> =
             self.engines.iter().map(|engine| self.load(engine, now)).collect();
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -133,7 +133,7 @@
 
 #[test]
 fn doubtful_engines_come_last_and_are_used_where_all_are() {
-    let doubtful = Load { doubt: ms(300), ..load(0, 5) };
+    let doubtful = Load { penalty: ms(300), ..load(0, 5) };
     let loads = [doubtful.clone(), load(0, 0)];
     assert_eq!(go(plan::choose_engines(&short_query(), &profile(), &loads)).first, 1);
     let busy = Load { backlog: ms(400), begins: ms(400), ..doubtful.clone() };
@@ -142,17 +142,17 @@
 }
 
 /// Ten of sixteen engines lose one answer in forty, and each loss puts its engine
-/// in doubt. Callers of short prompts then all wait 1.7 s at the few engines that
-/// are not in doubt, beside idle ones.
+/// in penalty. Callers of short prompts then all wait 1.7 s at the few engines that
+/// are not in penalty, beside idle ones.
 #[test]
 fn doubt_weighs_no_more_than_what_a_failure_costs() {
-    let doubtful = Load { doubt: ms(300), ..load(0, 0) };
+    let doubtful = Load { penalty: ms(300), ..load(0, 0) };
     let loads = [load(1_700, 5), doubtful.clone(), load(1_800, 5)];
     assert_eq!(go(plan::choose_engines(&short_query(), &profile(), &loads)).first, 1);
     let loads = [load(200, 5), doubtful, load(300, 5)];
     assert_eq!(go(plan::choose_engines(&short_query(), &profile(), &loads)).first, 0);
     // One that failed again and again is not tried for less than it costs.
-    let dead = Load { doubt: ms(2_400), ..load(0, 0) };
+    let dead = Load { penalty: ms(2_400), ..load(0, 0) };
     let loads = [load(1_700, 5), dead];
     assert_eq!(go(plan::choose_engines(&short_query(), &profile(), &loads)).first, 0);
 }
--- a/crates/policy/tests/replica.rs
+++ b/crates/policy/tests/replica.rs
@@ -16,8 +16,8 @@
     choose(&candidates, ms(60))
 }
 
-fn load(requests: u32, doubt: u64) -> Load {
-    Load { requests, doubt: ms(doubt), ..Load::default() }
+fn load(requests: u32, penalty: u64) -> Load {
+    Load { requests, penalty: ms(penalty), ..Load::default() }
 }
 
 #[test]
--- a/crates/policy/tests/survey.rs
+++ b/crates/policy/tests/survey.rs
@@ -19,15 +19,15 @@
     let reading = Load { backlog: ms(400), ..Load::default() };
     let short = Load { short: 3, requests: 3, ..Load::default() };
     let full = Load { short: 16, requests: 16, backlog: ms(40), ..Load::default() };
-    let doubted = Load { doubt: ms(300), ..Load::default() };
-    let loads = [idle, reading, short, full, doubted];
+    let penalized = Load { penalty: ms(300), ..Load::default() };
+    let loads = [idle, reading, short, full, penalized];
     let survey = Survey::read(Some(&profile::profile()), &loads, ms(700));
     let expected = Survey {
         engines: 5,
         full: 1,
         idle: 3,
         clear: 3,
-        doubted: 1,
+        penalized: 1,
         unread: ms(440),
         ahead: ms(700),
     };
