--- a/apps/hickory-entry/tests/logs.rs
+++ b/apps/hickory-entry/tests/logs.rs
@@ -170,7 +170,7 @@
     let line = &lines[0];
     assert_eq!(number(line, "prompt"), 400_000, "{line}");
     assert!((2_500..=3_000).contains(&number(line, "goal_left_ms")), "{line}");
-    let engines = ["engines_known", "idle", "clear", "doubted", "full"].map(|n| number(line, n));
+    let engines = ["engines_known", "idle", "clear", "penalized", "full"].map(|n| number(line, n));
     assert_eq!(engines, [2, 2, 2, 0, 0], "{line}");
     assert_eq!([number(line, "wait_ms"), number(line, "ahead_ms")], [0, 0], "{line}");
     assert!(number(line, "retry_after_ms") > 0, "{line}");
--- a/crates/report/src/line.rs
+++ b/crates/report/src/line.rs
@@ -23,7 +23,7 @@
     "clear",
     "config",
     "config_age_ms",
-    "doubted",
+    "penalized",
     "engines",
     "engines_known",
     "expected_ms",
@@ -66,7 +66,7 @@
     "full",
     "idle",
     "clear",
-    "doubted",
+    "penalized",
     "unread_ms",
     "ahead_ms",
 ];
--- a/crates/report/tests/counting.rs
+++ b/crates/report/tests/counting.rs
@@ -116,7 +116,7 @@
 fn refusals_are_counted_by_reason_with_what_was_known() {
     let known = json!({ "request": "r", "reason": "overloaded", "status": 503, "ran": "no",
         "prompt": 70_000, "goal_left_ms": 10, "limit_left_ms": 900, "wait_ms": 25,
-        "engines_known": 12, "full": 3, "idle": 0, "clear": 1, "doubted": 2, "unread_ms": 50,
+        "engines_known": 12, "full": 3, "idle": 0, "clear": 1, "penalized": 2, "unread_ms": 50,
         "ahead_ms": 60, "age_ms": 30 });
     let log = line(0, "refused: all targets are busy", known.clone())
         + &line(0, "refused: all targets are busy", known)
