Who has newer operators' data is told on at once

With gossip a node heard of one node that has the configuration, and waited for that one while others were idle; nodes also learned late that they were behind.

Change: the word that a node has newer operators' data is passed on to four others at once, for up to three such nodes, as a rumor of its own.

--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -28,6 +28,10 @@
 /// Peers that are told at once of a newer revision.
 const REVISION_FANOUT: usize = 4;
 
+/// Nodes that have newer operators' data which a node tells others of: all hear of it
+/// within some milliseconds, and of more than one that they can have it from.
+const HOLDERS_TOLD: usize = 3;
+
 /// Between two such tellings.
 const REVISION_EVERY: Duration = Duration::from_millis(50);
 
@@ -73,6 +77,8 @@
     Shut(Tag),
     /// A request was running when a target died.
     Suspect { fingerprint: u64, deaths: u32 },
+    /// A node has what operators wrote up to this revision.
+    Holder { node: id::Node, operator: Revision },
 }
 
 /// An event and where it goes; none where only the sender's revisions are told.
@@ -107,6 +113,10 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerStates {
     peers: HashMap<id::Node, Heard>,
+    /// The newest revision of operators' data that others have and this node hasn't.
+    newest: Revision,
+    /// Nodes that are known to have it, the first that were told of.
+    holders: Vec<id::Node>,
 }
 
 /// What is followed of the store's items.
@@ -135,14 +145,37 @@
         self.peers.retain(|_, heard| now.saturating_duration_since(heard.at) < HEARD_FOR);
     }
 
+    /// Notes that a node has a revision of operators' data; whether others should
+    /// be told of it by a node that has `own`.
+    fn note_holder(&mut self, node: &id::Node, revision: Revision, own: Revision) -> bool {
+        if revision <= own || revision < self.newest {
+            return false;
+        }
+        if revision > self.newest {
+            self.newest = revision;
+            self.holders.clear();
+        }
+        let is_news = self.holders.len() < HOLDERS_TOLD && !self.holders.contains(node);
+        if is_news {
+            self.holders.push(node.clone());
+        }
+        is_news
+    }
+
     /// Peers that have a revision of a part after this one.
     pub(crate) fn ahead(&self, part: Part, after: Revision) -> Vec<id::Node> {
         let revision = |heard: &Heard| match part {
             Part::Operator => heard.operator,
             Part::Targets => heard.targets,
         };
-        let ahead = self.peers.iter().filter(|(_, heard)| revision(heard) > after);
-        ahead.map(|(node, _)| node.clone()).collect()
+        let heard = self.peers.iter().filter(|(_, heard)| revision(heard) > after);
+        let mut ahead: Vec<id::Node> = heard.map(|(node, _)| node.clone()).collect();
+        if part == Part::Operator && self.newest > after {
+            let told = self.holders.iter().filter(|node| !ahead.contains(*node));
+            let told: Vec<id::Node> = told.cloned().collect();
+            ahead.extend(told);
+        }
+        ahead
     }
 }
 
@@ -188,7 +221,7 @@
         core.ledger().forget(&datagram.node);
         core.owner().forget(&datagram.node);
     }
-    core.hear(datagram.operator);
+    take_holder(core, &datagram.node, datagram.operator);
     // What stands before a host's address may send from another one.
     let from = core.find_peer(&datagram.node).unwrap_or(from);
     for event in datagram.events {
@@ -229,6 +262,23 @@
             let suspect = Suspect { fingerprint, deaths, age: Duration::ZERO };
             core.suspects().merge(now, [suspect]);
         }
+        Event::Holder { node, operator } => take_holder(core, &node, operator),
+    }
+}
+
+/// Takes the word that a node has newer operators' data, and passes it on.
+fn take_holder<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    node: &id::Node,
+    operator: Revision,
+) {
+    core.hear(operator);
+    let (own, _) = core.revisions();
+    if core.peer_states().note_holder(node, operator, own) {
+        let peers = core.membership().pick(REVISION_FANOUT);
+        for peer in peers {
+            core.send(peer, Event::Holder { node: node.clone(), operator });
+        }
     }
 }
 
