Membership in files by concern; an ask that ends whatever its owner grants

A node that knows that a granted target takes no work asked its owner again, as often as that one granted it: where the owner had not heard and no other target was there, it asked for ever. After three such grants the node decides alone, by what it knows.

--- a/crates/path/src/ask.rs
+++ b/crates/path/src/ask.rs
@@ -36,6 +36,10 @@
 /// Between two attempts of a node that decides alone.
 const ALONE_AGAIN: Duration = Duration::from_millis(20);
 
+/// Grants that can't be used after which a node decides alone: the owner has not
+/// heard what this node knows.
+const RETURNED_MOST: u32 = 3;
+
 /// Groups of a service that a request is tried in.
 const GROUPS_TRIED: u16 = 2;
 
@@ -50,6 +54,8 @@
     answers: UnboundedReceiver<Answer>,
     /// Targets that are left out.
     tried: Vec<Tag>,
+    /// Grants that this node could not use.
+    returned: u32,
     is_placed: bool,
     is_queued: bool,
 }
@@ -77,7 +83,7 @@
         let number = run.core.ledger().next_number();
         let answers = run.core.expect_answer(number);
         let tried = tried.to_vec();
-        Self { run, group, number, answers, tried, is_placed: false, is_queued: false }
+        Self { run, group, number, answers, tried, returned: 0, is_placed: false, is_queued: false }
     }
 
     fn request(&self) -> Request {
@@ -98,46 +104,70 @@
     async fn run(mut self) -> Outcome<D, S, C> {
         let mut silent: Vec<id::Node> = Vec::new();
         loop {
-            let owner = (silent.len() < OWNERS_ASKED).then(|| self.next_owner(&silent)).flatten();
-            let Some(owner) = owner else {
-                match self.decide_alone() {
-                    Verdict::Answered(answer) => match self.take(answer, Decider::Alone) {
-                        Some(taken) => return taken,
-                        None => continue,
-                    },
-                    Verdict::Wait(time, survey) => self.wait_alone(time, survey).await,
+            let taken = match self.next_owner(&silent) {
+                Some(owner) => self.ask_owner(owner, &mut silent).await,
+                None => {
+                    silent.clear();
+                    self.try_alone().await
                 }
-                silent.clear();
-                continue;
-            };
-            self.ask(&owner);
-            let Some(answer) = self.next_answer(PATIENCE).await else {
-                self.run.core.note_silent(&owner);
-                silent.push(owner);
-                continue;
             };
-            self.run.core.note_heard(&owner);
-            let decider = if silent.is_empty() { Decider::Owner } else { Decider::Successor };
-            silent.clear();
-            if let Some(taken) = self.take(answer, decider) {
-                return taken;
-            }
-            if !self.is_queued {
-                continue;
-            }
-            if let Some(answer) = self.next_answer(ASK_AGAIN).await
-                && let Some(taken) = self.take(answer, decider)
-            {
+            if let Some(taken) = taken {
                 return taken;
             }
         }
     }
 
+    /// The owner to ask, unless enough were silent or granted what can't be used.
     fn next_owner(&self, silent: &[id::Node]) -> Option<id::Node> {
+        if silent.len() >= OWNERS_ASKED || self.returned >= RETURNED_MOST {
+            return None;
+        }
         let owners = self.run.core.answering_owners(&self.group);
         owners.into_iter().find(|owner| !silent.contains(owner))
     }
 
+    /// Asks an owner; nothing where it has to be asked again, or another one.
+    async fn ask_owner(
+        &mut self,
+        owner: id::Node,
+        silent: &mut Vec<id::Node>,
+    ) -> Option<Outcome<D, S, C>> {
+        self.ask(&owner);
+        let Some(answer) = self.next_answer(PATIENCE).await else {
+            self.run.core.note_silent(&owner);
+            silent.push(owner);
+            return None;
+        };
+        self.run.core.note_heard(&owner);
+        let decider = if silent.is_empty() { Decider::Owner } else { Decider::Successor };
+        silent.clear();
+        let taken = self.take(answer, decider);
+        if taken.is_some() || !self.is_queued {
+            return taken;
+        }
+        let answer = self.next_answer(ASK_AGAIN).await?;
+        self.take(answer, decider)
+    }
+
+    /// Decides by this node's own requests; nothing where it waits.
+    async fn try_alone(&mut self) -> Option<Outcome<D, S, C>> {
+        let time = match self.decide_alone() {
+            Verdict::Answered(answer) => {
+                let taken = self.take(answer, Decider::Alone);
+                if taken.is_some() {
+                    return taken;
+                }
+                ALONE_AGAIN
+            }
+            Verdict::Wait(time, survey) => {
+                self.note_queued(survey);
+                time.max(ALONE_AGAIN)
+            }
+        };
+        tokio::time::sleep(time).await;
+        None
+    }
+
     fn ask(&self, owner: &id::Node) {
         let core = &self.run.core;
         let request = self.request();
@@ -158,9 +188,7 @@
         match answer {
             Answer::Placed(grant) => self.open_place(*grant, decider).map(Ok),
             Answer::Queued(survey) => {
-                if !std::mem::replace(&mut self.is_queued, true) {
-                    self.run.log_waiting(survey);
-                }
+                self.note_queued(survey);
                 None
             }
             // This node may know a target that the owner has not heard of.
@@ -202,6 +230,7 @@
             "the granted target takes no work"
         );
         self.withdraw();
+        self.returned += 1;
         self.tried.extend(unusable);
         self.number = core.ledger().next_number();
         self.answers = core.expect_answer(self.number);
@@ -219,11 +248,10 @@
         )
     }
 
-    async fn wait_alone(&mut self, time: Duration, survey: Survey) {
+    fn note_queued(&mut self, survey: Survey) {
         if !std::mem::replace(&mut self.is_queued, true) {
             self.run.log_waiting(survey);
         }
-        tokio::time::sleep(time.max(ALONE_AGAIN)).await;
     }
 
     fn withdraw(&self) {
--- a/crates/path/src/fleet.rs
+++ b/crates/path/src/fleet.rs
@@ -6,8 +6,8 @@
 use crate::group::{self, Group};
 use crate::ledger::{Allocation, Number};
 use crate::placement::Answer;
+use hickory_policy::gossip;
 use hickory_policy::member::{Contact, Record};
-use hickory_policy::membership;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
@@ -94,7 +94,7 @@
     }
 
     /// Sends what the table of members wants sent.
-    pub(crate) fn send_members(&self, out: Vec<membership::Outgoing>) {
+    pub(crate) fn send_members(&self, out: Vec<gossip::Outgoing>) {
         for (to, message) in out {
             self.send(to, Event::Member(message));
         }
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -12,7 +12,8 @@
 use crate::owner::{self, Asker, Ticket};
 use crate::placement::{Answer, Request};
 use crate::view::Tag;
-use hickory_policy::membership::{self, Count, TICK};
+use hickory_policy::gossip::Message;
+use hickory_policy::membership::{Count, TICK};
 use hickory_policy::poison::Suspect;
 use hickory_store::store::{Revision, Store};
 use hickory_unit::clock::Clock;
@@ -28,13 +29,13 @@
 /// Peers that are told at once of a newer revision.
 const REVISION_FANOUT: usize = 4;
 
+/// Between two such tellings.
+const REVISION_EVERY: Duration = Duration::from_millis(50);
+
 /// Nodes that have newer operators' data which a node tells others of: all hear of it
 /// within some milliseconds, and of more than one that they can have it from.
 const HOLDERS_TOLD: usize = 3;
 
-/// Between two such tellings.
-const REVISION_EVERY: Duration = Duration::from_millis(50);
-
 /// Between two log lines about members.
 const LOGGED_EVERY: Duration = Duration::from_secs(1);
 
@@ -60,7 +61,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Event {
     /// Who is alive.
-    Member(membership::Message),
+    Member(Message),
     /// A request for a place.
     Ask(Number, Request),
     /// The answer to it.
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -9,13 +9,16 @@
 //! Load pattern: hundreds of nodes of which many die, freeze, are cut off or
 //! start at the same moment.
 
+use crate::gossip::{Exchange, Message, Outgoing};
 use crate::member::{Contact, Record, State};
+use crate::probe::Probes;
+pub use crate::roster::Count;
+use crate::roster::{Peer, Roster};
+use crate::rumor::{RECORDS_MOST, Rumors};
 use hickory_unit::id;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -25,12 +28,6 @@
 /// Between two probes.
 const PROBE_EVERY: Duration = Duration::from_millis(200);
 
-/// How long a probe may be unanswered before others are asked to probe.
-const INDIRECT_AFTER: Duration = Duration::from_millis(200);
-
-/// How long a probe may be unanswered before its node is suspected.
-const SUSPECT_AFTER: Duration = Duration::from_millis(600);
-
 /// How long a node is suspected before it counts as dead.
 const DEAD_AFTER: Duration = Duration::from_secs(3);
 
@@ -69,148 +66,45 @@
 /// Nodes that news is pushed to.
 const FANOUT: usize = 3;
 
-/// Records in one message: a datagram must go through all links unfragmented.
-const RECORDS_MOST: usize = 12;
-
-/// How often a record is sent on, besides a logarithm of the nodes.
-const SENT_LEAST: u32 = 8;
-
-/// By how much less often a record is sent on after a peer was met that has it.
-const ALIKE: u32 = 3;
-
 /// A call to [`Membership::tick`] that comes so late was held up: the host was
 /// suspended or had no processor time, and silence of others proves nothing.
 const HELD_UP: Duration = Duration::from_millis(400);
 
-/// What nodes send each other.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {
-    /// Asks for an [`Message::Ack`].
-    Ping(Exchange),
-    /// Answers a ping.
-    Ack(Exchange),
-    /// Asks to ping a node, and to pass its answer on.
-    Relay {
-        /// Of the probe that the answer is for.
-        sequence: u32,
-        /// Where the node receives datagrams.
-        to: SocketAddr,
-    },
-    /// Tells of changes.
-    Rumor(Vec<Record>),
-    /// Asks for all records, and tells who asks.
-    Pull(Record),
-    /// Answers that.
-    List(Vec<Record>),
-}
-
-/// What goes with a probe and its answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Exchange {
-    /// Of the probe.
-    pub sequence: u32,
-    /// Of the sender's table: equal ones hold the same.
-    pub digest: u64,
-    /// News that travels along.
-    pub records: Vec<Record>,
-}
-
-/// A message and where it goes.
-pub type Outgoing = (SocketAddr, Message);
-
-/// What is known of another node.
-#[derive(Clone, Debug)]
-struct Peer {
-    record: Record,
-    /// When its state was learned.
-    since: Instant,
-    /// When it was last asked to refute a suspicion.
-    pressed: Instant,
-}
-
-/// A record that is still to be sent on.
-#[derive(Clone, Debug)]
-struct News {
-    node: id::Node,
-    left: u32,
-    /// Whether it was sent on at all.
-    told: bool,
-}
-
-/// A probe that is not answered yet.
-#[derive(Clone, Debug)]
-struct Probe {
-    sequence: u32,
-    node: id::Node,
-    sent: Instant,
-    helped: bool,
-}
-
-/// A probe made for another node.
-#[derive(Clone, Copy, Debug)]
-struct Relayed {
-    sequence: u32,
-    for_sequence: u32,
-    asker: SocketAddr,
-    sent: Instant,
-}
-
 /// A node's table of all nodes.
 #[derive(Clone, Debug)]
 pub struct Membership {
-    own: Record,
-    /// Ordered, so that the same seed and the same messages give the same choices.
-    peers: BTreeMap<id::Node, Peer>,
-    news: Vec<News>,
-    probes: Vec<Probe>,
-    relayed: Vec<Relayed>,
+    roster: Roster,
+    rumors: Rumors,
+    probes: Probes,
     /// Nodes that are still to be probed in this round.
     round: Vec<id::Node>,
     seeds: Vec<SocketAddr>,
-    sequence: u32,
     began: Instant,
     ticked: Instant,
     probed: Option<Instant>,
     joined: Option<Instant>,
     reconnected: Instant,
     pulled: Option<Instant>,
-    digest: u64,
     /// Nodes that this one found silent, for its log.
     silent: Vec<id::Node>,
     random: SmallRng,
 }
 
-/// How many other nodes are in each state.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Count {
-    /// That are alive.
-    pub alive: usize,
-    /// That are suspected.
-    pub suspect: usize,
-    /// That are remembered as dead.
-    pub dead: usize,
-}
-
 impl Membership {
     /// Opens the table of a node that knows where some others may be.
     pub fn open(now: Instant, own: Record, seeds: Vec<SocketAddr>, seed: u64) -> Self {
-        let digest = own.digest();
         Self {
-            own,
-            peers: BTreeMap::new(),
-            news: Vec::new(),
-            probes: Vec::new(),
-            relayed: Vec::new(),
+            roster: Roster::open(own),
+            rumors: Rumors::default(),
+            probes: Probes::default(),
             round: Vec::new(),
             seeds,
-            sequence: 0,
             began: now,
             ticked: now,
             probed: None,
             joined: None,
             reconnected: now,
             pulled: None,
-            digest,
             silent: Vec::new(),
             random: SmallRng::seed_from_u64(seed),
         }
@@ -219,14 +113,17 @@
     /// This node's record.
     /// This node's record.
     pub fn own(&self) -> &Record {
-        &self.own
+        &self.roster.own
     }
 
     /// Takes what this node says of itself.
     pub fn set_contact(&mut self, contact: Contact) {
-        if self.own.contact != contact {
-            self.own.contact = contact;
-            self.raise_own(self.own.incarnation, self.own.version);
+        let own = &mut self.roster.own;
+        if own.contact != contact {
+            // The digest is of versions, not of contacts.
+            own.contact = contact;
+            let (incarnation, version) = (own.incarnation, own.version);
+            self.raise_own(incarnation, version);
         }
     }
 
@@ -241,34 +138,22 @@
 
     /// Other nodes that are alive.
     pub fn alive(&self) -> impl Iterator<Item = &Record> {
-        self.with_state(|state| state == State::Alive)
+        self.roster.with_state(|state| state == State::Alive)
     }
 
     /// Other nodes that are not known to be dead.
     pub fn present(&self) -> impl Iterator<Item = &Record> {
-        self.with_state(|state| state != State::Dead)
-    }
-
-    fn with_state(&self, is: impl Fn(State) -> bool) -> impl Iterator<Item = &Record> {
-        self.peers.values().map(|peer| &peer.record).filter(move |record| is(record.state))
+        self.roster.with_state(|state| state != State::Dead)
     }
 
     /// The record of another node.
     pub fn get(&self, node: &id::Node) -> Option<&Record> {
-        self.peers.get(node).map(|peer| &peer.record)
+        self.roster.peers.get(node).map(|peer| &peer.record)
     }
 
     /// How many other nodes are in each state.
     pub fn count(&self) -> Count {
-        let mut count = Count::default();
-        for peer in self.peers.values() {
-            match peer.record.state {
-                State::Alive => count.alive += 1,
-                State::Suspect => count.suspect += 1,
-                State::Dead => count.dead += 1,
-            }
-        }
-        count
+        self.roster.count()
     }
 
     /// The nodes that this one itself found silent since it was last asked.
@@ -278,14 +163,14 @@
 
     /// Some nodes that are alive, chosen at random.
     pub fn pick(&mut self, count: usize) -> Vec<SocketAddr> {
-        let alive = self.peers.values().filter(|peer| peer.record.state == State::Alive);
-        let addresses = alive.map(|peer| peer.record.contact.peers);
+        let alive = self.roster.with_state(|state| state == State::Alive);
+        let addresses = alive.map(|record| record.contact.peers);
         addresses.choose_multiple(&mut self.random, count)
     }
 
     /// Whether there is news that was told to nobody yet.
     pub fn has_untold(&self) -> bool {
-        self.news.iter().any(|news| !news.told)
+        self.rumors.has_untold()
     }
 
     /// Tells news to a few others at once.
@@ -330,8 +215,8 @@
             Message::Ping(Exchange { sequence, digest, records }) => {
                 self.take_all(now, records);
                 let mut records = self.answer_news(digest);
-                records.extend(self.find_false(node));
-                let own = Exchange { sequence, digest: self.digest, records };
+                records.extend(self.roster.find_false(node));
+                let own = Exchange { sequence, digest: self.roster.digest, records };
                 let mut out = vec![(from, Message::Ack(own))];
                 out.extend(self.pull(now, from, digest));
                 out
@@ -339,21 +224,21 @@
             Message::Ack(Exchange { sequence, digest, records }) => {
                 self.take_all(now, records);
                 self.note_alike(digest);
-                self.probes.retain(|probe| probe.sequence != sequence);
-                let mut out = self.pass_on(sequence, digest);
+                let mut out: Vec<Outgoing> =
+                    self.probes.answer(sequence, digest).into_iter().collect();
                 out.extend(self.pull(now, from, digest));
                 out
             }
-            Message::Relay { sequence: for_sequence, to } => {
-                let sequence = self.next_sequence();
-                self.relayed.push(Relayed { sequence, for_sequence, asker: from, sent: now });
+            Message::Relay { sequence, to } => {
+                let sequence = self.probes.begin_for(now, from, sequence);
                 vec![(to, self.ping(sequence))]
             }
             Message::Rumor(records) => {
-                let is_false = |r: &Record| r.node == self.own.node && r.state != State::Alive;
+                let own = &self.roster.own.node;
+                let is_false = |r: &Record| r.node == *own && r.state != State::Alive;
                 let is_denied = records.iter().any(is_false);
                 self.take_all(now, records);
-                let own = || Message::Rumor(vec![self.own.clone()]);
+                let own = || Message::Rumor(vec![self.own().clone()]);
                 is_denied.then(|| (from, own())).into_iter().collect()
             }
             Message::List(records) => {
@@ -370,26 +255,8 @@
         }
     }
 
-    /// What this node holds of the sender, where that is not that it is alive:
-    /// the sender refutes it.
-    fn find_false(&self, node: &id::Node) -> Option<Record> {
-        let record = self.get(node)?;
-        (record.state != State::Alive).then(|| record.clone())
-    }
-
-    fn pass_on(&mut self, sequence: u32, digest: u64) -> Vec<Outgoing> {
-        let answered = self.relayed.iter().position(|relayed| relayed.sequence == sequence);
-        let relayed = answered.map(|at| self.relayed.swap_remove(at));
-        let ack = |relayed: Relayed| {
-            let sequence = relayed.for_sequence;
-            (relayed.asker, Message::Ack(Exchange { sequence, digest, records: Vec::new() }))
-        };
-        relayed.map(ack).into_iter().collect()
-    }
-
     fn tell_all(&self, to: SocketAddr) -> Vec<Outgoing> {
-        let mut records: Vec<Record> = self.present().cloned().collect();
-        records.push(self.own.clone());
+        let records = self.roster.present();
         let list = |records: &[Record]| (to, Message::List(records.to_vec()));
         records.chunks(RECORDS_MOST).map(list).collect()
     }
@@ -397,16 +264,16 @@
     /// Asks for all records where the tables differ.
     fn pull(&mut self, now: Instant, from: SocketAddr, digest: u64) -> Option<Outgoing> {
         let is_young = now.saturating_duration_since(self.began) < YOUNG;
-        let every = match (is_young, self.news.is_empty()) {
+        let every = match (is_young, self.rumors.is_empty()) {
             (true, _) => PULL_EVERY_YOUNG,
             (false, true) => PULL_EVERY,
             (false, false) => PULL_EVERY_IN_CHURN,
         };
-        if digest == self.digest || !is_due(self.pulled, now, every) {
+        if digest == self.roster.digest || !is_due(self.pulled, now, every) {
             return None;
         }
         self.pulled = Some(now);
-        Some((from, Message::Pull(self.own.clone())))
+        Some((from, Message::Pull(self.own().clone())))
     }
 
     fn take_all(&mut self, now: Instant, records: Vec<Record>) {
@@ -424,113 +291,73 @@
 
     /// Takes a record that needn't be told; whether it was news.
     fn take_quietly(&mut self, now: Instant, record: Record) -> bool {
-        if record.node == self.own.node {
+        if record.node == self.own().node {
             self.refute(&record);
             return false;
         }
-        let known = self.peers.get(&record.node);
-        let is_news = known.is_none_or(|known| known.record.rank() < record.rank());
+        let known = self.get(&record.node);
+        let is_news = known.is_none_or(|known| known.rank() < record.rank());
         if is_news {
-            self.insert(now, record);
+            self.roster.insert(now, record);
         }
         is_news
     }
 
-    fn insert(&mut self, now: Instant, record: Record) {
-        let is_present = |record: &Record| record.state != State::Dead;
-        if is_present(&record) {
-            self.digest ^= record.digest();
-        }
-        let before =
-            self.peers.insert(record.node.clone(), Peer { record, since: now, pressed: now });
-        if let Some(before) = before.filter(|before| is_present(&before.record)) {
-            self.digest ^= before.record.digest();
-        }
-    }
-
     /// Changes what this node holds of another one, and tells it.
     fn change(&mut self, now: Instant, record: Record) {
         let node = record.node.clone();
-        self.insert(now, record);
+        self.roster.insert(now, record);
         self.enqueue(node);
     }
 
     /// Answers a statement about this node that is later than its own, or that
     /// doesn't hold.
     fn refute(&mut self, record: &Record) {
-        if record.rank() > self.own.rank() {
+        if record.rank() > self.own().rank() {
             self.raise_own(record.incarnation, record.version);
         }
     }
 
     fn raise_own(&mut self, incarnation: id::Incarnation, version: u32) {
-        self.digest ^= self.own.digest();
-        self.own.incarnation = incarnation;
-        self.own.version = version + 1;
-        self.digest ^= self.own.digest();
-        self.enqueue(self.own.node.clone());
+        self.roster.raise_own(incarnation, version);
+        self.enqueue(self.own().node.clone());
     }
 
     fn enqueue(&mut self, node: id::Node) {
-        self.news.retain(|news| news.node != node);
-        let nodes = self.peers.len() as u32 + 1;
-        let left = SENT_LEAST + u32::BITS - nodes.leading_zeros();
-        self.news.push(News { node, left, told: false });
+        self.rumors.add(node, self.roster.peers.len() + 1);
+    }
+
+    fn take_news(&mut self) -> Vec<Record> {
+        self.rumors.take(&self.roster)
     }
 
     /// News for a node whose table has this digest.
     fn answer_news(&mut self, digest: u64) -> Vec<Record> {
         self.note_alike(digest);
-        if digest == self.digest { Vec::new() } else { self.take_news() }
+        if digest == self.roster.digest { Vec::new() } else { self.take_news() }
     }
 
-    /// A peer that holds the same needs no news, and neither do many others.
     fn note_alike(&mut self, digest: u64) {
-        if digest == self.digest {
-            self.news.iter_mut().for_each(|news| news.left = news.left.saturating_sub(ALIKE));
-            self.news.retain(|news| news.left > 0);
+        if digest == self.roster.digest {
+            self.rumors.note_alike();
         }
     }
 
-    /// The records that were sent on least, which count as sent.
-    fn take_news(&mut self) -> Vec<Record> {
-        self.news.sort_by_key(|news| std::cmp::Reverse(news.left));
-        let mut records = Vec::new();
-        for news in self.news.iter_mut().take(RECORDS_MOST) {
-            let known = self.peers.get(&news.node).map(|peer| &peer.record);
-            let own = (news.node == self.own.node).then_some(&self.own);
-            records.extend(known.or(own).cloned());
-            news.left -= 1;
-            news.told = true;
-        }
-        self.news.retain(|news| news.left > 0);
-        records
-    }
-
     /// Drops what this node would conclude from silence while it was held up.
     fn forgive(&mut self, now: Instant) {
-        self.probes.clear();
-        for peer in self.peers.values_mut().filter(|peer| peer.record.state == State::Suspect) {
+        self.probes.forget();
+        for peer in
+            self.roster.peers.values_mut().filter(|peer| peer.record.state == State::Suspect)
+        {
             peer.since = now;
         }
     }
 
     fn check_probes(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
-        let age = |probe: &Probe| now.saturating_duration_since(probe.sent);
-        let failed = self.probes.extract_if(.., |probe| age(probe) >= SUSPECT_AFTER);
-        let failed: Vec<id::Node> = failed.map(|probe| probe.node).collect();
-        for node in failed {
+        for node in self.probes.take_failed(now) {
             self.suspect(now, &node, out);
         }
-        let silent = |probe: &&mut Probe| !probe.helped && age(probe) >= INDIRECT_AFTER;
-        let silent = self.probes.iter_mut().filter(silent);
-        let silent: Vec<(u32, id::Node)> = silent
-            .map(|probe| {
-                probe.helped = true;
-                (probe.sequence, probe.node.clone())
-            })
-            .collect();
-        for (sequence, node) in silent {
+        for (sequence, node) in self.probes.take_silent(now) {
             let Some(to) = self.get(&node).map(|record| record.contact.peers) else { continue };
             out.push((to, self.ping(sequence)));
             let helpers = self.pick(HELPERS).into_iter().filter(|helper| *helper != to);
@@ -550,7 +377,9 @@
 
     /// Tells suspects again that they are suspected: a refutation may have been lost.
     fn press_suspects(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
-        for peer in self.peers.values_mut().filter(|peer| peer.record.state == State::Suspect) {
+        for peer in
+            self.roster.peers.values_mut().filter(|peer| peer.record.state == State::Suspect)
+        {
             if now.saturating_duration_since(peer.pressed) >= PRESS_EVERY {
                 peer.pressed = now;
                 out.push((peer.record.contact.peers, Message::Rumor(vec![peer.record.clone()])));
@@ -562,14 +391,14 @@
         let is_over = |peer: &Peer, state, time| {
             peer.record.state == state && now.saturating_duration_since(peer.since) >= time
         };
-        let over = self.peers.values().filter(|peer| is_over(peer, State::Suspect, DEAD_AFTER));
+        let over =
+            self.roster.peers.values().filter(|peer| is_over(peer, State::Suspect, DEAD_AFTER));
         let dead: Vec<Record> =
             over.map(|peer| Record { state: State::Dead, ..peer.record.clone() }).collect();
         for record in dead {
             self.change(now, record);
         }
-        self.peers.retain(|_, peer| !is_over(peer, State::Dead, FORGOTTEN_AFTER));
-        self.relayed.retain(|relayed| now.saturating_duration_since(relayed.sent) < SUSPECT_AFTER);
+        self.roster.peers.retain(|_, peer| !is_over(peer, State::Dead, FORGOTTEN_AFTER));
     }
 
     fn join(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
@@ -581,9 +410,9 @@
             return;
         }
         self.joined = Some(now);
-        let own = self.own.contact.peers;
+        let own = self.own().contact.peers;
         let seeds = self.seeds.iter().filter(|seed| **seed != own);
-        out.extend(seeds.map(|seed| (*seed, Message::Pull(self.own.clone()))));
+        out.extend(seeds.map(|seed| (*seed, Message::Pull(self.own().clone()))));
     }
 
     fn reconnect(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
@@ -591,11 +420,11 @@
             return;
         }
         self.reconnected = now;
-        let dead = self.with_state(|state| state == State::Dead);
+        let dead = self.roster.with_state(|state| state == State::Dead);
         let dead: Vec<Record> = dead.cloned().collect();
         if let Some(record) = dead.choose(&mut self.random) {
             let to = record.contact.peers;
-            out.push((to, Message::Rumor(vec![record.clone(), self.own.clone()])));
+            out.push((to, Message::Rumor(vec![record.clone(), self.own().clone()])));
         }
     }
 
@@ -607,20 +436,14 @@
         while let Some(node) = self.round.pop() {
             let Some(record) = self.get(&node).filter(|r| r.state != State::Dead) else { continue };
             let to = record.contact.peers;
-            let sequence = self.next_sequence();
-            self.probes.push(Probe { sequence, node, sent: now, helped: false });
+            let sequence = self.probes.begin(now, node);
             return Some((to, self.ping(sequence)));
         }
         None
     }
 
     fn ping(&mut self, sequence: u32) -> Message {
-        Message::Ping(Exchange { sequence, digest: self.digest, records: self.take_news() })
-    }
-
-    fn next_sequence(&mut self) -> u32 {
-        self.sequence = self.sequence.wrapping_add(1);
-        self.sequence
+        Message::Ping(Exchange { sequence, digest: self.roster.digest, records: self.take_news() })
     }
 }
 
--- /dev/null
+++ b/crates/policy/src/probe.rs
@@ -0,0 +1,95 @@
+//! Probes of other nodes that are not answered yet.
+
+use crate::gossip::{Exchange, Message, Outgoing};
+use hickory_unit::id;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// How long a probe may be unanswered before others are asked to probe.
+const INDIRECT_AFTER: Duration = Duration::from_millis(200);
+
+/// How long a probe may be unanswered before its node is suspected.
+const SUSPECT_AFTER: Duration = Duration::from_millis(600);
+
+/// A probe of this node's own.
+#[derive(Clone, Debug)]
+struct Probe {
+    sequence: u32,
+    node: id::Node,
+    sent: Instant,
+    helped: bool,
+}
+
+/// A probe made for another node.
+#[derive(Clone, Copy, Debug)]
+struct Relayed {
+    sequence: u32,
+    for_sequence: u32,
+    asker: SocketAddr,
+    sent: Instant,
+}
+
+/// Probes that wait for their answers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Probes {
+    own: Vec<Probe>,
+    relayed: Vec<Relayed>,
+    sequence: u32,
+}
+
+impl Probes {
+    /// Notes a probe of a node; its number.
+    pub(crate) fn begin(&mut self, now: Instant, node: id::Node) -> u32 {
+        let sequence = self.next_sequence();
+        self.own.push(Probe { sequence, node, sent: now, helped: false });
+        sequence
+    }
+
+    /// Notes a probe that another node asked for; its number.
+    pub(crate) fn begin_for(&mut self, now: Instant, asker: SocketAddr, for_sequence: u32) -> u32 {
+        let sequence = self.next_sequence();
+        self.relayed.push(Relayed { sequence, for_sequence, asker, sent: now });
+        sequence
+    }
+
+    /// Notes an answer; what is passed on to the node that had asked for the probe.
+    pub(crate) fn answer(&mut self, sequence: u32, digest: u64) -> Option<Outgoing> {
+        self.own.retain(|probe| probe.sequence != sequence);
+        let answered = self.relayed.iter().position(|relayed| relayed.sequence == sequence)?;
+        let Relayed { for_sequence, asker, .. } = self.relayed.swap_remove(answered);
+        let exchange = Exchange { sequence: for_sequence, digest, records: Vec::new() };
+        Some((asker, Message::Ack(exchange)))
+    }
+
+    /// The nodes that were silent for too long, once each.
+    pub(crate) fn take_failed(&mut self, now: Instant) -> Vec<id::Node> {
+        let is_over = |sent| now.saturating_duration_since(sent) >= SUSPECT_AFTER;
+        self.relayed.retain(|relayed| !is_over(relayed.sent));
+        let failed = self.own.extract_if(.., |probe| is_over(probe.sent));
+        failed.map(|probe| probe.node).collect()
+    }
+
+    /// The nodes that others should probe, too, with the numbers of their probes.
+    pub(crate) fn take_silent(&mut self, now: Instant) -> Vec<(u32, id::Node)> {
+        let is_silent = |probe: &&mut Probe| {
+            !probe.helped && now.saturating_duration_since(probe.sent) >= INDIRECT_AFTER
+        };
+        let silent = self.own.iter_mut().filter(is_silent);
+        silent
+            .map(|probe| {
+                probe.helped = true;
+                (probe.sequence, probe.node.clone())
+            })
+            .collect()
+    }
+
+    /// Forgets all of this node's own.
+    pub(crate) fn forget(&mut self) {
+        self.own.clear();
+    }
+
+    fn next_sequence(&mut self) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1);
+        self.sequence
+    }
+}
--- a/crates/policy/tests/network/mod.rs
+++ b/crates/policy/tests/network/mod.rs
@@ -1,7 +1,8 @@
 //! A simulated network of nodes that keep their tables of members.
 
+use hickory_policy::gossip::{Message, Outgoing};
 use hickory_policy::member::{Capacity, Contact, Record, State};
-use hickory_policy::membership::{Membership, Message, Outgoing, TICK};
+use hickory_policy::membership::{Membership, TICK};
 use hickory_unit::id;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
