Short prompts wait for slots that come free in time

Cause: a short prompt that found all slots taken was refused at once, though one comes free every few milliseconds; its caller came back a hundred milliseconds later into the same crowd, and what it was served with then counted as late.

Change: the owner's queue takes short prompts as well, by their due time and before long ones. One waits only while its first token is predicted within the aim, by what short streams were seen to take; otherwise it is refused at once as before.

--- a/crates/path/src/ask.rs
+++ b/crates/path/src/ask.rs
@@ -13,6 +13,7 @@
 use crate::placement::{Answer, Grant, NoPlace, Request, Scope, Snapshot, Unplaced, Verdict};
 use crate::run::Run;
 use crate::view::{Tag, Target, View};
+use hickory_policy::queue::Ahead;
 use hickory_policy::survey::Survey;
 use hickory_store::store::Store;
 use hickory_telemetry::label::Decider;
@@ -244,7 +245,7 @@
         let snapshot = Snapshot::open(core, core.now(), &request.service, scope);
         snapshot.map_or_else(
             || Verdict::refused(NoPlace::NoTarget, Survey::default()),
-            |snapshot| snapshot.decide(&request, Duration::ZERO),
+            |snapshot| snapshot.decide(&request, Ahead::default()),
         )
     }
 
--- a/crates/path/src/known.rs
+++ b/crates/path/src/known.rs
@@ -35,7 +35,8 @@
             clear = known.survey.clear,
             penalized = known.survey.penalized,
             unread_ms = known.survey.unread.as_millis() as u64,
-            ahead_ms = known.survey.ahead.as_millis() as u64;
+            ahead_ms = known.survey.ahead.as_millis() as u64,
+            ahead_short = known.survey.ahead_short;
             $($message)*
         );
     };
--- a/crates/path/src/ledger.rs
+++ b/crates/path/src/ledger.rs
@@ -73,6 +73,13 @@
 }
 
 impl Entry {
+    /// Whether it tells how long requests of its service take: a long prompt takes
+    /// as long as it is, and what ended before it was written took no time.
+    fn is_usual(&self) -> bool {
+        let Allocation { prompt, short, stage, .. } = &self.allocation;
+        prompt.0 == 0 || (*short && *stage == Stage::Writing)
+    }
+
     fn read(&self, writes: bool) -> Read {
         Read { placed: self.placed, part: self.allocation.part, writes, word: WORD }
     }
@@ -98,7 +105,7 @@
     sent: HashMap<Tag, VecDeque<Instant>>,
     /// When a pass of an engine was last seen to end, by a first token.
     passes: HashMap<Tag, Instant>,
-    /// What an answer of a plain service usually takes.
+    /// What an answer of a plain service, or a short stream, usually takes.
     usual: HashMap<id::Service, Duration>,
 }
 
@@ -133,14 +140,14 @@
     }
 
     fn note_usual(&mut self, now: Instant, entry: Option<Entry>) {
-        // A prompt's answer takes as long as it is.
-        let Some(entry) = entry.filter(|entry| entry.allocation.prompt.0 == 0) else { return };
+        let Some(entry) = entry.filter(|entry| entry.is_usual()) else { return };
         let took = now.saturating_duration_since(entry.placed);
         let usual = self.usual.entry(entry.allocation.service).or_insert(took);
         *usual = (*usual * (USUAL_WEIGHT - 1) + took) / USUAL_WEIGHT;
     }
 
-    /// What an answer of a plain service usually takes, if one was seen.
+    /// What an answer of a plain service, or a short stream, usually takes, if one was
+    /// seen.
     pub fn usual_time(&self, service: &id::Service) -> Option<Duration> {
         self.usual.get(service).copied()
     }
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -7,7 +7,7 @@
 use crate::ledger::Number;
 use crate::placement::{Answer, Request, Scope, Snapshot, Verdict};
 use hickory_policy::plan;
-use hickory_policy::queue::Queue;
+use hickory_policy::queue::{Ahead, Queue, Turn};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
@@ -44,6 +44,7 @@
 struct Waiting {
     asker: Asker,
     request: Request,
+    turn: Turn,
     asked: Instant,
 }
 
@@ -83,11 +84,24 @@
         self.queues.iter().map(|(group, queue)| (group.clone(), queue.in_order())).collect()
     }
 
-    fn ahead(&self, group: &Group, ticket: &Ticket, read: Duration) -> Duration {
-        self.queues.get(group).map_or(Duration::ZERO, |queue| queue.ahead(ticket, read))
+    fn ahead(&self, group: &Group, ticket: &Ticket, turn: Turn) -> Ahead {
+        self.queues.get(group).map(|queue| queue.ahead(ticket, turn)).unwrap_or_default()
+    }
+
+    fn has_short_waiting(&self, group: &Group) -> bool {
+        self.queues.get(group).is_some_and(Queue::has_short)
     }
 }
 
+/// The turn of a request at the owner of its group; none where it doesn't wait.
+fn read_turn(snapshot: &Snapshot, request: &Request, asked: Instant) -> Option<Turn> {
+    let (profile, prompt) = snapshot.profile(&request.service).zip(request.prompt)?;
+    Some(match plan::is_short(profile, prompt.tokens, request.goal) {
+        true => Turn::Short(asked + request.goal_left),
+        false => Turn::Long(profile.read_time(prompt.tokens)),
+    })
+}
+
 /// Takes a request for a place. A node that doesn't know the service says nothing,
 /// and the asker goes on to another one.
 pub(crate) fn take_ask<D: Dialect, S: Store, C: Clock>(
@@ -103,21 +117,18 @@
     }
     let scope = Scope::Group(request.group);
     let Some(snapshot) = Snapshot::open(core, now, &request.service, scope) else { return };
-    let read =
-        snapshot.profile(&request.service).zip(request.prompt).and_then(|(profile, prompt)| {
-            let is_short = plan::is_short(profile, prompt.tokens, request.goal);
-            (!is_short).then(|| profile.read_time(prompt.tokens))
-        });
-    let Some(read) = read else {
-        if let Verdict::Answered(answer) = snapshot.decide(&request, Duration::ZERO) {
-            settle(core, now, &asker, answer);
-        }
-        return;
-    };
     let group = request.group();
-    let waiting = Waiting { asker: asker.clone(), request, asked: now };
+    let turn = read_turn(&snapshot, &request, now);
+    let is_long = matches!(turn, Some(Turn::Long(_)));
+    let is_next = !is_long && !core.owner().has_short_waiting(&group);
+    if is_next && let Verdict::Answered(answer) = snapshot.decide(&request, Ahead::default()) {
+        settle(core, now, &asker, answer);
+        return;
+    }
+    let Some(turn) = turn else { return };
+    let waiting = Waiting { asker: asker.clone(), request, turn, asked: now };
     let mut owner = core.owner();
-    owner.queues.entry(group).or_default().put(now, asker.ticket.clone(), read, waiting);
+    owner.queues.entry(group).or_default().put(now, asker.ticket.clone(), turn, waiting);
     drop(owner);
     serve_queues(core, Some(&asker.ticket));
     core.queue_due.notify_one();
@@ -139,7 +150,8 @@
 }
 
 /// Lets all prompts that wait choose in turn; the time after which one may have
-/// more luck. The asker of `newest` is told if it goes on waiting.
+/// more luck. The asker of `newest` is told if it goes on waiting. Where one short
+/// prompt finds no slot, those behind it would find none either.
 fn serve_queues<D: Dialect, S: Store, C: Clock>(
     core: &Arc<Core<D, S, C>>,
     newest: Option<&Ticket>,
@@ -150,16 +162,21 @@
     for (group, entries) in queues {
         let open = || Snapshot::open(core, now, &group.service, Scope::Group(group.index));
         let mut snapshot = open();
+        let mut is_full = false;
         for (ticket, waiting) in entries {
             let Some(seen) = &snapshot else { break };
+            let is_short = matches!(waiting.turn, Turn::Short(_));
+            let is_newest = newest == Some(&ticket);
+            if is_short && is_full && !is_newest {
+                continue;
+            }
             let request = waiting.request.aged(now.saturating_duration_since(waiting.asked));
-            let profile = seen.profile(&request.service);
-            let read = profile.zip(request.prompt).map(|(p, prompt)| p.read_time(prompt.tokens));
-            let ahead = core.owner().ahead(&group, &ticket, read.unwrap_or_default());
+            let ahead = core.owner().ahead(&group, &ticket, waiting.turn);
             match seen.decide(&request, ahead) {
                 Verdict::Wait(time, survey) => {
+                    is_full |= is_short;
                     next = next.min(time);
-                    if newest == Some(&ticket) {
+                    if is_newest {
                         tell(core, &waiting.asker, Answer::Queued(survey));
                     }
                 }
@@ -177,7 +194,7 @@
     next
 }
 
-/// Ledger what was decided, and tells the asker.
+/// Enters a decision in the ledger, and tells the asker.
 fn settle<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     now: Instant,
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -72,7 +72,7 @@
         })
     }
 
-    /// Ledger it here, and tells those who decide on its group.
+    /// Enters it in the ledger, and tells those who decide on its group.
     pub(crate) fn book(&self) {
         self.core.ledger().place(self.core.now(), self.number, self.allocation.clone());
         self.tell(&Event::Placed(self.number, self.allocation.clone()));
--- a/crates/path/src/placement.rs
+++ b/crates/path/src/placement.rs
@@ -9,6 +9,7 @@
 use crate::view::{Tag, Target, View};
 use hickory_policy::engine::Profile;
 use hickory_policy::plan::{self, Choice, Load, Plan, Query, Refused};
+use hickory_policy::queue::Ahead;
 use hickory_policy::replica::{self, Candidate};
 use hickory_policy::survey::Survey;
 use hickory_store::store::Store;
@@ -166,8 +167,8 @@
         self.configuration.engine_of(service)
     }
 
-    /// Chooses for a request behind others that take one engine `ahead` to read.
-    pub(crate) fn decide(&self, request: &Request, ahead: Duration) -> Verdict {
+    /// Chooses for a request behind those ahead of it.
+    pub(crate) fn decide(&self, request: &Request, ahead: Ahead) -> Verdict {
         let places = self.find_places(request);
         let load = |&place: &usize| {
             let near = self.targets[place].entry.zone == request.zone;
@@ -179,7 +180,7 @@
                 self.place_prompt(request, profile, prompt, &places, &loads, ahead)
             }
             (profile, _) => {
-                let survey = Survey::read(profile, &loads, Duration::ZERO);
+                let survey = Survey::read(profile, &loads, Ahead::default());
                 self.place_plain(request, &places, &loads, survey)
             }
         }
@@ -200,7 +201,7 @@
         prompt: Prompt,
         places: &[usize],
         loads: &[Load],
-        ahead: Duration,
+        ahead: Ahead,
     ) -> Verdict {
         let survey = Survey::read(Some(profile), loads, ahead);
         let query = Query {
@@ -210,6 +211,7 @@
             goal: request.goal_left,
             limit: request.limit_left,
             ahead,
+            usual: self.usual.unwrap_or_else(|| profile.stream_time(profile.slots)),
         };
         match plan::choose_engines(&query, profile, loads) {
             Ok(Choice::Go(plan)) => self.grant(request, &query, &plan, places, survey),
@@ -268,7 +270,8 @@
             short: false,
             goal: request.goal_left,
             limit: request.limit_left,
-            ahead: Duration::ZERO,
+            ahead: Ahead::default(),
+            usual,
         };
         let plan = Plan {
             first,
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -2,7 +2,8 @@
 //!
 //! Short prompts are packed on few engines while they are predicted to be in time
 //! and no pass grows longer than the streams there bear; a pass with all slots in
-//! use takes little more than one with a single stream. Long prompts are split over
+//! use takes little more than one with a single stream. Where all slots are taken,
+//! a short prompt waits for one that comes free in time. Long prompts are split over
 //! the engines that are left, in parts that no stream there feels. Engines read the
 //! parts that others ask them for newest first, so a long prompt waits until enough
 //! engines are idle, and no engine has two parts to choose from.
@@ -12,6 +13,7 @@
 //! event.
 
 use crate::engine::Profile;
+use crate::queue::Ahead;
 use hickory_unit::size::Tokens;
 use std::time::Duration;
 
@@ -27,8 +29,8 @@
 const URGENT_GOAL: Duration = Duration::from_millis(600);
 
 /// The part of the goal within which a short prompt's first token must be
-/// predicted on an engine for it to be packed there. The rest is for what
-/// predictions are off.
+/// predicted for it to be packed on an engine, or to wait for a slot. The rest is
+/// for what predictions are off.
 const PACK_AIM: f64 = 0.7;
 
 /// The part of an engine's slots that short streams are packed into. With fewer,
@@ -128,9 +130,10 @@
     pub goal: Duration,
     /// The time after which it is of no use.
     pub limit: Duration,
-    /// What is to be read of prompts that wait and come before it, by the time
-    /// that one engine takes.
-    pub ahead: Duration,
+    /// What waits and comes before it.
+    pub ahead: Ahead,
+    /// How long a short stream usually takes from its placement to its end.
+    pub usual: Duration,
 }
 
 /// Where a prompt is read; engines by their place in the list of loads.
@@ -261,7 +264,7 @@
         let fitting = || (0..self.loads.len()).filter(fits);
         let packed = fitting().filter(packs).min_by_key(|&engine| self.loads[engine].preference);
         let chosen = packed.or_else(|| fitting().min_by_key(rank));
-        let first = chosen.ok_or_else(|| Refused::Busy(self.estimate_relief()))?;
+        let Some(first) = chosen else { return self.wait_for_slot() };
         let first_token = self.first_token(first, self.read);
         if first_token >= self.query.limit {
             return Err(Refused::Busy(first_token.saturating_sub(self.query.limit)));
@@ -275,6 +278,28 @@
         }))
     }
 
+    /// Waits for a slot that is expected to come free in time. A prompt that can't
+    /// be in time would make all behind it late as well.
+    fn wait_for_slot(&self) -> Result<Choice, Refused> {
+        let wait = self.estimate_slot_wait();
+        let passes: Duration = (0..self.loads.len()).map(|engine| self.pass(engine)).sum();
+        // A slot comes free as a pass ends, and the next one begins before the prompt
+        // is there.
+        let pass = passes / self.loads.len() as u32;
+        let first_token = wait + pass + self.read + pass + REACH;
+        match first_token <= self.query.goal.mul_f64(PACK_AIM) {
+            true => Ok(Choice::Wait(LOOK)),
+            false => Err(Refused::Busy(wait)),
+        }
+    }
+
+    /// Time until enough slots are free for this prompt and the short ones before
+    /// it. Streams that began one by one end one by one.
+    fn estimate_slot_wait(&self) -> Duration {
+        let running: u32 = self.loads.iter().map(|load| load.requests).sum();
+        self.query.usual * (self.query.ahead.short + 1) / running.max(1)
+    }
+
     /// Splits a long prompt over idle engines, once there are enough of them.
     /// What can't be in time is read only while half of the engines have
     /// nothing else to do, and refused otherwise: waiting would not help it,
@@ -321,7 +346,7 @@
     /// this prompt, evenly spread.
     fn estimate_wait(&self, engines: &[usize]) -> Duration {
         let placed: Duration = engines.iter().map(|&engine| self.loads[engine].backlog).sum();
-        (placed + self.query.ahead) / engines.len().max(1) as u32
+        (placed + self.query.ahead.read) / engines.len().max(1) as u32
     }
 
     /// Splits over as few idle engines as make the parts small; over most of
@@ -422,12 +447,4 @@
         }
         None
     }
-
-    /// When room is likely: after one usual answer on the engine that is
-    /// nearest to its end, spread over the slots.
-    fn estimate_relief(&self) -> Duration {
-        let steps = self.profile.usual_answer.0 as u32;
-        let least = self.loads.iter().map(|load| load.backlog).min().unwrap_or_default();
-        least + self.profile.step * steps / self.profile.slots.max(1)
-    }
 }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,8 +1,9 @@
 //! Prompts that wait for engines, and the order in which they choose.
 //!
-//! Load pattern: long prompts come faster than engines become idle. The smallest
-//! chooses first, since it needs the fewest engines for the least time; a larger
-//! one takes what is left. One that is no longer asked for is dropped.
+//! Load pattern: prompts come faster than engines have room for them. Short prompts
+//! need a slot each and choose first, the earliest due before the others. Of the long
+//! ones the smallest chooses first, since it needs the fewest engines for the least
+//! time; a larger one takes what is left. One that is no longer asked for is dropped.
 
 use std::time::{Duration, Instant};
 
@@ -13,11 +14,29 @@
 /// Prompts that wait at most; the rest is refused.
 const LENGTH_MOST: usize = 1_024;
 
+/// A prompt's turn among those that wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Turn {
+    /// A short prompt, by the time at which its first token is due.
+    Short(Instant),
+    /// A long prompt, by the time that one engine takes to read it.
+    Long(Duration),
+}
+
+/// What waits before a prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ahead {
+    /// Long prompts, by the time that one engine takes to read them.
+    pub read: Duration,
+    /// Short prompts, each of which needs a slot.
+    pub short: u32,
+}
+
 /// A prompt that waits.
 #[derive(Clone, Debug)]
 struct Entry<K, T> {
     key: K,
-    read: Duration,
+    turn: Turn,
     since: Instant,
     asked: Instant,
     item: T,
@@ -26,7 +45,7 @@
 /// Prompts that wait.
 #[derive(Clone, Debug)]
 pub struct Queue<K, T> {
-    /// The smallest first; of the same size the one that came first.
+    /// By their turns; of the same turn the one that came first.
     entries: Vec<Entry<K, T>>,
 }
 
@@ -37,9 +56,9 @@
 }
 
 impl<K: Clone + PartialEq, T: Clone> Queue<K, T> {
-    /// Puts a prompt into the queue that takes one engine `read` to read, or takes
-    /// anew what is asked for again. Whether there was room.
-    pub fn put(&mut self, now: Instant, key: K, read: Duration, item: T) -> bool {
+    /// Puts a prompt into the queue, or takes anew what is asked for again. Whether
+    /// there was room.
+    pub fn put(&mut self, now: Instant, key: K, turn: Turn, item: T) -> bool {
         if let Some(entry) = self.entries.iter_mut().find(|entry| entry.key == key) {
             entry.asked = now;
             entry.item = item;
@@ -48,8 +67,8 @@
         if self.entries.len() >= LENGTH_MOST {
             return false;
         }
-        let at = self.entries.partition_point(|entry| entry.read <= read);
-        self.entries.insert(at, Entry { key, read, since: now, asked: now, item });
+        let at = self.entries.partition_point(|entry| entry.turn <= turn);
+        self.entries.insert(at, Entry { key, turn, since: now, asked: now, item });
         true
     }
 
@@ -65,11 +84,19 @@
         self.entries.retain(|entry| now.saturating_duration_since(entry.asked) < KEPT);
     }
 
-    /// What is to be read of prompts that choose before one that takes `read`, by
-    /// the time that one engine takes.
-    pub fn ahead(&self, key: &K, read: Duration) -> Duration {
-        let before = self.entries.iter().take_while(|entry| entry.read < read);
-        before.filter(|entry| entry.key != *key).map(|entry| entry.read).sum()
+    /// What chooses before a prompt with this turn.
+    pub fn ahead(&self, key: &K, turn: Turn) -> Ahead {
+        let before = self.entries.iter().take_while(|entry| entry.turn < turn);
+        let others = before.filter(|entry| entry.key != *key);
+        others.fold(Ahead::default(), |ahead, entry| match entry.turn {
+            Turn::Short(_) => Ahead { short: ahead.short + 1, ..ahead },
+            Turn::Long(read) => Ahead { read: ahead.read + read, ..ahead },
+        })
+    }
+
+    /// Whether a short prompt waits.
+    pub fn has_short(&self) -> bool {
+        self.entries.first().is_some_and(|entry| matches!(entry.turn, Turn::Short(_)))
     }
 
     /// The prompts in the order in which they choose.
--- a/crates/policy/src/survey.rs
+++ b/crates/policy/src/survey.rs
@@ -2,6 +2,7 @@
 
 use crate::engine::Profile;
 use crate::plan::{IDLE, Load};
+use crate::queue::Ahead;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -20,13 +21,16 @@
     pub penalized: u32,
     /// What all of them have still to read, added up.
     pub unread: Duration,
-    /// What waits and comes first, by the time that one engine takes to read it.
+    /// Long prompts that wait and come first, by the time that one engine takes to
+    /// read them.
     pub ahead: Duration,
+    /// Short prompts that wait and come first.
+    pub ahead_short: u32,
 }
 
 impl Survey {
     /// Counts the engines that a prompt meets behind others that wait.
-    pub fn read(profile: Option<&Profile>, loads: &[Load], ahead: Duration) -> Self {
+    pub fn read(profile: Option<&Profile>, loads: &[Load], ahead: Ahead) -> Self {
         let slots = profile.map_or(u32::MAX, |profile| profile.slots);
         let count =
             |is: fn(&Load, u32) -> bool| loads.iter().filter(|load| is(load, slots)).count() as u32;
@@ -37,7 +41,8 @@
             clear: count(|load, _| load.short == 0),
             penalized: count(|load, _| !load.penalty.is_zero()),
             unread: loads.iter().map(|load| load.backlog).sum(),
-            ahead,
+            ahead: ahead.read,
+            ahead_short: ahead.short,
         }
     }
 }
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -8,10 +8,11 @@
 
 use engines::Request;
 use hickory_policy::plan::{self, Choice, Load, Plan, Query, Refused};
+use hickory_policy::queue::Ahead;
 use hickory_unit::size::Tokens;
-use phases::{ADVICE, alternate, arrive};
+use phases::{ADVICE, Phase, alternate, arrive};
 use profile::profile;
-use replay::{Chooser, Scene, choose, choose_least};
+use replay::{Chooser, Scene, choose, choose_least, choose_refusing};
 use std::time::Duration;
 
 fn ms(ms: u64) -> Duration {
@@ -79,7 +80,8 @@
         short: true,
         goal: ms(300),
         limit: ms(2_000),
-        ahead: Duration::ZERO,
+        ahead: Ahead::default(),
+        usual: ms(2_000),
     }
 }
 
@@ -195,7 +197,7 @@
 #[test]
 fn what_cannot_be_in_time_is_refused_with_a_time() {
     let loads: Vec<Load> = (0..16).map(|_| load(2_000, 0)).collect();
-    let query = Query { ahead: ms(40_000), ..long_query(300_000) };
+    let query = Query { ahead: Ahead { read: ms(40_000), short: 0 }, ..long_query(300_000) };
     match plan::choose_engines(&query, &profile(), &loads) {
         Err(Refused::Busy(time)) => assert!(time >= ms(4_000), "{time:?}"),
         other => panic!("{other:?}"),
@@ -217,3 +219,40 @@
     let choice = plan::choose_engines(&long_query(700_000), &profile(), &loads);
     assert_eq!(choice, Err(Refused::TooLong));
 }
+
+/// Guards against short prompts that are refused in the moment in which all slots are
+/// taken, though one comes free every few milliseconds.
+#[test]
+fn short_prompts_wait_for_slots_that_come_free() {
+    const SEEDS: u32 = 6;
+    for load in [0.7, 0.9, 1.1] {
+        let phases = [Phase { begin: 0.0, end: 25.0, factors: [load, 0.0, 0.0] }];
+        let [waiting, refusing] = [choose as Chooser, choose_refusing].map(|chooser| {
+            let (mut in_time, mut refused) = (0.0, 0);
+            for seed in 1..=u64::from(SEEDS) {
+                let requests = arrive(&ADVICE, &phases, seed);
+                let outcome = replay::play(&Scene::new(4), &profile(), requests, chooser);
+                in_time += outcome.in_time()[0] / f64::from(SEEDS);
+                refused += outcome.requests.iter().filter(|request| request.refused).count();
+            }
+            (in_time, refused)
+        });
+        println!("load {load}: waiting {waiting:.3?}, refusing {refusing:.3?}");
+        assert!(waiting.0 > refusing.0, "in time at load {load}: {waiting:?}, {refusing:?}");
+        assert!(waiting.1 < refusing.1, "refused at load {load}: {waiting:?}, {refusing:?}");
+    }
+}
+
+#[test]
+fn a_short_prompt_waits_only_for_a_slot_that_comes_in_time() {
+    let full = || Load { begins: ms(30), requests: 16, ..load(0, 16) };
+    let loads: Vec<Load> = (0..4).map(|_| full()).collect();
+    let choose = |query: &Query| plan::choose_engines(query, &profile(), &loads);
+    let behind = |short| Query { ahead: Ahead { short, ..Ahead::default() }, ..short_query() };
+    assert!(matches!(choose(&behind(0)), Ok(Choice::Wait(_))));
+    let late = choose(&behind(30));
+    assert!(matches!(late, Err(Refused::Busy(_))), "{late:?}");
+    // What is left of its goal is less than its own turn takes.
+    let late = choose(&Query { goal: ms(100), ..behind(0) });
+    assert!(matches!(late, Err(Refused::Busy(_))), "{late:?}");
+}
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -1,6 +1,6 @@
 //! Prompts that wait for engines.
 
-use hickory_policy::queue::Queue;
+use hickory_policy::queue::{Ahead, Queue, Turn};
 use std::time::{Duration, Instant};
 
 fn ms(ms: u64) -> Duration {
@@ -16,22 +16,43 @@
 fn the_smallest_chooses_first() {
     let (mut queue, now) = (Queue::default(), Instant::now());
     for (key, read) in [("large", 900), ("small", 100), ("other", 400), ("later", 400)] {
-        assert!(queue.put(now, key, ms(read), 0));
+        assert!(queue.put(now, key, Turn::Long(ms(read)), 0));
     }
     assert_eq!(names(&queue), ["small", "other", "later", "large"]);
-    assert_eq!(queue.ahead(&"large", ms(900)), ms(900));
-    assert_eq!(queue.ahead(&"other", ms(400)), ms(100));
+    assert_eq!(queue.ahead(&"large", Turn::Long(ms(900))), Ahead { read: ms(900), short: 0 });
+    assert_eq!(queue.ahead(&"other", Turn::Long(ms(400))), Ahead { read: ms(100), short: 0 });
     assert_eq!(queue.remove(now + ms(30), &"small"), Some(ms(30)));
     assert_eq!(queue.remove(now, &"small"), None);
 }
 
+/// Guards against short prompts that wait behind long ones, and against large ones of
+/// them that wait behind those which came later.
+#[test]
+fn short_prompts_choose_first_by_their_due_time() {
+    let (mut queue, now) = (Queue::default(), Instant::now());
+    queue.put(now, "long", Turn::Long(ms(400)), 0);
+    for (key, due) in [("third", 290), ("first", 100), ("second", 200)] {
+        assert!(queue.put(now, key, Turn::Short(now + ms(due)), 0));
+    }
+    assert_eq!(names(&queue), ["first", "second", "third", "long"]);
+    let third = queue.ahead(&"third", Turn::Short(now + ms(290)));
+    assert_eq!(third, Ahead { read: Duration::ZERO, short: 2 });
+    let longer = queue.ahead(&"longer", Turn::Long(ms(500)));
+    assert_eq!(longer, Ahead { read: ms(400), short: 3 });
+    assert!(queue.has_short());
+    for key in ["first", "second", "third"] {
+        queue.remove(now, &key);
+    }
+    assert!(!queue.has_short());
+}
+
 /// Guards against prompts that wait for ever for callers who are gone.
 #[test]
 fn what_is_not_asked_for_again_is_dropped() {
     let (mut queue, now) = (Queue::default(), Instant::now());
-    queue.put(now, "left", ms(100), 1);
-    queue.put(now, "kept", ms(200), 1);
-    queue.put(now + ms(800), "kept", ms(200), 2);
+    queue.put(now, "left", Turn::Long(ms(100)), 1);
+    queue.put(now, "kept", Turn::Long(ms(200)), 1);
+    queue.put(now + ms(800), "kept", Turn::Long(ms(200)), 2);
     queue.expire(now + ms(1_100));
     assert_eq!(queue.in_order(), [("kept", 2)]);
     assert_eq!(queue.len(), 1);
@@ -41,7 +62,7 @@
 #[test]
 fn a_full_queue_takes_no_more() {
     let (mut queue, now) = (Queue::default(), Instant::now());
-    let taken = (0..5_000).filter(|key| queue.put(now, *key, ms(100), ())).count();
+    let taken = (0..5_000).filter(|key| queue.put(now, *key, Turn::Long(ms(100)), ())).count();
     assert!((100..5_000).contains(&taken), "{taken}");
-    assert!(queue.put(now, 0, ms(100), ()), "what waits already is asked for again");
+    assert!(queue.put(now, 0, Turn::Long(ms(100)), ()), "what waits already is asked for again");
 }
--- a/crates/policy/tests/replay/mod.rs
+++ b/crates/policy/tests/replay/mod.rs
@@ -5,6 +5,8 @@
 use crate::phases::{self, Mix};
 use hickory_policy::engine::Profile;
 use hickory_policy::plan::{self, Choice, Plan, Query, Refused};
+use hickory_policy::queue::Ahead;
+use hickory_unit::size::Tokens;
 use std::time::Duration;
 
 /// Between two looks of prompts that wait.
@@ -84,14 +86,20 @@
     Outcome { requests: fleet.requests }
 }
 
-/// Requests that wait, the smallest first.
+/// Requests that wait: the short ones as they came, then the smallest first.
 fn waiting(fleet: &Fleet, now: Duration) -> Vec<usize> {
     let waits = |&request: &usize| {
         let r = &fleet.requests[request];
         r.arrival <= now && r.placed.is_none() && !r.refused
     };
     let mut waiting: Vec<usize> = (0..fleet.requests.len()).filter(waits).collect();
-    waiting.sort_by_key(|&request| fleet.requests[request].prompt);
+    waiting.sort_by_key(|&request| {
+        let r = &fleet.requests[request];
+        match plan::is_short(&fleet.profile, r.prompt, r.goal) {
+            true => (false, r.arrival, Tokens(0)),
+            false => (true, Duration::ZERO, r.prompt),
+        }
+    });
     waiting
 }
 
@@ -103,14 +111,34 @@
         .requests
         .iter()
         .filter(|other| other.arrival <= now && other.placed.is_none() && !other.refused);
-    let reads = waiting.map(|other| fleet.profile.read_time(other.prompt));
+    let is_short = |r: &Request| plan::is_short(&fleet.profile, r.prompt, r.goal);
+    let (short, long): (Vec<&Request>, Vec<&Request>) = waiting.partition(|other| is_short(other));
+    let reads = long.iter().map(|other| fleet.profile.read_time(other.prompt));
+    let before = short.iter().filter(|other| other.arrival < r.arrival);
     Query {
         prompt: r.prompt,
         answer: r.answer,
-        short: plan::is_short(&fleet.profile, r.prompt, r.goal),
+        short: is_short(r),
         goal: (r.arrival + r.goal).saturating_sub(now),
         limit: (r.arrival + r.goal * 4).saturating_sub(now),
-        ahead: reads.filter(|other| *other < read).sum(),
+        ahead: Ahead {
+            read: reads.filter(|other| *other < read).sum(),
+            short: before.count() as u32,
+        },
+        usual: usual_stream(fleet),
+    }
+}
+
+/// What short streams took that ended last.
+fn usual_stream(fleet: &Fleet) -> Duration {
+    const LAST: usize = 16;
+    let ended =
+        fleet.requests.iter().rev().filter(|r| r.done && r.gap < Duration::from_millis(500));
+    let times = ended.filter_map(|r| r.last.checked_sub(r.placed_at?)).take(LAST);
+    let times: Vec<Duration> = times.collect();
+    match times.len() {
+        0 => fleet.profile.stream_time(fleet.profile.slots),
+        count => times.iter().sum::<Duration>() / count as u32,
     }
 }
 
@@ -119,6 +147,15 @@
     plan::choose_engines(&query(fleet, request, now), &fleet.profile, &fleet.loads(now))
 }
 
+/// The same, where short prompts that find no slot are refused.
+pub fn choose_refusing(fleet: &Fleet, request: usize, now: Duration) -> Result<Choice, Refused> {
+    let query = query(fleet, request, now);
+    match plan::choose_engines(&query, &fleet.profile, &fleet.loads(now)) {
+        Ok(Choice::Wait(time)) if query.short => Err(Refused::Busy(time)),
+        choice => choice,
+    }
+}
+
 /// Each prompt whole to the engine with the least to read.
 pub fn choose_least(fleet: &Fleet, request: usize, now: Duration) -> Result<Choice, Refused> {
     let loads = fleet.loads(now);
--- a/crates/policy/tests/survey.rs
+++ b/crates/policy/tests/survey.rs
@@ -1,6 +1,7 @@
 //! What logs say of the engines that a choice found.
 
 use hickory_policy::plan::Load;
+use hickory_policy::queue::Ahead;
 use hickory_policy::survey::Survey;
 use std::time::Duration;
 
@@ -21,7 +22,7 @@
     let full = Load { short: 16, requests: 16, backlog: ms(40), ..Load::default() };
     let penalized = Load { penalty: ms(300), ..Load::default() };
     let loads = [idle, reading, short, full, penalized];
-    let survey = Survey::read(Some(&profile::profile()), &loads, ms(700));
+    let survey = Survey::read(Some(&profile::profile()), &loads, Ahead { read: ms(700), short: 2 });
     let expected = Survey {
         engines: 5,
         full: 1,
@@ -30,6 +31,7 @@
         penalized: 1,
         unread: ms(440),
         ahead: ms(700),
+        ahead_short: 2,
     };
     assert_eq!(survey, expected);
 }
@@ -37,5 +39,5 @@
 #[test]
 fn replicas_of_plain_services_are_never_full_by_an_engine_s_slots() {
     let load = Load { requests: 40, ..Load::default() };
-    assert_eq!(Survey::read(None, &[load], Duration::ZERO).full, 0);
+    assert_eq!(Survey::read(None, &[load], Ahead::default()).full, 0);
 }
