Requests wait for the first targets of a node that has just started

Cause: a node that has just started gets the configuration before the targets' entries. Until these came it gave grants of the owner back ("takes no work", three times in 10 ms) and refused with "no target takes work"; an owner without targets refused for others as well. A caller's only retry is gone with such a refusal.

Change: nothing is decided on an empty table. A node without targets holds requests for a quarter of their time, 800 ms at most, and an owner without targets says nothing, so that it is passed over. The first configuration is waited for likewise (400 ms before, whatever time the caller had).

Test: a node whose targets come 150 ms after its configuration serves what came between (503 before); without targets callers are told within their time.

--- a/crates/path/src/ask.rs
+++ b/crates/path/src/ask.rs
@@ -44,6 +44,15 @@
 /// Groups of a service that a request is tried in.
 const GROUPS_TRIED: u16 = 2;
 
+/// How long a request waits for the first targets of a node that has just started.
+const TARGETS_WAIT: Duration = Duration::from_millis(800);
+
+/// The part of its time that a request waits for them.
+const TARGETS_WAIT_PART: u32 = 4;
+
+/// Between two looks whether they are known.
+const TARGETS_LOOK: Duration = Duration::from_millis(5);
+
 /// What comes of asking.
 type Outcome<D, S, C> = Result<Place<D, S, C>, Unplaced>;
 
@@ -66,6 +75,7 @@
     run: &Run<D, S, C>,
     tried: &[Tag],
 ) -> Outcome<D, S, C> {
+    wait_targets(run).await;
     let groups = group::count_groups(run.core.view().targets_of(&run.service).len());
     let first = rand::random_range(0..groups);
     let mut unplaced = Unplaced { why: NoPlace::NoTarget, survey: Survey::default() };
@@ -79,6 +89,15 @@
     Err(unplaced)
 }
 
+/// Waits until this node knows any targets. One that has just started gets the
+/// configuration before them, and would refuse what it could serve a moment later.
+async fn wait_targets<D: Dialect, S: Store, C: Clock>(run: &Run<D, S, C>) {
+    let until = run.core.now() + TARGETS_WAIT.min(run.time_left() / TARGETS_WAIT_PART);
+    while !run.core.knows_targets() && run.core.now() < until {
+        tokio::time::sleep(TARGETS_LOOK).await;
+    }
+}
+
 impl<'a, D: Dialect, S: Store, C: Clock> Inquiry<'a, D, S, C> {
     fn open(run: &'a Run<D, S, C>, group: Group, tried: &[Tag]) -> Self {
         let number = run.core.ledger().next_number();
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -217,6 +217,12 @@
         *lock(&self.revisions)
     }
 
+    /// Whether any target's entry is known yet.
+    pub(crate) fn knows_targets(&self) -> bool {
+        let (_, targets) = self.revisions();
+        targets > Revision::default()
+    }
+
     fn note_configuration(&self, view: &View, waited: Option<Duration>) {
         self.metrics.configuration(id::Release(view.version()));
         self.metrics.configuration_delayed(waited.unwrap_or_default());
--- a/crates/path/src/placement.rs
+++ b/crates/path/src/placement.rs
@@ -143,13 +143,17 @@
 }
 
 impl Snapshot {
-    /// What is known of a service's targets; `None` where the service is not known.
+    /// What is known of a service's targets; `None` where the service is not known,
+    /// or no target of any service yet.
     pub(crate) fn open<D: Dialect, S: Store, C: Clock>(
         core: &Core<D, S, C>,
         now: Instant,
         service: &id::Service,
         scope: Scope,
     ) -> Option<Self> {
+        if !core.knows_targets() {
+            return None;
+        }
         let view = core.view();
         let configuration = view.configuration.clone()?;
         let cold_rate = configuration.services.get(service)?.cold_rate;
--- a/crates/path/src/serve.rs
+++ b/crates/path/src/serve.rs
@@ -20,10 +20,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// How long a request waits for the first configuration of a node that has
-/// just started: some times what the store takes to give it.
-const START_WAIT: Duration = Duration::from_millis(400);
-
 /// Between two looks whether the first configuration is there.
 const START_LOOK: Duration = Duration::from_millis(10);
 
@@ -31,9 +27,12 @@
 /// store. Outages last seconds, and callers come back only once or twice.
 const NOT_READY_RETRY: Duration = Duration::from_secs(2);
 
-/// How long a request waits for a newer configuration that the node has heard
-/// of: large ones take about a second. Less where its caller has less time.
-const BEHIND_WAIT: Duration = Duration::from_millis(800);
+/// How long a request waits for a configuration that the node does not have yet:
+/// callers take a request that is not read within a second for lost.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(800);
+
+/// The part of its time that a request waits for a configuration.
+const CONFIGURATION_WAIT_PART: u32 = 4;
 
 /// Between two looks whether it has come.
 const BEHIND_LOOK: Duration = Duration::from_millis(25);
@@ -81,10 +80,12 @@
     arrived: Instant,
     request: Request<Incoming>,
 ) -> Result<Job, Refusal> {
-    let configuration = wait_configuration(core, arrived).await?;
     let (parts, body) = request.into_parts();
     let demand = D::read_demand(&parts)
-        .map_err(|finding| Refusal::new(Reason::BadHeader, finding.to_string()))?;
+        .map_err(|finding| Refusal::new(Reason::BadHeader, finding.to_string()));
+    let patience = configuration_patience(demand.as_ref().ok());
+    let configuration = wait_configuration(core, arrived, patience).await?;
+    let demand = demand?;
     let entitled = wait_entitled(core, arrived, configuration, parts.uri.path(), &demand).await?;
     let Entitled { configuration, route, account } = entitled;
     // A stream that begins this late would be cut by the stop; its caller is
@@ -120,7 +121,7 @@
     path: &str,
     demand: &Demand,
 ) -> Result<Entitled, Refusal> {
-    let patience = demand.time_left.map_or(BEHIND_WAIT, |time| BEHIND_WAIT.min(time / 4));
+    let patience = configuration_patience(Some(demand));
     loop {
         let refusal = match find_entitled(&configuration, path, demand) {
             Ok(entitled) => return Ok(entitled),
@@ -162,17 +163,24 @@
     refusal
 }
 
+/// How long a request waits for a configuration.
+fn configuration_patience(demand: Option<&Demand>) -> Duration {
+    let time = demand.and_then(|demand| demand.time_left);
+    time.map_or(CONFIGURATION_WAIT, |time| CONFIGURATION_WAIT.min(time / CONFIGURATION_WAIT_PART))
+}
+
 /// The configuration in force; the first one is waited for a little.
 async fn wait_configuration<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     arrived: Instant,
+    patience: Duration,
 ) -> Result<Arc<Configuration>, Refusal> {
     loop {
         if let Some(configuration) = core.view().configuration.clone() {
             return Ok(configuration);
         }
         let waited = core.now().saturating_duration_since(arrived);
-        if core.is_store_away() || waited > START_WAIT {
+        if core.is_store_away() || waited > patience {
             let refusal = Refusal::new(Reason::NotReady, "no configuration yet");
             return Err(refusal.after(NOT_READY_RETRY));
         }
