A store that is down is not called by all nodes in turn

Cause: a node that the store turned away left the watch to the next three by rank, forgot a second later that it had been turned away, and came next again.

Change: who takes over from those that were turned away waits half a second first, doubled for each further three nodes, four seconds at most; one node that is cut off alone is replaced at once as before. A node that was turned away remembers it for two seconds.

--- a/crates/path/src/sync.rs
+++ b/crates/path/src/sync.rs
@@ -3,7 +3,7 @@
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
 use crate::outage::Outage;
-use crate::watcher::{Candidate, leads, watches};
+use crate::watcher::{Candidate, leads, takeover_delay, watches};
 use hickory_state::follow::{self, Follower};
 use hickory_state::member::{self, Info, Member};
 use hickory_store::store::{Entry, Store};
@@ -11,7 +11,7 @@
 use hickory_unit::id;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time to live of the registration by which nodes find each other at the
 /// start; that a node is alive is told by its datagrams.
@@ -62,6 +62,10 @@
 /// Between two looks for registered nodes while no node is heard.
 const FIND: Duration = Duration::from_secs(2);
 
+/// How long a node that left the watch to others counts the store as out of its reach,
+/// after it was turned away. Longer than others need to find it away as well.
+const AWAY_KEPT: Duration = Duration::from_secs(2);
+
 /// Starts following the store.
 pub(crate) fn spawn<D: Dialect, S: Store, C: Clock>(core: &Arc<Core<D, S, C>>) {
     for prefix in [D::OPERATOR_PREFIX, D::TARGET_PREFIX] {
@@ -123,36 +127,55 @@
 ) {
     let first = core.settings.first_start;
     tokio::time::sleep(if first { FIRST_START } else { FIRST_HEARD }).await;
+    let mut left: Option<Instant> = None;
     while core.stage() != Stage::Closed {
-        if is_watcher(&core) {
+        if takes_over(&core).await {
             tokio::select! {
                 () = follow_store(core.clone(), prefix) => {}
                 () = until_relieved(&core) => {}
                 () = keep_registered(&core) => {}
             }
-            // What is not watched is not known to be away.
+            left = Some(core.now());
+        }
+        // What is not watched is not known to be away.
+        if left.is_some_and(|at| core.now().saturating_duration_since(at) > AWAY_KEPT) {
             core.note_store(true);
+            left = None;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Whether it is this node's turn to watch, and still is once those before it had
+/// time to reach the store.
+async fn takes_over<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> bool {
+    let began = core.now();
+    while is_watcher(core) {
+        let delay = with_candidates(core, takeover_delay);
+        if core.now().saturating_duration_since(began) >= delay {
+            return true;
         }
         tokio::time::sleep(LOOK).await;
     }
+    false
 }
 
 pub(crate) fn is_watcher<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> bool {
-    has_part(core, watches)
+    with_candidates(core, watches)
 }
 
-/// Whether this node has a part in watching, of all that are heard.
-fn has_part<D: Dialect, S: Store, C: Clock>(
+/// What a decision about watching says of this node, among all that are heard.
+fn with_candidates<D: Dialect, S: Store, C: Clock, T>(
     core: &Core<D, S, C>,
-    part: fn(&id::Node, &[Candidate<'_>]) -> bool,
-) -> bool {
+    decide: fn(&id::Node, &[Candidate<'_>]) -> T,
+) -> T {
     let me = &core.settings.node;
     let own = Candidate { node: me, store_away: core.is_store_away() };
     let membership = core.membership();
     let peers = membership.alive();
     let peers = peers.map(|r| Candidate { node: &r.node, store_away: r.contact.store_away });
     let nodes: Vec<Candidate<'_>> = peers.chain([own]).collect();
-    part(me, &nodes)
+    decide(me, &nodes)
 }
 
 /// Waits until others have had to watch for a while. A node that has just
@@ -187,7 +210,7 @@
         };
         core.note_store(answered);
         if prefix == D::TARGET_PREFIX {
-            let leads = has_part(&core, leads);
+            let leads = with_candidates(&core, leads);
             follower.set_spread(if leads { WATCH_SPREAD } else { FOLLOWING_SPREAD });
         }
         if step.changed {
--- a/crates/path/src/watcher.rs
+++ b/crates/path/src/watcher.rs
@@ -7,11 +7,20 @@
 
 use hickory_state::rank::rank_nodes;
 use hickory_unit::id;
+use std::time::Duration;
 
 /// Nodes that watch: one that dies is missed for a second, and two at once are
 /// to be borne.
 const WATCHERS: usize = 3;
 
+/// How long nodes leave the watch to those that the store turned away, doubled for
+/// each further [`WATCHERS`] of these.
+const TAKEOVER_FIRST: Duration = Duration::from_millis(500);
+
+/// Doublings of that at most: a store that is back for some nodes only is found again
+/// within seconds.
+const TAKEOVER_DOUBLINGS: u32 = 3;
+
 /// A node as far as watching goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate<'a> {
@@ -29,6 +38,20 @@
         || is_among_first(me, reaching.map(|candidate| candidate.node))
 }
 
+/// How long a node whose turn it became leaves the watch to the others, by how many of
+/// all nodes the store turned away. One that is down for all would else be called by
+/// all in turn.
+pub fn takeover_delay(me: &id::Node, nodes: &[Candidate<'_>]) -> Duration {
+    if is_among_first(me, nodes.iter().map(|candidate| candidate.node)) {
+        return Duration::ZERO;
+    }
+    let away = nodes.iter().filter(|candidate| candidate.store_away).count() / WATCHERS;
+    match away as u32 {
+        0 => Duration::ZERO,
+        rounds => TAKEOVER_FIRST * 2_u32.pow((rounds - 1).min(TAKEOVER_DOUBLINGS)),
+    }
+}
+
 /// Whether a node is the first of those that watch and reach the store. It hears
 /// of each change at once and tells the others, whose watches then only have to
 /// make up for it.
--- a/crates/path/tests/watcher.rs
+++ b/crates/path/tests/watcher.rs
@@ -1,7 +1,8 @@
 //! Which nodes watch the store.
 
-use hickory_path::watcher::{Candidate, leads, watches};
+use hickory_path::watcher::{Candidate, leads, takeover_delay, watches};
 use hickory_unit::id;
+use std::time::Duration;
 
 fn nodes(count: usize) -> Vec<id::Node> {
     (0..count).map(|number| format!("node-{number}").as_str().into()).collect()
@@ -34,6 +35,26 @@
     assert!(first.iter().all(|place| all.contains(place)));
 }
 
+/// Guards against a store that is down and is called by all nodes in turn.
+#[test]
+fn nodes_take_over_the_later_the_more_were_turned_away() {
+    let nodes = nodes(67);
+    let first = watching(&nodes, &[]);
+    let delay = |me: usize, away: &[usize]| {
+        let candidate =
+            |place: usize| Candidate { node: &nodes[place], store_away: away.contains(&place) };
+        let candidates: Vec<Candidate<'_>> = (0..nodes.len()).map(candidate).collect();
+        takeover_delay(&nodes[me], &candidates)
+    };
+    let other = (0..nodes.len()).find(|place| !first.contains(place)).unwrap();
+    assert_eq!(delay(other, &first[..1]), Duration::ZERO, "one node alone is cut off");
+    assert!(first.iter().all(|&place| delay(place, &first).is_zero()));
+    let rest: Vec<usize> = (0..nodes.len()).filter(|place| *place != other).collect();
+    let delays = [3, 6, 9, 30, 60].map(|away| delay(other, &rest[..away]));
+    assert!(delays.is_sorted() && delays[0] > Duration::ZERO, "{delays:?}");
+    assert!(delays[4] <= Duration::from_secs(5), "{delays:?}");
+}
+
 /// A node that is cut off from its peers hears nobody, and must watch itself.
 #[test]
 fn a_node_alone_watches() {
