--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -48,7 +48,10 @@
     ) -> Result<Self, Error> {
         let not_sent = |error: &dyn std::fmt::Display| Error::NotSent(error.to_string());
         let connect = tokio::time::timeout(timeout, TcpStream::connect(at));
-        let stream = connect.await.map_err(|e| not_sent(&e))?.map_err(|e| not_sent(&e))?;
+        let stream = connect.await.map_err(|e| not_sent(&e))?.map_err(|e| match e.kind() {
+            ErrorKind::ConnectionRefused => Error::Refused,
+            _ => not_sent(&e),
+        })?;
         let socket = stream.into_std().map_err(|e| not_sent(&e))?;
         socket.set_nodelay(true).map_err(|e| not_sent(&e))?;
         let options = socket2::SockRef::from(&socket);
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -25,6 +25,9 @@
 /// Why a call failed, by what the other end can have seen of it.
 #[derive(Clone, Debug, Display, PartialEq, Eq, derive_more::Error)]
 pub enum Error {
+    /// Nothing listens at the address.
+    #[display("not sent: connection refused")]
+    Refused,
     /// No byte of the call was written.
     #[display("not sent: {_0}")]
     #[error(ignore)]
--- a/crates/client/tests/exchange.rs
+++ b/crates/client/tests/exchange.rs
@@ -161,7 +161,7 @@
         let count = server.count(&key);
         match result {
             Ok(body) => assert_eq!((body.as_ref(), count), (key.as_bytes(), 1)),
-            Err(Error::NotSent(_)) => assert_eq!(count, 0),
+            Err(Error::Refused | Error::NotSent(_)) => assert_eq!(count, 0),
             Err(Error::Unknown(_)) => assert!(count <= 1, "{count}"),
         }
     }
@@ -250,6 +250,7 @@
                 assert_eq!((body.as_ref(), count), (key.as_bytes(), 1));
                 answered += 1;
             }
+            Err(Error::Refused) => assert_eq!(count, 0),
             Err(Error::NotSent(text)) => assert_eq!(count, 0, "{text}"),
             Err(Error::Unknown(text)) => assert!(count <= 1, "{count} {text}"),
         }
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -45,6 +45,9 @@
 /// Why an attempt brought no answer.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub(crate) enum Failure {
+    /// Nothing listens at the target.
+    #[display("not sent: connection refused")]
+    Down,
     /// No byte reached the target.
     #[display("not sent: {_0}")]
     NotSent(String),
@@ -76,7 +79,7 @@
     /// What it is counted as.
     pub(crate) fn reason(&self) -> Retry {
         match self {
-            Self::NotSent(_) | Self::NotReserved { .. } => Retry::NotSent,
+            Self::Down | Self::NotSent(_) | Self::NotReserved { .. } => Retry::NotSent,
             Self::NotRun { .. } => Retry::Refused,
             Self::Unknown(_) | Self::Spoiled(_) => Retry::TargetFailed,
             Self::Late | Self::Stalled => Retry::Stalled,
@@ -102,6 +105,7 @@
     let reuse = if terms.once { Reuse::Within(FRESH) } else { Reuse::Any };
     let sent = core.client.send(place.target.entry.address, request, reuse).await;
     let exchange = sent.map_err(|error| match error {
+        Error::Refused => Failure::Down,
         Error::NotSent(text) => Failure::NotSent(text),
         Error::Unknown(text) => Failure::Unknown(text),
     })?;
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -74,6 +74,8 @@
     Ended(Number),
     /// A target served or failed a request.
     Outcome { target: Tag, served: bool },
+    /// Nothing listens at a target.
+    Down(Tag),
     /// A target refused to read a part of a prompt for another one.
     Shut(Tag),
     /// A request was running when a target died.
@@ -258,6 +260,7 @@
             core.queue_due.notify_one();
         }
         Event::Outcome { target, served } => core.ejection().note(now, target, served),
+        Event::Down(target) => core.ejection().note_down(now, target),
         Event::Shut(target) => core.ejection().note_shut(now, target),
         Event::Suspect { fingerprint, deaths } => {
             let suspect = Suspect { fingerprint, deaths, age: Duration::ZERO };
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -115,6 +115,13 @@
         self.tell(&Event::Outcome { target, served });
     }
 
+    /// Notes that nothing listens at the target.
+    pub(crate) fn note_down(&self) {
+        let target = self.target.tag;
+        self.core.ejection().note_down(self.core.now(), target);
+        self.tell(&Event::Down(target));
+    }
+
     /// Notes that a target refused to read a part of the prompt.
     pub(crate) fn note_shut(&self, target: Tag) {
         self.core.ejection().note_shut(self.core.now(), target);
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -28,9 +28,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Targets that may turn out to be gone before the request reached any; they
-/// do not count as sendings.
-const UNSENT_MAX: u32 = 4;
+/// Targets that may say that they won't run a request, or engines that won't read
+/// parts of it, which does not count as sendings.
+const NOT_RUN_MAX: u32 = 4;
+
+/// Targets that may turn out to be gone before the request reached any. They cost it
+/// a few milliseconds each, and the targets of a whole zone may be gone together.
+const UNSENT_MAX: u32 = 24;
 
 /// When to come back after targets that say they are full.
 const FULL_RETRY: Duration = Duration::from_millis(150);
@@ -46,6 +50,7 @@
     /// Targets that were sent the request.
     pub(crate) sends: u32,
     unsent: u32,
+    not_run: u32,
     tried: Vec<Tag>,
     /// Whether it may have run.
     ran: bool,
@@ -92,6 +97,7 @@
         work,
         sends: 0,
         unsent: 0,
+        not_run: 0,
         tried: Vec::new(),
         ran: false,
         resume_after,
@@ -253,15 +259,20 @@
         let other = place.find_at_fault(&failure);
         match other {
             Some(tag) => self.note_shut(place, tag, &failure),
+            None if matches!(failure, Failure::Down) => {
+                place.note_down();
+                self.log_repeat(place, &failure.to_string());
+            }
             None => self.note_failure(place, &failure),
         }
         self.core.metrics.retried(failure.reason());
         match failure {
-            Failure::NotSent(detail) | Failure::NotReserved { detail, .. } => {
+            Failure::Down | Failure::NotSent(_) | Failure::NotReserved { .. } => {
                 self.sends -= 1;
                 self.unsent += 1;
                 if self.unsent > UNSENT_MAX {
-                    let refusal = Refusal::new(Reason::NoTarget, detail).after(NO_TARGET_RETRY);
+                    let refusal =
+                        Refusal::new(Reason::NoTarget, failure.to_string()).after(NO_TARGET_RETRY);
                     return Err(refusal.after_run(self.ran));
                 }
                 return Ok(());
@@ -270,9 +281,9 @@
                 // No target but the one at fault is known to be unable to run it.
                 let counts = status != StatusCode::MISDIRECTED_REQUEST && other.is_none();
                 self.sends -= u32::from(!counts);
-                self.unsent += 1;
+                self.not_run += 1;
                 if self.sends < self.job.route.targets_max
-                    && self.unsent <= UNSENT_MAX
+                    && self.not_run <= NOT_RUN_MAX
                     && self.spend()
                 {
                     return Ok(());
--- a/crates/policy/src/ejection.rs
+++ b/crates/policy/src/ejection.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Notes that nothing listens at a target: no chance brings that about.
+    pub fn note_down(&mut self, now: Instant, target: K) {
+        self.rates.insert(target, Rate { failures: 1.0, at: now });
+    }
+
     fn rate(&self, now: Instant, target: K) -> f64 {
         self.rates.get(&target).map_or(0.0, |rate| rate.now(now))
     }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -79,6 +79,7 @@
 impl From<hickory_client::Error> for Error {
     fn from(error: hickory_client::Error) -> Self {
         match error {
+            error @ hickory_client::Error::Refused => Self::NotDone(error.to_string()),
             hickory_client::Error::NotSent(text) => Self::NotDone(text),
             hickory_client::Error::Unknown(text) => Self::Unknown(text),
         }
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -105,6 +105,7 @@
 impl From<hickory_client::Error> for Error {
     fn from(error: hickory_client::Error) -> Self {
         match error {
+            error @ hickory_client::Error::Refused => Self::NotSent(error.to_string()),
             hickory_client::Error::NotSent(text) => Self::NotSent(text),
             hickory_client::Error::Unknown(text) => Self::Unknown(text),
         }
