A target that died is not among those that a request may run on

Cause: a stream that had been sent twice (its first answer lost) was given up when its second engine died, though a route's bound on targets does not count those that ended.

Change: what breaks off is looked at before it is decided on (a connection that is refused within 100 ms, as the look for requests that crash targets did on the side); one death a request does not count as a sending. A request that is quarantined by then ends.

--- a/crates/path/src/death.rs
+++ b/crates/path/src/death.rs
@@ -8,12 +8,11 @@
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use std::io::ErrorKind;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
 /// How long a look at a target's port may take, to tell a death from a cut.
-const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
+const LOOK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// What tells a request that crashes targets when it comes again: who sends
 /// it, where to, and what.
@@ -29,20 +28,19 @@
 /// Looks whether a target that broke off is dead, and if so notes the request
 /// as one that it died under. A connection that was merely cut says nothing
 /// against the request.
-pub(crate) fn look_for_death<D: Dialect, S: Store, C: Clock>(
-    core: &Arc<Core<D, S, C>>,
-    target: &Arc<Target>,
+pub(crate) async fn look_for_death<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    target: &Target,
     fingerprint: u64,
-) {
-    let (core, address) = (core.clone(), target.entry.address);
+) -> bool {
+    let address = target.entry.address;
     core.client.clear(address);
-    tokio::spawn(async move {
-        let looked = tokio::time::timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await;
-        let refused = matches!(&looked, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
-        if refused {
-            note_death(&core, core.now(), fingerprint);
-        }
-    });
+    let looked = tokio::time::timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await;
+    let is_dead = matches!(&looked, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
+    if is_dead {
+        note_death(core, core.now(), fingerprint);
+    }
+    is_dead
 }
 
 fn note_death<D: Dialect, S: Store, C: Clock>(
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -52,6 +52,8 @@
     unsent: u32,
     not_run: u32,
     tried: Vec<Tag>,
+    /// Whether a target died under it that does not count as a sending.
+    survived_death: bool,
     /// Whether it may have run.
     ran: bool,
     /// The last event that the caller has.
@@ -99,6 +101,7 @@
         unsent: 0,
         not_run: 0,
         tried: Vec::new(),
+        survived_death: false,
         ran: false,
         resume_after,
         first_event: None,
@@ -128,7 +131,7 @@
                     }
                     return self.deliver(exchange, keep, body, &place);
                 }
-                Err(failure) => self.settle(&place, failure)?,
+                Err(failure) => self.settle(&place, failure).await?,
             }
         }
     }
@@ -147,7 +150,7 @@
                 Ok(reservations) => reservations,
                 Err(failure) => {
                     self.sends += 1;
-                    self.settle(&place, failure)?;
+                    self.settle(&place, failure).await?;
                     continue;
                 }
             };
@@ -166,7 +169,7 @@
             let sent = attempt::send(&self.core, &self.job.message, &place, &terms);
             match self.wait_first(&place, sent).await {
                 Ok(opened) => return Ok((opened, place.with_reservations(reservations))),
-                Err(failure) => self.settle(&place, failure)?,
+                Err(failure) => self.settle(&place, failure).await?,
             }
         }
     }
@@ -251,7 +254,7 @@
     }
 
     /// Takes a failed attempt in: an error ends the request.
-    pub(crate) fn settle(
+    pub(crate) async fn settle(
         &mut self,
         place: &Place<D, S, C>,
         failure: Failure,
@@ -297,7 +300,7 @@
                 self.ran = true;
                 return Ok(());
             }
-            Failure::Unknown(_) => look_for_death(&self.core, &place.target, self.fingerprint),
+            Failure::Unknown(_) => self.count_death(place).await?,
             Failure::Spoiled(_) | Failure::Late => {}
         }
         self.ran = true;
@@ -313,6 +316,23 @@
         }
     }
 
+    /// Looks whether a target died. One that did is not among those that the request
+    /// may run on; a request that targets die under again and again is ended.
+    async fn count_death(&mut self, place: &Place<D, S, C>) -> Result<(), Refusal> {
+        if !look_for_death(&self.core, &place.target, self.fingerprint).await {
+            return Ok(());
+        }
+        place.note_down();
+        if self.core.suspects().judge(self.core.now(), self.fingerprint) == Verdict::Quarantined {
+            let refusal = Refusal::new(Reason::Quarantined, "it crashed the targets that ran it");
+            return Err(Refusal { ran: Ran::Unknown, ..refusal });
+        }
+        if !std::mem::replace(&mut self.survived_death, true) {
+            self.sends -= 1;
+        }
+        Ok(())
+    }
+
     /// Whether a further target may be sent what may have run.
     pub(crate) fn may_repeat(&self) -> bool {
         self.job.route.kind.is_repeatable() && self.sends < self.job.route.targets_max
--- a/crates/path/src/stream.rs
+++ b/crates/path/src/stream.rs
@@ -113,7 +113,7 @@
         let first = match run.wait_first(&place, reader.next()).await {
             Ok(first) => first,
             Err(failure) => {
-                run.settle(&place, failure)?;
+                run.settle(&place, failure).await?;
                 continue;
             }
         };
@@ -149,8 +149,11 @@
     let body = tokio::time::timeout(run.time_left(), (&mut exchange.body).collect()).await;
     match body {
         Ok(Ok(body)) => Some(run.deliver(exchange, answer.keep, body.to_bytes(), place)),
-        Ok(Err(error)) => run.settle(place, Failure::Unknown(error.to_string())).err().map(Err),
-        Err(_) => run.settle(place, Failure::Late).err().map(Err),
+        Ok(Err(error)) => {
+            let failure = Failure::Unknown(error.to_string());
+            run.settle(place, failure).await.err().map(Err)
+        }
+        Err(_) => run.settle(place, Failure::Late).await.err().map(Err),
     }
 }
 
@@ -284,7 +287,7 @@
         place: &Place<D, S, C>,
         failure: Failure,
     ) -> Option<(Reader, Place<D, S, C>, Next)> {
-        let mut failed = self.run.settle(place, failure);
+        let mut failed = self.run.settle(place, failure).await;
         loop {
             if let Err(refusal) = failed {
                 self.log(place, &format!("given up on: {}", refusal.detail));
@@ -298,7 +301,8 @@
                 }
             };
             if !opened.exchange.head.status.is_success() {
-                failed = self.run.settle(&other, Failure::Spoiled("it failed the resume"));
+                let failure = Failure::Spoiled("it failed the resume");
+                failed = self.run.settle(&other, failure).await;
                 continue;
             }
             let mut reader = Reader::open(opened);
@@ -307,7 +311,7 @@
                     other.begin_writing();
                     return Some((reader, other, first));
                 }
-                Err(failure) => failed = self.run.settle(&other, failure),
+                Err(failure) => failed = self.run.settle(&other, failure).await,
             }
         }
     }
