Streams that broke off wait for engines

Cause: a stream that lost its engine was placed by what was left of the goal for its first token, which had mostly passed: where no engine was free at that moment it was given up ("all targets are busy") with seconds of its time left.

Change: what is resumed is wanted within four of the pauses that its caller wants, or half of its time, and waits its turn like others.

--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -17,6 +17,7 @@
 use hickory_client::Exchange;
 use hickory_policy::poison::Verdict;
 use hickory_policy::refuse::{Ran, Reason};
+use hickory_policy::resume;
 use hickory_store::store::Store;
 use hickory_telemetry::label::Work;
 use hickory_telemetry::metrics::Guard;
@@ -209,9 +210,12 @@
         Refusal::late(self.ran)
     }
 
-    /// When its first token is wanted.
+    /// When its next token is wanted.
     pub(crate) fn due(&self) -> Instant {
-        self.job.arrived + self.job.route.goal
+        match self.first_event {
+            Some(_) => resume::due(self.core.now(), self.job.route.gap, self.job.deadline),
+            None => self.job.arrived + self.job.route.goal,
+        }
     }
 
     /// When the caller gives up on a first event.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod refuse;
 pub mod replica;
 pub mod reserve;
+pub mod resume;
 pub mod retry;
 pub mod room;
 mod roster;
--- /dev/null
+++ b/crates/policy/tests/resume.rs
@@ -0,0 +1,54 @@
+//! Streams that broke off beside busy engines.
+
+mod profile;
+
+use hickory_policy::plan::{self, Choice, Load, Query};
+use hickory_policy::queue::Ahead;
+use hickory_policy::resume;
+use hickory_unit::size::Tokens;
+use profile::profile;
+use std::time::{Duration, Instant};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn query(prompt: u64, goal: Duration) -> Query {
+    Query {
+        prompt: Tokens(prompt),
+        answer: Tokens(1_600),
+        short: prompt < 10_000,
+        goal,
+        limit: ms(8_000),
+        ahead: Ahead::default(),
+        usual: ms(2_000),
+    }
+}
+
+/// Guards against streams that are given up while all engines are busy for a moment: what
+/// was left of the goal for their first token is no measure for them.
+#[test]
+fn streams_that_broke_off_wait_for_busy_engines() {
+    let profile = profile();
+    let now = Instant::now();
+    let due = |gap| resume::due(now, Some(gap), now + ms(8_000)) - now;
+    let full = Load { begins: ms(60), requests: profile.slots, ..Load::default() };
+    let reading = Load { backlog: ms(400), begins: ms(400), requests: 1, ..Load::default() };
+    for (prompt, gap, load) in [(5_000, ms(250), full), (154_000, ms(1_000), reading)] {
+        let loads = vec![load; 8];
+        let choose = |goal| plan::choose_engines(&query(prompt, goal), &profile, &loads);
+        assert!(choose(Duration::ZERO).is_err(), "{prompt}: the goal is gone");
+        let choice = choose(due(gap));
+        assert!(matches!(choice, Ok(Choice::Wait(_))), "{prompt}: {choice:?}");
+    }
+}
+
+#[test]
+fn a_stream_is_resumed_before_its_caller_gives_up() {
+    let now = Instant::now();
+    let due = |gap, left| resume::due(now, gap, now + left) - now;
+    assert_eq!(due(Some(ms(250)), ms(8_000)), ms(1_000));
+    assert_eq!(due(Some(ms(1_000)), ms(3_000)), ms(1_500));
+    assert_eq!(due(None, ms(3_000)), ms(1_500));
+    assert_eq!(due(None, Duration::ZERO), Duration::ZERO);
+}
