Givers of documents go by the rate that their link shows

A link of 400 KB/s, said to carry 2.5 MB/s, was promised to a second taker after 40 ms and to a further one every 0.35 s, so that none of the copies ended.

Change: the rate is what the link takes once a connection's buffers are full; where it is less than half of what it is said to be, the backlog is reckoned by it.

The test of the meter asked that a second document be taken on with half a second of the first still to send, which is the fault itself; it now asks that it isn't until 40 ms are left, and a second test has connections that buffer.

--- a/crates/policy/src/spread.rs
+++ b/crates/policy/src/spread.rs
@@ -36,15 +36,28 @@
 /// for.
 const SEND_MOST: Duration = Duration::from_secs(60);
 
+/// How long bytes are counted before they tell the rate of a link.
+const SEEN_AFTER: Duration = Duration::from_millis(25);
+
+/// A link counts as slower than it is said to be from this on: takers differ in what
+/// they take as well.
+const SLOWDOWN_LEAST: f64 = 2.0;
+
+/// A link that takes this many times longer than it is said to is as good as cut.
+const SLOWDOWN_MOST: f64 = 1_000.0;
+
 /// Nodes named to one that is turned away.
 const NAMED: usize = 6;
 
+/// What a connection takes of an answer before its link has sent any of it.
+const BUFFERED: u64 = 64 << 10;
+
 /// What a node is sending.
 ///
-/// It counts the bytes that its link has not taken yet, and not those that the
-/// link should have: one that carries less than it is said to, or is full of
-/// callers' answers, would be promised to many at once, and none would get its
-/// document in time.
+/// It counts the bytes that its link has not taken yet, by the rate at which it
+/// takes them: one that carries less than it is said to, or is full of callers'
+/// answers, would be promised to many at once, and none would get its document
+/// in time.
 #[derive(Clone, Debug, Default)]
 pub struct Meter {
     open: Vec<Open>,
@@ -55,10 +68,13 @@
 #[derive(Clone, Copy, Debug)]
 struct Open {
     ticket: Ticket,
+    size: Bytes,
     left: Bytes,
     begun: Instant,
     /// When the link last took some of it.
     moved: Instant,
+    /// When its connection's buffers were full, and what was taken of it then.
+    filled: Option<(Instant, u64)>,
 }
 
 /// Names an answer that was taken on.
@@ -90,7 +106,7 @@
         }
         self.last = self.last.wrapping_add(1);
         let ticket = Ticket(self.last);
-        self.open.push(Open { ticket, left: size, begun: now, moved: now });
+        self.open.push(Open { ticket, size, left: size, begun: now, moved: now, filled: None });
         Ok(ticket)
     }
 
@@ -104,6 +120,10 @@
         let open = self.open.iter_mut().find(|open| open.ticket == ticket);
         if let Some(open) = open.filter(|open| open.left != left) {
             (open.left, open.moved) = (left, now);
+            let taken = open.size.0.saturating_sub(left.0);
+            if taken >= BUFFERED {
+                open.filled.get_or_insert((now, taken));
+            }
         }
     }
 
@@ -118,7 +138,35 @@
         let age = |at: Instant| now.saturating_duration_since(at);
         self.open.retain(|open| age(open.begun) < ANSWER_MOST && age(open.moved) < SILENCE);
         let left = self.open.iter().map(|open| open.left.0).fold(0, u64::saturating_add);
-        link.time_for(Bytes(left)).min(SEND_MOST)
+        let time = link.time_for(Bytes(left)).min(SEND_MOST);
+        time.mul_f64(self.slowdown(now, link)).min(SEND_MOST)
+    }
+
+    /// How many times longer the link takes than it is said to, as far as it shows.
+    fn slowdown(&self, now: Instant, link: rate::BytesPerSecond) -> f64 {
+        let is_seen = self.open.iter().any(|open| open.is_seen(now));
+        let rate: f64 = self.open.iter().map(|open| open.rate(now)).sum();
+        let slowdown = if link.0.is_finite() { link.0 / rate.max(1.0) } else { 1.0 };
+        match is_seen && slowdown >= SLOWDOWN_LEAST {
+            true => slowdown.min(SLOWDOWN_MOST),
+            false => 1.0,
+        }
+    }
+}
+
+impl Open {
+    /// Whether the rate at which it is sent shows.
+    fn is_seen(&self, now: Instant) -> bool {
+        self.filled.is_some_and(|(at, _)| now.saturating_duration_since(at) >= SEEN_AFTER)
+    }
+
+    /// Bytes a second that the link has sent of it: since its connection's buffers were
+    /// full, if they are.
+    fn rate(&self, now: Instant) -> f64 {
+        let (since, before) = self.filled.unwrap_or((self.begun, 0));
+        let sent = self.size.0 - self.left.0.min(self.size.0) - before;
+        let time = now.saturating_duration_since(since).as_secs_f64();
+        if time > 0.0 { sent as f64 / time } else { 0.0 }
     }
 }
 
--- a/crates/policy/tests/spread.rs
+++ b/crates/policy/tests/spread.rs
@@ -53,13 +53,27 @@
 fn a_link_that_carries_less_than_it_is_said_to_is_not_promised_twice() {
     let (begin, mut meter) = (Instant::now(), Meter::default());
     let taken = meter.admit(begin, DOCUMENT, LINK).unwrap();
-    for after in (50..700).step_by(50) {
+    for after in (50..=900).step_by(50) {
         meter.note_left(begin + ms(after), taken, Bytes(DOCUMENT.0 - after * 250));
         let next = meter.admit(begin + ms(after), DOCUMENT, LINK);
-        assert_eq!(next.is_ok(), after >= 500, "after {after} ms: {next:?}");
-        if next.is_ok() {
-            return;
-        }
+        assert!(next.is_err(), "after {after} ms: {next:?}");
+    }
+    // What is left takes this link 40 ms.
+    meter.note_left(begin + ms(960), taken, Bytes(10_000));
+    assert!(meter.admit(begin + ms(960), DOCUMENT, LINK).is_ok());
+}
+
+/// The same where connections take what the link has not sent yet.
+#[test]
+fn what_connections_buffer_is_not_taken_for_sent() {
+    const BUFFERED: u64 = 60_000;
+    let (begin, mut meter) = (Instant::now(), Meter::default());
+    let taken = meter.admit(begin, DOCUMENT, LINK).unwrap();
+    for after in (0..500).step_by(50) {
+        let left = Bytes(DOCUMENT.0 - BUFFERED - after * 250);
+        meter.note_left(begin + ms(after), taken, left);
+        let next = meter.admit(begin + ms(after), DOCUMENT, LINK);
+        assert!(next.is_err(), "after {after} ms: {next:?}");
     }
 }
 
