--- a/crates/path/src/dialect.rs
+++ b/crates/path/src/dialect.rs
@@ -112,8 +112,6 @@
     pub encoded: bool,
     /// How long the connection may be idle.
     pub keep: Option<Duration>,
-    /// Requests that the target runs, this one among them, where it tells.
-    pub running: Option<u32>,
     /// Where the target is that kept the request from running, where that is said;
     /// it may be one that was to read a part of the prompt.
     pub at_fault: Option<SocketAddr>,
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -68,8 +68,8 @@
     Answer(Number, Answer),
     /// A request was placed, or still lasts.
     Placed(Number, Allocation),
-    /// Its first token came, of a target that says how many requests it runs.
-    Writing { number: Number, running: Option<u32> },
+    /// Its first token came.
+    Writing(Number),
     /// It ended, or is no longer asked for.
     Ended(Number),
     /// A target served or failed a request.
@@ -250,8 +250,8 @@
         }
         Event::Answer(number, answer) => core.deliver(number, answer),
         Event::Placed(number, allocation) => core.ledger().take(now, node, number, allocation),
-        Event::Writing { number, running } => {
-            core.ledger().take_writing(now, node, number, running);
+        Event::Writing(number) => {
+            core.ledger().take_writing(now, node, number);
             core.queue_due.notify_one();
         }
         Event::Ended(number) => {
--- a/crates/path/src/ledger.rs
+++ b/crates/path/src/ledger.rs
@@ -3,8 +3,7 @@
 //! A node knows what it placed itself. The owner of a group of targets and its
 //! successor are told by all nodes what they placed there. An allocation is told again
 //! every half second while it lasts, and forgotten where it isn't: a datagram that
-//! is lost or a node that dies leaves nothing behind. What runs beside that, as after
-//! a restart of all nodes, is known by what targets say of themselves.
+//! is lost or a node that dies leaves nothing behind.
 
 use crate::view::{Tag, Target};
 use hickory_policy::engine::Profile;
@@ -20,10 +19,6 @@
 /// How long a peer's allocation lasts without being told again: four tellings.
 const STALE: Duration = Duration::from_secs(2);
 
-/// How long what a target runs beside what is known lasts at the most: streams that are
-/// not heard of end one by one within this time.
-const UNKNOWN_LASTS: Duration = Duration::from_secs(2);
-
 /// The window in which sendings to a cold target are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
@@ -101,22 +96,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Number(pub u32);
 
-/// Requests that a target runs and that are not known otherwise.
-#[derive(Clone, Copy, Debug)]
-struct Unknown {
-    count: u32,
-    at: Instant,
-}
-
-impl Unknown {
-    /// How many of them still run.
-    fn left(self, now: Instant) -> u32 {
-        let age = now.saturating_duration_since(self.at).as_secs_f64();
-        let left = (1.0 - age / UNKNOWN_LASTS.as_secs_f64()).max(0.0);
-        (f64::from(self.count) * left).ceil() as u32
-    }
-}
-
 /// The allocations that are known.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
@@ -126,7 +105,6 @@
     sent: HashMap<Tag, VecDeque<Instant>>,
     /// When a pass of an engine was last seen to end, by a first token.
     passes: HashMap<Tag, Instant>,
-    unknown: HashMap<Tag, Unknown>,
     /// What an answer of a plain service, or a short stream, usually takes.
     usual: HashMap<id::Service, Duration>,
 }
@@ -147,25 +125,14 @@
         }
     }
 
-    /// Notes the first token of an own request, of a target that says how many it runs.
-    pub fn begin_writing(&mut self, now: Instant, number: Number, running: Option<u32>) {
+    /// Notes the first token of an own request.
+    pub fn begin_writing(&mut self, now: Instant, number: Number) {
         if let Some(entry) = self.own.get_mut(&number) {
             entry.allocation.stage = Stage::Writing;
-            let target = entry.allocation.first;
-            self.note_first_token(now, target, running);
+            self.passes.insert(entry.allocation.first, now);
         }
     }
 
-    fn note_first_token(&mut self, now: Instant, target: Tag, running: Option<u32>) {
-        self.passes.insert(target, now);
-        let Some(running) = running else { return };
-        let known = self.all(now).filter(|entry| entry.allocation.first == target).count();
-        match running.saturating_sub(known as u32) {
-            0 => self.unknown.remove(&target),
-            count => self.unknown.insert(target, Unknown { count, at: now }),
-        };
-    }
-
     /// Forgets an own request.
     pub fn end(&mut self, now: Instant, number: Number) {
         let entry = self.own.remove(&number);
@@ -204,25 +171,14 @@
         let entry = Entry { allocation, placed, told: now };
         if allocations.insert(number, entry).is_none() {
             self.note_sent(placed, first);
-            // It was among those that its target told of.
-            if let Some(unknown) = self.unknown.get_mut(&first).filter(|u| placed < u.at) {
-                unknown.count = unknown.count.saturating_sub(1);
-            }
         }
     }
 
-    /// Notes the first token of a peer's request, of a target that says how many it runs.
-    pub fn take_writing(
-        &mut self,
-        now: Instant,
-        node: &id::Node,
-        number: Number,
-        running: Option<u32>,
-    ) {
+    /// Notes the first token of a peer's request.
+    pub fn take_writing(&mut self, now: Instant, node: &id::Node, number: Number) {
         if let Some(entry) = self.peers.get_mut(node).and_then(|all| all.get_mut(&number)) {
             entry.allocation.stage = Stage::Writing;
-            let target = entry.allocation.first;
-            self.note_first_token(now, target, running);
+            self.passes.insert(entry.allocation.first, now);
         }
     }
 
@@ -244,7 +200,6 @@
         }
         self.peers.retain(|_, allocations| !allocations.is_empty());
         self.passes.retain(|_, at| now.saturating_duration_since(*at) < STALE);
-        self.unknown.retain(|_, unknown| unknown.left(now) > 0);
         self.sent.retain(|_, times| {
             times.retain(|at| now.saturating_duration_since(*at) < COLD_WINDOW);
             !times.is_empty()
@@ -277,12 +232,6 @@
         for entry in self.all(now) {
             add_allocation(entry, &places, &mut loads, &mut engines);
         }
-        for (load, target) in loads.iter_mut().zip(targets) {
-            let unknown = self.unknown.get(&target.tag).map_or(0, |unknown| unknown.left(now));
-            load.requests += unknown;
-            load.short += unknown;
-            load.writers += unknown;
-        }
         if let Some(profile) = profile {
             for ((load, engine), target) in loads.iter_mut().zip(&mut engines).zip(targets) {
                 engine.writers = load.writers;
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -101,11 +101,11 @@
         }
     }
 
-    /// Notes the first token, and what its target says that it runs.
-    pub(crate) fn begin_writing(&self, running: Option<u32>) {
-        self.core.ledger().begin_writing(self.core.now(), self.number, running);
+    /// Notes the first token.
+    pub(crate) fn begin_writing(&self) {
+        self.core.ledger().begin_writing(self.core.now(), self.number);
         self.core.queue_due.notify_one();
-        self.tell(&Event::Writing { number: self.number, running });
+        self.tell(&Event::Writing(self.number));
     }
 
     /// Notes how the request ended at its target.
--- a/crates/path/src/stream.rs
+++ b/crates/path/src/stream.rs
@@ -109,7 +109,6 @@
                 None => continue,
             }
         }
-        let running = opened.answer.running;
         let mut reader = Reader::open(opened);
         let first = match run.wait_first(&place, reader.next()).await {
             Ok(first) => first,
@@ -118,7 +117,7 @@
                 continue;
             }
         };
-        place.begin_writing(running);
+        place.begin_writing();
         run.first_event = Some(run.age());
         if let Some(prompt) = run.job.demand.prompt {
             run.core.metrics.first_token(prompt.tokens, run.age());
@@ -306,11 +305,10 @@
                 failed = self.run.settle(&other, failure).await;
                 continue;
             }
-            let running = opened.answer.running;
             let mut reader = Reader::open(opened);
             match self.run.wait_first(&other, reader.next()).await {
                 Ok(first) => {
-                    other.begin_writing(running);
+                    other.begin_writing();
                     return Some((reader, other, first));
                 }
                 Err(failure) => failed = self.run.settle(&other, failure).await,
