--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -1,21 +1,17 @@
-//! Two-level weighted fair queueing: partner by share, then account by
-//! weight, then class.
+//! Two-level weighted fair queueing: partner by share, then account by weight,
+//! then class.
 //!
-//! Load: all partners ask for more than the target bears, or one of them
-//! does and the others come and go. Harm prevented: a partner that sends
-//! more requests, or longer ones, takes the share of the others.
+//! Start-time fair queueing over work in tokens. Each level keeps a virtual time;
+//! a flow that was idle starts at the virtual time, so it gets no credit for the
+//! past, and a share that its partner does not use is lent at once.
 //!
-//! This is start-time fair queueing over work in tokens. Each level keeps a
-//! virtual time; a flow that was idle starts at the virtual time, so it gets
-//! no credit for the past, and a share that its partner does not use is lent
-//! at once and is back with the partner's next ask.
+//! Long work is charged to a debt beside the flow's start tag. Long asks are
+//! ordered by tag and debt together, short ones by the tag alone, and each short
+//! grant pays off at most its own work again: one long prompt does not shut its
+//! partner's short ones out until everybody else has used as much.
 //!
-//! Long work is charged to a debt that stands beside the flow's start tag.
-//! Long asks are ordered by tag and debt together, short ones by the tag
-//! alone, and each short grant pays off at most its own work again. Without
-//! this an archive review of a million tokens would shut its own partner's
-//! counter staff out until everybody else had used as much; with it they
-//! keep at least half of their share and the debt is still paid.
+//! Load pattern: all partners ask for more than the target bears, or one of them
+//! does and the others come and go.
 
 use crate::cost::Class;
 use crate::flow::{Flow, Level};
--- a/crates/policy/src/late.rs
+++ b/crates/policy/src/late.rs
@@ -1,9 +1,7 @@
-//! Which asks can't be met before their deadlines.
+//! Which asks can't be met before their deadlines. They are refused when they are
+//! asked, or as soon as a slower pace or a smaller share shows it.
 //!
-//! Load: more comes than the target bears, and each ask carries a deadline.
-//! Harm prevented: callers wait for nothing, and work is begun that is cut
-//! off half done. What can't be met is refused when it is asked, or as soon
-//! as a slower pace or a smaller share shows it.
+//! Load pattern: more comes than the target bears, and each ask has a deadline.
 
 use crate::limit::{Answer, Ask, Limiter, RETRY_LEAST, Ticket, Waiting};
 use crate::refuse::Reason;
--- a/crates/policy/src/layout.rs
+++ b/crates/policy/src/layout.rs
@@ -1,13 +1,10 @@
-//! Which engine is to hold which weights (a model with version and adapter).
+//! Which engine is to hold which weights (a model with version and adapter). The
+//! number of replicas follows demand with hysteresis, loads are bounded by what the
+//! weight store bears and go to the weights furthest from what is wanted, and
+//! weights leave an engine only when nothing runs on them and others are ready.
 //!
-//! Load: demand shifts between models, a zone returns with all its engines
-//! empty, a new version goes out, a model is withdrawn. Harm prevented:
-//! engines reload for every burst, a zone that returns queues behind its own
-//! loads, or a version goes before the one that replaces it serves. The
-//! number of replicas follows demand in tokens with hysteresis; loads are
-//! bounded by what the weight store bears and go to the weights that are
-//! furthest from what is wanted; weights leave an engine only when nothing
-//! runs on them and the others that stand for them are ready.
+//! Load pattern: demand shifts between models, a zone returns with all its engines
+//! empty, a new version goes out, a model is withdrawn.
 
 use hickory_unit::{id, rate};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -1,12 +1,9 @@
-//! The limit that a target's owner keeps on it: who may send now, who waits,
-//! and who is refused.
+//! The limit that a target's owner keeps on it: who may send now, who waits, and
+//! who is refused. Room is granted by [`crate::room`] under the bound of
+//! [`crate::ramp`], in the order of [`crate::fair`]; `crate::grant` joins them.
 //!
-//! Load: all nodes ask for the same target at once, short and long work
-//! mixed, while the target warms up, changes owner or leaves. Harm prevented:
-//! a target holds more than it bears and fails all that runs on it, or an ask
-//! waits for what can't come before its deadline. Room is granted by
-//! [`crate::room`] under the bound of [`crate::ramp`], in the order of
-//! [`crate::fair`]; `crate::grant` joins them.
+//! Load pattern: all nodes ask for the same target at once, short and long work
+//! mixed, while the target warms up, changes owner or leaves.
 
 pub use crate::ask::{Answer, Ask, Capacity, Observed, Outcome, Ticket, priority_of};
 use crate::fair::Queue;
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -1,8 +1,7 @@
-//! How fast a target works, learned from what passes through it.
+//! How fast a target works: estimates that start at what it reports and follow
+//! what passes through it.
 //!
-//! Load: a queue grows and asks carry deadlines. Harm prevented: an ask waits
-//! for nothing, or is refused although there is time. The estimates start at
-//! what the target reports and follow what is measured.
+//! Load pattern: a queue grows, and asks carry deadlines.
 
 use crate::cost::Cost;
 use hickory_unit::{rate, size};
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -1,12 +1,9 @@
-//! Requests that crash the targets that run them.
+//! Requests that crash the targets that run them. A target's death marks all that
+//! ran on it as suspects; a suspect runs again at most once, alone, and success
+//! clears it. Two deaths quarantine the fingerprint on all nodes.
 //!
-//! Load: one request kills each engine that runs it, and its caller or a
-//! retry sends it again. Harm prevented: one request takes down the fleet,
-//! and the innocent requests beside it are blamed. A target's death marks all
-//! that ran on it as suspects. A suspect runs again at most once, alone, so
-//! that a second death names the culprit and harms nobody else; success
-//! clears it. Two deaths quarantine the fingerprint on all nodes, so the
-//! fleet loses at most two engines to it.
+//! Load pattern: one request kills each engine that runs it, and its caller or a
+//! retry sends it again beside others that are innocent.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -1,11 +1,9 @@
-//! Preemption of bulk work by cancel and resume.
+//! Preemption of bulk work by cancel and resume. A stream is preempted only where
+//! the time to redo its work is less than the time that the interactive ask would
+//! wait, where its own deadline can still be met, and once at most.
 //!
-//! Load: long or batch streams hold the slots or the memory of every engine
-//! that could run an interactive ask. Harm prevented: a person waits for the
-//! end of a report. A stream is preempted only where that pays: its work so
-//! far is done again after the resume, so the time to redo it must be less
-//! than the time that the person would wait, and its own deadline must still
-//! be met. Each stream is preempted once at most, so that it arrives.
+//! Load pattern: long or batch streams hold the slots or the memory of every
+//! engine that could run an interactive ask.
 
 use crate::cost::{Class, Cost};
 use crate::limit::Ticket;
--- a/crates/policy/src/ramp.rs
+++ b/crates/policy/src/ramp.rs
@@ -1,11 +1,9 @@
-//! Slow start of a target, once for each incarnation.
+//! Slow start of a target, once for each incarnation. The bound starts at two
+//! streams and doubles at most, each time after a bound's worth of work or a
+//! report of a warmer target; it never passes what the target reports warm.
 //!
-//! Load: a target has just started, or turned cold again, and every node has
-//! work for it. Harm prevented: a cold target that gets a full share falls
-//! over, its work moves to the next cold target, and so on. The bound starts
-//! at two streams and at most doubles, each time only after the target has
-//! either finished a bound's worth of work or reported itself warmer; it
-//! never passes the part of the capacity that the target reports warm.
+//! Load pattern: a target has just started, or turned cold, and every node has
+//! work for it.
 
 use hickory_unit::id;
 use std::time::{Duration, Instant};
--- a/crates/policy/src/reserve.rs
+++ b/crates/policy/src/reserve.rs
@@ -1,12 +1,8 @@
-//! Prompts greater than one engine's memory.
+//! Reservations for prompts greater than one engine's memory: all of a prompt's
+//! engines are reserved or none, in the order of their ids, and each answers at
+//! once. Two prompts can't hold half of what both need and wait for each other.
 //!
-//! Load: prompts of up to a million tokens, more than twice what an engine
-//! holds, beside all other work. Harm prevented: two such prompts each hold
-//! half of the engines that both need and wait for each other, or one waits
-//! for memory that can't come before its deadline. A prompt is cut into parts
-//! for several engines; all of them are reserved or none, asked for in the
-//! order of their ids, each answered at once, so that nothing is held while
-//! anything is waited for.
+//! Load pattern: prompts of up to twice an engine's memory beside all other work.
 
 use crate::cost::Cost;
 use crate::limit::Ticket;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,8 +1,8 @@
-//! What may be tried again, where, and how often.
+//! What may be tried again, where, and how often. A budget bounds retries by the
+//! requests that earn them, so that they don't multiply the load of a fleet that
+//! fails; what must not be repeated is tried again only if it never began.
 //!
-//! Load: targets fail while accounts send at full rate. Harm prevented:
-//! retries multiply the load just when there is least room for it, or work
-//! that must not be repeated runs twice.
+//! Load pattern: targets fail while accounts send at full rate.
 
 use crate::refuse::{Ran, Retry};
 use hickory_unit::id;
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -1,12 +1,10 @@
-//! What one target has room for, and the headroom kept for short work.
+//! What one target has room for, and the headroom kept for short work. Bulk work
+//! (long or batch) is let into a part of the slots and the memory only, one long
+//! prefill runs at a time, and short prefill is handed over no faster than the
+//! engine works it off: the queue stands at the owner, where shares are kept.
 //!
-//! Load: long prompts, batch work and short interactive asks meet on one
-//! engine. Harm prevented: work that may wait takes the last stream slot, the
-//! last KV memory or the whole prefill, and a person's short question waits
-//! for seconds. So bulk work (long or batch) is let into a part of the slots
-//! and the memory only, one long prefill runs at a time, and short prefill is
-//! handed to the engine no faster than it works it off, so that the queue
-//! stands at the owner, where shares are kept, and not in the engine.
+//! Load pattern: long prompts, batch work and short interactive asks meet on one
+//! engine.
 
 use crate::cost::Cost;
 use crate::fair::Lane;
--- a/crates/policy/src/spread.rs
+++ b/crates/policy/src/spread.rs
@@ -1,17 +1,11 @@
-//! How a large document spreads from node to node.
+//! How a large document spreads from node to node. A node takes on only what its
+//! link sends within a moment ([`Meter`]) and names those it gave to before
+//! ([`Given`]) to those it turns away; whoever has the whole gives it on, so that
+//! the last of `n` nodes has it after about log `n` rounds. Those who ask go to any
+//! giver that is not known to be busy ([`Givers`]).
 //!
-//! Load: operators write a configuration of hundreds of kilobytes. A few nodes
-//! hear it from the store, and all others want it of them at the same moment,
-//! over links that carry a few copies a second. Harm prevented: a node that
-//! gives to all at once gives to none in time; those who wait give up and begin
-//! anew, what was sent to them is lost, and the fleet stays on the old
-//! configuration for as long as that goes on.
-//!
-//! So a node takes on only what its link sends within a moment ([`Meter`]), and
-//! names those it gave to before ([`Given`]) to those it turns away. Whoever
-//! was given the whole gives it on: the givers double with each round, and the
-//! last of `n` nodes has it after the logarithm of `n` rounds. Those who ask
-//! go to any giver that is not known to be busy ([`Givers`]).
+//! Load pattern: a few nodes have a new document, and all others ask for it at the
+//! same moment, over links that carry a few copies a second.
 
 use hickory_unit::rate;
 use hickory_unit::size::Bytes;
