--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -17,7 +17,6 @@
 use hickory_policy::membership::Membership;
 use hickory_policy::poison::Suspects;
 use hickory_policy::share::Budget;
-use hickory_policy::silence::Overruns;
 use hickory_state::member::Member;
 use hickory_store::store::{Revision, Store};
 use hickory_telemetry::metered::Metered;
@@ -77,7 +76,6 @@
     ejection: Mutex<Ejection<Tag>>,
     suspects: Mutex<Suspects>,
     budgets: Mutex<HashMap<id::Service, Budget>>,
-    overruns: Mutex<HashMap<id::Service, Overruns>>,
     store_away: AtomicBool,
     draining_since: OnceLock<Instant>,
     revisions: Mutex<(Revision, Revision)>,
@@ -129,7 +127,6 @@
             ejection: Mutex::default(),
             suspects: Mutex::default(),
             budgets: Mutex::default(),
-            overruns: Mutex::default(),
             store_away: AtomicBool::new(false),
             draining_since: OnceLock::new(),
             revisions: Mutex::default(),
@@ -294,16 +291,6 @@
         budgets.entry(service.clone()).or_default().spend(now, &bounds.repeats, nodes)
     }
 
-    /// How long to wait for a first token of a service that is predicted after `expected`.
-    pub(crate) fn patience(&self, service: &id::Service, expected: Duration) -> Duration {
-        lock(&self.overruns).entry(service.clone()).or_default().patience(expected)
-    }
-
-    /// Notes when a first token came.
-    pub(crate) fn note_first(&self, service: &id::Service, expected: Duration, took: Duration) {
-        lock(&self.overruns).entry(service.clone()).or_default().note(expected, took);
-    }
-
     pub(crate) fn silences(&self) -> MutexGuard<'_, HashMap<id::Node, Silence>> {
         lock(&self.silences)
     }
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -15,7 +15,7 @@
 use hickory_unit::clock::Clock;
 use hickory_unit::size::Tokens;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Where a request goes. Dropping it ends its allocation.
 pub(crate) struct Place<D: Dialect, S: Store, C: Clock> {
@@ -31,7 +31,6 @@
     pub(crate) short: bool,
     /// What each engine reads.
     pub(crate) part: Duration,
-    placed: Instant,
     /// When the first token, or the answer, is expected.
     pub(crate) expected: Duration,
     /// What it was chosen by.
@@ -65,7 +64,6 @@
             memory: memory.collect::<Option<_>>()?,
             short: allocation.short || allocation.part.is_zero(),
             part: allocation.part,
-            placed: core.now(),
             expected,
             survey,
             decider,
@@ -108,14 +106,6 @@
         self.core.ledger().begin_writing(self.core.now(), self.number);
         self.core.queue_due.notify_one();
         self.tell(&Event::Writing(self.number));
-        let took = self.core.now().saturating_duration_since(self.placed);
-        self.core.note_first(&self.group.service, self.expected, took);
-    }
-
-    /// How long the first token may still be waited for.
-    pub(crate) fn patience(&self) -> Duration {
-        let waited = self.core.now().saturating_duration_since(self.placed);
-        self.core.patience(&self.group.service, self.expected).saturating_sub(waited)
     }
 
     /// Notes how the request ended at its target.
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -236,11 +236,10 @@
         place: &Place<D, S, C>,
         first: impl Future<Output = Result<T, Failure>>,
     ) -> Result<T, Failure> {
-        let patience = place.patience();
+        let stalled = (place.expected * 3 + self.job.route.goal).max(FIRST_LEAST);
         let mut first = std::pin::pin!(first);
-        // Another target takes as long again.
-        if patience + place.expected < self.time_left() {
-            if let Ok(first) = tokio::time::timeout(patience, &mut first).await {
+        if stalled + self.job.route.goal < self.time_left() {
+            if let Ok(first) = tokio::time::timeout(stalled, &mut first).await {
                 return first;
             }
             if self.may_leave() {
@@ -416,6 +415,10 @@
 /// into ten.
 const URGENCY_RANKS: u32 = 4;
 
+/// The least time that a target is given for its first word where another may
+/// be tried: shorter silences are passes of a busy engine.
+const FIRST_LEAST: Duration = Duration::from_millis(700);
+
 /// Takes the head out of an exchange.
 pub(crate) fn take_head(exchange: &mut Exchange) -> http::response::Parts {
     let mut head = Response::new(()).into_parts().0;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,6 +43,5 @@
 mod roster;
 mod rumor;
 pub mod share;
-pub mod silence;
 pub mod spread;
 pub mod survey;
