--- a/crates/client/tests/exchange.rs
+++ b/crates/client/tests/exchange.rs
@@ -138,12 +138,12 @@
 }
 
 #[tokio::test]
-async fn refused_connect_is_not_sent() {
+async fn a_refused_connect_is_told_from_other_failures() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     drop(listener);
     let result = call(&Client::open(LONG), address, "key", LONG).await;
-    assert!(matches!(result, Err(Error::NotSent(_))), "{result:?}");
+    assert_eq!(result, Err(Error::Refused));
 }
 
 /// The caller sees an order taken twice, or "not run" for one that ran. The
--- a/crates/policy/tests/ejection.rs
+++ b/crates/policy/tests/ejection.rs
@@ -92,3 +92,18 @@
     ejection.note_shut(now + ms(3_100), 1);
     assert!(ejection.is_shut(now + ms(9_000), 1), "longer after a further one");
 }
+
+/// Guards against requests that try one target after the other of a zone that is down.
+#[test]
+fn a_target_at_which_nothing_listens_is_avoided_at_once() {
+    let (mut ejection, now) = (Ejection::default(), Instant::now());
+    let cost = |ejection: &Ejection<usize>, after| ejection.costs(now + ms(after), 0..5)[2];
+    ejection.note(now, 2, false);
+    let failed = cost(&ejection, 0);
+    ejection.note_down(now, 2);
+    assert!(cost(&ejection, 0) > failed * 4, "{:?}, {failed:?}", cost(&ejection, 0));
+    // It is tried again when it may be back.
+    assert!(cost(&ejection, 4_000) < ms(300), "{:?}", cost(&ejection, 4_000));
+    ejection.note(now + ms(4_000), 2, true);
+    assert!(cost(&ejection, 4_000) < ms(100));
+}
