--- a/crates/state/src/follow.rs
+++ b/crates/state/src/follow.rs
@@ -10,13 +10,11 @@
 use std::time::{Duration, Instant};
 
 /// Pauses after failures, from the first to the longest. The longest is what a
-/// restarted node may miss of the service's return, and at 380 nodes that
-/// follow three prefixes makes 1,600 calls a second, a quarter of what the
-/// service takes.
+/// restarted node may miss of the service's return.
 const FAILURE_WAIT: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(700));
 
-/// With this, 380 nodes make some 900 reads a second on a key that changes all
-/// the time: just under half of what the service takes.
+/// How far watches are spread after a change, for each node of the fleet: a key that
+/// changes all the time leaves room for other reads.
 const SPREAD_PER_NODE: Duration = Duration::from_micros(2_200);
 
 /// Between two lists, though the watch reports nothing amiss: whatever a
@@ -33,8 +31,8 @@
     pub wait: Duration,
     /// Watches go out again at random within this time after a change.
     ///
-    /// Load: 380 nodes whose watches all end at one change. They come back
-    /// spread, and take the next changes together.
+    /// Load pattern: all nodes' watches end at one change. They come back spread, and
+    /// take the next changes together.
     pub spread: Duration,
 }
 
