A lost load report is no death, and an engine that never began is asked again

- A node that finds its stream unknown to the engine asks the engine for its load report, to tell a restart from a request that never arrived.
When that report was lost as well, it counted the engine as dead: the owner granted nothing there until the next report, and the request was blamed for a death (two quarantine it, without any engine having died).
- An engine that answers that it never began was left out of the request's further attempts like one that failed; with all engines left out so, the request was refused beside living, idle engines.

Now the report is asked for three times; without one, an engine is dead only if its port is closed, and silent otherwise. Targets that never began come last and are not left out.

Ruled out: load of the machine as the only cause, since both tests fail on the former code by faults switched on at the stand-ins, alone on a quiet machine.

Both new tests fail without the change and pass with it.

--- a/apps/hickory-node/tests/proofs/whole.rs
+++ b/apps/hickory-node/tests/proofs/whole.rs
@@ -5,6 +5,7 @@
     ACCOUNT, MODEL, OPERATOR, PATIENCE, Scene, Stream, eventually, expected, options, times,
 };
 use hickory_model::batch::Stall;
+use hickory_standin::fault::Loss;
 use hickory_standin::fleet;
 use rustix::process::Signal;
 use serde_json::json;
@@ -171,6 +172,42 @@
     eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
 }
 
+/// The only engine that serves the model loses a request before it reads it:
+/// the request is sent there again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_never_began_is_asked_again_where_no_other_is_left() {
+    let mut options = options();
+    options.engines = 1;
+    let scene = Scene::start(2, options).await;
+    scene.standins.engines[0].faults().lose(Loss::Call, "/v1/generate", 1);
+    let stream = scene.complete(scene.nodes[0].callers, "lost once", 5).await.unwrap();
+    assert_whole(&scene, "lost once", 5, stream).await;
+}
+
+/// Two engines lose a request and then their load reports. Neither of them
+/// died: the request isn't blamed for a death.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_load_report_is_no_death() {
+    let mut options = options();
+    options.engines = 2;
+    let scene = Scene::start(2, options).await;
+    for engine in &scene.standins.engines {
+        engine.faults().lose(Loss::Call, "/v1/generate", 1);
+        engine.faults().lose(Loss::Call, "/v1/report", 40);
+    }
+    let at = scene.nodes[0].callers;
+    let mut stream = scene.complete(at, "no death", 5).await.unwrap();
+    stream.rest().await;
+    let reason = stream.problem.map(|problem| problem["reason"].clone());
+    assert_ne!(reason, Some(json!("quarantined")));
+    eventually("the same content is served", || async {
+        let mut stream = scene.complete(at, "no death", 5).await.ok()?;
+        stream.rest().await;
+        (stream.text == expected("no death", 5)).then_some(())
+    })
+    .await;
+}
+
 /// The engine loses the cancel of a stream whose caller hung up: the owner
 /// cancels again until the engine confirms it.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -3,7 +3,7 @@
 
 use crate::core::{Active, Core};
 use crate::parse::{Caller, hash_parts, refuse};
-use crate::permit::{self, Leave, ONE_SLOT, Want};
+use crate::permit::{self, Leave, ONE_SLOT, Tried, Want};
 use crate::record;
 use crate::suspect;
 use crate::view::Need;
@@ -151,7 +151,7 @@
 
 async fn attempts(core: &Arc<Core>, call: &Call, claim: Option<&Claim>) -> Result<Reply, Failure> {
     let request = id::Request(Uuid::now_v7());
-    let mut excluded = Vec::new();
+    let mut tried = Tried::default();
     let mut ran = Ran::No;
     core.record.earn(&call.caller.account);
     for attempt in 0..ATTEMPTS_MAX {
@@ -168,9 +168,8 @@
             prefix: 0,
             alone: false,
         };
-        let obtained = permit::obtain(core, &want, &excluded).await;
+        let obtained = permit::obtain(core, &want, &tried).await;
         let leave = obtained.map_err(|refusal| Failure { refusal: Refusal { ran, ..refusal } })?;
-        excluded.push(leave.target.clone());
         let retry = match send(core, call, claim, &leave).await {
             Ok(reply) => return Ok(reply),
             Err(Error::NotSent(_)) => Retry::NotSent,
@@ -187,6 +186,10 @@
             }
         };
         record::log_retry(core, &call.caller.account, &leave, retry);
+        match retry {
+            Retry::Refused => tried.note_refused(leave.target),
+            _ => tried.note_failed(leave.target),
+        }
         let spent = suspect::spend_retry(core, &call.caller.account, retry);
         spent.map_err(|refusal| Failure { refusal: Refusal { ran, ..refusal } })?;
     }
--- a/crates/node/src/complete.rs
+++ b/crates/node/src/complete.rs
@@ -7,7 +7,7 @@
 use crate::core::{Active, Core};
 use crate::parse::{Completion, refuse};
 use crate::parts::{self, Reserve};
-use crate::permit::{self, Leave, Want};
+use crate::permit::{self, Leave, Tried, Want};
 use crate::record;
 use crate::relay::{self, End, Relay};
 use crate::seal::Position;
@@ -19,7 +19,7 @@
 use hickory_target::Error;
 use hickory_target::engine::{Engines, Generate, Handle, Priority};
 use hickory_telemetry::label::{Direction, Work};
-use hickory_unit::{id, size};
+use hickory_unit::size;
 use hickory_wire::message::Ending;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -96,12 +96,12 @@
 
 impl Run<'_> {
     async fn run(mut self) {
-        let mut excluded: Vec<id::Target> = Vec::new();
+        let mut tried = Tried::default();
         let (core, fingerprint) = (self.core, self.completion.fingerprint);
         let account = &self.completion.caller.account;
         core.record.earn(account);
         for attempt in 0..ATTEMPTS_MAX {
-            match self.attempt(attempt, &mut excluded).await {
+            match self.attempt(attempt, &mut tried).await {
                 Attempt::Whole(count) => {
                     core.record.note_success(core.now(), fingerprint);
                     let prompt = self.completion.cost.prefill;
@@ -144,7 +144,7 @@
         let _ = self.out.send(Piece::Refused(refusal)).await;
     }
 
-    async fn attempt(&mut self, attempt: u32, excluded: &mut Vec<id::Target>) -> Attempt {
+    async fn attempt(&mut self, attempt: u32, tried: &mut Tried) -> Attempt {
         let c = self.completion;
         let number = attempt * parts::PARTS_MAX;
         let stream = permit::name_stream(self.core, c.request, number, c.deadline_ms);
@@ -174,16 +174,20 @@
             return self.attempt_parts(attempt).await;
         }
         let obtained = tokio::select! {
-            obtained = permit::obtain(self.core, &want, excluded) => obtained,
+            obtained = permit::obtain(self.core, &want, tried) => obtained,
             () = self.out.closed() => return Attempt::Gone,
         };
         let leave = match obtained {
             Ok(leave) => leave,
             Err(refusal) => return Attempt::Refused(refusal),
         };
-        excluded.push(leave.target.clone());
         let end = self.send(&leave, None).await;
-        self.settle(&leave, end)
+        let attempt = self.settle(&leave, end);
+        match attempt {
+            Attempt::Again(Retry::Refused) => tried.note_refused(leave.target),
+            _ => tried.note_failed(leave.target),
+        }
+        attempt
     }
 
     /// An attempt over several engines.
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -72,13 +72,45 @@
     }
 }
 
+/// The targets that a request's earlier attempts were sent to.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Tried {
+    /// They failed, or nothing came from them.
+    failed: Vec<id::Target>,
+    /// They answered that they never began.
+    refused: Vec<id::Target>,
+}
+
+impl Tried {
+    pub(crate) fn note_failed(&mut self, target: id::Target) {
+        self.failed.push(target);
+    }
+
+    pub(crate) fn note_refused(&mut self, target: id::Target) {
+        self.refused.push(target);
+    }
+}
+
 /// Gets leave for an attempt, or the refusal that is final for it.
-pub(crate) async fn obtain(
+///
+/// Targets that never began an earlier attempt come last: they live, and what
+/// broke may have been the connection alone.
+pub(crate) async fn obtain(core: &Core, want: &Want<'_>, tried: &Tried) -> Result<Leave, Refusal> {
+    let all = [tried.failed.as_slice(), &tried.refused].concat();
+    match obtain_beside(core, want, all).await {
+        Err(refusal) if refusal.reason == Reason::NoTarget && !tried.refused.is_empty() => {
+            obtain_beside(core, want, tried.failed.clone()).await
+        }
+        obtained => obtained,
+    }
+}
+
+/// As [`obtain`], from a target that isn't among those `tried`.
+async fn obtain_beside(
     core: &Core,
     want: &Want<'_>,
-    excluded: &[id::Target],
+    mut tried: Vec<id::Target>,
 ) -> Result<Leave, Refusal> {
-    let mut tried = excluded.to_vec();
     let mut refusal: Option<Refusal> = None;
     let mut full = Vec::new();
     let mut asked = 0;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -27,6 +27,9 @@
 /// engine nothing by a cut, while giving it up would cost the account a retry.
 const RESUMES_MAX: u32 = 3;
 
+/// How often an engine is asked which process it is.
+const REPORTS_MAX: u32 = 3;
+
 /// How much longer than expected a first token may take: the estimate knows
 /// the queue, but not what a cold start or a lost cache costs.
 const FIRST_TOKEN_FACTOR: u32 = 4;
@@ -170,16 +173,25 @@
 
     /// The engine answers and does not know the stream. Where its process is
     /// the one that the owner told of, the connection broke before the engine
-    /// read the request; else it died, perhaps of it.
+    /// read the request; else it died, perhaps of it. A report that is lost on
+    /// its way tells neither.
     async fn read_unknown(&self) -> End {
         let known = self.core.view.state(self.target).map(|state| state.incarnation);
-        let report = Engines::report(&self.core.targets, self.address).await;
-        match report {
-            Ok(report) if Some(report.incarnation) == known && self.first_token.is_none() => {
-                End::Failed(Error::Refused("the engine never began".into()))
+        for _ in 0..REPORTS_MAX {
+            let report = tokio::select! {
+                report = Engines::report(&self.core.targets, self.address) => report,
+                () = tokio::time::sleep_until(self.deadline.into()) => return End::Deadline,
+            };
+            match report {
+                Ok(report) if Some(report.incarnation) == known && self.first_token.is_none() => {
+                    return End::Failed(Error::Refused("the engine never began".into()));
+                }
+                Ok(_) => return End::Died,
+                Err(_) if is_port_closed(self.address).await => return End::Died,
+                Err(_) => {}
             }
-            _ => End::Died,
         }
+        End::Stalled
     }
 
     /// Reads one connection until the stream's end or a cut.
