A node reads a target's entry once for each change of it

Each change of any item made a node decode the entries of all targets anew.

Entries are now kept with the revision that they were read at.

The two tests of counts fail without the change: 5,500 entries read where 510 changed.

--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Configuration;
 use crate::dialect::{Dialect, Entry};
-use crate::items::Items;
+use crate::items::{Item, Items};
 use hickory_store::store::Revision;
 use hickory_unit::id;
 use std::collections::{HashMap, HashSet};
@@ -35,6 +35,8 @@
     pub cold_until: Option<Instant>,
     /// Until when it is used although its entry is gone.
     pub lapses: Option<Instant>,
+    /// The revision of the entry.
+    pub revision: Revision,
 }
 
 /// What a node knows.
@@ -83,7 +85,7 @@
             let id = &key[D::TARGET_PREFIX.len()..];
             let known = before.get(id).copied();
             let target = match &item.value {
-                Some(text) => read_target::<D>(id, text, item.seen, known),
+                Some(text) => read_target::<D>(id, text, item, known),
                 None => keep_lapsed(known, item.seen, now, may_lapse),
             };
             if let Some(target) = target {
@@ -144,18 +146,23 @@
     }
 }
 
+/// The target of an entry; an entry that has not changed since is not read again.
 fn read_target<D: Dialect>(
     id: &str,
     text: &str,
-    seen: Instant,
+    item: &Item,
     known: Option<&Arc<Target>>,
 ) -> Option<Arc<Target>> {
+    let known = known.filter(|known| known.lapses.is_none());
+    if let Some(known) = known.filter(|known| known.revision == item.revision) {
+        return Some(known.clone());
+    }
     let Some(entry) = D::read_target(id, text) else {
         log::warn!(target_id = id; "entry names no target to use");
         return None;
     };
-    if let Some(known) = known.filter(|known| known.lapses.is_none() && known.entry == entry) {
-        return Some(known.clone());
+    if let Some(known) = known.filter(|known| known.entry == entry) {
+        return Some(Arc::new(Target { revision: item.revision, ..Target::clone(known) }));
     }
     log::info!(
         target_id = id,
@@ -164,9 +171,9 @@
         cold_ms = entry.cold_left.as_millis() as u64;
         "target known"
     );
-    let cold_until = (!entry.cold_left.is_zero()).then(|| seen + entry.cold_left);
-    let tag = tag_target(id, entry.born);
-    Some(Arc::new(Target { id: id.into(), tag, entry, cold_until, lapses: None }))
+    let cold_until = (!entry.cold_left.is_zero()).then(|| item.seen + entry.cold_left);
+    let (tag, revision) = (tag_target(id, entry.born), item.revision);
+    Some(Arc::new(Target { id: id.into(), tag, entry, cold_until, lapses: None, revision }))
 }
 
 /// A target whose entry is gone: dropped, unless entries may have lapsed.
--- a/crates/path/tests/ledger.rs
+++ b/crates/path/tests/ledger.rs
@@ -4,6 +4,7 @@
 use hickory_path::ledger::{Allocation, Ledger, Number, Stage};
 use hickory_path::view::{Tag, Target};
 use hickory_policy::engine::Profile;
+use hickory_store::store::Revision;
 use hickory_unit::id;
 use hickory_unit::size::Tokens;
 use std::sync::Arc;
@@ -43,6 +44,7 @@
         },
         cold_until: None,
         lapses: None,
+        revision: Revision::default(),
     };
     (1..=3).map(target).map(Arc::new).collect()
 }
--- /dev/null
+++ b/crates/path/tests/view.rs
@@ -0,0 +1,122 @@
+//! What a node makes of changed items.
+
+use compact_str::CompactString;
+use hickory_path::config::Configuration;
+use hickory_path::demand::Demand;
+use hickory_path::dialect::{Answer, Dialect, Entry, Order, Sending};
+use hickory_path::items::{Items, Word};
+use hickory_path::view::View;
+use hickory_store::store::Revision;
+use hickory_unit::finding::Finding;
+use http::HeaderMap;
+use http::request::Parts;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+thread_local! {
+    static ENTRIES_READ: Cell<usize> = const { Cell::new(0) };
+}
+
+/// A platform whose entries are the number of the target's slots.
+struct Plain;
+
+impl Dialect for Plain {
+    const OPERATOR_PREFIX: &str = "op/";
+    const TARGET_PREFIX: &str = "servers/";
+    const CONFIG_KEY: &str = "op/config";
+    const ZONE_PREFIX: &str = "op/zone/";
+
+    fn read_target(_: &str, text: &str) -> Option<Entry> {
+        ENTRIES_READ.set(ENTRIES_READ.get() + 1);
+        let address = "10.1.0.1:80".parse().ok()?;
+        let (service, zone, slots) = ("model".into(), "a".into(), text.parse().ok()?);
+        let cold_left = Duration::ZERO;
+        Some(Entry { service, address, zone, slots, draining: false, cold_left, born: 1 })
+    }
+
+    fn read_configuration(_: &str) -> Result<Configuration, Finding> {
+        Ok(Configuration::default())
+    }
+
+    fn read_attempt(_: &HeaderMap) -> CompactString {
+        CompactString::default()
+    }
+
+    fn read_demand(_: &Parts) -> Result<Demand, Finding> {
+        unreachable!("no request comes")
+    }
+
+    fn write_send(_: &Sending<'_>, _: &mut HeaderMap) {}
+
+    fn read_answer(_: &HeaderMap) -> Answer {
+        Answer::default()
+    }
+
+    fn strip_answer(_: &mut HeaderMap) {}
+
+    fn write_directory(_: &[SocketAddr], _: Duration) -> String {
+        String::new()
+    }
+
+    fn write_reserve(_: &str, _: u64, _: Duration, _: bool) -> Order {
+        Order { path: "", body: String::new() }
+    }
+
+    fn write_release(_: &str) -> Order {
+        Order { path: "", body: String::new() }
+    }
+}
+
+fn take(items: &mut Items, target: u64, revision: u64, entry: &str) {
+    let key = format!("servers/{target}").into();
+    items.take(Instant::now(), Word::whole(key, Revision(revision), Some(entry.to_owned())));
+}
+
+fn slots(view: &View) -> Vec<u32> {
+    view.targets_of(&"model".into()).iter().map(|target| target.entry.slots).collect()
+}
+
+/// Guards against nodes that read thousands of entries for each one that changes: a
+/// zone's targets come back one by one.
+#[test]
+fn an_entry_is_read_once_for_each_change_of_it() {
+    const TARGETS: u64 = 500;
+    let (mut items, now) = (Items::default(), Instant::now());
+    (0..TARGETS).for_each(|target| take(&mut items, target, target + 1, "12"));
+    let mut view = View::default().read::<Plain>(&items, now, false);
+    for change in 0..10 {
+        take(&mut items, change, TARGETS + change + 1, "6");
+        view = view.read::<Plain>(&items, now, false);
+    }
+    assert_eq!(ENTRIES_READ.get() as u64, TARGETS + 10);
+    assert_eq!(slots(&view).iter().filter(|&&slots| slots == 6).count(), 10);
+}
+
+/// Guards against a target that is written anew as it was, and read at each change
+/// from then on.
+#[test]
+fn an_entry_that_is_written_anew_as_it_was_is_read_once_more() {
+    let (mut items, now) = (Items::default(), Instant::now());
+    take(&mut items, 1, 1, "12");
+    let mut view = View::default().read::<Plain>(&items, now, false);
+    take(&mut items, 1, 2, "12");
+    for _ in 0..5 {
+        view = view.read::<Plain>(&items, now, false);
+    }
+    assert_eq!((ENTRIES_READ.get(), slots(&view)), (2, vec![12]));
+}
+
+/// A target whose entry lapsed and came back takes work again.
+#[test]
+fn an_entry_that_comes_back_is_read_again() {
+    let (mut items, now) = (Items::default(), Instant::now());
+    take(&mut items, 1, 1, "12");
+    let view = View::default().read::<Plain>(&items, now, true);
+    items.take(now, Word::whole("servers/1".into(), Revision(2), None));
+    let lapsed = view.read::<Plain>(&items, now, true);
+    assert!(lapsed.targets_of(&"model".into())[0].lapses.is_some());
+    take(&mut items, 1, 3, "12");
+    let back = lapsed.read::<Plain>(&items, now, true);
+    assert!(back.targets_of(&"model".into())[0].lapses.is_none());
+}
