Targets are looked up by tag and by group

An owner went through all targets of a service for each decision and each look at what waits, an asker once for each engine of a grant: with 3,000 targets in 19 groups and 16 engines a prompt, tens of thousands of steps a request. The view indexes them where it is first asked after a change.

--- a/crates/path/src/ask.rs
+++ b/crates/path/src/ask.rs
@@ -12,14 +12,13 @@
 use crate::place::Place;
 use crate::placement::{Answer, Grant, NoPlace, Request, Scope, Snapshot, Unplaced, Verdict};
 use crate::run::Run;
-use crate::view::{Tag, Target, View};
+use crate::view::{Tag, View};
 use hickory_policy::queue::Ahead;
 use hickory_policy::survey::Survey;
 use hickory_store::store::Store;
 use hickory_telemetry::label::Decider;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -295,11 +294,6 @@
 
 /// A target of a grant that this node knows can't be used.
 fn find_unusable(view: &View, grant: &Grant, now: Instant) -> Option<Tag> {
-    let allocation = &grant.allocation;
-    let targets = view.targets_of(&allocation.service);
-    let is_usable = |tag: &Tag| {
-        let target: Option<&Arc<Target>> = targets.iter().find(|target| target.tag == *tag);
-        target.is_some_and(|target| view.may_send(target, now))
-    };
-    allocation.engines().find(|tag| !is_usable(tag))
+    let is_usable = |tag: &Tag| view.find(*tag).is_some_and(|target| view.may_send(target, now));
+    grant.allocation.engines().find(|tag| !is_usable(tag))
 }
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -52,8 +52,7 @@
         decider: Decider,
     ) -> Option<Self> {
         let Grant { allocation, expected, survey } = grant;
-        let targets = view.targets_of(&allocation.service);
-        let find = |tag: Tag| targets.iter().find(|target| target.tag == tag).cloned();
+        let find = |tag: Tag| view.find(tag).cloned();
         let memory = allocation.memory.iter().map(|&(tag, tokens)| Some((find(tag)?, tokens)));
         Some(Self {
             core: core.clone(),
--- a/crates/path/src/placement.rs
+++ b/crates/path/src/placement.rs
@@ -321,16 +321,12 @@
         }
         _ => true,
     };
-    let all = view.targets_of(service);
-    let groups = group::count_groups(all.len());
-    let is_meant = |target: &Target| match scope {
-        Scope::Group(index) => group::find_group(target.tag, groups) == index,
-        Scope::Alone(_) => true,
+    let meant = match scope {
+        Scope::Group(index) => view.targets_in(service, index),
+        Scope::Alone(_) => view.targets_of(service),
     };
-    all.iter()
-        .filter(|target| is_meant(target) && view.may_send(target, now) && bears(target))
-        .cloned()
-        .collect()
+    let takes = |target: &&Arc<Target>| view.may_send(target, now) && bears(target);
+    meant.iter().filter(takes).cloned().collect()
 }
 
 fn mark<D: Dialect, S: Store, C: Clock>(
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -2,11 +2,12 @@
 
 use crate::config::Configuration;
 use crate::dialect::{Dialect, Entry};
+use crate::group;
 use crate::items::{Item, Items};
 use hickory_store::store::Revision;
 use hickory_unit::id;
 use std::collections::{HashMap, HashSet};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 /// How long a target is still used whose entry went while the store was away.
@@ -39,6 +40,31 @@
     pub revision: Revision,
 }
 
+/// Targets as requests look for them.
+#[derive(Clone, Debug, Default)]
+struct Index {
+    by_tag: HashMap<Tag, Arc<Target>>,
+    by_group: HashMap<id::Service, Vec<Vec<Arc<Target>>>>,
+}
+
+impl Index {
+    fn of(targets: &HashMap<id::Service, Vec<Arc<Target>>>) -> Self {
+        let all = targets.values().flatten();
+        let by_group = targets.iter().map(|(service, targets)| {
+            let groups = group::count_groups(targets.len());
+            let mut by_group = vec![Vec::new(); usize::from(groups)];
+            for target in targets {
+                by_group[usize::from(group::find_group(target.tag, groups))].push(target.clone());
+            }
+            (service.clone(), by_group)
+        });
+        Self {
+            by_tag: all.map(|target| (target.tag, target.clone())).collect(),
+            by_group: by_group.collect(),
+        }
+    }
+}
+
 /// What a node knows.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -48,6 +74,8 @@
     pub zones_out: HashSet<id::Zone>,
     /// Targets by service.
     pub targets: HashMap<id::Service, Vec<Arc<Target>>>,
+    /// The same by their tags and by their groups, made where it is first asked for.
+    index: OnceLock<Index>,
     /// When it was taken over.
     pub configured: Option<Instant>,
     /// The revision of the configuration's item.
@@ -74,6 +102,7 @@
             configuration: self.configuration.clone(),
             zones_out: read_zones::<D>(items),
             targets: HashMap::new(),
+            index: OnceLock::new(),
             configured: self.configured,
             config_revision: self.config_revision,
         };
@@ -118,6 +147,21 @@
         self.targets.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The targets of a group of a service's targets.
+    pub fn targets_in(&self, service: &id::Service, group: u16) -> &[Arc<Target>] {
+        let groups = self.index().by_group.get(service);
+        groups.and_then(|groups| groups.get(usize::from(group))).map_or(&[], Vec::as_slice)
+    }
+
+    /// The target with a tag.
+    pub fn find(&self, tag: Tag) -> Option<&Arc<Target>> {
+        self.index().by_tag.get(&tag)
+    }
+
+    fn index(&self) -> &Index {
+        self.index.get_or_init(|| Index::of(&self.targets))
+    }
+
     /// Whether new work may be sent to a target at `now`.
     pub fn may_send(&self, target: &Target, now: Instant) -> bool {
         target.takes_work(now) && !self.zones_out.contains(&target.entry.zone)
--- a/crates/path/tests/view.rs
+++ b/crates/path/tests/view.rs
@@ -4,6 +4,7 @@
 use hickory_path::config::Configuration;
 use hickory_path::demand::Demand;
 use hickory_path::dialect::{Answer, Dialect, Entry, Order, Sending};
+use hickory_path::group;
 use hickory_path::items::{Items, Word};
 use hickory_path::view::View;
 use hickory_store::store::Revision;
@@ -120,3 +121,24 @@
     let back = lapsed.read::<Plain>(&items, now, true);
     assert!(back.targets_of(&"model".into())[0].lapses.is_none());
 }
+
+#[test]
+fn each_target_is_found_by_its_tag_and_in_one_group() {
+    const TARGETS: u64 = 500;
+    let (mut items, now, service) = (Items::default(), Instant::now(), "model".into());
+    (0..TARGETS).for_each(|target| take(&mut items, target, target + 1, "12"));
+    let mut view = View::default().read::<Plain>(&items, now, false);
+    items.take(now, Word::whole("servers/3".into(), Revision(TARGETS + 1), None));
+    view.targets_in(&service, 0);
+    view = view.read::<Plain>(&items, now, false);
+    let groups = group::count_groups(view.targets_of(&service).len());
+    let in_groups: usize = (0..groups).map(|index| view.targets_in(&service, index).len()).sum();
+    assert_eq!((groups, in_groups), (4, TARGETS as usize - 1));
+    for target in view.targets_of(&service) {
+        let index = group::find_group(target.tag, groups);
+        assert!(view.targets_in(&service, index).iter().any(|other| other.tag == target.tag));
+        assert_eq!(view.find(target.tag).map(|found| &found.id), Some(&target.id));
+    }
+    assert!(view.targets_in(&service, groups).is_empty());
+    assert!(view.targets_in(&"other".into(), 0).is_empty());
+}
