A target's changes are logged by the owner of its group

Only the owner of the target's group logs them now, others at debug; how many items a node took over stays at info. A view says what changed in it, tested.

--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -207,9 +207,14 @@
         if next.config_revision != before.config_revision {
             self.note_configuration(&next, waited);
         }
-        *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(next);
+        let next = Arc::new(next);
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = next.clone();
         *lock(&self.revisions) = (items.newest(D::OPERATOR_PREFIX), items.newest(D::TARGET_PREFIX));
         self.revisions_due.notify_one();
+        drop(items);
+        if !next.changes.is_empty() {
+            self.log_changes(&next);
+        }
     }
 
     /// The newest revisions that this node has of what operators and targets wrote.
--- a/crates/path/src/fleet.rs
+++ b/crates/path/src/fleet.rs
@@ -6,11 +6,13 @@
 use crate::group::{self, Group};
 use crate::ledger::{Allocation, Number};
 use crate::placement::Answer;
+use crate::view::View;
 use hickory_policy::gossip;
 use hickory_policy::member::{Contact, Record};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
+use log::Level;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -145,6 +147,27 @@
         owned
     }
 
+    /// Logs what changed of targets: each at the owner of its group, and everywhere
+    /// for whoever looks into one node.
+    pub(crate) fn log_changes(&self, view: &View) {
+        let owned = self.owned_groups();
+        for (change, target) in &view.changes {
+            let service = &target.entry.service;
+            let groups = group::count_groups(view.targets_of(service).len());
+            let index = group::find_group(target.tag, groups);
+            let group = Group { service: service.clone(), index };
+            let level = if owned.contains(&group) { Level::Info } else { Level::Debug };
+            log::log!(
+                level,
+                target_id = target.id.as_str(),
+                service = service.as_str(),
+                draining = target.entry.draining,
+                cold_ms = target.entry.cold_left.as_millis() as u64;
+                "{change}"
+            );
+        }
+    }
+
     /// Other nodes that are told what is placed in a group.
     pub(crate) fn told_owners(&self, group: &Group) -> Vec<id::Node> {
         let mut told = self.owners(group);
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -40,6 +40,17 @@
     pub revision: Revision,
 }
 
+/// What became of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Change {
+    /// Its entry is new, or says something new.
+    #[display("target known")]
+    Known,
+    /// Its entry is gone.
+    #[display("target gone")]
+    Gone,
+}
+
 /// Targets as requests look for them.
 #[derive(Clone, Debug, Default)]
 struct Index {
@@ -74,6 +85,8 @@
     pub zones_out: HashSet<id::Zone>,
     /// Targets by service.
     pub targets: HashMap<id::Service, Vec<Arc<Target>>>,
+    /// What changed of them, against the view before.
+    pub changes: Vec<(Change, Arc<Target>)>,
     /// The same by their tags and by their groups, made where it is first asked for.
     index: OnceLock<Index>,
     /// When it was taken over.
@@ -102,6 +115,7 @@
             configuration: self.configuration.clone(),
             zones_out: read_zones::<D>(items),
             targets: HashMap::new(),
+            changes: Vec::new(),
             index: OnceLock::new(),
             configured: self.configured,
             config_revision: self.config_revision,
@@ -117,6 +131,7 @@
                 Some(text) => read_target::<D>(id, text, item, known),
                 None => keep_lapsed(known, item.seen, now, may_lapse),
             };
+            next.changes.extend(find_change(known, target.as_ref()));
             if let Some(target) = target {
                 next.targets.entry(target.entry.service.clone()).or_default().push(target);
             }
@@ -190,6 +205,20 @@
     }
 }
 
+/// What became of a target, if anything.
+fn find_change(
+    before: Option<&Arc<Target>>,
+    after: Option<&Arc<Target>>,
+) -> Option<(Change, Arc<Target>)> {
+    let before = before.filter(|target| target.lapses.is_none());
+    match (before, after.filter(|target| target.lapses.is_none())) {
+        (Some(before), Some(after)) if before.entry == after.entry => None,
+        (_, Some(after)) => Some((Change::Known, after.clone())),
+        (Some(before), None) => Some((Change::Gone, before.clone())),
+        (None, None) => None,
+    }
+}
+
 /// The target of an entry; an entry that has not changed since is not read again.
 fn read_target<D: Dialect>(
     id: &str,
@@ -208,13 +237,6 @@
     if let Some(known) = known.filter(|known| known.entry == entry) {
         return Some(Arc::new(Target { revision: item.revision, ..Target::clone(known) }));
     }
-    log::info!(
-        target_id = id,
-        service = entry.service.as_str(),
-        draining = entry.draining,
-        cold_ms = entry.cold_left.as_millis() as u64;
-        "target known"
-    );
     let cold_until = (!entry.cold_left.is_zero()).then(|| item.seen + entry.cold_left);
     let (tag, revision) = (tag_target(id, entry.born), item.revision);
     Some(Arc::new(Target { id: id.into(), tag, entry, cold_until, lapses: None, revision }))
@@ -228,9 +250,6 @@
     may_lapse: bool,
 ) -> Option<Arc<Target>> {
     let known = known?;
-    if known.lapses.is_none() {
-        log::info!(target_id = known.id.as_str(), may_lapse; "target gone");
-    }
     let lapses = known.lapses.or((may_lapse && !known.entry.draining).then(|| seen + LAPSED_KEPT));
     let lapses = lapses.filter(|at| now < *at)?;
     Some(Arc::new(Target { lapses: Some(lapses), ..Target::clone(known) }))
--- a/crates/path/tests/view.rs
+++ b/crates/path/tests/view.rs
@@ -6,7 +6,7 @@
 use hickory_path::dialect::{Answer, Dialect, Entry, Order, Sending};
 use hickory_path::group;
 use hickory_path::items::{Items, Word};
-use hickory_path::view::View;
+use hickory_path::view::{Change, View};
 use hickory_store::store::Revision;
 use hickory_unit::finding::Finding;
 use http::HeaderMap;
@@ -78,6 +78,10 @@
     view.targets_of(&"model".into()).iter().map(|target| target.entry.slots).collect()
 }
 
+fn changes(view: &View) -> Vec<Change> {
+    view.changes.iter().map(|(change, _)| *change).collect()
+}
+
 /// Guards against nodes that read thousands of entries for each one that changes: a
 /// zone's targets come back one by one.
 #[test]
@@ -114,12 +118,18 @@
     let (mut items, now) = (Items::default(), Instant::now());
     take(&mut items, 1, 1, "12");
     let view = View::default().read::<Plain>(&items, now, true);
+    assert_eq!(changes(&view), [Change::Known]);
     items.take(now, Word::whole("servers/1".into(), Revision(2), None));
     let lapsed = view.read::<Plain>(&items, now, true);
     assert!(lapsed.targets_of(&"model".into())[0].lapses.is_some());
+    assert_eq!(changes(&lapsed), [Change::Gone]);
+    assert_eq!(changes(&lapsed.read::<Plain>(&items, now, true)), []);
     take(&mut items, 1, 3, "12");
     let back = lapsed.read::<Plain>(&items, now, true);
     assert!(back.targets_of(&"model".into())[0].lapses.is_none());
+    assert_eq!(changes(&back), [Change::Known]);
+    take(&mut items, 1, 4, "6");
+    assert_eq!(changes(&back.read::<Plain>(&items, now, true)), [Change::Known]);
 }
 
 #[test]
