--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod drain;
 mod drive;
 mod entry;
+mod granted;
 mod orders;
 mod owned;
 mod parse;
--- a/crates/node/src/owned.rs
+++ b/crates/node/src/owned.rs
@@ -4,6 +4,7 @@
 //! No input or output: the time and the target's reports are passed in, so
 //! that it runs in tests without sockets.
 
+use crate::granted::{Foreign, Granted, Waiting};
 use crate::orders::Loads;
 use hickory_policy::cost::{Class, Cost};
 use hickory_policy::limit::{self, Answer, Capacity, Limiter, Ticket, priority_of};
@@ -28,11 +29,6 @@
 /// asked at once.
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(500);
 
-/// How long after its deadline a stream may still be found on a target before
-/// it is swept: the sender ends it at the deadline, and its message may be
-/// under way.
-pub(crate) const SWEEP_GRACE: Duration = Duration::from_secs(2);
-
 /// One owned target.
 #[derive(Debug)]
 pub(crate) struct Target {
@@ -66,54 +62,11 @@
     pub(crate) told: Option<(u64, State)>,
 }
 
-/// A stream that the target holds and this owner did not grant: a former
-/// owner did.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Foreign {
-    /// When it was first seen without anybody who stands for it.
-    pub(crate) alone: Option<Instant>,
-}
-
 /// Permits for adopted streams are numbered from here, out of the way of the
 /// limiter's own: these streams are not its to count, they stand in the load
 /// report.
 const ADOPTED_FIRST: Ticket = 1 << 63;
 
-/// A permit that is out.
-#[derive(Clone, Debug)]
-pub(crate) struct Granted {
-    pub(crate) stream: id::Stream,
-    pub(crate) until: Instant,
-    pub(crate) priority: u8,
-    /// Hash of account and content.
-    pub(crate) fingerprint: u64,
-    /// KV cache at its greatest.
-    pub(crate) kv: size::Tokens,
-    /// What runs it, on an engine.
-    pub(crate) weights: Option<Weights>,
-    /// When the caller's connection went, where it did.
-    pub(crate) left: Option<Instant>,
-    /// When it was granted, while its asker has not been told.
-    pub(crate) untold: Option<Instant>,
-    /// Whether the target's death is counted against it already.
-    pub(crate) counted: bool,
-    /// The node that serves it.
-    pub(crate) node: id::Node,
-}
-
-/// An ask in the queue.
-#[derive(Debug)]
-pub(crate) struct Waiting {
-    pub(crate) stream: id::Stream,
-    pub(crate) asked: Instant,
-    pub(crate) until: Instant,
-    pub(crate) priority: u8,
-    pub(crate) fingerprint: u64,
-    pub(crate) kv: size::Tokens,
-    pub(crate) weights: Option<Weights>,
-    pub(crate) waker: Option<oneshot::Sender<Result<Permit, Refusal>>>,
-}
-
 pub(crate) fn refuse(reason: impl std::fmt::Display, retry_after: Duration) -> Refusal {
     Refusal { reason: reason.to_string(), retry_after, not_owner: false }
 }
@@ -437,27 +390,3 @@
         }
     }
 }
-
-impl Granted {
-    fn to(stream: id::Stream, until: Instant, priority: u8) -> Self {
-        let node = stream.sender.clone();
-        let (fingerprint, kv, weights) = (0, size::Tokens(0), None);
-        Self {
-            stream,
-            until,
-            priority,
-            fingerprint,
-            kv,
-            weights,
-            left: None,
-            untold: None,
-            counted: false,
-            node,
-        }
-    }
-
-    pub(crate) fn is_overdue(&self, now: Instant, resume: Duration) -> bool {
-        let left_long = self.left.is_some_and(|at| now.saturating_duration_since(at) > resume);
-        left_long || now > self.until + SWEEP_GRACE
-    }
-}
--- a/crates/node/src/sweep.rs
+++ b/crates/node/src/sweep.rs
@@ -5,7 +5,8 @@
 //! target is found here by the sender and the deadline in each stream's id,
 //! and released without the node.
 
-use crate::owned::{Foreign, SWEEP_GRACE, Target};
+use crate::granted::{Foreign, SWEEP_GRACE};
+use crate::owned::Target;
 use hickory_policy::limit::{self, Capacity, Observed, Ticket};
 use hickory_policy::ramp::Sample;
 use hickory_target::engine::{Handle, Held, Report};
--- a/crates/policy/benches/common/mod.rs
+++ b/crates/policy/benches/common/mod.rs
@@ -1,5 +1,5 @@
-//! The size to come: 630 replicas, 680 accounts of 12 partners, 10,000 asks
-//! queued at one owner.
+//! What the benches of the decisions share: a large fleet and an owner with a long
+//! queue, the same in each run.
 
 use hickory_policy::cost::{Class, Cost};
 use hickory_policy::limit::{Answer, Ask, Capacity, Limiter, Observed, Ticket};
--- a/crates/policy/benches/percentile.rs
+++ b/crates/policy/benches/percentile.rs
@@ -1,5 +1,5 @@
-//! Percentiles of one decision: a target is chosen among 630 replicas, and
-//! its owner, with 10,000 asks queued, answers the ask.
+//! Percentiles of one decision: a target is chosen in a large fleet, and its owner,
+//! at which many asks wait, answers the ask.
 //!
 //! `cargo bench -p hickory-policy --bench percentile`
 
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -110,7 +110,6 @@
         }
     }
 
-    /// This node's record.
     /// This node's record.
     pub fn own(&self) -> &Record {
         &self.roster.own
@@ -277,9 +276,7 @@
     }
 
     fn take_all(&mut self, now: Instant, records: Vec<Record>) {
-        for record in records {
-            self.take(now, record);
-        }
+        records.into_iter().for_each(|record| self.take(now, record));
     }
 
     fn take(&mut self, now: Instant, record: Record) {
--- a/crates/state/src/group.rs
+++ b/crates/state/src/group.rs
@@ -17,12 +17,9 @@
 const RACE_WAIT: (Duration, Duration) = (Duration::from_millis(2), Duration::from_millis(100));
 const FAILURE_WAIT: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 
-/// A page known for longer is read before it is written.
-///
-/// Load: nine nodes that write each page in turn. What a node knows of a page
-/// from its last write is nearly always out of date by its next, so the write
-/// would be lost and made again; the service bears several times more reads
-/// than writes.
+/// A page known for longer is read before it is written: others write it in turn, so
+/// a write on what is known from the last one would mostly be lost and made again,
+/// and the service bears several times more reads than writes.
 const PAGE_AGE: Duration = Duration::from_millis(25);
 
 /// Names something asked of a group.
@@ -406,32 +403,19 @@
 
     fn expire(&mut self, now: Instant) {
         let late = self.ops.iter().filter(|op| op.deadline <= now);
-        let late: Vec<Ticket> = late.map(|op| op.ticket).collect();
-        for ticket in late {
-            let Some(op) = self.ops.iter().find(|op| op.ticket == ticket) else {
-                continue;
-            };
+        let late = late.map(|op| {
             let text = "the service did not answer in time".into();
             let doubt = if op.sent { Doubt::Unanswered(text) } else { Doubt::Unread(text) };
-            let end = match op.task {
-                Task::Claim { .. } => End::Claimed(Answer::Unknown(doubt)),
-                Task::Settle(_) => End::Settled(Err(doubt)),
-            };
+            (op.ticket, op.give_up(doubt))
+        });
+        for (ticket, end) in late.collect::<Vec<_>>() {
             self.end(ticket, end);
         }
     }
 
     fn end_all_lost(&mut self) {
-        let tickets: Vec<_> = self.ops.iter().map(|op| op.ticket).collect();
-        for ticket in tickets {
-            let Some(op) = self.ops.iter().find(|op| op.ticket == ticket) else {
-                continue;
-            };
-            let doubt = Doubt::Unread("the page is gone".into());
-            let end = match op.task {
-                Task::Claim { .. } => End::Claimed(Answer::Unknown(doubt)),
-                Task::Settle(_) => End::Settled(Err(doubt)),
-            };
+        let lost = |op: &Op| (op.ticket, op.give_up(Doubt::Unread("the page is gone".into())));
+        for (ticket, end) in self.ops.iter().map(lost).collect::<Vec<_>>() {
             self.end(ticket, end);
         }
     }
--- a/crates/state/src/op.rs
+++ b/crates/state/src/op.rs
@@ -43,6 +43,14 @@
 }
 
 impl Op {
+    /// The end of an operation that is given up on.
+    pub(crate) fn give_up(&self, doubt: Doubt) -> End {
+        match self.task {
+            Task::Claim { .. } => End::Claimed(Answer::Unknown(doubt)),
+            Task::Settle(_) => End::Settled(Err(doubt)),
+        }
+    }
+
     /// What the page, of `size` bytes and read as number `reading`, says of
     /// this operation.
     pub(crate) fn judge(&self, now: Instant, page: &Page, size: usize, reading: u64) -> Standing {
