--- a/crates/path/src/fleet.rs
+++ b/crates/path/src/fleet.rs
@@ -13,6 +13,7 @@
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
 use log::Level;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -134,6 +135,10 @@
         group::rank_owners(group, nodes).into_iter().cloned().collect()
     }
 
+    fn owns(&self, group: &Group) -> bool {
+        self.owners(group).first() == Some(&self.settings.node)
+    }
+
     /// The groups that this node owns.
     pub(crate) fn owned_groups(&self) -> Vec<Group> {
         let view = self.view();
@@ -141,8 +146,7 @@
             let indexes = 0..group::count_groups(targets.len());
             indexes.map(|index| Group { service: service.clone(), index })
         });
-        let is_owned = |group: &Group| self.owners(group).first() == Some(&self.settings.node);
-        let mut owned: Vec<Group> = groups.filter(is_owned).collect();
+        let mut owned: Vec<Group> = groups.filter(|group| self.owns(group)).collect();
         owned.sort_unstable();
         owned
     }
@@ -150,13 +154,14 @@
     /// Logs what changed of targets: each at the owner of its group, and everywhere
     /// for whoever looks into one node.
     pub(crate) fn log_changes(&self, view: &View) {
-        let owned = self.owned_groups();
+        let mut owned: HashMap<Group, bool> = HashMap::new();
         for (change, target) in &view.changes {
             let service = &target.entry.service;
             let groups = group::count_groups(view.targets_of(service).len());
             let index = group::find_group(target.tag, groups);
             let group = Group { service: service.clone(), index };
-            let level = if owned.contains(&group) { Level::Info } else { Level::Debug };
+            let is_owned = *owned.entry(group).or_insert_with_key(|group| self.owns(group));
+            let level = if is_owned { Level::Info } else { Level::Debug };
             log::log!(
                 level,
                 target_id = target.id.as_str(),
