--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod cost;
 pub mod ejection;
 pub mod engine;
+pub mod entry;
 pub mod fair;
 mod flow;
 pub mod gossip;
