--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -343,7 +343,6 @@
         settled: false,
         store_away: false,
         capacity: settings.capacity,
-        zone: settings.zone.clone(),
     };
     let node = settings.node.clone();
     let own = Record { node, incarnation, version: 0, state: State::Alive, contact };
--- a/crates/path/src/dialect.rs
+++ b/crates/path/src/dialect.rs
@@ -53,10 +53,6 @@
     /// Reads a target's entry; `None` where it names no target to use.
     fn read_target(id: &str, text: &str) -> Option<Entry>;
 
-    /// The availability zone of a caller who asks where to connect, if its query
-    /// names one.
-    fn read_caller_zone(query: &str) -> Option<id::Zone>;
-
     /// The answer to where to connect.
     fn write_directory(addresses: &[SocketAddr], keep: Duration) -> String;
 
--- a/crates/path/src/fleet.rs
+++ b/crates/path/src/fleet.rs
@@ -58,18 +58,11 @@
         self.membership().alive().count()
     }
 
-    /// Where callers may connect: in a zone, and in the others.
-    pub(crate) fn callers(&self, zone: Option<&id::Zone>) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let is_ready = self.is_ready();
+    /// Where callers may connect besides this node.
+    pub(crate) fn callers(&self) -> Vec<SocketAddr> {
         let membership = self.membership();
-        let own = membership.own();
-        let own = is_ready.then_some(&own.contact);
-        let alive = membership.alive().map(|record| &record.contact);
-        let ready = own.into_iter().chain(alive.filter(|contact| contact.ready));
-        let (near, far): (Vec<&Contact>, Vec<&Contact>) =
-            ready.partition(|contact| Some(&contact.zone) == zone);
-        let addresses = |all: Vec<&Contact>| all.iter().map(|contact| contact.callers).collect();
-        (addresses(near), addresses(far))
+        let ready = membership.alive().filter(|record| record.contact.ready);
+        ready.map(|record| record.contact.callers).collect()
     }
 
     /// Notes that this node runs; one that was held up was told nothing meanwhile.
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -195,9 +195,9 @@
 
 async fn answer_directory<D: Dialect, S: Store, C: Clock>(
     core: Arc<Core<D, S, C>>,
-    request: Request<Incoming>,
+    _: Request<Incoming>,
 ) -> Response<Reply> {
-    match entry::answer(&core, request.uri().query().unwrap_or_default()) {
+    match entry::answer(&core) {
         Some(body) => reply::json(StatusCode::OK, body),
         None => reply::plain(StatusCode::SERVICE_UNAVAILABLE, "no node takes callers"),
     }
--- a/crates/path/tests/view.rs
+++ b/crates/path/tests/view.rs
@@ -9,7 +9,6 @@
 use hickory_path::view::{Change, View};
 use hickory_store::store::Revision;
 use hickory_unit::finding::Finding;
-use hickory_unit::id;
 use http::HeaderMap;
 use http::request::Parts;
 use std::cell::Cell;
@@ -57,10 +56,6 @@
 
     fn strip_answer(_: &mut HeaderMap) {}
 
-    fn read_caller_zone(_: &str) -> Option<id::Zone> {
-        None
-    }
-
     fn write_directory(_: &[SocketAddr], _: Duration) -> String {
         String::new()
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod cost;
 pub mod ejection;
 pub mod engine;
-pub mod entry;
 pub mod fair;
 mod flow;
 pub mod gossip;
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -44,8 +44,6 @@
     pub store_away: bool,
     /// What it can do for others.
     pub capacity: Capacity,
-    /// The availability zone that it stands in.
-    pub zone: id::Zone,
 }
 
 /// A statement about a node. Of two about the same node the greater rank holds.
--- a/crates/policy/tests/network/mod.rs
+++ b/crates/policy/tests/network/mod.rs
@@ -116,7 +116,6 @@
             settled: false,
             store_away: false,
             capacity: Capacity(1),
-            zone: "a".into(),
         };
         let (version, state) = (0, State::Alive);
         let incarnation = id::Incarnation(incarnation);
