Attempts that never began don't count among those that may have run

Attempts that never began cost no target anything; they are bounded by themselves now (eight, each wait ten milliseconds longer than the last), as the other request path has it.

The test now loses the request five times at the only engine; it fails without the change (502, ran no).

--- a/apps/hickory-node/tests/proofs/whole.rs
+++ b/apps/hickory-node/tests/proofs/whole.rs
@@ -172,16 +172,19 @@
     eventually("all memory is free", || async { (scene.kv_used() == 0).then_some(()) }).await;
 }
 
-/// The only engine that serves the model loses a request before it reads it:
-/// the request is sent there again.
+/// The only engine that serves the model loses a request before it reads it, once
+/// and again and again: the request is sent there until it is read.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_that_never_began_is_asked_again_where_no_other_is_left() {
     let mut options = options();
     options.engines = 1;
     let scene = Scene::start(2, options).await;
-    scene.standins.engines[0].faults().lose(Loss::Call, "/v1/generate", 1);
-    let stream = scene.complete(scene.nodes[0].callers, "lost once", 5).await.unwrap();
-    assert_whole(&scene, "lost once", 5, stream).await;
+    for times in [1, 5] {
+        scene.standins.engines[0].faults().lose(Loss::Call, "/v1/generate", times);
+        let prompt = format!("lost {times} times");
+        let stream = scene.complete(scene.nodes[0].callers, &prompt, 5).await.unwrap();
+        assert_whole(&scene, &prompt, 5, stream).await;
+    }
 }
 
 /// Two engines lose a request and then their load reports. Neither of them
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -21,9 +21,6 @@
 use std::time::{Duration, Instant};
 use uuid::Uuid;
 
-/// Attempts at one call.
-const ATTEMPTS_MAX: u32 = 3;
-
 /// The greatest answer that the ledger keeps for a resend; its documents hold
 /// many claims within the platform's bound of a megabyte.
 const KEPT_MAX: usize = 2048;
@@ -154,7 +151,7 @@
     let mut tried = Tried::default();
     let mut ran = Ran::No;
     core.record.earn(&call.caller.account);
-    for attempt in 0..ATTEMPTS_MAX {
+    for attempt in 0.. {
         let stream = permit::name_stream(core, request, attempt, call.deadline_ms);
         let want = Want {
             need: Need::Service(&call.service),
@@ -186,12 +183,12 @@
             }
         };
         record::log_retry(core, &call.caller.account, &leave, retry);
-        match retry {
-            Retry::Refused => tried.note_refused(leave.target),
-            _ => tried.note_failed(leave.target),
-        }
+        tried.note(leave.target, retry);
         let spent = suspect::spend_retry(core, &call.caller.account, retry);
         spent.map_err(|refusal| Failure { refusal: Refusal { ran, ..refusal } })?;
+        if !tried.wait().await {
+            break;
+        }
     }
     let refusal = refuse(Reason::TargetFailed, "the replicas failed that it was sent to");
     Err(Failure { refusal: Refusal { ran, ..refusal } })
--- a/crates/node/src/complete.rs
+++ b/crates/node/src/complete.rs
@@ -25,10 +25,6 @@
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
-/// Attempts at one completion. Two targets may fail under it by bad luck; at a
-/// third failure the request itself is the likelier cause.
-const ATTEMPTS_MAX: u32 = 3;
-
 /// Pieces that wait for a slow caller before the engine's stream is left to
 /// wait as well.
 const PIECES_AHEAD: usize = 256;
@@ -94,13 +90,24 @@
     Refused(Refusal),
 }
 
+impl Attempt {
+    /// Why there is to be a further attempt, if so.
+    fn retry(&self) -> Option<Retry> {
+        match self {
+            Self::Again(reason) => Some(*reason),
+            Self::Died => Some(Retry::TargetFailed),
+            Self::Whole(_) | Self::Gone | Self::Refused(_) => None,
+        }
+    }
+}
+
 impl Run<'_> {
     async fn run(mut self) {
         let mut tried = Tried::default();
         let (core, fingerprint) = (self.core, self.completion.fingerprint);
         let account = &self.completion.caller.account;
         core.record.earn(account);
-        for attempt in 0..ATTEMPTS_MAX {
+        for attempt in 0.. {
             match self.attempt(attempt, &mut tried).await {
                 Attempt::Whole(count) => {
                     core.record.note_success(core.now(), fingerprint);
@@ -131,6 +138,9 @@
                     }
                 }
             }
+            if !tried.wait().await {
+                break;
+            }
         }
         let refusal = refuse(Reason::TargetFailed, "the targets failed that it was sent to");
         self.refuse(refusal).await;
@@ -171,7 +181,9 @@
             Err(refusal) => return Attempt::Refused(refusal),
         };
         if parts::find_candidates(self.core, c).is_some() {
-            return self.attempt_parts(attempt).await;
+            let attempt = self.attempt_parts(attempt).await;
+            attempt.retry().into_iter().for_each(|retry| tried.count(retry));
+            return attempt;
         }
         let obtained = tokio::select! {
             obtained = permit::obtain(self.core, &want, tried) => obtained,
@@ -183,10 +195,7 @@
         };
         let end = self.send(&leave, None).await;
         let attempt = self.settle(&leave, end);
-        match attempt {
-            Attempt::Again(Retry::Refused) => tried.note_refused(leave.target),
-            _ => tried.note_failed(leave.target),
-        }
+        attempt.retry().into_iter().for_each(|retry| tried.note(leave.target.clone(), retry));
         attempt
     }
 
@@ -279,12 +288,7 @@
             End::Deadline | End::Stalled | End::Failed(_) => Ending::Lost,
         };
         let attempt = read_end(end);
-        let retry = match attempt {
-            Attempt::Again(reason) => Some(reason),
-            Attempt::Died => Some(Retry::TargetFailed),
-            Attempt::Whole(_) | Attempt::Gone | Attempt::Refused(_) => None,
-        };
-        if let Some(reason) = retry {
+        if let Some(reason) = attempt.retry() {
             record::log_retry(self.core, &self.completion.caller.account, leave, reason);
         }
         let (target, permit) = (&leave.target, &leave.permit);
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -72,22 +72,53 @@
     }
 }
 
-/// The targets that a request's earlier attempts were sent to.
+/// Attempts of a request that may have run. After three targets have failed it the
+/// request is more likely to blame than they are.
+const RUNS_MAX: u32 = 3;
+
+/// Attempts that certainly never began, which cost no target anything.
+const UNBEGUN_MAX: u32 = 8;
+
+/// By which each wait after an attempt that never began is longer than the last.
+const UNBEGUN_WAIT: Duration = Duration::from_millis(10);
+
+/// A request's earlier attempts.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Tried {
-    /// They failed, or nothing came from them.
+    /// Targets that failed, or that nothing reached.
     failed: Vec<id::Target>,
-    /// They answered that they never began.
+    /// Targets that answered that they never began.
     refused: Vec<id::Target>,
+    runs: u32,
+    unbegun: u32,
 }
 
 impl Tried {
-    pub(crate) fn note_failed(&mut self, target: id::Target) {
-        self.failed.push(target);
+    /// Notes an attempt that ended so.
+    pub(crate) fn note(&mut self, target: id::Target, retry: Retry) {
+        match retry {
+            Retry::Refused => self.refused.push(target),
+            _ => self.failed.push(target),
+        }
+        self.count(retry);
     }
 
-    pub(crate) fn note_refused(&mut self, target: id::Target) {
-        self.refused.push(target);
+    /// Counts an attempt that is not one target's.
+    pub(crate) fn count(&mut self, retry: Retry) {
+        match retry {
+            Retry::Refused | Retry::NotSent => self.unbegun += 1,
+            _ => self.runs += 1,
+        }
+    }
+
+    /// Waits until the next attempt, if there may be one. What kept one from beginning
+    /// lasts for some moments, and would keep the next ones at once.
+    pub(crate) async fn wait(&self) -> bool {
+        let may_go_on = self.runs < RUNS_MAX && self.unbegun < UNBEGUN_MAX;
+        if may_go_on && self.unbegun > 0 {
+            tokio::time::sleep(UNBEGUN_WAIT * (self.unbegun - 1)).await;
+        }
+        may_go_on
     }
 }
 
