--- a/crates/policy/examples/regret/main.rs
+++ b/crates/policy/examples/regret/main.rs
@@ -17,7 +17,7 @@
 use clap::Parser;
 use engines::Request;
 use hickory_policy::engine::Profile;
-use phases::{ADVICE, AUDITS, Mix, Phase, alternate, arrive};
+use phases::{ADVICE, ARCHIVES, AUDITS, Mix, Phase, alternate, arrive};
 use replay::{Chooser, Outcome, Scene};
 use std::time::Duration;
 
@@ -44,29 +44,43 @@
     forget: Option<Duration>,
 }
 
-fn cases() -> Vec<Case> {
+/// The cases at sixteen engines times this.
+fn cases(size: f64) -> Vec<Case> {
     let usual = || alternate([0.35, 1.3, 2.8], [2.4, 0.5, 0.05]);
     let mut burst = usual();
     burst.push(Phase { begin: 3.0, end: 7.0, factors: [0.0, 0.0, 1.4] });
     burst.push(Phase { begin: 13.0, end: 16.0, factors: [1.2, 0.0, 0.0] });
+    let mixed = vec![
+        Phase { begin: 0.0, end: 5.0, factors: [1.6, 0.3, 0.0] },
+        Phase { begin: 5.0, end: 30.0, factors: [1.0; 3] },
+    ];
     let steady = vec![Phase { begin: 0.0, end: 30.0, factors: [1.0; 3] }];
-    let case = |name, engines, phases, forget| Case { name, engines, phases, forget };
+    let case = |name, engines: f64, phases, forget| Case {
+        name,
+        engines: (engines * size) as usize,
+        phases,
+        forget,
+    };
     vec![
-        case("phases", 16, usual(), None),
-        case("zone out", 10, usual(), None),
-        case("bursts", 16, burst, None),
-        case("restart of all", 16, usual(), Some(Duration::from_secs(23))),
-        case("steady, zone out", 10, steady, None),
+        case("phases", 16.0, usual(), None),
+        case("half out", 8.0, usual(), None),
+        case("zone out", 10.0, usual(), None),
+        case("bursts", 16.0, burst, None),
+        case("restart of all", 16.0, usual(), Some(Duration::from_secs(23))),
+        case("steady, zone out", 10.0, steady, None),
+        case("mixed, most out", 6.4, mixed, None),
     ]
 }
 
 fn main() {
     let options = Options::parse();
-    let mixes: [(&str, &Mix, Profile); 2] =
-        [("advice", &ADVICE, profile::profile()), ("audits", &AUDITS, profile::small())];
-    println!("mix     load               ours  least  fifo  bound  regret");
-    for (mix_name, mix, profile) in mixes {
-        for case in cases() {
+    let small = [("advice", &ADVICE, profile::profile()), ("audits", &AUDITS, profile::small())];
+    let large = ("archives", &ARCHIVES, profile::narrow());
+    let small = small.into_iter().map(|mix| (mix, cases(1.0)));
+    let mixes = small.chain([(large, cases(78.0 / 16.0))]);
+    println!("mix      load               ours  least  fifo  bound  regret");
+    for ((mix_name, mix, profile), cases) in mixes {
+        for case in cases {
             let load = |seed| arrive(mix, &case.phases, seed);
             let play = |chooser: Chooser| {
                 let scene = Scene { forget: case.forget, ..Scene::new(case.engines) };
@@ -74,7 +88,7 @@
                 mean(mix, &(1..=options.seeds).map(play).collect::<Vec<_>>())
             };
             let ours = play(replay::choose);
-            print!("{mix_name:7} {:18} {:.3}", case.name, ours.0);
+            print!("{mix_name:8} {:18} {:.3}", case.name, ours.0);
             if !options.quick {
                 let least = play(replay::choose_least).0;
                 let fifo = play(replay::choose_fifo).0;
--- a/crates/policy/tests/engines/mod.rs
+++ b/crates/policy/tests/engines/mod.rs
@@ -158,6 +158,7 @@
     pub fn loads(&self, now: Duration) -> Vec<Load> {
         let mut loads: Vec<Load> =
             self.engines.iter().map(|engine| self.load(engine, now)).collect();
+        loads.iter_mut().zip(0..).for_each(|(load, place)| load.preference = place);
         let known = (0..self.requests.len()).filter(|&request| self.is_known(request));
         for request in known.map(|request| &self.requests[request]).filter(|r| !r.done) {
             let Some((first, helpers, _)) = &request.placed else { continue };
--- a/crates/policy/tests/phases/mod.rs
+++ b/crates/policy/tests/phases/mod.rs
@@ -89,6 +89,22 @@
     ],
 };
 
+/// Advice, lists and archives at a fleet of many engines with few slots.
+pub const ARCHIVES: Mix = Mix {
+    event_tokens: 48,
+    kinds: [
+        Kind { a_second: 84.0, events: 31.0, ..ADVICE.kinds[0] },
+        Kind { a_second: 9.9, events: 18.0, worth: 3.3, ..ADVICE.kinds[1] },
+        Kind {
+            a_second: 2.7,
+            prompt: (190_000.0, 0.55, 600_000.0),
+            events: 15.0,
+            worth: 20.0,
+            ..ADVICE.kinds[2]
+        },
+    ],
+};
+
 /// Ten seconds of long prompts, ten of short ones, ten of long ones again.
 pub fn alternate(long: [f64; 3], short: [f64; 3]) -> Vec<Phase> {
     vec![
--- a/crates/policy/tests/profile/mod.rs
+++ b/crates/policy/tests/profile/mod.rs
@@ -36,3 +36,9 @@
         ..profile()
     }
 }
+
+/// The same reader with fewer slots.
+#[allow(dead_code, reason = "each test binary uses a part")]
+pub fn narrow() -> Profile {
+    Profile { slots: 12, stride: 48, ..small() }
+}
