--- a/apps/hickory-entry/tests/logs.rs
+++ b/apps/hickory-entry/tests/logs.rs
@@ -1,31 +1,64 @@
-//! The daemon as a process: what its log says of requests that failed.
+//! The daemon as a process: what its log says of requests that failed, and of targets.
 
 use hickory_adapter_standin::caller::{self, Answer};
 use hickory_adapter_standin::replica::{Act, Replica};
 use hickory_adapter_standin::store::Store;
-use hickory_adapter_standin::{CONFIG, entry_key, settings, write_settings};
+use hickory_adapter_standin::{CONFIG, entry_key, fleet, free_address, settings, write_settings};
+use hickory_path::settings::Settings;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-/// A daemon before a store and two replicas of each service.
-struct Scene {
-    daemon: Child,
+/// A process and its log.
+struct Daemon {
+    process: Child,
     log: PathBuf,
-    callers: SocketAddr,
-    replicas: Vec<Replica>,
 }
 
-impl Drop for Scene {
+impl Drop for Daemon {
     fn drop(&mut self) {
         // It fails where the daemon has ended by itself.
-        let _ = self.daemon.kill();
-        let _ = self.daemon.wait();
+        let _ = self.process.kill();
+        let _ = self.process.wait();
     }
 }
 
+impl Daemon {
+    /// Starts a daemon whose files have this name, and waits until it is ready.
+    async fn start(name: &str, settings: &Settings) -> Self {
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let file = directory.join(format!("{name}.json"));
+        std::fs::write(&file, write_settings(settings)).unwrap();
+        let log = directory.join(format!("{name}.log"));
+        let process = Command::new(env!("CARGO_BIN_EXE_hickory-entry"))
+            .arg(&file)
+            .stdout(std::fs::File::create(&log).unwrap())
+            .stdin(Stdio::null())
+            .spawn()
+            .unwrap();
+        let daemon = Self { process, log };
+        caller::wait_ready(settings.ready).await;
+        daemon
+    }
+
+    /// The lines that pass. A line that is just being written is not among them.
+    fn lines(&self, passes: impl Fn(&Value) -> bool) -> Vec<Value> {
+        let text = std::fs::read_to_string(&self.log).unwrap();
+        let whole = text.rfind('\n').map_or("", |end| &text[..end]);
+        let lines = whole.lines().map(|line| serde_json::from_str::<Value>(line).unwrap());
+        lines.filter(passes).collect()
+    }
+}
+
+/// A daemon before a store and two replicas of each service.
+struct Scene {
+    daemon: Daemon,
+    callers: SocketAddr,
+    replicas: Vec<Replica>,
+}
+
 impl Scene {
     async fn open(name: &str) -> Self {
         let store = Store::spawn().await;
@@ -39,18 +72,8 @@
             replicas.push(replica);
         }
         let settings = settings("node-1", store.address);
-        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let file = directory.join(format!("{name}.json"));
-        std::fs::write(&file, write_settings(&settings)).unwrap();
-        let log = directory.join(format!("{name}.log"));
-        let daemon = Command::new(env!("CARGO_BIN_EXE_hickory-entry"))
-            .arg(&file)
-            .stdout(std::fs::File::create(&log).unwrap())
-            .stdin(Stdio::null())
-            .spawn()
-            .unwrap();
-        caller::wait_ready(settings.ready).await;
-        Self { daemon, log, callers: settings.callers, replicas }
+        let daemon = Daemon::start(name, &settings).await;
+        Self { daemon, callers: settings.callers, replicas }
     }
 
     fn all(&self, service: &str, act: &Act) {
@@ -67,10 +90,7 @@
     /// The log's lines of a request, once there are so many.
     async fn lines(&self, attempt: &str, count: usize) -> Vec<Value> {
         for _ in 0..100 {
-            let text = std::fs::read_to_string(&self.log).unwrap();
-            let lines = text.lines().map(|line| serde_json::from_str::<Value>(line).unwrap());
-            let own: Vec<Value> =
-                lines.filter(|line| line["attributes"]["request"] == attempt).collect();
+            let own = self.daemon.lines(|line| line["attributes"]["request"] == attempt);
             if own.len() >= count {
                 return own;
             }
@@ -175,3 +195,35 @@
     assert_eq!([number(line, "wait_ms"), number(line, "ahead_ms")], [0, 0], "{line}");
     assert!(number(line, "retry_after_ms") > 0, "{line}");
 }
+
+/// Guards against logs of which half say on each node what became of each target.
+#[tokio::test]
+async fn a_change_of_a_target_is_logged_by_one_node() {
+    let store = Store::spawn().await;
+    store.put_configuration(CONFIG);
+    let replica = Replica::spawn("m-1", "model", 5).await;
+    store.put(&entry_key("m-1"), &replica.entry("ready"));
+    let peers = free_address();
+    let nodes: Vec<Settings> =
+        (1..=3).map(|number| fleet::settings_of(number, peers, &store)).collect();
+    let mut daemons = Vec::new();
+    for node in &nodes {
+        daemons.push(Daemon::start(&format!("change-{}", node.node), node).await);
+    }
+    let owns = |line: &Value| line["message"] == "groups owned by this node";
+    let owners = || daemons.iter().filter(|daemon| !daemon.lines(owns).is_empty()).count();
+    caller::wait_for("an owner", || owners() > 0).await;
+    // The owner may change until all have been told what runs.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    store.put(&entry_key("m-1"), &replica.entry("draining"));
+    let changes = || {
+        let is_change = |line: &Value| {
+            let attributes = &line["attributes"];
+            line["message"] == "target known" && attributes["draining"] == "true"
+        };
+        daemons.iter().map(|daemon| daemon.lines(is_change).len()).sum::<usize>()
+    };
+    caller::wait_for("the owner's line", || changes() > 0).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(changes(), 1);
+}
