--- a/crates/node/src/complete.rs
+++ b/crates/node/src/complete.rs
@@ -182,7 +182,9 @@
         };
         if parts::find_candidates(self.core, c).is_some() {
             let attempt = self.attempt_parts(attempt).await;
-            attempt.retry().into_iter().for_each(|retry| tried.count(retry));
+            if let Some(retry) = attempt.retry() {
+                tried.count(retry);
+            }
             return attempt;
         }
         let obtained = tokio::select! {
@@ -195,7 +197,9 @@
         };
         let end = self.send(&leave, None).await;
         let attempt = self.settle(&leave, end);
-        attempt.retry().into_iter().for_each(|retry| tried.note(leave.target.clone(), retry));
+        if let Some(retry) = attempt.retry() {
+            tried.note(leave.target, retry);
+        }
         attempt
     }
 
--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -111,8 +111,8 @@
         }
     }
 
-    /// Waits until the next attempt, if there may be one. What kept one from beginning
-    /// lasts for some moments, and would keep the next ones at once.
+    /// Waits until the next attempt; whether there may be one. What kept one from
+    /// beginning lasts for some moments, and would keep the next ones at once.
     pub(crate) async fn wait(&self) -> bool {
         let may_go_on = self.runs < RUNS_MAX && self.unbegun < UNBEGUN_MAX;
         if may_go_on && self.unbegun > 0 {
