--- a/crates/path/tests/view.rs
+++ b/crates/path/tests/view.rs
@@ -23,10 +23,10 @@
 struct Plain;
 
 impl Dialect for Plain {
-    const OPERATOR_PREFIX: &str = "op/";
-    const TARGET_PREFIX: &str = "servers/";
-    const CONFIG_KEY: &str = "op/config";
-    const ZONE_PREFIX: &str = "op/zone/";
+    const OPERATOR_PREFIX: &str = "operators/";
+    const TARGET_PREFIX: &str = "targets/";
+    const CONFIG_KEY: &str = "operators/config";
+    const ZONE_PREFIX: &str = "operators/zones/";
 
     fn read_target(_: &str, text: &str) -> Option<Entry> {
         ENTRIES_READ.set(ENTRIES_READ.get() + 1);
@@ -70,7 +70,7 @@
 }
 
 fn take(items: &mut Items, target: u64, revision: u64, entry: &str) {
-    let key = format!("servers/{target}").into();
+    let key = format!("targets/{target}").into();
     items.take(Instant::now(), Word::whole(key, Revision(revision), Some(entry.to_owned())));
 }
 
@@ -119,7 +119,7 @@
     take(&mut items, 1, 1, "12");
     let view = View::default().read::<Plain>(&items, now, true);
     assert_eq!(changes(&view), [Change::Known]);
-    items.take(now, Word::whole("servers/1".into(), Revision(2), None));
+    items.take(now, Word::whole("targets/1".into(), Revision(2), None));
     let lapsed = view.read::<Plain>(&items, now, true);
     assert!(lapsed.targets_of(&"model".into())[0].lapses.is_some());
     assert_eq!(changes(&lapsed), [Change::Gone]);
@@ -138,7 +138,7 @@
     let (mut items, now, service) = (Items::default(), Instant::now(), "model".into());
     (0..TARGETS).for_each(|target| take(&mut items, target, target + 1, "12"));
     let mut view = View::default().read::<Plain>(&items, now, false);
-    items.take(now, Word::whole("servers/3".into(), Revision(TARGETS + 1), None));
+    items.take(now, Word::whole("targets/3".into(), Revision(TARGETS + 1), None));
     view.targets_in(&service, 0);
     view = view.read::<Plain>(&items, now, false);
     let groups = group::count_groups(view.targets_of(&service).len());
