--- a/crates/state/src/plan.rs
+++ b/crates/state/src/plan.rs
@@ -169,9 +169,9 @@
         if self.moved_at.is_some_and(|at| now < at + self.options.rebalance) {
             return;
         }
-        // Load: a zone of 48 nodes returns, and 80 targets move. Each move wakes
-        // the watches of the whole fleet, so they are spread over the time in
-        // which the service bears them.
+        // Many targets move when a zone returns. Each move wakes the watches of the
+        // whole fleet, so they are spread over the time in which the service bears
+        // them.
         let window = Duration::from_secs_f64(self.nodes.len() as f64 / MOVES_MAX);
         let stable = |target: &id::Target, node: &id::Node| {
             let info = self.nodes.get(node)?;
--- a/crates/state/src/retry.rs
+++ b/crates/state/src/retry.rs
@@ -4,9 +4,9 @@
 
 /// Exponential backoff with jitter.
 ///
-/// Load: 380 nodes that meet the same outage. Without the jitter their calls
-/// would come in step and the service would fall over each time it returns;
-/// without the growth they would keep it down.
+/// All nodes meet the same outage. Without the jitter their calls would come in step
+/// and the service would fall over each time it returns; without the growth they would
+/// keep it down.
 #[derive(Clone, Debug)]
 pub struct Backoff {
     first: Duration,
