Control traffic by content: counters of datagrams and a log line every 10 s

Cause: nobody could say which messages make up the bytes that a fleet of a thousand nodes sends, since datagrams were counted in one sum and only scraped. Each datagram is now counted by its first event's content (six values), and each node logs its totals since the start, with the calls to the platform.

No decision changes.

--- a/crates/path/src/ask.rs
+++ b/crates/path/src/ask.rs
@@ -4,8 +4,8 @@
 //! same reports. If the successor doesn't answer either, the node decides on its own: by its own
 //! allocations, and with an order of targets that differs from other nodes'.
 
+use crate::datagram::Event;
 use crate::dialect::Dialect;
-use crate::gossip::Event;
 use crate::group::{self, Group};
 use crate::ledger::AllocationId;
 use crate::owner::{self, Requester, Ticket};
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -1,12 +1,13 @@
 //! The state that all parts of a node share.
 
+use crate::datagram::Outgoing;
 use crate::dialect::Dialect;
 use crate::fleet::{OwnerTimeouts, Uptime};
-use crate::gossip::{Outgoing, PeerStates};
 use crate::items::Items;
 use crate::lag::{Lag, LagTracker};
 use crate::ledger::{AllocationId, Ledger};
 use crate::owner::Owner;
+use crate::peer_state::PeerStates;
 use crate::placement::Answer;
 use crate::settings::{Bounds, Settings};
 use crate::sync_server::Transfers;
--- /dev/null
+++ b/crates/path/src/datagram.rs
@@ -0,0 +1,92 @@
+//! The content of datagrams between nodes, and its encoding.
+
+use crate::ledger::{Allocation, AllocationId};
+use crate::placement::{Answer, Request};
+use crate::view::Tag;
+use hickory_policy::gossip::Message;
+use hickory_store::store::Revision;
+use hickory_telemetry::label::Datagram as Content;
+use hickory_unit::id;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The maximum datagram size, which passes all links without fragmentation.
+const MAX_DATAGRAM_BYTES: usize = 1_200;
+
+/// One event of a datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Event {
+    /// A message of the membership protocol.
+    Member(Message),
+    /// A placement request.
+    Request(AllocationId, Request),
+    /// The answer to a placement request.
+    Answer(AllocationId, Answer),
+    /// A request was placed, or is still running.
+    Placed(AllocationId, Allocation),
+    /// A request's first token arrived.
+    FirstToken(AllocationId),
+    /// A request ended, or its placement request was withdrawn.
+    Ended(AllocationId),
+    /// A target served or failed a request.
+    Outcome { target: Tag, served: bool },
+    /// A target refused the connection.
+    Down(Tag),
+    /// A target refused to prefill a part of a prompt for another target.
+    PrefillRefused(Tag),
+    /// A request was running when a target died.
+    PoisonSuspect { fingerprint: u64, deaths: u32 },
+    /// A node has the operators' data up to this revision.
+    OperatorRevision { node: id::Node, revision: Revision },
+}
+
+impl Event {
+    /// Returns the content under which a datagram with this first event is counted.
+    pub(crate) fn content(&self) -> Content {
+        match self {
+            Self::Member(Message::Members(_)) => Content::Members,
+            Self::Member(_) => Content::Membership,
+            Self::Request(..) | Self::Answer(..) => Content::Placement,
+            Self::Placed(..) | Self::FirstToken(_) | Self::Ended(_) => Content::Allocation,
+            Self::OperatorRevision { .. } => Content::Revision,
+            Self::Outcome { .. }
+            | Self::Down(_)
+            | Self::PrefillRefused(_)
+            | Self::PoisonSuspect { .. } => Content::Finding,
+        }
+    }
+}
+
+/// An event and its destination; without an event, only the sender's revisions are sent.
+#[derive(Clone, Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) to: SocketAddr,
+    pub(crate) event: Option<Event>,
+}
+
+/// The content of one datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Datagram {
+    pub(crate) node: id::Node,
+    pub(crate) incarnation: id::Incarnation,
+    /// The newest revision of the operators' data that the node has.
+    pub(crate) operator_revision: Revision,
+    /// The newest revision of the targets' entries that the node has.
+    pub(crate) targets_revision: Revision,
+    pub(crate) events: Vec<Event>,
+}
+
+/// Encodes as many of a datagram's events as fit, and returns the other events.
+pub(crate) fn encode(mut datagram: Datagram) -> Result<(Vec<u8>, Vec<Event>), postcard::Error> {
+    let mut left = Vec::new();
+    loop {
+        let bytes = postcard::to_stdvec(&datagram)?;
+        let count = datagram.events.len();
+        if bytes.len() <= MAX_DATAGRAM_BYTES || count <= 1 {
+            return Ok((bytes, left));
+        }
+        let mut rest = datagram.events.split_off(count.div_ceil(2));
+        rest.append(&mut left);
+        left = rest;
+    }
+}
--- a/crates/path/src/death.rs
+++ b/crates/path/src/death.rs
@@ -1,8 +1,8 @@
 //! Detection of requests that crash targets.
 
 use crate::core::Core;
+use crate::datagram::Event;
 use crate::dialect::Dialect;
-use crate::gossip::Event;
 use crate::serve::Job;
 use crate::view::Target;
 use hickory_store::store::Store;
--- a/crates/path/src/fetch.rs
+++ b/crates/path/src/fetch.rs
@@ -3,8 +3,8 @@
 use crate::chunk::{Assembler, Manifest};
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
-use crate::gossip::Keyspace;
 use crate::items::Update;
+use crate::peer_state::Keyspace;
 use crate::store_watch;
 use crate::sync_server::{BusyReply, CHUNKS_PATH, UPDATES_PATH};
 use bytes::{Bytes, BytesMut};
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -6,19 +6,16 @@
 //! is fetched from a peer that has it; see [`crate::fetch`].
 
 use crate::core::{Core, Stage};
+use crate::datagram::{self, Datagram, Event, Outgoing};
 use crate::dialect::Dialect;
 use crate::group::Group;
-use crate::ledger::{Allocation, AllocationId};
 use crate::owner::{self, Requester, Ticket};
-use crate::placement::{Answer, Request};
-use crate::view::Tag;
-use hickory_policy::gossip::Message;
 use hickory_policy::membership::{StateCounts, TICK_INTERVAL};
 use hickory_policy::poison::Suspect;
 use hickory_store::store::{Revision, Store};
+use hickory_telemetry::label::Datagram as Content;
 use hickory_unit::clock::Clock;
-use hickory_unit::id;
-use serde::{Deserialize, Serialize};
+use hickory_unit::{id, size};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,10 +29,6 @@
 /// The minimum time between two such notifications.
 const REVISION_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The maximum number of nodes that are announced to have a newer operator revision. All
-/// nodes learn of it within milliseconds, and of more than one node to fetch it from.
-const MAX_ANNOUNCED_HOLDERS: usize = 3;
-
 /// The minimum time between two log lines about members.
 const MEMBER_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -45,144 +38,12 @@
 /// The interval at which all allocations are sent again.
 const ALLOCATION_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long a peer's revisions remain valid after its last datagram.
-const PEER_STATE_TTL: Duration = Duration::from_secs(10);
-
-/// The maximum datagram size, which passes all links without fragmentation.
-const MAX_DATAGRAM_BYTES: usize = 1_200;
-
 /// The size of the receive buffer, above any peer's maximum datagram size.
 const RECEIVE_BUFFER_BYTES: usize = 2_048;
 
 /// The maximum number of events that are taken from the send queue together.
 const MAX_BATCHED_EVENTS: usize = 256;
 
-/// One event of a datagram.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Event {
-    /// A message of the membership protocol.
-    Member(Message),
-    /// A placement request.
-    Request(AllocationId, Request),
-    /// The answer to a placement request.
-    Answer(AllocationId, Answer),
-    /// A request was placed, or is still running.
-    Placed(AllocationId, Allocation),
-    /// A request's first token arrived.
-    FirstToken(AllocationId),
-    /// A request ended, or its placement request was withdrawn.
-    Ended(AllocationId),
-    /// A target served or failed a request.
-    Outcome { target: Tag, served: bool },
-    /// A target refused the connection.
-    Down(Tag),
-    /// A target refused to prefill a part of a prompt for another target.
-    PrefillRefused(Tag),
-    /// A request was running when a target died.
-    PoisonSuspect { fingerprint: u64, deaths: u32 },
-    /// A node has the operators' data up to this revision.
-    OperatorRevision { node: id::Node, revision: Revision },
-}
-
-/// An event and its destination; without an event, only the sender's revisions are sent.
-#[derive(Clone, Debug)]
-pub(crate) struct Outgoing {
-    pub(crate) to: SocketAddr,
-    pub(crate) event: Option<Event>,
-}
-
-/// The content of one datagram.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Datagram {
-    node: id::Node,
-    incarnation: id::Incarnation,
-    /// The newest revision of the operators' data that the node has.
-    operator_revision: Revision,
-    /// The newest revision of the targets' entries that the node has.
-    targets_revision: Revision,
-    events: Vec<Event>,
-}
-
-/// The state in a node's last datagram.
-#[derive(Clone, Copy, Debug)]
-struct PeerState {
-    incarnation: id::Incarnation,
-    operator_revision: Revision,
-    targets_revision: Revision,
-    received_at: Instant,
-}
-
-/// The state that peers reported in their own datagrams.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct PeerStates {
-    peers: HashMap<id::Node, PeerState>,
-    /// The newest revision of the operators' data that peers have and this node doesn't.
-    newest_operator_revision: Revision,
-    /// The first nodes that were announced to have this revision.
-    holders: Vec<id::Node>,
-}
-
-/// A part of the store's items that is synchronized separately.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Keyspace {
-    /// The operators' data.
-    Operator,
-    /// The targets' entries.
-    Targets,
-}
-
-impl PeerStates {
-    /// Records a datagram's state. Returns whether its node has restarted.
-    fn record(&mut self, now: Instant, datagram: &Datagram) -> bool {
-        let state = PeerState {
-            incarnation: datagram.incarnation,
-            operator_revision: datagram.operator_revision,
-            targets_revision: datagram.targets_revision,
-            received_at: now,
-        };
-        let previous = self.peers.insert(datagram.node.clone(), state);
-        previous.is_some_and(|previous| previous.incarnation != datagram.incarnation)
-    }
-
-    fn expire(&mut self, now: Instant) {
-        self.peers
-            .retain(|_, state| now.saturating_duration_since(state.received_at) < PEER_STATE_TTL);
-    }
-
-    /// Records that a node has a revision of the operators' data. Returns whether a node
-    /// whose own revision is `own_revision` should announce this to others.
-    fn note_holder(&mut self, node: &id::Node, revision: Revision, own_revision: Revision) -> bool {
-        if revision <= own_revision || revision < self.newest_operator_revision {
-            return false;
-        }
-        if revision > self.newest_operator_revision {
-            self.newest_operator_revision = revision;
-            self.holders.clear();
-        }
-        let is_new = self.holders.len() < MAX_ANNOUNCED_HOLDERS && !self.holders.contains(node);
-        if is_new {
-            self.holders.push(node.clone());
-        }
-        is_new
-    }
-
-    /// Returns the peers that have a revision of a keyspace after `after`.
-    pub(crate) fn peers_ahead(&self, keyspace: Keyspace, after: Revision) -> Vec<id::Node> {
-        let revision = |state: &PeerState| match keyspace {
-            Keyspace::Operator => state.operator_revision,
-            Keyspace::Targets => state.targets_revision,
-        };
-        let states = self.peers.iter().filter(|(_, state)| revision(state) > after);
-        let mut ahead: Vec<id::Node> = states.map(|(node, _)| node.clone()).collect();
-        if keyspace == Keyspace::Operator && self.newest_operator_revision > after {
-            let holders = self.holders.iter().filter(|node| !ahead.contains(*node));
-            let holders: Vec<id::Node> = holders.cloned().collect();
-            ahead.extend(holders);
-        }
-        ahead
-    }
-}
-
 /// Starts the tasks that send and receive datagrams.
 pub(crate) fn spawn<D: Dialect, S: Store, C: Clock>(
     core: &Arc<Core<D, S, C>>,
@@ -414,37 +275,24 @@
 ) {
     let mut remaining = events;
     loop {
-        let (datagram, left) = encode(core, remaining);
-        core.metrics.count_datagram(hickory_unit::size::Bytes(datagram.len() as u64));
+        let (operator_revision, targets_revision) = core.revisions();
+        let (node, incarnation) = (core.settings.node.clone(), core.incarnation);
+        let events = std::mem::take(&mut remaining);
+        let content = events.first().map_or(Content::Revision, Event::content);
+        let datagram = Datagram { node, incarnation, operator_revision, targets_revision, events };
+        let (bytes, left) = match datagram::encode(datagram) {
+            Ok(encoded) => encoded,
+            Err(error) => {
+                log::error!(to:%; "can't encode a datagram: {error}");
+                return;
+            }
+        };
+        core.metrics.count_datagram(content, size::Bytes(bytes.len() as u64));
         // A datagram that can't be sent is treated as lost.
-        let _ = socket.send_to(&datagram, to).await;
+        let _ = socket.send_to(&bytes, to).await;
         if left.is_empty() {
             return;
         }
         remaining = left;
     }
 }
-
-/// Encodes as many of the events as fit into one datagram, and returns the rest.
-fn encode<D: Dialect, S: Store, C: Clock>(
-    core: &Core<D, S, C>,
-    mut events: Vec<Event>,
-) -> (Vec<u8>, Vec<Event>) {
-    let mut left = Vec::new();
-    loop {
-        let (operator_revision, targets_revision) = core.revisions();
-        let (node, incarnation) = (core.settings.node.clone(), core.incarnation);
-        let datagram = Datagram { node, incarnation, operator_revision, targets_revision, events };
-        let bytes = postcard::to_stdvec(&datagram).unwrap_or_else(|error| {
-            log::error!("can't encode a datagram: {error}");
-            Vec::new()
-        });
-        events = datagram.events;
-        if bytes.len() <= MAX_DATAGRAM_BYTES || events.len() <= 1 {
-            return (bytes, left);
-        }
-        let mut rest = events.split_off(events.len().div_ceil(2));
-        rest.append(&mut left);
-        left = rest;
-    }
-}
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod chunk;
 pub mod config;
 pub mod core;
+mod datagram;
 mod death;
 mod decision;
 pub mod dialect;
@@ -28,6 +29,7 @@
 pub mod ledger;
 pub mod outage;
 mod owner;
+mod peer_state;
 mod place;
 pub mod placement;
 mod record;
@@ -41,6 +43,7 @@
 mod store_watch;
 mod stream;
 mod sync_server;
+mod traffic;
 pub mod view;
 pub mod watcher;
 
@@ -84,6 +87,7 @@
         fetch::spawn(&core);
         gossip::spawn(&core, sockets.peers.clone());
         intake::spawn(&core, sockets);
+        traffic::spawn(&core);
         Ok(Self { core })
     }
 
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -2,8 +2,8 @@
 //! prompts until engines are available.
 
 use crate::core::{Core, Stage};
+use crate::datagram::Event;
 use crate::dialect::Dialect;
-use crate::gossip::Event;
 use crate::group::Group;
 use crate::ledger::AllocationId;
 use crate::placement::{Answer, Decision, Request, Scope, Snapshot};
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -2,8 +2,8 @@
 
 use crate::attempt::Failure;
 use crate::core::Core;
+use crate::datagram::Event;
 use crate::dialect::Dialect;
-use crate::gossip::Event;
 use crate::group::Group;
 use crate::ledger::{Allocation, AllocationId};
 use crate::placement::Grant;
--- a/crates/telemetry/src/label.rs
+++ b/crates/telemetry/src/label.rs
@@ -159,6 +159,22 @@
         Failed = "failed",
     }
 
+    /// The content of a datagram.
+    Datagram {
+        /// Probes of nodes and changes of the membership table.
+        Membership = "membership",
+        /// Records of nodes for a node that lacks them.
+        Members = "members",
+        /// Placement requests and their answers.
+        Placement = "placement",
+        /// What runs on targets.
+        Allocation = "allocation",
+        /// The revision of the sender's items.
+        Revision = "revision",
+        /// Findings about targets and requests.
+        Finding = "finding",
+    }
+
     /// The direction of a document transfer.
     TransferDirection {
         /// To a peer.
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod logs;
 pub mod metered;
 pub mod metrics;
+mod register;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -4,16 +4,17 @@
 //! update on the request path is one atomic addition without a lock or a lookup.
 
 use crate::label::{
-    Call, Claim, Decider, Fetch, Length, Order, Orphan, Outcome, Ownership, Permit, TokenDirection,
-    TransferDirection, Work,
+    Call, Claim, Datagram, Decider, Fetch, Length, Order, Orphan, Outcome, Ownership, Permit,
+    TokenDirection, TransferDirection, Work,
+};
+use crate::register::{
+    add_counter, add_counters, add_gauge, add_gauges, add_histogram, add_histograms,
+    add_platform_calls, add_refusals,
 };
 use derive_more::Display;
 use hickory_policy::refuse::{Ran, Reason, RetryReason};
 use hickory_unit::{id, size};
-use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
-};
+use prometheus::{Histogram, IntCounter, IntGauge, Registry, TextEncoder};
 use std::time::Duration;
 
 /// Histogram buckets, in seconds, of the time to the first token and to the end
@@ -72,8 +73,8 @@
     fetches: Vec<IntCounter>,
     fetch_bytes: Vec<IntCounter>,
     placements: Vec<IntCounter>,
-    datagrams: IntCounter,
-    datagram_bytes: IntCounter,
+    datagrams: Vec<IntCounter>,
+    datagram_bytes: Vec<IntCounter>,
     connected_peers: IntGauge,
 }
 
@@ -191,8 +192,20 @@
                 "by",
                 Decider::ALL,
             )?,
-            datagrams: add_counter(r, "datagrams_sent_total", "Datagrams sent to other nodes")?,
-            datagram_bytes: add_counter(r, "datagram_bytes_sent_total", "Bytes of sent datagrams")?,
+            datagrams: add_counters(
+                r,
+                "datagrams_sent_total",
+                "Datagrams sent to other nodes, by their first content",
+                "content",
+                Datagram::ALL,
+            )?,
+            datagram_bytes: add_counters(
+                r,
+                "datagram_bytes_sent_total",
+                "Bytes of sent datagrams, by their first content",
+                "content",
+                Datagram::ALL,
+            )?,
             fetches: add_counters(
                 r,
                 "peer_fetches_total",
@@ -336,9 +349,24 @@
     }
 
     /// Counts a datagram sent to another node.
-    pub fn count_datagram(&self, bytes: size::Bytes) {
-        self.datagrams.inc();
-        self.datagram_bytes.inc_by(bytes.0);
+    pub fn count_datagram(&self, content: Datagram, bytes: size::Bytes) {
+        self.datagrams[content as usize].inc();
+        self.datagram_bytes[content as usize].inc_by(bytes.0);
+    }
+
+    /// Returns the bytes of datagrams with this content sent so far.
+    pub fn datagram_bytes(&self, content: Datagram) -> size::Bytes {
+        size::Bytes(self.datagram_bytes[content as usize].get())
+    }
+
+    /// Returns the bytes of documents transferred between nodes so far.
+    pub fn fetch_bytes(&self, direction: TransferDirection) -> size::Bytes {
+        size::Bytes(self.fetch_bytes[direction as usize].get())
+    }
+
+    /// Returns the number of calls to the platform so far.
+    pub fn platform_calls(&self) -> u64 {
+        self.platform_calls.iter().flatten().map(IntCounter::get).sum()
     }
 
     /// Sets the number of peers that this node is connected to.
@@ -361,85 +389,3 @@
         self.0.dec();
     }
 }
-
-fn add_counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, Error> {
-    let counter = IntCounter::new(name, help)?;
-    registry.register(Box::new(counter.clone()))?;
-    Ok(counter)
-}
-
-fn add_gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, Error> {
-    let gauge = IntGauge::new(name, help)?;
-    registry.register(Box::new(gauge.clone()))?;
-    Ok(gauge)
-}
-
-fn add_histogram(
-    registry: &Registry,
-    (name, help): (&str, &str),
-    bounds: &[f64],
-) -> Result<Histogram, Error> {
-    let opts = HistogramOpts::new(name, help).buckets(bounds.to_vec());
-    let histogram = Histogram::with_opts(opts)?;
-    registry.register(Box::new(histogram.clone()))?;
-    Ok(histogram)
-}
-
-/// Registers a counter for each value of a label, in the order of the values.
-fn add_counters<L: std::fmt::Display>(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-    label: &str,
-    values: &[L],
-) -> Result<Vec<IntCounter>, Error> {
-    let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
-    registry.register(Box::new(counters.clone()))?;
-    Ok(values.iter().map(|v| counters.with_label_values(&[&v.to_string()])).collect())
-}
-
-fn add_gauges<L: std::fmt::Display>(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-    label: &str,
-    values: &[L],
-) -> Result<Vec<IntGauge>, Error> {
-    let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
-    registry.register(Box::new(gauges.clone()))?;
-    Ok(values.iter().map(|v| gauges.with_label_values(&[&v.to_string()])).collect())
-}
-
-fn add_histograms<L: std::fmt::Display>(
-    registry: &Registry,
-    (name, help): (&str, &str),
-    label: &str,
-    values: &[L],
-    bounds: &[f64],
-) -> Result<Vec<Histogram>, Error> {
-    let opts = HistogramOpts::new(name, help).buckets(bounds.to_vec());
-    let histograms = HistogramVec::new(opts, &[label])?;
-    registry.register(Box::new(histograms.clone()))?;
-    Ok(values.iter().map(|v| histograms.with_label_values(&[&v.to_string()])).collect())
-}
-
-fn add_refusals(registry: &Registry) -> Result<Vec<[IntCounter; 2]>, Error> {
-    let opts = Opts::new("refusals_total", "Requests refused, by reason and whether they ran");
-    let refusals = IntCounterVec::new(opts, &["reason", "ran"])?;
-    registry.register(Box::new(refusals.clone()))?;
-    let counter_of = |reason: &Reason, ran: Ran| {
-        refusals.with_label_values(&[reason.to_string(), ran.to_string()])
-    };
-    Ok(Reason::ALL.iter().map(|r| [counter_of(r, Ran::No), counter_of(r, Ran::Unknown)]).collect())
-}
-
-fn add_platform_calls(registry: &Registry) -> Result<Vec<Vec<IntCounter>>, Error> {
-    let opts = Opts::new("platform_calls_total", "Calls to the platform, by kind and result");
-    let calls = IntCounterVec::new(opts, &["call", "result"])?;
-    registry.register(Box::new(calls.clone()))?;
-    let counter_of = |call: &Call, result: &Outcome| {
-        calls.with_label_values(&[call.to_string(), result.to_string()])
-    };
-    let results = |call: &Call| Outcome::ALL.iter().map(|r| counter_of(call, r)).collect();
-    Ok(Call::ALL.iter().map(results).collect())
-}
