Directory: name nodes by capacity, each responding node its own

Cause: a response names at most 64 nodes, and took the first 63 by name beside the responding one. Every response of a fleet of 985 named the same 63, so these served all callers and 921 none, whatever the load; below 64 nodes nothing showed.

Change: policy::directory draws the nodes in proportion to their capacities by rendezvous hashing over the responding node: all responses together spread callers, one node's stay the same, a node that leaves changes one address. The hash is rank's, moved to hickory-unit.

Ruled out: a new draw for each response, as callers close connections to addresses that a new response lacks.

--- a/crates/path/src/directory.rs
+++ b/crates/path/src/directory.rs
@@ -4,7 +4,6 @@
 use crate::dialect::Dialect;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The maximum age of a cached response. Some callers cache it three times as long; a dead node is
@@ -16,9 +15,7 @@
 
 /// Returns the directory response; `None` if no node accepts callers.
 pub(crate) fn render<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> Option<String> {
-    let own = core.is_ready().then_some(core.settings.callers);
-    let mut addresses: Vec<SocketAddr> = own.into_iter().collect();
-    addresses.extend(core.caller_addresses().into_iter().take(MAX_ADDRESSES - addresses.len()));
+    let addresses = core.caller_addresses(MAX_ADDRESSES);
     let max_age = MAX_ADDRESS_AGE.min(core.bounds().keep);
     (!addresses.is_empty()).then(|| D::write_directory(&addresses, max_age))
 }
--- a/crates/path/src/fleet.rs
+++ b/crates/path/src/fleet.rs
@@ -1,12 +1,13 @@
 //! The other nodes as this node knows them: their addresses, and which of them own a group.
 
 use crate::core::Core;
+use crate::datagram::{Event, Outgoing};
 use crate::dialect::Dialect;
-use crate::gossip::{Event, Outgoing};
 use crate::group::{self, Group};
 use crate::ledger::{Allocation, AllocationId};
 use crate::placement::Answer;
 use crate::view::View;
+use hickory_policy::directory::{self, Candidate};
 use hickory_policy::gossip;
 use hickory_policy::member::{Contact, Record};
 use hickory_store::store::Store;
@@ -61,11 +62,18 @@
         self.membership().alive().count()
     }
 
-    /// Returns the addresses at which the other nodes accept callers.
-    pub(crate) fn caller_addresses(&self) -> Vec<SocketAddr> {
+    /// Returns the addresses of at most `count` nodes that accept callers.
+    pub(crate) fn caller_addresses(&self, count: usize) -> Vec<SocketAddr> {
+        let is_own_ready = self.is_ready();
         let membership = self.membership();
-        let ready = membership.alive().filter(|record| record.contact.is_ready);
-        ready.map(|record| record.contact.caller_address).collect()
+        let peers = membership.alive().filter(|record| record.contact.is_ready);
+        let own = is_own_ready.then(|| membership.own_record());
+        let candidates = peers.chain(own).map(|record| Candidate {
+            node: &record.node,
+            address: record.contact.caller_address,
+            capacity: record.contact.capacity,
+        });
+        directory::choose(&self.settings.node, candidates, count)
     }
 
     /// Records a tick. After an interruption the uptime starts again, because the node
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod clock;
 pub mod finding;
+pub mod hash;
 pub mod id;
 pub mod rate;
 pub mod size;
