Membership: bounded answers to nodes that join, syncs by digests, fewer pushes in a flood

Cause, each growing with the square of the fleet: - A node that starts asked all three seeds every 300 ms until it knew three peers, and each answer held all records.

Change: a joining node gets one datagram of records, chosen at random, and learns the rest from those nodes; seeds are asked together once, then one at a time with growing intervals and jitter. A node whose table differs sends digests by bucket (768 bytes at most) and gets the buckets that differ, 480 records at most in one answer; nodes of an older version, which don't know the message, are asked in the old way after two syncs without an answer. Pushes come every 100 ms while a message can't hold them.

--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -206,7 +206,7 @@
     while core.stage() != Stage::Closed {
         core.membership_notify.notified().await;
         tokio::time::sleep(MEMBER_BATCH_DELAY).await;
-        let out = core.membership().push_updates();
+        let out = core.membership().push_updates(core.now());
         core.send_membership(out);
     }
 }
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Messages of the membership gossip protocol.
 
 use crate::member::Record;
+use crate::roster::Summary;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -20,10 +21,18 @@
     },
     /// Disseminates changed records.
     Rumor(Vec<Record>),
-    /// Asks for all records; holds the requester's own record.
+    /// Asks for a sample of the records; holds the requester's own record.
     Pull(Record),
-    /// Answers a pull.
+    /// Answers a pull or a sync.
     Members(Vec<Record>),
+    /// Asks for the records that differ from those of the requester. Nodes of an older version
+    /// don't know this message.
+    Sync {
+        /// The requester's own record.
+        own: Record,
+        /// Digests of the requester's table.
+        summary: Summary,
+    },
 }
 
 /// Content of a ping or an ack.
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -8,15 +8,17 @@
 //! Load pattern: hundreds of nodes of which many die, freeze, are cut off or start at once.
 
 use crate::gossip::{Exchange, Message, Outgoing};
+use crate::join::Seeds;
 use crate::member::{Contact, Record, State};
 use crate::probe::Probes;
+use crate::pull::Pulls;
 pub use crate::roster::StateCounts;
 use crate::roster::{Peer, Roster};
 use crate::rumor::{MAX_RECORDS, Rumors};
 use hickory_unit::id;
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
+use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -37,22 +39,15 @@
 /// Interval between attempts to reach a dead node, which rejoin the sides of a partition.
 const RECONNECT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Minimum interval between pulls while the table differs from a peer's.
-const PULL_INTERVAL: Duration = Duration::from_secs(2);
-
-/// Minimum pull interval while updates spread, since these explain most differences.
-const PULL_INTERVAL_IN_CHURN: Duration = Duration::from_secs(3);
-
-/// Minimum pull interval during the start phase, when the table fills.
-const PULL_INTERVAL_AT_START: Duration = Duration::from_millis(500);
-
-const START_PHASE: Duration = Duration::from_secs(3);
-
 /// Number of peers below which a node in its start phase contacts its seeds again.
 const MIN_PEERS: usize = 3;
 
-/// Interval between messages to the seeds until enough peers are known.
-const JOIN_INTERVAL: Duration = Duration::from_millis(300);
+/// Number of records sent to a node that joins. It learns of the others from these nodes, so that a
+/// seed's load doesn't grow with the square of the nodes that start.
+const MAX_JOIN_RECORDS: usize = MAX_RECORDS;
+
+/// Maximum number of records in one answer. A node that lacks more pulls again from another peer.
+const MAX_ANSWER_RECORDS: usize = 40 * MAX_RECORDS;
 
 /// Number of nodes asked to probe an unresponsive node.
 const INDIRECT_PROBES: usize = 3;
@@ -72,13 +67,11 @@
     probes: Probes,
     /// Nodes still to be probed in this round.
     probe_round: Vec<id::Node>,
-    seeds: Vec<SocketAddr>,
-    started: Instant,
+    seeds: Seeds,
+    pulls: Pulls,
     last_tick: Instant,
     last_probe: Option<Instant>,
-    last_join: Option<Instant>,
     last_reconnect: Instant,
-    last_pull: Option<Instant>,
     /// Nodes newly suspected by this node, for its log.
     new_suspects: Vec<id::Node>,
     random: SmallRng,
@@ -87,20 +80,19 @@
 impl Membership {
     /// Creates the table of a node that knows the addresses of some other nodes.
     pub fn new(now: Instant, own: Record, seeds: Vec<SocketAddr>, seed: u64) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
         Self {
             roster: Roster::new(own),
             rumors: Rumors::default(),
             probes: Probes::default(),
             probe_round: Vec::new(),
-            seeds,
-            started: now,
+            seeds: Seeds::new(seeds, &mut random),
+            pulls: Pulls::new(now),
             last_tick: now,
             last_probe: None,
-            last_join: None,
             last_reconnect: now,
-            last_pull: None,
             new_suspects: Vec::new(),
-            random: SmallRng::seed_from_u64(seed),
+            random,
         }
     }
 
@@ -122,11 +114,7 @@
 
     /// Adds addresses where other nodes may be.
     pub fn add_seeds(&mut self, seeds: impl Iterator<Item = SocketAddr>) {
-        for seed in seeds {
-            if !self.seeds.contains(&seed) {
-                self.seeds.push(seed);
-            }
-        }
+        self.seeds.add(seeds);
     }
 
     /// Returns the other nodes that are alive.
@@ -163,12 +151,12 @@
 
     /// Returns whether there are updates that were not sent to any node yet.
     pub fn has_unsent_updates(&self) -> bool {
-        self.rumors.has_unsent_updates()
+        self.rumors.has_unsent()
     }
 
-    /// Sends unsent updates to a few nodes immediately.
-    pub fn push_updates(&mut self) -> Vec<Outgoing> {
-        if !self.has_unsent_updates() {
+    /// Sends unsent updates to a few nodes immediately, or less often if many nodes change at once.
+    pub fn push_updates(&mut self, now: Instant) -> Vec<Outgoing> {
+        if !self.rumors.start_push(now) {
             return Vec::new();
         }
         let targets = self.pick_alive(PUSH_FANOUT);
@@ -235,38 +223,52 @@
                 is_refutable.then(|| (from, own())).into_iter().collect()
             }
             Message::Members(records) => {
+                self.pulls.record_answer();
                 for record in records {
                     self.apply_without_gossip(now, record);
                 }
                 Vec::new()
             }
             Message::Pull(own) => {
+                let is_joining = self.get(&own.node).is_none();
                 let to = own.contact.peer_address;
                 self.apply(now, own);
-                self.send_members(to)
+                let count = if is_joining { MAX_JOIN_RECORDS } else { MAX_ANSWER_RECORDS };
+                self.send_members(to, self.roster.present(), count)
+            }
+            Message::Sync { own, summary } => {
+                let to = own.contact.peer_address;
+                self.apply(now, own);
+                let records = self.roster.find_differing(&summary);
+                self.send_members(to, records, MAX_ANSWER_RECORDS)
             }
         }
     }
 
-    fn send_members(&self, to: SocketAddr) -> Vec<Outgoing> {
-        let records = self.roster.present();
+    /// Sends records, or a sample of them if they are more than `count`. An empty answer says that
+    /// there are none.
+    fn send_members(
+        &mut self,
+        to: SocketAddr,
+        mut records: Vec<Record>,
+        count: usize,
+    ) -> Vec<Outgoing> {
+        if records.is_empty() {
+            return vec![(to, Message::Members(records))];
+        }
+        let (sample, _) = records.partial_shuffle(&mut self.random, count);
         let list = |records: &[Record]| (to, Message::Members(records.to_vec()));
-        records.chunks(MAX_RECORDS).map(list).collect()
+        sample.chunks(MAX_RECORDS).map(list).collect()
     }
 
-    /// Requests all records if the digests differ.
+    /// Requests the records that differ if the digests do.
     fn pull(&mut self, now: Instant, from: SocketAddr, digest: u64) -> Option<Outgoing> {
-        let is_starting = now.saturating_duration_since(self.started) < START_PHASE;
-        let interval = match (is_starting, self.rumors.is_empty()) {
-            (true, _) => PULL_INTERVAL_AT_START,
-            (false, true) => PULL_INTERVAL,
-            (false, false) => PULL_INTERVAL_IN_CHURN,
-        };
-        if digest == self.roster.digest || !is_due(self.last_pull, now, interval) {
+        if digest == self.roster.digest {
             return None;
         }
-        self.last_pull = Some(now);
-        Some((from, Message::Pull(self.own_record().clone())))
+        let is_churning = !self.rumors.is_empty();
+        let request = self.pulls.next(now, &self.roster, is_churning, self.random.random())?;
+        Some((from, request))
     }
 
     fn apply_all(&mut self, now: Instant, records: Vec<Record>) {
@@ -395,17 +397,15 @@
     }
 
     fn join(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
-        if self.present().count() >= MIN_PEERS || !is_due(self.last_join, now, JOIN_INTERVAL) {
+        if self.present().count() >= MIN_PEERS {
             return;
         }
-        let is_late = now.saturating_duration_since(self.started) > START_PHASE;
-        if is_late && self.alive().next().is_some() {
+        if !self.pulls.is_starting(now) && self.alive().next().is_some() {
             return;
         }
-        self.last_join = Some(now);
-        let own = self.own_record().contact.peer_address;
-        let seeds = self.seeds.iter().filter(|seed| **seed != own);
-        out.extend(seeds.map(|seed| (*seed, Message::Pull(self.own_record().clone()))));
+        let own = self.own_record().clone();
+        let seeds = self.seeds.next(now, own.contact.peer_address, &mut self.random);
+        out.extend(seeds.into_iter().map(|seed| (seed, Message::Pull(own.clone()))));
     }
 
     fn reconnect(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -1,14 +1,34 @@
 //! A node's table of members: its own record and the records of the other nodes.
 
 use crate::member::{Record, State};
-use hickory_unit::id;
+use hickory_unit::{hash, id};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Instant;
 
+/// Number of nodes per bucket of a summary, up to [`MAX_BUCKETS`].
+const NODES_PER_BUCKET: usize = 4;
+
+/// Maximum number of buckets of a summary. Their digests and a record fit into one datagram.
+const MAX_BUCKETS: usize = 256;
+
+/// Digests of a table's records by bucket. Two nodes compare them to find the records in which
+/// their tables differ.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Mixed into the digests, so that two buckets that differ have equal digests in one summary
+    /// at most.
+    salt: u64,
+    /// A digest for each bucket.
+    digests: Vec<u16>,
+}
+
 /// State kept for another node.
 #[derive(Clone, Debug)]
 pub(crate) struct Peer {
     pub(crate) record: Record,
+    /// Digest of the record.
+    digest: u64,
     /// When this node learned of the current state.
     pub(crate) state_since: Instant,
     /// When the node was last asked to refute a suspicion.
@@ -86,15 +106,49 @@
 
     /// Replaces the record of another node.
     pub(crate) fn insert(&mut self, now: Instant, record: Record) {
-        let is_present = |record: &Record| record.state != State::Dead;
-        if is_present(&record) {
-            self.digest ^= record.digest();
+        let is_present = |peer: &Peer| peer.record.state != State::Dead;
+        let digest = record.digest();
+        let peer = Peer { record, digest, state_since: now, last_reminder: now };
+        if is_present(&peer) {
+            self.digest ^= digest;
         }
-        let peer = Peer { record, state_since: now, last_reminder: now };
         let before = self.peers.insert(peer.record.node.clone(), peer);
-        if let Some(before) = before.filter(|before| is_present(&before.record)) {
-            self.digest ^= before.record.digest();
+        if let Some(before) = before.filter(is_present) {
+            self.digest ^= before.digest;
+        }
+    }
+
+    /// Returns the digests by bucket of all records that are not dead.
+    pub(crate) fn summarize(&self, salt: u64) -> Summary {
+        let buckets = self.peers.len().div_ceil(NODES_PER_BUCKET).next_power_of_two();
+        self.summarize_into(buckets.min(MAX_BUCKETS), salt)
+    }
+
+    fn summarize_into(&self, buckets: usize, salt: u64) -> Summary {
+        let mut sums = vec![0; buckets];
+        let peers = self.peers.values().filter(|peer| peer.record.state != State::Dead);
+        let digests = peers.map(|peer| (&peer.record.node, peer.digest));
+        for (node, digest) in digests.chain([(&self.own.node, self.own.digest())]) {
+            sums[find_bucket(node, buckets)] ^= digest;
         }
+        let digest = |sum: u64| (hash::mix(sum ^ salt) >> (u64::BITS - u16::BITS)) as u16;
+        Summary { salt, digests: sums.into_iter().map(digest).collect() }
+    }
+
+    /// Returns the records that are not dead and differ from those of the node that sent this
+    /// summary, together with the other records of their buckets.
+    pub(crate) fn find_differing(&self, summary: &Summary) -> Vec<Record> {
+        let buckets = summary.digests.len();
+        if buckets == 0 || buckets > MAX_BUCKETS {
+            return Vec::new();
+        }
+        let own = self.summarize_into(buckets, summary.salt);
+        let is_differing = |record: &Record| {
+            let bucket = find_bucket(&record.node, buckets);
+            own.digests[bucket] != summary.digests[bucket]
+        };
+        let present = self.with_state(|state| state != State::Dead).chain([&self.own]);
+        present.filter(|record| is_differing(record)).cloned().collect()
     }
 
     /// Raises this node's own version above the given one.
@@ -105,3 +159,7 @@
         self.digest ^= self.own.digest();
     }
 }
+
+fn find_bucket(node: &id::Node, buckets: usize) -> usize {
+    (hash::hash(node.as_str().bytes()) % buckets as u64) as usize
+}
--- a/crates/policy/src/rumor.rs
+++ b/crates/policy/src/rumor.rs
@@ -3,6 +3,7 @@
 use crate::member::Record;
 use crate::roster::Roster;
 use hickory_unit::id;
+use std::time::{Duration, Instant};
 
 /// Maximum number of records per message, so that a datagram fits any link unfragmented.
 pub(crate) const MAX_RECORDS: usize = 12;
@@ -13,6 +14,10 @@
 /// Number of sends that are skipped for each peer found to have the same table.
 const EQUAL_DIGEST_SENDS: u32 = 3;
 
+/// Minimum interval between pushes while there are more unsent updates than a message holds. In a
+/// large fleet, pushes of every batch would fill the links when many nodes start or die together.
+const PUSH_INTERVAL_IN_FLOOD: Duration = Duration::from_millis(100);
+
 /// A changed record that is still to be sent, by the name of its node.
 #[derive(Clone, Debug)]
 struct Update {
@@ -26,6 +31,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Rumors {
     updates: Vec<Update>,
+    last_push: Option<Instant>,
 }
 
 impl Rumors {
@@ -42,10 +48,24 @@
     }
 
     /// Returns whether there are updates that were not sent to any node yet.
-    pub(crate) fn has_unsent_updates(&self) -> bool {
+    pub(crate) fn has_unsent(&self) -> bool {
         self.updates.iter().any(|update| !update.is_sent)
     }
 
+    /// Starts a push if there are unsent updates and it is time for one.
+    pub(crate) fn start_push(&mut self, now: Instant) -> bool {
+        let interval = match self.updates.iter().filter(|update| !update.is_sent).count() {
+            0 => return false,
+            1..=MAX_RECORDS => Duration::ZERO,
+            _ => PUSH_INTERVAL_IN_FLOOD,
+        };
+        if self.last_push.is_some_and(|last| now.saturating_duration_since(last) < interval) {
+            return false;
+        }
+        self.last_push = Some(now);
+        true
+    }
+
     /// Returns the records that were sent the fewest times and counts them as sent.
     pub(crate) fn take(&mut self, roster: &Roster) -> Vec<Record> {
         self.updates.sort_by_key(|update| std::cmp::Reverse(update.sends_left));
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -11,6 +11,9 @@
 /// callers cache an answer.
 const MAX_DETECTION_TIME: Duration = Duration::from_secs(5);
 
+/// The maximum size of a datagram between nodes.
+const MAX_DATAGRAM_BYTES: u64 = 1_200;
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -152,3 +155,47 @@
         "{few_records:.2} and {many_records:.2} records per second without changes"
     );
 }
+
+/// Guards against seeds that run out of memory and processor time when a fleet starts. All nodes
+/// know only the same three seeds, and a seed that answers each of them with all records sends the
+/// square of the fleet.
+#[test]
+fn a_seed_sends_each_starting_node_one_datagram_or_two() {
+    for nodes in [100, 380] {
+        let network = start_network(nodes, 1);
+        let highest = network.bytes_by_node.iter().max().copied().unwrap_or_default();
+        let per_node = highest / nodes as u64;
+        assert!(per_node < 2 * MAX_DATAGRAM_BYTES, "{nodes} nodes: {per_node} bytes for each");
+    }
+}
+
+/// Guards against nodes that exchange whole tables because somewhere in a large fleet a node has
+/// always just changed, so that no two tables are equal.
+#[test]
+fn a_change_costs_a_node_the_same_in_a_fleet_of_any_size() {
+    const CHANGES: u64 = 20;
+    let bytes_per_change = [79, 380].map(|nodes| {
+        let mut network = start_network(nodes, 1);
+        network.run_for(secs(10));
+        let idle = network.bytes_sent();
+        network.run_for(secs(10));
+        let before = network.bytes_sent();
+        let idle = before - idle;
+        for change in 0..CHANGES {
+            network.restart(change as usize * 3 + 1, 2 + change);
+            network.run_for(ms(500));
+        }
+        (network.bytes_sent() - before - idle) / CHANGES / nodes as u64
+    });
+    let [small, large] = bytes_per_change;
+    assert!(large < 2 * small, "{small} and {large} bytes per change and node");
+}
+
+/// Guards against a seed that was down when a fleet started, and that keeps nodes from joining.
+#[test]
+fn nodes_join_while_two_of_three_seeds_are_down() {
+    let mut network = Network::start(79, 1);
+    (0..2).for_each(|seed| network.kill(seed));
+    let known = network.run_until(secs(3), |network| network.unknown_pairs() == 0);
+    assert!(known.is_ok(), "{} pairs unknown", network.unknown_pairs());
+}
--- a/crates/policy/tests/network/mod.rs
+++ b/crates/policy/tests/network/mod.rs
@@ -58,6 +58,8 @@
     pub datagrams_sent: u64,
     /// Number of records in these datagrams.
     pub records_sent: u64,
+    /// Encoded bytes that each node has sent.
+    pub bytes_by_node: Vec<u64>,
 }
 
 fn name(node: usize) -> id::Node {
@@ -91,6 +93,7 @@
             partition_boundary: 0,
             datagrams_sent: 0,
             records_sent: 0,
+            bytes_by_node: vec![0; nodes],
         };
         for node in 0..nodes {
             let membership = network.new_membership(node, 1);
@@ -184,7 +187,7 @@
             }
             Event::Push(node) => {
                 self.nodes[node].is_push_due = false;
-                self.nodes[node].membership.push_updates()
+                self.nodes[node].membership.push_updates(now)
             }
             Event::Deliver(datagram) => {
                 let Some(Datagram { to, from, message }) = self.datagrams[datagram].take() else {
@@ -204,6 +207,7 @@
         for (to, message) in out {
             self.datagrams_sent += 1;
             self.records_sent += count_records(&message);
+            self.bytes_by_node[from] += encoded_bytes(&message);
             let to = index_of(to);
             if to >= self.nodes.len()
                 || (to < self.partition_boundary) != (from < self.partition_boundary)
@@ -219,6 +223,11 @@
         }
     }
 
+    /// Returns the bytes sent by all nodes.
+    pub fn bytes_sent(&self) -> u64 {
+        self.bytes_by_node.iter().sum()
+    }
+
     fn running(&self) -> impl Iterator<Item = &Node> {
         self.nodes.iter().filter(|node| node.is_running)
     }
@@ -270,7 +279,11 @@
     match message {
         Message::Ping(exchange) | Message::Ack(exchange) => exchange.records.len() as u64,
         Message::Rumor(records) | Message::Members(records) => records.len() as u64,
-        Message::Pull(_) => 1,
+        Message::Pull(_) | Message::Sync { .. } => 1,
         Message::IndirectPing { .. } => 0,
     }
 }
+
+fn encoded_bytes(message: &Message) -> u64 {
+    postcard::to_stdvec(message).map_or(0, |bytes| bytes.len() as u64)
+}
