Watching: a starting node waits until its table stops growing

Cause: a node decided 60 ms after its start (1 s at a first start) whether it watches the store. A node that knows only a few others by then ranks among the first three of them.

Change: the node decides once its table has not grown for 60 ms, after two seconds at most; without any peer it waits for a time drawn between 60 and 800 ms, so that a few nodes read the store first.

--- a/crates/path/src/store_watch.rs
+++ b/crates/path/src/store_watch.rs
@@ -3,7 +3,7 @@
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
 use crate::outage::Outage;
-use crate::watcher::{Candidate, is_leader, is_selected, takeover_delay};
+use crate::watcher::{Candidate, StartWait, is_leader, is_selected, takeover_delay};
 use hickory_state::follow::{self, Follower};
 use hickory_state::member::{self, Info, Member};
 use hickory_store::store::{Entry, Store};
@@ -38,15 +38,8 @@
 /// nodes that watch.
 const REGISTRATION_DELAY: Duration = Duration::from_millis(1_500);
 
-/// How long a starting node waits for peers before it decides whether to watch: peers
-/// answer its first datagram immediately.
-const START_DELAY: Duration = Duration::from_millis(60);
-
-/// The same delay when the whole system starts for the first time and there are no callers
-/// yet. Addresses spread by gossip, and within this time all nodes discover each other even
-/// if they start one after the other. A node that knows only a few others would rank among
-/// the first of them, and watch.
-const FIRST_START_DELAY: Duration = Duration::from_millis(1_000);
+/// The interval at which a starting node checks whether it knows enough peers.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// After a change, the next watch starts after a random delay up to this time, so that
 /// changes in quick succession cost one call.
@@ -68,10 +61,20 @@
 
 /// Starts watching the store.
 pub(crate) fn spawn<D: Dialect, S: Store, C: Clock>(core: &Arc<Core<D, S, C>>) {
+    tokio::spawn(start(core.clone()));
+    tokio::spawn(discover_nodes(core.clone()));
+}
+
+/// Waits until this node knows its peers, and then starts the watches of both prefixes. They start
+/// together, because a node is ready once it has a configuration and then needs the targets.
+async fn start<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
+    let mut wait = StartWait::new(core.now(), core.settings.first_start, rand::random());
+    while !wait.is_over(core.now(), core.count_peers()) {
+        tokio::time::sleep(START_POLL_INTERVAL).await;
+    }
     for prefix in [D::OPERATOR_PREFIX, D::TARGET_PREFIX] {
         tokio::spawn(watch_store(core.clone(), prefix));
     }
-    tokio::spawn(discover_nodes(core.clone()));
 }
 
 /// Registers this node once it has watched for a while, so that nodes without a live seed
@@ -125,8 +128,6 @@
     core: Arc<Core<D, S, C>>,
     prefix: &'static str,
 ) {
-    let is_first_start = core.settings.first_start;
-    tokio::time::sleep(if is_first_start { FIRST_START_DELAY } else { START_DELAY }).await;
     let mut stopped_at: Option<Instant> = None;
     while core.stage() != Stage::Closed {
         if confirm_takeover(&core).await {
--- a/crates/path/src/watcher.rs
+++ b/crates/path/src/watcher.rs
@@ -9,7 +9,8 @@
 
 use hickory_state::rank::rank_nodes;
 use hickory_unit::id;
-use std::time::Duration;
+use std::ops::Range;
+use std::time::{Duration, Instant};
 
 /// The number of watching nodes. A dead node is detected after a second, and the failure of
 /// two at once must be tolerated.
@@ -23,6 +24,56 @@
 /// found within seconds.
 const MAX_TAKEOVER_DOUBLINGS: u32 = 3;
 
+/// How long the table of nodes must not have grown before a starting node decides whether to
+/// watch: peers answer its first datagrams within milliseconds.
+const QUIET_TIME: Duration = Duration::from_millis(60);
+
+/// The bounds of the time for which a starting node waits for a first peer. It is drawn at random:
+/// if no peer is left or all start together, a few nodes read the store first, and the others learn
+/// from them.
+const FIRST_PEER_WAIT: Range<Duration> = QUIET_TIME..Duration::from_millis(800);
+
+/// The time after which a starting node decides even if the table still grows.
+const MAX_START_WAIT: Duration = Duration::from_secs(2);
+
+/// The minimum time before a node decides when the whole system starts for the first time: there
+/// are no callers yet, and nodes that start one after the other discover each other meanwhile.
+const FIRST_START_WAIT: Duration = Duration::from_secs(1);
+
+/// Decides when a node that starts knows enough nodes to decide whether it watches.
+///
+/// A node that knows only a few others ranks among the first of them and would watch. If a thousand
+/// nodes start together, all would read everything from the store.
+#[derive(Clone, Copy, Debug)]
+pub struct StartWait {
+    started: Instant,
+    min_wait: Duration,
+    first_peer_wait: Duration,
+    peers: usize,
+    grown_at: Instant,
+}
+
+impl StartWait {
+    /// Starts waiting. `random` is from 0 to 1.
+    pub fn new(now: Instant, is_first_start: bool, random: f64) -> Self {
+        let min_wait = if is_first_start { FIRST_START_WAIT } else { Duration::ZERO };
+        let Range { start, end } = FIRST_PEER_WAIT;
+        let first_peer_wait = start + (end - start).mul_f64(random);
+        Self { started: now, min_wait, first_peer_wait, peers: 0, grown_at: now }
+    }
+
+    /// Returns whether the wait is over, given the number of known peers.
+    pub fn is_over(&mut self, now: Instant, peers: usize) -> bool {
+        if peers > self.peers {
+            (self.peers, self.grown_at) = (peers, now);
+        }
+        let waited = now.saturating_duration_since(self.started);
+        let quiet_time = if self.peers == 0 { self.first_peer_wait } else { QUIET_TIME };
+        let is_quiet = now.saturating_duration_since(self.grown_at) >= quiet_time;
+        waited >= MAX_START_WAIT || waited >= self.min_wait && is_quiet
+    }
+}
+
 /// A node that may be selected as a watcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate<'a> {
--- a/crates/path/tests/watcher.rs
+++ b/crates/path/tests/watcher.rs
@@ -1,8 +1,8 @@
 //! Selection of the nodes that watch the store.
 
-use hickory_path::watcher::{Candidate, is_leader, is_selected, takeover_delay};
+use hickory_path::watcher::{Candidate, StartWait, is_leader, is_selected, takeover_delay};
 use hickory_unit::id;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 fn nodes(count: usize) -> Vec<id::Node> {
     (0..count).map(|number| format!("node-{number}").as_str().into()).collect()
@@ -85,3 +85,42 @@
     assert_ne!(next, first);
     assert!(watching(&nodes, &first).contains(&next[0]));
 }
+
+/// Returns the time for which a node waits whose table grows at these times.
+fn start_wait(is_first_start: bool, random: f64, growth_ms: &[u64]) -> Duration {
+    let start = Instant::now();
+    let mut wait = StartWait::new(start, is_first_start, random);
+    let step = Duration::from_millis(10);
+    let is_over = |time: &Duration| {
+        let peers = growth_ms.iter().filter(|ms| Duration::from_millis(**ms) <= *time).count();
+        wait.is_over(start + *time, peers)
+    };
+    (0..1_000).map(|steps| step * steps).find(is_over).unwrap()
+}
+
+/// Guards against a fleet whose nodes all read the store when they start together: each knows only
+/// a few others yet and ranks among the first of them.
+#[test]
+fn a_node_waits_while_its_table_grows() {
+    let growth: Vec<u64> = (1..=30).map(|step| step * 30).collect();
+    assert!(start_wait(false, 0.0, &growth) > Duration::from_millis(900));
+    let endless: Vec<u64> = (1..=300).map(|step| step * 30).collect();
+    assert!(start_wait(false, 0.0, &endless) <= Duration::from_secs(2), "it waits for ever");
+}
+
+/// Guards against a slow restart of a small fleet, and of a node that joins a running one.
+#[test]
+fn a_node_decides_soon_after_its_peers_answered() {
+    assert!(start_wait(false, 0.9, &[10, 10, 20]) <= Duration::from_millis(100));
+    assert!(start_wait(true, 0.0, &[10, 10, 20]) >= Duration::from_secs(1));
+}
+
+/// Guards against a fleet whose nodes all read the store because no seed answers them at once.
+#[test]
+fn nodes_without_peers_read_the_store_one_after_the_other() {
+    let waits: Vec<Duration> =
+        (0..100).map(|node| start_wait(false, f64::from(node) / 100.0, &[])).collect();
+    let early = waits.iter().filter(|wait| **wait <= Duration::from_millis(150)).count();
+    assert!(early <= 20, "{early} of 100 nodes read the store at once");
+    assert!(waits.iter().all(|wait| *wait <= Duration::from_secs(1)), "{waits:?}");
+}
