Membership: pulls go on at full speed while they bring records

Cause: at 2,000 nodes the table takes longer to fill than the start phase of 3 s, after which a node waits 2 to 3 s between two pulls.

Change: the interval stays at 200 ms as long as the last pull brought twelve records or more, whatever the time since the start.

--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -223,10 +223,11 @@
                 is_refutable.then(|| (from, own())).into_iter().collect()
             }
             Message::Members(records) => {
-                self.pulls.record_answer();
-                for record in records {
-                    self.apply_without_gossip(now, record);
-                }
+                let gained = records
+                    .into_iter()
+                    .map(|record| usize::from(self.apply_without_gossip(now, record)))
+                    .sum();
+                self.pulls.record_answer(gained);
                 Vec::new()
             }
             Message::Pull(own) => {
--- a/crates/policy/src/pull.rs
+++ b/crates/policy/src/pull.rs
@@ -12,10 +12,14 @@
 /// Minimum interval while updates spread, since these explain most differences.
 const INTERVAL_IN_CHURN: Duration = Duration::from_secs(3);
 
-/// Minimum interval during the start phase, when the table fills.
-const INTERVAL_AT_START: Duration = Duration::from_millis(200);
+/// Minimum interval while the table fills.
+const INTERVAL_WHILE_FILLING: Duration = Duration::from_millis(200);
 
-/// Time after the start in which a node fills its table.
+/// Number of records gained by one pull from which on the table still fills. The time that this
+/// takes grows with the fleet, so that the start phase can't bound it.
+const MIN_GAIN_WHILE_FILLING: usize = 12;
+
+/// Time after the start in which a node fills its table in any case.
 pub(crate) const START_PHASE: Duration = Duration::from_secs(3);
 
 /// Number of unanswered syncs after which records are pulled in the way that nodes of an older
@@ -28,11 +32,13 @@
     started: Instant,
     last: Option<Instant>,
     unanswered: u32,
+    /// Number of records that the last pull has brought so far.
+    gained: usize,
 }
 
 impl Pulls {
     pub(crate) fn new(now: Instant) -> Self {
-        Self { started: now, last: None, unanswered: 0 }
+        Self { started: now, last: None, unanswered: 0, gained: 0 }
     }
 
     /// Returns whether the node is still filling its table.
@@ -48,8 +54,9 @@
         is_churning: bool,
         salt: u64,
     ) -> Option<Message> {
-        let interval = match (self.is_starting(now), is_churning) {
-            (true, _) => INTERVAL_AT_START,
+        let is_filling = self.is_starting(now) || self.gained >= MIN_GAIN_WHILE_FILLING;
+        let interval = match (is_filling, is_churning) {
+            (true, _) => INTERVAL_WHILE_FILLING,
             (false, false) => INTERVAL,
             (false, true) => INTERVAL_IN_CHURN,
         };
@@ -57,6 +64,7 @@
             return None;
         }
         self.last = Some(now);
+        self.gained = 0;
         self.unanswered += 1;
         let own = roster.own.clone();
         Some(match self.unanswered > MAX_UNANSWERED_SYNCS {
@@ -65,8 +73,9 @@
         })
     }
 
-    /// Records an answer.
-    pub(crate) fn record_answer(&mut self) {
+    /// Records an answer, or a part of it, and how many of its records were new.
+    pub(crate) fn record_answer(&mut self, gained: usize) {
         self.unanswered = 0;
+        self.gained += gained;
     }
 }
