Watching: a restarted node waits 0.3 s at most for its peers

Cause: after all nodes were killed, the table of a restarted node grows for a second, and the wait of up to two seconds for its end kept the configuration from callers.

Change: only a first start, before any caller, waits up to two seconds; a restart decides after 0.3 s.

--- a/crates/path/src/watcher.rs
+++ b/crates/path/src/watcher.rs
@@ -31,23 +31,24 @@
 /// The bounds of the time for which a starting node waits for a first peer. It is drawn at random:
 /// if no peer is left or all start together, a few nodes read the store first, and the others learn
 /// from them.
-const FIRST_PEER_WAIT: Range<Duration> = QUIET_TIME..Duration::from_millis(800);
+const FIRST_PEER_WAIT: Range<Duration> = QUIET_TIME..MAX_RESTART_WAIT;
 
-/// The time after which a starting node decides even if the table still grows.
-const MAX_START_WAIT: Duration = Duration::from_secs(2);
+/// The time after which a restarted node decides even if the table still grows: callers wait for
+/// its configuration. By then it knows so many nodes that few of a large fleet read the store.
+const MAX_RESTART_WAIT: Duration = Duration::from_millis(300);
 
-/// The minimum time before a node decides when the whole system starts for the first time: there
-/// are no callers yet, and nodes that start one after the other discover each other meanwhile.
-const FIRST_START_WAIT: Duration = Duration::from_secs(1);
+/// The bounds of the wait when the whole system starts for the first time: there are no callers
+/// yet, and nodes that start one after the other discover each other meanwhile.
+const FIRST_START_WAIT: Range<Duration> = Duration::from_secs(1)..Duration::from_secs(2);
 
 /// Decides when a node that starts knows enough nodes to decide whether it watches.
 ///
 /// A node that knows only a few others ranks among the first of them and would watch. If a thousand
 /// nodes start together, all would read everything from the store.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct StartWait {
     started: Instant,
-    min_wait: Duration,
+    wait: Range<Duration>,
     first_peer_wait: Duration,
     peers: usize,
     grown_at: Instant,
@@ -56,10 +57,10 @@
 impl StartWait {
     /// Starts waiting. `random` is from 0 to 1.
     pub fn new(now: Instant, is_first_start: bool, random: f64) -> Self {
-        let min_wait = if is_first_start { FIRST_START_WAIT } else { Duration::ZERO };
+        let wait = if is_first_start { FIRST_START_WAIT } else { Duration::ZERO..MAX_RESTART_WAIT };
         let Range { start, end } = FIRST_PEER_WAIT;
         let first_peer_wait = start + (end - start).mul_f64(random);
-        Self { started: now, min_wait, first_peer_wait, peers: 0, grown_at: now }
+        Self { started: now, wait, first_peer_wait, peers: 0, grown_at: now }
     }
 
     /// Returns whether the wait is over, given the number of known peers.
@@ -70,7 +71,7 @@
         let waited = now.saturating_duration_since(self.started);
         let quiet_time = if self.peers == 0 { self.first_peer_wait } else { QUIET_TIME };
         let is_quiet = now.saturating_duration_since(self.grown_at) >= quiet_time;
-        waited >= MAX_START_WAIT || waited >= self.min_wait && is_quiet
+        waited >= self.wait.end || waited >= self.wait.start && is_quiet
     }
 }
 
