--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,8 +4,9 @@
 //! A request passes through [`cost`], [`place`], [`limit`] (which uses [`fair`], [`room`], [`ramp`]
 //! and [`throughput`]), then [`retry`] and [`poison`]. [`reserve`] and [`preempt`] handle long
 //! prompts, [`layout`] the placement of weights on engines. [`spread`] distributes large documents between
-//! nodes, [`membership`] tracks which nodes are alive, [`directory`] names nodes to callers, [`queue`] orders waiting prompts,
-//! [`replica`] chooses a replica of a plain service, and [`ejection`] avoids failing targets.
+//! nodes, [`membership`] tracks which nodes are alive, [`directory`] names nodes to callers,
+//! [`queue`] orders waiting prompts, [`replica`] chooses a replica of a plain service, and
+//! [`ejection`] avoids failing targets.
 //! [`survey`] summarizes a choice for the logs. [`baseline`] holds the simpler policies that the
 //! others are compared with.
 
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -16,8 +16,8 @@
 /// their tables differ.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Summary {
-    /// Mixed into the digests, so that two buckets that differ have equal digests in one summary
-    /// at most.
+    /// Mixed into the digests and new in each summary, so that a collision doesn't hide a
+    /// difference for long.
     salt: u64,
     /// A digest for each bucket.
     digests: Vec<u16>,
