Request rates that targets state are enforced by the nodes that place requests

Cause: no decision knew the limit, since no node read the header. The class is what a target says of itself in its answers: it reaches the one node that got the answer, while another node, the owner of the group, decides for all.

A node now reads the statement of each answer of the target itself and passes it on to the owner of the target's group and its successor, again for two seconds since datagrams may be lost, and to a new owner as a whole. The owner counts the requests of all nodes against the limit, in windows of one to four seconds; a node that decides alone uses its part of the rate. A stricter limit applies at once. A limit is relaxed only by an answer whose request was sent after the limit was last stated, as answers overtake each other. After its end the rate doubles every second for six seconds. Limited targets come last among those that are as early, and read no parts of others' prompts unless most targets are limited. If all targets have got what they take, a prompt waits for its turn within its goal; anything else is rejected at once with the time until its turn.

Versions side by side: events that older versions don't know follow a datagram, where older versions read past them. With an owner of an older version a node keeps to its own part of the rate.

--- a/crates/path/src/ask.rs
+++ b/crates/path/src/ask.rs
@@ -67,6 +67,8 @@
     tried: Vec<Tag>,
     /// The number of grants that this node couldn't use.
     returned_grants: u32,
+    /// Whether the owner that answered last counts the requests to rate-limited targets.
+    has_owner_rate_limits: bool,
     is_placed: bool,
     is_queued: bool,
 }
@@ -111,6 +113,7 @@
             answers,
             tried,
             returned_grants: 0,
+            has_owner_rate_limits: true,
             is_placed: false,
             is_queued: false,
         }
@@ -169,6 +172,7 @@
             return None;
         };
         self.run.core.note_owner_answered(&owner);
+        self.has_owner_rate_limits = self.run.core.knows_rate_limits(&owner);
         let decider = if unresponsive.is_empty() { Decider::Owner } else { Decider::Successor };
         unresponsive.clear();
         let outcome = self.handle_answer(answer, decider);
@@ -243,7 +247,8 @@
     fn open_place(&mut self, grant: Grant, decider: Decider) -> Option<Place<D, S, C>> {
         let core = &self.run.core;
         let view = core.view();
-        let unusable = find_unusable(&view, &grant, core.now());
+        let unusable =
+            find_unusable(&view, &grant, core.now()).or_else(|| self.find_over_limit(&grant));
         let group = self.group.clone();
         let place = Place::open(core, &view, group, self.id, grant, decider);
         let Some(place) = place.filter(|_| unusable.is_none()) else {
@@ -256,6 +261,18 @@
         Some(place)
     }
 
+    /// Returns the granted target if this node has used up its part of the target's request rate and
+    /// the owner, an older version, doesn't count the requests of all nodes.
+    fn find_over_limit(&self, grant: &Grant) -> Option<Tag> {
+        if self.has_owner_rate_limits {
+            return None;
+        }
+        let (core, target) = (&self.run.core, grant.allocation.target);
+        let nodes = core.count_nodes();
+        let wait = core.ledger().rate_limits().time_until_send(core.now(), target, nodes);
+        (!wait.is_zero()).then_some(target)
+    }
+
     /// Gives a grant back, and excludes its unusable target from the next request.
     fn return_grant(&mut self, unusable: Option<Tag>) {
         let core = &self.run.core;
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: sends a request to a target and reads the head of the response.
 
 use crate::core::Core;
-use crate::dialect::{Dialect, Helper, ResponseHead, TargetRequest};
+use crate::dialect::{Dialect, Helper, ResponseHead, StatedLimit, TargetRequest};
 use crate::place::Place;
 use crate::view::Tag;
 use bytes::Bytes;
@@ -14,7 +14,7 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use http_body_util::Full;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The maximum idle time of a connection that is reused for a request which may run only once. A
 /// connection that was idle for longer may be closed at the other end.
@@ -108,6 +108,7 @@
     let request = build_request::<D>(message, &place.target.id, parameters);
     let reuse =
         if parameters.is_non_repeatable { Reuse::Within(MAX_REUSE_IDLE_TIME) } else { Reuse::Any };
+    let sent_at = core.now();
     let sent = core.client.send(place.target.entry.address, request, reuse).await;
     let exchange = sent.map_err(|error| match error {
         Error::Refused => Failure::ConnectionRefused,
@@ -115,10 +116,34 @@
         Error::Unknown(text) => Failure::OutcomeUnknown(text),
     })?;
     let head = D::parse_response_head(&exchange.head.headers);
-    check_response(&head, exchange.head.status, parameters)?;
+    let status = exchange.head.status;
+    let checked = check_response(&head, status, parameters);
+    // Another target at the address may have misdirected the request.
+    let is_from_target = match &checked {
+        Ok(()) => true,
+        Err(failure) => matches!(failure, Failure::NotRun { .. }),
+    };
+    if is_from_target && status != StatusCode::MISDIRECTED_REQUEST {
+        note_rate_limit(place, sent_at, &head.rate_limit);
+    }
+    checked?;
     Ok(OpenResponse { exchange, head })
 }
 
+fn note_rate_limit<D: Dialect, S: Store, C: Clock>(
+    place: &Place<D, S, C>,
+    sent_at: Instant,
+    stated: &StatedLimit,
+) {
+    match stated {
+        StatedLimit::None => place.note_rate_limit(sent_at, None),
+        StatedLimit::Limit(limit) => place.note_rate_limit(sent_at, Some(*limit)),
+        StatedLimit::Malformed(finding) => {
+            log::warn!(target_id = place.target.id.as_str(); "rate limit ignored: {finding}");
+        }
+    }
+}
+
 /// Checks that a response belongs to the request and that the request ran.
 fn check_response(
     head: &ResponseHead,
--- a/crates/path/src/datagram.rs
+++ b/crates/path/src/datagram.rs
@@ -1,7 +1,11 @@
 //! The content of datagrams between nodes, and its encoding.
+//!
+//! A datagram is followed by its extensions: events that older versions don't know. Older versions
+//! ignore these bytes, and a version that doesn't know one of the events skips it.
 
 use crate::ledger::{Allocation, AllocationId};
 use crate::placement::{Answer, Request};
+use crate::rate_limit::StatedRate;
 use crate::view::Tag;
 use hickory_policy::gossip::Message;
 use hickory_store::store::Revision;
@@ -14,7 +18,7 @@
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 
 /// One event of a datagram.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Event {
     /// A message of the membership protocol.
     Member(Message),
@@ -38,9 +42,16 @@
     PoisonSuspect { fingerprint: u64, deaths: u32 },
     /// A node has the operators' data up to this revision.
     OperatorRevision { node: id::Node, revision: Revision },
+    /// A target stated its request rate. An extension.
+    RateLimit(StatedRate),
 }
 
 impl Event {
+    /// Returns whether the event is an extension, which older versions don't know.
+    fn is_extension(&self) -> bool {
+        matches!(self, Self::RateLimit(_))
+    }
+
     /// Returns the content under which a datagram with this first event is counted.
     pub(crate) fn content(&self) -> Content {
         match self {
@@ -52,7 +63,8 @@
             Self::Outcome { .. }
             | Self::Down(_)
             | Self::PrefillRefused(_)
-            | Self::PoisonSuspect { .. } => Content::Finding,
+            | Self::PoisonSuspect { .. }
+            | Self::RateLimit(_) => Content::Finding,
         }
     }
 }
@@ -65,7 +77,7 @@
 }
 
 /// The content of one datagram.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Datagram {
     pub(crate) node: id::Node,
     pub(crate) incarnation: id::Incarnation,
@@ -74,13 +86,39 @@
     /// The newest revision of the targets' entries that the node has.
     pub(crate) targets_revision: Revision,
     pub(crate) events: Vec<Event>,
+    /// Whether the sender's version knows extensions.
+    #[serde(skip)]
+    pub(crate) has_extensions: bool,
+}
+
+/// Decodes a datagram and its extensions.
+pub(crate) fn decode(bytes: &[u8]) -> Result<Datagram, postcard::Error> {
+    let (mut datagram, rest) = postcard::take_from_bytes::<Datagram>(bytes)?;
+    if !rest.is_empty() {
+        let extensions: Vec<Vec<u8>> = postcard::from_bytes(rest)?;
+        let known = extensions.iter().filter_map(|bytes| postcard::from_bytes(bytes).ok());
+        datagram.events.extend(known);
+        datagram.has_extensions = true;
+    }
+    Ok(datagram)
+}
+
+fn to_bytes(mut datagram: Datagram) -> Result<Vec<u8>, postcard::Error> {
+    let (extensions, events) = datagram.events.into_iter().partition(Event::is_extension);
+    datagram.events = events;
+    let extensions: Vec<Event> = extensions;
+    let extensions: Vec<Vec<u8>> =
+        extensions.iter().map(postcard::to_stdvec).collect::<Result<_, _>>()?;
+    let mut bytes = postcard::to_stdvec(&datagram)?;
+    bytes.extend(postcard::to_stdvec(&extensions)?);
+    Ok(bytes)
 }
 
 /// Encodes as many of a datagram's events as fit, and returns the other events.
 pub(crate) fn encode(mut datagram: Datagram) -> Result<(Vec<u8>, Vec<Event>), postcard::Error> {
     let mut left = Vec::new();
     loop {
-        let bytes = postcard::to_stdvec(&datagram)?;
+        let bytes = to_bytes(datagram.clone())?;
         let count = datagram.events.len();
         if bytes.len() <= MAX_DATAGRAM_BYTES || count <= 1 {
             return Ok((bytes, left));
--- a/crates/path/src/dialect.rs
+++ b/crates/path/src/dialect.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use hickory_unit::finding::Finding;
 use hickory_unit::id;
+use hickory_unit::rate::RequestsPerSecond;
 use http::HeaderMap;
 use http::request::Parts;
 use std::net::SocketAddr;
@@ -102,7 +103,7 @@
 }
 
 /// The parsed head of a target's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// The ID of the attempt that the response belongs to.
     pub attempt: Option<CompactString>,
@@ -117,6 +118,20 @@
     /// The address of the target that prevented the request from running, if the response names it.
     /// It may be a helper that was to prefill a part of the prompt.
     pub refusing_target: Option<SocketAddr>,
+    /// The request rate that the target states.
+    pub rate_limit: StatedLimit,
+}
+
+/// The request rate that a response states for its target.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum StatedLimit {
+    /// It states none.
+    #[default]
+    None,
+    /// The rate that the target takes from all nodes together.
+    Limit(RequestsPerSecond),
+    /// The statement can't be parsed, so it is unknown whether the target is limited.
+    Malformed(Finding),
 }
 
 /// The registry entry of a target.
--- a/crates/path/src/fleet.rs
+++ b/crates/path/src/fleet.rs
@@ -139,6 +139,20 @@
         self.membership().get(node).map(|record| record.contact.peer_address)
     }
 
+    /// Returns whether a node's version counts the requests to rate-limited targets.
+    pub(crate) fn knows_rate_limits(&self, node: &id::Node) -> bool {
+        *node == self.settings.node || self.peer_states().has_extensions(node)
+    }
+
+    /// Returns the incarnation of a node, and the address at which it receives datagrams.
+    pub(crate) fn peer_incarnation(
+        &self,
+        node: &id::Node,
+    ) -> Option<(id::Incarnation, SocketAddr)> {
+        let membership = self.membership();
+        membership.get(node).map(|record| (record.incarnation, record.contact.peer_address))
+    }
+
     /// Returns the nodes that place requests in a group, the owner first.
     fn owners(&self, group: &Group) -> Vec<id::Node> {
         let membership = self.membership();
@@ -169,9 +183,7 @@
         let mut owned: HashMap<Group, bool> = HashMap::new();
         for (change, target) in &view.changes {
             let service = &target.entry.service;
-            let groups = group::count_groups(view.targets_of(service).len());
-            let index = group::find_group(target.tag, groups);
-            let group = Group { service: service.clone(), index };
+            let group = view.group_of(service, target.tag);
             let is_owned = *owned.entry(group).or_insert_with_key(|group| self.is_owner(group));
             let level = if is_owned { Level::Info } else { Level::Debug };
             log::log!(
@@ -246,9 +258,7 @@
 
     /// Returns the group that an allocation belongs to.
     pub(crate) fn group_of(&self, allocation: &Allocation) -> Group {
-        let groups = group::count_groups(self.view().targets_of(&allocation.service).len());
-        let index = group::find_group(allocation.target, groups);
-        Group { service: allocation.service.clone(), index }
+        self.view().group_of(&allocation.service, allocation.target)
     }
 
     /// Returns a channel that receives the answers to a placement request.
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -10,6 +10,7 @@
 use crate::dialect::Dialect;
 use crate::group::Group;
 use crate::owner::{self, Requester, Ticket};
+use crate::rate_limit;
 use hickory_policy::membership::{StateCounts, TICK_INTERVAL};
 use hickory_policy::poison::Suspect;
 use hickory_store::store::{Revision, Store};
@@ -65,7 +66,7 @@
     loop {
         // An error reports that an earlier datagram went to a peer that is gone.
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
-        match postcard::from_bytes::<Datagram>(&buffer[..length]) {
+        match datagram::decode(&buffer[..length]) {
             Ok(datagram) => handle_datagram(&core, datagram, from),
             Err(error) => log::warn!(from:%; "can't decode a datagram: {error}"),
         }
@@ -128,6 +129,7 @@
             let suspect = Suspect { fingerprint, deaths, age: Duration::ZERO };
             core.suspects().merge(now, [suspect]);
         }
+        Event::RateLimit(stated) => rate_limit::handle_statement(core, now, node, &stated),
         Event::OperatorRevision { node, revision } => {
             handle_operator_revision(core, &node, revision)
         }
@@ -160,6 +162,7 @@
         let out = core.membership().tick(now);
         core.send_membership(out);
         core.ledger().expire(now);
+        core.metrics.set_rate_limited_targets(core.ledger().rate_limits().count_limited(now));
         core.owner().expire(now);
         core.peer_states().expire(now);
         logged.log(&core, now);
@@ -221,13 +224,16 @@
     }
 }
 
-/// Sends this node's allocations to the nodes that place requests in their groups:
-/// periodically, and immediately to a node that has just become responsible.
+/// Sends this node's allocations, and the request rates that targets state, to the nodes that place
+/// requests in their groups: periodically, and immediately to a node that has just become
+/// responsible.
 async fn announce_allocations<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
     let mut announced: HashMap<id::Node, Instant> = HashMap::new();
+    let mut rates = rate_limit::Announcer::default();
     while core.stage() != Stage::Closed {
         tokio::time::sleep(TICK_INTERVAL).await;
         let now = core.now();
+        rates.announce(&core, now);
         let mut by_node: HashMap<id::Node, Vec<Event>> = HashMap::new();
         for (number, allocation) in core.own_allocations(now) {
             let group = core.group_of(&allocation);
@@ -279,7 +285,14 @@
         let (node, incarnation) = (core.settings.node.clone(), core.incarnation);
         let events = std::mem::take(&mut remaining);
         let content = events.first().map_or(Content::Revision, Event::content);
-        let datagram = Datagram { node, incarnation, operator_revision, targets_revision, events };
+        let datagram = Datagram {
+            node,
+            incarnation,
+            operator_revision,
+            targets_revision,
+            events,
+            has_extensions: true,
+        };
         let (bytes, left) = match datagram::encode(datagram) {
             Ok(encoded) => encoded,
             Err(error) => {
--- a/crates/path/src/ledger.rs
+++ b/crates/path/src/ledger.rs
@@ -1,4 +1,5 @@
-//! The ledger of allocations: which requests run on which targets, as known to this node.
+//! The ledger of allocations: which requests run on which targets, as known to this node. It also
+//! holds the request rates that targets state, which are counted against what is sent to them.
 //!
 //! A node records the requests that it places itself. All nodes also report what they place in a
 //! group of targets to the owner of the group and its successor. An allocation is reported again
@@ -9,6 +10,7 @@
 use hickory_policy::engine::Profile;
 use hickory_policy::iteration::{Engine, PendingPrefill};
 use hickory_policy::plan::Load;
+use hickory_policy::rate_limit::RateLimits;
 use hickory_unit::id;
 use hickory_unit::size::Tokens;
 use serde::{Deserialize, Serialize};
@@ -109,6 +111,7 @@
     peers: HashMap<id::Node, HashMap<AllocationId, Entry>>,
     last_id: u32,
     sends: HashMap<Tag, VecDeque<Instant>>,
+    rate_limits: RateLimits<Tag>,
     /// When each engine last ended an iteration, as observed by the arrival of a first token.
     iteration_ends: HashMap<Tag, Instant>,
     /// Moving averages of how long a request of a plain service, or a short stream, takes.
@@ -211,6 +214,16 @@
         self.peers.remove(node);
     }
 
+    /// Returns the request rates that targets state.
+    pub fn rate_limits(&self) -> &RateLimits<Tag> {
+        &self.rate_limits
+    }
+
+    /// Returns the request rates that targets state, to apply a statement.
+    pub fn rate_limits_mut(&mut self) -> &mut RateLimits<Tag> {
+        &mut self.rate_limits
+    }
+
     /// Removes allocations that peers no longer report, and other outdated records.
     pub fn expire(&mut self, now: Instant) {
         for allocations in self.peers.values_mut() {
@@ -221,6 +234,7 @@
         self.peers.retain(|_, allocations| !allocations.is_empty());
         self.iteration_ends
             .retain(|_, at| now.saturating_duration_since(*at) < PEER_ALLOCATION_TTL);
+        self.rate_limits.expire(now);
         self.sends.retain(|_, times| {
             times.retain(|at| now.saturating_duration_since(*at) < COLD_SEND_WINDOW);
             !times.is_empty()
@@ -272,6 +286,7 @@
 
     fn note_send(&mut self, at: Instant, tag: Tag) {
         self.sends.entry(tag).or_default().push_back(at);
+        self.rate_limits.record_send(at, tag);
     }
 }
 
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -32,6 +32,7 @@
 mod peer_state;
 mod place;
 pub mod placement;
+mod rate_limit;
 mod record;
 mod refusal;
 pub mod reply;
--- a/crates/path/src/peer_state.rs
+++ b/crates/path/src/peer_state.rs
@@ -19,6 +19,7 @@
     incarnation: id::Incarnation,
     operator_revision: Revision,
     targets_revision: Revision,
+    has_extensions: bool,
     received_at: Instant,
 }
 
@@ -48,12 +49,18 @@
             incarnation: datagram.incarnation,
             operator_revision: datagram.operator_revision,
             targets_revision: datagram.targets_revision,
+            has_extensions: datagram.has_extensions,
             received_at: now,
         };
         let previous = self.peers.insert(datagram.node.clone(), state);
         previous.is_some_and(|previous| previous.incarnation != datagram.incarnation)
     }
 
+    /// Returns whether a node's version knows the extensions of datagrams.
+    pub(crate) fn has_extensions(&self, node: &id::Node) -> bool {
+        self.peers.get(node).is_some_and(|state| state.has_extensions)
+    }
+
     pub(crate) fn expire(&mut self, now: Instant) {
         self.peers
             .retain(|_, state| now.saturating_duration_since(state.received_at) < PEER_STATE_TTL);
--- a/crates/path/src/placement.rs
+++ b/crates/path/src/placement.rs
@@ -28,6 +28,10 @@
 /// estimate.
 const TYPICAL_ANSWER_DIVISOR: u64 = 2;
 
+/// The expected cost of a target that limits its request rate: others are preferred until they are
+/// this much later.
+const RATE_LIMITED_COST: Duration = Duration::from_millis(100);
+
 /// A request of a plain service is assumed to take its goal divided by this number until one has
 /// ended.
 const TYPICAL_TIME_GOAL_DIVISOR: u32 = 3;
@@ -131,6 +135,9 @@
     targets: Vec<Arc<Target>>,
     loads: Vec<Load>,
     typical_time: Option<Duration>,
+    /// The time until a request may be sent to one of the targets that are left out because they
+    /// got as many requests as they state that they take; `None` if there are none.
+    rate_limit_wait: Option<Duration>,
 }
 
 /// The set of targets that a node decides on.
@@ -158,13 +165,17 @@
         let view = core.view();
         let configuration = view.configuration.clone()?;
         let cold_rate = configuration.services.get(service)?.max_cold_rate;
-        let targets = eligible_targets(core, &view, service, cold_rate, scope, now);
+        let (targets, rate_limit_wait) =
+            eligible_targets(core, &view, service, cold_rate, scope, now);
         let ledger = core.ledger();
         let mut loads = ledger.loads(now, &targets, configuration.engine_profile(service));
         let typical_time = ledger.typical_time(service);
         drop(ledger);
         apply_preferences(core, now, &targets, &mut loads, scope);
-        Some(Self { configuration, targets, loads, typical_time })
+        if targets.is_empty() && rate_limit_wait.is_some() {
+            core.metrics.count_rate_limit_wait();
+        }
+        Some(Self { configuration, targets, loads, typical_time, rate_limit_wait })
     }
 
     /// Returns the profile of the service's engines, if the service runs a model.
@@ -174,6 +185,9 @@
 
     /// Chooses targets for a request, given the requests queued ahead of it.
     pub(crate) fn decide(&self, request: &Request, ahead: Ahead) -> Decision {
+        if let Some(wait) = self.rate_limit_wait.filter(|_| self.targets.is_empty()) {
+            return self.wait_for_rate_limit(request, wait, ahead);
+        }
         let indexes = self.candidate_indexes(request);
         let load = |&index: &usize| {
             let is_same_zone = self.targets[index].entry.zone == request.zone;
@@ -191,6 +205,19 @@
         }
     }
 
+    /// Decides on a request while all targets have got as many requests as they take: a prompt
+    /// waits if its turn is expected to come before its goal.
+    fn wait_for_rate_limit(&self, request: &Request, wait: Duration, ahead: Ahead) -> Decision {
+        let profile = self.profile(&request.service);
+        let survey = Survey::new(profile, &self.loads, ahead);
+        let turn = wait * (ahead.short_prompts + 1);
+        let can_queue = profile.is_some() && request.prompt.is_some();
+        match can_queue && turn < request.goal_left {
+            true => Decision::Wait(wait, survey),
+            false => Decision::rejected(RejectReason::Busy(turn), survey),
+        }
+    }
+
     /// Returns the indexes of the targets that have not been tried, or of all targets if each has
     /// been tried.
     fn candidate_indexes(&self, request: &Request) -> Vec<usize> {
@@ -310,6 +337,8 @@
     estimate.max(profile.mean_answer).min(prompt.max_answer)
 }
 
+/// Returns the targets that a request may be sent to now, and the time until one of those may get
+/// one that have reached the request rate that they state.
 fn eligible_targets<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     view: &View,
@@ -317,7 +346,7 @@
     cold_rate: Option<f64>,
     scope: Scope,
     now: Instant,
-) -> Vec<Arc<Target>> {
+) -> (Vec<Arc<Target>>, Option<Duration>) {
     let ledger = core.ledger();
     let nodes = match scope {
         Scope::Group(_) => 1,
@@ -337,7 +366,17 @@
     };
     let is_eligible =
         |target: &&Arc<Target>| view.can_send(target, now) && has_cold_capacity(target);
-    scoped.iter().filter(is_eligible).cloned().collect()
+    let rate_limits = ledger.rate_limits();
+    let mut min_wait: Option<Duration> = None;
+    let mut targets = Vec::new();
+    for target in scoped.iter().filter(is_eligible) {
+        let wait = rate_limits.time_until_send(now, target.tag, nodes);
+        match wait.is_zero() {
+            true => targets.push(target.clone()),
+            false => min_wait = Some(min_wait.map_or(wait, |min| min.min(wait))),
+        }
+    }
+    (targets, min_wait)
 }
 
 fn apply_preferences<D: Dialect, S: Store, C: Clock>(
@@ -347,17 +386,23 @@
     loads: &mut [Load],
     scope: Scope,
 ) {
+    let ledger = core.ledger();
+    let is_limited = |target: &Target| ledger.rate_limits().is_limited(now, target.tag);
+    let limited: Vec<bool> = targets.iter().map(|target| is_limited(target)).collect();
+    drop(ledger);
+    let are_most_limited = limited.iter().filter(|limited| **limited).count() * 2 > targets.len();
     let ejection = core.ejection();
     let costs = ejection.expected_costs(now, targets.iter().map(|target| target.tag));
     // Many nodes may decide on their own just after a start; a shared order would make all of them
     // prefer the same target.
     let is_shared_order = matches!(scope, Scope::Group(_)) && core.is_settled();
-    for ((target, load), cost) in targets.iter().zip(loads).zip(costs) {
+    for (((target, load), cost), is_limited) in targets.iter().zip(loads).zip(costs).zip(limited) {
         load.preference = match is_shared_order {
             true => target.tag.0,
             false => group::node_specific_order(&core.settings.node, target.tag),
         };
-        load.penalty = cost;
-        load.is_refusing_chunks = ejection.refuses_chunks(now, target.tag);
+        load.penalty = if is_limited { cost.max(RATE_LIMITED_COST) } else { cost };
+        load.is_refusing_chunks =
+            ejection.refuses_chunks(now, target.tag) || (is_limited && !are_most_limited);
     }
 }
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Configuration;
 use crate::dialect::{Dialect, Entry};
-use crate::group;
+use crate::group::{self, Group};
 use crate::items::{Item, Items};
 use hickory_store::store::Revision;
 use hickory_unit::id;
@@ -169,6 +169,12 @@
         groups.and_then(|groups| groups.get(usize::from(group))).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the group of a service's target.
+    pub fn group_of(&self, service: &id::Service, tag: Tag) -> Group {
+        let groups = group::count_groups(self.targets_of(service).len());
+        Group { service: service.clone(), index: group::find_group(tag, groups) }
+    }
+
     /// Returns the target with a tag.
     pub fn find_target(&self, tag: Tag) -> Option<&Arc<Target>> {
         self.index().by_tag.get(&tag)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -35,6 +35,7 @@
 mod pull;
 pub mod queue;
 pub mod ramp;
+pub mod rate_limit;
 pub mod refuse;
 pub mod replica;
 pub mod reserve;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -76,6 +76,8 @@
     datagrams: Vec<IntCounter>,
     datagram_bytes: Vec<IntCounter>,
     connected_peers: IntGauge,
+    rate_limited_targets: IntGauge,
+    rate_limit_waits: IntCounter,
 }
 
 impl Metrics {
@@ -221,6 +223,16 @@
                 TransferDirection::ALL,
             )?,
             connected_peers: add_gauge(r, "peers_connected", "Peers that this node is linked to")?,
+            rate_limited_targets: add_gauge(
+                r,
+                "targets_rate_limited",
+                "Targets that state a request rate, or did so seconds ago",
+            )?,
+            rate_limit_waits: add_counter(
+                r,
+                "rate_limit_waits_total",
+                "Decisions that found all targets at the request rate that they state",
+            )?,
             registry,
         })
     }
@@ -374,6 +386,16 @@
         self.connected_peers.set(connected as i64);
     }
 
+    /// Sets the number of targets whose request rate is limited.
+    pub fn set_rate_limited_targets(&self, targets: usize) {
+        self.rate_limited_targets.set(targets as i64);
+    }
+
+    /// Counts a decision that found all targets at the request rate that they state.
+    pub fn count_rate_limit_wait(&self) {
+        self.rate_limit_waits.inc();
+    }
+
     /// Renders all series in the Prometheus text format.
     pub fn render(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
