--- a/crates/client/src/exchange.rs
+++ b/crates/client/src/exchange.rs
@@ -81,7 +81,7 @@
             let is_pooled = pooled.is_some();
             let connection = match pooled {
                 Some(connection) => connection,
-                None => Connection::open(address, self.connect_timeout, self.user_timeout).await?,
+                None => self.connect(address).await?,
             };
             let mut guard = CloseOnDrop(Some(connection));
             let Some(connection) = &mut guard.0 else {
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -15,6 +15,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use pool::{MAX_IDLE_TIME, Pool};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -64,6 +65,7 @@
     pool: Arc<Pool>,
     connect_timeout: Duration,
     user_timeout: Duration,
+    translations: Arc<HashMap<SocketAddr, SocketAddr>>,
 }
 
 /// The limit of a whole response as a multiple of the progress timeout: a response that trickles
@@ -77,7 +79,12 @@
 impl Client {
     /// Creates a client without connections.
     pub fn open(connect_timeout: Duration) -> Self {
-        Self { pool: Arc::default(), connect_timeout, user_timeout: DEFAULT_USER_TIMEOUT }
+        Self {
+            pool: Arc::default(),
+            connect_timeout,
+            user_timeout: DEFAULT_USER_TIMEOUT,
+            translations: Arc::default(),
+        }
     }
 
     /// Sets the TCP user timeout, after which unacknowledged bytes break a connection.
@@ -86,6 +93,21 @@
         Self { user_timeout, ..self }
     }
 
+    /// Sets the addresses to connect to in place of others, such as those of emulated links.
+    #[must_use]
+    pub fn with_translations(self, translations: HashMap<SocketAddr, SocketAddr>) -> Self {
+        Self { translations: Arc::new(translations), ..self }
+    }
+
+    /// Returns the address to connect to in order to reach `address`.
+    pub fn translate(&self, address: SocketAddr) -> SocketAddr {
+        self.translations.get(&address).copied().unwrap_or(address)
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
+        Connection::open(self.translate(address), self.connect_timeout, self.user_timeout).await
+    }
+
     /// Closes the idle connections to `address`.
     pub fn close_idle(&self, address: SocketAddr) {
         self.pool.close_idle(address);
@@ -128,8 +150,7 @@
         address: SocketAddr,
         call: Call<'_>,
     ) -> Result<http::Response<Incoming>, Error> {
-        let mut connection =
-            Connection::open(address, self.connect_timeout, self.user_timeout).await?;
+        let mut connection = self.connect(address).await?;
         let request = make_request(address, call)?;
         connection.send(request).await.map_err(|failure| match failure.unsent {
             Some(_) => Error::NotSent(failure.text),
@@ -194,7 +215,7 @@
             let is_pooled = pooled.is_some();
             let mut connection = match pooled {
                 Some(connection) => connection,
-                None => Connection::open(address, self.connect_timeout, self.user_timeout).await?,
+                None => self.connect(address).await?,
             };
             is_written.store(true, Ordering::Relaxed);
             let failure = match connection.send(request).await {
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -100,7 +100,13 @@
 }
 
 impl<D: Dialect, S: Store, C: Clock> Core<D, S, C> {
-    pub(crate) fn open(settings: Settings, store: S, clock: C, metrics: Metrics) -> Self {
+    pub(crate) fn open(
+        settings: Settings,
+        target_links: HashMap<SocketAddr, SocketAddr>,
+        store: S,
+        clock: C,
+        metrics: Metrics,
+    ) -> Self {
         let now = clock.now();
         let incarnation = id::Incarnation(clock.wall_ms());
         let (outgoing, outgoing_receiver) = unbounded_channel();
@@ -112,7 +118,9 @@
             metrics,
             incarnation,
             clock,
-            client: Client::open(CONNECT_TIMEOUT).with_user_timeout(UNACKNOWLEDGED_TIMEOUT),
+            client: Client::open(CONNECT_TIMEOUT)
+                .with_user_timeout(UNACKNOWLEDGED_TIMEOUT)
+                .with_translations(target_links),
             member: OnceLock::new(),
             items: Mutex::default(),
             lag_tracker: Mutex::default(),
--- a/crates/path/src/death.rs
+++ b/crates/path/src/death.rs
@@ -35,7 +35,9 @@
 ) -> bool {
     let address = target.entry.address;
     core.client.close_idle(address);
-    let probe = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    let probe =
+        tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(core.client.translate(address)))
+            .await;
     let is_dead = matches!(&probe, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
     if is_dead {
         note_death(core, core.now(), fingerprint);
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -14,9 +14,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -48,6 +50,7 @@
     sync: TcpListener,
     metrics: Option<TcpListener>,
     pub(crate) peers: Arc<UdpSocket>,
+    pub(crate) target_links: HashMap<SocketAddr, SocketAddr>,
 }
 
 impl Sockets {
@@ -84,8 +87,16 @@
             directory: TcpListener::bind(settings.directory).await?,
             sync,
             peers: Arc::new(peers),
+            target_links: HashMap::new(),
         })
     }
+
+    /// Connects to targets at other addresses than the advertised ones, at which emulated links
+    /// listen.
+    #[must_use]
+    pub fn with_target_links(self, target_links: HashMap<SocketAddr, SocketAddr>) -> Self {
+        Self { target_links, ..self }
+    }
 }
 
 /// Starts all listeners.
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -83,7 +83,8 @@
     /// Returns an error if the metrics can't be opened.
     pub fn serve(settings: Settings, sockets: Sockets, store: S, clock: C) -> io::Result<Self> {
         let metrics = Metrics::new().map_err(io::Error::other)?;
-        let core = Arc::new(Core::open(settings, store, clock, metrics));
+        let target_links = sockets.target_links.clone();
+        let core = Arc::new(Core::open(settings, target_links, store, clock, metrics));
         store_watch::spawn(&core);
         fetch::spawn(&core);
         gossip::spawn(&core, sockets.peers.clone());
