Nodes without links to targets connect to them through peers

Cause: a request can reach a target only from the node that its caller chose, and a node takes each failed connection for a fault of that target, so that it neither looks for another way nor notices that its links are at fault. The class is a resource that is reached over one path only, by a process whose peers have others.

A node that can't connect to a target now asks a peer to (at once if refused, after 100 ms if there is no answer). If the peer connects, the link is at fault and the request goes on over the peer, which forwards bytes and decides nothing; placement, limits, retries and streams stay as they are. If a peer whose other connections work is refused too, the target is at fault. Where no peer has links either, callers are rejected at once, and nothing is concluded about the targets. A peer carries 256 connections at most, with 16 KiB of buffers each; its planned stop waits for them. Peers of older versions are not asked.

--- /dev/null
+++ b/crates/client/src/channel.rs
@@ -0,0 +1,115 @@
+//! Connections that are ready for one call, directly or through a relay.
+
+use crate::connection::Connection;
+use crate::exchange::{Exchange, Reuse};
+use crate::pool::MAX_IDLE_TIME;
+use crate::{Client, Error};
+use bytes::Bytes;
+use derive_more::Display;
+use http_body_util::Full;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A connection that is ready for one call. Dropping it closes it.
+#[derive(Debug)]
+pub struct Channel {
+    client: Client,
+    connection: Option<Connection>,
+    /// The address under which it is kept for later calls; a relayed connection is used once.
+    address: Option<SocketAddr>,
+}
+
+/// A call that got no response.
+#[derive(Debug)]
+pub struct SendError {
+    /// The cause.
+    pub error: Error,
+    /// The request if no byte of it has been written.
+    pub unsent: Option<http::Request<Full<Bytes>>>,
+}
+
+/// Why a relay opened no connection.
+#[derive(Clone, Debug, Display, PartialEq, Eq, derive_more::Error)]
+pub enum RelayError {
+    /// No process listens at the destination.
+    #[display("the destination refuses connections")]
+    Refused,
+    /// The relay can't connect, or can't be reached.
+    #[display("no relay: {_0}")]
+    #[error(ignore)]
+    Unavailable(String),
+}
+
+impl Channel {
+    /// Sends a request and waits for the response headers. Dropping the future closes the
+    /// connection.
+    pub async fn send(
+        mut self,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<Exchange, SendError> {
+        let Some(connection) = &mut self.connection else {
+            let error = Error::NotSent("no connection".into());
+            return Err(SendError { error, unsent: Some(request) });
+        };
+        match connection.send(request).await {
+            Ok(response) => {
+                let (client, connection) = (self.client.clone(), self.connection.take());
+                Ok(Exchange::new(client, self.address, connection, response))
+            }
+            Err(failure) => Err(match failure.unsent {
+                Some(_) => {
+                    SendError { error: Error::NotSent(failure.text), unsent: failure.unsent }
+                }
+                None => SendError { error: Error::Unknown(failure.text), unsent: None },
+            }),
+        }
+    }
+
+    /// Keeps the connection for a later call.
+    pub fn release(mut self) {
+        if let Some((address, connection)) = self.address.zip(self.connection.take()) {
+            self.client.pool.put(address, connection, MAX_IDLE_TIME);
+        }
+    }
+}
+
+impl Drop for Channel {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.close();
+        }
+    }
+}
+
+impl Client {
+    /// Takes an idle connection to `address`.
+    pub fn take_idle(&self, address: SocketAddr, reuse: Reuse) -> Option<Channel> {
+        let max_idle = match reuse {
+            Reuse::Any => MAX_IDLE_TIME,
+            Reuse::Within(time) => time,
+        };
+        let connection = self.pool.take(address, max_idle)?;
+        Some(Channel { client: self.clone(), connection: Some(connection), address: Some(address) })
+    }
+
+    /// Opens a connection to `address`.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Channel, Error> {
+        let connection = self.open_connection(address).await?;
+        Ok(Channel { client: self.clone(), connection: Some(connection), address: Some(address) })
+    }
+
+    /// Opens a connection that `relay` forwards to a destination, which `path` names. The relay
+    /// must confirm it within `timeout`.
+    pub async fn connect_relayed(
+        &self,
+        relay: SocketAddr,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Channel, RelayError> {
+        let opened = Connection::open_relayed(relay, path, self.connect_timeout, self.user_timeout);
+        let opened = tokio::time::timeout(timeout, opened).await;
+        let connection =
+            opened.unwrap_or_else(|_| Err(RelayError::Unavailable("timeout".into())))?;
+        Ok(Channel { client: self.clone(), connection: Some(connection), address: None })
+    }
+}
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -1,7 +1,8 @@
 //! An HTTP/1 connection that carries one call at a time.
 
-use crate::Error;
+use crate::{Error, RelayError};
 use bytes::Bytes;
+use http::{StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -19,6 +20,9 @@
     .with_interval(Duration::from_secs(1))
     .with_retries(2);
 
+/// The protocol that a connection to a relay switches to.
+pub const RELAY_PROTOCOL: &str = "hickory-relay";
+
 type Request = http::Request<Full<Bytes>>;
 
 /// A connection.
@@ -51,19 +55,49 @@
             ErrorKind::ConnectionRefused => Error::Refused,
             _ => not_sent(&e),
         })?;
-        let socket = stream.into_std().map_err(|e| not_sent(&e))?;
-        socket.set_nodelay(true).map_err(|e| not_sent(&e))?;
-        let options = socket2::SockRef::from(&socket);
-        options.set_tcp_user_timeout(Some(user_timeout)).map_err(|e| not_sent(&e))?;
-        options.set_tcp_keepalive(&KEEPALIVE).map_err(|e| not_sent(&e))?;
-        let duplicate = socket.try_clone().map_err(|e| not_sent(&e))?;
-        let stream = TcpStream::from_std(duplicate).map_err(|e| not_sent(&e))?;
+        let (socket, stream) = set_options(stream, user_timeout).map_err(|e| not_sent(&e))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|e| not_sent(&e))?;
         tokio::spawn(driver);
         Ok(Self { sender, socket })
     }
 
+    /// Connects to a relay, which connects to the destination that `path` names and then forwards
+    /// all bytes.
+    pub(crate) async fn open_relayed(
+        relay: SocketAddr,
+        path: &str,
+        timeout: Duration,
+        user_timeout: Duration,
+    ) -> Result<Self, RelayError> {
+        let unavailable =
+            |error: &dyn std::fmt::Display| RelayError::Unavailable(error.to_string());
+        let connect = tokio::time::timeout(timeout, TcpStream::connect(relay));
+        let stream = connect.await.map_err(|e| unavailable(&e))?.map_err(|e| unavailable(&e))?;
+        let (socket, stream) = set_options(stream, user_timeout).map_err(|e| unavailable(&e))?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, driver) = handshake.map_err(|e| unavailable(&e))?;
+        tokio::spawn(driver.with_upgrades());
+        let request = http::Request::builder()
+            .uri(path)
+            .header(header::HOST, relay.to_string())
+            .header(header::CONNECTION, "upgrade")
+            .header(header::UPGRADE, RELAY_PROTOCOL)
+            .body(Full::<Bytes>::default())
+            .map_err(|e| unavailable(&e))?;
+        let response = sender.send_request(request).await.map_err(|e| unavailable(&e))?;
+        match response.status() {
+            StatusCode::SWITCHING_PROTOCOLS => {}
+            StatusCode::BAD_GATEWAY => return Err(RelayError::Refused),
+            status => return Err(RelayError::Unavailable(format!("status {status}"))),
+        }
+        let upgraded = hyper::upgrade::on(response).await.map_err(|e| unavailable(&e))?;
+        let handshake = http1::handshake(upgraded).await;
+        let (sender, driver) = handshake.map_err(|e| unavailable(&e))?;
+        tokio::spawn(driver);
+        Ok(Self { sender, socket })
+    }
+
     /// Shuts down both directions, so that the other end is notified now and not when the last
     /// handle is dropped.
     pub(crate) fn close(&self) {
@@ -94,3 +128,17 @@
         })
     }
 }
+
+/// Sets the options of a connection. Returns the socket, and a duplicate to send and receive on.
+fn set_options(
+    stream: TcpStream,
+    user_timeout: Duration,
+) -> std::io::Result<(std::net::TcpStream, TcpStream)> {
+    let socket = stream.into_std()?;
+    socket.set_nodelay(true)?;
+    let options = socket2::SockRef::from(&socket);
+    options.set_tcp_user_timeout(Some(user_timeout))?;
+    options.set_tcp_keepalive(&KEEPALIVE)?;
+    let duplicate = TcpStream::from_std(socket.try_clone()?)?;
+    Ok((socket, duplicate))
+}
--- a/crates/client/src/exchange.rs
+++ b/crates/client/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::Connection;
 use crate::pool::MAX_IDLE_TIME;
-use crate::{Client, Error};
+use crate::{Client, Error, SendError};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -25,7 +25,8 @@
 #[derive(Debug)]
 pub struct Exchange {
     client: Client,
-    address: SocketAddr,
+    /// The address under which the connection is kept for later calls, if it may be.
+    address: Option<SocketAddr>,
     connection: Option<Connection>,
     /// The head of the response.
     pub head: http::response::Parts,
@@ -34,11 +35,27 @@
 }
 
 impl Exchange {
-    /// Returns the connection to the pool, where it stays idle for at most `max_idle`. Call this
-    /// only after the whole body was read.
+    pub(crate) fn new(
+        client: Client,
+        address: Option<SocketAddr>,
+        connection: Option<Connection>,
+        response: http::Response<Incoming>,
+    ) -> Self {
+        let (head, body) = response.into_parts();
+        Self { client, address, connection, head, body }
+    }
+
+    /// Returns whether a relay forwards the connection.
+    pub fn is_relayed(&self) -> bool {
+        self.address.is_none()
+    }
+
+    /// Returns the connection to the pool, where it stays idle for at most `max_idle`; a relayed one
+    /// is closed. Call this only after the whole body was read.
     pub fn release(mut self, max_idle: Option<Duration>) {
+        let Some(address) = self.address else { return };
         if let Some(connection) = self.connection.take() {
-            self.client.pool.put(self.address, connection, max_idle.unwrap_or(MAX_IDLE_TIME));
+            self.client.pool.put(address, connection, max_idle.unwrap_or(MAX_IDLE_TIME));
         }
     }
 }
@@ -51,17 +68,6 @@
     }
 }
 
-/// Closes the connection of a request that is cancelled before the response headers arrive.
-struct CloseOnDrop(Option<Connection>);
-
-impl Drop for CloseOnDrop {
-    fn drop(&mut self) {
-        if let Some(connection) = &self.0 {
-            connection.close();
-        }
-    }
-}
-
 impl Client {
     /// Sends a request and waits for the response headers. The request is written to a second
     /// connection only if no byte of it was written to the first. Only connecting has a timeout;
@@ -72,33 +78,13 @@
         mut request: http::Request<Full<Bytes>>,
         reuse: Reuse,
     ) -> Result<Exchange, Error> {
-        let max_idle = match reuse {
-            Reuse::Any => MAX_IDLE_TIME,
-            Reuse::Within(time) => time,
-        };
-        loop {
-            let pooled = self.pool.take(address, max_idle);
-            let is_pooled = pooled.is_some();
-            let connection = match pooled {
-                Some(connection) => connection,
-                None => self.connect(address).await?,
-            };
-            let mut guard = CloseOnDrop(Some(connection));
-            let Some(connection) = &mut guard.0 else {
-                return Err(Error::NotSent("no connection".into()));
-            };
-            match connection.send(request).await {
-                Ok(response) => {
-                    let (head, body) = response.into_parts();
-                    let connection = guard.0.take();
-                    return Ok(Exchange { client: self.clone(), address, connection, head, body });
-                }
-                Err(failure) => match failure.unsent {
-                    Some(unsent) if is_pooled => request = unsent,
-                    Some(_) => return Err(Error::NotSent(failure.text)),
-                    None => return Err(Error::Unknown(failure.text)),
-                },
+        while let Some(channel) = self.take_idle(address, reuse) {
+            match channel.send(request).await {
+                Ok(exchange) => return Ok(exchange),
+                Err(SendError { unsent: Some(unsent), .. }) => request = unsent,
+                Err(SendError { error, .. }) => return Err(error),
             }
         }
+        self.connect(address).await?.send(request).await.map_err(|failure| failure.error)
     }
 }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -4,12 +4,15 @@
 //! reached the other end. [`Error`] makes this distinction. A call is never sent twice: it is
 //! written to another connection only if a pooled connection was closed before the first byte.
 
+mod channel;
 mod connection;
 mod exchange;
 mod pool;
 
 use bytes::{Bytes, BytesMut};
+pub use channel::{Channel, RelayError, SendError};
 use connection::Connection;
+pub use connection::RELAY_PROTOCOL;
 use derive_more::Display;
 pub use exchange::{Exchange, Reuse};
 use http_body_util::{BodyExt, Full};
@@ -104,7 +107,7 @@
         self.translations.get(&address).copied().unwrap_or(address)
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
+    async fn open_connection(&self, address: SocketAddr) -> Result<Connection, Error> {
         Connection::open(self.translate(address), self.connect_timeout, self.user_timeout).await
     }
 
@@ -150,7 +153,7 @@
         address: SocketAddr,
         call: Call<'_>,
     ) -> Result<http::Response<Incoming>, Error> {
-        let mut connection = self.connect(address).await?;
+        let mut connection = self.open_connection(address).await?;
         let request = make_request(address, call)?;
         connection.send(request).await.map_err(|failure| match failure.unsent {
             Some(_) => Error::NotSent(failure.text),
@@ -158,6 +161,26 @@
         })
     }
 
+    /// Makes a call over an open connection and reads the whole response within `timeout`.
+    pub async fn exchange_over(
+        &self,
+        channel: Channel,
+        address: SocketAddr,
+        call: Call<'_>,
+        timeout: Duration,
+    ) -> Result<Response, Error> {
+        let request = make_request(address, call)?;
+        let exchange = async {
+            let mut exchange = channel.send(request).await.map_err(|failure| failure.error)?;
+            let body = read_body(&mut exchange.body, timeout).await?;
+            let status = exchange.head.status;
+            exchange.release(None);
+            Ok(Response { status, body })
+        };
+        let timed_out = |_| Err(Error::Unknown("timeout".into()));
+        tokio::time::timeout(timeout, exchange).await.unwrap_or_else(timed_out)
+    }
+
     /// Makes a call with a timeout between the parts of its response and one for the whole.
     async fn exchange_with_timeouts(
         &self,
@@ -190,7 +213,7 @@
         let (connection, response) =
             head.unwrap_or_else(|_| Err(Self::timeout_error(is_written)))?;
         let status = response.status();
-        let body = read_body(response.into_body(), progress_timeout).await?;
+        let body = read_body(&mut response.into_body(), progress_timeout).await?;
         self.pool.put(address, connection, MAX_IDLE_TIME);
         Ok(Response { status, body })
     }
@@ -215,7 +238,7 @@
             let is_pooled = pooled.is_some();
             let mut connection = match pooled {
                 Some(connection) => connection,
-                None => self.connect(address).await?,
+                None => self.open_connection(address).await?,
             };
             is_written.store(true, Ordering::Relaxed);
             let failure = match connection.send(request).await {
@@ -237,7 +260,7 @@
 }
 
 /// Reads a body with a timeout between its parts.
-async fn read_body(mut body: Incoming, progress_timeout: Duration) -> Result<Bytes, Error> {
+async fn read_body(body: &mut Incoming, progress_timeout: Duration) -> Result<Bytes, Error> {
     let mut bytes = BytesMut::new();
     loop {
         match tokio::time::timeout(progress_timeout, body.frame()).await {
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::core::Core;
 use crate::dialect::{Dialect, Helper, ResponseHead, StatedLimit, TargetRequest};
+use crate::links::{self, CallError, ConnectError};
 use crate::place::Place;
 use crate::view::Tag;
 use bytes::Bytes;
@@ -52,6 +53,9 @@
     /// No byte reached the target.
     #[display("not sent: {_0}")]
     NotSent(String),
+    /// No byte reached the target, because of this node's own link to it.
+    #[display("not sent: {_0}")]
+    LinkDown(String),
     /// A target stated that it didn't run the request. The response may name another target as the
     /// cause.
     #[display("not run, status {status}{}", name_refusing_target(*refusing_target))]
@@ -81,9 +85,10 @@
     /// Returns the retry reason that metrics count the failure as.
     pub(crate) fn reason(&self) -> RetryReason {
         match self {
-            Self::ConnectionRefused | Self::NotSent(_) | Self::NotReserved { .. } => {
-                RetryReason::NotSent
-            }
+            Self::ConnectionRefused
+            | Self::NotSent(_)
+            | Self::LinkDown(_)
+            | Self::NotReserved { .. } => RetryReason::NotSent,
             Self::NotRun { .. } => RetryReason::Refused,
             Self::OutcomeUnknown(_) | Self::InvalidAnswer(_) => RetryReason::TargetFailed,
             Self::DeadlineExceeded | Self::Stalled => RetryReason::Stalled,
@@ -109,12 +114,24 @@
     let reuse =
         if parameters.is_non_repeatable { Reuse::Within(MAX_REUSE_IDLE_TIME) } else { Reuse::Any };
     let sent_at = core.now();
-    let sent = core.client.send(place.target.entry.address, request, reuse).await;
+    let sent = links::send(core, &place.target, request, reuse).await;
     let exchange = sent.map_err(|error| match error {
-        Error::Refused => Failure::ConnectionRefused,
-        Error::NotSent(text) => Failure::NotSent(text),
-        Error::Unknown(text) => Failure::OutcomeUnknown(text),
+        CallError::NotConnected(ConnectError::Refused) => Failure::ConnectionRefused,
+        CallError::NotConnected(ConnectError::Unreachable(text)) => Failure::NotSent(text),
+        CallError::NotConnected(error @ ConnectError::LinkDown(_)) => {
+            Failure::LinkDown(error.to_string())
+        }
+        CallError::Failed(Error::Refused) => Failure::ConnectionRefused,
+        CallError::Failed(Error::NotSent(text)) => Failure::NotSent(text),
+        CallError::Failed(Error::Unknown(text)) => Failure::OutcomeUnknown(text),
     })?;
+    if exchange.is_relayed() {
+        log::info!(
+            request = parameters.attempt,
+            target_id = place.target.id.as_str();
+            "sent through a peer, own link down"
+        );
+    }
     let head = D::parse_response_head(&exchange.head.headers);
     let status = exchange.head.status;
     let checked = check_response(&head, status, parameters);
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -9,11 +9,13 @@
 use crate::owner::Owner;
 use crate::peer_state::PeerStates;
 use crate::placement::Answer;
+use crate::relay::MAX_RELAYED_CONNECTIONS;
 use crate::settings::{Bounds, Settings};
 use crate::sync_server::Transfers;
 use crate::view::{Tag, View};
 use hickory_client::Client;
 use hickory_policy::ejection::Ejection;
+use hickory_policy::links::{Links, Relays};
 use hickory_policy::member::{Contact, Record, State};
 use hickory_policy::membership::Membership;
 use hickory_policy::poison::Suspects;
@@ -31,7 +33,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 /// The timeout for connecting to a target. The round trip takes a few milliseconds; a target whose
 /// accept queue is full answers only after seconds.
@@ -74,6 +76,10 @@
     owner_timeouts: Mutex<HashMap<id::Node, OwnerTimeouts>>,
     pending_answers: Mutex<HashMap<AllocationId, UnboundedSender<Answer>>>,
     ejection: Mutex<Ejection<Tag>>,
+    links: Mutex<Links<Tag>>,
+    relays: Mutex<Relays<SocketAddr>>,
+    /// Permits for the connections that this node relays for peers.
+    pub(crate) relay_slots: Arc<Semaphore>,
     suspects: Mutex<Suspects>,
     budgets: Mutex<HashMap<id::Service, Budget>>,
     is_store_unreachable: AtomicBool,
@@ -133,6 +139,9 @@
             owner_timeouts: Mutex::default(),
             pending_answers: Mutex::default(),
             ejection: Mutex::default(),
+            links: Mutex::default(),
+            relays: Mutex::default(),
+            relay_slots: Arc::new(Semaphore::new(MAX_RELAYED_CONNECTIONS)),
             suspects: Mutex::default(),
             budgets: Mutex::default(),
             is_store_unreachable: AtomicBool::new(false),
@@ -186,6 +195,16 @@
         lock(&self.ejection)
     }
 
+    /// Returns the state of this node's own links to targets.
+    pub(crate) fn links(&self) -> MutexGuard<'_, Links<Tag>> {
+        lock(&self.links)
+    }
+
+    /// Returns the peers through which this node connects to targets.
+    pub(crate) fn relays(&self) -> MutexGuard<'_, Relays<SocketAddr>> {
+        lock(&self.relays)
+    }
+
     pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
         lock(&self.suspects)
     }
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -4,6 +4,7 @@
 use crate::config::Limits;
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
+use crate::relay::{self, RELAY_PATH};
 use crate::reply::{self, Reply};
 use crate::settings::Settings;
 use crate::{directory, serve, sync_server};
@@ -188,7 +189,8 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size((limits.max_header.0 as usize * 2).max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(stream), service)
+        .with_upgrades();
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         // An error means that the caller closed the connection.
@@ -230,5 +232,8 @@
     core: Arc<Core<D, S, C>>,
     request: Request<Incoming>,
 ) -> Response<Reply> {
-    sync_server::answer(&core, request.uri())
+    match request.uri().path() {
+        RELAY_PATH => relay::answer(core, request).await,
+        _ => sync_server::answer(&core, request.uri()),
+    }
 }
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -3,7 +3,8 @@
 //! A request is decoded by a [`dialect::Dialect`] into the product's own terms
 //! ([`request`]), matched to a route and an account ([`config`]), placed on targets by the
 //! owner of their group ([`ask`], [`group`], [`owner`], [`placement`]) based on the running
-//! requests ([`ledger`]), sent ([`attempt`]), and relayed ([`serve`], [`stream`]). A node's
+//! requests ([`ledger`]), sent ([`attempt`]) over this node's links or through a peer ([`links`],
+//! [`relay`]), and relayed ([`serve`], [`stream`]). A node's
 //! knowledge comes from the store ([`store_watch`]) and from its peers ([`gossip`],
 //! [`fetch`], [`sync_server`], large values in chunks by [`chunk`]). It is merged by
 //! revision ([`items`]) and decoded into one [`view`].
@@ -27,6 +28,7 @@
 pub mod items;
 pub mod lag;
 pub mod ledger;
+mod links;
 pub mod outage;
 mod owner;
 mod peer_state;
@@ -35,6 +37,7 @@
 mod rate_limit;
 mod record;
 mod refusal;
+mod relay;
 pub mod reply;
 pub mod request;
 mod reservation;
@@ -90,6 +93,7 @@
         gossip::spawn(&core, sockets.peers.clone());
         intake::spawn(&core, sockets);
         traffic::spawn(&core);
+        tokio::spawn(links::probe(core.clone()));
         Ok(Self { core })
     }
 
--- /dev/null
+++ b/crates/path/src/links.rs
@@ -0,0 +1,204 @@
+//! Connections to targets, through a peer where this node's own link is down.
+//!
+//! A node that can't connect to a target asks a peer to. If the peer connects, the link is at fault
+//! and the request goes on through the peer; if the target refuses the peer too, it is at fault.
+
+use crate::core::{Core, Stage};
+use crate::dialect::Dialect;
+use crate::relay;
+use crate::view::{Tag, Target};
+use bytes::Bytes;
+use derive_more::Display;
+use hickory_client::{Call, Channel, Error, Exchange, RelayError, Response, Reuse, SendError};
+use hickory_policy::links::Change;
+use hickory_store::store::Store;
+use hickory_unit::clock::Clock;
+use http::Request;
+use http_body_util::Full;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The time after which a peer is asked to connect to a target that doesn't answer: many round
+/// trips, and a fraction of the connect timeout.
+const HEDGE_DELAY: Duration = Duration::from_millis(100);
+
+/// The interval at which the node looks whether a check of a link is due.
+const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Why a target can't be connected to.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub(crate) enum ConnectError {
+    /// The target refuses connections, as far as can be told.
+    #[display("connection refused")]
+    Refused,
+    /// The target doesn't answer.
+    #[display("{_0}")]
+    Unreachable(String),
+    /// This node has no link to the target, and no peer connects to it.
+    #[display("own link down, {_0}")]
+    LinkDown(String),
+}
+
+/// Why a call to a target failed.
+#[derive(Clone, Debug)]
+pub(crate) enum CallError {
+    /// No byte was sent.
+    NotConnected(ConnectError),
+    /// The call failed on an open connection.
+    Failed(Error),
+}
+
+/// Sends a request to a target and waits for the head of the response. It is sent on at most one
+/// connection, unless no byte of it was written.
+pub(crate) async fn send<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    target: &Target,
+    mut request: Request<Full<Bytes>>,
+    reuse: Reuse,
+) -> Result<Exchange, CallError> {
+    while !core.links().is_down(target.tag)
+        && let Some(channel) = core.client.take_idle(target.entry.address, reuse)
+    {
+        match channel.send(request).await {
+            Ok(exchange) => return Ok(exchange),
+            Err(SendError { unsent: Some(unsent), .. }) => request = unsent,
+            Err(SendError { error, .. }) => return Err(CallError::Failed(error)),
+        }
+    }
+    let channel = connect(core, target).await.map_err(CallError::NotConnected)?;
+    channel.send(request).await.map_err(|failure| CallError::Failed(failure.error))
+}
+
+/// Makes a call to a target and reads the whole response.
+pub(crate) async fn call<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    target: &Target,
+    call: Call<'_>,
+    timeout: Duration,
+) -> Result<Response, Error> {
+    let address = target.entry.address;
+    if !core.links().is_down(target.tag) {
+        let result = core.client.exchange(address, call.clone(), timeout).await;
+        if !matches!(result, Err(Error::Refused | Error::NotSent(_))) {
+            return result;
+        }
+    }
+    let connected = connect(core, target).await;
+    let channel = connected.map_err(|error| Error::NotSent(error.to_string()))?;
+    core.client.exchange_over(channel, address, call, timeout).await
+}
+
+/// Opens a connection to a target, through a peer if this node's link to it is down.
+pub(crate) async fn connect<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    target: &Target,
+) -> Result<Channel, ConnectError> {
+    if core.links().is_down(target.tag) {
+        return match relay::connect(core, target).await {
+            Ok(channel) => Ok(channel),
+            Err(RelayError::Refused) => Err(ConnectError::Refused),
+            Err(RelayError::Unavailable(detail)) => {
+                connect_directly(core, target).await.map_err(|_| ConnectError::LinkDown(detail))
+            }
+        };
+    }
+    let mut direct = std::pin::pin!(connect_directly(core, target));
+    let error = match tokio::time::timeout(HEDGE_DELAY, &mut direct).await {
+        Ok(Ok(channel)) => return Ok(channel),
+        Ok(Err(error)) => error,
+        Err(_) => {
+            tokio::select! {
+                direct = &mut direct => match direct {
+                    Ok(channel) => return Ok(channel),
+                    Err(error) => return Err(ConnectError::Unreachable(error.to_string())),
+                },
+                Ok(channel) = relay::connect(core, target) => {
+                    note_down(core, target);
+                    return Ok(channel);
+                }
+            }
+        }
+    };
+    match relay::connect(core, target).await {
+        Ok(channel) => {
+            note_down(core, target);
+            Ok(channel)
+        }
+        Err(RelayError::Refused) => Err(ConnectError::Refused),
+        // Without any peer to ask, the target is the more likely cause.
+        Err(RelayError::Unavailable(_)) if !relay::has_peers(core) => Err(match error {
+            Error::Refused => ConnectError::Refused,
+            error => ConnectError::Unreachable(error.to_string()),
+        }),
+        Err(RelayError::Unavailable(detail)) => Err(ConnectError::LinkDown(detail)),
+    }
+}
+
+async fn connect_directly<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    target: &Target,
+) -> Result<Channel, Error> {
+    let channel = core.client.connect(target.entry.address).await?;
+    let change = core.links().record_connection(core.now(), target.tag);
+    if let Some(Change::Up) = change {
+        log::warn!(target_id = target.id.as_str(); "own links to targets are back");
+    }
+    Ok(channel)
+}
+
+fn note_down<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>, target: &Target) {
+    let change = core.links().record_down(core.now(), target.tag);
+    core.client.close_idle(target.entry.address);
+    match change {
+        Some(Change::AllDown) => {
+            log::warn!(target_id = target.id.as_str(); "own links to targets are down");
+        }
+        Some(Change::Down) => {
+            log::info!(target_id = target.id.as_str(); "own link to a target is down");
+        }
+        Some(Change::Up) | None => {}
+    }
+}
+
+/// Checks the link to a target that has been silent, without waiting for the result.
+pub(crate) fn check<D: Dialect, S: Store, C: Clock>(
+    core: &Arc<Core<D, S, C>>,
+    target: &Arc<Target>,
+) {
+    if core.links().begin_check(core.now(), target.tag) {
+        let (core, target) = (core.clone(), target.clone());
+        tokio::spawn(async move {
+            // Connecting records the state of the link.
+            if let Ok(channel) = connect(&core, &target).await {
+                channel.release();
+            }
+        });
+    }
+}
+
+/// Checks links that are down until they are back.
+pub(crate) async fn probe<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
+    while core.stage() != Stage::Closed {
+        let Some(target) = next_probe(&core) else {
+            tokio::time::sleep(PROBE_POLL_INTERVAL).await;
+            continue;
+        };
+        // An error means that the link is still down; the next check comes after a pause.
+        if let Ok(channel) = connect_directly(&core, &target).await {
+            channel.release();
+        }
+    }
+}
+
+fn next_probe<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> Option<Arc<Target>> {
+    let is_any_down = core.links().count_down() > 0;
+    core.metrics.set_links_down(core.links().count_down());
+    if !is_any_down {
+        return None;
+    }
+    let (view, now) = (core.view(), core.now());
+    let targets = view.targets.values().flatten().filter(|target| target.is_accepting(now));
+    let tags: Vec<Tag> = targets.map(|target| target.tag).collect();
+    let tag = core.links().next_probe(now, &tags, rand::random())?;
+    view.find_target(tag).cloned()
+}
--- /dev/null
+++ b/crates/path/src/relay.rs
@@ -0,0 +1,240 @@
+//! Relays: a node connects to targets on behalf of a peer that has lost its links to them.
+//!
+//! The peer names the target by its tag, and this node forwards the bytes of the connection. The
+//! peer decides all else, as it does on its own connections.
+
+use crate::core::{ActiveRequest, Core};
+use crate::dialect::Dialect;
+use crate::reply::{self, Reply};
+use crate::view::{Tag, Target};
+use hickory_client::{Channel, RELAY_PROTOCOL, RelayError};
+use hickory_store::store::Store;
+use hickory_telemetry::label::Relay;
+use hickory_unit::clock::Clock;
+use hickory_unit::size;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use hyper::upgrade::{OnUpgrade, Parts};
+use hyper_util::rt::TokioIo;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::OwnedSemaphorePermit;
+
+/// The path at which peers ask for a connection to a target.
+pub(crate) const RELAY_PATH: &str = "/relay";
+
+/// The maximum number of connections that a node relays at once. With their buffers they take a few
+/// megabytes.
+pub(crate) const MAX_RELAYED_CONNECTIONS: usize = 256;
+
+/// The timeout of a relay for connecting to a target.
+const TARGET_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// The timeout of a peer for a relayed connection.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The number of peers that are asked for a connection.
+const MAX_PEERS_ASKED: usize = 3;
+
+/// The number of other targets by which a relay checks whether its own links work.
+const MAX_LINK_CHECKS: usize = 2;
+
+/// How long sent bytes may stay unacknowledged by a target.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// The size of the buffer for each direction of a connection.
+const BUFFER_BYTES: usize = 8 << 10;
+
+/// Connects to a target through a peer.
+///
+/// # Errors
+///
+/// Returns whether the target refuses connections, or no peer could tell.
+pub(crate) async fn connect<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    target: &Target,
+) -> Result<Channel, RelayError> {
+    let peers = find_peers(core);
+    let path = format!("{RELAY_PATH}?target={:x}", target.tag.0);
+    let mut tried = Vec::new();
+    let mut error = RelayError::Unavailable("no peer that relays".into());
+    while tried.len() < MAX_PEERS_ASKED {
+        let now = core.now();
+        let chosen = core.relays().choose(now, &peers, &tried, rand::random());
+        let Some(peer) = chosen else { break };
+        let opened = core.client.connect_relayed(peer, &path, RELAY_TIMEOUT).await;
+        let is_unavailable = matches!(opened, Err(RelayError::Unavailable(_)));
+        core.relays().record(core.now(), peer, !is_unavailable);
+        core.metrics.count_relay(match &opened {
+            Ok(_) => Relay::Connected,
+            Err(RelayError::Refused) => Relay::Refused,
+            Err(RelayError::Unavailable(_)) => Relay::Unavailable,
+        });
+        match opened {
+            Err(unavailable) if is_unavailable => error = unavailable,
+            known => return known,
+        }
+        tried.push(peer);
+    }
+    log::debug!(target_id = target.id.as_str(), asked = tried.len(); "{error}");
+    Err(error)
+}
+
+/// Returns the peers whose version relays connections.
+fn find_peers<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> Vec<SocketAddr> {
+    let (states, membership) = (core.peer_states(), core.membership());
+    let capable = membership.alive().filter(|record| states.has_extensions(&record.node));
+    capable.map(|record| record.contact.sync_address).collect()
+}
+
+/// Returns whether any peer can be asked for a connection.
+pub(crate) fn has_peers<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> bool {
+    !find_peers(core).is_empty()
+}
+
+/// Answers a peer that asks for a connection to a target.
+pub(crate) async fn answer<D: Dialect, S: Store, C: Clock>(
+    core: Arc<Core<D, S, C>>,
+    request: Request<Incoming>,
+) -> Response<Reply> {
+    let Some(target) = find_target(&core, request.uri().query().unwrap_or_default()) else {
+        return reply::plain(StatusCode::NOT_FOUND, "no such target");
+    };
+    if core.links().are_all_down() {
+        return reply::plain(StatusCode::SERVICE_UNAVAILABLE, "own links to targets are down");
+    }
+    let Ok(slot) = core.relay_slots.clone().try_acquire_owned() else {
+        return reply::plain(StatusCode::SERVICE_UNAVAILABLE, "too many relayed connections");
+    };
+    let stream = match connect_to_target(&core, &target).await {
+        Ok(stream) => stream,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+            return match has_working_links(&core, &target).await {
+                true => reply::plain(StatusCode::BAD_GATEWAY, "the target refuses connections"),
+                false => reply::plain(StatusCode::SERVICE_UNAVAILABLE, "own links may be down"),
+            };
+        }
+        Err(error) => return reply::plain(StatusCode::GATEWAY_TIMEOUT, &error.to_string()),
+    };
+    let upgrade = hyper::upgrade::on(request);
+    tokio::spawn(serve(core, upgrade, stream, slot));
+    let mut response = reply::plain(StatusCode::SWITCHING_PROTOCOLS, "");
+    let headers = response.headers_mut();
+    headers.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
+    headers.insert(header::UPGRADE, HeaderValue::from_static(RELAY_PROTOCOL));
+    response
+}
+
+fn find_target<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    query: &str,
+) -> Option<Arc<Target>> {
+    let tag = u64::from_str_radix(query.strip_prefix("target=")?, 16).ok()?;
+    core.view().find_target(Tag(tag)).cloned()
+}
+
+async fn connect_to_target<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    target: &Target,
+) -> io::Result<TcpStream> {
+    let address = core.client.translate(target.entry.address);
+    let connected = tokio::time::timeout(TARGET_CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = connected.map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    core.links().record_connection(core.now(), target.tag);
+    Ok(stream)
+}
+
+/// Returns whether this node reaches other targets than one that refused a connection.
+async fn has_working_links<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    refusing: &Target,
+) -> bool {
+    if core.links().has_recent_connection(core.now()) {
+        return true;
+    }
+    let (view, now) = (core.view(), core.now());
+    let is_other = |target: &&Arc<Target>| target.tag != refusing.tag && target.is_accepting(now);
+    let others: Vec<Arc<Target>> =
+        view.targets.values().flatten().filter(is_other).cloned().collect();
+    for _ in 0..MAX_LINK_CHECKS.min(others.len()) {
+        let other = &others[rand::random_range(0..others.len())];
+        if connect_to_target(core, other).await.is_ok() {
+            return true;
+        }
+    }
+    false
+}
+
+/// Forwards bytes until either side closes its connection. The stop of this node waits for it.
+async fn serve<D: Dialect, S: Store, C: Clock>(
+    core: Arc<Core<D, S, C>>,
+    upgrade: OnUpgrade,
+    target: TcpStream,
+    _slot: OwnedSemaphorePermit,
+) {
+    let _active = ActiveRequest::begin(&core);
+    let _relayed = core.metrics.begin_relay();
+    let upgraded = match upgrade.await {
+        Ok(upgraded) => upgraded,
+        Err(error) => return log::warn!("relayed connection not opened: {error}"),
+    };
+    let Ok(Parts { io, read_buf, .. }) = upgraded.downcast::<TokioIo<TcpStream>>() else {
+        return log::error!("relayed connection not opened: not a TCP connection");
+    };
+    let (peer_read, peer_write) = io.into_inner().into_split();
+    let (target_read, mut target_write) = target.into_split();
+    if target_write.write_all(&read_buf).await.is_err() {
+        return;
+    }
+    let to_target = forward(&core, peer_read, target_write);
+    let to_peer = forward(&core, target_read, peer_write);
+    let (mut to_target, mut to_peer) = (std::pin::pin!(to_target), std::pin::pin!(to_peer));
+    tokio::select! {
+        // The peer closes its connection to cancel its request, which closes the target's.
+        _ = &mut to_target => {}
+        ended = &mut to_peer => match ended {
+            // The target has ended its response; the peer reads the rest.
+            Ok(mut peer_write) => drop(peer_write.shutdown().await),
+            // A broken response must not look complete.
+            Err((_, peer_write)) => reset(peer_write),
+        },
+    }
+}
+
+/// Forwards bytes in one direction until the sender ends it. Returns the receiving half, with the
+/// error if the sender's connection broke.
+async fn forward<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+) -> Result<OwnedWriteHalf, (io::Error, OwnedWriteHalf)> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let forwarded = match from.read(&mut buffer).await {
+            Ok(0) => return Ok(to),
+            Ok(read) => {
+                core.metrics.count_relayed_bytes(size::Bytes(read as u64));
+                to.write_all(&buffer[..read]).await
+            }
+            Err(error) => Err(error),
+        };
+        if let Err(error) = forwarded {
+            return Err((error, to));
+        }
+    }
+}
+
+/// Resets the connection to a peer once its other half is dropped.
+fn reset(peer: OwnedWriteHalf) {
+    // This fails only if the connection is already closed.
+    let _ = socket2::SockRef::from(peer.as_ref()).set_linger(Some(Duration::ZERO));
+    // Dropping it would end the connection in the regular way first.
+    peer.forget();
+}
--- a/crates/path/src/reservation.rs
+++ b/crates/path/src/reservation.rs
@@ -7,6 +7,7 @@
 use crate::attempt::Failure;
 use crate::core::Core;
 use crate::dialect::{Dialect, EngineRequest, Helper};
+use crate::links;
 use crate::place::Place;
 use crate::view::Target;
 use bytes::Bytes;
@@ -150,9 +151,7 @@
 ) -> Result<(), String> {
     let body = Bytes::copy_from_slice(request.body.as_bytes());
     let call = Call { method: Method::POST, path: request.path, key: None, body };
-    let answer =
-        core.client.exchange(reservation.target.entry.address, call, ENGINE_REQUEST_TIMEOUT).await;
-    match answer {
+    match links::call(core, &reservation.target, call, ENGINE_REQUEST_TIMEOUT).await {
         Ok(answer) if answer.status.is_success() => Ok(()),
         Ok(answer) => Err(format!("{}: status {}", reservation.target.id, answer.status)),
         Err(error) => Err(format!("{}: {error}", reservation.target.id)),
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -5,6 +5,7 @@
 use crate::core::{ActiveRequest, Core};
 use crate::death::{compute_fingerprint, probe_for_death};
 use crate::dialect::Dialect;
+use crate::links;
 use crate::place::Place;
 use crate::placement::Rejection;
 use crate::refusal::{NO_TARGET_RETRY_AFTER, Refusal};
@@ -37,6 +38,9 @@
 /// milliseconds, and all targets of a zone may fail together.
 const MAX_UNSENT_ATTEMPTS: u32 = 24;
 
+/// The retry delay if this node reaches no target; the caller then connects to another node.
+const LINKS_DOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// The retry delay if targets report that they are full.
 const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -278,11 +282,27 @@
                 place.note_connection_refused();
                 self.log_failed_attempt(place, &failure.to_string());
             }
+            // A link says nothing of the target behind it.
+            None if matches!(failure, Failure::LinkDown(_)) => {
+                self.log_failed_attempt(place, &failure.to_string());
+            }
             None => self.note_failure(place, &failure),
         }
+        if matches!(failure, Failure::Stalled | Failure::DeadlineExceeded) {
+            links::check(&self.core, &place.target);
+        }
         self.core.metrics.count_retry(failure.reason());
         match failure {
-            Failure::ConnectionRefused | Failure::NotSent(_) | Failure::NotReserved { .. } => {
+            Failure::LinkDown(detail) if self.core.links().are_all_down() => {
+                // The caller finds a node with links sooner than this node gets its own back.
+                let refusal = Refusal::new(Reason::NoTarget, detail);
+                let refusal = refusal.with_retry_after(LINKS_DOWN_RETRY_AFTER);
+                return Err(refusal.after_possible_run(self.may_have_run));
+            }
+            Failure::ConnectionRefused
+            | Failure::NotSent(_)
+            | Failure::LinkDown(_)
+            | Failure::NotReserved { .. } => {
                 self.counted_sends -= 1;
                 self.unsent_attempts += 1;
                 if self.unsent_attempts > MAX_UNSENT_ATTEMPTS {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,7 +6,8 @@
 //! prompts, [`layout`] the placement of weights on engines. [`spread`] distributes large documents between
 //! nodes, [`membership`] tracks which nodes are alive, [`directory`] names nodes to callers,
 //! [`queue`] orders waiting prompts, [`replica`] chooses a replica of a plain service, and
-//! [`ejection`] avoids failing targets.
+//! [`ejection`] avoids failing targets. [`rate_limit`] keeps to the request rates that targets
+//! state, and [`links`] tells a node's own broken links from broken targets.
 //! [`survey`] summarizes a choice for the logs. [`baseline`] holds the simpler policies that the
 //! others are compared with.
 
@@ -24,6 +25,7 @@
 mod lane;
 pub mod layout;
 pub mod limit;
+pub mod links;
 pub mod member;
 pub mod membership;
 pub mod permit;
--- a/crates/telemetry/src/label.rs
+++ b/crates/telemetry/src/label.rs
@@ -175,6 +175,16 @@
         Finding = "finding",
     }
 
+    /// The result of asking a peer for a connection to a target.
+    Relay {
+        /// The peer connected to the target.
+        Connected = "connected",
+        /// The target refuses connections from the peer too.
+        Refused = "refused",
+        /// The peer couldn't connect, or couldn't be reached.
+        Unavailable = "unavailable",
+    }
+
     /// The direction of a document transfer.
     TransferDirection {
         /// To a peer.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -5,7 +5,7 @@
 
 use crate::label::{
     Call, Claim, Datagram, Decider, Fetch, Length, Order, Orphan, Outcome, Ownership, Permit,
-    TokenDirection, TransferDirection, Work,
+    Relay, TokenDirection, TransferDirection, Work,
 };
 use crate::register::{
     add_counter, add_counters, add_gauge, add_gauges, add_histogram, add_histograms,
@@ -78,6 +78,10 @@
     connected_peers: IntGauge,
     rate_limited_targets: IntGauge,
     rate_limit_waits: IntCounter,
+    links_down: IntGauge,
+    relays: Vec<IntCounter>,
+    relayed_connections: IntGauge,
+    relayed_bytes: IntCounter,
 }
 
 impl Metrics {
@@ -233,6 +237,28 @@
                 "rate_limit_waits_total",
                 "Decisions that found all targets at the request rate that they state",
             )?,
+            links_down: add_gauge(
+                r,
+                "links_down",
+                "Targets that peers reach and this node doesn't",
+            )?,
+            relays: add_counters(
+                r,
+                "relays_total",
+                "Connections to targets that peers were asked for",
+                "result",
+                Relay::ALL,
+            )?,
+            relayed_connections: add_gauge(
+                r,
+                "relayed_connections",
+                "Connections to targets that this node relays for peers",
+            )?,
+            relayed_bytes: add_counter(
+                r,
+                "relayed_bytes_total",
+                "Bytes that this node relayed for peers",
+            )?,
             registry,
         })
     }
@@ -396,6 +422,27 @@
         self.rate_limit_waits.inc();
     }
 
+    /// Sets the number of own links to targets that are down.
+    pub fn set_links_down(&self, links: usize) {
+        self.links_down.set(links as i64);
+    }
+
+    /// Counts a connection to a target that a peer was asked for.
+    pub fn count_relay(&self, result: Relay) {
+        self.relays[result as usize].inc();
+    }
+
+    /// Counts a connection as relayed for a peer until the guard is dropped.
+    pub fn begin_relay(&self) -> InFlightGuard {
+        self.relayed_connections.inc();
+        InFlightGuard(self.relayed_connections.clone())
+    }
+
+    /// Counts bytes relayed for a peer.
+    pub fn count_relayed_bytes(&self, bytes: size::Bytes) {
+        self.relayed_bytes.inc_by(bytes.0);
+    }
+
     /// Renders all series in the Prometheus text format.
     pub fn render(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
