Links: what a node knows of its own links, by service

A node that checks whether it may vouch for a refusal connects to targets of the same service for it.

--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -41,7 +41,7 @@
 
 /// How long sent bytes may stay unacknowledged before a target counts as unreachable: about a
 /// hundred round trips.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_200);
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// The lifecycle stage of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,7 +76,7 @@
     owner_timeouts: Mutex<HashMap<id::Node, OwnerTimeouts>>,
     pending_answers: Mutex<HashMap<AllocationId, UnboundedSender<Answer>>>,
     ejection: Mutex<Ejection<Tag>>,
-    links: Mutex<Links<Tag>>,
+    links: Mutex<HashMap<id::Service, Links<Tag>>>,
     relays: Mutex<Relays<SocketAddr>>,
     /// Permits for the connections that this node relays for peers.
     pub(crate) relay_slots: Arc<Semaphore>,
@@ -195,9 +195,18 @@
         lock(&self.ejection)
     }
 
-    /// Returns the state of this node's own links to targets.
-    pub(crate) fn links(&self) -> MutexGuard<'_, Links<Tag>> {
-        lock(&self.links)
+    /// Reads or changes the state of this node's own links to the targets of a service. The targets
+    /// of one service may be cut off while those of another are not.
+    pub(crate) fn with_links<R>(
+        &self,
+        service: &id::Service,
+        f: impl FnOnce(&mut Links<Tag>) -> R,
+    ) -> R {
+        let mut links = lock(&self.links);
+        match links.get_mut(service) {
+            Some(links) => f(links),
+            None => f(links.entry(service.clone()).or_default()),
+        }
     }
 
     /// Returns the peers through which this node connects to targets.
--- a/crates/path/src/links.rs
+++ b/crates/path/src/links.rs
@@ -56,7 +56,7 @@
     mut request: Request<Full<Bytes>>,
     reuse: Reuse,
 ) -> Result<Exchange, CallError> {
-    while !core.links().is_down(target.tag)
+    while !is_down(core, target)
         && let Some(channel) = core.client.take_idle(target.entry.address, reuse)
     {
         match channel.send(request).await {
@@ -77,7 +77,7 @@
     timeout: Duration,
 ) -> Result<Response, Error> {
     let address = target.entry.address;
-    if !core.links().is_down(target.tag) {
+    if !is_down(core, target) {
         let result = core.client.exchange(address, call.clone(), timeout).await;
         if !matches!(result, Err(Error::Refused | Error::NotSent(_))) {
             return result;
@@ -93,7 +93,7 @@
     core: &Core<D, S, C>,
     target: &Target,
 ) -> Result<Channel, ConnectError> {
-    if core.links().is_down(target.tag) {
+    if is_down(core, target) {
         return match relay::connect(core, target).await {
             Ok(channel) => Ok(channel),
             Err(RelayError::Refused) => Err(ConnectError::Refused),
@@ -134,24 +134,32 @@
     }
 }
 
+fn is_down<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>, target: &Target) -> bool {
+    core.with_links(&target.entry.service, |links| links.is_down(target.tag))
+}
+
 async fn connect_directly<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     target: &Target,
 ) -> Result<Channel, Error> {
     let channel = core.client.connect(target.entry.address).await?;
-    let change = core.links().record_connection(core.now(), target.tag);
+    let change = core
+        .with_links(&target.entry.service, |links| links.record_connection(core.now(), target.tag));
     if let Some(Change::Up) = change {
-        log::warn!(target_id = target.id.as_str(); "own links to targets are back");
+        let service = target.entry.service.as_str();
+        log::warn!(service, target_id = target.id.as_str(); "own links to targets are back");
     }
     Ok(channel)
 }
 
 fn note_down<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>, target: &Target) {
-    let change = core.links().record_down(core.now(), target.tag);
+    let change =
+        core.with_links(&target.entry.service, |links| links.record_down(core.now(), target.tag));
     core.client.close_idle(target.entry.address);
     match change {
         Some(Change::AllDown) => {
-            log::warn!(target_id = target.id.as_str(); "own links to targets are down");
+            let service = target.entry.service.as_str();
+            log::warn!(service, target_id = target.id.as_str(); "own links to targets are down");
         }
         Some(Change::Down) => {
             log::info!(target_id = target.id.as_str(); "own link to a target is down");
@@ -165,7 +173,9 @@
     core: &Arc<Core<D, S, C>>,
     target: &Arc<Target>,
 ) {
-    if core.links().begin_check(core.now(), target.tag) {
+    let is_due =
+        core.with_links(&target.entry.service, |links| links.begin_check(core.now(), target.tag));
+    if is_due {
         let (core, target) = (core.clone(), target.clone());
         tokio::spawn(async move {
             // Connecting records the state of the link.
@@ -191,14 +201,20 @@
 }
 
 fn next_probe<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> Option<Arc<Target>> {
-    let is_any_down = core.links().count_down() > 0;
-    core.metrics.set_links_down(core.links().count_down());
-    if !is_any_down {
-        return None;
-    }
     let (view, now) = (core.view(), core.now());
-    let targets = view.targets.values().flatten().filter(|target| target.is_accepting(now));
-    let tags: Vec<Tag> = targets.map(|target| target.tag).collect();
-    let tag = core.links().next_probe(now, &tags, rand::random())?;
-    view.find_target(tag).cloned()
+    let (mut count_down, mut probed) = (0, None);
+    for (service, targets) in &view.targets {
+        let tag = core.with_links(service, |links| {
+            count_down += links.count_down();
+            if links.count_down() == 0 || probed.is_some() {
+                return None;
+            }
+            let accepting = targets.iter().filter(|target| target.is_accepting(now));
+            let tags: Vec<Tag> = accepting.map(|target| target.tag).collect();
+            links.next_probe(now, &tags, rand::random())
+        });
+        probed = probed.or_else(|| view.find_target(tag?).cloned());
+    }
+    core.metrics.set_links_down(count_down);
+    probed
 }
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -86,6 +86,12 @@
         self
     }
 
+    /// Returns whether this node's own links to all targets of the service are presumed down.
+    pub(crate) fn are_links_down(&self) -> bool {
+        let service = &self.target.entry.service;
+        self.core.with_links(service, |links| links.are_all_down())
+    }
+
     fn notify_owners(&self, event: &Event) {
         self.core.send_to_owners(&self.group, event);
     }
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -3,7 +3,7 @@
 //! The peer names the target by its tag, and this node forwards the bytes of the connection. The
 //! peer decides all else, as it does on its own connections.
 
-use crate::core::{ActiveRequest, Core};
+use crate::core::{ActiveRequest, Core, UNACKNOWLEDGED_TIMEOUT};
 use crate::dialect::Dialect;
 use crate::reply::{self, Reply};
 use crate::view::{Tag, Target};
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use hyper::upgrade::{OnUpgrade, Parts};
 use hyper_util::rt::TokioIo;
+use rand::seq::IteratorRandom;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -44,9 +45,6 @@
 /// The number of other targets by which a relay checks whether its own links work.
 const MAX_LINK_CHECKS: usize = 2;
 
-/// How long sent bytes may stay unacknowledged by a target.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
-
 /// The size of the buffer for each direction of a connection.
 const BUFFER_BYTES: usize = 8 << 10;
 
@@ -105,7 +103,7 @@
     let Some(target) = find_target(&core, request.uri().query().unwrap_or_default()) else {
         return reply::plain(StatusCode::NOT_FOUND, "no such target");
     };
-    if core.links().are_all_down() {
+    if core.with_links(&target.entry.service, |links| links.are_all_down()) {
         return reply::plain(StatusCode::SERVICE_UNAVAILABLE, "own links to targets are down");
     }
     let Ok(slot) = core.relay_slots.clone().try_acquire_owned() else {
@@ -147,25 +145,26 @@
     let stream = connected.map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
     socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    core.links().record_connection(core.now(), target.tag);
+    core.with_links(&target.entry.service, |links| links.record_connection(core.now(), target.tag));
     Ok(stream)
 }
 
-/// Returns whether this node reaches other targets than one that refused a connection.
+/// Returns whether this node reaches other targets of the service than one that refused a
+/// connection.
 async fn has_working_links<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     refusing: &Target,
 ) -> bool {
-    if core.links().has_recent_connection(core.now()) {
+    let (service, now) = (&refusing.entry.service, core.now());
+    if core.with_links(service, |links| links.has_recent_connection(now)) {
         return true;
     }
-    let (view, now) = (core.view(), core.now());
+    let view = core.view();
     let is_other = |target: &&Arc<Target>| target.tag != refusing.tag && target.is_accepting(now);
-    let others: Vec<Arc<Target>> =
-        view.targets.values().flatten().filter(is_other).cloned().collect();
-    for _ in 0..MAX_LINK_CHECKS.min(others.len()) {
-        let other = &others[rand::random_range(0..others.len())];
-        if connect_to_target(core, other).await.is_ok() {
+    let others = view.targets_of(service).iter().filter(is_other).cloned();
+    let checked = others.choose_multiple(&mut rand::rng(), MAX_LINK_CHECKS);
+    for other in checked {
+        if connect_to_target(core, &other).await.is_ok() {
             return true;
         }
     }
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -293,7 +293,7 @@
         }
         self.core.metrics.count_retry(failure.reason());
         match failure {
-            Failure::LinkDown(detail) if self.core.links().are_all_down() => {
+            Failure::LinkDown(detail) if place.are_links_down() => {
                 // The caller finds a node with links sooner than this node gets its own back.
                 let refusal = Refusal::new(Reason::NoTarget, detail);
                 let refusal = refusal.with_retry_after(LINKS_DOWN_RETRY_AFTER);
