Links: one link that is down is a reason to check all others

A node that has lost the links to some targets only found out about each by a request, which paid 100 ms for it, or a second on an open connection that had gone silent. It now checks the links to all targets of the service in the background, eight at a time, once one more is down.

--- a/crates/path/src/links.rs
+++ b/crates/path/src/links.rs
@@ -9,10 +9,12 @@
 use crate::view::{Tag, Target};
 use bytes::Bytes;
 use derive_more::Display;
+use futures::StreamExt;
 use hickory_client::{Call, Channel, Error, Exchange, RelayError, Response, Reuse, SendError};
 use hickory_policy::links::Change;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
+use hickory_unit::id;
 use http::Request;
 use http_body_util::Full;
 use std::sync::Arc;
@@ -22,6 +24,9 @@
 /// trips, and a fraction of the connect timeout.
 const HEDGE_DELAY: Duration = Duration::from_millis(100);
 
+/// The number of links that are checked at once.
+const MAX_CONCURRENT_CHECKS: usize = 8;
+
 /// The interval at which the node looks whether a check of a link is due.
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -102,6 +107,14 @@
             }
         };
     }
+    connect_hedged(core, target).await
+}
+
+/// Opens a connection to a target over this node's own link, or through a peer if that fails.
+async fn connect_hedged<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    target: &Target,
+) -> Result<Channel, ConnectError> {
     let mut direct = std::pin::pin!(connect_directly(core, target));
     let error = match tokio::time::timeout(HEDGE_DELAY, &mut direct).await {
         Ok(Ok(channel)) => return Ok(channel),
@@ -177,18 +190,36 @@
         core.with_links(&target.entry.service, |links| links.begin_check(core.now(), target.tag));
     if is_due {
         let (core, target) = (core.clone(), target.clone());
-        tokio::spawn(async move {
-            // Connecting records the state of the link.
-            if let Ok(channel) = connect(&core, &target).await {
-                channel.release();
-            }
-        });
+        tokio::spawn(async move { check_link(&core, &target).await });
     }
 }
 
-/// Checks links that are down until they are back.
+async fn check_link<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>, target: &Target) {
+    // Connecting records the state of the link.
+    if let Ok(channel) = connect_hedged(core, target).await {
+        channel.release();
+    }
+}
+
+/// Checks the links to targets, a few at a time.
+async fn check_all<D: Dialect, S: Store, C: Clock>(
+    core: Arc<Core<D, S, C>>,
+    targets: Vec<Arc<Target>>,
+) {
+    let check = |target: Arc<Target>| {
+        let core = core.clone();
+        async move { check_link(&core, &target).await }
+    };
+    let checks = futures::stream::iter(targets).map(check);
+    checks.buffer_unordered(MAX_CONCURRENT_CHECKS).collect::<()>().await;
+}
+
+/// Checks all links once one is down, and those that are down until they are back.
 pub(crate) async fn probe<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
     while core.stage() != Stage::Closed {
+        if let Some(targets) = take_sweep(&core) {
+            tokio::spawn(check_all(core.clone(), targets));
+        }
         let Some(target) = next_probe(&core) else {
             tokio::time::sleep(PROBE_POLL_INTERVAL).await;
             continue;
@@ -200,6 +231,14 @@
     }
 }
 
+/// Returns the targets of a service if the links to all of them have to be checked.
+fn take_sweep<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> Option<Vec<Arc<Target>>> {
+    let (view, now) = (core.view(), core.now());
+    let is_due = |service: &id::Service| core.with_links(service, |links| links.take_sweep(now));
+    let (_, targets) = view.targets.iter().find(|(service, _)| is_due(service))?;
+    Some(targets.iter().filter(|target| target.is_accepting(now)).cloned().collect())
+}
+
 fn next_probe<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> Option<Arc<Target>> {
     let (view, now) = (core.view(), core.now());
     let (mut count_down, mut probed) = (0, None);
--- a/crates/policy/src/links.rs
+++ b/crates/policy/src/links.rs
@@ -4,7 +4,8 @@
 //! its callers and its peers still reach it. A failed connection doesn't tell whether the link or
 //! the target is at fault; a peer that connects to the target does. A node whose links to several
 //! targets are down, and that has connected to no target since, connects to all of them through
-//! peers, so that not each target costs a request its connect timeout.
+//! peers, so that not each target costs a request its connect timeout. One link that is down is a
+//! reason to check all others.
 
 use std::collections::{HashMap, VecDeque};
 use std::hash::Hash;
@@ -19,6 +20,9 @@
 /// Minimum interval between two checks of a link that may be down.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Minimum interval between two checks of the links to all targets.
+const MIN_SWEEP_INTERVAL: Duration = Duration::from_secs(2);
+
 /// How recent a connection must be to show that the node has working links.
 const CONNECTION_TTL: Duration = Duration::from_secs(1);
 
@@ -51,6 +55,8 @@
     /// When each link was last checked because of a silent connection.
     checks: HashMap<K, Instant>,
     last_probe: Option<Instant>,
+    last_sweep: Option<Instant>,
+    needs_sweep: bool,
     are_all_down: bool,
 }
 
@@ -61,6 +67,8 @@
             last_connection: None,
             checks: HashMap::new(),
             last_probe: None,
+            last_sweep: None,
+            needs_sweep: false,
             are_all_down: false,
         }
     }
@@ -79,6 +87,7 @@
     /// Records that a peer connected to a target to which this node couldn't.
     pub fn record_down(&mut self, now: Instant, target: K) -> Option<Change> {
         let is_new = self.down.insert(target, now).is_none();
+        self.needs_sweep |= is_new;
         let is_recent = |at: &&Instant| self.last_connection.is_none_or(|last| **at > last);
         if !self.are_all_down && self.down.values().filter(is_recent).count() >= MIN_DOWN_LINKS {
             self.are_all_down = true;
@@ -118,6 +127,17 @@
         true
     }
 
+    /// Returns whether to check the links to all targets now, after one was found to be down.
+    pub fn take_sweep(&mut self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < MIN_SWEEP_INTERVAL;
+        if !self.needs_sweep || self.last_sweep.is_some_and(is_recent) {
+            return false;
+        }
+        self.needs_sweep = false;
+        self.last_sweep = Some(now);
+        true
+    }
+
     /// Returns the target whose link to check next, if a check is due. While all links are presumed
     /// down, any target may show that this isn't so.
     pub fn next_probe(&mut self, now: Instant, targets: &[K], random: u64) -> Option<K> {
--- a/crates/policy/tests/links.rs
+++ b/crates/policy/tests/links.rs
@@ -271,3 +271,18 @@
         assert!(!tally.was_any_isolated, "{nodes} nodes");
     }
 }
+
+/// Guards against finding links that are down one request at a time.
+#[test]
+fn one_link_that_is_down_is_a_reason_to_check_all() {
+    let start = Instant::now();
+    let mut links = Links::default();
+    assert!(!links.take_sweep(start));
+    links.record_down(start, 1);
+    assert!(links.take_sweep(start));
+    links.record_down(start + ms(100), 1);
+    assert!(!links.take_sweep(start + ms(5_000)), "it was known to be down");
+    links.record_down(start + ms(100), 2);
+    assert!(!links.take_sweep(start + ms(1_900)), "one has just begun");
+    assert!(links.take_sweep(start + ms(2_000)));
+}
