A target counts as dead, or as failing, only if the node's own link is not at fault

Cause: evidence about a target or a request that is taken from a link. A connection that broke, and a refused one after it, counted as the death of the target; the death was told to all nodes, and two of them quarantine the request. In the same way silence on a link counted against the target at the owner of its group.

After a broken connection the node now connects anew, through a peer if it is refused. The target is dead only if the peer is refused as well and has since reached another target itself; an earlier connection of the peer proves nothing, since all nodes may lose their links at once. Silence counts against a target only if the link to it works, which is checked once a second at most. A node without any peer to ask concludes as before.

--- a/crates/client/src/channel.rs
+++ b/crates/client/src/channel.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns whether a relay forwards the connection.
+    pub fn is_relayed(&self) -> bool {
+        self.address.is_none()
+    }
+
     /// Keeps the connection for a later call.
     pub fn release(mut self) {
         if let Some((address, connection)) = self.address.zip(self.connection.take()) {
--- a/crates/path/src/death.rs
+++ b/crates/path/src/death.rs
@@ -3,17 +3,16 @@
 use crate::core::Core;
 use crate::datagram::Event;
 use crate::dialect::Dialect;
+use crate::links::{self, ConnectError};
 use crate::serve::Job;
 use crate::view::Target;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
-use std::io::ErrorKind;
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 
-/// The timeout of the connection probe that distinguishes a dead target from an interrupted
-/// connection.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// The timeout for finding out why a connection broke. A target or peer that answers does so within
+/// a few round trips.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Computes a fingerprint that identifies a repeated request by its account, path and body, to
 /// recognize one that crashes targets.
@@ -26,23 +25,40 @@
     u64::from_le_bytes(*hasher.finalize().as_bytes().first_chunk().unwrap_or(&[0; 8]))
 }
 
-/// Checks whether a target whose connection broke is dead, and if so records the death against the
-/// request. An interrupted connection to a living target doesn't count against the request.
-pub(crate) async fn probe_for_death<D: Dialect, S: Store, C: Clock>(
+/// What became of a target whose connection broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fate {
+    /// It refuses connections, from a peer as well if there is one to ask.
+    Dead,
+    /// This node's own link to it is down, or all links are.
+    LinkDown,
+    /// It accepts connections, or doesn't answer.
+    Alive,
+}
+
+/// Finds out why a connection to a target broke, and records the death of a target against the
+/// request. An interrupted connection to a living target doesn't count against the request, and
+/// neither does a link of this node.
+pub(crate) async fn examine<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     target: &Target,
     fingerprint: u64,
-) -> bool {
-    let address = target.entry.address;
-    core.client.close_idle(address);
-    let probe =
-        tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(core.client.translate(address)))
-            .await;
-    let is_dead = matches!(&probe, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
-    if is_dead {
+) -> Fate {
+    core.client.close_idle(target.entry.address);
+    let fate = match tokio::time::timeout(PROBE_TIMEOUT, links::connect(core, target)).await {
+        Ok(Ok(channel)) if channel.is_relayed() => Fate::LinkDown,
+        Ok(Ok(channel)) => {
+            channel.release();
+            Fate::Alive
+        }
+        Ok(Err(ConnectError::Refused)) => Fate::Dead,
+        Ok(Err(ConnectError::LinkDown(_))) => Fate::LinkDown,
+        Ok(Err(ConnectError::Unreachable(_))) | Err(_) => Fate::Alive,
+    };
+    if fate == Fate::Dead {
         note_death(core, core.now(), fingerprint);
     }
-    is_dead
+    fate
 }
 
 fn note_death<D: Dialect, S: Store, C: Clock>(
--- a/crates/path/src/links.rs
+++ b/crates/path/src/links.rs
@@ -181,17 +181,18 @@
     }
 }
 
-/// Checks the link to a target that has been silent, without waiting for the result.
-pub(crate) fn check<D: Dialect, S: Store, C: Clock>(
-    core: &Arc<Core<D, S, C>>,
-    target: &Arc<Target>,
-) {
+/// Returns whether the link to a target that has been silent is working, as far as is known. It is
+/// checked once a second at most.
+pub(crate) async fn is_working<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    target: &Target,
+) -> bool {
     let is_due =
         core.with_links(&target.entry.service, |links| links.begin_check(core.now(), target.tag));
     if is_due {
-        let (core, target) = (core.clone(), target.clone());
-        tokio::spawn(async move { check_link(&core, &target).await });
+        check_link(core, target).await;
     }
+    !is_down(core, target)
 }
 
 async fn check_link<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>, target: &Target) {
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -6,6 +6,7 @@
 use crate::dialect::Dialect;
 use crate::group::Group;
 use crate::ledger::{Allocation, AllocationId};
+use crate::links;
 use crate::placement::Grant;
 use crate::rate_limit::{StatedRate, log_rate_limit};
 use crate::reservation::Reservations;
@@ -118,9 +119,17 @@
 
     /// Records whether the target served or failed the request.
     pub(crate) fn note_outcome(&self, served: bool) {
-        let target = self.target.tag;
-        self.core.ejection().record_outcome(self.core.now(), target, served);
-        self.notify_owners(&Event::Outcome { target, served });
+        note_outcome(&self.core, &self.group, self.target.tag, served);
+    }
+
+    /// Records that the target has been silent, unless the link to it turns out to be down.
+    pub(crate) fn note_silence(&self) {
+        let (core, group, target) = (self.core.clone(), self.group.clone(), self.target.clone());
+        tokio::spawn(async move {
+            if links::is_working(&core, &target).await {
+                note_outcome(&core, &group, target.tag, false);
+            }
+        });
     }
 
     /// Records what an answer of the target states about its request rate, and passes it on to the
@@ -148,6 +157,16 @@
     }
 }
 
+fn note_outcome<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    group: &Group,
+    target: Tag,
+    served: bool,
+) {
+    core.ejection().record_outcome(core.now(), target, served);
+    core.send_to_owners(group, &Event::Outcome { target, served });
+}
+
 impl<D: Dialect, S: Store, C: Clock> Drop for Place<D, S, C> {
     fn drop(&mut self) {
         self.core.ledger().finish(self.core.now(), self.id);
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -20,7 +20,7 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -109,10 +109,11 @@
     let Ok(slot) = core.relay_slots.clone().try_acquire_owned() else {
         return reply::plain(StatusCode::SERVICE_UNAVAILABLE, "too many relayed connections");
     };
+    let began = core.now();
     let stream = match connect_to_target(&core, &target).await {
         Ok(stream) => stream,
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-            return match has_working_links(&core, &target).await {
+            return match has_working_links(&core, &target, began).await {
                 true => reply::plain(StatusCode::BAD_GATEWAY, "the target refuses connections"),
                 false => reply::plain(StatusCode::SERVICE_UNAVAILABLE, "own links may be down"),
             };
@@ -149,20 +150,26 @@
     Ok(stream)
 }
 
-/// Returns whether this node reaches other targets of the service than one that refused a
-/// connection.
+/// Returns whether this node has reached other targets than one that refused a connection, since
+/// `began`. An earlier connection proves nothing, as all nodes may have just lost their links.
 async fn has_working_links<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     refusing: &Target,
+    began: Instant,
 ) -> bool {
-    let (service, now) = (&refusing.entry.service, core.now());
-    if core.with_links(service, |links| links.has_recent_connection(now)) {
+    let service = &refusing.entry.service;
+    if core.with_links(service, |links| links.has_connected_since(began)) {
         return true;
     }
-    let view = core.view();
+    let (view, now) = (core.view(), core.now());
     let is_other = |target: &&Arc<Target>| target.tag != refusing.tag && target.is_accepting(now);
-    let others = view.targets_of(service).iter().filter(is_other).cloned();
-    let checked = others.choose_multiple(&mut rand::rng(), MAX_LINK_CHECKS);
+    let others: Vec<_> = view.targets_of(service).iter().filter(is_other).cloned().collect();
+    // All targets of a small service may be down together.
+    let others = match others.len() {
+        count if count >= MAX_LINK_CHECKS => others,
+        _ => view.targets.values().flatten().filter(is_other).cloned().collect(),
+    };
+    let checked = others.into_iter().choose_multiple(&mut rand::rng(), MAX_LINK_CHECKS);
     for other in checked {
         if connect_to_target(core, &other).await.is_ok() {
             return true;
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -3,9 +3,8 @@
 use crate::ask;
 use crate::attempt::{self, Failure, OpenResponse, Parameters};
 use crate::core::{ActiveRequest, Core};
-use crate::death::{compute_fingerprint, probe_for_death};
+use crate::death::{self, Fate, compute_fingerprint};
 use crate::dialect::Dialect;
-use crate::links;
 use crate::place::Place;
 use crate::placement::Rejection;
 use crate::refusal::{NO_TARGET_RETRY_AFTER, Refusal};
@@ -286,11 +285,16 @@
             None if matches!(failure, Failure::LinkDown(_)) => {
                 self.log_failed_attempt(place, &failure.to_string());
             }
+            // Whether the target or the link is at fault is found out first.
+            None if matches!(failure, Failure::OutcomeUnknown(_)) => {
+                self.log_failed_attempt(place, &failure.to_string());
+            }
+            None if matches!(failure, Failure::Stalled | Failure::DeadlineExceeded) => {
+                self.log_failed_attempt(place, &failure.to_string());
+                place.note_silence();
+            }
             None => self.note_failure(place, &failure),
         }
-        if matches!(failure, Failure::Stalled | Failure::DeadlineExceeded) {
-            links::check(&self.core, &place.target);
-        }
         self.core.metrics.count_retry(failure.reason());
         match failure {
             Failure::LinkDown(detail) if place.are_links_down() => {
@@ -332,7 +336,7 @@
                 self.may_have_run = true;
                 return Ok(());
             }
-            Failure::OutcomeUnknown(_) => self.check_for_death(place).await?,
+            Failure::OutcomeUnknown(_) => self.examine_target(place).await?,
             Failure::InvalidAnswer(_) | Failure::DeadlineExceeded => {}
         }
         self.may_have_run = true;
@@ -348,13 +352,17 @@
         }
     }
 
-    /// Checks whether a target died. A dead target isn't used again, and a request under which
-    /// targets die repeatedly is ended.
-    async fn check_for_death(&mut self, place: &Place<D, S, C>) -> Result<(), Refusal> {
-        if !probe_for_death(&self.core, &place.target, self.fingerprint).await {
-            return Ok(());
+    /// Finds out why the connection to a target broke. A dead target isn't used again, and a request
+    /// under which targets die repeatedly is ended.
+    async fn examine_target(&mut self, place: &Place<D, S, C>) -> Result<(), Refusal> {
+        match death::examine(&self.core, &place.target, self.fingerprint).await {
+            Fate::Dead => place.note_connection_refused(),
+            Fate::LinkDown => return Ok(()),
+            Fate::Alive => {
+                place.note_outcome(false);
+                return Ok(());
+            }
         }
-        place.note_connection_refused();
         if self.core.suspects().verdict(self.core.now(), self.fingerprint) == Verdict::Quarantined {
             let refusal = Refusal::new(Reason::Quarantined, "it crashed the targets that ran it");
             return Err(Refusal { ran: Ran::Unknown, ..refusal });
--- a/crates/policy/src/links.rs
+++ b/crates/policy/src/links.rs
@@ -23,9 +23,6 @@
 /// Minimum interval between two checks of the links to all targets.
 const MIN_SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
-/// How recent a connection must be to show that the node has working links.
-const CONNECTION_TTL: Duration = Duration::from_secs(1);
-
 /// How long a peer is not asked again after it could not connect to a target.
 const PEER_BACKOFF: Duration = Duration::from_secs(2);
 
@@ -111,9 +108,9 @@
         self.down.len()
     }
 
-    /// Returns whether a direct connection shows that the node has working links.
-    pub fn has_recent_connection(&self, now: Instant) -> bool {
-        self.last_connection.is_some_and(|at| now.saturating_duration_since(at) < CONNECTION_TTL)
+    /// Returns whether a direct connection since `at` shows that the node has working links.
+    pub fn has_connected_since(&self, at: Instant) -> bool {
+        self.last_connection.is_some_and(|last| last >= at)
     }
 
     /// Returns whether the link to a silent target should be checked now.
