Soak: rate limits that replicas state, hosts without links to replicas, two versions

Each host reaches the replicas over links of its own, which a fault resets or silences for nine seconds; the store's stand-in gives each host the addresses of its links. Another fault lets a replica state a rate limit for that time. Checked are the requests that a limited replica gets from hosts that were told and not disturbed, and the share of reads that a cut host serves against the others.

--- /dev/null
+++ b/apps/hickory-soak/src/episode.rs
@@ -0,0 +1,142 @@
+//! Faults whose effect is checked over their time: rate limits that replicas state, and hosts that
+//! lose their links to all replicas.
+
+use crate::check::{self, Record};
+use crate::run::Run;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Time from the begin of an episode until all nodes must have reacted.
+const REACTION_TIME: Duration = Duration::from_secs(3);
+
+/// Time from a node's answer with a limit until the node must keep to it.
+const TOLD_DELAY: Duration = Duration::from_millis(500);
+
+/// Window over which requests to a limited replica are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// What a replica may get beyond its limit, as a factor and a number of requests.
+const TOLERANCE: (f64, f64) = (1.5, 5.0);
+
+/// Least number of requests by which callers of hosts are compared.
+const MIN_REQUESTS: usize = 10;
+
+/// Part of the share served elsewhere that callers of a cut host must be served.
+const MIN_SERVED_FRACTION: f64 = 2.0 / 3.0;
+
+/// What happens in an episode. Replicas and hosts are named by their index.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Kind {
+    /// A replica states a limit of requests per second.
+    RateLimit { replica: usize, limit: f64 },
+    /// A host loses its links to all replicas.
+    Cut { host: usize },
+}
+
+/// A fault with its time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Episode {
+    pub(crate) kind: Kind,
+    pub(crate) begin: Instant,
+    pub(crate) end: Instant,
+}
+
+/// Returns a description of each broken promise.
+pub(crate) fn check(run: &Run, episodes: &[Episode]) -> Vec<String> {
+    let records = run.records();
+    let checks = episodes.iter().filter_map(|episode| match episode.kind {
+        Kind::RateLimit { replica, limit } => {
+            check_rate_limit(run, &records, episode, replica, limit)
+        }
+        Kind::Cut { host } => check_cut(run, &records, episodes, episode, host),
+    });
+    checks.collect()
+}
+
+/// Checks that a replica gets no more than it states that it takes, from hosts that had passed on
+/// such an answer and weren't disturbed since.
+fn check_rate_limit(
+    run: &Run,
+    records: &[Record],
+    episode: &Episode,
+    replica: usize,
+    limit: f64,
+) -> Option<String> {
+    let (replica, _) = &run.replicas[replica];
+    let hosts: HashMap<&str, usize> =
+        records.iter().map(|r| (r.request.attempt.as_str(), r.request.host)).collect();
+    let told_at = |host: usize| {
+        let has_told = |record: &&Record| {
+            record.request.host == host
+                && record.ended_at >= episode.begin
+                && record.answer.header("server-limit").is_some()
+                && record.answer.header("x-replica-seal") == Some(&format!("s.{}", replica.name))
+        };
+        records.iter().find(has_told).map(|record| record.ended_at)
+    };
+    let told: Vec<Option<Instant>> = (0..run.hosts.len()).map(told_at).collect();
+    let is_bound = |attempt: &str, at: Instant| {
+        hosts.get(attempt).is_some_and(|&host| {
+            told[host].is_some_and(|told| told + TOLD_DELAY <= at)
+                && !run.hosts[host].was_disturbed(episode.begin, at)
+        })
+    };
+    let in_time = episode.begin + REACTION_TIME..episode.end;
+    let requests = replica.requests();
+    let bound = requests.iter().filter(|request| {
+        in_time.contains(&request.received_at)
+            && is_bound(request.attempt_id(), request.received_at)
+    });
+    let times: Vec<Instant> = bound.map(|request| request.received_at).collect();
+    let count_from =
+        |start: &Instant| times.iter().filter(|at| (*start..*start + WINDOW).contains(at)).count();
+    let max = times.iter().map(count_from).max().unwrap_or_default();
+    let allowed = (limit * TOLERANCE.0 * WINDOW.as_secs_f64() + TOLERANCE.1) as usize;
+    (max > allowed).then(|| {
+        format!("{} states {limit:.1} requests per second and got {max} in 4 s", replica.name)
+    })
+}
+
+/// Checks that callers of a host without links are served nearly as often as others, while another
+/// host has links and neither was disturbed.
+fn check_cut(
+    run: &Run,
+    records: &[Record],
+    episodes: &[Episode],
+    episode: &Episode,
+    cut: usize,
+) -> Option<String> {
+    let from = episode.begin + REACTION_TIME;
+    let is_cut_too = |host: usize| {
+        let overlaps = |other: &&Episode| other.begin < episode.end && other.end > episode.begin;
+        let others = episodes.iter().filter(overlaps);
+        others.into_iter().any(|other| matches!(other.kind, Kind::Cut { host: h } if h == host))
+    };
+    let is_calm = |host: usize| !run.hosts[host].was_disturbed(episode.begin, episode.end);
+    if !is_calm(cut) || !(0..run.hosts.len()).any(|host| is_calm(host) && !is_cut_too(host)) {
+        return None;
+    }
+    let share_of = |is_chosen: &dyn Fn(usize) -> bool| {
+        let sent = records.iter().filter(|record| {
+            let request = &record.request;
+            request.kind == check::Kind::Read
+                && is_chosen(request.host)
+                && request.sent_at >= from
+                && record.ended_at < episode.end
+        });
+        let served: Vec<bool> = sent.map(|record| record.answer.status == 200).collect();
+        let count = served.iter().filter(|served| **served).count();
+        (count, served.len())
+    };
+    let (served, sent) = share_of(&|host| host == cut);
+    let (served_elsewhere, sent_elsewhere) = share_of(&|host| !is_cut_too(host) && is_calm(host));
+    if sent < MIN_REQUESTS || sent_elsewhere < MIN_REQUESTS {
+        return None;
+    }
+    let share = served as f64 / sent as f64;
+    let share_elsewhere = served_elsewhere as f64 / sent_elsewhere as f64;
+    (share < share_elsewhere * MIN_SERVED_FRACTION).then(|| {
+        let name = &run.hosts[cut].settings.node;
+        format!("{name} without links served {served} of {sent}, others {served_elsewhere} of {sent_elsewhere}")
+    })
+}
--- a/apps/hickory-soak/src/fault.rs
+++ b/apps/hickory-soak/src/fault.rs
@@ -1,5 +1,6 @@
 //! Random faults, drawn from the seed, which may overlap.
 
+use crate::episode::{Episode, Kind};
 use crate::proxy::{Mode, Proxy};
 use crate::run::Run;
 use hickory_adapter_standin::store::Fault;
@@ -18,6 +19,9 @@
 /// Range of fault durations.
 const DURATION_MS: std::ops::Range<u64> = 200..2_500;
 
+/// Duration of faults whose effect is checked over their time.
+const EPISODE_TIME: Duration = Duration::from_secs(9);
+
 /// Time in which a node must serve again after a fault.
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
 
@@ -42,13 +46,15 @@
 
 async fn inject_fault(run: Arc<Run>, seed: u64, duration: Duration) {
     let mut random = StdRng::seed_from_u64(seed);
-    match random.random_range(0..10) {
+    match random.random_range(0..12) {
         0..=1 => disturb_link(&run, &mut random, duration).await,
         2 => pause(&run, &mut random, duration).await,
         3 => kill(&run, &mut random, duration).await,
         4 => stop(&run, &mut random).await,
         5..=6 => disturb_store(&run, &mut random, duration).await,
         7 => drain(&run, &mut random, duration).await,
+        8 => limit_rate(&run, &mut random).await,
+        9 => cut_target_links(&run, &mut random).await,
         _ => change_configuration(&run),
     }
 }
@@ -116,6 +122,36 @@
     run.store.put(&run.entry_key(replica), &replica.entry("ready"));
 }
 
+async fn limit_rate(run: &Run, random: &mut StdRng) {
+    let replica = random.random_range(0..run.replicas.len());
+    let limit = random.random_range(1.0..4.0);
+    let (stand_in, _) = &run.replicas[replica];
+    if stand_in.has_rate_limit() {
+        return;
+    }
+    run.print_event(&format!("{} states {limit:.1} requests per second", stand_in.name));
+    let begin = Instant::now();
+    stand_in.set_rate_limit(Some(limit));
+    tokio::time::sleep(EPISODE_TIME).await;
+    stand_in.set_rate_limit(None);
+    run.add_episode(Episode {
+        kind: Kind::RateLimit { replica, limit },
+        begin,
+        end: Instant::now(),
+    });
+}
+
+async fn cut_target_links(run: &Run, random: &mut StdRng) {
+    let host = random.random_range(0..run.hosts.len());
+    let mode = *[Mode::Reset, Mode::Silence].choose(random).unwrap_or(&Mode::Reset);
+    run.print_event(&format!("{} loses its replicas, {mode:?}", run.hosts[host].settings.node));
+    let begin = Instant::now();
+    run.set_target_links(host, mode);
+    tokio::time::sleep(EPISODE_TIME).await;
+    run.set_target_links(host, Mode::Pass);
+    run.add_episode(Episode { kind: Kind::Cut { host }, begin, end: Instant::now() });
+}
+
 fn change_configuration(run: &Run) {
     let version = run.version.fetch_add(1, Ordering::Relaxed) + 1;
     run.print_event(&format!("configuration {version}"));
--- a/apps/hickory-soak/src/main.rs
+++ b/apps/hickory-soak/src/main.rs
@@ -4,11 +4,14 @@
 //!
 //! It checks what callers and replicas see: each answer is complete and belongs to
 //! the caller's own request, nothing that may run once runs twice, refusals are
-//! true, streams are in order, answers arrive in time, and no process serves a
-//! configuration older than one it has already served.
+//! true, streams are in order, answers arrive in time, no process serves a
+//! configuration older than one it has already served, replicas get no more requests
+//! than they state that they take, and callers of hosts that have lost their links to
+//! the replicas are served.
 
 mod caller;
 mod check;
+mod episode;
 mod fault;
 mod host;
 mod proxy;
@@ -40,6 +43,9 @@
     /// Path of the entry daemon.
     #[arg(long)]
     program: PathBuf,
+    /// Path of another version of the daemon, which every second node runs.
+    #[arg(long)]
+    other_program: Option<PathBuf>,
     /// Print each fault with its time.
     #[arg(long)]
     events: bool,
@@ -56,6 +62,7 @@
             nodes: options.nodes,
             callers: options.callers,
             program: options.program.clone(),
+            other_program: options.other_program.clone(),
             print_events: options.events,
         };
         let report = runtime.block_on(run::run_seed(&plan))?;
--- a/apps/hickory-soak/src/run.rs
+++ b/apps/hickory-soak/src/run.rs
@@ -1,13 +1,15 @@
 //! One run of the soak: its processes, stand-ins and records.
 
 use crate::check::{self, Record};
+use crate::episode::Episode;
 use crate::host::Host;
-use crate::proxy::Proxy;
-use crate::{caller, fault};
+use crate::proxy::{Mode, Proxy};
+use crate::{caller, episode, fault};
 use eyre::WrapErr;
 use hickory_adapter_standin::replica::Replica;
 use hickory_adapter_standin::store::Store;
 use hickory_adapter_standin::{caller as standin, entry_key, settings, write_configuration};
+use std::collections::HashMap;
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
@@ -36,6 +38,8 @@
     pub(crate) nodes: u8,
     pub(crate) callers: usize,
     pub(crate) program: PathBuf,
+    /// The program of every second host, to run two versions side by side.
+    pub(crate) other_program: Option<PathBuf>,
     pub(crate) print_events: bool,
 }
 
@@ -46,6 +50,9 @@
     pub(crate) store: Store,
     pub(crate) replicas: Vec<(Replica, Proxy)>,
     store_links: Vec<Proxy>,
+    /// The links of each host to all replicas.
+    target_links: Vec<Vec<Proxy>>,
+    episodes: Mutex<Vec<Episode>>,
     pub(crate) hosts: Vec<Arc<Host>>,
     pub(crate) events_per_stream: u64,
     /// The newest configuration version.
@@ -120,10 +127,20 @@
             }
         }
         store.put_configuration(&write_configuration(1));
-        let mut store_links = Vec::new();
+        let (mut store_links, mut target_links) = (Vec::new(), Vec::new());
         let mut hosts = Vec::new();
         for number in 1..=plan.nodes {
-            let link = Proxy::spawn(store.address.ip(), store.address).await?;
+            let mut own_links = Vec::new();
+            let mut translations = HashMap::new();
+            for (_, shared_link) in &replicas {
+                let address = shared_link.address;
+                let own_link = Proxy::spawn(address.ip(), address).await?;
+                translations.insert(address, own_link.address);
+                own_links.push(own_link);
+            }
+            target_links.push(own_links);
+            let view = store.spawn_view(translations).await;
+            let link = Proxy::spawn(view.address.ip(), view.address).await?;
             let ip = IpAddr::from([127, 90, (plan.seed % 250) as u8, number]);
             let mut settings = settings(&format!("node-{number}"), link.address);
             let addresses = [
@@ -139,13 +156,18 @@
             settings.seeds =
                 vec![SocketAddr::from(([127, 90, (plan.seed % 250) as u8, 1], 21_004))];
             store_links.push(link);
-            hosts.push(Arc::new(Host::open(settings, plan.program.clone(), directory.clone())));
+            // Versions stand side by side on every second host.
+            let older = plan.other_program.as_ref().filter(|_| number % 2 == 0);
+            let program = older.unwrap_or(&plan.program).clone();
+            hosts.push(Arc::new(Host::open(settings, program, directory.clone())));
         }
         Ok(Self {
             seed: plan.seed,
             store,
             replicas,
             store_links,
+            target_links,
+            episodes: Mutex::default(),
             hosts,
             events_per_stream: EVENTS_PER_STREAM,
             version: AtomicU64::new(1),
@@ -160,6 +182,11 @@
         self.replicas.iter().map(|(_, link)| link).chain(&self.store_links)
     }
 
+    /// Sets the mode of the links of a host to all replicas.
+    pub(crate) fn set_target_links(&self, host: usize, mode: Mode) {
+        self.target_links[host].iter().for_each(|link| link.set(mode));
+    }
+
     pub(crate) fn entry_key(&self, replica: &Replica) -> String {
         entry_key(&replica.name)
     }
@@ -185,19 +212,27 @@
         self.records.lock().unwrap_or_else(PoisonError::into_inner).push(record);
     }
 
+    pub(crate) fn add_episode(&self, episode: Episode) {
+        self.episodes.lock().unwrap_or_else(PoisonError::into_inner).push(episode);
+    }
+
     pub(crate) fn records(&self) -> Vec<Record> {
         let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner).clone();
         records.sort_by_key(|record| record.ended_at);
         records
     }
 
+    fn episodes(&self) -> Vec<Episode> {
+        self.episodes.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     fn report(&self) -> Report {
         let records = self.records();
         let is_served = |record: &&Record| record.answer.is_complete && record.answer.status == 200;
         Report {
             requests: records.len(),
             served: records.iter().filter(is_served).count(),
-            violations: check::check(self),
+            violations: [check::check(self), episode::check(self, &self.episodes())].concat(),
         }
     }
 }
