Links: readability, and a log line for each thing that is left out

The record of a failed attempt is one match; an extension of a datagram that can't be decoded leaves a debug line; a datagram's events are no longer copied for encoding; peers that are stopping are not asked to relay; "not sent" stands once in an error. `explain` is tested on the lines of a request that went through a peer.

--- a/apps/hickory-soak/src/episode.rs
+++ b/apps/hickory-soak/src/episode.rs
@@ -77,7 +77,8 @@
     let told: Vec<Option<Instant>> = (0..run.hosts.len()).map(told_at).collect();
     let is_bound = |attempt: &str, at: Instant| {
         hosts.get(attempt).is_some_and(|&host| {
-            told[host].is_some_and(|told| told + TOLD_DELAY <= at)
+            !run.hosts[host].is_other_version
+                && told[host].is_some_and(|told| told + TOLD_DELAY <= at)
                 && !run.hosts[host].was_disturbed(episode.begin, at)
         })
     };
@@ -112,7 +113,10 @@
         let others = episodes.iter().filter(overlaps);
         others.into_iter().any(|other| matches!(other.kind, Kind::Cut { host: h } if h == host))
     };
-    let is_calm = |host: usize| !run.hosts[host].was_disturbed(episode.begin, episode.end);
+    let is_calm = |host: usize| {
+        !run.hosts[host].is_other_version
+            && !run.hosts[host].was_disturbed(episode.begin, episode.end)
+    };
     if !is_calm(cut) || !(0..run.hosts.len()).any(|host| is_calm(host) && !is_cut_too(host)) {
         return None;
     }
--- a/apps/hickory-soak/src/host.rs
+++ b/apps/hickory-soak/src/host.rs
@@ -15,6 +15,8 @@
 pub(crate) struct Host {
     pub(crate) settings: Settings,
     program: PathBuf,
+    /// Whether it runs another version, which may not keep all promises.
+    pub(crate) is_other_version: bool,
     directory: PathBuf,
     state: Mutex<State>,
     /// Held by the task that ends and restarts the process; meanwhile other
@@ -32,10 +34,16 @@
 }
 
 impl Host {
-    pub(crate) fn open(settings: Settings, program: PathBuf, directory: PathBuf) -> Self {
+    pub(crate) fn open(
+        settings: Settings,
+        program: PathBuf,
+        is_other_version: bool,
+        directory: PathBuf,
+    ) -> Self {
         Self {
             settings,
             program,
+            is_other_version,
             directory,
             state: Mutex::default(),
             restart_lock: tokio::sync::Mutex::default(),
--- a/apps/hickory-soak/src/run.rs
+++ b/apps/hickory-soak/src/run.rs
@@ -157,9 +157,10 @@
                 vec![SocketAddr::from(([127, 90, (plan.seed % 250) as u8, 1], 21_004))];
             store_links.push(link);
             // Versions stand side by side on every second host.
-            let older = plan.other_program.as_ref().filter(|_| number % 2 == 0);
-            let program = older.unwrap_or(&plan.program).clone();
-            hosts.push(Arc::new(Host::open(settings, program, directory.clone())));
+            let other = plan.other_program.as_ref().filter(|_| number % 2 == 0);
+            let program = other.unwrap_or(&plan.program).clone();
+            let host = Host::open(settings, program, other.is_some(), directory.clone());
+            hosts.push(Arc::new(host));
         }
         Ok(Self {
             seed: plan.seed,
--- a/apps/hickory/tests/offline.rs
+++ b/apps/hickory/tests/offline.rs
@@ -89,7 +89,8 @@
 
 /// The cause of a caller's complaint must be visible from log lines alone. The cases
 /// are a late answer beside long prompts on its engine, a call that ended without an
-/// answer, and a stream that its engine cut and another engine resumed.
+/// answer, a stream that its engine cut and another engine resumed, and a prompt that went
+/// through a peer because its node had lost its links.
 #[test]
 fn the_history_of_a_request_is_read_from_logs() {
     let mut report = String::new();
@@ -97,6 +98,7 @@
         &["explain", "37d6693a9bed6092", "entry.log"][..],
         &["explain", "0ea6cbd7717616a8", "entry.log"],
         &["explain", "875fa90a67842076", "entry.log"],
+        &["explain", "c268eddb250da4eb", "links.log"],
         &["explain", "nobody", "entry.log"],
         &["explain", "nobody", "nowhere.log"],
         &["--json", "explain", "0ea6cbd7717616a8", "entry.log"],
--- a/crates/client/src/exchange.rs
+++ b/crates/client/src/exchange.rs
@@ -45,11 +45,6 @@
         Self { client, address, connection, head, body }
     }
 
-    /// Returns whether a relay forwards the connection.
-    pub fn is_relayed(&self) -> bool {
-        self.address.is_none()
-    }
-
     /// Returns the connection to the pool, where it stays idle for at most `max_idle`; a relayed one
     /// is closed. Call this only after the whole body was read.
     pub fn release(mut self, max_idle: Option<Duration>) {
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -114,7 +114,7 @@
     let reuse =
         if parameters.is_non_repeatable { Reuse::Within(MAX_REUSE_IDLE_TIME) } else { Reuse::Any };
     let sent_at = core.now();
-    let sent = links::send(core, &place.target, request, reuse).await;
+    let sent = links::send(core, &place.target, parameters.attempt, request, reuse).await;
     let exchange = sent.map_err(|error| match error {
         CallError::NotConnected(ConnectError::Refused) => Failure::ConnectionRefused,
         CallError::NotConnected(ConnectError::Unreachable(text)) => Failure::NotSent(text),
@@ -125,13 +125,6 @@
         CallError::Failed(Error::NotSent(text)) => Failure::NotSent(text),
         CallError::Failed(Error::Unknown(text)) => Failure::OutcomeUnknown(text),
     })?;
-    if exchange.is_relayed() {
-        log::info!(
-            request = parameters.attempt,
-            target_id = place.target.id.as_str();
-            "sent through a peer, own link down"
-        );
-    }
     let head = D::parse_response_head(&exchange.head.headers);
     let status = exchange.head.status;
     let checked = check_response(&head, status, parameters);
--- a/crates/path/src/datagram.rs
+++ b/crates/path/src/datagram.rs
@@ -96,34 +96,40 @@
     let (mut datagram, rest) = postcard::take_from_bytes::<Datagram>(bytes)?;
     if !rest.is_empty() {
         let extensions: Vec<Vec<u8>> = postcard::from_bytes(rest)?;
-        let known = extensions.iter().filter_map(|bytes| postcard::from_bytes(bytes).ok());
-        datagram.events.extend(known);
+        datagram.events.extend(extensions.iter().filter_map(|bytes| decode_extension(bytes)));
         datagram.has_extensions = true;
     }
     Ok(datagram)
 }
 
-fn to_bytes(mut datagram: Datagram) -> Result<Vec<u8>, postcard::Error> {
-    let (extensions, events) = datagram.events.into_iter().partition(Event::is_extension);
-    datagram.events = events;
-    let extensions: Vec<Event> = extensions;
+fn decode_extension(bytes: &[u8]) -> Option<Event> {
+    let event = postcard::from_bytes(bytes);
+    event.inspect_err(|error| log::debug!("unknown extension of a datagram: {error}")).ok()
+}
+
+fn encode_extensions(events: &[Event]) -> Result<Vec<u8>, postcard::Error> {
     let extensions: Vec<Vec<u8>> =
-        extensions.iter().map(postcard::to_stdvec).collect::<Result<_, _>>()?;
-    let mut bytes = postcard::to_stdvec(&datagram)?;
-    bytes.extend(postcard::to_stdvec(&extensions)?);
-    Ok(bytes)
+        events.iter().map(postcard::to_stdvec).collect::<Result<_, _>>()?;
+    postcard::to_stdvec(&extensions)
 }
 
 /// Encodes as many of a datagram's events as fit, and returns the other events.
 pub(crate) fn encode(mut datagram: Datagram) -> Result<(Vec<u8>, Vec<Event>), postcard::Error> {
+    let (mut extensions, events): (Vec<Event>, Vec<Event>) =
+        datagram.events.into_iter().partition(Event::is_extension);
+    datagram.events = events;
     let mut left = Vec::new();
     loop {
-        let bytes = to_bytes(datagram.clone())?;
-        let count = datagram.events.len();
-        if bytes.len() <= MAX_DATAGRAM_BYTES || count <= 1 {
+        let mut bytes = postcard::to_stdvec(&datagram)?;
+        bytes.extend(encode_extensions(&extensions)?);
+        if bytes.len() <= MAX_DATAGRAM_BYTES || datagram.events.len() + extensions.len() <= 1 {
             return Ok((bytes, left));
         }
-        let mut rest = datagram.events.split_off(count.div_ceil(2));
+        let longer = match extensions.len() > datagram.events.len() {
+            true => &mut extensions,
+            false => &mut datagram.events,
+        };
+        let mut rest = longer.split_off(longer.len() / 2);
         rest.append(&mut left);
         left = rest;
     }
--- a/crates/path/src/links.rs
+++ b/crates/path/src/links.rs
@@ -44,6 +44,15 @@
     LinkDown(String),
 }
 
+impl From<Error> for ConnectError {
+    fn from(error: Error) -> Self {
+        match error {
+            Error::Refused => Self::Refused,
+            Error::NotSent(detail) | Error::Unknown(detail) => Self::Unreachable(detail),
+        }
+    }
+}
+
 /// Why a call to a target failed.
 #[derive(Clone, Debug)]
 pub(crate) enum CallError {
@@ -58,6 +67,7 @@
 pub(crate) async fn send<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     target: &Target,
+    attempt: &str,
     mut request: Request<Full<Bytes>>,
     reuse: Reuse,
 ) -> Result<Exchange, CallError> {
@@ -71,6 +81,10 @@
         }
     }
     let channel = connect(core, target).await.map_err(CallError::NotConnected)?;
+    if channel.is_relayed() {
+        let target_id = target.id.as_str();
+        log::info!(request = attempt, target_id; "sent through a peer, own link down");
+    }
     channel.send(request).await.map_err(|failure| CallError::Failed(failure.error))
 }
 
@@ -123,7 +137,7 @@
             tokio::select! {
                 direct = &mut direct => match direct {
                     Ok(channel) => return Ok(channel),
-                    Err(error) => return Err(ConnectError::Unreachable(error.to_string())),
+                    Err(error) => return Err(ConnectError::from(error)),
                 },
                 Ok(channel) = relay::connect(core, target) => {
                     note_down(core, target);
@@ -139,10 +153,7 @@
         }
         Err(RelayError::Refused) => Err(ConnectError::Refused),
         // Without any peer to ask, the target is the more likely cause.
-        Err(RelayError::Unavailable(_)) if !relay::has_peers(core) => Err(match error {
-            Error::Refused => ConnectError::Refused,
-            error => ConnectError::Unreachable(error.to_string()),
-        }),
+        Err(RelayError::Unavailable(_)) if !relay::has_peers(core) => Err(error.into()),
         Err(RelayError::Unavailable(detail)) => Err(ConnectError::LinkDown(detail)),
     }
 }
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -11,7 +11,7 @@
 use hickory_store::store::Store;
 use hickory_telemetry::label::Relay;
 use hickory_unit::clock::Clock;
-use hickory_unit::size;
+use hickory_unit::{id, size};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::upgrade::{OnUpgrade, Parts};
@@ -83,11 +83,17 @@
     Err(error)
 }
 
-/// Returns the peers whose version relays connections.
+/// Returns the peers that take work and whose version relays connections.
 fn find_peers<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> Vec<SocketAddr> {
-    let (states, membership) = (core.peer_states(), core.membership());
-    let capable = membership.alive().filter(|record| states.has_extensions(&record.node));
-    capable.map(|record| record.contact.sync_address).collect()
+    let membership = core.membership();
+    let ready = membership.alive().filter(|record| record.contact.is_ready);
+    let ready: Vec<(id::Node, SocketAddr)> =
+        ready.map(|record| (record.node.clone(), record.contact.sync_address)).collect();
+    drop(membership);
+    let states = core.peer_states();
+    let is_capable =
+        |(node, address): (id::Node, SocketAddr)| states.has_extensions(&node).then_some(address);
+    ready.into_iter().filter_map(is_capable).collect()
 }
 
 /// Returns whether any peer can be asked for a connection.
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -277,22 +277,6 @@
         let refusing = place.find_refusing_target(&failure);
         match refusing {
             Some(tag) => self.note_refusing_helper(place, tag, &failure),
-            None if matches!(failure, Failure::ConnectionRefused) => {
-                place.note_connection_refused();
-                self.log_failed_attempt(place, &failure.to_string());
-            }
-            // A link says nothing of the target behind it.
-            None if matches!(failure, Failure::LinkDown(_)) => {
-                self.log_failed_attempt(place, &failure.to_string());
-            }
-            // Whether the target or the link is at fault is found out first.
-            None if matches!(failure, Failure::OutcomeUnknown(_)) => {
-                self.log_failed_attempt(place, &failure.to_string());
-            }
-            None if matches!(failure, Failure::Stalled | Failure::DeadlineExceeded) => {
-                self.log_failed_attempt(place, &failure.to_string());
-                place.note_silence();
-            }
             None => self.note_failure(place, &failure),
         }
         self.core.metrics.count_retry(failure.reason());
@@ -386,9 +370,16 @@
         spent
     }
 
+    /// Records what a failed attempt says of the target. Where its own link may be at fault, this
+    /// node finds that out first.
     fn note_failure(&self, place: &Place<D, S, C>, failure: &Failure) {
-        place.note_outcome(false);
         self.log_failed_attempt(place, &failure.to_string());
+        match failure {
+            Failure::ConnectionRefused => place.note_connection_refused(),
+            Failure::LinkDown(_) | Failure::OutcomeUnknown(_) => {}
+            Failure::Stalled | Failure::DeadlineExceeded => place.note_silence(),
+            _ => place.note_outcome(false),
+        }
     }
 
     pub(crate) fn age(&self) -> Duration {
