--- a/apps/hickory-soak/src/episode.rs
+++ b/apps/hickory-soak/src/episode.rs
@@ -69,8 +69,7 @@
         let has_told = |record: &&Record| {
             record.request.host == host
                 && record.ended_at >= episode.begin
-                && record.answer.header("server-limit").is_some()
-                && record.answer.header("x-replica-seal") == Some(&format!("s.{}", replica.name))
+                && record.answer.states_rate_limit_of(&replica.name)
         };
         records.iter().find(has_told).map(|record| record.ended_at)
     };
--- a/crates/path/src/rate_limit.rs
+++ b/crates/path/src/rate_limit.rs
@@ -23,7 +23,7 @@
 /// How long a statement, and all statements to a new owner, are repeated.
 const REPEAT_TIME: Duration = Duration::from_secs(2);
 
-/// The maximum age of a statement that a new owner is told of.
+/// The maximum age of a statement that is sent to a new owner.
 const MAX_STATEMENT_AGE: Duration = Duration::from_secs(60);
 
 /// A statement of a target, as sent between nodes.
@@ -83,7 +83,7 @@
     );
 }
 
-/// The owners that have been told of this node's statements.
+/// The owners that have received this node's statements.
 #[derive(Debug, Default)]
 pub(crate) struct Announcer {
     /// When each incarnation of a node became an owner that is told, and when it was last told.
