Crashes count against whole requests on all nodes, by target and attempt

Callers saw a request under which three targets had ended sent on to further targets, N times more. Cause: a death was broadcast once, as a number. A node that lost the datagram, was cut off or started later knew nothing and sent the request twice before it refused it; of two nodes that saw one death each, both stayed at one; any answer, also the head of a stream, cleared a suspect; and the verdict was looked up on arrival only, not before each send.

The evidence on prompt parts has what was missing: crashes identified by target and attempt, repeats to random peers, proposals that others may refute, a check before each send, and waiting while a decision is under way. A whole request is now one more part of its own. It is refused after two crashes in series; after three if another request was on the same targets or other targets crashed with them; after five if it was answered before. So sound requests that are lost with the cause or with a zone are spared, which the count of deaths was not able to. Requests under which several targets crashed are repeated before others.

Fewer crashes a second are passed on (3 in place of 4), since each is kept longer.

Nodes of the version before pass on deaths as numbers, which are ignored.

--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -21,7 +21,6 @@
 use hickory_policy::member::{Contact, Record, State};
 use hickory_policy::membership::Membership;
 use hickory_policy::part::Evidence;
-use hickory_policy::poison::Suspects;
 use hickory_policy::rest::Resting;
 use hickory_policy::share::Budget;
 use hickory_state::member::Member;
@@ -84,7 +83,6 @@
     relays: Mutex<HashMap<id::Service, Relays<SocketAddr>>>,
     /// Permits for the connections that this node relays for peers.
     pub(crate) relay_slots: Arc<Semaphore>,
-    suspects: Mutex<Suspects>,
     parts: Mutex<Evidence<Tag>>,
     leaving: Mutex<Leaving<Tag>>,
     cold: Mutex<Cold<Tag>>,
@@ -152,7 +150,6 @@
             links: Mutex::default(),
             relays: Mutex::default(),
             relay_slots: Arc::new(Semaphore::new(MAX_RELAYED_CONNECTIONS)),
-            suspects: Mutex::default(),
             parts: Mutex::default(),
             leaving: Mutex::default(),
             cold: Mutex::default(),
@@ -234,11 +231,7 @@
         f(lock(&self.relays).entry(service.clone()).or_default())
     }
 
-    pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
-        lock(&self.suspects)
-    }
-
-    /// Returns what this node knows of prompt parts under which engines crash.
+    /// Returns what this node knows of requests and prompt parts under which targets crash.
     pub(crate) fn parts(&self) -> MutexGuard<'_, Evidence<Tag>> {
         lock(&self.parts)
     }
--- a/crates/path/src/datagram.rs
+++ b/crates/path/src/datagram.rs
@@ -43,7 +43,7 @@
     Down(Tag),
     /// A target refused to prefill a part of a prompt for another target.
     PrefillRefused(Tag),
-    /// A request was running when a target died.
+    /// A request was running when a target died. Sent by older versions only.
     PoisonSuspect { fingerprint: u64, deaths: u32 },
     /// A node has the operators' data up to this revision.
     OperatorRevision { node: id::Node, revision: Revision },
@@ -53,7 +53,7 @@
     Leaving(StatedLeave),
     /// A target asks the receiver for rest, in an answer that the receiver relayed. An extension.
     Rest(Tag, Duration),
-    /// An engine crashed under a prompt. An extension.
+    /// An engine crashed under a prompt. An extension, sent by older versions only.
     PartCrash(PartCrash),
     /// Answers on these parts of prompts were written, which began this long ago. An extension.
     PartsSound(Vec<Part>, Duration),
@@ -63,6 +63,8 @@
     PartQuarantine(PartQuarantine),
     /// A target stated that it is cold, or isn't any more. An extension.
     Cold(StatedCold),
+    /// A target crashed under a request, whose whole is identified. An extension.
+    Crash(PartCrash, Part),
 }
 
 impl Event {
@@ -78,6 +80,7 @@
                 | Self::PartProposal(_)
                 | Self::PartQuarantine(_)
                 | Self::Cold(_)
+                | Self::Crash(..)
         )
     }
 
@@ -100,7 +103,8 @@
             | Self::PartsSound(..)
             | Self::PartProposal(_)
             | Self::PartQuarantine(_)
-            | Self::Cold(_) => Content::Finding,
+            | Self::Cold(_)
+            | Self::Crash(..) => Content::Finding,
         }
     }
 }
--- a/crates/path/src/death.rs
+++ b/crates/path/src/death.rs
@@ -1,14 +1,13 @@
 //! Detection of requests that crash targets.
 
 use crate::core::Core;
-use crate::datagram::Event;
 use crate::dialect::Dialect;
 use crate::links::{self, ConnectError};
 use crate::serve::Job;
 use crate::view::Target;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// The timeout for finding out why a connection broke. A target or peer that answers does so within
 /// a few round trips.
@@ -39,16 +38,13 @@
     Alive,
 }
 
-/// Finds out why a connection to a target broke, and records the death of a target against the
-/// request. An interrupted connection to a living target doesn't count against the request, and
-/// neither does a link of this node.
+/// Finds out why a connection to a target broke.
 pub(crate) async fn examine<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     target: &Target,
-    fingerprint: u64,
 ) -> Fate {
     core.client.close_idle(target.entry.address);
-    let fate = match tokio::time::timeout(PROBE_TIMEOUT, links::examine(core, target)).await {
+    match tokio::time::timeout(PROBE_TIMEOUT, links::examine(core, target)).await {
         Ok(Ok(channel)) if channel.is_relayed() => Fate::LinkDown,
         Ok(Ok(channel)) => {
             channel.release();
@@ -58,25 +54,5 @@
         Ok(Err(ConnectError::Unconfirmed)) => Fate::PresumedDead,
         Ok(Err(ConnectError::LinkDown(_))) => Fate::LinkDown,
         Ok(Err(ConnectError::Unreachable(_))) | Err(_) => Fate::Alive,
-    };
-    if fate == Fate::Dead {
-        note_death(core, core.now(), fingerprint);
-    }
-    fate
-}
-
-fn note_death<D: Dialect, S: Store, C: Clock>(
-    core: &Core<D, S, C>,
-    now: Instant,
-    fingerprint: u64,
-) {
-    let suspect = {
-        let mut suspects = core.suspects();
-        suspects.record_death(now, [fingerprint]);
-        suspects.snapshot(now).into_iter().find(|suspect| suspect.fingerprint == fingerprint)
-    };
-    if let Some(suspect) = suspect {
-        log::warn!(fingerprint, deaths = suspect.deaths; "a target died under a request");
-        core.broadcast(&Event::PoisonSuspect { fingerprint, deaths: suspect.deaths });
     }
 }
--- a/crates/path/src/failure.rs
+++ b/crates/path/src/failure.rs
@@ -8,7 +8,6 @@
 use crate::refusal::{NO_TARGET_RETRY_AFTER, Refusal};
 use crate::run::Run;
 use crate::view::Tag;
-use hickory_policy::poison::Verdict;
 use hickory_policy::refuse::{Ran, Reason};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
@@ -98,15 +97,15 @@
         }
     }
 
-    /// Finds out why the connection to a target broke. A dead target isn't used again, and a request
-    /// under which targets die repeatedly is ended.
+    /// Finds out why the connection to a target broke. A dead target isn't used again, and its crash
+    /// counts against the request.
     async fn examine_target(&mut self, place: &Place<D, S, C>) -> Result<(), Refusal> {
-        match death::examine(&self.core, &place.target, self.fingerprint).await {
+        match death::examine(&self.core, &place.target).await {
             Fate::Dead => {
                 place.note_connection_refused();
                 self.note_crash(&place.target);
             }
-            // A part is quarantined only after several crashes, and cleared by sound answers.
+            // A request is quarantined only after several crashes, and cleared by sound answers.
             Fate::PresumedDead => {
                 self.note_crash(&place.target);
                 return Ok(());
@@ -117,10 +116,6 @@
                 return Ok(());
             }
         }
-        if self.core.suspects().verdict(self.core.now(), self.fingerprint) == Verdict::Quarantined {
-            let refusal = Refusal::new(Reason::Quarantined, "it crashed the targets that ran it");
-            return Err(Refusal { ran: Ran::Unknown, ..refusal });
-        }
         if !std::mem::replace(&mut self.has_target_died, true) {
             self.counted_sends -= 1;
         }
--- a/crates/path/src/fleet.rs
+++ b/crates/path/src/fleet.rs
@@ -129,14 +129,6 @@
         self.enqueue(Outgoing { to, event: None });
     }
 
-    /// Sends an event to all other nodes.
-    pub(crate) fn broadcast(&self, event: &Event) {
-        let membership = self.membership();
-        let peers: Vec<SocketAddr> = membership.present().map(|r| r.contact.peer_address).collect();
-        drop(membership);
-        peers.into_iter().for_each(|peer| self.send(peer, event.clone()));
-    }
-
     /// Passes an event on to a few peers. Each of them does the same if the event is new to it.
     pub(crate) fn pass_on(&self, event: &Event) {
         let peers = self.membership().pick_alive(PASS_ON_FANOUT);
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -14,7 +14,6 @@
 use crate::part;
 use crate::rate_limit;
 use hickory_policy::membership::{StateCounts, TICK_INTERVAL};
-use hickory_policy::poison::Suspect;
 use hickory_store::store::{Revision, Store};
 use hickory_telemetry::label::Datagram as Content;
 use hickory_unit::clock::Clock;
@@ -129,15 +128,14 @@
         Event::Outcome { target, served } => core.ejection().record_outcome(now, target, served),
         Event::Down(target) => core.ejection().record_unreachable(now, target),
         Event::PrefillRefused(target) => core.ejection().record_chunk_refusal(now, target),
-        Event::PoisonSuspect { fingerprint, deaths } => {
-            let suspect = Suspect { fingerprint, deaths, age: Duration::ZERO };
-            core.suspects().merge(now, [suspect]);
-        }
+        // It identifies no target, so it can't be told from what this node knows already.
+        Event::PoisonSuspect { .. } => log::debug!(peer:% = node; "suspect of an older version"),
         Event::RateLimit(stated) => rate_limit::handle_statement(core, now, node, &stated),
         Event::Leaving(stated) => core.handle_leaving(now, node, &stated),
         Event::Cold(stated) => core.handle_cold(now, node, &stated),
         Event::Rest(target, rest) => core.note_rest(target, rest, node),
-        Event::PartCrash(stated) => core.handle_part_crash(now, from, stated),
+        Event::PartCrash(stated) => core.handle_crash(now, from, stated, None),
+        Event::Crash(stated, whole) => core.handle_crash(now, from, stated, Some(whole)),
         Event::PartsSound(parts, age) => core.handle_sound_parts(now, from, parts, age),
         Event::PartProposal(stated) => core.handle_part_proposal(now, from, stated),
         Event::PartQuarantine(stated) => core.handle_part_quarantine(now, node, from, stated),
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -224,7 +224,7 @@
     _: Request<Incoming>,
 ) -> Response<Reply> {
     core.metrics.set_connected_peers(core.count_peers());
-    core.metrics.set_suspects(core.suspects().len());
+    core.metrics.set_suspects(core.parts().count_suspects());
     reply::plain(StatusCode::OK, &core.metrics.render())
 }
 
--- a/crates/path/src/part.rs
+++ b/crates/path/src/part.rs
@@ -1,8 +1,8 @@
-//! Exchange of what nodes know of prompt parts under which engines crash.
+//! Exchange of what nodes know of requests and prompt parts under which targets crash.
 //!
 //! A node that learns something new passes it on to a few peers, which pass it on in turn if it is
-//! new to them. Quarantines are repeated to random peers while they last, so that nodes that start
-//! or were cut off learn of them.
+//! new to them. Crashes and quarantines are repeated to random peers while they count, so that nodes
+//! that start, were cut off or lost a datagram learn of them.
 
 use crate::core::{Core, Stage};
 use crate::datagram::Event;
@@ -38,6 +38,9 @@
 /// The maximum age of a crash that is passed on at once.
 const MAX_PASSED_ON_CRASH_AGE: Duration = Duration::from_secs(1);
 
+/// The maximum number of quarantines that are repeated together, which fit in a datagram.
+const MAX_REPEATED_QUARANTINES: usize = 16;
+
 /// The number of peers to which quarantines are repeated.
 const REPEAT_FANOUT: usize = 2;
 
@@ -70,11 +73,12 @@
         }
     }
 
-    fn crash(self, now: Instant) -> Crash<Tag> {
+    fn crash(self, now: Instant, whole: Option<Part>) -> Crash<Tag> {
         Crash {
             target: self.target,
             request: self.request,
             parts: self.parts,
+            whole,
             sent_at: before(now, self.sent_age),
             crashed_at: before(now, self.crash_age),
         }
@@ -129,19 +133,27 @@
 }
 
 impl<D: Dialect, S: Store, C: Clock> Run<D, S, C> {
-    /// Returns the refusal of a prompt that contains parts under which engines crash.
-    pub(crate) fn refuse_quarantined_parts(&self) -> Option<Refusal> {
+    /// Returns the refusal of a request under which targets crash, or under parts of its prompt.
+    pub(crate) fn refuse_quarantined(&self) -> Option<Refusal> {
         let evidence = self.core.parts();
         let quarantine = evidence.find_quarantine(self.core.now(), &self.parts)?;
         let parts = format_parts(&quarantine.parts);
-        let detail = format!("engines crashed under parts {parts} of its prompt");
-        let refusal = Refusal::new(Reason::PartQuarantined, detail)
-            .with_status(StatusCode::SERVICE_UNAVAILABLE);
+        let refusal = match quarantine.parts.contains(&self.whole) {
+            true => {
+                let detail = format!("it crashed the targets that ran it, known by {parts}");
+                Refusal::new(Reason::Quarantined, detail)
+            }
+            false => {
+                let detail = format!("engines crashed under parts {parts} of its prompt");
+                Refusal::new(Reason::PartQuarantined, detail)
+            }
+        };
+        let refusal = refusal.with_status(StatusCode::SERVICE_UNAVAILABLE);
         Some(refusal.after_possible_run(self.may_have_run))
     }
 
-    /// Waits while a quarantine of the prompt's parts is decided on.
-    pub(crate) async fn wait_for_decision_on_parts(&self) {
+    /// Waits while a quarantine that would cover the request is decided on.
+    pub(crate) async fn wait_for_decision(&self) {
         let wait = MAX_DECISION_WAIT.min(self.time_left() / DECISION_WAIT_DIVISOR);
         let until = self.core.now() + wait;
         while self.core.now() < until
@@ -151,60 +163,67 @@
         }
     }
 
-    /// Waits until the parts of the prompt are quarantined.
+    /// Waits until the request is quarantined.
     pub(crate) async fn wait_for_quarantine(&self) -> Refusal {
         loop {
             tokio::time::sleep(TICK_INTERVAL).await;
-            if let Some(refusal) = self.refuse_quarantined_parts() {
+            if let Some(refusal) = self.refuse_quarantined() {
                 return refusal;
             }
         }
     }
 
-    /// Records that an engine crashed while it held the request, unless it had written the answer
-    /// for a while, or was about to end anyway.
+    /// Records that a target crashed while it held the request, unless it had written the answer for
+    /// a while, or was about to end anyway.
     pub(crate) fn note_crash(&self, target: &Target) {
         let now = self.core.now();
         let may_end = target.entry.is_draining || self.core.is_leaving(target.tag);
-        if self.parts.is_empty() || self.has_written(now) || may_end {
+        if self.has_written(now) || may_end {
             return;
         }
         let crash = Crash {
             target: target.tag,
             request: hash(&[self.job.head.attempt.as_bytes()]),
             parts: self.parts.clone(),
+            whole: Some(self.whole),
             sent_at: self.sent_at,
             crashed_at: now,
         };
         log::info!(
             request = self.job.head.attempt.as_str(),
             target_id = target.id.as_str(),
+            whole:% = format_parts(&[self.whole]),
             parts:% = format_parts(&crash.parts);
-            "an engine crashed under parts of a prompt"
+            "a target crashed under a request"
         );
         self.core.metrics.count_part_crash();
-        let event = Event::PartCrash(PartCrash::new(now, &crash));
+        let event = Event::Crash(PartCrash::new(now, &crash), self.whole);
         if self.core.parts().record_crash(now, crash).is_new {
             self.core.pass_on(&event);
         }
     }
 
-    /// Records that the parts of the prompt are sound once its answer has been written for a while,
-    /// or is complete.
+    /// Records that the request and the parts of its prompt are sound once its answer has been
+    /// written for a while, or is complete.
     pub(crate) fn note_written(&mut self, is_complete: bool) {
         let now = self.core.now();
         let Some(began_at) = self.writing_since.filter(|_| is_complete || self.has_written(now))
         else {
             return;
         };
-        if self.parts.is_empty() || std::mem::replace(&mut self.are_parts_sound, true) {
+        if std::mem::replace(&mut self.are_parts_sound, true) {
             return;
         }
-        let change = self.core.parts().record_sound(now, &self.parts, began_at);
+        let (parts, change) = {
+            let mut evidence = self.core.parts();
+            let parts = evidence.parts_to_clear(&self.parts, self.whole);
+            let change = evidence.record_sound(now, &parts, began_at);
+            (parts, change)
+        };
         self.core.log_lifted(&change.lifted);
         if change.is_new {
             let age = now.saturating_duration_since(began_at);
-            self.core.pass_on(&Event::PartsSound(self.parts.clone(), age));
+            self.core.pass_on(&Event::PartsSound(parts, age));
         }
     }
 
@@ -219,16 +238,22 @@
         for quarantine in lifted {
             log::warn!(
                 parts:% = format_parts(&quarantine.parts);
-                "prompt parts are no longer quarantined: an answer was written on them"
+                "requests are no longer quarantined: an answer was written"
             );
         }
     }
 
-    /// Applies a crash that a peer passed on.
-    pub(crate) fn handle_part_crash(&self, now: Instant, from: SocketAddr, stated: PartCrash) {
-        let event = Event::PartCrash(stated.clone());
+    /// Applies a crash that a peer passed on. Older versions don't identify the whole request.
+    pub(crate) fn handle_crash(
+        &self,
+        now: Instant,
+        from: SocketAddr,
+        stated: PartCrash,
+        whole: Option<Part>,
+    ) {
+        let event = write_crash(stated.clone(), whole);
         let is_repeated = stated.crash_age > MAX_PASSED_ON_CRASH_AGE;
-        let mut change = self.parts().record_crash(now, stated.crash(now));
+        let mut change = self.parts().record_crash(now, stated.crash(now, whole));
         change.is_new &= !is_repeated;
         self.handle_part_change(now, from, &event, change);
     }
@@ -305,15 +330,19 @@
         for quarantine in ended {
             log::warn!(
                 parts:% = format_parts(&quarantine.parts);
-                "prompt parts are no longer quarantined: no crash for a long time"
+                "requests are no longer quarantined: no crash for a long time"
             );
         }
     }
 
     fn repeat_quarantines(&self, now: Instant) {
-        let quarantines: Vec<PartQuarantine> =
-            self.parts().quarantines(now).map(|q| PartQuarantine::new(now, q)).collect();
-        self.metrics.set_quarantined_parts(quarantines.len());
+        let (quarantines, count) = {
+            let evidence = self.parts();
+            let all = evidence.quarantines(now).map(|q| PartQuarantine::new(now, q));
+            let repeated = all.choose_multiple(&mut rand::rng(), MAX_REPEATED_QUARANTINES);
+            (repeated, evidence.quarantines(now).count())
+        };
+        self.metrics.set_quarantined_parts(count);
         if quarantines.is_empty() {
             return;
         }
@@ -328,23 +357,31 @@
     /// Repeats recent crashes to a random peer, which may have missed them, before a quarantine
     /// explains them.
     fn repeat_crashes(&self, now: Instant) {
-        let crashes: Vec<PartCrash> = {
+        let crashes: Vec<Event> = {
             let evidence = self.parts();
-            let recent = evidence.recent_crashes(now, MAX_REPEATED_CRASH_AGE);
+            let recent = evidence.recent_crashes(now, MAX_REPEATED_CRASH_AGE).into_iter();
             let repeated = recent.choose_multiple(&mut rand::rng(), MAX_REPEATED_CRASHES);
-            repeated.into_iter().map(|crash| PartCrash::new(now, crash)).collect()
+            let write = |crash: &Crash<Tag>| write_crash(PartCrash::new(now, crash), crash.whole);
+            repeated.into_iter().map(write).collect()
         };
         if crashes.is_empty() {
             return;
         }
         for peer in self.membership().pick_alive(1) {
             for crash in &crashes {
-                self.send(peer, Event::PartCrash(crash.clone()));
+                self.send(peer, crash.clone());
             }
         }
     }
 }
 
+fn write_crash(stated: PartCrash, whole: Option<Part>) -> Event {
+    match whole {
+        Some(whole) => Event::Crash(stated, whole),
+        None => Event::PartCrash(stated),
+    }
+}
+
 fn log_quarantine(now: Instant, quarantine: &Quarantine, told_by: &id::Node) {
     let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
     log::warn!(
@@ -352,7 +389,7 @@
         first_crash_ms = age(quarantine.first_crash),
         last_crash_ms = age(quarantine.last_crash),
         told_by = told_by.as_str();
-        "prompt parts are quarantined"
+        "requests are quarantined"
     );
 }
 
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -17,7 +17,6 @@
 use bytes::Bytes;
 use hickory_client::Exchange;
 use hickory_policy::part::Part;
-use hickory_policy::poison::Verdict;
 use hickory_policy::refuse::{Ran, Reason};
 use hickory_policy::resume;
 use hickory_store::store::Store;
@@ -37,8 +36,9 @@
     pub(crate) core: Arc<Core<D, S, C>>,
     pub(crate) job: Job,
     pub(crate) service: id::Service,
-    pub(crate) fingerprint: u64,
-    /// The parts of the prompt that other prompts may share.
+    /// The whole request, which its repetitions share.
+    pub(crate) whole: Part,
+    /// The parts of the prompt that other prompts may share, and the whole request.
     pub(crate) parts: Vec<Part>,
     pub(crate) work: Work,
     /// The number of sends that count against the route's limit of targets.
@@ -54,7 +54,7 @@
     pub(crate) sent_at: Instant,
     /// When the target began to write the answer, in the current attempt.
     pub(crate) writing_since: Option<Instant>,
-    /// Whether the parts of the prompt are known to be sound.
+    /// Whether the parts are known to be sound.
     pub(crate) are_parts_sound: bool,
     /// The ID of the last event that the caller has received.
     pub(crate) resume_after: Option<u64>,
@@ -77,14 +77,9 @@
 ) -> Result<Response<Reply>, Refusal> {
     let service = job.route.pick_service(rand::random());
     let service = service.ok_or_else(|| Refusal::new(Reason::NoTarget, "the route has none"))?;
-    let (service, fingerprint) = (service.clone(), compute_fingerprint(&job));
-    let parts = part::identify_parts(&service, &job);
-    let verdict = core.suspects().verdict(core.now(), fingerprint);
-    if verdict == Verdict::Quarantined {
-        // The request hasn't run this time, but a retry would be refused in the same way.
-        let refusal = Refusal::new(Reason::Quarantined, "it crashed the targets that ran it");
-        return Err(refusal.with_status(StatusCode::SERVICE_UNAVAILABLE));
-    }
+    let (service, whole) = (service.clone(), Part(compute_fingerprint(&job)));
+    let mut parts = part::identify_parts(&service, &job);
+    parts.push(whole);
     let resume_after = job.head.resume_after;
     let work = match (job.route.kind.is_stream(), resume_after) {
         (true, Some(_)) => Work::Resume,
@@ -95,7 +90,7 @@
         core: core.clone(),
         job,
         service,
-        fingerprint,
+        whole,
         parts,
         work,
         counted_sends: 0,
@@ -113,7 +108,7 @@
         queue_wait: Duration::ZERO,
         longest_pause: Duration::ZERO,
     };
-    if let Some(refusal) = run.refuse_quarantined_parts() {
+    if let Some(refusal) = run.refuse_quarantined() {
         return Err(refusal);
     }
     core.earn_retry(&run.service);
@@ -128,10 +123,14 @@
     async fn run_buffered(mut self) -> Result<Response<Reply>, Refusal> {
         loop {
             let (response, place) = self.open_response().await?;
+            self.writing_since = Some(self.core.now());
             match self.read_body(response).await {
                 Ok((exchange, keep_alive, body)) => {
                     let status = exchange.head.status;
                     self.note_response(&place, status);
+                    if !status.is_server_error() {
+                        self.note_written(true);
+                    }
                     if status.is_server_error() && self.can_retry() && self.spend_retry() {
                         self.log_failed_attempt(&place, &format!("status {status}"));
                         exchange.release(keep_alive);
@@ -152,7 +151,7 @@
         loop {
             let place = self.choose_place().await?;
             // Parts may have been quarantined since the request arrived or was last sent.
-            if let Some(refusal) = self.refuse_quarantined_parts() {
+            if let Some(refusal) = self.refuse_quarantined() {
                 return Err(refusal);
             }
             let time_left = self.time_left();
@@ -192,8 +191,8 @@
     /// Finds a place, and waits in the queue if necessary.
     async fn choose_place(&mut self) -> Result<Place<D, S, C>, Refusal> {
         let began = self.core.now();
-        self.wait_for_decision_on_parts().await;
-        if let Some(refusal) = self.refuse_quarantined_parts() {
+        self.wait_for_decision().await;
+        if let Some(refusal) = self.refuse_quarantined() {
             return Err(refusal);
         }
         let tried = self.tried.clone();
@@ -305,7 +304,6 @@
     /// Records that a target responded with this status.
     pub(crate) fn note_response(&self, place: &Place<D, S, C>, status: StatusCode) {
         place.note_outcome(!status.is_server_error());
-        self.core.suspects().record_success(self.core.now(), self.fingerprint);
     }
 
     async fn read_body(
--- a/crates/policy/src/part.rs
+++ b/crates/policy/src/part.rs
@@ -1,8 +1,10 @@
-//! Quarantine of prompt parts under which engines crash.
+//! Quarantine of requests, and of prompt parts, under which targets crash.
 //!
-//! Load pattern: a part that many prompts share crashes each engine that begins to write an answer
-//! on one of them. The requests come through all nodes, no two alike, beside sound requests that
-//! share their caller and their other parts, and that are lost with the engine.
+//! Load pattern: a request crashes each target that runs it, and its caller sends it again through
+//! any node; or a part that many prompts share crashes each engine that begins to write an answer
+//! on one of them, no two of them alike. They come beside sound requests that share their caller
+//! and their other parts, and that are lost with the target. Nodes restart, are cut off from each
+//! other and lose datagrams meanwhile.
 //!
 //! A crash counts against the parts of each prompt on the engine whose answer had not been written
 //! for a while, and an answer that is written clears the parts of its prompt. Crashes count in
@@ -10,6 +12,10 @@
 //! together count once. Prompts are refused if they contain all parts that the counted requests
 //! have in common and that weren't cleared: a sound request that shares only some of them is
 //! served, and clears those. Prompts that a quarantine would cover wait while it is decided on.
+//!
+//! A whole request counts as one more part of itself, which only its repetitions share. Each crash
+//! is identified by its target and its request, so it counts once on each node, whichever node saw
+//! it and however often it is reported.
 
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
@@ -30,6 +36,11 @@
 /// another reason.
 const MIN_REQUESTS: usize = 2;
 
+/// Number of crashes in series after which a whole request is quarantined, if no other request was
+/// on all of these targets and no other target crashed with them. Otherwise a further crash is
+/// needed to tell the causes apart.
+const WHOLE_QUARANTINE_CRASHES: usize = 2;
+
 /// Time from a crash until it counts: other nodes report what else ran on the engine, and which
 /// parts are sound.
 const SETTLING_TIME: Duration = Duration::from_millis(200);
@@ -43,8 +54,8 @@
 /// How long a proposal is valid.
 const PROPOSAL_TTL: Duration = Duration::from_secs(2);
 
-/// How long a crash counts.
-const CRASH_TTL: Duration = Duration::from_secs(600);
+/// How long a crash counts. A caller may send a request again after a long pause.
+const CRASH_TTL: Duration = Duration::from_secs(3_600);
 
 /// How long a quarantine lasts after the last crash: long enough to stop callers that resend all
 /// day, short enough that prompts are admitted again after the engines are fixed.
@@ -59,15 +70,15 @@
 /// Maximum number of sound parts kept, about 150 KB.
 const MAX_SOUND_PARTS: usize = 4_096;
 
-/// Maximum number of quarantines, which fit one datagram.
-const MAX_QUARANTINES: usize = 16;
+/// Maximum number of quarantines.
+const MAX_QUARANTINES: usize = 64;
 
 /// Maximum number of crashes that are recorded at once, and the rate per second afterwards. Nodes
 /// pass on what they record.
 const MAX_CRASH_BURST: f64 = 32.0;
-const MAX_CRASHES_PER_SECOND: f64 = 4.0;
+const MAX_CRASHES_PER_SECOND: f64 = 3.0;
 
-/// Identifies a part of the prompts of a service.
+/// Identifies a part of the prompts of a service, or a whole request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Part(pub u64);
 
@@ -76,10 +87,12 @@
 pub struct Crash<K> {
     /// The engine.
     pub target: K,
-    /// Fingerprint of the request.
+    /// Identifies the caller's attempt.
     pub request: u64,
-    /// The parts of the request's prompt that other prompts may share.
+    /// The parts of the request's prompt that other prompts may share, and the whole request.
     pub parts: Vec<Part>,
+    /// The whole request, which its repetitions share; `None` if it isn't known.
+    pub whole: Option<Part>,
     /// When the request was sent to the engine.
     pub sent_at: Instant,
     /// When the engine crashed.
@@ -189,7 +202,8 @@
             return Change::default();
         }
         let sound = self.sound_since(&crash.parts, crash.crashed_at);
-        if sound.len() == crash.parts.len() || !self.spend_allowance(now) {
+        let is_repetition = crash.whole.is_some_and(|whole| self.count_crashes_of(whole) > 0);
+        if sound.len() == crash.parts.len() || !is_repetition && !self.spend_allowance(now) {
             return Change { sound, ..Change::default() };
         }
         self.crashes.push(crash);
@@ -216,7 +230,11 @@
                     && known.is_none_or(|known| known <= crash.crashed_at)
                     && crash.parts.contains(&part)
             };
-            change.is_new |= self.crashes.iter().any(clears);
+            // Other nodes need not know that a request is sound under which one target crashed.
+            let mut cleared = self.crashes.iter().filter(|crash| clears(crash));
+            let first = cleared.next();
+            change.is_new |= first.is_some_and(|crash| crash.whole != Some(part));
+            change.is_new |= cleared.next().is_some();
             change.is_new |= self.clear_quarantines(part, began_at, &mut change.lifted);
         }
         self.forget_cleared_crashes();
@@ -278,15 +296,39 @@
         self.quarantines.iter().filter(move |quarantine| quarantine.is_valid(now))
     }
 
-    /// Returns the crashes that aren't explained and happened within `max_age`.
-    pub fn recent_crashes(
-        &self,
-        now: Instant,
-        max_age: Duration,
-    ) -> impl Iterator<Item = &Crash<K>> {
-        let is_recent =
-            move |crash: &&Crash<K>| now.saturating_duration_since(crash.crashed_at) <= max_age;
-        self.crashes.iter().filter(is_recent)
+    /// Returns the crashes that aren't explained and happened within `max_age`; only those of
+    /// requests under which several targets crashed if there are any.
+    pub fn recent_crashes(&self, now: Instant, max_age: Duration) -> Vec<&Crash<K>> {
+        let is_recent = |crash: &&Crash<K>| {
+            now.saturating_duration_since(crash.crashed_at) <= max_age
+                && !self.quarantines.iter().any(|quarantine| quarantine.covers(&crash.parts))
+        };
+        let recent: Vec<&Crash<K>> = self.crashes.iter().filter(is_recent).collect();
+        let mut counts: HashMap<Part, usize> = HashMap::new();
+        for whole in recent.iter().filter_map(|crash| crash.whole) {
+            *counts.entry(whole).or_default() += 1;
+        }
+        let is_repeated = |crash: &&&Crash<K>| crash.whole.is_some_and(|whole| counts[&whole] > 1);
+        let repeated: Vec<&Crash<K>> = recent.iter().filter(is_repeated).copied().collect();
+        if repeated.is_empty() { recent } else { repeated }
+    }
+
+    /// Returns whether a crash or a quarantine is known of a part.
+    pub fn is_suspect(&self, part: Part) -> bool {
+        self.crashes.iter().any(|crash| crash.parts.contains(&part))
+            || self.quarantines.iter().any(|quarantine| quarantine.parts.contains(&part))
+    }
+
+    /// Returns the parts of a request to record as sound: the whole request only if it is suspect,
+    /// since each request has its own.
+    pub fn parts_to_clear(&self, parts: &[Part], whole: Part) -> Vec<Part> {
+        let is_recorded = |part: &Part| *part != whole || self.is_suspect(whole);
+        parts.iter().copied().filter(is_recorded).collect()
+    }
+
+    /// Returns the number of requests under which a target crashed and that aren't cleared.
+    pub fn count_suspects(&self) -> usize {
+        self.crashes.iter().filter_map(|crash| crash.whole).collect::<HashSet<Part>>().len()
     }
 
     /// Returns the number of crashes that aren't explained.
@@ -294,6 +336,16 @@
         self.crashes.len()
     }
 
+    /// Returns the number of targets that crashed under a part.
+    fn count_targets(&self, part: Part) -> usize {
+        let crashes = self.crashes.iter().filter(|crash| crash.parts.contains(&part));
+        crashes.map(|crash| crash.target).collect::<HashSet<K>>().len()
+    }
+
+    fn count_crashes_of(&self, whole: Part) -> usize {
+        self.crashes.iter().filter(|crash| crash.whole == Some(whole)).count()
+    }
+
     /// Removes outdated crashes and quarantines; returns the quarantines that ended.
     pub fn expire(&mut self, now: Instant) -> Vec<Quarantine> {
         self.crashes.retain(|crash| now.saturating_duration_since(crash.crashed_at) < CRASH_TTL);
@@ -309,29 +361,67 @@
         sound.filter(|(_, began_at)| *began_at > since).collect()
     }
 
-    /// Returns the quarantine that explains the most crashes in series. Parts that were never sound
-    /// come first: a part that most prompts share is on most engines that crash.
+    /// Returns the quarantine that explains the most crashes in series, and then the most targets.
+    /// Parts that were never sound come first: a part that most prompts share is on most engines that
+    /// crash.
     fn find_cause(&self, now: Instant) -> Option<Quarantine> {
         let mut counts: HashMap<Part, usize> = HashMap::new();
         for part in self.crashes.iter().flat_map(|crash| &crash.parts) {
             *counts.entry(*part).or_default() += 1;
         }
-        let frequent = counts.into_iter().filter(|(_, count)| *count >= QUARANTINE_CRASHES);
-        let causes = frequent.filter_map(|(part, _)| {
+        let causes = counts.into_iter().filter_map(|(part, count)| {
+            if count < WHOLE_QUARANTINE_CRASHES {
+                return None;
+            }
             let series = self.series(now, part);
-            let requests: HashSet<u64> = series.iter().map(|crash| crash.request).collect();
             let is_known = self.sound.contains_key(&part);
-            let min_crashes =
-                if is_known { KNOWN_PART_QUARANTINE_CRASHES } else { QUARANTINE_CRASHES };
-            (series.len() >= min_crashes && requests.len() >= MIN_REQUESTS)
-                .then(|| ((!is_known, series.len()), part, self.common_parts(&series)))
+            let is_cause = match self.crashes.iter().any(|crash| crash.whole == Some(part)) {
+                true => self.is_whole_a_cause(part, is_known, &series),
+                false => is_part_a_cause(is_known, &series),
+            };
+            let quarantine = is_cause.then(|| self.common_parts(&series))?;
+            Some(((!is_known, series.len(), self.count_targets(part)), part, quarantine))
         });
+        let is_imposed =
+            |quarantine: &Quarantine| self.quarantines.iter().any(|q| q.covers(&quarantine.parts));
+        let causes = causes.filter(|(_, _, quarantine)| !is_imposed(quarantine));
         let best = causes.max_by_key(|(rank, part, quarantine)| {
             (*rank, quarantine.parts.len(), std::cmp::Reverse(*part))
         });
         best.map(|(_, _, quarantine)| quarantine)
     }
 
+    /// Returns whether a whole request explains a series of its crashes.
+    fn is_whole_a_cause(&self, whole: Part, is_known: bool, series: &[&Crash<K>]) -> bool {
+        let Some((first, others)) = series.split_first() else { return false };
+        let was_on = |request: Part, target: K| {
+            self.crashes.iter().any(|crash| crash.target == target && crash.whole == Some(request))
+        };
+        let mut rivals = self.crashes.iter().filter(|crash| crash.target == first.target);
+        let has_rival = rivals.any(|rival| {
+            let rival = rival.whole.filter(|rival| *rival != whole);
+            rival.is_some_and(|rival| others.iter().all(|crash| was_on(rival, crash.target)))
+        });
+        let min_crashes = match is_known {
+            true => KNOWN_PART_QUARANTINE_CRASHES,
+            false if has_rival || self.is_in_burst(series) => QUARANTINE_CRASHES,
+            false => WHOLE_QUARANTINE_CRASHES,
+        };
+        series.len() >= min_crashes
+    }
+
+    /// Returns whether other targets crashed together with those of a series, as when a zone is lost.
+    fn is_in_burst(&self, series: &[&Crash<K>]) -> bool {
+        let is_near = |one: &Crash<K>, other: &Crash<K>| {
+            let (first, last) =
+                (one.crashed_at.min(other.crashed_at), one.crashed_at.max(other.crashed_at));
+            last.saturating_duration_since(first) < SETTLING_TIME
+        };
+        let is_other = |crash: &&Crash<K>| series.iter().all(|one| one.target != crash.target);
+        let mut others = self.crashes.iter().filter(is_other);
+        others.any(|other| series.iter().any(|one| is_near(one, other)))
+    }
+
     /// Returns the longest series of crashes that count against a part: each of a request that was
     /// sent after the crash before.
     fn series(&self, now: Instant, part: Part) -> Vec<&Crash<K>> {
@@ -365,11 +455,17 @@
     }
 
     /// Adds a quarantine, unless one covers it. It replaces those that it covers, and explains the
-    /// crashes of all engines on which one of its prompts ran.
+    /// crashes of all engines on which one of its prompts ran. If it is of a whole request, crashes
+    /// still count against the parts that this request shares with others.
     fn impose(&mut self, quarantine: Quarantine) -> bool {
         let explained = self.crashes.iter().filter(|crash| quarantine.covers(&crash.parts));
         let targets: HashSet<K> = explained.map(|crash| crash.target).collect();
-        self.crashes.retain(|crash| !targets.contains(&crash.target));
+        let is_whole = |part: &Part| self.crashes.iter().any(|crash| crash.whole == Some(*part));
+        let is_of_whole = quarantine.parts.iter().any(is_whole);
+        let shares_part =
+            |crash: &Crash<K>| crash.parts.iter().any(|part| quarantine.parts.contains(part));
+        self.crashes
+            .retain(|crash| !targets.contains(&crash.target) || is_of_whole && shares_part(crash));
         if let Some(known) = self.quarantines.iter_mut().find(|q| q.covers(&quarantine.parts)) {
             known.last_crash = known.last_crash.max(quarantine.last_crash);
             return false;
@@ -432,3 +528,10 @@
         is_allowed
     }
 }
+
+/// Returns whether a shared part explains a series of its crashes.
+fn is_part_a_cause<K>(is_known: bool, series: &[&Crash<K>]) -> bool {
+    let requests: HashSet<u64> = series.iter().map(|crash| crash.request).collect();
+    let min_crashes = if is_known { KNOWN_PART_QUARANTINE_CRASHES } else { QUARANTINE_CRASHES };
+    series.len() >= min_crashes && requests.len() >= MIN_REQUESTS
+}
--- a/crates/policy/tests/part.rs
+++ b/crates/policy/tests/part.rs
@@ -1,4 +1,4 @@
-//! Quarantine of prompt parts: single decisions.
+//! Quarantine of requests and prompt parts: single decisions.
 
 use hickory_policy::part::{Crash, Evidence, Part, Quarantine};
 use std::time::{Duration, Instant};
@@ -13,7 +13,7 @@
 /// Returns the crash of an engine at `at` under a request that was sent 100 ms before.
 fn crash(target: u32, request: u64, parts: &[Part], at: Instant) -> Crash<u32> {
     let sent_at = at - ms(100);
-    Crash { target, request, parts: parts.to_vec(), sent_at, crashed_at: at }
+    Crash { target, request, parts: parts.to_vec(), whole: None, sent_at, crashed_at: at }
 }
 
 /// Records crashes of different engines and requests, one each second, and decides.
@@ -158,3 +158,64 @@
     assert!(!evidence.is_suspected(at(4), &[FIRST, CRASHING]), "it is quarantined");
     assert!(evidence.is_quarantined(at(4), &[FIRST, CRASHING]));
 }
+
+/// Returns the crash of a target under a whole request, sent 100 ms before.
+fn crash_of_whole(target: u32, whole: Part, at: Instant) -> Crash<u32> {
+    Crash { whole: Some(whole), ..crash(target, whole.0, &[whole], at) }
+}
+
+/// Records the crashes of targets under whole requests, each at its time in milliseconds, and
+/// returns which requests are refused.
+fn refused_after(crashes: &[(u64, u32, Part)]) -> Vec<Part> {
+    let start = Instant::now() + ms(1_000);
+    let mut evidence = Evidence::default();
+    for (at_ms, target, whole) in crashes {
+        let at = start + ms(*at_ms);
+        evidence.record_crash(at, crash_of_whole(*target, *whole, at));
+    }
+    settle(&mut evidence, start + ms(60_000));
+    evidence.quarantines(Instant::now()).flat_map(|quarantine| quarantine.parts.clone()).collect()
+}
+
+const BAD: Part = Part(0xbad_0bad);
+const SOUND: Part = Part(2);
+
+/// Guards against sending a request again that crashed two targets alone.
+#[test]
+fn a_request_that_crashes_two_targets_is_refused() {
+    assert_eq!(refused_after(&[(0, 1, BAD), (1_000, 2, BAD)]), [BAD]);
+    assert_eq!(refused_after(&[(0, 1, BAD), (50, 2, BAD)]), [], "sent before the first crash");
+    assert_eq!(refused_after(&[(0, 1, BAD), (1_000, 1, BAD)]), [], "the same target");
+}
+
+/// Guards against refusing a sound request that was on two targets with a crashing one.
+#[test]
+fn a_request_is_told_apart_from_one_that_was_on_the_same_targets() {
+    let shared = [(0, 1, BAD), (0, 1, SOUND), (1_000, 2, BAD), (1_000, 2, SOUND)];
+    assert_eq!(refused_after(&shared), []);
+    assert_eq!(refused_after(&[&shared[..], &[(2_000, 3, BAD)]].concat()), [BAD]);
+}
+
+/// Guards against refusing requests since many targets crashed together, such as those of a zone.
+#[test]
+fn a_request_is_not_refused_for_targets_that_crash_with_others() {
+    let zone = [(0, 1, SOUND), (20, 3, Part(7)), (120, 2, SOUND), (140, 4, Part(8))];
+    assert_eq!(refused_after(&zone), []);
+}
+
+/// Guards against counting the same crash twice since several nodes report it, and against refusing
+/// a request that was answered since.
+#[test]
+fn repeated_reports_count_once_and_an_answer_clears_a_request() {
+    let start = Instant::now() + ms(1_000);
+    let mut evidence = Evidence::default();
+    for _ in 0..3 {
+        evidence.record_crash(start, crash_of_whole(1, BAD, start));
+    }
+    assert_eq!(evidence.count_crashes(), 1);
+    assert_eq!(evidence.parts_to_clear(&[FIRST, BAD], BAD), [FIRST, BAD]);
+    assert_eq!(evidence.parts_to_clear(&[FIRST, SOUND], SOUND), [FIRST]);
+    evidence.record_sound(start, &[BAD], start + ms(500));
+    evidence.record_crash(start, crash_of_whole(2, BAD, start + ms(1_000)));
+    assert_eq!(settle(&mut evidence, start + ms(60_000)), []);
+}
--- a/crates/policy/tests/part_replay.rs
+++ b/crates/policy/tests/part_replay.rs
@@ -1,4 +1,4 @@
-//! Quarantine of prompt parts: replays of fleets whose nodes exchange what they know over a simulated
+//! Quarantine of requests and prompt parts: replays of fleets whose nodes exchange what they know over a simulated
 //! network.
 
 use hickory_policy::part::{
@@ -18,14 +18,17 @@
 /// The part under which engines crash.
 const CRASHING: Part = Part(0xbad);
 
+/// A whole request under which engines crash.
+const CRASHING_WHOLE: Part = Part(0xbad_0bad);
+
 /// The part that all prompts share.
 const FIRST: Part = Part(1);
 
 /// Length of a replay.
 const REPLAY_TIME: Duration = Duration::from_secs(40);
 
-/// Time after the fifth crash from which requests with the part must be refused; also the time
-/// after a disruption from which a node must keep to that.
+/// Time after the crash from which such requests must be refused; also the time after a disruption
+/// from which a node must keep to that.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
 /// Interval at which a request that waits for a decision looks for it.
@@ -80,6 +83,32 @@
     }
 }
 
+/// What crashes engines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Cause {
+    /// A part that unlike requests share.
+    Part,
+    /// A request that comes again.
+    Whole,
+}
+
+impl Cause {
+    fn is_in(self, parts: &[Part]) -> bool {
+        parts.contains(match self {
+            Self::Part => &CRASHING,
+            Self::Whole => &CRASHING_WHOLE,
+        })
+    }
+
+    /// Returns the number of crashes after which nodes must refuse such requests.
+    fn max_crashes(self) -> usize {
+        match self {
+            Self::Part => 5,
+            Self::Whole => 3,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Statement {
     Crash(Crash<u32>),
@@ -93,6 +122,7 @@
     id: u64,
     node: usize,
     parts: Vec<Part>,
+    whole: Part,
     sends: u32,
     /// The time for which it has waited for a decision on its parts.
     held: Duration,
@@ -115,7 +145,7 @@
     Fault,
 }
 
-/// Nodes before engines that crash under one part of a prompt.
+/// Nodes before engines that crash under one part of a prompt, or under one request.
 struct Replay {
     origin: Instant,
     now: Duration,
@@ -126,6 +156,7 @@
     engines: BTreeMap<u32, HashMap<u64, Request>>,
     last_engine: u32,
     last_request: u64,
+    cause: Cause,
     fault: Fault,
     events: BinaryHeap<Reverse<(Duration, u64)>>,
     pending: HashMap<u64, Event>,
@@ -133,7 +164,7 @@
     random: StdRng,
     load: f64,
     crashes: Vec<Duration>,
-    /// When requests with the part were sent by nodes that are not excused.
+    /// When such requests were sent by nodes that are not excused.
     crashing_sends: Vec<Duration>,
     sound_requests: u32,
     sound_refused: u32,
@@ -141,7 +172,7 @@
 }
 
 impl Replay {
-    fn run(nodes: usize, fault: Fault, seed: u64) -> Self {
+    fn run(nodes: usize, cause: Cause, fault: Fault, seed: u64) -> Self {
         let engines = nodes.max(16) as u32;
         let mut replay = Self {
             origin: Instant::now() + ms(60_000),
@@ -152,6 +183,7 @@
             engines: (0..engines).map(|engine| (engine, HashMap::new())).collect(),
             last_engine: engines,
             last_request: 0,
+            cause,
             fault,
             events: BinaryHeap::new(),
             pending: HashMap::new(),
@@ -206,10 +238,10 @@
             }
             Event::Send(request) => self.send(request),
             Event::Begin { engine, request } => {
-                let now = self.clock();
+                let (now, cause) = (self.clock(), self.cause);
                 let Some(held) = self.held(engine, request) else { return };
                 held.began_at = Some(now);
-                let is_crashing = held.parts.contains(&CRASHING);
+                let is_crashing = cause.is_in(&held.parts);
                 match is_crashing {
                     true => self.schedule(CRASH_DELAY, Event::Crash { engine }),
                     false => {
@@ -222,8 +254,10 @@
                 let now = self.clock();
                 let Some(held) = self.held(engine, request).cloned() else { return };
                 let began_at = held.began_at.unwrap();
-                let change = self.nodes[held.node].record_sound(now, &held.parts, began_at);
-                let statement = Statement::Sound(held.parts, began_at);
+                let evidence = &mut self.nodes[held.node];
+                let parts = evidence.parts_to_clear(&held.parts, held.whole);
+                let change = evidence.record_sound(now, &parts, began_at);
+                let statement = Statement::Sound(parts, began_at);
                 self.pass_on(held.node, &statement, &change);
             }
             Event::End { engine, request } => {
@@ -254,9 +288,11 @@
     fn arrive(&mut self, is_crashing: bool) {
         self.last_request += 1;
         let subject = Part(100 + self.random.random_range(0..40));
-        let parts = match is_crashing {
-            true => vec![FIRST, subject, CRASHING],
-            false => vec![FIRST, subject],
+        let own_whole = Part(1_000_000 + self.last_request);
+        let (parts, whole) = match (is_crashing, self.cause) {
+            (true, Cause::Part) => (vec![FIRST, subject, CRASHING, own_whole], own_whole),
+            (true, Cause::Whole) => (vec![FIRST, Part(100), CRASHING_WHOLE], CRASHING_WHOLE),
+            (false, _) => (vec![FIRST, subject, own_whole], own_whole),
         };
         let node = self.random.random_range(0..self.nodes.len());
         let (id, sent_at) = (self.last_request, self.clock());
@@ -264,12 +300,12 @@
             self.sound_requests += 1;
         }
         let held = Duration::ZERO;
-        self.send(Request { id, node, parts, sends: 0, held, sent_at, began_at: None });
+        self.send(Request { id, node, parts, whole, sends: 0, held, sent_at, began_at: None });
     }
 
     fn send(&mut self, mut request: Request) {
         let now = self.clock();
-        let is_crashing = request.parts.contains(&CRASHING);
+        let is_crashing = self.cause.is_in(&request.parts);
         let is_suspected = self.nodes[request.node].is_suspected(now, &request.parts);
         if is_suspected && request.held < MAX_DECISION_WAIT {
             request.held += HOLD_INTERVAL;
@@ -294,7 +330,9 @@
 
     fn crash(&mut self, engine: u32) {
         let Some(held) = self.engines.remove(&engine) else { return };
-        self.crashes.push(self.now);
+        if held.values().any(|request| self.cause.is_in(&request.parts)) {
+            self.crashes.push(self.now);
+        }
         self.schedule(RESTART_TIME, Event::Restart);
         let now = self.clock();
         let mut held: Vec<Request> = held.into_values().collect();
@@ -306,6 +344,7 @@
                     target: engine,
                     request: request.id,
                     parts: request.parts.clone(),
+                    whole: Some(request.whole),
                     sent_at: request.sent_at,
                     crashed_at: now,
                 };
@@ -373,6 +412,7 @@
         for node in 0..self.nodes.len() {
             let crashes = self.nodes[node].recent_crashes(now, MAX_REPEATED_CRASH_AGE);
             let crashes: Vec<Crash<u32>> = crashes
+                .into_iter()
                 .choose_multiple(&mut self.random, MAX_REPEATED_CRASHES)
                 .into_iter()
                 .cloned()
@@ -429,13 +469,14 @@
         self.schedule(pause, Event::Fault);
     }
 
-    /// Returns how many requests with the part were sent too late, or after all nodes restarted.
+    /// Returns how many such requests were sent too late, or after all nodes restarted.
     fn count_late(&self) -> usize {
-        if self.fault == Fault::AllNodesRestart {
-            return self.crashing_sends.iter().filter(|at| **at > ALL_RESTART_AT).count();
-        }
-        let Some(fifth) = self.crashes.get(4) else { return 0 };
-        self.crashing_sends.iter().filter(|at| **at > *fifth + CONTACT_TIME).count()
+        let late_from = match self.fault {
+            Fault::AllNodesRestart => Some(ALL_RESTART_AT),
+            _ => self.crashes.get(self.cause.max_crashes() - 1).map(|at| *at + CONTACT_TIME),
+        };
+        let Some(late_from) = late_from else { return 0 };
+        self.crashing_sends.iter().filter(|at| **at > late_from).count()
     }
 
     /// Returns the bytes per second that the busiest node sent.
@@ -445,17 +486,15 @@
     }
 }
 
-/// Guards against nodes that don't learn of a crashing part, or refuse sound prompts, at the size of
-/// the largest fleet and twice that, while nodes restart or are cut off and other engines crash.
-#[test]
-fn a_fleet_refuses_a_crashing_part_and_nothing_else() {
+/// Replays all faults at the size of the largest fleet and twice that.
+fn assert_refused(cause: Cause) {
     for nodes in [9, 195, 390] {
         let restarts = [Fault::NodesRestart, Fault::AllNodesRestart];
         for fault in [Fault::None, Fault::NodesCut, Fault::EnginesCrash].into_iter().chain(restarts)
         {
             for seed in 1..=3 {
-                let replay = Replay::run(nodes, fault, seed);
-                let case = format!("{nodes} nodes, {fault:?}, seed {seed}");
+                let replay = Replay::run(nodes, cause, fault, seed);
+                let case = format!("{nodes} nodes, {cause:?}, {fault:?}, seed {seed}");
                 let late = replay.count_late();
                 println!(
                     "{case}: {} crashes, {} sends, {late} late, {} of {} sound refused, {:.0} B/s",
@@ -465,7 +504,7 @@
                     replay.sound_requests,
                     replay.max_traffic()
                 );
-                assert!(late <= 3, "{case}: {late} requests with the part after the fifth crash");
+                assert!(late <= 3, "{case}: {late} sends too late");
                 let is_spared = replay.sound_refused * 100 <= replay.sound_requests;
                 assert!(is_spared, "{case}: {} sound requests refused", replay.sound_refused);
                 assert!(replay.max_traffic() < 5_000.0, "{case}: {} B/s", replay.max_traffic());
@@ -473,3 +512,17 @@
         }
     }
 }
+
+/// Guards against nodes that don't learn of a crashing part, or refuse sound prompts, while nodes
+/// restart or are cut off and other engines crash.
+#[test]
+fn a_fleet_refuses_a_crashing_part_and_nothing_else() {
+    assert_refused(Cause::Part);
+}
+
+/// Guards against nodes that don't learn of a crashing request, or refuse sound requests that were
+/// lost with it, while nodes restart or are cut off and other engines crash.
+#[test]
+fn a_fleet_refuses_a_crashing_request_and_nothing_else() {
+    assert_refused(Cause::Whole);
+}
--- a/crates/report/src/line.rs
+++ b/crates/report/src/line.rs
@@ -73,6 +73,7 @@
 
 /// Messages about a node's own state or its view of the fleet that are counted.
 const NODE_EVENTS: &[&str] = &[
+    "a target crashed under a request",
     "a target died under a request",
     "configuration taken over",
     "peer gave no items",
@@ -81,6 +82,9 @@
     "peer started anew",
     "planned stop begun",
     "planned stop done",
+    "requests are no longer quarantined: an answer was written",
+    "requests are no longer quarantined: no crash for a long time",
+    "requests are quarantined",
     "settings taken over",
     "started",
     "target gone",
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -259,7 +259,7 @@
             quarantined_parts: add_gauge(
                 r,
                 "parts_quarantined",
-                "Combinations of prompt parts that are refused, since engines crashed under them",
+                "Requests and combinations of prompt parts that are refused, since targets crashed under them",
             )?,
             part_crashes: add_counter(
                 r,
--- a/crates/telemetry/src/update.rs
+++ b/crates/telemetry/src/update.rs
@@ -180,7 +180,7 @@
         self.rests.inc();
     }
 
-    /// Sets the number of combinations of prompt parts that are quarantined.
+    /// Sets the number of requests and of combinations of prompt parts that are quarantined.
     pub fn set_quarantined_parts(&self, quarantines: usize) {
         self.quarantined_parts.set(quarantines as i64);
     }
