A crash counts behind a link that carries only open connections

Callers would see a crashing request sent on and on by a node whose new connections to the target hang while open ones work. Cause: the node's own attempt to connect, made to find out why the connection broke, hangs; a peer that is asked meanwhile finds the target gone, but this answer was dropped, and after 200 ms the target was taken for alive. The peer's refusal, which it gives only if it reaches another target, now counts. Test: no crash counted on the code before.

--- a/crates/path/src/links.rs
+++ b/crates/path/src/links.rs
@@ -163,7 +163,9 @@
                     Ok(channel) => return Ok(channel),
                     Err(error) => return Err(ConnectError::from(error)),
                 },
-                Ok(channel) = relay::connect(core, target, peers) => {
+                // Other errors don't tell more than this node's own connection will.
+                relayed @ (Ok(_) | Err(RelayError::Refused)) = relay::connect(core, target, peers) => {
+                    let Ok(channel) = relayed else { return Err(ConnectError::Refused) };
                     note_down(core, target);
                     return Ok(channel);
                 }
