All that the store says is ordered by its era and then by revision

Callers saw requests handled by configuration 79 more than two seconds after 83 and 86 had been acknowledged. Cause: the store came back from a copy and gave out revisions again. A node took an item only if its revision was greater than the known one, and a list only if the store's revision wasn't lower than the last; so four configurations were ignored, and nodes that were answered counted the store as unreachable until its revision had caught up.

A revision now has the era that the store states in all answers, in its high bits: its order, the format between nodes and the requests to peers stay as they were, and a store without eras has only the first one. A watch that is answered in a newer era lists again, since the store gives no 410 for a revision that it has given out again. What the copy says is older than what nodes know: a configuration states its own version and doesn't go back; targets that left, drain or started since, and zones that are out, stay so for 10 s or until they are written again; targets that the copy lacks are used for 2.2 s. Registrations move to a new lease, since the id of the old one may belong to another node.

--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -136,7 +136,9 @@
                 .with_user_timeout(UNACKNOWLEDGED_TIMEOUT)
                 .with_translations(target_links),
             member: OnceLock::new(),
-            items: Mutex::default(),
+            items: Mutex::new(Items::with_versions(|key, text| {
+                (key == D::CONFIG_KEY).then(|| D::parse_version(text)).flatten()
+            })),
             lag_tracker: Mutex::default(),
             transfers: Mutex::default(),
             view: RwLock::default(),
@@ -278,14 +280,16 @@
         let next = before.updated::<D>(&items, now, may_have_lapsed);
         let waited =
             lock(&self.lag_tracker).note_known(now, items.newest_revision(D::OPERATOR_PREFIX));
-        if next.config_revision != before.config_revision {
+        if next.configured_at != before.configured_at {
             self.note_configuration(&next, waited);
         }
         self.carry_over_leaving(&before, &next);
         let next = Arc::new(next);
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = next.clone();
-        *lock(&self.revisions) =
+        let revisions =
             (items.newest_revision(D::OPERATOR_PREFIX), items.newest_revision(D::TARGET_PREFIX));
+        let known = std::mem::replace(&mut *lock(&self.revisions), revisions);
+        self.note_era(known, revisions);
         self.revision_notify.notify_one();
         drop(items);
         if !next.changes.is_empty() {
@@ -304,6 +308,25 @@
         targets > Revision::default()
     }
 
+    /// Records a new era of the store. Leases may be lost, or belong to other nodes.
+    fn note_era(&self, before: (Revision, Revision), after: (Revision, Revision)) {
+        let newest_era = |(operator, targets): (Revision, Revision)| operator.max(targets).era();
+        let (known, era) = (newest_era(before), newest_era(after));
+        self.metrics.set_store_era(era);
+        if era == known || before == Default::default() {
+            return;
+        }
+        log::warn!(
+            era:%,
+            operator_revision:% = after.0,
+            targets_revision:% = after.1;
+            "the store was restored from a copy"
+        );
+        if let Some(member) = self.member.get() {
+            member.register_again();
+        }
+    }
+
     fn note_configuration(&self, view: &View, waited: Option<Duration>) {
         self.metrics.set_configuration_version(id::Release(view.version()));
         self.metrics.observe_configuration_delay(waited.unwrap_or_default());
--- a/crates/path/src/dialect.rs
+++ b/crates/path/src/dialect.rs
@@ -44,6 +44,9 @@
     /// Removes the hop-by-hop headers from a target's response.
     fn strip_connection_headers(headers: &mut HeaderMap);
 
+    /// Reads only the version of a configuration; `None` if it can't be read.
+    fn parse_version(text: &str) -> Option<u64>;
+
     /// Parses a configuration.
     ///
     /// # Errors
--- a/crates/path/src/items.rs
+++ b/crates/path/src/items.rs
@@ -4,6 +4,9 @@
 //! repeatedly. The store numbers revisions across all keys, so for each key the update with
 //! the greater revision wins. A removal is an update like a write and leaves a tombstone. A
 //! node that the store rejects stays up to date through its peers.
+//!
+//! After the store was restored from a copy, the copy's revisions are greater by their era, though
+//! its values may be older. A document that states its own version keeps the newest one.
 
 use crate::chunk::{ChunkedValue, Manifest};
 use compact_str::CompactString;
@@ -35,14 +38,16 @@
     pub learned_at: Instant,
     /// The chunks, if the value is large.
     pub chunks: Option<Arc<ChunkedValue>>,
+    /// The version that the value states of itself.
+    pub version: Option<u64>,
 }
 
 impl Item {
-    fn from_update(update: Update, learned_at: Instant) -> Self {
+    fn from_update(update: Update, version: Option<u64>, learned_at: Instant) -> Self {
         let value: Option<Arc<str>> = update.value.map(Arc::from);
         let large = value.as_ref().filter(|value| value.len() > MAX_INLINE_VALUE_BYTES);
         let chunks = large.map(|value| Arc::new(ChunkedValue::split(value.clone())));
-        Self { revision: update.revision, value, learned_at, chunks }
+        Self { revision: update.revision, value, learned_at, chunks, version }
     }
 }
 
@@ -75,24 +80,58 @@
     }
 }
 
+/// Reads the version that the value of a key states of itself.
+type ReadVersion = fn(&str, &str) -> Option<u64>;
+
 /// Items by key.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Items {
     items: BTreeMap<CompactString, Item>,
+    read_version: ReadVersion,
+}
+
+impl Default for Items {
+    fn default() -> Self {
+        Self::with_versions(|_, _| None)
+    }
 }
 
 impl Items {
+    /// Creates an empty set of items, of which some state their own version.
+    pub fn with_versions(read_version: ReadVersion) -> Self {
+        Self { items: BTreeMap::new(), read_version }
+    }
+
     /// Applies an update. Returns whether it was newer than the known state.
     pub fn apply(&mut self, now: Instant, update: Update) -> bool {
+        let revision = update.revision;
+        self.apply_read_at(now, update, revision)
+    }
+
+    /// Applies an update that the store returned at a revision. A document of an older version than
+    /// the known one is not taken: the known one passes for the state at that revision, so that
+    /// peers that have only the older one fetch it.
+    fn apply_read_at(&mut self, now: Instant, update: Update, read_at: Revision) -> bool {
+        let version =
+            update.value.as_deref().and_then(|text| (self.read_version)(&update.key, text));
         match self.items.entry(update.key.clone()) {
             btree_map::Entry::Vacant(vacant) => {
-                vacant.insert(Item::from_update(update, now));
+                vacant.insert(Item::from_update(update, version, now));
                 true
             }
             btree_map::Entry::Occupied(mut known) => {
                 let is_newer = update.revision > known.get().revision;
-                if is_newer {
-                    known.insert(Item::from_update(update, now));
+                if is_newer && version.is_some() && version < known.get().version {
+                    log::warn!(
+                        key = update.key.as_str(),
+                        revision:% = update.revision,
+                        version,
+                        known_version = known.get().version;
+                        "an older document is not taken"
+                    );
+                    known.get_mut().revision = read_at.max(update.revision);
+                } else if is_newer {
+                    known.insert(Item::from_update(update, version, now));
                 }
                 is_newer
             }
@@ -123,7 +162,8 @@
         }
         for entry in entries {
             let (key, value) = (CompactString::from(&entry.key), Some(entry.value.clone()));
-            changed |= self.apply(now, Update::full(key, entry.revision, value));
+            let update = Update::full(key, entry.revision, value);
+            changed |= self.apply_read_at(now, update, revision);
         }
         changed
     }
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -6,7 +6,7 @@
 use crate::items::{Item, Items};
 use hickory_store::store::Revision;
 use hickory_unit::id;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -17,6 +17,13 @@
 /// none just when the store returns.
 pub const LAPSED_TARGET_TTL: Duration = Duration::from_millis(2_200);
 
+/// How long what a copy of the store says of a target or zone is not believed if this node knows
+/// better: operators and targets write again what the copy lacks.
+pub const RESTORE_TTL: Duration = Duration::from_secs(10);
+
+/// How long a removed target is remembered, longer than a copy of the store is old.
+const DEPARTED_TTL: Duration = Duration::from_secs(120);
+
 /// Identifies one incarnation of a target in the few bytes that a datagram has room for.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
@@ -36,10 +43,30 @@
     pub cold_until: Option<Instant>,
     /// Until when the target is used although its entry has lapsed.
     pub lapsed_until: Option<Instant>,
+    /// Until when the target is not used, since the entry in a copy of the store is older than what
+    /// this node knew: that the target drains, or is gone.
+    pub withheld_until: Option<Instant>,
     /// The revision of the entry.
     pub revision: Revision,
 }
 
+/// A zone that is out of service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ZoneOut {
+    revision: Revision,
+    /// When it is back in service if nobody takes it out again: a copy of the store doesn't say that
+    /// it is out.
+    until: Option<Instant>,
+}
+
+/// A target whose entry was removed.
+#[derive(Clone, Copy, Debug)]
+struct Departed {
+    incarnation: u64,
+    revision: Revision,
+    at: Instant,
+}
+
 /// A change of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum Change {
@@ -82,7 +109,9 @@
     /// The current configuration; `None` before the first one.
     pub configuration: Option<Arc<Configuration>>,
     /// The zones that are out of service.
-    pub zones_out: HashSet<id::Zone>,
+    pub zones_out: HashMap<id::Zone, ZoneOut>,
+    /// Targets whose entries were removed.
+    departed: HashMap<id::Target, Departed>,
     /// Targets by service.
     pub targets: HashMap<id::Service, Vec<Arc<Target>>>,
     /// The changes of targets since the previous view.
@@ -98,7 +127,9 @@
 impl Target {
     /// Returns whether the target itself accepts new requests at `now`.
     pub fn is_accepting(&self, now: Instant) -> bool {
-        !self.entry.is_draining && self.lapsed_until.is_none_or(|at| now < at)
+        !self.entry.is_draining
+            && self.lapsed_until.is_none_or(|at| now < at)
+            && self.withheld_until.is_none_or(|at| now >= at)
     }
 
     /// Returns whether the target is cold at `now`.
@@ -113,7 +144,8 @@
     pub fn updated<D: Dialect>(&self, items: &Items, now: Instant, may_have_lapsed: bool) -> Self {
         let mut next = Self {
             configuration: self.configuration.clone(),
-            zones_out: decode_zones::<D>(items),
+            zones_out: self.decode_zones::<D>(items, now),
+            departed: self.departed.clone(),
             targets: HashMap::new(),
             changes: Vec::new(),
             index: OnceLock::new(),
@@ -121,6 +153,7 @@
             config_revision: self.config_revision,
         };
         next.decode_configuration::<D>(items, now);
+        next.departed.retain(|_, gone| now.saturating_duration_since(gone.at) < DEPARTED_TTL);
         let previous: HashMap<&str, &Arc<Target>> =
             self.targets.values().flatten().map(|target| (target.id.as_str(), target)).collect();
         log_zone_changes(&self.zones_out, &next.zones_out);
@@ -128,8 +161,14 @@
             let id = &key[D::TARGET_PREFIX.len()..];
             let previous_target = previous.get(id).copied();
             let target = match &item.value {
-                Some(text) => decode_target::<D>(id, text, item, previous_target),
-                None => keep_lapsed(previous_target, item.learned_at, now, may_have_lapsed),
+                Some(text) => {
+                    let departed = next.departed.get(&id::Target::from(id));
+                    decode_target::<D>(id, text, item, previous_target, departed)
+                }
+                None => {
+                    next.note_departed(previous_target, item, may_have_lapsed);
+                    keep_lapsed(previous_target, item, now, may_have_lapsed)
+                }
             };
             next.changes.extend(detect_change(previous_target, target.as_ref()));
             if let Some(target) = target {
@@ -146,6 +185,11 @@
         }
         let Some(text) = &item.value else { return };
         match D::parse_configuration(text) {
+            Ok(configuration) if configuration.version < self.version() => {
+                log::warn!(version = configuration.version, revision:% = item.revision;
+                    "an older configuration is not taken over");
+                self.config_revision = item.revision;
+            }
             Ok(configuration) => {
                 self.configured_at = Some(now);
                 self.configuration = Some(Arc::new(configuration));
@@ -158,6 +202,41 @@
         }
     }
 
+    /// Returns the zones that are out of service. One that only a copy of the store doesn't name
+    /// stays out for a while.
+    fn decode_zones<D: Dialect>(&self, items: &Items, now: Instant) -> HashMap<id::Zone, ZoneOut> {
+        let zones = items.with_prefix(D::ZONE_PREFIX).filter_map(|(key, item)| {
+            let zone = id::Zone::from(&key[D::ZONE_PREFIX.len()..]);
+            if item.value.is_some() {
+                return Some((zone, ZoneOut { revision: item.revision, until: None }));
+            }
+            let known = self.zones_out.get(&zone)?;
+            let until = item.learned_at + RESTORE_TTL;
+            let is_kept = known.revision.era() < item.revision.era() && now < until;
+            is_kept.then_some((zone, ZoneOut { revision: known.revision, until: Some(until) }))
+        });
+        zones.collect()
+    }
+
+    /// Remembers a target whose entry was removed while the store was reachable.
+    fn note_departed(
+        &mut self,
+        previous: Option<&Arc<Target>>,
+        item: &Item,
+        may_have_lapsed: bool,
+    ) {
+        let Some(previous) = previous.filter(|previous| previous.lapsed_until.is_none()) else {
+            return;
+        };
+        let is_known_gone = previous.entry.is_draining
+            || !may_have_lapsed && previous.revision.era() == item.revision.era();
+        if is_known_gone {
+            let (incarnation, revision) = (previous.entry.incarnation, item.revision);
+            let departed = Departed { incarnation, revision, at: item.learned_at };
+            self.departed.insert(previous.id.clone(), departed);
+        }
+    }
+
     /// Returns the targets of a service.
     pub fn targets_of(&self, service: &id::Service) -> &[Arc<Target>] {
         self.targets.get(service).map_or(&[], Vec::as_slice)
@@ -186,7 +265,9 @@
 
     /// Returns whether new requests may be sent to a target at `now`, considering its zone.
     pub fn can_send(&self, target: &Target, now: Instant) -> bool {
-        target.is_accepting(now) && !self.zones_out.contains(&target.entry.zone)
+        let zone_out = self.zones_out.get(&target.entry.zone);
+        let is_zone_out = zone_out.is_some_and(|out| out.until.is_none_or(|until| now < until));
+        target.is_accepting(now) && !is_zone_out
     }
 
     /// Returns the version of the configuration, 0 before the first one.
@@ -195,19 +276,11 @@
     }
 }
 
-fn decode_zones<D: Dialect>(items: &Items) -> HashSet<id::Zone> {
-    items
-        .with_prefix(D::ZONE_PREFIX)
-        .filter(|(_, item)| item.value.is_some())
-        .map(|(key, _)| id::Zone::from(&key[D::ZONE_PREFIX.len()..]))
-        .collect()
-}
-
-fn log_zone_changes(before: &HashSet<id::Zone>, after: &HashSet<id::Zone>) {
-    for zone in after.difference(before) {
+fn log_zone_changes(before: &HashMap<id::Zone, ZoneOut>, after: &HashMap<id::Zone, ZoneOut>) {
+    for zone in after.keys().filter(|zone| !before.contains_key(*zone)) {
         log::info!(zone = zone.as_str(); "zone out of service");
     }
-    for zone in before.difference(after) {
+    for zone in before.keys().filter(|zone| !after.contains_key(*zone)) {
         log::info!(zone = zone.as_str(); "zone back in service");
     }
 }
@@ -232,6 +305,7 @@
     text: &str,
     item: &Item,
     previous: Option<&Arc<Target>>,
+    departed: Option<&Departed>,
 ) -> Option<Arc<Target>> {
     let previous = previous.filter(|previous| previous.lapsed_until.is_none());
     if let Some(previous) = previous.filter(|previous| previous.revision == item.revision) {
@@ -241,26 +315,50 @@
         log::warn!(target_id = id; "target entry ignored: it describes no usable target");
         return None;
     };
-    if let Some(previous) = previous.filter(|previous| previous.entry == entry) {
+    let is_restored = |known: Revision| known.era() < item.revision.era();
+    // The copy is older than the start of the incarnation that this node knows.
+    let is_outdated = |previous: &&Arc<Target>| {
+        is_restored(previous.revision) && previous.entry.incarnation > entry.incarnation
+    };
+    if let Some(previous) = previous.filter(is_outdated) {
         return Some(Arc::new(Target { revision: item.revision, ..Target::clone(previous) }));
     }
+    let is_withheld = match (previous, departed) {
+        (Some(previous), _) => {
+            is_restored(previous.revision)
+                && previous.entry.incarnation == entry.incarnation
+                && !previous.is_accepting(item.learned_at)
+        }
+        (None, Some(departed)) => {
+            is_restored(departed.revision) && departed.incarnation >= entry.incarnation
+        }
+        (None, None) => false,
+    };
+    let withheld_until = is_withheld.then(|| item.learned_at + RESTORE_TTL);
+    if let Some(previous) = previous.filter(|previous| previous.entry == entry) {
+        let revision = item.revision;
+        return Some(Arc::new(Target { revision, withheld_until, ..Target::clone(previous) }));
+    }
     let cold_until =
         (!entry.cold_time_left.is_zero()).then(|| item.learned_at + entry.cold_time_left);
     let (tag, revision) = (compute_tag(id, entry.incarnation), item.revision);
-    Some(Arc::new(Target { id: id.into(), tag, entry, cold_until, lapsed_until: None, revision }))
+    let (id, lapsed_until) = (id.into(), None);
+    Some(Arc::new(Target { id, tag, entry, cold_until, lapsed_until, withheld_until, revision }))
 }
 
-/// Returns the target for a missing entry: `None`, unless the entry may have lapsed.
+/// Returns the target for a missing entry: `None`, unless the entry may have lapsed, or was written
+/// after a copy was taken from which the store was restored.
 fn keep_lapsed(
     previous: Option<&Arc<Target>>,
-    learned_at: Instant,
+    item: &Item,
     now: Instant,
     may_have_lapsed: bool,
 ) -> Option<Arc<Target>> {
     let previous = previous?;
+    let may_return = may_have_lapsed || previous.revision.era() < item.revision.era();
     let lapsed_until =
-        previous.lapsed_until.or((may_have_lapsed && !previous.entry.is_draining)
-            .then(|| learned_at + LAPSED_TARGET_TTL));
+        previous.lapsed_until.or((may_return && !previous.entry.is_draining)
+            .then(|| item.learned_at + LAPSED_TARGET_TTL));
     let lapsed_until = lapsed_until.filter(|at| now < *at)?;
     Some(Arc::new(Target { lapsed_until: Some(lapsed_until), ..Target::clone(previous) }))
 }
--- a/crates/path/tests/ledger.rs
+++ b/crates/path/tests/ledger.rs
@@ -44,6 +44,7 @@
         },
         cold_until: None,
         lapsed_until: None,
+        withheld_until: None,
         revision: Revision::default(),
     };
     (1..=3).map(target).map(Arc::new).collect()
--- a/crates/path/tests/view.rs
+++ b/crates/path/tests/view.rs
@@ -44,6 +44,10 @@
         })
     }
 
+    fn parse_version(text: &str) -> Option<u64> {
+        text.parse().ok()
+    }
+
     fn parse_configuration(_: &str) -> Result<Configuration, Finding> {
         Ok(Configuration::default())
     }
--- a/crates/report/src/line.rs
+++ b/crates/report/src/line.rs
@@ -90,6 +90,7 @@
     "target gone",
     "target known",
     "the store gave no answer",
+    "the store was restored from a copy",
     "the store's reach changed",
     "zone back in service",
     "zone out of service",
--- a/crates/state/src/follow.rs
+++ b/crates/state/src/follow.rs
@@ -134,6 +134,12 @@
                 self.listed_at = None;
                 Step { is_changed: false, is_confirmed: false, delay: Duration::ZERO }
             }
+            // The service was restored from a copy: what changed before the watch was sent is not
+            // among the changes.
+            Reply::Watched(Ok(batch)) if batch.revision.era() > self.revision.era() => {
+                self.listed_at = None;
+                Step { is_changed: false, is_confirmed: false, delay: Duration::ZERO }
+            }
             Reply::Watched(Ok(batch)) if batch.revision >= self.revision => {
                 self.backoff.reset();
                 self.revision = batch.revision;
--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -96,6 +96,15 @@
         self.next_call_at = None;
     }
 
+    /// Forgets the lease, which the service may have lost or given to another node; the next call
+    /// opens a new one.
+    pub fn forget_lease(&mut self) {
+        self.held = None;
+        self.registered_revision = None;
+        self.registered_at = None;
+        self.next_call_at = None;
+    }
+
     /// Sets the number of nodes; the time to live grows with it.
     pub fn set_fleet_size(&mut self, nodes: usize) {
         self.fleet_size = nodes.max(1);
--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -153,6 +153,12 @@
         self.wake.notify_one();
     }
 
+    /// Registers the node under a new lease, after the service was restored from a copy.
+    pub fn register_again(&self) {
+        self.lock().registration.forget_lease();
+        self.wake.notify_one();
+    }
+
     /// Ends the registration and revokes the lease.
     pub async fn deregister(&self) {
         let lease = {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -3,30 +3,74 @@
 use derive_more::Display;
 use hickory_unit::size;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::future::Future;
 use std::time::Duration;
 
 /// The maximum size of a value.
 pub const MAX_VALUE_SIZE: size::Bytes = size::Bytes(1 << 20);
 
-/// The revision of a key. The service increments it with each write to any key.
+/// The number of bits of a revision's number; its era has the bits above.
+const NUMBER_BITS: u32 = 40;
+
+/// The number of times that the service was restored from a copy, as it counts them. After that it
+/// gives out revisions again.
 #[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
+    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::FromStr,
+)]
+pub struct Era(u32);
+
+impl Era {
+    /// The greatest era.
+    pub const MAX: Self = Self((1 << (u64::BITS - NUMBER_BITS)) - 1);
+
+    /// Creates an era; `None` if it is greater than [`Era::MAX`].
+    pub fn new(era: u32) -> Option<Self> {
+        (era <= Self::MAX.0).then_some(Self(era))
+    }
+
+    /// Returns the number.
+    pub fn number(self) -> u32 {
+        self.0
+    }
+}
+
+/// The revision of a key. The service increments its number with each write to any key.
+///
+/// Revisions are ordered by era and then by number. A service that counts no eras has only the first
+/// one, in which a revision is its number.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
+impl Revision {
+    /// Creates a revision of an era; `None` if the number is out of range.
+    pub fn in_era(era: Era, number: u64) -> Option<Self> {
+        (number >> NUMBER_BITS == 0).then_some(Self(u64::from(era.0) << NUMBER_BITS | number))
+    }
+
+    /// Returns the era.
+    pub fn era(self) -> Era {
+        Era((self.0 >> NUMBER_BITS) as u32)
+    }
+
+    /// Returns the number within the era.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << NUMBER_BITS) - 1)
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.era() {
+            Era(0) => write!(f, "{}", self.0),
+            era => write!(f, "{era}:{}", self.number()),
+        }
+    }
+}
+
 /// A lease of the key-value service. When it lapses, the keys bound to it are removed.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -51,7 +95,8 @@
     Any,
     /// The key must not exist.
     Absent,
-    /// The last write to the key must have this revision.
+    /// The last write to the key must have this revision. If the service was restored from a copy
+    /// since, another write may have it.
     At(Revision),
 }
 
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -64,6 +64,7 @@
     pub(crate) orders: Vec<IntCounter>,
     pub(crate) quarantines: IntCounter,
     pub(crate) suspects: IntGauge,
+    pub(crate) store_era: IntGauge,
     pub(crate) target_restarts: IntCounter,
     pub(crate) target_silences: IntCounter,
     pub(crate) configuration_version: IntGauge,
@@ -172,6 +173,11 @@
                 "suspects",
                 "Request contents suspected because they ran on a target when it died",
             )?,
+            store_era: add_gauge(
+                r,
+                "store_era",
+                "Number of times that the store was restored from a copy, as it counts them",
+            )?,
             target_restarts: add_counter(
                 r,
                 "target_restarts_total",
--- a/crates/telemetry/src/update.rs
+++ b/crates/telemetry/src/update.rs
@@ -6,6 +6,7 @@
 };
 use crate::metrics::{InFlightGuard, Metrics};
 use hickory_policy::refuse::{Ran, Reason, RetryReason};
+use hickory_store::store::Era;
 use hickory_unit::{id, size};
 use prometheus::IntCounter;
 use std::time::Duration;
@@ -93,6 +94,11 @@
         self.quarantines.inc();
     }
 
+    /// Sets the era of the store.
+    pub fn set_store_era(&self, era: Era) {
+        self.store_era.set(era.number().into());
+    }
+
     /// Sets the number of request contents under suspicion.
     pub fn set_suspects(&self, count: usize) {
         self.suspects.set(count as i64);
