After a restore of the store nodes send each other only what has changed

A node now states up to which revision it had all items, and peers leave out the values that were written before with the same number; a node that finds that it has another state asks for all values. Nodes of the version before state nothing and get all values.

--- a/crates/path/src/fetch.rs
+++ b/crates/path/src/fetch.rs
@@ -6,7 +6,7 @@
 use crate::items::Update;
 use crate::peer_state::Keyspace;
 use crate::store_watch;
-use crate::sync_server::{BusyReply, CHUNKS_PATH, UPDATES_PATH};
+use crate::sync_server::{BusyReply, CHUNKS_PATH, COMPLETE_PARAMETER, UPDATES_PATH};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use hickory_client::{Call, Exchange, Reuse};
@@ -47,12 +47,15 @@
 
     /// Returns the path that requests the updates of this keyspace after a revision. Older
     /// nodes require a revision for both keyspaces; [`u64::MAX`] selects no updates.
-    fn updates_path(self, after: Revision) -> String {
+    fn updates_path(self, after: Revision, complete: Revision) -> String {
         let (operator, targets) = match self {
             Self::Operator => (after.0, u64::MAX),
             Self::Targets => (u64::MAX, after.0),
         };
-        format!("{UPDATES_PATH}?operator={operator}&targets={targets}")
+        let complete = complete.0;
+        format!(
+            "{UPDATES_PATH}?operator={operator}&targets={targets}&{COMPLETE_PARAMETER}={complete}"
+        )
     }
 }
 
@@ -99,6 +102,7 @@
             let now = self.core.now();
             let ahead = self.peers_ahead(self.known_revision());
             if ahead.is_empty() {
+                self.note_complete();
                 self.behind_since = None;
                 self.sources = Sources::default();
                 continue;
@@ -118,6 +122,14 @@
         self.core.items().newest_revision(self.keyspace.prefix::<D>())
     }
 
+    /// Records that no peer is known to have more than this node.
+    fn note_complete(&self) {
+        let (prefix, revision) = (self.keyspace.prefix::<D>(), self.known_revision());
+        if self.core.count_peers() > 0 {
+            self.core.items().note_complete(prefix, revision);
+        }
+    }
+
     /// Returns the addresses of the live peers that have a revision after `after`.
     fn peers_ahead(&self, after: Revision) -> Vec<SocketAddr> {
         let ahead = self.core.peer_states().peers_ahead(self.keyspace, after);
@@ -134,7 +146,8 @@
             Choice::Fetch(peer) => peer,
             Choice::Wait(_) | Choice::NoSource => return,
         };
-        let path = self.keyspace.updates_path(self.known_revision());
+        let complete = self.core.items().complete(self.keyspace.prefix::<D>());
+        let path = self.keyspace.updates_path(self.known_revision(), complete);
         let answer_timeout = self.sources.response_timeout(peer, ahead);
         match fetch_updates(&self.core, peer, &path, answer_timeout).await {
             Fetched::Complete(updates) => {
@@ -180,8 +193,15 @@
         log::info!(words = updates.len(); "updates applied from a peer");
         let now = self.core.now();
         self.core.update_items(may_have_lapsed, |items| {
-            let changes = updates.into_iter().map(|update| items.apply(now, update));
-            changes.fold(false, |any, changed| any | changed)
+            let prefix = self.keyspace.prefix::<D>();
+            let mut is_changed = false;
+            for update in updates {
+                if !items.check_known(prefix, &update) {
+                    break;
+                }
+                is_changed |= items.apply(now, update);
+            }
+            is_changed
         });
     }
 
--- a/crates/path/src/items.rs
+++ b/crates/path/src/items.rs
@@ -40,6 +40,9 @@
     pub chunks: Option<Arc<ChunkedValue>>,
     /// The version that the value states of itself.
     pub version: Option<u64>,
+    /// The revision at which this state was written first. Each restore of the store gives it another
+    /// one, of the new era.
+    pub written_at: Revision,
 }
 
 impl Item {
@@ -47,7 +50,16 @@
         let value: Option<Arc<str>> = update.value.map(Arc::from);
         let large = value.as_ref().filter(|value| value.len() > MAX_INLINE_VALUE_BYTES);
         let chunks = large.map(|value| Arc::new(ChunkedValue::split(value.clone())));
-        Self { revision: update.revision, value, learned_at, chunks, version }
+        let revision = update.revision;
+        Self { revision, value, learned_at, chunks, version, written_at: revision }
+    }
+}
+
+impl Item {
+    /// Returns whether an update of a later era repeats the write of this state.
+    fn is_same_write(&self, update: &Update) -> bool {
+        let has_same_number = self.revision.number() == update.revision.number();
+        update.is_unchanged || has_same_number && self.value.as_deref() == update.value.as_deref()
     }
 }
 
@@ -63,12 +75,15 @@
     /// The manifest of a large value, whose chunks are fetched separately.
     #[serde(rename = "outline", default, skip_serializing_if = "Option::is_none")]
     pub manifest: Option<Manifest>,
+    /// Whether the receiver has the value already, with the same number of an earlier era.
+    #[serde(rename = "same", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_unchanged: bool,
 }
 
 impl Update {
     /// Creates an update that carries its value, or a removal, inline.
     pub fn full(key: CompactString, revision: Revision, value: Option<String>) -> Self {
-        Self { key, revision, value, manifest: None }
+        Self { key, revision, value, manifest: None, is_unchanged: false }
     }
 
     fn from_item(key: &CompactString, item: &Item) -> Self {
@@ -76,7 +91,12 @@
             Some(chunks) => (None, Some(chunks.manifest().clone())),
             None => (item.value.as_deref().map(str::to_owned), None),
         };
-        Self { key: key.clone(), revision: item.revision, value, manifest }
+        Self { manifest, ..Self::full(key.clone(), item.revision, value) }
+    }
+
+    /// Creates an update for a node that has the value with the same number of an earlier era.
+    fn unchanged(key: &CompactString, item: &Item) -> Self {
+        Self { is_unchanged: true, ..Self::full(key.clone(), item.revision, None) }
     }
 }
 
@@ -88,6 +108,9 @@
 pub struct Items {
     items: BTreeMap<CompactString, Item>,
     read_version: ReadVersion,
+    /// By prefix, the newest revision at which all items were known. While items of a new era arrive,
+    /// the newest revision doesn't tell which older ones this node has.
+    complete: BTreeMap<CompactString, Revision>,
 }
 
 impl Default for Items {
@@ -99,7 +122,7 @@
 impl Items {
     /// Creates an empty set of items, of which some state their own version.
     pub fn with_versions(read_version: ReadVersion) -> Self {
-        Self { items: BTreeMap::new(), read_version }
+        Self { items: BTreeMap::new(), read_version, complete: BTreeMap::new() }
     }
 
     /// Applies an update. Returns whether it was newer than the known state.
@@ -115,6 +138,7 @@
         let version =
             update.value.as_deref().and_then(|text| (self.read_version)(&update.key, text));
         match self.items.entry(update.key.clone()) {
+            btree_map::Entry::Vacant(_) if update.is_unchanged => false,
             btree_map::Entry::Vacant(vacant) => {
                 vacant.insert(Item::from_update(update, version, now));
                 true
@@ -129,7 +153,12 @@
                         known_version = known.get().version;
                         "an older document is not taken"
                     );
-                    known.get_mut().revision = read_at.max(update.revision);
+                    let known = known.get_mut();
+                    known.revision = read_at.max(update.revision);
+                    // The store has written it at none of the revisions of this era.
+                    known.written_at = Revision(u64::MAX);
+                } else if is_newer && known.get().is_same_write(&update) {
+                    known.get_mut().revision = update.revision;
                 } else if is_newer {
                     known.insert(Item::from_update(update, version, now));
                 }
@@ -165,9 +194,34 @@
             let update = Update::full(key, entry.revision, value);
             changed |= self.apply_read_at(now, update, revision);
         }
+        self.note_complete(prefix, revision);
         changed
     }
 
+    /// Returns the newest revision at which this node had all items with a prefix.
+    pub fn complete(&self, prefix: &str) -> Revision {
+        self.complete.get(prefix).copied().unwrap_or_default()
+    }
+
+    /// Records that this node has all items with a prefix up to a revision.
+    pub fn note_complete(&mut self, prefix: &str, revision: Revision) {
+        self.complete.insert(prefix.into(), revision.max(self.complete(prefix)));
+    }
+
+    /// Checks that the value is known if an update says so. If not, peers are to send all values.
+    pub fn check_known(&mut self, prefix: &str, update: &Update) -> bool {
+        let is_same = |known: &Item| {
+            known.revision >= update.revision || known.revision.number() == update.revision.number()
+        };
+        let is_known = !update.is_unchanged || self.items.get(&update.key).is_some_and(is_same);
+        if !is_known {
+            log::warn!(key = update.key.as_str(), revision:% = update.revision;
+                "a peer takes this key for known");
+            self.complete.remove(prefix);
+        }
+        is_known
+    }
+
     /// Drops old tombstones under a prefix, except the newest item there. Nodes compare
     /// their progress by the newest revision; a node whose revision went back would try to
     /// fetch an update that no peer has.
@@ -206,6 +260,33 @@
         prefix: &str,
         after: Revision,
         max_bytes: size::Bytes,
+    ) -> Vec<Update> {
+        self.collect_updates(prefix, after, max_bytes, Update::from_item)
+    }
+
+    /// Returns the same updates without the values of a receiver that had all up to `complete`, from
+    /// before the store was restored from a copy.
+    pub fn changes_after(
+        &self,
+        prefix: &str,
+        after: Revision,
+        complete: Revision,
+        max_bytes: size::Bytes,
+    ) -> Vec<Update> {
+        self.collect_updates(prefix, after, max_bytes, |key, item| {
+            match item.value.is_some() && item.written_at <= complete {
+                true => Update::unchanged(key, item),
+                false => Update::from_item(key, item),
+            }
+        })
+    }
+
+    fn collect_updates(
+        &self,
+        prefix: &str,
+        after: Revision,
+        max_bytes: size::Bytes,
+        write: impl Fn(&CompactString, &Item) -> Update,
     ) -> Vec<Update> {
         let newer = self.with_prefix(prefix).filter(|(_, item)| item.revision > after);
         let mut newer: Vec<_> = newer.collect();
@@ -219,7 +300,7 @@
             if is_new_revision && bytes > max_bytes.0 as usize {
                 break;
             }
-            let update = Update::from_item(key, item);
+            let update = write(key, item);
             bytes += key.len() + update.value.as_deref().map_or(0, str::len);
             updates.push(update);
         }
--- a/crates/path/src/sync_server.rs
+++ b/crates/path/src/sync_server.rs
@@ -21,6 +21,9 @@
 /// The path at which peers request updates.
 pub(crate) const UPDATES_PATH: &str = "/words";
 
+/// The query parameter with the newest revision at which a peer had all items of the keyspace.
+pub(crate) const COMPLETE_PARAMETER: &str = "complete";
+
 /// The path at which peers request chunks.
 pub(crate) const CHUNKS_PATH: &str = "/pieces";
 
@@ -84,11 +87,20 @@
 ) -> Result<Response<Reply>, String> {
     let is_busy = core.transfers().meter.is_busy(core.now(), core.settings.link_rate_or_default());
     let max_bytes = if is_busy { MAX_UPDATE_BYTES_WHEN_BUSY } else { MAX_UPDATE_BYTES };
+    // Older versions state nothing and don't know updates without values.
+    let complete = match find_parameter(query, COMPLETE_PARAMETER) {
+        Some(_) => Some(Revision(parse_parameter(query, COMPLETE_PARAMETER)?)),
+        None => None,
+    };
     let mut updates: Vec<Update> = Vec::new();
     for (name, prefix) in [("operator", D::OPERATOR_PREFIX), ("targets", D::TARGET_PREFIX)] {
         if find_parameter(query, name).is_some() {
             let after = Revision(parse_parameter(query, name)?);
-            updates.extend(core.items().updates_after(prefix, after, max_bytes));
+            let items = core.items();
+            updates.extend(match complete {
+                Some(complete) => items.changes_after(prefix, after, complete, max_bytes),
+                None => items.updates_after(prefix, after, max_bytes),
+            });
         }
     }
     let body = serde_json::to_string(&updates).map_err(|error| error.to_string())?;
--- a/crates/path/tests/items.rs
+++ b/crates/path/tests/items.rs
@@ -1,7 +1,7 @@
 //! Merging of items by revision, from the store and from peers.
 
 use hickory_path::items::{Items, Update};
-use hickory_store::store::{Entry, Revision};
+use hickory_store::store::{Entry, Era, Revision};
 use hickory_unit::size;
 use std::time::Instant;
 
@@ -76,3 +76,79 @@
     );
     assert_eq!(items.updates_after("servers/", Revision(0), MAX_BYTES).len(), 2);
 }
+
+fn revision(era: u32, number: u64) -> Revision {
+    Revision::in_era(Era::new(era).unwrap(), number).unwrap()
+}
+
+fn entry(key: &str, value: &str, at: Revision) -> Entry {
+    Entry { key: key.into(), value: value.into(), revision: at }
+}
+
+/// Guards against sending everything again after the store was restored from a copy, and against
+/// leaving out what a node doesn't have.
+#[test]
+fn values_from_before_a_restore_are_not_sent_again() {
+    let now = Instant::now();
+    let before = [entry("a/1", "x", revision(1, 5)), entry("a/2", "y", revision(1, 8))];
+    let after = [entry("a/1", "x", revision(2, 5)), entry("a/2", "new", revision(2, 8))];
+    let (mut items, mut behind) = (Items::default(), Items::default());
+    items.apply_snapshot(now, "a/", before.iter(), revision(1, 8));
+    behind.apply_snapshot(now, "a/", before.iter(), revision(1, 8));
+    items.apply_snapshot(now, "a/", after.iter(), revision(2, 9));
+
+    let complete = behind.complete("a/");
+    let changes = items.changes_after("a/", revision(1, 8), complete, MAX_BYTES);
+    let unchanged: Vec<bool> = changes.iter().map(|update| update.is_unchanged).collect();
+    assert_eq!(unchanged, [true, false]);
+    for update in changes {
+        assert!(behind.check_known("a/", &update));
+        behind.apply(now, update);
+    }
+    assert_eq!(["a/1", "a/2"].map(|key| value(&behind, key).unwrap()), ["x", "new"]);
+    assert_eq!(behind.newest_revision("a/"), revision(2, 8));
+
+    // A node that started since has neither, whatever its newest revision is.
+    let changes = items.changes_after("a/", revision(2, 4), Revision::default(), MAX_BYTES);
+    assert!(changes.iter().all(|update| !update.is_unchanged));
+    // A node that knows another state of the key asks for all values.
+    let mut other = Items::default();
+    other.apply(now, update("a/1", revision(1, 7).0, Some("z")));
+    other.note_complete("a/", revision(1, 8));
+    let change = &items.changes_after("a/", revision(1, 8), complete, MAX_BYTES)[0];
+    assert!(!other.check_known("a/", change));
+    assert_eq!(other.complete("a/"), Revision::default());
+}
+
+/// Guards against a document that goes back to an older version, and against peers that keep it.
+#[test]
+fn the_newest_version_of_a_document_passes_for_the_state_of_the_copy() {
+    let now = Instant::now();
+    let mut items = Items::with_versions(|_, text| text.parse().ok());
+    items.apply_snapshot(
+        now,
+        "a/",
+        [&entry("a/1", "12", revision(1, 9))].into_iter(),
+        revision(1, 9),
+    );
+    items.apply_snapshot(
+        now,
+        "a/",
+        [&entry("a/1", "7", revision(2, 3))].into_iter(),
+        revision(2, 6),
+    );
+    assert_eq!(value(&items, "a/1").as_deref(), Some("12"));
+    let mut started = Items::with_versions(|_, text| text.parse().ok());
+    started.apply_snapshot(
+        now,
+        "a/",
+        [&entry("a/1", "7", revision(2, 3))].into_iter(),
+        revision(2, 6),
+    );
+    for update in items.changes_after("a/", revision(2, 3), started.complete("a/"), MAX_BYTES) {
+        started.apply(now, update);
+    }
+    assert_eq!(value(&started, "a/1").as_deref(), Some("12"));
+    assert!(started.apply(now, update("a/1", revision(2, 7).0, Some("13"))));
+    assert_eq!(value(&started, "a/1").as_deref(), Some("13"));
+}
