Copies of a request that run at the same time are no other cause; the search for causes has a file of its own

Copies of a crashing request that came at the same time looked like targets that crash together for another reason, so that three crashes in series were needed in place of two. Only targets that didn't run the request count as others. The test fails with the condition as it was: nothing refused after five crashes in two series.

--- /dev/null
+++ b/crates/policy/src/cause.rs
@@ -0,0 +1,131 @@
+//! Finds the request or the prompt parts that explain crashes of targets.
+
+use crate::part::{Crash, Evidence, Part, Quarantine, SETTLING_TIME};
+use std::collections::{HashMap, HashSet};
+use std::hash::Hash;
+use std::time::Instant;
+
+/// Number of crashes in series after which a part is quarantined.
+const QUARANTINE_CRASHES: usize = 3;
+
+/// Number of crashes in series for a part that was sound before, since many prompts may share it.
+const KNOWN_PART_QUARANTINE_CRASHES: usize = 5;
+
+/// Number of different requests among them. A single request may have met engines that crashed for
+/// another reason.
+const MIN_REQUESTS: usize = 2;
+
+/// Number of crashes in series after which a whole request is quarantined, if no other request was
+/// on all of these targets and no other target crashed with them. Otherwise a further crash is
+/// needed to tell the causes apart.
+const WHOLE_QUARANTINE_CRASHES: usize = 2;
+
+impl<K: Copy + Eq + Hash> Evidence<K> {
+    /// Returns the quarantine that explains the most crashes in series, and then the most targets.
+    /// Parts that were never sound come first: a part that most prompts share is on most engines that
+    /// crash.
+    pub(crate) fn find_cause(&self, now: Instant) -> Option<Quarantine> {
+        let mut counts: HashMap<Part, usize> = HashMap::new();
+        for part in self.crashes.iter().flat_map(|crash| &crash.parts) {
+            *counts.entry(*part).or_default() += 1;
+        }
+        let causes = counts.into_iter().filter_map(|(part, count)| {
+            if count < WHOLE_QUARANTINE_CRASHES {
+                return None;
+            }
+            let series = self.series(now, part);
+            let is_known = self.sound.contains_key(&part);
+            let is_cause = match self.crashes.iter().any(|crash| crash.whole == Some(part)) {
+                true => self.is_whole_a_cause(part, is_known, &series),
+                false => is_part_a_cause(is_known, &series),
+            };
+            let quarantine = is_cause.then(|| self.common_parts(&series))?;
+            Some(((!is_known, series.len(), self.count_targets(part)), part, quarantine))
+        });
+        let is_imposed =
+            |quarantine: &Quarantine| self.quarantines.iter().any(|q| q.covers(&quarantine.parts));
+        let causes = causes.filter(|(_, _, quarantine)| !is_imposed(quarantine));
+        let best = causes.max_by_key(|(rank, part, quarantine)| {
+            (*rank, quarantine.parts.len(), std::cmp::Reverse(*part))
+        });
+        best.map(|(_, _, quarantine)| quarantine)
+    }
+
+    /// Returns whether a whole request explains a series of its crashes.
+    fn is_whole_a_cause(&self, whole: Part, is_known: bool, series: &[&Crash<K>]) -> bool {
+        let Some((first, others)) = series.split_first() else { return false };
+        let was_on = |request: Part, target: K| {
+            self.crashes.iter().any(|crash| crash.target == target && crash.whole == Some(request))
+        };
+        let mut rivals = self.crashes.iter().filter(|crash| crash.target == first.target);
+        let has_rival = rivals.any(|rival| {
+            let rival = rival.whole.filter(|rival| *rival != whole);
+            rival.is_some_and(|rival| others.iter().all(|crash| was_on(rival, crash.target)))
+        });
+        let min_crashes = match is_known {
+            true => KNOWN_PART_QUARANTINE_CRASHES,
+            false if has_rival || self.is_in_burst(whole, series) => QUARANTINE_CRASHES,
+            false => WHOLE_QUARANTINE_CRASHES,
+        };
+        series.len() >= min_crashes
+    }
+
+    /// Returns whether targets that didn't run the request crashed together with those of its series,
+    /// as when a zone is lost.
+    fn is_in_burst(&self, whole: Part, series: &[&Crash<K>]) -> bool {
+        let own = self.crashes.iter().filter(|crash| crash.whole == Some(whole));
+        let own: HashSet<K> = own.map(|crash| crash.target).collect();
+        let is_near = |one: &Crash<K>, other: &Crash<K>| {
+            let begin = one.crashed_at.min(other.crashed_at);
+            let end = one.crashed_at.max(other.crashed_at);
+            end.saturating_duration_since(begin) < SETTLING_TIME
+        };
+        let mut others = self.crashes.iter().filter(|crash| !own.contains(&crash.target));
+        others.any(|other| series.iter().any(|one| is_near(one, other)))
+    }
+
+    /// Returns the longest series of crashes that count against a part: each of a request that was
+    /// sent after the crash before.
+    fn series(&self, now: Instant, part: Part) -> Vec<&Crash<K>> {
+        let cleared_until = self.sound.get(&part);
+        let mut series: Vec<&Crash<K>> = Vec::new();
+        for crash in self.crashes.iter().filter(|crash| crash.parts.contains(&part)) {
+            let is_cleared = cleared_until.is_some_and(|until| crash.crashed_at < *until);
+            let is_settled = crash.crashed_at + SETTLING_TIME <= now;
+            let is_next = series
+                .last()
+                .is_none_or(|last| last.crashed_at <= crash.sent_at && last.target != crash.target);
+            if !is_cleared && is_settled && is_next {
+                series.push(crash);
+            }
+        }
+        series
+    }
+
+    /// Returns the quarantine of the parts that all crashes of a series have in common and that
+    /// weren't cleared since its first one.
+    fn common_parts(&self, series: &[&Crash<K>]) -> Quarantine {
+        let (first, last) = (series[0], series[series.len() - 1]);
+        let is_common = |part: &&Part| {
+            series.iter().all(|crash| crash.parts.contains(part))
+                && self.sound.get(part).is_none_or(|began_at| *began_at <= first.crashed_at)
+        };
+        let mut parts: Vec<Part> = first.parts.iter().filter(is_common).copied().collect();
+        parts.sort_unstable();
+        parts.dedup();
+        Quarantine { parts, first_crash: first.crashed_at, last_crash: last.crashed_at }
+    }
+
+    /// Returns the number of targets that crashed under a part.
+    fn count_targets(&self, part: Part) -> usize {
+        let crashes = self.crashes.iter().filter(|crash| crash.parts.contains(&part));
+        crashes.map(|crash| crash.target).collect::<HashSet<K>>().len()
+    }
+}
+
+/// Returns whether a shared part explains a series of its crashes.
+fn is_part_a_cause<K>(is_known: bool, series: &[&Crash<K>]) -> bool {
+    let requests: HashSet<u64> = series.iter().map(|crash| crash.request).collect();
+    let min_crashes = if is_known { KNOWN_PART_QUARANTINE_CRASHES } else { QUARANTINE_CRASHES };
+    series.len() >= min_crashes && requests.len() >= MIN_REQUESTS
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! others are compared with.
 
 pub mod baseline;
+mod cause;
 pub mod cold;
 pub mod cost;
 pub mod directory;
--- a/crates/policy/src/part.rs
+++ b/crates/policy/src/part.rs
@@ -26,24 +26,9 @@
 /// its first iterations if it does.
 pub const MIN_WRITING_TIME: Duration = Duration::from_millis(300);
 
-/// Number of crashes in series after which a part is quarantined.
-const QUARANTINE_CRASHES: usize = 3;
-
-/// Number of crashes in series for a part that was sound before, since many prompts may share it.
-const KNOWN_PART_QUARANTINE_CRASHES: usize = 5;
-
-/// Number of different requests among them. A single request may have met engines that crashed for
-/// another reason.
-const MIN_REQUESTS: usize = 2;
-
-/// Number of crashes in series after which a whole request is quarantined, if no other request was
-/// on all of these targets and no other target crashed with them. Otherwise a further crash is
-/// needed to tell the causes apart.
-const WHOLE_QUARANTINE_CRASHES: usize = 2;
-
 /// Time from a crash until it counts: other nodes report what else ran on the engine, and which
 /// parts are sound.
-const SETTLING_TIME: Duration = Duration::from_millis(200);
+pub(crate) const SETTLING_TIME: Duration = Duration::from_millis(200);
 
 /// Time for which other nodes may refute a proposed quarantine.
 const CONFIRMATION_TIME: Duration = Duration::from_millis(150);
@@ -111,7 +96,7 @@
 }
 
 impl Quarantine {
-    fn covers(&self, parts: &[Part]) -> bool {
+    pub(crate) fn covers(&self, parts: &[Part]) -> bool {
         self.parts.iter().all(|part| parts.contains(part))
     }
 
@@ -144,10 +129,10 @@
 /// What a node knows of crashes of engines and of sound parts.
 #[derive(Clone, Debug)]
 pub struct Evidence<K> {
-    crashes: Vec<Crash<K>>,
+    pub(crate) crashes: Vec<Crash<K>>,
     /// When the newest sound answer on a part began to be written.
-    sound: HashMap<Part, Instant>,
-    quarantines: Vec<Quarantine>,
+    pub(crate) sound: HashMap<Part, Instant>,
+    pub(crate) quarantines: Vec<Quarantine>,
     /// Combinations of parts that are proposed for a quarantine, and since when.
     proposals: Vec<(Vec<Part>, Instant)>,
     /// The number of crashes that may be recorded, at a time.
@@ -336,12 +321,6 @@
         self.crashes.len()
     }
 
-    /// Returns the number of targets that crashed under a part.
-    fn count_targets(&self, part: Part) -> usize {
-        let crashes = self.crashes.iter().filter(|crash| crash.parts.contains(&part));
-        crashes.map(|crash| crash.target).collect::<HashSet<K>>().len()
-    }
-
     fn count_crashes_of(&self, whole: Part) -> usize {
         self.crashes.iter().filter(|crash| crash.whole == Some(whole)).count()
     }
@@ -361,99 +340,6 @@
         sound.filter(|(_, began_at)| *began_at > since).collect()
     }
 
-    /// Returns the quarantine that explains the most crashes in series, and then the most targets.
-    /// Parts that were never sound come first: a part that most prompts share is on most engines that
-    /// crash.
-    fn find_cause(&self, now: Instant) -> Option<Quarantine> {
-        let mut counts: HashMap<Part, usize> = HashMap::new();
-        for part in self.crashes.iter().flat_map(|crash| &crash.parts) {
-            *counts.entry(*part).or_default() += 1;
-        }
-        let causes = counts.into_iter().filter_map(|(part, count)| {
-            if count < WHOLE_QUARANTINE_CRASHES {
-                return None;
-            }
-            let series = self.series(now, part);
-            let is_known = self.sound.contains_key(&part);
-            let is_cause = match self.crashes.iter().any(|crash| crash.whole == Some(part)) {
-                true => self.is_whole_a_cause(part, is_known, &series),
-                false => is_part_a_cause(is_known, &series),
-            };
-            let quarantine = is_cause.then(|| self.common_parts(&series))?;
-            Some(((!is_known, series.len(), self.count_targets(part)), part, quarantine))
-        });
-        let is_imposed =
-            |quarantine: &Quarantine| self.quarantines.iter().any(|q| q.covers(&quarantine.parts));
-        let causes = causes.filter(|(_, _, quarantine)| !is_imposed(quarantine));
-        let best = causes.max_by_key(|(rank, part, quarantine)| {
-            (*rank, quarantine.parts.len(), std::cmp::Reverse(*part))
-        });
-        best.map(|(_, _, quarantine)| quarantine)
-    }
-
-    /// Returns whether a whole request explains a series of its crashes.
-    fn is_whole_a_cause(&self, whole: Part, is_known: bool, series: &[&Crash<K>]) -> bool {
-        let Some((first, others)) = series.split_first() else { return false };
-        let was_on = |request: Part, target: K| {
-            self.crashes.iter().any(|crash| crash.target == target && crash.whole == Some(request))
-        };
-        let mut rivals = self.crashes.iter().filter(|crash| crash.target == first.target);
-        let has_rival = rivals.any(|rival| {
-            let rival = rival.whole.filter(|rival| *rival != whole);
-            rival.is_some_and(|rival| others.iter().all(|crash| was_on(rival, crash.target)))
-        });
-        let min_crashes = match is_known {
-            true => KNOWN_PART_QUARANTINE_CRASHES,
-            false if has_rival || self.is_in_burst(series) => QUARANTINE_CRASHES,
-            false => WHOLE_QUARANTINE_CRASHES,
-        };
-        series.len() >= min_crashes
-    }
-
-    /// Returns whether other targets crashed together with those of a series, as when a zone is lost.
-    fn is_in_burst(&self, series: &[&Crash<K>]) -> bool {
-        let is_near = |one: &Crash<K>, other: &Crash<K>| {
-            let (first, last) =
-                (one.crashed_at.min(other.crashed_at), one.crashed_at.max(other.crashed_at));
-            last.saturating_duration_since(first) < SETTLING_TIME
-        };
-        let is_other = |crash: &&Crash<K>| series.iter().all(|one| one.target != crash.target);
-        let mut others = self.crashes.iter().filter(is_other);
-        others.any(|other| series.iter().any(|one| is_near(one, other)))
-    }
-
-    /// Returns the longest series of crashes that count against a part: each of a request that was
-    /// sent after the crash before.
-    fn series(&self, now: Instant, part: Part) -> Vec<&Crash<K>> {
-        let cleared_until = self.sound.get(&part);
-        let mut series: Vec<&Crash<K>> = Vec::new();
-        for crash in self.crashes.iter().filter(|crash| crash.parts.contains(&part)) {
-            let is_cleared = cleared_until.is_some_and(|until| crash.crashed_at < *until);
-            let is_settled = crash.crashed_at + SETTLING_TIME <= now;
-            let is_next = series
-                .last()
-                .is_none_or(|last| last.crashed_at <= crash.sent_at && last.target != crash.target);
-            if !is_cleared && is_settled && is_next {
-                series.push(crash);
-            }
-        }
-        series
-    }
-
-    /// Returns the quarantine of the parts that all crashes of a series have in common and that
-    /// weren't cleared since its first one.
-    fn common_parts(&self, series: &[&Crash<K>]) -> Quarantine {
-        let (first, last) = (series[0], series[series.len() - 1]);
-        let is_common = |part: &&Part| {
-            series.iter().all(|crash| crash.parts.contains(part))
-                && self.sound.get(part).is_none_or(|began_at| *began_at <= first.crashed_at)
-        };
-        let mut parts: Vec<Part> = first.parts.iter().filter(is_common).copied().collect();
-        parts.sort_unstable();
-        parts.dedup();
-        Quarantine { parts, first_crash: first.crashed_at, last_crash: last.crashed_at }
-    }
-
     /// Adds a quarantine, unless one covers it. It replaces those that it covers, and explains the
     /// crashes of all engines on which one of its prompts ran. If it is of a whole request, crashes
     /// still count against the parts that this request shares with others.
@@ -528,10 +414,3 @@
         is_allowed
     }
 }
-
-/// Returns whether a shared part explains a series of its crashes.
-fn is_part_a_cause<K>(is_known: bool, series: &[&Crash<K>]) -> bool {
-    let requests: HashSet<u64> = series.iter().map(|crash| crash.request).collect();
-    let min_crashes = if is_known { KNOWN_PART_QUARANTINE_CRASHES } else { QUARANTINE_CRASHES };
-    series.len() >= min_crashes && requests.len() >= MIN_REQUESTS
-}
--- a/crates/policy/tests/part.rs
+++ b/crates/policy/tests/part.rs
@@ -203,6 +203,14 @@
     assert_eq!(refused_after(&zone), []);
 }
 
+/// Guards against taking the copies of a request that crash targets at the same time for a cause of
+/// another kind.
+#[test]
+fn copies_of_a_request_that_run_at_the_same_time_count_together() {
+    let copies = [(0, 1, BAD), (10, 2, BAD), (20, 3, BAD), (500, 4, BAD), (510, 5, BAD)];
+    assert_eq!(refused_after(&copies), [BAD]);
+}
+
 /// Guards against counting the same crash twice since several nodes report it, and against refusing
 /// a request that was answered since.
 #[test]
