--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -53,6 +53,7 @@
 mod stream;
 mod sync_server;
 mod traffic;
+mod update;
 pub mod view;
 pub mod watcher;
 
