--- a/apps/hickory-soak/src/caller.rs
+++ b/apps/hickory-soak/src/caller.rs
@@ -59,7 +59,7 @@
         let text = match kind {
             Kind::Stream => {
                 let parts = format!("{FIRST_PART}:800,{number:x}:300,{count:x}:260");
-                request_with_parts(&attempt, &path, &parts)
+                request_with_parts(&attempt, &path, &parts, &attempt)
             }
             _ => request_with_attempt_id(&attempt, method, &path, "body"),
         };
--- a/apps/hickory-soak/src/fault.rs
+++ b/apps/hickory-soak/src/fault.rs
@@ -22,6 +22,12 @@
 /// Range of fault durations.
 const DURATION_MS: std::ops::Range<u64> = 200..2_500;
 
+/// Maximum age of the copy from which the store is restored when the store goes away.
+const MAX_COPY_AGE_MS: u64 = 5_000;
+
+/// Maximum time after which operators and replicas write again what the copy lacks.
+const MAX_REWRITE_DELAY_MS: u64 = 1_500;
+
 /// Duration of faults whose effect is checked over their time.
 const EPISODE_TIME: Duration = Duration::from_secs(9);
 
@@ -59,7 +65,7 @@
 
 async fn inject_fault(run: Arc<Run>, seed: u64, duration: Duration) {
     let mut random = StdRng::seed_from_u64(seed);
-    match random.random_range(0..17) {
+    match random.random_range(0..18) {
         0..=1 => disturb_link(&run, &mut random, duration).await,
         2 => pause(&run, &mut random, duration).await,
         3 => kill(&run, &mut random, duration).await,
@@ -72,6 +78,7 @@
         12 => ask_for_rest(&run, &mut random).await,
         13 => crash_under_part(&run, &mut random).await,
         14 => turn_cold(&run, &mut random).await,
+        15 => restore_store(&run, &mut random, duration).await,
         _ => change_configuration(&run),
     }
 }
@@ -135,6 +142,21 @@
     run.store.set_fault(Fault::None);
 }
 
+/// The store comes back from a copy. Operators and replicas write again what is lost.
+async fn restore_store(run: &Run, random: &mut StdRng, duration: Duration) {
+    let Ok(_guard) = run.outage_lock.try_lock() else { return };
+    let copy = run.store.copy();
+    tokio::time::sleep(Duration::from_millis(random.random_range(0..MAX_COPY_AGE_MS))).await;
+    run.print_event(&format!("store away for {duration:?}, then restored"));
+    run.store.set_fault(Fault::Status(503));
+    tokio::time::sleep(duration).await;
+    let latest = run.store.copy();
+    run.store.restore(&copy);
+    run.store.set_fault(Fault::None);
+    tokio::time::sleep(Duration::from_millis(random.random_range(0..MAX_REWRITE_DELAY_MS))).await;
+    run.store.write_again(&latest, &copy);
+}
+
 async fn drain(run: &Run, random: &mut StdRng, duration: Duration) {
     let Some((replica, _)) = run.replicas.choose(random) else { return };
     run.print_event(&format!("{} leaves for {duration:?}", replica.name));
@@ -225,12 +247,14 @@
     run.store.set_fault(Fault::None);
 }
 
-/// Engines crash under a part of prompts, which callers send through all hosts.
+/// Engines crash under a part of prompts that callers send through all hosts: in unlike requests, or
+/// in one that comes again.
 async fn crash_under_part(run: &Run, random: &mut StdRng) {
     let Ok(_guard) = run.crash_lock.try_lock() else { return };
     let part: u32 = random.random();
     let name = format!("{part:x}");
-    run.print_event(&format!("engines crash under part {name}"));
+    let is_repeated = random.random_bool(0.5);
+    run.print_event(&format!("engines crash under part {name}, repeated: {is_repeated}"));
     let engines = || run.replicas.iter().filter(|(replica, _)| replica.service == "model");
     engines().for_each(|(engine, _)| engine.crash_under(&name));
     let begin = Instant::now();
@@ -239,9 +263,11 @@
             break;
         }
         let host = random.random_range(0..run.hosts.len());
-        let parts = format!("{FIRST_PART}:800,{name}:300,{number:x}:260");
+        let last = if is_repeated { 0 } else { number };
+        let parts = format!("{FIRST_PART}:800,{name}:300,{last:x}:260");
         let attempt = format!("p{name}-{host}-{number}");
-        let request = request_with_parts(&attempt, "/say/1", &parts);
+        let body = if is_repeated { name.clone() } else { attempt.clone() };
+        let request = request_with_parts(&attempt, "/say/1", &parts, &body);
         tokio::spawn(caller::send_once(run.hosts[host].settings.callers, request));
         tokio::time::sleep(CRASHING_REQUEST_INTERVAL).await;
     }
