--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -128,7 +128,7 @@
         Event::Outcome { target, served } => core.ejection().record_outcome(now, target, served),
         Event::Down(target) => core.ejection().record_unreachable(now, target),
         Event::PrefillRefused(target) => core.ejection().record_chunk_refusal(now, target),
-        // It identifies no target, so it can't be told from what this node knows already.
+        // It identifies no target, so this node may have counted the same death already.
         Event::PoisonSuspect { .. } => log::debug!(peer:% = node; "suspect of an older version"),
         Event::RateLimit(stated) => rate_limit::handle_statement(core, now, node, &stated),
         Event::Leaving(stated) => core.handle_leaving(now, node, &stated),
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -18,7 +18,7 @@
 pub const LAPSED_TARGET_TTL: Duration = Duration::from_millis(2_200);
 
 /// How long what a copy of the store says of a target or zone is not believed if this node knows
-/// better: operators and targets write again what the copy lacks.
+/// better: operators and targets write again what is not in the copy.
 pub const RESTORE_TTL: Duration = Duration::from_secs(10);
 
 /// How long a removed target is remembered, longer than a copy of the store is old.
@@ -54,8 +54,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ZoneOut {
     revision: Revision,
-    /// When it is back in service if nobody takes it out again: a copy of the store doesn't say that
-    /// it is out.
+    /// When it is back in service unless it is taken out again: it is not in a copy of the store.
     until: Option<Instant>,
 }
 
--- /dev/null
+++ b/crates/policy/tests/crash/event.rs
@@ -0,0 +1,91 @@
+//! What happens in a replay, and what nodes state.
+
+use super::{CRASHING, CRASHING_WHOLE, ms};
+use hickory_policy::part::{Crash, Part, Quarantine};
+use std::time::{Duration, Instant};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    None,
+    /// A tenth of the nodes restarts every two seconds, without any knowledge.
+    NodesRestart,
+    /// A third of the nodes reaches no other node for three seconds in every eight.
+    NodesCut,
+    /// A third of the engines crashes every five seconds, for another reason.
+    EnginesCrash,
+    /// All nodes restart at once, so that none knows of a quarantine, and requests with the part come
+    /// rarely.
+    AllNodesRestart,
+}
+
+impl Fault {
+    /// Returns the interval between two requests with the crashing part.
+    pub(super) fn crashing_interval(self) -> Duration {
+        match self {
+            Self::AllNodesRestart => ms(4_500),
+            _ => ms(700),
+        }
+    }
+}
+
+/// What crashes engines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Cause {
+    /// A part that unlike requests share.
+    Part,
+    /// A request that comes again.
+    Whole,
+}
+
+impl Cause {
+    pub(super) fn is_in(self, parts: &[Part]) -> bool {
+        parts.contains(match self {
+            Self::Part => &CRASHING,
+            Self::Whole => &CRASHING_WHOLE,
+        })
+    }
+
+    /// Returns the number of crashes after which nodes must refuse such requests.
+    pub(super) fn max_crashes(self) -> usize {
+        match self {
+            Self::Part => 5,
+            Self::Whole => 3,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(super) enum Statement {
+    Crash(Crash<u32>),
+    Sound(Vec<Part>, Instant),
+    Proposal(Quarantine),
+    Quarantine(Quarantine),
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Request {
+    pub(super) id: u64,
+    pub(super) node: usize,
+    pub(super) parts: Vec<Part>,
+    pub(super) whole: Part,
+    pub(super) sends: u32,
+    /// The time for which it has waited for a decision on its parts.
+    pub(super) held: Duration,
+    pub(super) sent_at: Instant,
+    pub(super) began_at: Option<Instant>,
+}
+
+#[derive(Clone, Debug)]
+pub(super) enum Event {
+    Arrive { is_crashing: bool },
+    Send(Request),
+    Begin { engine: u32, request: u64 },
+    Write { engine: u32, request: u64 },
+    End { engine: u32, request: u64 },
+    Crash { engine: u32 },
+    Restart,
+    Receive { node: usize, from: usize, statement: Statement },
+    Decide,
+    Repeat,
+    Fault,
+}
--- /dev/null
+++ b/crates/policy/tests/crash/mod.rs
@@ -0,0 +1,404 @@
+//! A replay of a fleet before engines that crash: nodes exchange what they know over a simulated network.
+
+mod event;
+
+pub use event::{Cause, Fault};
+use event::{Event, Request, Statement};
+use hickory_policy::part::{
+    Change, Crash, Evidence, MAX_DECISION_WAIT, MIN_WRITING_TIME, Part, Quarantine,
+};
+use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::time::{Duration, Instant};
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// The part under which engines crash.
+const CRASHING: Part = Part(0xbad);
+
+/// A whole request under which engines crash.
+const CRASHING_WHOLE: Part = Part(0xbad_0bad);
+
+/// The part that all prompts share.
+const FIRST: Part = Part(1);
+
+/// Length of a replay.
+const REPLAY_TIME: Duration = Duration::from_secs(40);
+
+/// Time after the crash from which such requests must be refused; also the time after a disruption
+/// from which a node must keep to that.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Interval at which a request that waits for a decision looks for it.
+const HOLD_INTERVAL: Duration = ms(10);
+
+/// When all nodes restart, if they do.
+const ALL_RESTART_AT: Duration = ms(18_500);
+
+/// Time from the beginning of an answer until its engine crashes.
+const CRASH_DELAY: Duration = ms(60);
+
+/// Time for which an answer is written.
+const WRITING_TIME: Duration = ms(1_200);
+
+/// Time until a crashed engine is back.
+const RESTART_TIME: Duration = ms(2_500);
+
+/// Number of peers that new knowledge is passed on to.
+const FANOUT: usize = 4;
+
+/// Maximum age of crashes that are repeated, and their number.
+const MAX_REPEATED_CRASH_AGE: Duration = Duration::from_secs(60);
+const MAX_REPEATED_CRASHES: usize = 1;
+
+/// Maximum age of a crash that is passed on at once.
+const MAX_PASSED_ON_CRASH_AGE: Duration = Duration::from_secs(1);
+
+/// Bytes of a statement between nodes with its share of a datagram, on average.
+const STATEMENT_BYTES: f64 = 120.0;
+
+/// Nodes before engines that crash under one part of a prompt, or under one request.
+pub struct Replay {
+    origin: Instant,
+    now: Duration,
+    nodes: Vec<Evidence<u32>>,
+    /// Until when a node is excused after a disruption.
+    disrupted_until: Vec<Duration>,
+    cut_until: Vec<Duration>,
+    engines: BTreeMap<u32, HashMap<u64, Request>>,
+    last_engine: u32,
+    last_request: u64,
+    cause: Cause,
+    fault: Fault,
+    events: BinaryHeap<Reverse<(Duration, u64)>>,
+    pending: HashMap<u64, Event>,
+    event_count: u64,
+    random: StdRng,
+    load: f64,
+    pub crashes: Vec<Duration>,
+    /// When such requests were sent by nodes that are not excused.
+    pub crashing_sends: Vec<Duration>,
+    pub sound_requests: u32,
+    pub sound_refused: u32,
+    statements: Vec<u32>,
+}
+
+impl Replay {
+    pub fn run(nodes: usize, cause: Cause, fault: Fault, seed: u64) -> Self {
+        let engines = nodes.max(16) as u32;
+        let mut replay = Self {
+            origin: Instant::now() + ms(60_000),
+            now: Duration::ZERO,
+            nodes: vec![Evidence::default(); nodes],
+            disrupted_until: vec![Duration::ZERO; nodes],
+            cut_until: vec![Duration::ZERO; nodes],
+            engines: (0..engines).map(|engine| (engine, HashMap::new())).collect(),
+            last_engine: engines,
+            last_request: 0,
+            cause,
+            fault,
+            events: BinaryHeap::new(),
+            pending: HashMap::new(),
+            event_count: 0,
+            random: StdRng::seed_from_u64(seed),
+            load: f64::from(engines) * 2.0,
+            crashes: Vec::new(),
+            crashing_sends: Vec::new(),
+            sound_requests: 0,
+            sound_refused: 0,
+            statements: vec![0; nodes],
+        };
+        for event in [
+            Event::Arrive { is_crashing: false },
+            Event::Arrive { is_crashing: true },
+            Event::Decide,
+            Event::Repeat,
+            Event::Fault,
+        ] {
+            replay.schedule(ms(10), event);
+        }
+        while let Some(Reverse((at, number))) = replay.events.pop()
+            && at < REPLAY_TIME
+        {
+            replay.now = at;
+            let event = replay.pending.remove(&number).unwrap();
+            replay.handle(event);
+        }
+        replay
+    }
+
+    fn schedule(&mut self, delay: Duration, event: Event) {
+        self.event_count += 1;
+        self.events.push(Reverse((self.now + delay, self.event_count)));
+        self.pending.insert(self.event_count, event);
+    }
+
+    fn clock(&self) -> Instant {
+        self.origin + self.now
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive { is_crashing } => {
+                self.arrive(is_crashing);
+                let gap = -self.random.random_range(f64::EPSILON..1.0).ln() / self.load;
+                let gap = match is_crashing {
+                    true => self.fault.crashing_interval(),
+                    false => Duration::from_secs_f64(gap),
+                };
+                self.schedule(gap, Event::Arrive { is_crashing });
+            }
+            Event::Send(request) => self.send(request),
+            Event::Begin { engine, request } => {
+                let (now, cause) = (self.clock(), self.cause);
+                let Some(held) = self.held(engine, request) else { return };
+                held.began_at = Some(now);
+                let is_crashing = cause.is_in(&held.parts);
+                match is_crashing {
+                    true => self.schedule(CRASH_DELAY, Event::Crash { engine }),
+                    false => {
+                        self.schedule(MIN_WRITING_TIME, Event::Write { engine, request });
+                        self.schedule(WRITING_TIME, Event::End { engine, request });
+                    }
+                }
+            }
+            Event::Write { engine, request } => {
+                let now = self.clock();
+                let Some(held) = self.held(engine, request).cloned() else { return };
+                let began_at = held.began_at.unwrap();
+                let evidence = &mut self.nodes[held.node];
+                let parts = evidence.parts_to_clear(&held.parts, held.whole);
+                let change = evidence.record_sound(now, &parts, began_at);
+                let statement = Statement::Sound(parts, began_at);
+                self.pass_on(held.node, &statement, &change);
+            }
+            Event::End { engine, request } => {
+                self.engines.get_mut(&engine).and_then(|held| held.remove(&request));
+            }
+            Event::Crash { engine } => self.crash(engine),
+            Event::Restart => {
+                self.last_engine += 1;
+                self.engines.insert(self.last_engine, HashMap::new());
+            }
+            Event::Receive { node, from, statement } => self.receive(node, from, statement),
+            Event::Decide => {
+                self.decide();
+                self.schedule(ms(100), Event::Decide);
+            }
+            Event::Repeat => {
+                self.repeat();
+                self.schedule(ms(500), Event::Repeat);
+            }
+            Event::Fault => self.disrupt(),
+        }
+    }
+
+    fn held(&mut self, engine: u32, request: u64) -> Option<&mut Request> {
+        self.engines.get_mut(&engine)?.get_mut(&request)
+    }
+
+    fn arrive(&mut self, is_crashing: bool) {
+        self.last_request += 1;
+        let subject = Part(100 + self.random.random_range(0..40));
+        let own_whole = Part(1_000_000 + self.last_request);
+        let (parts, whole) = match (is_crashing, self.cause) {
+            (true, Cause::Part) => (vec![FIRST, subject, CRASHING, own_whole], own_whole),
+            (true, Cause::Whole) => (vec![FIRST, Part(100), CRASHING_WHOLE], CRASHING_WHOLE),
+            (false, _) => (vec![FIRST, subject, own_whole], own_whole),
+        };
+        let node = self.random.random_range(0..self.nodes.len());
+        let (id, sent_at) = (self.last_request, self.clock());
+        if !is_crashing {
+            self.sound_requests += 1;
+        }
+        let held = Duration::ZERO;
+        self.send(Request { id, node, parts, whole, sends: 0, held, sent_at, began_at: None });
+    }
+
+    fn send(&mut self, mut request: Request) {
+        let now = self.clock();
+        let is_crashing = self.cause.is_in(&request.parts);
+        let is_suspected = self.nodes[request.node].is_suspected(now, &request.parts);
+        if is_suspected && request.held < MAX_DECISION_WAIT {
+            request.held += HOLD_INTERVAL;
+            self.schedule(HOLD_INTERVAL, Event::Send(request));
+            return;
+        }
+        request.held = Duration::ZERO;
+        if self.nodes[request.node].is_quarantined(now, &request.parts) {
+            self.sound_refused += u32::from(!is_crashing);
+            return;
+        }
+        let index = self.random.random_range(0..self.engines.len().max(1));
+        let Some(&engine) = self.engines.keys().nth(index) else { return };
+        if is_crashing && self.now >= self.disrupted_until[request.node] {
+            self.crashing_sends.push(self.now);
+        }
+        (request.sends, request.sent_at, request.began_at) = (request.sends + 1, now, None);
+        let delay = ms(self.random.random_range(100..400));
+        self.schedule(delay, Event::Begin { engine, request: request.id });
+        self.engines.get_mut(&engine).unwrap().insert(request.id, request);
+    }
+
+    fn crash(&mut self, engine: u32) {
+        let Some(held) = self.engines.remove(&engine) else { return };
+        if held.values().any(|request| self.cause.is_in(&request.parts)) {
+            self.crashes.push(self.now);
+        }
+        self.schedule(RESTART_TIME, Event::Restart);
+        let now = self.clock();
+        let mut held: Vec<Request> = held.into_values().collect();
+        held.sort_by_key(|request| request.id);
+        for request in held {
+            let written = request.began_at.map_or(Duration::ZERO, |began_at| now - began_at);
+            if written < MIN_WRITING_TIME {
+                let crash = Crash {
+                    target: engine,
+                    request: request.id,
+                    parts: request.parts.clone(),
+                    whole: Some(request.whole),
+                    sent_at: request.sent_at,
+                    crashed_at: now,
+                };
+                let change = self.nodes[request.node].record_crash(now, crash.clone());
+                self.pass_on(request.node, &Statement::Crash(crash), &change);
+            }
+            if request.sends < 2 {
+                self.send(request);
+            }
+        }
+    }
+
+    fn pass_on(&mut self, node: usize, statement: &Statement, change: &Change) {
+        let is_repeated = matches!(statement, Statement::Crash(crash)
+            if self.clock() - crash.crashed_at > MAX_PASSED_ON_CRASH_AGE);
+        if change.is_new && !is_repeated {
+            for _ in 0..FANOUT {
+                let peer = self.random.random_range(0..self.nodes.len());
+                self.transmit(node, peer, statement.clone());
+            }
+        }
+    }
+
+    fn transmit(&mut self, from: usize, node: usize, statement: Statement) {
+        self.statements[from] += 1;
+        let is_cut = [from, node].iter().any(|node| self.now < self.cut_until[*node]);
+        if from != node && !is_cut && !self.random.random_bool(0.1) {
+            let delay = Duration::from_micros(self.random.random_range(500..10_000));
+            self.schedule(delay, Event::Receive { node, from, statement });
+        }
+    }
+
+    fn receive(&mut self, node: usize, from: usize, statement: Statement) {
+        let now = self.clock();
+        let evidence = &mut self.nodes[node];
+        let change = match statement.clone() {
+            Statement::Crash(crash) => evidence.record_crash(now, crash),
+            Statement::Sound(parts, began_at) => evidence.record_sound(now, &parts, began_at),
+            Statement::Proposal(quarantine) => {
+                Change { sound: evidence.refute(&quarantine), ..Change::default() }
+            }
+            Statement::Quarantine(quarantine) => evidence.merge(now, quarantine),
+        };
+        self.pass_on(node, &statement, &change);
+        for (part, began_at) in change.sound {
+            self.transmit(node, from, Statement::Sound(vec![part], began_at));
+        }
+    }
+
+    fn decide(&mut self) {
+        let now = self.clock();
+        for node in 0..self.nodes.len() {
+            let decision = self.nodes[node].decide(now);
+            let proposed = decision.proposed.into_iter().map(Statement::Proposal);
+            let imposed = decision.imposed.into_iter().map(Statement::Quarantine);
+            for statement in proposed.chain(imposed) {
+                let change = Change { is_new: true, ..Change::default() };
+                self.pass_on(node, &statement, &change);
+            }
+        }
+    }
+
+    fn repeat(&mut self) {
+        let now = self.clock();
+        for node in 0..self.nodes.len() {
+            let crashes = self.nodes[node].recent_crashes(now, MAX_REPEATED_CRASH_AGE);
+            let crashes: Vec<Crash<u32>> = crashes
+                .into_iter()
+                .choose_multiple(&mut self.random, MAX_REPEATED_CRASHES)
+                .into_iter()
+                .cloned()
+                .collect();
+            let peer = self.random.random_range(0..self.nodes.len());
+            for crash in crashes {
+                self.transmit(node, peer, Statement::Crash(crash));
+            }
+            let quarantines: Vec<Quarantine> = self.nodes[node].quarantines(now).cloned().collect();
+            for quarantine in quarantines {
+                for _ in 0..2 {
+                    let peer = self.random.random_range(0..self.nodes.len());
+                    self.transmit(node, peer, Statement::Quarantine(quarantine.clone()));
+                }
+            }
+        }
+    }
+
+    fn disrupt(&mut self) {
+        let count = self.nodes.len();
+        let pause = match self.fault {
+            Fault::None => return,
+            Fault::NodesRestart => {
+                for _ in 0..count.div_ceil(10) {
+                    let node = self.random.random_range(0..count);
+                    self.nodes[node] = Evidence::default();
+                    self.disrupted_until[node] = self.now + CONTACT_TIME;
+                }
+                ms(2_000)
+            }
+            Fault::NodesCut => {
+                for node in 0..count / 3 {
+                    self.cut_until[node] = self.now + ms(3_000);
+                    self.disrupted_until[node] = self.now + ms(3_000) + CONTACT_TIME;
+                }
+                ms(8_000)
+            }
+            Fault::EnginesCrash => {
+                let engines: Vec<u32> = self.engines.keys().copied().step_by(3).collect();
+                for engine in engines {
+                    self.schedule(ms(1), Event::Crash { engine });
+                }
+                ms(5_000)
+            }
+            Fault::AllNodesRestart => {
+                if self.now >= ALL_RESTART_AT {
+                    self.nodes.iter_mut().for_each(|node| *node = Evidence::default());
+                    self.disrupted_until.fill(self.now + CONTACT_TIME);
+                    return;
+                }
+                ALL_RESTART_AT
+            }
+        };
+        self.schedule(pause, Event::Fault);
+    }
+
+    /// Returns how many such requests were sent too late, or after all nodes restarted.
+    pub fn count_late(&self) -> usize {
+        let late_from = match self.fault {
+            Fault::AllNodesRestart => Some(ALL_RESTART_AT),
+            _ => self.crashes.get(self.cause.max_crashes() - 1).map(|at| *at + CONTACT_TIME),
+        };
+        let Some(late_from) = late_from else { return 0 };
+        self.crashing_sends.iter().filter(|at| **at > late_from).count()
+    }
+
+    /// Returns the bytes per second that the busiest node sent.
+    pub fn max_traffic(&self) -> f64 {
+        let statements = self.statements.iter().max().copied().unwrap_or_default();
+        f64::from(statements) * STATEMENT_BYTES / REPLAY_TIME.as_secs_f64()
+    }
+}
