A request ends after the second target that crashed under it, before the decision on it

The first crash doesn't count as a send, so that one request could be sent a third time while the quarantine was being decided on, which takes as long as prompts wait for it.

--- a/crates/path/src/failure.rs
+++ b/crates/path/src/failure.rs
@@ -98,7 +98,7 @@
     }
 
     /// Finds out why the connection to a target broke. A dead target isn't used again, and its crash
-    /// counts against the request.
+    /// counts against the request, which ends after the second one.
     async fn examine_target(&mut self, place: &Place<D, S, C>) -> Result<(), Refusal> {
         match death::examine(&self.core, &place.target).await {
             Fate::Dead => {
@@ -116,6 +116,11 @@
                 return Ok(());
             }
         }
+        // The decision on a quarantine takes longer than the next attempt.
+        if self.core.parts().has_crashed_again(self.whole) {
+            let refusal = Refusal::new(Reason::Quarantined, "it crashed the targets that ran it");
+            return Err(Refusal { ran: Ran::Unknown, ..refusal });
+        }
         if !std::mem::replace(&mut self.has_target_died, true) {
             self.counted_sends -= 1;
         }
--- a/crates/path/src/part.rs
+++ b/crates/path/src/part.rs
@@ -26,6 +26,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// The interval at which crashes are decided on, a fraction of the time that prompts wait for it.
+const DECISION_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The interval at which quarantines are repeated.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -402,7 +405,7 @@
 pub(crate) async fn run<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
     let mut repeated_at: Option<Instant> = None;
     while core.stage() != Stage::Closed {
-        tokio::time::sleep(TICK_INTERVAL).await;
+        tokio::time::sleep(DECISION_INTERVAL).await;
         let now = core.now();
         core.decide_on_parts(now);
         let is_due =
--- a/crates/policy/src/part.rs
+++ b/crates/policy/src/part.rs
@@ -321,6 +321,12 @@
         self.crashes.len()
     }
 
+    /// Returns whether more than one target crashed under a request, as far as isn't explained.
+    pub fn has_crashed_again(&self, whole: Part) -> bool {
+        let crashes = self.crashes.iter().filter(|crash| crash.whole == Some(whole));
+        crashes.map(|crash| crash.target).collect::<HashSet<K>>().len() > 1
+    }
+
     fn count_crashes_of(&self, whole: Part) -> usize {
         self.crashes.iter().filter(|crash| crash.whole == Some(whole)).count()
     }
