Requests that a planned stop interrupts are logged and counted

A stream that was cut off by the end of the grace period left no line in the log: the process ended under it. Two hypotheses of the incident (the stream was taken too late; its answer was not written in time) could not be told apart from the logs.

Such a stream now has the line "interrupted by the stop of this node" with its request, target and age, and a request without a response yet gets a 502, as it may have run, in place of a closed connection. hickory_stop_interruptions_total counts both.

--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -49,7 +49,7 @@
 pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// The lifecycle stage of a node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Stage {
     /// The node accepts callers.
     Serving,
@@ -383,6 +383,13 @@
         *self.stage.borrow()
     }
 
+    /// Waits until the node has reached a stage.
+    pub(crate) async fn wait_for_stage(&self, stage: Stage) {
+        let mut stages = self.stage.subscribe();
+        // The sender lives as long as the node, so waiting can't fail.
+        let _ = stages.wait_for(|reached| *reached >= stage).await;
+    }
+
     /// Returns whether callers should be directed to this node.
     pub(crate) fn is_ready(&self) -> bool {
         self.stage() == Stage::Serving && self.view().configuration.is_some()
--- a/crates/path/src/drain.rs
+++ b/crates/path/src/drain.rs
@@ -5,8 +5,11 @@
 
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
+use crate::refusal::Refusal;
+use hickory_policy::refuse::{Ran, Reason};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -57,3 +60,24 @@
     log::info!(active = core.active_requests(); "planned stop done");
     core.stage.send_replace(Stage::Closed);
 }
+
+/// Runs a part of a request unless the grace period ends first, and the request is then refused.
+///
+/// # Errors
+///
+/// Returns the refusal, or that of the request's part.
+pub(crate) async fn run_until_closed<D: Dialect, S: Store, C: Clock, T>(
+    core: &Core<D, S, C>,
+    ran: Ran,
+    part: impl Future<Output = Result<T, Refusal>>,
+) -> Result<T, Refusal> {
+    tokio::select! {
+        biased;
+        result = part => result,
+        () = core.wait_for_stage(Stage::Closed) => {
+            core.metrics.count_stop_interruption();
+            let refusal = Refusal::new(Reason::Draining, "interrupted by the stop of this node");
+            Err(refusal.after_possible_run(ran == Ran::Unknown))
+        }
+    }
+}
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -122,8 +122,6 @@
 
     /// Waits until the node accepts no more requests and its last request has ended.
     pub async fn closed(&self) {
-        let mut stage = self.core.stage.subscribe();
-        // The sender lives as long as the node, so waiting can't fail.
-        let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
+        self.core.wait_for_stage(Stage::Closed).await;
     }
 }
--- a/crates/path/src/serve.rs
+++ b/crates/path/src/serve.rs
@@ -5,7 +5,7 @@
 use crate::config::{Account, Configuration, Route};
 use crate::core::{ActiveRequest, Core};
 use crate::dialect::Dialect;
-use crate::drain::CACHED_ADDRESS_LIFETIME;
+use crate::drain::{self, CACHED_ADDRESS_LIFETIME};
 use crate::holding::Holder;
 use crate::refusal::{Refusal, answer_refusal};
 use crate::reply::Reply;
@@ -72,7 +72,8 @@
     let outcome = match holder.run(Ran::No, read_job(&core, arrived, request, &holder)).await {
         Ok(job) => {
             let prompt = job.head.prompt.map_or(Tokens(0), |prompt| prompt.tokens);
-            let outcome = holder.run(Ran::Unknown, run::run(&core, job, active)).await;
+            let run = holder.run(Ran::Unknown, run::run(&core, job, active));
+            let outcome = drain::run_until_closed(&core, Ran::Unknown, run).await;
             outcome.map_err(|refusal| refusal.with_prompt(prompt))
         }
         Err(refusal) => Err(refusal),
--- a/crates/path/src/stream.rs
+++ b/crates/path/src/stream.rs
@@ -2,7 +2,7 @@
 //! target.
 
 use crate::attempt::{Failure, OpenResponse};
-use crate::core::ActiveRequest;
+use crate::core::{ActiveRequest, Stage};
 use crate::dialect::Dialect;
 use crate::event;
 use crate::holding::{Hold, Holder};
@@ -203,15 +203,21 @@
     CallerGone,
     /// The deadline passed.
     DeadlineExceeded,
+    /// The grace period of a planned stop ended.
+    Stopped,
     /// The target failed.
     Failed(Failure),
 }
 
 impl<D: Dialect, S: Store, C: Clock> Relay<D, S, C> {
     async fn run(mut self, mut reader: Reader, mut place: Place<D, S, C>, first: Next) {
-        let mut next = Some(first);
+        let (core, mut next) = (self.run.core.clone(), Some(first));
         loop {
-            match self.relay_from(&mut reader, next.take()).await {
+            let end = tokio::select! {
+                end = self.relay_from(&mut reader, next.take()) => end,
+                () = core.wait_for_stage(Stage::Closed) => End::Stopped,
+            };
+            match end {
                 End::Complete => {
                     self.run.note_written(true);
                     self.run.note_response(&place, StatusCode::OK);
@@ -228,11 +234,19 @@
                     let _ = self.out.send(Err(Interrupted)).await;
                     break;
                 }
+                End::Stopped => {
+                    self.log_interrupted(&place);
+                    break;
+                }
                 End::Failed(failure) => {
                     let out = self.out.clone();
                     let resumed = tokio::select! {
                         resumed = self.resume_elsewhere(&place, failure) => resumed,
                         () = out.closed() => None,
+                        () = core.wait_for_stage(Stage::Closed) => {
+                            self.log_interrupted(&place);
+                            None
+                        }
                     };
                     let Some((next_reader, next_place, first)) = resumed else {
                         // Sending fails if the caller has closed the connection.
@@ -248,6 +262,12 @@
         drop(self.active);
     }
 
+    /// Logs and counts that the planned stop of this node interrupts the stream.
+    fn log_interrupted(&self, place: &Place<D, S, C>) {
+        self.run.core.metrics.count_stop_interruption();
+        self.log(place, "interrupted by the stop of this node");
+    }
+
     fn log(&self, place: &Place<D, S, C>, what: &str) {
         log::info!(
             request = self.run.job.head.attempt.as_str(),
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -92,6 +92,7 @@
     pub(crate) limited_targets: IntGauge,
     pub(crate) held_bytes: IntGauge,
     pub(crate) closed_holders: IntCounter,
+    pub(crate) stop_interruptions: IntCounter,
 }
 
 impl Metrics {
@@ -325,6 +326,11 @@
                 "closed_holders_total",
                 "Callers' connections closed because they held most when too much was held",
             )?,
+            stop_interruptions: add_counter(
+                r,
+                "stop_interruptions_total",
+                "Requests that were in flight when the grace period of a planned stop ended",
+            )?,
             registry,
         })
     }
--- a/crates/telemetry/src/update.rs
+++ b/crates/telemetry/src/update.rs
@@ -252,6 +252,11 @@
         self.closed_holders.inc();
     }
 
+    /// Counts a request that was in flight when the grace period of a planned stop ended.
+    pub fn count_stop_interruption(&self) {
+        self.stop_interruptions.inc();
+    }
+
     /// Returns the number of bytes that the node holds for callers and targets.
     pub fn held_bytes(&self) -> size::Bytes {
         size::Bytes(self.held_bytes.get() as u64)
