--- a/apps/hickory-entry/tests/logs.rs
+++ b/apps/hickory-entry/tests/logs.rs
@@ -1,58 +1,17 @@
 //! The log of a running daemon: what it reports about failed requests and about targets.
 
+mod common;
+
+use common::Daemon;
 use hickory_adapter_standin::caller::{self, Response};
 use hickory_adapter_standin::replica::{Action, Replica};
 use hickory_adapter_standin::store::Store;
-use hickory_adapter_standin::{CONFIG, entry_key, fleet, free_address, settings, write_settings};
+use hickory_adapter_standin::{CONFIG, entry_key, fleet, free_address, settings};
 use hickory_path::settings::Settings;
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-/// A daemon process and its log file.
-struct Daemon {
-    process: Child,
-    log: PathBuf,
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        // This fails if the daemon has already ended.
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-    }
-}
-
-impl Daemon {
-    /// Starts a daemon with files of this name, and waits until it is ready.
-    async fn start(name: &str, settings: &Settings) -> Self {
-        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let file = directory.join(format!("{name}.json"));
-        std::fs::write(&file, write_settings(settings)).unwrap();
-        let log = directory.join(format!("{name}.log"));
-        let process = Command::new(env!("CARGO_BIN_EXE_hickory-entry"))
-            .arg(&file)
-            .stdout(std::fs::File::create(&log).unwrap())
-            .stdin(Stdio::null())
-            .spawn()
-            .unwrap();
-        let daemon = Self { process, log };
-        caller::wait_until_ready(settings.ready).await;
-        daemon
-    }
-
-    /// Returns the complete log lines that match; a line that is still being written is
-    /// left out.
-    fn log_lines(&self, is_match: impl Fn(&Value) -> bool) -> Vec<Value> {
-        let text = std::fs::read_to_string(&self.log).unwrap();
-        let complete_lines = text.rfind('\n').map_or("", |end| &text[..end]);
-        let lines = complete_lines.lines().map(|line| serde_json::from_str::<Value>(line).unwrap());
-        lines.filter(is_match).collect()
-    }
-}
-
 /// A daemon with a store and two replicas of each service.
 struct Harness {
     daemon: Daemon,
--- /dev/null
+++ b/apps/hickory-entry/tests/stop.rs
@@ -0,0 +1,131 @@
+//! The planned stop of a running daemon, as its callers see it.
+
+mod common;
+
+use common::Daemon;
+use hickory_adapter_standin::caller::{self, Response};
+use hickory_adapter_standin::replica::{Action, Replica};
+use hickory_adapter_standin::store::Store;
+use hickory_adapter_standin::{CONFIG, entry_key, settings};
+use rustix::process::{Pid, Signal, kill_process};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// The time between SIGTERM and SIGKILL.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// The times after SIGTERM at which streams are sent.
+const SEND_TIMES_MS: [u64; 12] =
+    [200, 400, 2_000, 2_500, 2_800, 2_900, 3_000, 3_100, 3_200, 3_300, 3_600, 4_200];
+
+/// The time that an engine takes for a stream.
+const STREAM_TIME: Duration = Duration::from_millis(1_600);
+
+/// A daemon with a store, two engines and two replicas of a plain service.
+struct Harness {
+    daemon: Daemon,
+    callers: SocketAddr,
+    replicas: Vec<Replica>,
+}
+
+impl Harness {
+    async fn open(name: &str) -> Self {
+        let store = Store::spawn().await;
+        store.put_configuration(CONFIG);
+        let mut replicas = Vec::new();
+        for (service, name) in
+            [("plain", "p-1"), ("plain", "p-2"), ("model", "m-1"), ("model", "m-2")]
+        {
+            let replica = Replica::spawn(name, service, 5).await;
+            store.put(&entry_key(name), &replica.entry("ready"));
+            replicas.push(replica);
+        }
+        let mut settings = settings("node-1", store.address);
+        settings.bounds.grace = GRACE;
+        let daemon = Daemon::start(name, &settings).await;
+        let harness = Self { daemon, callers: settings.callers, replicas };
+        // A node is ready before it knows its targets, for which the first request waits.
+        assert_eq!(
+            caller::post(harness.callers, "/once/1", caller::MODEL_HEADERS, "").await.status,
+            200
+        );
+        assert_eq!(caller::get(harness.callers, "/read/1", "").await.status, 200);
+        harness
+    }
+
+    /// Opens a connection that has already carried a request.
+    async fn open_kept_connection(&self) -> TcpStream {
+        let mut connection = TcpStream::connect(self.callers).await.unwrap();
+        connection.write_all(caller::request("GET", "/read/1", "", "").as_bytes()).await.unwrap();
+        assert_eq!(caller::read(&mut connection).await.status, 200);
+        connection
+    }
+
+    fn terminate(&self) {
+        let pid = Pid::from_child(&self.daemon.process);
+        kill_process(pid, Signal::TERM).unwrap();
+    }
+
+    fn has_reached_engine(&self, attempt: &str) -> bool {
+        self.replicas.iter().flat_map(Replica::requests).any(|seen| seen.attempt_id() == attempt)
+    }
+}
+
+/// Guards against a stopping node that takes streams which last longer than what remains of its
+/// grace period, and cuts them off.
+#[tokio::test]
+async fn streams_sent_to_a_stopping_node_are_answered_in_whole_or_refused() {
+    let harness = Harness::open("stop").await;
+    for engine in harness.replicas.iter().filter(|replica| replica.service == "model") {
+        engine.set_delay(STREAM_TIME);
+    }
+    let mut connections = Vec::new();
+    for _ in SEND_TIMES_MS {
+        connections.push(harness.open_kept_connection().await);
+    }
+    harness.terminate();
+    let began = tokio::time::Instant::now();
+    let calls = SEND_TIMES_MS.into_iter().zip(connections).map(|(at, mut connection)| async move {
+        tokio::time::sleep_until(began + Duration::from_millis(at)).await;
+        let attempt = format!("sent-{at}");
+        let request = caller::request_with_attempt_id(&attempt, "POST", "/once/1", &attempt);
+        // This fails if the node has closed the connection.
+        let _ = connection.write_all(request.as_bytes()).await;
+        (at, attempt, caller::read(&mut connection).await)
+    });
+    let answers: Vec<(u64, String, Response)> = futures::future::join_all(calls).await;
+    for (at, attempt, answer) in &answers {
+        let has_run = harness.has_reached_engine(attempt);
+        let is_whole = answer.status == 200 && answer.is_complete;
+        let is_refused = answer.status == 503 && answer.is_complete;
+        assert!(
+            (is_whole && has_run) || (!has_run && (is_refused || answer.status == 0)),
+            "sent {at} ms after SIGTERM: status {}, complete: {}, run: {has_run}",
+            answer.status,
+            answer.is_complete
+        );
+    }
+    let (_, _, first) = &answers[0];
+    assert!(first.status == 200 && first.is_complete, "a stream that fits is served: {first:?}");
+}
+
+/// Guards against a stopping node that ends before a slow caller has received its answer, with
+/// most of its grace period left.
+#[tokio::test]
+async fn a_stopping_node_writes_answers_in_whole() {
+    const BODY_BYTES: usize = 3_900_000;
+    /// Longer than a node without requests in flight takes to stop.
+    const PAUSE: Duration = Duration::from_millis(3_800);
+    let harness = Harness::open("stop-slow").await;
+    for replica in harness.replicas.iter().filter(|replica| replica.service == "plain") {
+        replica.enqueue(Action::Body(BODY_BYTES));
+    }
+    let request = caller::request("GET", "/read/1", "", "");
+    let mut connection = caller::send_without_reading(harness.callers, &request).await;
+    harness.terminate();
+    tokio::time::sleep(PAUSE).await;
+    let answer = caller::read(&mut connection).await;
+    assert_eq!((answer.status, answer.body.len(), answer.is_complete), (200, BODY_BYTES, true));
+}
