A stopping node takes only requests that can end within its grace period

Callers saw streams end in the middle when a node was stopped. A stopping node took streams until 3.4 s after SIGTERM, the time for which callers may have cached its address, whatever they were expected to take, and cut off all that ran when the grace period ended (4.1 s later on the users' hosts).

The rest is refused at once as not run. This holds for all kinds of requests, and no time but the grace period of the settings enters. The decision has no I/O and is in policy::drain.

--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -14,9 +14,11 @@
 use crate::settings::{Bounds, Settings};
 use crate::sync_server::Transfers;
 use crate::view::{Tag, View};
+use compact_str::CompactString;
 use hickory_client::Client;
 use hickory_policy::cold::Cold;
 use hickory_policy::doubt::Doubt;
+use hickory_policy::drain::Durations;
 use hickory_policy::ejection::Ejection;
 use hickory_policy::leave::Leaving;
 use hickory_policy::links::{Links, Relays};
@@ -96,6 +98,8 @@
     /// Until when the store is presumed to be down, after it was last found to be.
     store_down_until: Mutex<Option<Instant>>,
     draining_since: OnceLock<Instant>,
+    /// The durations of requests, by route.
+    durations: Mutex<HashMap<CompactString, Durations>>,
     pub(crate) revisions: Mutex<(Revision, Revision)>,
     /// How long this node has received reports of allocations without interruption.
     uptime: Mutex<Uptime>,
@@ -167,6 +171,7 @@
             is_store_unreachable: AtomicBool::new(false),
             store_down_until: Mutex::default(),
             draining_since: OnceLock::new(),
+            durations: Mutex::default(),
             revisions: Mutex::default(),
             uptime: Mutex::new(Uptime { since: now, last_tick: now }),
             outgoing,
@@ -334,6 +339,24 @@
         Some(self.now().saturating_duration_since(*since))
     }
 
+    /// Records the time from the arrival of a request that ran to its end.
+    pub(crate) fn record_duration(&self, route: &CompactString, duration: Duration) {
+        let (now, mut durations) = (self.now(), lock(&self.durations));
+        match durations.get_mut(route) {
+            Some(known) => known.record(now, duration),
+            None => {
+                // Routes that have been removed are forgotten here.
+                durations.retain(|_, known| !known.is_empty(now));
+                durations.entry(route.clone()).or_default().record(now, duration);
+            }
+        }
+    }
+
+    /// Returns the longest recent duration of a route's requests; `None` if too few are known.
+    pub(crate) fn longest_duration(&self, route: &CompactString) -> Option<Duration> {
+        lock(&self.durations).get_mut(route)?.longest(self.now())
+    }
+
     /// Adds a request's share to the retry budget of its service.
     pub(crate) fn earn_retry(&self, service: &id::Service) {
         let (now, bounds) = (self.now(), self.bounds());
--- a/crates/path/src/drain.rs
+++ b/crates/path/src/drain.rs
@@ -1,26 +1,32 @@
 //! The planned stop of a node.
 //!
 //! Callers may cache this node's address, so the node keeps serving after it has announced the
-//! stop, and closes each connection after the next response.
+//! stop, and closes each connection after the next response. It refuses requests that are expected
+//! to last longer than the rest of the grace period.
 
+use crate::config::Route;
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
 use crate::refusal::Refusal;
+use hickory_policy::drain::Arrival;
 use hickory_policy::refuse::{Ran, Reason};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use std::future::Future;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long a stopping node remains in cached directory responses: three times their maximum age,
 /// plus the time until its peers know of the stop.
-pub(crate) const CACHED_ADDRESS_LIFETIME: Duration = Duration::from_millis(3_400);
+const CACHED_ADDRESS_LIFETIME: Duration = Duration::from_millis(3_400);
 
 /// The part of the grace period that is reserved for the process to exit by itself before it is
 /// killed.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(500);
 
+/// The retry delay of a request that is refused; the caller then connects to another node.
+const RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// The interval for checking whether the last request has ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -46,21 +52,51 @@
         // The store may be unreachable, and the stop doesn't wait for it.
         tokio::spawn(async move { member.deregister().await });
     }
-    let started = core.now();
-    let max_drain_time = core.bounds().grace.saturating_sub(SHUTDOWN_RESERVE);
-    loop {
-        let elapsed = core.now().duration_since(started);
-        if elapsed >= max_drain_time
-            || (elapsed >= CACHED_ADDRESS_LIFETIME && core.active_requests() == 0)
-        {
+    while let Some(left) = grace_left(&core).filter(|left| !left.is_zero()) {
+        let elapsed = core.draining_time().unwrap_or_default();
+        if elapsed >= CACHED_ADDRESS_LIFETIME && core.active_requests() == 0 {
             break;
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
+        tokio::time::sleep(POLL_INTERVAL.min(left)).await;
     }
     log::info!(active = core.active_requests(); "planned stop done");
     core.stage.send_replace(Stage::Closed);
 }
 
+/// Returns how long requests may go on after a planned stop has begun; `None` before it.
+fn grace_left<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> Option<Duration> {
+    let max_drain_time = core.bounds().grace.saturating_sub(SHUTDOWN_RESERVE);
+    core.draining_time().map(|elapsed| max_drain_time.saturating_sub(elapsed))
+}
+
+/// Checks that a request can be expected to end before the node does.
+///
+/// # Errors
+///
+/// Returns the refusal of a request that can't.
+pub(crate) fn check<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    route: &Route,
+    deadline: Instant,
+) -> Result<(), Refusal> {
+    let Some(grace_left) = grace_left(core) else { return Ok(()) };
+    let now = core.now();
+    let arrival = Arrival {
+        time_left: deadline.saturating_duration_since(now),
+        longest: core.longest_duration(&route.name),
+        answer_goal: (!route.kind.is_stream()).then_some(route.goal),
+    };
+    if arrival.fits(grace_left) {
+        return Ok(());
+    }
+    let expected_ms = arrival.expected_time().as_millis();
+    let detail = format!(
+        "this node is stopping in {} ms, expected {expected_ms} ms",
+        grace_left.as_millis()
+    );
+    Err(Refusal::new(Reason::Draining, detail).with_retry_after(RETRY_AFTER))
+}
+
 /// Runs a part of a request unless the grace period ends first, and the request is then refused.
 ///
 /// # Errors
--- a/crates/path/src/serve.rs
+++ b/crates/path/src/serve.rs
@@ -5,7 +5,7 @@
 use crate::config::{Account, Configuration, Route};
 use crate::core::{ActiveRequest, Core};
 use crate::dialect::Dialect;
-use crate::drain::{self, CACHED_ADDRESS_LIFETIME};
+use crate::drain;
 use crate::holding::Holder;
 use crate::refusal::{Refusal, answer_refusal};
 use crate::reply::Reply;
@@ -41,9 +41,6 @@
 /// The retry delay if the node's configuration is outdated.
 const BEHIND_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// The retry delay if the node is stopping; the caller then connects to another one.
-const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
-
 /// A request that is ready to run.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -96,19 +93,13 @@
     let authorized =
         wait_for_authorization(core, arrived, configuration, parts.uri.path(), &head).await?;
     let Authorized { configuration, route, account } = authorized;
-    // A stream that begins this late would be cut off by the stop. After this refusal the caller
-    // asks the directory for another node.
-    if route.kind.is_stream()
-        && core.draining_time().is_some_and(|time| time > CACHED_ADDRESS_LIFETIME)
-    {
-        let refusal = Refusal::new(Reason::Draining, "this node is stopping");
-        return Err(refusal.with_retry_after(DRAINING_RETRY_AFTER));
-    }
     let body = read_body(body, configuration.limits.max_body, holder).await;
     let body = body.map_err(|refusal| defer_if_behind(core, refusal))?;
     let time = head.time_left.map_or(route.timeout, |time| time.min(route.timeout));
+    let deadline = arrived + time;
+    drain::check(core, &route, deadline)?;
     let message = Message { method: parts.method, uri: parts.uri, headers: parts.headers, body };
-    let (deadline, holder) = (arrived + time, holder.clone());
+    let holder = holder.clone();
     Ok(Job { configuration, route, account, head, message, arrived, deadline, holder })
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 //! and [`links`] tells a node's own broken links from broken targets.
 //! [`leave`] keeps the targets that state that they leave,
 //! and [`rest`] those that ask a node for rest. [`stall`] says when a silent target is given up.
+//! [`drain`] says which requests a stopping node still takes.
 //! [`part`] quarantines prompt parts under which engines crash.
 //! [`schedule`] plans the long prompts of patient services over time.
 //! [`survey`] summarizes a choice for the logs. [`baseline`] holds the simpler policies that the
@@ -24,6 +25,7 @@
 mod curve;
 pub mod directory;
 pub mod doubt;
+pub mod drain;
 pub mod ejection;
 pub mod engine;
 pub mod fair;
