A stopping node ends when its last answer is written

A slow caller lost its answer when its node was stopped: a request counted as ended when its answer was ready to be written, so that the process could end 3.5 s after SIGTERM with the answer unwritten, although the grace period went on.

The stop now has two more stages. Once no request is in flight, the node accepts no more connections or requests, closes idle connections and writes its last answers, until all connections are closed or the grace period ends; only then are requests interrupted.

--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -57,6 +57,10 @@
     Serving,
     /// The node is stopping: it serves requests that arrive, and directs callers to other nodes.
     Draining,
+    /// The node accepts no more connections or requests, and writes its last answers.
+    Closing,
+    /// The grace period has passed: the requests in flight are interrupted.
+    Interrupting,
     /// The node has stopped.
     Closed,
 }
@@ -114,6 +118,7 @@
     pub(crate) queue_notify: Notify,
     pub(crate) stage: watch::Sender<Stage>,
     active_requests: AtomicUsize,
+    open_connections: AtomicUsize,
     dialect: PhantomData<fn() -> D>,
 }
 
@@ -181,6 +186,7 @@
             queue_notify: Notify::new(),
             stage: watch::channel(Stage::Serving).0,
             active_requests: AtomicUsize::new(0),
+            open_connections: AtomicUsize::new(0),
             dialect: PhantomData,
         }
     }
@@ -418,10 +424,15 @@
         self.stage() == Stage::Serving && self.view().configuration.is_some()
     }
 
-    /// Returns the number of requests in flight.
+    /// Returns the number of requests in flight. An answer that is ready may not be written yet.
     pub(crate) fn active_requests(&self) -> usize {
         self.active_requests.load(Ordering::Relaxed)
     }
+
+    /// Returns the number of connections that the node has accepted and not closed.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.open_connections.load(Ordering::Relaxed)
+    }
 }
 
 fn open_membership(settings: &Settings, incarnation: id::Incarnation, now: Instant) -> Membership {
@@ -457,3 +468,20 @@
         self.0.active_requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// Counts an accepted connection as open until it is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenConnection<D: Dialect, S: Store, C: Clock>(Arc<Core<D, S, C>>);
+
+impl<D: Dialect, S: Store, C: Clock> OpenConnection<D, S, C> {
+    pub(crate) fn begin(core: &Arc<Core<D, S, C>>) -> Self {
+        core.open_connections.fetch_add(1, Ordering::Relaxed);
+        Self(core.clone())
+    }
+}
+
+impl<D: Dialect, S: Store, C: Clock> Drop for OpenConnection<D, S, C> {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/path/src/drain.rs
+++ b/crates/path/src/drain.rs
@@ -27,6 +27,9 @@
 /// The retry delay of a request that is refused; the caller then connects to another node.
 const RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// The part of that reserve in which interrupted requests get their final answers.
+const INTERRUPTION_TIME: Duration = Duration::from_millis(150);
+
 /// The interval for checking whether the last request has ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -52,15 +55,34 @@
         // The store may be unreachable, and the stop doesn't wait for it.
         tokio::spawn(async move { member.deregister().await });
     }
-    while let Some(left) = grace_left(&core).filter(|left| !left.is_zero()) {
+    let is_idle = || {
         let elapsed = core.draining_time().unwrap_or_default();
-        if elapsed >= CACHED_ADDRESS_LIFETIME && core.active_requests() == 0 {
-            break;
+        elapsed >= CACHED_ADDRESS_LIFETIME && core.active_requests() == 0
+    };
+    wait_until(&core, is_idle).await;
+    core.stage.send_replace(Stage::Closing);
+    // Slow callers may not have received the answers of requests that have ended.
+    wait_until(&core, || core.open_connections() == 0).await;
+    let (active, connections) = (core.active_requests(), core.open_connections());
+    if connections > 0 {
+        core.stage.send_replace(Stage::Interrupting);
+        tokio::time::sleep(INTERRUPTION_TIME).await;
+    }
+    log::info!(active, connections; "planned stop done");
+    core.stage.send_replace(Stage::Closed);
+}
+
+/// Waits for a condition, at most until the grace period has passed.
+async fn wait_until<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    is_met: impl Fn() -> bool,
+) {
+    while let Some(left) = grace_left(core).filter(|left| !left.is_zero()) {
+        if is_met() {
+            return;
         }
         tokio::time::sleep(POLL_INTERVAL.min(left)).await;
     }
-    log::info!(active = core.active_requests(); "planned stop done");
-    core.stage.send_replace(Stage::Closed);
 }
 
 /// Returns how long requests may go on after a planned stop has begun; `None` before it.
@@ -102,7 +124,7 @@
 /// # Errors
 ///
 /// Returns the refusal, or that of the request's part.
-pub(crate) async fn run_until_closed<D: Dialect, S: Store, C: Clock, T>(
+pub(crate) async fn run_until_interrupted<D: Dialect, S: Store, C: Clock, T>(
     core: &Core<D, S, C>,
     ran: Ran,
     part: impl Future<Output = Result<T, Refusal>>,
@@ -110,7 +132,7 @@
     tokio::select! {
         biased;
         result = part => result,
-        () = core.wait_for_stage(Stage::Closed) => {
+        () = core.wait_for_stage(Stage::Interrupting) => {
             core.metrics.count_stop_interruption();
             let refusal = Refusal::new(Reason::Draining, "interrupted by the stop of this node");
             Err(refusal.after_possible_run(ran == Ran::Unknown))
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -2,7 +2,7 @@
 //! that fetch items.
 
 use crate::config::Limits;
-use crate::core::{Core, Stage};
+use crate::core::{Core, OpenConnection, Stage};
 use crate::dialect::Dialect;
 use crate::holding::Holder;
 use crate::relay::{self, RELAY_PATH};
@@ -24,7 +24,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::watch;
 
 /// How long sent bytes may stay unacknowledged before the kernel closes a caller's connection. A
 /// middlebox may have dropped the connection's state without notice.
@@ -138,7 +137,6 @@
     A: Fn(Arc<Core<D, S, C>>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response<Reply>> + Send + 'static,
 {
-    let mut stage = core.stage.subscribe();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
@@ -151,16 +149,11 @@
                     tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
                 }
             },
-            () = wait_closed(&mut stage) => return,
+            () = core.wait_for_stage(Stage::Closing) => return,
         }
     }
 }
 
-async fn wait_closed(stage: &mut watch::Receiver<Stage>) {
-    // The sender lives as long as the node.
-    let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
-}
-
 async fn serve_connection<D, S, C, A, F>(
     core: Arc<Core<D, S, C>>,
     stream: TcpStream,
@@ -176,7 +169,8 @@
     // Both calls fail only if the connection is closed already.
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-    let mut stage = core.stage.subscribe();
+    let _open = OpenConnection::begin(&core);
+    let closing = core.clone();
     let holder = Holder::open(&core.holdings);
     let service = service_fn(|mut request: Request<Incoming>| {
         let holder = holder.clone();
@@ -204,7 +198,7 @@
     tokio::select! {
         // An error means that the caller closed the connection.
         _ = connection.as_mut() => return,
-        () = wait_closed(&mut stage) => {}
+        () = closing.wait_for_stage(Stage::Closing) => {}
         () = holder.chosen() => {
             if !holder.is_answering() {
                 // The request is being refused. An error means that this takes too long, and then
--- a/crates/path/src/serve.rs
+++ b/crates/path/src/serve.rs
@@ -70,7 +70,7 @@
         Ok(job) => {
             let prompt = job.head.prompt.map_or(Tokens(0), |prompt| prompt.tokens);
             let run = holder.run(Ran::Unknown, run::run(&core, job, active));
-            let outcome = drain::run_until_closed(&core, Ran::Unknown, run).await;
+            let outcome = drain::run_until_interrupted(&core, Ran::Unknown, run).await;
             outcome.map_err(|refusal| refusal.with_prompt(prompt))
         }
         Err(refusal) => Err(refusal),
--- a/crates/path/src/stream.rs
+++ b/crates/path/src/stream.rs
@@ -215,7 +215,7 @@
         loop {
             let end = tokio::select! {
                 end = self.relay_from(&mut reader, next.take()) => end,
-                () = core.wait_for_stage(Stage::Closed) => End::Stopped,
+                () = core.wait_for_stage(Stage::Interrupting) => End::Stopped,
             };
             match end {
                 End::Complete => {
@@ -243,7 +243,7 @@
                     let resumed = tokio::select! {
                         resumed = self.resume_elsewhere(&place, failure) => resumed,
                         () = out.closed() => None,
-                        () = core.wait_for_stage(Stage::Closed) => {
+                        () = core.wait_for_stage(Stage::Interrupting) => {
                             self.log_interrupted(&place);
                             None
                         }
