The expected time of a request follows its length and how slow its route is

The expected time is now that of the request itself: the goal of its first event and the decode time of its maximum answer, or of five times the length that its caller expects, on an engine in full use, times the largest recent ratio of real to such time on its route. A node that has answered no stream of a route yet expects its deadline.

--- a/apps/hickory-entry/tests/stop.rs
+++ b/apps/hickory-entry/tests/stop.rs
@@ -82,6 +82,9 @@
     for engine in harness.replicas.iter().filter(|replica| replica.service == "model") {
         engine.set_delay(STREAM_TIME);
     }
+    // The node knows only from earlier streams that engines are slower than configured.
+    let slow = caller::post(harness.callers, "/once/1", caller::MODEL_HEADERS, "").await;
+    assert_eq!(slow.status, 200);
     let mut connections = Vec::new();
     for _ in SEND_TIMES_MS {
         connections.push(harness.open_kept_connection().await);
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -1,5 +1,6 @@
 //! The state that all parts of a node share.
 
+use crate::config::Route;
 use crate::datagram::Outgoing;
 use crate::dialect::Dialect;
 use crate::fleet::{OwnerTimeouts, Uptime};
@@ -18,7 +19,7 @@
 use hickory_client::Client;
 use hickory_policy::cold::Cold;
 use hickory_policy::doubt::Doubt;
-use hickory_policy::drain::Durations;
+use hickory_policy::drain::{Nominal, Slowness};
 use hickory_policy::ejection::Ejection;
 use hickory_policy::leave::Leaving;
 use hickory_policy::links::{Links, Relays};
@@ -102,8 +103,8 @@
     /// Until when the store is presumed to be down, after it was last found to be.
     store_down_until: Mutex<Option<Instant>>,
     draining_since: OnceLock<Instant>,
-    /// The durations of requests, by route.
-    durations: Mutex<HashMap<CompactString, Durations>>,
+    /// How slow the requests of each route are.
+    slowness: Mutex<HashMap<CompactString, Slowness>>,
     pub(crate) revisions: Mutex<(Revision, Revision)>,
     /// How long this node has received reports of allocations without interruption.
     uptime: Mutex<Uptime>,
@@ -176,7 +177,7 @@
             is_store_unreachable: AtomicBool::new(false),
             store_down_until: Mutex::default(),
             draining_since: OnceLock::new(),
-            durations: Mutex::default(),
+            slowness: Mutex::default(),
             revisions: Mutex::default(),
             uptime: Mutex::new(Uptime { since: now, last_tick: now }),
             outgoing,
@@ -345,22 +346,23 @@
         Some(self.now().saturating_duration_since(*since))
     }
 
-    /// Records the time from the arrival of a request that ran to its end.
-    pub(crate) fn record_duration(&self, route: &CompactString, duration: Duration) {
-        let (now, mut durations) = (self.now(), lock(&self.durations));
-        match durations.get_mut(route) {
-            Some(known) => known.record(now, duration),
+    /// Records the time from the arrival of a request to the end of its answer.
+    pub(crate) fn record_duration(&self, route: &Route, nominal: Nominal, duration: Duration) {
+        let (now, mut slowness) = (self.now(), lock(&self.slowness));
+        match slowness.get_mut(&route.name) {
+            Some(known) => known.record(now, nominal, duration),
             None => {
                 // Routes that have been removed are forgotten here.
-                durations.retain(|_, known| !known.is_empty(now));
-                durations.entry(route.clone()).or_default().record(now, duration);
+                slowness.retain(|_, known| known.largest(now).is_some());
+                slowness.entry(route.name.clone()).or_default().record(now, nominal, duration);
             }
         }
     }
 
-    /// Returns the longest recent duration of a route's requests; `None` if too few are known.
-    pub(crate) fn longest_duration(&self, route: &CompactString) -> Option<Duration> {
-        lock(&self.durations).get_mut(route)?.longest(self.now())
+    /// Returns the largest recent time of a route's requests as a multiple of what was known of it;
+    /// `None` if none was answered.
+    pub(crate) fn slowness(&self, route: &Route) -> Option<f64> {
+        lock(&self.slowness).get_mut(&route.name)?.largest(self.now())
     }
 
     /// Adds a request's share to the retry budget of its service.
--- a/crates/path/src/drain.rs
+++ b/crates/path/src/drain.rs
@@ -4,17 +4,17 @@
 //! stop, and closes each connection after the next response. It refuses requests that are expected
 //! to last longer than the rest of the grace period.
 
-use crate::config::Route;
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
 use crate::refusal::Refusal;
-use hickory_policy::drain::Arrival;
+use crate::serve::Job;
+use hickory_policy::drain::Nominal;
 use hickory_policy::refuse::{Ran, Reason};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use std::future::Future;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How long a stopping node remains in cached directory responses: three times their maximum age,
 /// plus the time until its peers know of the stop.
@@ -98,27 +98,37 @@
 /// Returns the refusal of a request that can't.
 pub(crate) fn check<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
-    route: &Route,
-    deadline: Instant,
+    job: &Job,
 ) -> Result<(), Refusal> {
     let Some(grace_left) = grace_left(core) else { return Ok(()) };
-    let now = core.now();
-    let arrival = Arrival {
-        time_left: deadline.saturating_duration_since(now),
-        longest: core.longest_duration(&route.name),
-        answer_goal: (!route.kind.is_stream()).then_some(route.goal),
-    };
-    if arrival.fits(grace_left) {
+    let time_left = job.deadline.saturating_duration_since(core.now());
+    let expected = job.nominal().expected_time(core.slowness(&job.route), time_left);
+    if expected <= grace_left {
         return Ok(());
     }
-    let expected_ms = arrival.expected_time().as_millis();
-    let detail = format!(
-        "this node is stopping in {} ms, expected {expected_ms} ms",
-        grace_left.as_millis()
-    );
+    let (left_ms, expected_ms) = (grace_left.as_millis(), expected.as_millis());
+    let detail = format!("this node stops in {left_ms} ms, the request may take {expected_ms} ms");
     Err(Refusal::new(Reason::Draining, detail).with_retry_after(RETRY_AFTER))
 }
 
+impl Job {
+    /// Returns what is known of the time that the request takes.
+    pub(crate) fn nominal(&self) -> Nominal {
+        if !self.route.kind.is_stream() {
+            return Nominal::Answer(self.route.goal);
+        }
+        let services = self.route.split.iter();
+        let mut profiles =
+            services.filter_map(|(name, _)| self.configuration.services.get(name)?.engine.as_ref());
+        match (self.head.prompt, profiles.next()) {
+            (Some(prompt), Some(profile)) => {
+                Nominal::stream(self.route.goal, profile, prompt.max_answer, prompt.expected_answer)
+            }
+            _ => Nominal::Unknown,
+        }
+    }
+}
+
 /// Runs a part of a request unless the grace period ends first, and the request is then refused.
 ///
 /// # Errors
--- a/crates/path/src/record.rs
+++ b/crates/path/src/record.rs
@@ -89,6 +89,9 @@
 
     /// Counts and logs a request that was answered completely.
     pub(crate) fn log_answered(&self, place: &Place<D, S, C>, status: StatusCode) {
+        if status.is_success() && self.counted_sends == 1 {
+            self.core.record_duration(&self.job.route, self.job.nominal(), self.age());
+        }
         self.core.metrics.observe_answer(self.work, self.age());
         log::info!(
             request = self.job.head.attempt.as_str(),
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -364,16 +364,6 @@
     }
 }
 
-impl<D: Dialect, S: Store, C: Clock> Drop for Run<D, S, C> {
-    /// Records how long the request took, whatever its outcome. A request that reached no target
-    /// says nothing.
-    fn drop(&mut self) {
-        if self.counted_sends > 0 {
-            self.core.record_duration(&self.job.route.name, self.age());
-        }
-    }
-}
-
 /// The numerically largest priority that engines distinguish. With two urgencies for each, these
 /// are the ten urgencies of an engine.
 const MAX_URGENCY_PRIORITY: u32 = 4;
--- a/crates/path/src/serve.rs
+++ b/crates/path/src/serve.rs
@@ -96,11 +96,11 @@
     let body = read_body(body, configuration.limits.max_body, holder).await;
     let body = body.map_err(|refusal| defer_if_behind(core, refusal))?;
     let time = head.time_left.map_or(route.timeout, |time| time.min(route.timeout));
-    let deadline = arrived + time;
-    drain::check(core, &route, deadline)?;
     let message = Message { method: parts.method, uri: parts.uri, headers: parts.headers, body };
-    let holder = holder.clone();
-    Ok(Job { configuration, route, account, head, message, arrived, deadline, holder })
+    let (deadline, holder) = (arrived + time, holder.clone());
+    let job = Job { configuration, route, account, head, message, arrived, deadline, holder };
+    drain::check(core, &job)?;
+    Ok(job)
 }
 
 /// A request's route and account under a configuration.
