A stream that a planned stop cuts off does not look complete

Callers of streams that outlasted the grace period got the end of a whole answer after a part of the events. The relay that ends with the grace period dropped its channel, which ends the body as if nothing were missing. It now passes on that the stream is interrupted, as at a deadline.

--- a/apps/hickory-entry/tests/stop.rs
+++ b/apps/hickory-entry/tests/stop.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::Daemon;
-use hickory_adapter_standin::caller::{self, Response};
+use hickory_adapter_standin::caller::{self, Draft, Response};
 use hickory_adapter_standin::replica::{Action, Replica};
 use hickory_adapter_standin::store::Store;
 use hickory_adapter_standin::{CONFIG, entry_key, settings};
@@ -137,3 +137,26 @@
     let answer = caller::read(&mut connection).await;
     assert_eq!((answer.status, answer.body.len(), answer.is_complete), (200, BODY_BYTES, true));
 }
+
+/// Guards against a stream that is cut off at the end of the grace period and looks complete.
+#[tokio::test]
+async fn a_stream_that_outlasts_the_grace_period_does_not_look_complete() {
+    let harness = Harness::open("stop-cut").await;
+    let draft = Draft {
+        attempt: "outlasts",
+        method: "POST",
+        path: "/long/80x100",
+        key: "key-1",
+        deadline: GRACE * 2,
+        output_tokens: 8_000,
+        parts: "5c1e07a2:800",
+    };
+    let mut connection = TcpStream::connect(harness.callers).await.unwrap();
+    connection.write_all(draft.to_string().as_bytes()).await.unwrap();
+    connection.readable().await.unwrap();
+    harness.terminate();
+    let answer = caller::read(&mut connection).await;
+    let events = answer.event_ids();
+    assert!(!events.is_empty() && events.len() < 80, "{events:?}");
+    assert!(!answer.is_complete, "complete after {} of 80 events", events.len());
+}
--- a/crates/path/src/stream.rs
+++ b/crates/path/src/stream.rs
@@ -236,6 +236,7 @@
                 }
                 End::Stopped => {
                     self.log_interrupted(&place);
+                    let _ = self.out.send(Err(Interrupted)).await;
                     break;
                 }
                 End::Failed(failure) => {
