Keep a silent target until another one has begun to answer

Callers saw streams cut off ("given up on: target said 503"), and 500, 502 or 504 in place of an answer, because their target paused for about a second.

Cause: a target that was silent for the stall timeout was abandoned, and its connection closed, before another one was known to take the request. If the others were full, failing, crashed, draining or silent as well, the answer was lost although the first target would have gone on. If no other target was left, the request was sent to the pausing one a second time.

A silent target now stays open while others are tried one after the other. The first that sends its next event goes on with the stream, and the connections to the others are closed. If no other target takes the request, the silent one is waited for until the deadline. The conditions for trying another target are the same: the kind of the request, the route's limit of targets, the retry budget. A target that is still silent isn't sent the request again. The first event belongs to the attempt now, so that one stall timeout covers the response's head and the first event; before, it began anew with the head.

--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -4,7 +4,9 @@
 use crate::dialect::{Dialect, Helper, ResponseHead, TargetRequest};
 use crate::links::{self, CallError, ConnectError};
 use crate::place::Place;
+use crate::serve::Job;
 use crate::statement::{self, Answer, Source};
+use crate::stream::{Next, Reader};
 use crate::view::Tag;
 use bytes::Bytes;
 use derive_more::Display;
@@ -43,6 +45,8 @@
     pub(crate) helpers: &'a [Helper],
     /// Whether the request may run only once.
     pub(crate) is_non_repeatable: bool,
+    /// Whether the caller has already received a part of the stream.
+    pub(crate) is_resumed: bool,
 }
 
 /// Why an attempt failed.
@@ -73,7 +77,7 @@
     /// No response arrived before the deadline.
     #[display("timeout")]
     DeadlineExceeded,
-    /// The target was silent for too long, and a retry has been spent to try another one.
+    /// The target was silent for too long, and a retry has been spent to try another one beside it.
     #[display("stalled")]
     Stalled,
 }
@@ -104,8 +108,49 @@
     pub(crate) head: ResponseHead,
 }
 
+/// The beginning of an answer.
+#[derive(Debug)]
+pub(crate) enum Start {
+    /// The head of a response whose body is buffered.
+    Head(OpenResponse),
+    /// The first events of a stream.
+    Events(Reader, Next),
+}
+
+impl Start {
+    /// Returns the status of the answer.
+    pub(crate) fn status(&self) -> StatusCode {
+        match self {
+            Self::Head(response) => response.exchange.head.status,
+            Self::Events(reader, _) => reader.exchange.head.status,
+        }
+    }
+}
+
+/// Sends a request and waits for the beginning of the answer: the head of the response, or the
+/// first events of a stream.
+pub(crate) async fn begin<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    job: &Job,
+    place: &Place<D, S, C>,
+    parameters: &Parameters<'_>,
+) -> Result<Start, Failure> {
+    let response = send(core, &job.message, place, parameters).await?;
+    let is_success = response.exchange.head.status.is_success();
+    if parameters.is_resumed && !is_success {
+        return Err(Failure::InvalidAnswer("it failed the resume"));
+    }
+    if !job.route.kind.is_stream() || !is_success {
+        return Ok(Start::Head(response));
+    }
+    let max_event = core.bounds().sizes.max_event;
+    let mut reader = Reader::open(response, parameters.resume_after, max_event, &job.holder);
+    let first = reader.next().await?;
+    Ok(Start::Events(reader, first))
+}
+
 /// Sends a request and waits for the head of the response.
-pub(crate) async fn send<D: Dialect, S: Store, C: Clock>(
+async fn send<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     message: &Message,
     place: &Place<D, S, C>,
--- a/crates/path/src/failure.rs
+++ b/crates/path/src/failure.rs
@@ -77,12 +77,8 @@
                     .with_retry_after(OVERLOADED_RETRY_AFTER);
                 return Err(refusal.after_possible_run(self.may_have_run));
             }
-            Failure::Stalled => {
-                self.may_have_run = true;
-                return Ok(());
-            }
             Failure::OutcomeUnknown(_) => self.examine_target(place).await?,
-            Failure::InvalidAnswer(_) | Failure::DeadlineExceeded => {}
+            Failure::InvalidAnswer(_) | Failure::DeadlineExceeded | Failure::Stalled => {}
         }
         self.may_have_run = true;
         if self.time_left().is_zero() {
@@ -127,6 +123,22 @@
         Ok(())
     }
 
+    /// Records that a target is silent and that another one is tried beside it.
+    pub(crate) fn note_stalled(&mut self, place: &Place<D, S, C>) {
+        self.note_failure(place, &Failure::Stalled);
+        self.core.metrics.count_retry(Failure::Stalled.reason());
+        self.may_have_run = true;
+    }
+
+    /// Records the failure of a target whose answer another one goes on with.
+    pub(crate) async fn note_replaced(&mut self, place: &Place<D, S, C>, failure: &Failure) {
+        self.note_failure(place, failure);
+        if let Failure::OutcomeUnknown(_) = failure {
+            // The answer goes on even if the request is now known to crash targets.
+            let _ = self.examine_target(place).await;
+        }
+    }
+
     /// Records what a failed attempt says of the target. Where its own link may be at fault, this
     /// node finds that out first.
     fn note_failure(&self, place: &Place<D, S, C>, failure: &Failure) {
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -54,6 +54,7 @@
 mod schedule;
 mod serve;
 pub mod settings;
+mod silence;
 mod statement;
 mod store_watch;
 mod stream;
--- a/crates/path/src/record.rs
+++ b/crates/path/src/record.rs
@@ -87,6 +87,18 @@
         );
     }
 
+    /// Logs that the request keeps waiting for a silent target.
+    pub(crate) fn log_kept(&self, place: &Place<D, S, C>, why: &str) {
+        log::info!(
+            request = self.job.head.attempt.as_str(),
+            target_id = place.target.id.as_str(),
+            last_event = self.resume_after.unwrap_or_default(),
+            sends = self.counted_sends,
+            age_ms = self.age().as_millis() as u64;
+            "waits for the silent target: {why}"
+        );
+    }
+
     /// Counts and logs a request that was answered completely.
     pub(crate) fn log_answered(&self, place: &Place<D, S, C>, status: StatusCode) {
         if status.is_success() && self.counted_sends == 1 {
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -1,18 +1,19 @@
 //! Runs a request: makes attempts until a target answers or the request is refused.
 
 use crate::ask;
-use crate::attempt::{self, Failure, OpenResponse, Parameters};
+use crate::attempt::{self, Failure, OpenResponse, Parameters, Start};
 use crate::body::{self, Blocks};
 use crate::core::{ActiveRequest, Core};
 use crate::death::compute_fingerprint;
 use crate::dialect::Dialect;
 use crate::part;
 use crate::place::Place;
-use crate::placement::Rejection;
+use crate::placement::{RejectReason, Rejection};
 use crate::refusal::Refusal;
 use crate::reply::{self, Reply};
 use crate::reservation::Reservations;
 use crate::serve::Job;
+use crate::silence::Winner;
 use crate::stream;
 use crate::view::Tag;
 use hickory_client::Exchange;
@@ -27,6 +28,7 @@
 use hickory_unit::id;
 use http::{Response, StatusCode};
 use std::future::Future;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -34,7 +36,7 @@
 #[derive(Debug)]
 pub(crate) struct Run<D: Dialect, S: Store, C: Clock> {
     pub(crate) core: Arc<Core<D, S, C>>,
-    pub(crate) job: Job,
+    pub(crate) job: Arc<Job>,
     pub(crate) service: id::Service,
     /// The whole request, which its repetitions share.
     pub(crate) whole: Part,
@@ -46,6 +48,8 @@
     pub(crate) unsent_attempts: u32,
     pub(crate) not_run_attempts: u32,
     pub(crate) tried: Vec<Tag>,
+    /// Targets that are silent and may still answer.
+    pub(crate) silent: Vec<Tag>,
     /// Whether a target has died while it ran the request. The first death doesn't count as a send.
     pub(crate) has_target_died: bool,
     /// Whether the request may have run.
@@ -90,7 +94,7 @@
     };
     let run = Run {
         core: core.clone(),
-        job,
+        job: Arc::new(job),
         service,
         whole,
         parts,
@@ -99,6 +103,7 @@
         unsent_attempts: 0,
         not_run_attempts: 0,
         tried: Vec::new(),
+        silent: Vec::new(),
         has_target_died: false,
         may_have_run: false,
         sent_at: core.now(),
@@ -125,7 +130,10 @@
     /// Runs a request whose answer is buffered and passed on in one piece.
     async fn run_buffered(mut self) -> Result<Response<Reply>, Refusal> {
         loop {
-            let (response, place) = self.open_response().await?;
+            let (start, place) = self.begin_answer().await?;
+            let Start::Head(response) = start else {
+                return Err(Refusal::new(Reason::TargetFailed, "events outside of a stream"));
+            };
             self.writing_since = Some(self.core.now());
             match self.read_body(response).await {
                 Ok((exchange, keep_alive, body)) => {
@@ -146,11 +154,9 @@
         }
     }
 
-    /// Sends the request to targets until one responds. A failed attempt is repeated at another
+    /// Sends the request to targets until one answers. A failed attempt is repeated at another
     /// target if that is allowed.
-    pub(crate) async fn open_response(
-        &mut self,
-    ) -> Result<(OpenResponse, Place<D, S, C>), Refusal> {
+    pub(crate) async fn begin_answer(&mut self) -> Result<(Start, Place<D, S, C>), Refusal> {
         loop {
             let place = self.choose_place().await?;
             // Parts may have been quarantined since the request arrived or was last sent.
@@ -161,6 +167,11 @@
             if time_left.is_zero() {
                 return Err(self.refuse_deadline_exceeded());
             }
+            // It is granted again if no other target is left.
+            if self.silent.contains(&place.target.tag) {
+                let refusal = Refusal::rejected(RejectReason::NoTarget);
+                return Err(refusal.after_possible_run(self.may_have_run));
+            }
             self.log_placed(&place);
             let reservations = match Reservations::reserve(&self.core, &place).await {
                 Ok(reservations) => reservations,
@@ -170,22 +181,33 @@
                     continue;
                 }
             };
+            let (core, job) = (self.core.clone(), self.job.clone());
             let helpers = reservations.helpers(&place);
             let parameters = Parameters {
-                attempt: &self.job.head.attempt,
-                account: self.job.account.as_ref().map(|account| &account.name),
+                attempt: &job.head.attempt,
+                account: job.account.as_ref().map(|account| &account.name),
                 time_left,
                 urgency: Some(self.urgency(&place)),
                 resume_after: self.resume_after,
                 helpers: &helpers,
-                is_non_repeatable: !self.job.route.kind.is_repeatable(),
+                is_non_repeatable: !job.route.kind.is_repeatable(),
+                is_resumed: self.first_event_time.is_some(),
             };
             self.counted_sends += 1;
             self.tried.push(place.target.tag);
             (self.sent_at, self.writing_since) = (self.core.now(), None);
-            let sent = attempt::send(&self.core, &self.job.message, &place, &parameters);
-            match self.wait_for_first(&place, sent).await {
-                Ok(response) => return Ok((response, place.with_reservations(reservations))),
+            let outcome = {
+                let mut answer = pin!(attempt::begin(&core, &job, &place, &parameters));
+                match self.wait_until_stalled(&place, answer.as_mut()).await {
+                    Some(outcome) => outcome.map(Winner::Same),
+                    None => self.race(&place, answer).await,
+                }
+            };
+            match outcome {
+                Ok(Winner::Same(start)) => {
+                    return Ok((start, place.with_reservations(reservations)));
+                }
+                Ok(Winner::Other(other)) => return Ok(*other),
                 Err(failure) => self.handle_failure(&place, failure).await?,
             }
         }
@@ -269,36 +291,33 @@
         self.job.deadline.saturating_duration_since(self.core.now())
     }
 
-    /// Waits for the first response or event of a target, until the deadline or until another
-    /// target should be tried.
-    pub(crate) async fn wait_for_first<T>(
+    /// Waits for the beginning of an answer until the deadline; returns `None` if another target is
+    /// to be tried before.
+    async fn wait_until_stalled(
         &self,
         place: &Place<D, S, C>,
-        first: impl Future<Output = Result<T, Failure>>,
-    ) -> Result<T, Failure> {
+        mut answer: Pin<&mut impl Future<Output = Result<Start, Failure>>>,
+    ) -> Option<Result<Start, Failure>> {
         let wait = Wait {
             expected_time: place.expected_time,
             goal: self.job.route.goal,
             is_patient: self.job.route.is_patient(),
             time_left: self.time_left(),
         };
-        let mut first = std::pin::pin!(first);
         if let Some(stall_timeout) = wait.stall_timeout() {
-            if let Ok(first) = tokio::time::timeout(stall_timeout, &mut first).await {
-                return first;
+            if let Ok(outcome) = tokio::time::timeout(stall_timeout, answer.as_mut()).await {
+                return Some(outcome);
             }
-            if self.try_abandon_stalled() {
-                return Err(Failure::Stalled);
+            if self.spend_retry_for_silent() {
+                return None;
             }
         }
-        let left = self.time_left();
-        tokio::time::timeout(left, first).await.unwrap_or(Err(Failure::DeadlineExceeded))
+        let outcome = tokio::time::timeout(self.time_left(), answer).await;
+        Some(outcome.unwrap_or(Err(Failure::DeadlineExceeded)))
     }
 
-    /// Decides whether to abandon a silent target for another one, and spends a retry if so.
-    /// Without a retry the request keeps waiting: the target may go on, and abandoning it would
-    /// lose the answer.
-    pub(crate) fn try_abandon_stalled(&self) -> bool {
+    /// Decides whether to try another target beside a silent one, and spends a retry if so.
+    pub(crate) fn spend_retry_for_silent(&self) -> bool {
         self.can_retry() && self.spend_retry()
     }
 
--- a/crates/path/src/stream.rs
+++ b/crates/path/src/stream.rs
@@ -1,7 +1,7 @@
 //! Relays event streams as complete events arrive, and resumes an interrupted stream at another
 //! target.
 
-use crate::attempt::{Failure, OpenResponse};
+use crate::attempt::{Failure, OpenResponse, Start};
 use crate::core::{ActiveRequest, Stage};
 use crate::dialect::Dialect;
 use crate::event;
@@ -10,6 +10,7 @@
 use crate::refusal::Refusal;
 use crate::reply::{Interrupted, Reply};
 use crate::run::{Run, take_head};
+use crate::silence::Winner;
 use bytes::Bytes;
 use hickory_client::Exchange;
 use hickory_store::store::Store;
@@ -17,6 +18,7 @@
 use hickory_unit::size;
 use http::{Response, StatusCode, header};
 use http_body_util::BodyExt;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -33,7 +35,7 @@
 
 /// Complete events that arrived together.
 #[derive(Debug)]
-struct Chunk {
+pub(crate) struct Chunk {
     bytes: Bytes,
     first_id: Option<u64>,
     last_id: Option<u64>,
@@ -41,7 +43,7 @@
 
 /// The next item of a stream.
 #[derive(Debug)]
-enum Next {
+pub(crate) enum Next {
     Chunk(Chunk),
     /// The target ended the stream.
     End,
@@ -49,8 +51,8 @@
 
 /// Reads complete events from a target.
 #[derive(Debug)]
-struct Reader {
-    exchange: Exchange,
+pub(crate) struct Reader {
+    pub(crate) exchange: Exchange,
     keep_alive: Option<Duration>,
     buffer: event::Buffer,
     /// Counts the buffer.
@@ -61,7 +63,7 @@
 }
 
 impl Reader {
-    fn open(
+    pub(crate) fn open(
         response: OpenResponse,
         resume_after: Option<u64>,
         max_event: size::Bytes,
@@ -83,7 +85,7 @@
         }
     }
 
-    async fn next(&mut self) -> Result<Next, Failure> {
+    pub(crate) async fn next(&mut self) -> Result<Next, Failure> {
         loop {
             match self.exchange.body.frame().await {
                 Some(Ok(frame)) => {
@@ -120,35 +122,19 @@
     (first, last)
 }
 
-impl<D: Dialect, S: Store, C: Clock> Run<D, S, C> {
-    /// Begins to read the events of a response.
-    fn read_events(&self, response: OpenResponse) -> Reader {
-        let max_event = self.core.bounds().sizes.max_event;
-        Reader::open(response, self.resume_after, max_event, &self.job.holder)
-    }
-}
-
 /// Runs a stream until its first event; the rest follows in the response body.
 pub(crate) async fn run<D: Dialect, S: Store, C: Clock>(
     mut run: Run<D, S, C>,
     active: ActiveRequest<D, S, C>,
 ) -> Result<Response<Reply>, Refusal> {
     loop {
-        let (response, place) = run.open_response().await?;
-        let status = response.exchange.head.status;
-        if !status.is_success() {
-            match deliver_error(&mut run, response, &place, status).await {
+        let (start, place) = run.begin_answer().await?;
+        let (mut reader, first) = match start {
+            Start::Events(reader, first) => (reader, first),
+            Start::Head(response) => match deliver_error(&mut run, response, &place).await {
                 Some(answer) => return answer,
                 None => continue,
-            }
-        }
-        let mut reader = run.read_events(response);
-        let first = match run.wait_for_first(&place, reader.next()).await {
-            Ok(first) => first,
-            Err(failure) => {
-                run.handle_failure(&place, failure).await?;
-                continue;
-            }
+            },
         };
         place.begin_decode();
         run.writing_since = Some(run.core.now());
@@ -172,8 +158,8 @@
     run: &mut Run<D, S, C>,
     response: OpenResponse,
     place: &Place<D, S, C>,
-    status: StatusCode,
 ) -> Option<Result<Response<Reply>, Refusal>> {
+    let status = response.exchange.head.status;
     run.note_response(place, status);
     if status.is_server_error() && run.can_retry() && run.spend_retry() {
         run.log_failed_attempt(place, &format!("status {status}"));
@@ -196,7 +182,7 @@
 }
 
 /// How reading from one target ended.
-enum End {
+enum End<D: Dialect, S: Store, C: Clock> {
     /// The stream is complete.
     Complete,
     /// The caller closed the connection.
@@ -205,19 +191,37 @@
     DeadlineExceeded,
     /// The grace period of a planned stop ended.
     Stopped,
+    /// The target was silent, and another one goes on.
+    Replaced(Box<Resumed<D, S, C>>),
     /// The target failed.
     Failed(Failure),
 }
 
+/// A stream that another target goes on with.
+struct Resumed<D: Dialect, S: Store, C: Clock> {
+    reader: Reader,
+    place: Place<D, S, C>,
+    first: Next,
+}
+
+impl<D: Dialect, S: Store, C: Clock> Resumed<D, S, C> {
+    fn new(start: Start, place: Place<D, S, C>) -> Result<Self, Failure> {
+        match start {
+            Start::Events(reader, first) => Ok(Self { reader, place, first }),
+            Start::Head(_) => Err(Failure::InvalidAnswer("it failed the resume")),
+        }
+    }
+}
+
 impl<D: Dialect, S: Store, C: Clock> Relay<D, S, C> {
     async fn run(mut self, mut reader: Reader, mut place: Place<D, S, C>, first: Next) {
-        let (core, mut next) = (self.run.core.clone(), Some(first));
+        let (core, mut next) = (self.run.core.clone(), first);
         loop {
             let end = tokio::select! {
-                end = self.relay_from(&mut reader, next.take()) => end,
+                end = self.relay_from(&mut reader, &place, next) => end,
                 () = core.wait_for_stage(Stage::Interrupting) => End::Stopped,
             };
-            match end {
+            let resumed = match end {
                 End::Complete => {
                     self.run.note_written(true);
                     self.run.note_response(&place, StatusCode::OK);
@@ -239,26 +243,27 @@
                     let _ = self.out.send(Err(Interrupted)).await;
                     break;
                 }
+                End::Replaced(resumed) => Some(*resumed),
                 End::Failed(failure) => {
                     let out = self.out.clone();
-                    let resumed = tokio::select! {
+                    tokio::select! {
                         resumed = self.resume_elsewhere(&place, failure) => resumed,
                         () = out.closed() => None,
                         () = core.wait_for_stage(Stage::Interrupting) => {
                             self.log_interrupted(&place);
                             None
                         }
-                    };
-                    let Some((next_reader, next_place, first)) = resumed else {
-                        // Sending fails if the caller has closed the connection.
-                        let _ = self.out.send(Err(Interrupted)).await;
-                        break;
-                    };
-                    reader = next_reader;
-                    place = next_place;
-                    next = Some(first);
+                    }
                 }
-            }
+            };
+            let Some(resumed) = resumed else {
+                // Sending fails if the caller has closed the connection.
+                let _ = self.out.send(Err(Interrupted)).await;
+                break;
+            };
+            Resumed { reader, place, first: next } = resumed;
+            place.begin_decode();
+            self.run.writing_since = Some(self.run.core.now());
         }
         drop(self.active);
     }
@@ -282,23 +287,17 @@
     }
 
     /// Relays events from one target.
-    async fn relay_from(&mut self, reader: &mut Reader, first: Option<Next>) -> End {
-        let mut ready = first;
-        let mut last_event_time = self.run.core.now();
+    async fn relay_from(
+        &mut self,
+        reader: &mut Reader,
+        place: &Place<D, S, C>,
+        first: Next,
+    ) -> End<D, S, C> {
+        let mut next = first;
         loop {
-            let next = match ready.take() {
-                Some(next) => next,
-                None => match self.read_next(reader).await {
-                    Ok(next) => next,
-                    Err(end) => return end,
-                },
-            };
-            let now = self.run.core.now();
             self.run.note_written(false);
-            self.run.longest_pause =
-                self.run.longest_pause.max(now.duration_since(last_event_time));
-            last_event_time = now;
-            self.run.last_event_at = Some(now);
+            self.run.longest_pause = self.run.longest_pause.max(self.run.pause());
+            self.run.last_event_at = Some(self.run.core.now());
             let chunk = match next {
                 Next::Chunk(chunk) => chunk,
                 Next::End => return End::Complete,
@@ -312,10 +311,18 @@
                 return End::CallerGone;
             }
             self.run.resume_after = chunk.last_id.or(self.run.resume_after);
+            next = match self.read_next(reader, place).await {
+                Ok(next) => next,
+                Err(end) => return end,
+            };
         }
     }
 
-    async fn read_next(&self, reader: &mut Reader) -> Result<Next, End> {
+    async fn read_next(
+        &mut self,
+        reader: &mut Reader,
+        place: &Place<D, S, C>,
+    ) -> Result<Next, End<D, S, C>> {
         let max_gap = self.run.job.route.event_gap_goal.unwrap_or(MIN_STREAM_STALL_TIMEOUT);
         let mut stall_timeout = Some((max_gap * STALL_GAP_MULTIPLE).max(MIN_STREAM_STALL_TIMEOUT));
         loop {
@@ -329,45 +336,51 @@
             if limit == left {
                 return Err(End::DeadlineExceeded);
             }
-            if self.run.try_abandon_stalled() {
-                return Err(End::Failed(Failure::Stalled));
+            if self.run.spend_retry_for_silent() {
+                return self.race(reader, place).await;
             }
             stall_timeout = None;
         }
     }
 
+    /// Waits for the next events of a silent target, and tries other targets meanwhile.
+    async fn race(
+        &mut self,
+        reader: &mut Reader,
+        place: &Place<D, S, C>,
+    ) -> Result<Next, End<D, S, C>> {
+        let next = pin!(reader.next());
+        let winner = tokio::select! {
+            winner = self.run.race(place, next) => winner,
+            () = self.out.closed() => return Err(End::CallerGone),
+        };
+        match winner {
+            Ok(Winner::Same(next)) => Ok(next),
+            Ok(Winner::Other(other)) => {
+                let (start, place) = *other;
+                let resumed = Resumed::new(start, place).map(Box::new);
+                Err(resumed.map_or_else(End::Failed, End::Replaced))
+            }
+            Err(Failure::DeadlineExceeded) => Err(End::DeadlineExceeded),
+            Err(failure) => Err(End::Failed(failure)),
+        }
+    }
+
     /// Resumes the stream at another target.
     async fn resume_elsewhere(
         &mut self,
         place: &Place<D, S, C>,
         failure: Failure,
-    ) -> Option<(Reader, Place<D, S, C>, Next)> {
-        let mut outcome = self.run.handle_failure(place, failure).await;
-        loop {
-            if let Err(refusal) = outcome {
+    ) -> Option<Resumed<D, S, C>> {
+        let started = match self.run.handle_failure(place, failure).await {
+            Ok(()) => self.run.begin_answer().await,
+            Err(refusal) => Err(refusal),
+        };
+        match started {
+            Ok((start, place)) => Resumed::new(start, place).ok(),
+            Err(refusal) => {
                 self.log(place, &format!("given up on: {}", refusal.detail));
-                return None;
-            }
-            let (response, next_place) = match self.run.open_response().await {
-                Ok(response) => response,
-                Err(refusal) => {
-                    outcome = Err(refusal);
-                    continue;
-                }
-            };
-            if !response.exchange.head.status.is_success() {
-                let failure = Failure::InvalidAnswer("it failed the resume");
-                outcome = self.run.handle_failure(&next_place, failure).await;
-                continue;
-            }
-            let mut reader = self.run.read_events(response);
-            match self.run.wait_for_first(&next_place, reader.next()).await {
-                Ok(first) => {
-                    next_place.begin_decode();
-                    self.run.writing_since = Some(self.run.core.now());
-                    return Some((reader, next_place, first));
-                }
-                Err(failure) => outcome = self.run.handle_failure(&next_place, failure).await,
+                None
             }
         }
     }
--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -1,4 +1,4 @@
-//! Decides when a target that has sent nothing is abandoned for another one.
+//! Decides when another target is tried beside one that has sent nothing.
 //!
 //! Load pattern: the host of an engine loses power while the engine prefills a prompt. The
 //! connection stays open and silent, so that only the time tells.
