The daemon reads its settings before it stops

Callers' streams were cut off and processes killed when a settings file with a shorter grace period came just before SIGTERM, and with a longer one the node stopped too soon. The daemon took a change over with SIGHUP or within 5 s, and of SIGHUP and SIGTERM that are both pending it picked one at random. It now reads the file before it begins to stop.

--- a/apps/hickory-entry/src/main.rs
+++ b/apps/hickory-entry/src/main.rs
@@ -75,12 +75,14 @@
     let mut active = settings.clone();
     let node: Node<Platform, _, _> = Node::spawn(settings, store, clock::BootTime::start()).await?;
     loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hang_up.recv() => {}
-            () = tokio::time::sleep(SETTINGS_POLL_INTERVAL) => {}
-        }
+        let is_stopping = tokio::select! {
+            _ = terminate.recv() => true,
+            _ = interrupt.recv() => true,
+            _ = hang_up.recv() => false,
+            () = tokio::time::sleep(SETTINGS_POLL_INTERVAL) => false,
+        };
+        // The settings are read on each of these: the grace period that counts from SIGTERM may
+        // just have changed.
         match read_settings(path) {
             Ok(settings) if settings.bounds != active.bounds => {
                 log::info!("settings taken over");
@@ -90,6 +92,9 @@
             Ok(_) => {}
             Err(error) => log::error!("can't read the settings: {error}"),
         }
+        if is_stopping {
+            break;
+        }
     }
     node.drain();
     node.closed().await;
--- a/apps/hickory-entry/tests/common/mod.rs
+++ b/apps/hickory-entry/tests/common/mod.rs
@@ -9,6 +9,7 @@
 /// A daemon process and its log file.
 pub struct Daemon {
     pub process: Child,
+    pub settings_file: PathBuf,
     log: PathBuf,
 }
 
@@ -33,7 +34,7 @@
             .stdin(Stdio::null())
             .spawn()
             .unwrap();
-        let daemon = Self { process, log };
+        let daemon = Self { process, settings_file: file, log };
         caller::wait_until_ready(settings.ready).await;
         daemon
     }
--- a/apps/hickory-entry/tests/stop.rs
+++ b/apps/hickory-entry/tests/stop.rs
@@ -6,7 +6,8 @@
 use hickory_adapter_standin::caller::{self, Draft, Response};
 use hickory_adapter_standin::replica::{Action, Replica};
 use hickory_adapter_standin::store::Store;
-use hickory_adapter_standin::{CONFIG, entry_key, settings};
+use hickory_adapter_standin::{CONFIG, entry_key, settings, write_settings};
+use hickory_path::settings::Settings;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -27,6 +28,7 @@
 /// A daemon with a store, two engines and two replicas of a plain service.
 struct Harness {
     daemon: Daemon,
+    settings: Settings,
     callers: SocketAddr,
     replicas: Vec<Replica>,
 }
@@ -46,7 +48,7 @@
         let mut settings = settings("node-1", store.address);
         settings.bounds.grace = GRACE;
         let daemon = Daemon::start(name, &settings).await;
-        let harness = Self { daemon, callers: settings.callers, replicas };
+        let harness = Self { daemon, callers: settings.callers, settings, replicas };
         // A node is ready before it knows its targets, for which the first request waits.
         assert_eq!(
             caller::post(harness.callers, "/once/1", caller::MODEL_HEADERS, "").await.status,
@@ -64,9 +66,29 @@
         connection
     }
 
+    /// Sends a request for a stream of 80 events in 8 s, and waits until it has begun.
+    async fn begin_long_stream(&self) -> TcpStream {
+        let draft = Draft {
+            attempt: "outlasts",
+            method: "POST",
+            path: "/long/80x100",
+            key: "key-1",
+            deadline: GRACE * 2,
+            output_tokens: 8_000,
+            parts: "5c1e07a2:800",
+        };
+        let mut connection = TcpStream::connect(self.callers).await.unwrap();
+        connection.write_all(draft.to_string().as_bytes()).await.unwrap();
+        connection.readable().await.unwrap();
+        connection
+    }
+
     fn terminate(&self) {
-        let pid = Pid::from_child(&self.daemon.process);
-        kill_process(pid, Signal::TERM).unwrap();
+        self.signal(Signal::TERM);
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.daemon.process), signal).unwrap();
     }
 
     fn has_reached_engine(&self, attempt: &str) -> bool {
@@ -142,21 +164,31 @@
 #[tokio::test]
 async fn a_stream_that_outlasts_the_grace_period_does_not_look_complete() {
     let harness = Harness::open("stop-cut").await;
-    let draft = Draft {
-        attempt: "outlasts",
-        method: "POST",
-        path: "/long/80x100",
-        key: "key-1",
-        deadline: GRACE * 2,
-        output_tokens: 8_000,
-        parts: "5c1e07a2:800",
-    };
-    let mut connection = TcpStream::connect(harness.callers).await.unwrap();
-    connection.write_all(draft.to_string().as_bytes()).await.unwrap();
-    connection.readable().await.unwrap();
+    let mut connection = harness.begin_long_stream().await;
     harness.terminate();
     let answer = caller::read(&mut connection).await;
     let events = answer.event_ids();
     assert!(!events.is_empty() && events.len() < 80, "{events:?}");
     assert!(!answer.is_complete, "complete after {} of 80 events", events.len());
 }
+
+/// Guards against a process that stops by an old grace period, and is killed, if its settings
+/// changed just before SIGTERM.
+#[tokio::test]
+async fn a_stop_keeps_to_the_grace_period_in_the_settings_file() {
+    const SHORTENED: Duration = Duration::from_secs(2);
+    for is_signalled in [false, true] {
+        let mut harness = Harness::open(&format!("stop-grace-{is_signalled}")).await;
+        let _connection = harness.begin_long_stream().await;
+        harness.settings.bounds.grace = SHORTENED;
+        std::fs::write(&harness.daemon.settings_file, write_settings(&harness.settings)).unwrap();
+        if is_signalled {
+            harness.signal(Signal::HUP);
+        }
+        harness.signal(Signal::TERM);
+        // By the old one it would run for 2 s longer.
+        tokio::time::sleep(SHORTENED + Duration::from_millis(500)).await;
+        let exit = harness.daemon.process.try_wait().unwrap();
+        assert!(exit.is_some(), "still running, signalled: {is_signalled}");
+    }
+}
