Wait for callers' connections in a planned stop

Callers of a stopping hickory-node lost requests that it was still reading, and the ends of answers that they hadn't read yet.

Cause: the node waited only for requests that run. One whose body was being read, or that waited for a configuration, wasn't counted, and one whose last token was queued counted as ended, with up to some hundred kilobytes of it in the buffers of the process. The process then ended about 0.1 s later.

The node now also waits for requests without a response, and after it has closed for the connections of callers, for 30 s at most.

--- a/apps/hickory-node/tests/proofs/stop.rs
+++ b/apps/hickory-node/tests/proofs/stop.rs
@@ -1,9 +1,12 @@
 //! A planned stop is a graceful shutdown that interrupts no request.
 
-use crate::support::{Cluster, eventually, expected_text, options, times};
+use crate::support::{ACCOUNT, Cluster, MODEL, eventually, expected_text, options, times};
 use rustix::process::Signal;
 use serde_json::json;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
 
 /// A node gets SIGTERM during a stream, and a second caller that has cached the
 /// node's address connects during the shutdown. Both get complete answers, and the
@@ -166,3 +169,64 @@
     assert!(cluster.nodes[0].wait_for_exit().await.success());
     assert!(cluster.nodes[1].wait_for_exit().await.success());
 }
+
+/// The time for which a caller pauses: longer than a stopping node that has nothing to do lives.
+const CALLER_PAUSE: Duration = Duration::from_secs(2);
+
+/// Opens a connection that takes only a few kilobytes before it is read.
+async fn connect_with_small_buffer(at: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket2::SockRef::from(&socket).set_tcp_mss(536).unwrap();
+    socket.connect(at).await.unwrap()
+}
+
+/// Formats a request for a streamed completion.
+fn write_request(max_tokens: u64) -> String {
+    let body = json!({
+        "model": MODEL, "prompt": "slow", "max_tokens": max_tokens, "stream": true,
+    });
+    let body = body.to_string();
+    format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {ACCOUNT}\r\n\
+         x-time-left-ms: 30000\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Reads to the end of a response; returns whether it is complete.
+async fn read_complete(mut stream: TcpStream) -> bool {
+    let mut text = Vec::new();
+    // An error means that the connection broke.
+    let _ = stream.read_to_end(&mut text).await;
+    String::from_utf8_lossy(&text).contains("data: [DONE]")
+}
+
+/// Guards against a node that ends while it reads a request's body.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_waits_for_a_request_that_is_being_read() {
+    let mut cluster = Cluster::start(2, options()).await;
+    let mut stream = connect_with_small_buffer(cluster.nodes[0].callers).await;
+    let request = write_request(5);
+    let (first, rest) = request.split_at(request.len() - 10);
+    stream.write_all(first.as_bytes()).await.unwrap();
+    cluster.nodes[0].signal(Signal::TERM);
+    tokio::time::sleep(CALLER_PAUSE).await;
+    stream.write_all(rest.as_bytes()).await.unwrap();
+    assert!(read_complete(stream).await);
+    assert!(cluster.nodes[0].wait_for_exit().await.success());
+}
+
+/// Guards against a node that ends before a caller has read the answer that is written to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_waits_for_a_caller_that_reads_late() {
+    let mut cluster = Cluster::start(2, options()).await;
+    let mut stream = connect_with_small_buffer(cluster.nodes[0].callers).await;
+    stream.write_all(write_request(600).as_bytes()).await.unwrap();
+    eventually("the stream runs", || async { (cluster.kv_used() > 0).then_some(()) }).await;
+    cluster.nodes[0].signal(Signal::TERM);
+    eventually("it is generated", || async { (cluster.kv_used() == 0).then_some(()) }).await;
+    tokio::time::sleep(CALLER_PAUSE).await;
+    assert!(read_complete(stream).await);
+    assert!(cluster.nodes[0].wait_for_exit().await.success());
+}
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -35,6 +35,8 @@
     Draining,
     /// Accepts no more requests.
     Closed,
+    /// All connections of callers have ended.
+    Ended,
 }
 
 /// Probes peers over the links; reports every peer as dead until the links are set.
@@ -74,6 +76,10 @@
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
     pub(crate) active: AtomicUsize,
+    /// Each request that is read or has no response yet holds a receiver.
+    pub(crate) unanswered: watch::Sender<()>,
+    /// Each connection of a caller holds a receiver.
+    pub(crate) connections: watch::Sender<()>,
 }
 
 impl Core {
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -2,7 +2,8 @@
 //!
 //! First peers stop naming this node to callers and its targets move to other owners. The node
 //! keeps serving while a caller may still have a cached entry answer that names it, and until
-//! the last request has ended. Then it closes and deregisters.
+//! the last request has ended. Then it closes, waits until callers have received their answers,
+//! and deregisters.
 
 use crate::core::{Core, Stage};
 use std::sync::Arc;
@@ -12,6 +13,10 @@
 /// Poll interval for active requests.
 const ACTIVE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Maximum wait for callers to receive their answers. One that reads slowly but without end must
+/// not keep the process running.
+const CONNECTIONS_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Begins a planned stop; only the first call has an effect.
 pub(crate) fn begin(core: &Core) {
     core.stage.send_if_modified(|stage| {
@@ -36,9 +41,13 @@
     core.member.set_draining().await;
     core.owners.release_all().await;
     tokio::time::sleep_until(entry_expires_at.into()).await;
-    while core.active.load(Ordering::Acquire) > 0 {
+    while core.active.load(Ordering::Acquire) > 0 || !core.unanswered.is_closed() {
         tokio::time::sleep(ACTIVE_POLL_INTERVAL).await;
     }
     core.stage.send_replace(Stage::Closed);
+    if tokio::time::timeout(CONNECTIONS_TIMEOUT, core.connections.closed()).await.is_err() {
+        log::warn!("stopped before all callers have received their answers");
+    }
+    core.stage.send_replace(Stage::Ended);
     core.member.deregister().await;
 }
--- a/crates/node/src/drive.rs
+++ b/crates/node/src/drive.rs
@@ -43,7 +43,7 @@
                 task.abort();
                 core.metrics.count_ownership_change(match core.stage() {
                     Stage::Serving => Ownership::Lost,
-                    Stage::Draining | Stage::Closed => Ownership::Released,
+                    Stage::Draining | Stage::Closed | Stage::Ended => Ownership::Released,
                 });
             }
             is_owned
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -142,10 +142,11 @@
         drain::begin(&self.core);
     }
 
-    /// Waits until the node is closed: it accepts no more requests and the last one has ended.
+    /// Waits until the node is closed: it accepts no more requests, and callers have received the
+    /// answers to all others.
     pub async fn wait_closed(&self) {
         let mut stage = self.core.stage.subscribe();
-        let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
+        let _ = stage.wait_for(|stage| *stage == Stage::Ended).await;
     }
 }
 
@@ -199,6 +200,8 @@
         metrics,
         stage: watch::channel(Stage::Serving).0,
         active: AtomicUsize::new(0),
+        unanswered: watch::channel(()).0,
+        connections: watch::channel(()).0,
         settings,
     })
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -70,13 +70,14 @@
 }
 
 async fn wait_closed(stage: &mut watch::Receiver<Stage>) {
-    let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
+    let _ = stage.wait_for(|stage| *stage >= Stage::Closed).await;
 }
 
 async fn serve_connection(core: Arc<Core>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
     let mut stage = core.stage.subscribe();
+    let _open = core.connections.subscribe();
     let service = hyper::service::service_fn(move |request| answer(core.clone(), request));
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -93,6 +94,7 @@
 }
 
 async fn answer(core: Arc<Core>, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+    let _unanswered = core.unanswered.subscribe();
     let mut response = match route(&core, request).await {
         Ok(response) => response,
         Err(refusal) => {
