relay: state the end of a relayed connection, so that half an answer is not whole

Callers saw half of an answer without a length as a complete success, for orders and streams too, when the node that forwarded the connection to the target was killed, or was stopped and reached the end of its grace period. The kernel closes the connections of such a process in the regular way, and the asking node took that for the end of the answer.

A relay now states the end of the target's bytes, and the asking node takes any other end for a broken answer, which is retried or resumed as one of its own connections. Bytes pass as they are unless a part that the relay forwards contains 0xff, which text never does; such a part is sent as a block with three bytes before it. So a text answer costs three bytes a connection, and the relay's buffer is not copied. The asking node moves bytes by three after the head of a block.

The protocol name of the upgrade has a version. A node that asks a relay of the former version treats it as one that does not relay, and a relay answers nodes of the former version with 426, which they treat likewise.

--- a/apps/hickory-entry/tests/common/mod.rs
+++ b/apps/hickory-entry/tests/common/mod.rs
@@ -9,7 +9,6 @@
 /// A daemon process and its log file.
 pub struct Daemon {
     pub process: Child,
-    pub settings_file: PathBuf,
     log: PathBuf,
 }
 
@@ -30,11 +29,12 @@
         let log = directory.join(format!("{name}.log"));
         let process = Command::new(env!("CARGO_BIN_EXE_hickory-entry"))
             .arg(&file)
+            .args(settings.metrics.map(|address| format!("--metrics={}", address.port())))
             .stdout(std::fs::File::create(&log).unwrap())
             .stdin(Stdio::null())
             .spawn()
             .unwrap();
-        let daemon = Self { process, settings_file: file, log };
+        let daemon = Self { process, log };
         caller::wait_until_ready(settings.ready).await;
         daemon
     }
--- a/apps/hickory-entry/tests/stop.rs
+++ b/apps/hickory-entry/tests/stop.rs
@@ -11,6 +11,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -178,10 +179,12 @@
 async fn a_stop_keeps_to_the_grace_period_in_the_settings_file() {
     const SHORTENED: Duration = Duration::from_secs(2);
     for is_signalled in [false, true] {
-        let mut harness = Harness::open(&format!("stop-grace-{is_signalled}")).await;
+        let name = format!("stop-grace-{is_signalled}");
+        let mut harness = Harness::open(&name).await;
         let _connection = harness.begin_long_stream().await;
         harness.settings.bounds.grace = SHORTENED;
-        std::fs::write(&harness.daemon.settings_file, write_settings(&harness.settings)).unwrap();
+        let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
+        std::fs::write(file, write_settings(&harness.settings)).unwrap();
         if is_signalled {
             harness.signal(Signal::HUP);
         }
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -1,5 +1,6 @@
 //! An HTTP/1 connection that carries one call at a time.
 
+use crate::tunnel::Tunnel;
 use crate::{Error, RelayError};
 use bytes::Bytes;
 use http::{StatusCode, header};
@@ -20,8 +21,9 @@
     .with_interval(Duration::from_secs(1))
     .with_retries(2);
 
-/// The protocol that a connection to a relay switches to.
-pub const RELAY_PROTOCOL: &str = "hickory-relay";
+/// The protocol that a connection to a relay switches to. Nodes without [`crate::tunnel`] name it
+/// without a version.
+pub const RELAY_PROTOCOL: &str = "hickory-relay/2";
 
 type Request = http::Request<Full<Bytes>>;
 
@@ -97,8 +99,12 @@
             }
             status => return Err(RelayError::Unavailable(format!("status {status}"))),
         }
+        if response.headers().get(header::UPGRADE).is_none_or(|name| name != RELAY_PROTOCOL) {
+            return Err(RelayError::Unavailable("it doesn't speak this protocol".into()));
+        }
         let upgraded = hyper::upgrade::on(response).await.map_err(|e| unavailable(&e))?;
-        let handshake = builder(max_head).handshake(upgraded).await;
+        let tunnel = TokioIo::new(Tunnel::new(TokioIo::new(upgraded)));
+        let handshake = builder(max_head).handshake(tunnel).await;
         let (sender, driver) = handshake.map_err(|e| unavailable(&e))?;
         tokio::spawn(driver);
         Ok(Self { sender, socket })
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod exchange;
 mod pool;
+pub mod tunnel;
 
 use bytes::{Bytes, BytesMut};
 pub use channel::{Channel, RelayError, SendError};
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -7,6 +7,7 @@
 use crate::dialect::Dialect;
 use crate::reply::{self, Reply};
 use crate::view::{Tag, Target};
+use hickory_client::tunnel::{Buffer, END};
 use hickory_client::{Channel, RELAY_PROTOCOL, RelayError};
 use hickory_store::store::Store;
 use hickory_telemetry::label::Relay;
@@ -49,9 +50,6 @@
 /// The number of other targets of a service by which links can be checked at all.
 const MIN_CHECKABLE_TARGETS: usize = 2;
 
-/// The size of the buffer for each direction of a connection.
-const BUFFER_BYTES: usize = 8 << 10;
-
 /// The peers that are asked for a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Peers {
@@ -153,6 +151,11 @@
         }
         Err(error) => return reply::plain(StatusCode::GATEWAY_TIMEOUT, &error.to_string()),
     };
+    // Peers of an earlier version would take the marks for bytes of the target. They still hear
+    // whether the target refuses connections.
+    if request.headers().get(header::UPGRADE).is_none_or(|name| name != RELAY_PROTOCOL) {
+        return reply::plain(StatusCode::UPGRADE_REQUIRED, "this protocol is not relayed");
+    }
     let upgrade = hyper::upgrade::on(request);
     tokio::spawn(serve(core, upgrade, stream, slot));
     let mut response = reply::plain(StatusCode::SWITCHING_PROTOCOLS, "");
@@ -228,35 +231,51 @@
     if target_write.write_all(&read_buf).await.is_err() {
         return;
     }
-    let to_target = forward(&core, peer_read, target_write);
-    let to_peer = forward(&core, target_read, peer_write);
+    let to_target = forward(&core, peer_read, target_write, Encoding::Plain);
+    let to_peer = forward(&core, target_read, peer_write, Encoding::Tunnel);
     let (mut to_target, mut to_peer) = (std::pin::pin!(to_target), std::pin::pin!(to_peer));
     tokio::select! {
         // The peer closes its connection to cancel its request, which closes the target's.
         _ = &mut to_target => {}
         ended = &mut to_peer => match ended {
             // The target has ended its response; the peer reads the rest.
-            Ok(mut peer_write) => drop(peer_write.shutdown().await),
+            Ok(mut peer_write) => {
+                if let Err(error) = peer_write.write_all(&END).await {
+                    log::debug!("relayed connection not ended: {error}");
+                }
+            }
             // A broken response must not look complete.
             Err((_, peer_write)) => reset(peer_write),
         },
     }
 }
 
+/// The form in which bytes are forwarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Encoding {
+    Plain,
+    Tunnel,
+}
+
 /// Forwards bytes in one direction until the sender ends it. Returns the receiving half, with the
 /// error if the sender's connection broke.
 async fn forward<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
+    encoding: Encoding,
 ) -> Result<OwnedWriteHalf, (io::Error, OwnedWriteHalf)> {
-    let mut buffer = vec![0; BUFFER_BYTES];
+    let mut buffer = Buffer::default();
     loop {
-        let forwarded = match from.read(&mut buffer).await {
+        let forwarded = match from.read(buffer.data()).await {
             Ok(0) => return Ok(to),
             Ok(read) => {
                 core.metrics.count_relayed_bytes(size::Bytes(read as u64));
-                to.write_all(&buffer[..read]).await
+                let bytes = match encoding {
+                    Encoding::Plain => &buffer.data()[..read],
+                    Encoding::Tunnel => buffer.encode(read),
+                };
+                to.write_all(bytes).await
             }
             Err(error) => Err(error),
         };
