--- a/crates/client/tests/tunnel.rs
+++ b/crates/client/tests/tunnel.rs
@@ -1,8 +1,12 @@
 //! The encoding of relayed connections.
 
 use hickory_client::tunnel::{Buffer, END, Tunnel};
+use hickory_client::{Client, RelayError};
 use std::io::{ErrorKind, Result};
+use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 /// Encodes data that a relay reads in parts of at most `part` bytes.
 fn encode(data: &[u8], part: usize) -> Vec<u8> {
@@ -74,3 +78,27 @@
     let overhead = encode(&binary, 8_192).len() - binary.len();
     assert!(overhead * 100 < binary.len(), "{overhead} of {}", binary.len());
 }
+
+/// Answers one request of each connection with these bytes. Returns the address.
+async fn spawn_relay(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.read(&mut [0; 1_024]).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
+/// Guards against a relay of the former version whose bytes are taken for marked ones.
+#[tokio::test]
+async fn a_relay_of_another_protocol_is_unavailable() {
+    let relay = spawn_relay(
+        "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: hickory-relay\r\n\r\nHTTP/1.1 200 X\r\n\r\n",
+    );
+    let client = Client::open(Duration::from_secs(1));
+    let opened = client.connect_relayed(relay.await, "/relay", Duration::from_secs(1)).await;
+    assert!(matches!(opened, Err(RelayError::Unavailable(_))), "{opened:?}");
+}
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -30,6 +30,16 @@
 )]
 pub struct Tag(pub u64);
 
+impl Tag {
+    /// Computes the tag of a target's incarnation.
+    pub fn compute(id: &str, incarnation: u64) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(id.as_bytes()).update(&incarnation.to_le_bytes());
+        let hash = hasher.finalize();
+        Self(u64::from_le_bytes(*hash.as_bytes().first_chunk().unwrap_or(&[0; 8])))
+    }
+}
+
 /// A target, decoded from its entry.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -340,7 +350,7 @@
     }
     let cold_until =
         (!entry.cold_time_left.is_zero()).then(|| item.learned_at + entry.cold_time_left);
-    let (tag, revision) = (compute_tag(id, entry.incarnation), item.revision);
+    let (tag, revision) = (Tag::compute(id, entry.incarnation), item.revision);
     let (id, lapsed_until) = (id.into(), None);
     Some(Arc::new(Target { id, tag, entry, cold_until, lapsed_until, withheld_until, revision }))
 }
@@ -361,10 +371,3 @@
     let lapsed_until = lapsed_until.filter(|at| now < *at)?;
     Some(Arc::new(Target { lapsed_until: Some(lapsed_until), ..Target::clone(previous) }))
 }
-
-fn compute_tag(id: &str, incarnation: u64) -> Tag {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(id.as_bytes()).update(&incarnation.to_le_bytes());
-    let hash = hasher.finalize();
-    Tag(u64::from_le_bytes(*hash.as_bytes().first_chunk().unwrap_or(&[0; 8])))
-}
