relay: a stopping node takes no new connections to relay

A node that got SIGTERM took connections to targets for its peers until it closed, and cut those that lasted longer. Peers know of a stop within fractions of a second and asked it until then.

It now answers 421 to a peer that asks for a connection. The peer asks another one; up to three such answers don't count among the three peers that it asks, and say nothing on its own links. Connections that are already relayed go on until their end or that of the grace period. Whether a target refuses connections is still answered. Nodes of the former version take the answer for a peer that can't connect, and ask another one.

--- a/crates/client/src/channel.rs
+++ b/crates/client/src/channel.rs
@@ -59,6 +59,9 @@
     /// The destination refuses the relay, which can't tell whether its own links work.
     #[display("refused as well, the relay's own links may be down")]
     Unsure,
+    /// The relay works and is about to end.
+    #[display("the relay is stopping")]
+    Stopping,
     /// The relay can't connect, or can't be reached.
     #[display("no relay: {_0}")]
     #[error(ignore)]
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -94,6 +94,7 @@
             StatusCode::SWITCHING_PROTOCOLS => {}
             StatusCode::BAD_GATEWAY => return Err(RelayError::Refused),
             StatusCode::FAILED_DEPENDENCY => return Err(RelayError::Unsure),
+            StatusCode::MISDIRECTED_REQUEST => return Err(RelayError::Stopping),
             status @ StatusCode::GONE => {
                 return Err(RelayError::Declined(format!("status {status}")));
             }
--- a/crates/path/src/links.rs
+++ b/crates/path/src/links.rs
@@ -142,7 +142,9 @@
             Err(error @ RelayError::Declined(_)) => {
                 Err(ConnectError::Unreachable(error.to_string()))
             }
-            Err(error @ (RelayError::Unsure | RelayError::Unavailable(_))) => {
+            Err(
+                error @ (RelayError::Unsure | RelayError::Stopping | RelayError::Unavailable(_)),
+            ) => {
                 let link_down = |_| ConnectError::LinkDown(error.to_string());
                 connect_directly(core, target).await.map_err(link_down)
             }
@@ -188,7 +190,7 @@
         Err(RelayError::Unsure) if matches!(error, Error::Refused) => {
             Err(ConnectError::Unconfirmed)
         }
-        Err(error @ (RelayError::Unsure | RelayError::Unavailable(_))) => {
+        Err(error @ (RelayError::Unsure | RelayError::Stopping | RelayError::Unavailable(_))) => {
             Err(ConnectError::LinkDown(error.to_string()))
         }
     }
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -3,7 +3,7 @@
 //! The peer names the target by its tag, and this node forwards the bytes of the connection. The
 //! peer decides all else, as it does on its own connections.
 
-use crate::core::{ActiveRequest, Core, UNACKNOWLEDGED_TIMEOUT};
+use crate::core::{ActiveRequest, Core, Stage, UNACKNOWLEDGED_TIMEOUT};
 use crate::dialect::Dialect;
 use crate::reply::{self, Reply};
 use crate::view::{Tag, Target};
@@ -40,9 +40,13 @@
 /// The timeout of a peer for a relayed connection.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The number of peers that are asked for a connection.
+/// The number of peers that are asked for a connection, without those that are stopping.
 const MAX_PEERS_ASKED: usize = 3;
 
+/// The number of stopping peers that are asked. This node learns of a stop within fractions of a
+/// second, in which many peers may stop together.
+const MAX_STOPPING_PEERS_ASKED: usize = 3;
+
 /// The number of other targets by which a relay checks whether its own links work. Many targets may
 /// have crashed under the same kind of request.
 const MAX_LINK_CHECKS: usize = 4;
@@ -72,9 +76,9 @@
 ) -> Result<Channel, RelayError> {
     let (service, peers) = (&target.entry.service, find_peers(core));
     let path = format!("{RELAY_PATH}?target={:x}", target.tag.0);
-    let mut tried = Vec::new();
+    let (mut tried, mut stopping) = (Vec::new(), 0);
     let mut error = RelayError::Unavailable("no peer that relays".into());
-    while tried.len() < MAX_PEERS_ASKED {
+    while tried.len() - stopping < MAX_PEERS_ASKED && stopping < MAX_STOPPING_PEERS_ASKED {
         let now = core.now();
         let chosen = match asked {
             Peers::Available => core
@@ -86,7 +90,11 @@
         };
         let Some(peer) = chosen else { break };
         let opened = core.client.connect_relayed(peer, &path, RELAY_TIMEOUT).await;
-        let is_failed = matches!(opened, Err(RelayError::Unsure | RelayError::Unavailable(_)));
+        // A stopping peer is not asked again either.
+        let is_failed = matches!(
+            opened,
+            Err(RelayError::Unsure | RelayError::Stopping | RelayError::Unavailable(_))
+        );
         core.with_relays(service, |relays| relays.record(core.now(), peer, !is_failed));
         core.metrics.count_relay(match &opened {
             Ok(_) => Relay::Connected,
@@ -95,6 +103,7 @@
         });
         match opened {
             Ok(_) | Err(RelayError::Refused) => return opened,
+            Err(RelayError::Stopping) => stopping += 1,
             Err(_) if error == RelayError::Unsure => {}
             Err(failed) => error = failed,
         }
@@ -151,6 +160,10 @@
         }
         Err(error) => return reply::plain(StatusCode::GATEWAY_TIMEOUT, &error.to_string()),
     };
+    // How long the connection will last isn't known, and the stop would cut it off.
+    if core.stage() != Stage::Serving {
+        return reply::plain(StatusCode::MISDIRECTED_REQUEST, "this node is stopping");
+    }
     // Peers of an earlier version would take the marks for bytes of the target. They still hear
     // whether the target refuses connections.
     if request.headers().get(header::UPGRADE).is_none_or(|name| name != RELAY_PROTOCOL) {
