client: reset the connection of a call that is given up

A connection is now reset when its call is given up: before the response, within it, and when a call of the node's own (an order, a health check) times out. The kernel then discards what it holds. A node that relays resets the target's connection when its peer has reset its own. After a whole response a relayed connection is still closed in the regular way.

--- a/crates/client/src/channel.rs
+++ b/crates/client/src/channel.rs
@@ -16,6 +16,8 @@
     client: Client,
     connection: Option<Connection>,
     route: Route,
+    /// Whether a call may have been written.
+    is_used: bool,
 }
 
 /// The way that a connection takes.
@@ -69,8 +71,8 @@
 }
 
 impl Channel {
-    /// Sends a request and waits for the response headers. Dropping the future closes the
-    /// connection.
+    /// Sends a request and waits for the response headers. Dropping the future resets the
+    /// connection, which cancels the request.
     pub async fn send(
         mut self,
         request: http::Request<Full<Bytes>>,
@@ -79,6 +81,7 @@
             let error = Error::NotSent("no connection".into());
             return Err(SendError { error, unsent: Some(request) });
         };
+        self.is_used = true;
         match connection.send(request).await {
             Ok(response) => {
                 let (client, connection) = (self.client.clone(), self.connection.take());
@@ -108,8 +111,10 @@
 
 impl Drop for Channel {
     fn drop(&mut self) {
-        if let Some(connection) = &self.connection {
-            connection.close();
+        match &self.connection {
+            Some(connection) if self.is_used => connection.abort(),
+            Some(connection) => connection.close(),
+            None => {}
         }
     }
 }
@@ -123,13 +128,14 @@
         };
         let connection = self.pool.take(address, max_idle)?;
         let (connection, route) = (Some(connection), Route::Direct(address));
-        Some(Channel { client: self.clone(), connection, route })
+        Some(Channel { client: self.clone(), connection, route, is_used: false })
     }
 
     /// Opens a connection to `address`.
     pub async fn connect(&self, address: SocketAddr) -> Result<Channel, Error> {
         let connection = Some(self.open_connection(address).await?);
-        Ok(Channel { client: self.clone(), connection, route: Route::Direct(address) })
+        let route = Route::Direct(address);
+        Ok(Channel { client: self.clone(), connection, route, is_used: false })
     }
 
     /// Opens a connection that `relay` forwards to a destination, which `path` names. The relay
@@ -151,6 +157,6 @@
         let connection =
             opened.unwrap_or_else(|_| Err(RelayError::Unavailable("timeout".into())))?;
         let (connection, route) = (Some(connection), Route::Relayed(relay));
-        Ok(Channel { client: self.clone(), connection, route })
+        Ok(Channel { client: self.clone(), connection, route, is_used: false })
     }
 }
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -118,6 +118,16 @@
         let _ = self.socket.shutdown(std::net::Shutdown::Both);
     }
 
+    /// Resets the connection to cancel its call: bytes that are held up on the way would otherwise
+    /// arrive once the path is back, and the call would run.
+    pub(crate) fn abort(&self) {
+        // Both fail only if the connection is already closed. The driver then closes its handle,
+        // and the last one that is closed resets the connection. Shutting down the other direction
+        // would first end it in the regular way.
+        let _ = socket2::SockRef::from(&self.socket).set_linger(Some(Duration::ZERO));
+        let _ = self.socket.shutdown(std::net::Shutdown::Read);
+    }
+
     /// Returns whether the connection is open and has no data to read. It checks the socket, since
     /// the driver notices a close only when its task next runs. A call written until then could not
     /// be distinguished from one that ran.
--- a/crates/client/src/exchange.rs
+++ b/crates/client/src/exchange.rs
@@ -21,8 +21,8 @@
     Within(Duration),
 }
 
-/// A request whose response headers have arrived. Dropping it closes its connection, which tells
-/// the other end to cancel the request.
+/// A request whose response headers have arrived. Dropping it resets its connection, which cancels
+/// the request.
 #[derive(Debug)]
 pub struct Exchange {
     client: Client,
@@ -53,9 +53,12 @@
     /// Returns the connection to the pool, where it stays idle for at most `max_idle`; a relayed one
     /// is closed. Call this only after the whole body was read.
     pub fn release(mut self, max_idle: Option<Duration>) {
-        let Route::Direct(address) = self.route else { return };
-        if let Some(connection) = self.connection.take() {
-            self.client.pool.put(address, connection, max_idle.unwrap_or(MAX_IDLE_TIME));
+        let Some(connection) = self.connection.take() else { return };
+        match self.route {
+            Route::Direct(address) => {
+                self.client.pool.put(address, connection, max_idle.unwrap_or(MAX_IDLE_TIME));
+            }
+            Route::Relayed(_) => connection.close(),
         }
     }
 }
@@ -63,7 +66,7 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         if let Some(connection) = &self.connection {
-            connection.close();
+            connection.abort();
         }
     }
 }
@@ -71,7 +74,7 @@
 impl Client {
     /// Sends a request and waits for the response headers. The request is written to a second
     /// connection only if no byte of it was written to the first. Only connecting has a timeout;
-    /// the caller limits the rest. Dropping the future closes the connection.
+    /// the caller limits the rest. Dropping the future resets the connection.
     pub async fn send(
         &self,
         address: SocketAddr,
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -18,7 +18,7 @@
 pub use exchange::{Exchange, Reuse};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use pool::{MAX_IDLE_TIME, Pool};
+use pool::Pool;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -245,12 +245,12 @@
     ) -> Result<Response, Error> {
         let head = self.send_pooled(address, call, is_written);
         let head = tokio::time::timeout(progress_timeout, head).await;
-        let (connection, response) =
-            head.unwrap_or_else(|_| Err(Self::timeout_error(is_written)))?;
-        let (head, mut body) = response.into_parts();
-        let body = read_body(&mut body, progress_timeout, self.max_body).await?;
-        self.pool.put(address, connection, MAX_IDLE_TIME);
-        Ok(Response { status: head.status, headers: head.headers, relay: None, body })
+        let mut exchange = head.unwrap_or_else(|_| Err(Self::timeout_error(is_written)))?;
+        let body = read_body(&mut exchange.body, progress_timeout, self.max_body).await?;
+        let status = exchange.head.status;
+        let headers = std::mem::take(&mut exchange.head.headers);
+        exchange.release(None);
+        Ok(Response { status, headers, relay: None, body })
     }
 
     /// Returns the error for a call that timed out.
@@ -266,28 +266,26 @@
         address: SocketAddr,
         call: Call<'_>,
         is_written: &AtomicBool,
-    ) -> Result<(Connection, http::Response<Incoming>), Error> {
+    ) -> Result<Exchange, Error> {
         let mut request = make_request(address, call)?;
         loop {
-            let pooled = self.pool.take(address, MAX_IDLE_TIME);
+            let pooled = self.take_idle(address, Reuse::Any);
             let is_pooled = pooled.is_some();
-            let mut connection = match pooled {
-                Some(connection) => connection,
-                None => self.open_connection(address).await?,
+            let channel = match pooled {
+                Some(channel) => channel,
+                None => self.connect(address).await?,
             };
             is_written.store(true, Ordering::Relaxed);
-            let failure = match connection.send(request).await {
-                Ok(response) => return Ok((connection, response)),
+            let failure = match channel.send(request).await {
+                Ok(exchange) => return Ok(exchange),
                 Err(failure) => failure,
             };
             // The request is returned only if no byte of it was written, so the next attempt can't
             // send it twice.
-            let Some(unsent) = failure.unsent else {
-                return Err(Error::Unknown(failure.text));
-            };
+            let Some(unsent) = failure.unsent else { return Err(failure.error) };
             is_written.store(false, Ordering::Relaxed);
             if !is_pooled {
-                return Err(Error::NotSent(failure.text));
+                return Err(failure.error);
             }
             request = unsent;
         }
--- a/crates/path/src/relay.rs
+++ b/crates/path/src/relay.rs
@@ -248,8 +248,12 @@
     let to_peer = forward(&core, target_read, peer_write, Encoding::Tunnel);
     let (mut to_target, mut to_peer) = (std::pin::pin!(to_target), std::pin::pin!(to_peer));
     tokio::select! {
-        // The peer closes its connection to cancel its request, which closes the target's.
-        _ = &mut to_target => {}
+        ended = &mut to_target => match ended {
+            // The peer has its response, or has ended.
+            Ok(_) => {}
+            // The peer has cancelled its request, which must not reach the target later.
+            Err((_, target_write)) => reset(target_write),
+        },
         ended = &mut to_peer => match ended {
             // The target has ended its response; the peer reads the rest.
             Ok(mut peer_write) => {
@@ -298,10 +302,10 @@
     }
 }
 
-/// Resets the connection to a peer once its other half is dropped.
-fn reset(peer: OwnedWriteHalf) {
+/// Resets a connection once its other half is dropped.
+fn reset(half: OwnedWriteHalf) {
     // This fails only if the connection is already closed.
-    let _ = socket2::SockRef::from(peer.as_ref()).set_linger(Some(Duration::ZERO));
+    let _ = socket2::SockRef::from(half.as_ref()).set_linger(Some(Duration::ZERO));
     // Dropping it would end the connection in the regular way first.
-    peer.forget();
+    half.forget();
 }
