A caller's wrong version takes no target out of use, and held targets are asked again

Callers saw 503 for every request to a service, for ten minutes or until all nodes were restarted, after four requests of one caller that named another version of the weights: each was sent to five targets, and each target's 421 was taken for proof that another target had its address. All nodes passed that on and none asked the targets again.

A 421 means that the target has another identity or another version. The two are now told apart in policy (misdirection): an answer that states another ID, or one without an ID to a request that names no version, concerns the address; an answer with the expected ID concerns the request alone; without an ID and with a version it is open, and nothing follows but a health check, at most one of a target in 5 s and two a second of a node.

The same holds for other rejections with a 4xx other than 408 and 429.

Targets that are held for leaving are checked by the owner of their group, and resting ones by the node that rests them, 3 s after the statement and then more rarely. A successful health check ends the statement. Withdrawals are repeated to peers as statements are, so that a node that missed one doesn't hold the target for ten minutes.

--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use derive_more::Display;
 use hickory_client::{Error, Exchange, Reuse};
+use hickory_policy::misdirection::Misdirection;
 use hickory_policy::refuse::RetryReason;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
@@ -43,6 +44,8 @@
     pub(crate) urgency: Option<u8>,
     pub(crate) resume_after: Option<u64>,
     pub(crate) helpers: &'a [Helper],
+    /// Whether the caller names a version of the weights.
+    pub(crate) names_version: bool,
     /// Whether the request may run only once.
     pub(crate) is_non_repeatable: bool,
     /// Whether the caller has already received a part of the stream.
@@ -65,6 +68,10 @@
     /// cause.
     #[display("not run, status {status}{}", name_refusing_target(*refusing_target))]
     NotRun { status: StatusCode, refusing_target: Option<SocketAddr> },
+    /// A target didn't run the request because of what the request itself names. This says nothing on
+    /// other requests.
+    #[display("not run because of the request, status {status}{}", name_refusing_target(*refusing_target))]
+    RequestRejected { status: StatusCode, refusing_target: Option<SocketAddr> },
     /// An engine didn't reserve memory for the request.
     #[display("not sent: {detail}")]
     NotReserved { target: Tag, detail: String },
@@ -94,7 +101,7 @@
             | Self::NotSent(_)
             | Self::LinkDown(_)
             | Self::NotReserved { .. } => RetryReason::NotSent,
-            Self::NotRun { .. } => RetryReason::Refused,
+            Self::NotRun { .. } | Self::RequestRejected { .. } => RetryReason::Refused,
             Self::OutcomeUnknown(_) | Self::InvalidAnswer(_) => RetryReason::TargetFailed,
             Self::DeadlineExceeded | Self::Stalled => RetryReason::Stalled,
         }
@@ -173,10 +180,11 @@
     })?;
     let head = D::parse_response_head(&exchange.head.headers);
     let status = exchange.head.status;
-    let checked = check_response(&head, status, parameters);
-    if matches!(checked, Ok(()) | Err(Failure::NotRun { .. })) {
+    let checked = check_response(&head, status, &place.target.id, parameters);
+    if matches!(checked, Ok(()) | Err(Failure::NotRun { .. } | Failure::RequestRejected { .. })) {
         let relay = exchange.relay();
-        let answer = Answer { head: &head, status, sent_at, relay };
+        let names_version = parameters.names_version;
+        let answer = Answer { head: &head, status, sent_at, names_version, relay };
         statement::note(core, &place.target, Source::Request, &answer);
     }
     checked?;
@@ -187,6 +195,7 @@
 fn check_response(
     head: &ResponseHead,
     status: StatusCode,
+    target: &id::Target,
     parameters: &Parameters<'_>,
 ) -> Result<(), Failure> {
     let is_foreign = head.attempt.as_deref().is_some_and(|attempt| attempt != parameters.attempt);
@@ -194,7 +203,11 @@
         return Err(Failure::InvalidAnswer("it bears another id"));
     }
     if head.has_not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        return Err(Failure::NotRun { status, refusing_target: head.refusing_target });
+        let refusing_target = head.refusing_target;
+        return Err(match is_request_rejected(head, status, target, parameters) {
+            true => Failure::RequestRejected { status, refusing_target },
+            false => Failure::NotRun { status, refusing_target },
+        });
     }
     if status.is_success() && !head.is_signed {
         return Err(Failure::InvalidAnswer("it is not signed"));
@@ -208,6 +221,22 @@
     Ok(())
 }
 
+/// Returns whether a target rejected a request because of what the caller wrote, as far as is known.
+fn is_request_rejected(
+    head: &ResponseHead,
+    status: StatusCode,
+    target: &id::Target,
+    parameters: &Parameters<'_>,
+) -> bool {
+    match status {
+        StatusCode::MISDIRECTED_REQUEST => {
+            head.misdirection(target, parameters.names_version) != Misdirection::Address
+        }
+        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS => false,
+        status => status.is_client_error(),
+    }
+}
+
 fn build_request<D: Dialect>(
     message: &Message,
     target: &id::Target,
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -26,6 +26,7 @@
 use hickory_policy::member::{Contact, Record, State};
 use hickory_policy::membership::Membership;
 use hickory_policy::part::Evidence;
+use hickory_policy::recheck::Doubtful;
 use hickory_policy::rest::Resting;
 use hickory_policy::share::Budget;
 use hickory_state::member::Member;
@@ -98,6 +99,7 @@
     leaving: Mutex<Leaving<Tag>>,
     cold: Mutex<Cold<Tag>>,
     resting: Mutex<Resting<Tag>>,
+    doubtful: Mutex<Doubtful<Tag>>,
     budgets: Mutex<HashMap<id::Service, Budget>>,
     is_store_unreachable: AtomicBool,
     /// Until when the store is presumed to be down, after it was last found to be.
@@ -173,6 +175,7 @@
             leaving: Mutex::default(),
             cold: Mutex::default(),
             resting: Mutex::default(),
+            doubtful: Mutex::default(),
             budgets: Mutex::default(),
             is_store_unreachable: AtomicBool::new(false),
             store_down_until: Mutex::default(),
@@ -262,6 +265,11 @@
         lock(&self.parts)
     }
 
+    /// Returns the targets of which a request has left in doubt whether they have their address.
+    pub(crate) fn doubtful(&self) -> MutexGuard<'_, Doubtful<Tag>> {
+        lock(&self.doubtful)
+    }
+
     /// Returns the targets that have stated that they leave.
     pub(crate) fn leaving(&self) -> MutexGuard<'_, Leaving<Tag>> {
         lock(&self.leaving)
--- a/crates/path/src/dialect.rs
+++ b/crates/path/src/dialect.rs
@@ -5,6 +5,7 @@
 use crate::request::RequestHead;
 use compact_str::CompactString;
 use hickory_policy::capacity::Report;
+use hickory_policy::misdirection::Misdirection;
 use hickory_unit::finding::Finding;
 use hickory_unit::id;
 use hickory_unit::rate::RequestsPerSecond;
@@ -130,12 +131,20 @@
     pub is_leaving: bool,
     /// How long the target stays cold, in a health response.
     pub cold_time_left: Stated<Duration>,
-    /// The target that answers, in a health response.
+    /// The ID of the target that answers, if the response states it. Health responses always do.
     pub target: Option<CompactString>,
     /// The load of the target.
     pub load: Stated<Report>,
 }
 
+impl ResponseHead {
+    /// Returns why a request that was sent to `target` is misdirected.
+    pub(crate) fn misdirection(&self, target: &id::Target, names_version: bool) -> Misdirection {
+        let is_expected_target = self.target.as_deref().map(|id| id == target.as_str());
+        Misdirection::new(is_expected_target, names_version)
+    }
+}
+
 /// A value that a response states of its target.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub enum Stated<T> {
--- a/crates/path/src/failure.rs
+++ b/crates/path/src/failure.rs
@@ -77,6 +77,20 @@
                     .with_retry_after(OVERLOADED_RETRY_AFTER);
                 return Err(refusal.after_possible_run(self.may_have_run));
             }
+            Failure::RequestRejected { status, .. } => {
+                // Counted, so that a request which no target can run doesn't reach them all.
+                if self.counted_sends < self.job.route.max_targets && self.spend_retry() {
+                    return Ok(());
+                }
+                let status = match status {
+                    StatusCode::MISDIRECTED_REQUEST => status,
+                    _ => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                let refusal = Refusal::new(Reason::NotFound, failure.to_string())
+                    .with_status(status)
+                    .with_retry_after(OVERLOADED_RETRY_AFTER);
+                return Err(refusal.after_possible_run(self.may_have_run));
+            }
             Failure::OutcomeUnknown(_) => self.examine_target(place).await?,
             Failure::InvalidAnswer(_) | Failure::DeadlineExceeded | Failure::Stalled => {}
         }
@@ -145,7 +159,8 @@
         self.log_failed_attempt(place, &failure.to_string());
         match failure {
             Failure::ConnectionRefused => place.note_connection_refused(),
-            Failure::LinkDown(_) | Failure::OutcomeUnknown(_) => {}
+            Failure::LinkDown(_) | Failure::OutcomeUnknown(_) | Failure::RequestRejected { .. } => {
+            }
             Failure::Stalled | Failure::DeadlineExceeded => place.note_silence(),
             _ => place.note_outcome(false),
         }
@@ -155,7 +170,9 @@
     fn note_refusing_helper(&mut self, place: &Place<D, S, C>, tag: Tag, failure: &Failure) {
         self.tried.retain(|tried| *tried != place.target.tag);
         self.tried.push(tag);
-        place.note_prefill_refused(tag);
+        if !matches!(failure, Failure::RequestRejected { .. }) {
+            place.note_prefill_refused(tag);
+        }
         self.log_failed_attempt(place, &failure.to_string());
     }
 }
--- a/crates/path/src/fleet.rs
+++ b/crates/path/src/fleet.rs
@@ -162,7 +162,7 @@
         group::rank_owners(group, nodes).into_iter().cloned().collect()
     }
 
-    fn is_owner(&self, group: &Group) -> bool {
+    pub(crate) fn is_owner(&self, group: &Group) -> bool {
         self.owners(group).first() == Some(&self.settings.node)
     }
 
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -1,8 +1,12 @@
-//! Health checks of targets while the store is down.
+//! Health checks of targets: while the store is down, and while a statement keeps requests away.
 //!
 //! That a target has turned cold is stated by its entry in the store and by its health responses
 //! alone. While the store is down, the owner of a group therefore checks the targets of the group,
 //! and tells its successor. A new owner checks them itself.
+//!
+//! A target that is kept from requests answers none, so that no answer can withdraw the statement
+//! that keeps it. The owner of its group checks those that are said to leave, and each node those
+//! that rest for it and those whose address a request has left in doubt.
 
 use crate::core::{Core, Stage};
 use crate::datagram::Event;
@@ -10,12 +14,13 @@
 use crate::links;
 use crate::statement::{self, Answer, Source};
 use crate::store_watch;
-use crate::view::{Tag, Target};
+use crate::view::{Tag, Target, View};
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures::StreamExt;
 use hickory_client::Call;
 use hickory_policy::cold::Statement;
+use hickory_policy::recheck;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
@@ -32,9 +37,16 @@
 /// next ones.
 const MAX_CHECKS_PER_ROUND: usize = 16;
 
+/// The maximum number of targets that a node checks in a round because callers' requests left their
+/// addresses in doubt.
+const MAX_DOUBTFUL_PER_ROUND: usize = 2;
+
 /// The timeout of a health check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How long it is known when a target was checked, above the interval between two checks.
+const CHECK_RETENTION: Duration = Duration::from_secs(60);
+
 /// A target's statement that it is cold or isn't, as sent between nodes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct StatedCold {
@@ -123,6 +135,36 @@
         due
     }
 
+    /// Returns the targets that are kept from requests, and are due to be asked whether that is right.
+    fn due_rechecks(&self, now: Instant, checked_at: &HashMap<Tag, Instant>) -> Vec<Due> {
+        let view = self.view();
+        let Some(configuration) = &view.configuration else { return Vec::new() };
+        let is_due = |tag: &Tag, since| recheck::is_due(now, since, checked_at.get(tag).copied());
+        let leaving: Vec<(Tag, Instant)> = self.leaving().leaving(now).collect();
+        let leaving = leaving.into_iter().filter(|(tag, since)| is_due(tag, *since));
+        let leaving = leaving.filter(|(tag, _)| self.owns_group_of(&view, *tag));
+        let resting: Vec<(Tag, Instant)> = self.resting().resting(now).collect();
+        let resting = resting.into_iter().filter(|(tag, since)| is_due(tag, *since));
+        let held = leaving.chain(resting).map(|(tag, _)| tag).take(MAX_CHECKS_PER_ROUND);
+        let doubtful = self.doubtful().take(now, MAX_DOUBTFUL_PER_ROUND);
+        let mut tags: Vec<Tag> = held.chain(doubtful).collect();
+        tags.sort_unstable();
+        tags.dedup();
+        let targets = tags.into_iter().filter_map(|tag| view.find_target(tag));
+        let targets =
+            targets.filter(|target| view.can_send(target, now) && !self.is_cold(now, target));
+        let due = targets.filter_map(|target| {
+            let path = configuration.services.get(&target.entry.service)?.health_path.clone()?;
+            Some(Due { target: target.clone(), path })
+        });
+        due.collect()
+    }
+
+    fn owns_group_of(&self, view: &View, tag: Tag) -> bool {
+        let target = view.find_target(tag);
+        target.is_some_and(|target| self.is_owner(&view.group_of(&target.entry.service, tag)))
+    }
+
     fn may_check(&self, now: Instant, target: &Target) -> bool {
         self.view().can_send(target, now)
             && self.may_send(target.tag)
@@ -140,7 +182,8 @@
     match answer {
         Ok(answer) => {
             let (head, status) = (D::parse_response_head(&answer.headers), answer.status);
-            let answer = Answer { head: &head, status, sent_at, relay: answer.relay };
+            let (names_version, relay) = (false, answer.relay);
+            let answer = Answer { head: &head, status, sent_at, names_version, relay };
             statement::note(core, &target, Source::HealthCheck, &answer);
         }
         Err(error) => log::debug!(target_id = target.id.as_str(); "health check failed: {error}"),
@@ -155,12 +198,12 @@
         let now = core.now();
         core.cold().expire(now);
         core.metrics.set_cold_targets(core.cold().count(now));
-        if !store_watch::is_store_down(&core) {
-            checked_at.clear();
-            continue;
+        let mut due = core.due_rechecks(now, &checked_at);
+        if store_watch::is_store_down(&core) {
+            core.note_store_down(now + ROUND_INTERVAL);
+            due.extend(core.due_checks(now, &checked_at));
         }
-        core.note_store_down(now + ROUND_INTERVAL);
-        let due = core.due_checks(now, &checked_at);
+        checked_at.retain(|_, at| now.saturating_duration_since(*at) < CHECK_RETENTION);
         checked_at.extend(due.iter().map(|due| (due.target.tag, now)));
         let checks = futures::stream::iter(due).for_each_concurrent(None, |due| check(&core, due));
         checks.await;
--- a/crates/path/src/leave.rs
+++ b/crates/path/src/leave.rs
@@ -130,6 +130,7 @@
             let mut leaving = self.leaving();
             leaving.expire(now);
             let recent = leaving.recent(now, MAX_REPEATED_AGE);
+            let recent = recent.chain(leaving.recent_withdrawals(now, MAX_REPEATED_AGE));
             (recent.choose_multiple(&mut rand::rng(), MAX_REPEATED), leaving.count())
         };
         self.metrics.set_leaving_targets(count);
--- a/crates/path/src/place.rs
+++ b/crates/path/src/place.rs
@@ -98,7 +98,8 @@
     pub(crate) fn find_refusing_target(&self, failure: &Failure) -> Option<Tag> {
         match failure {
             Failure::NotReserved { target, .. } => Some(*target),
-            Failure::NotRun { refusing_target, .. } => {
+            Failure::NotRun { refusing_target, .. }
+            | Failure::RequestRejected { refusing_target, .. } => {
                 let is_refusing =
                     |target: &&Arc<Target>| Some(target.entry.address) == *refusing_target;
                 self.helpers.iter().find(is_refusing).map(|target| target.tag)
--- a/crates/path/src/request.rs
+++ b/crates/path/src/request.rs
@@ -20,6 +20,8 @@
     pub resume_after: Option<u64>,
     /// The size of the prompt, for requests to engines.
     pub prompt: Option<Prompt>,
+    /// Whether the caller names a version of the weights, without which no target may run it.
+    pub names_version: bool,
     /// The IDs of the prompt's parts that other prompts may share, in order.
     pub shared_parts: Vec<CompactString>,
 }
--- a/crates/path/src/reservation.rs
+++ b/crates/path/src/reservation.rs
@@ -160,7 +160,8 @@
     let answer = links::call(core, target, call, ENGINE_REQUEST_TIMEOUT).await;
     let answer = answer.map_err(|error| format!("{}: {error}", target.id))?;
     let (head, status) = (D::parse_response_head(&answer.headers), answer.status);
-    let answer = Answer { head: &head, status, sent_at, relay: answer.relay };
+    let (names_version, relay) = (false, answer.relay);
+    let answer = Answer { head: &head, status, sent_at, names_version, relay };
     statement::note(core, target, Source::Order, &answer);
     match status.is_success() {
         true => Ok(()),
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -190,6 +190,7 @@
                 urgency: Some(self.urgency(&place)),
                 resume_after: self.resume_after,
                 helpers: &helpers,
+                names_version: job.head.names_version,
                 is_non_repeatable: !job.route.kind.is_repeatable(),
                 is_resumed: self.first_event_time.is_some(),
             };
--- a/crates/path/src/statement.rs
+++ b/crates/path/src/statement.rs
@@ -8,6 +8,7 @@
 use crate::datagram::Event;
 use crate::dialect::{Dialect, ResponseHead, Stated};
 use crate::view::{Tag, Target};
+use hickory_policy::misdirection::Misdirection;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::finding::Finding;
@@ -23,6 +24,8 @@
     pub(crate) status: StatusCode,
     /// When the request of the answer was sent.
     pub(crate) sent_at: Instant,
+    /// Whether the caller of the request named a version of the weights.
+    pub(crate) names_version: bool,
     /// The relay that forwards the connection.
     pub(crate) relay: Option<SocketAddr>,
 }
@@ -45,11 +48,23 @@
     source: Source,
     answer: &Answer<'_>,
 ) {
-    let is_another = answer.head.target.as_deref().is_some_and(|id| id != target.id.as_str());
-    if answer.status == StatusCode::MISDIRECTED_REQUEST || is_another {
-        return note_misdirected(core, target, answer);
+    let misdirection = answer.head.misdirection(&target.id, answer.names_version);
+    let is_another = answer.head.target.is_some() && misdirection == Misdirection::Address;
+    if is_another {
+        return note_another(core, target, answer);
     }
-    if source == Source::Request || answer.head.is_leaving {
+    if answer.status == StatusCode::MISDIRECTED_REQUEST {
+        match misdirection {
+            Misdirection::Address => return note_another(core, target, answer),
+            Misdirection::Unknown if is_at_fault(target, answer) => {
+                return core.doubtful().record(core.now(), target.tag);
+            }
+            Misdirection::Unknown | Misdirection::Request => {}
+        }
+    }
+    // A health check succeeds only if the target doesn't leave.
+    let is_healthy = source == Source::HealthCheck && answer.status.is_success();
+    if source == Source::Request || answer.head.is_leaving || is_healthy {
         core.note_leaving(target, answer.sent_at, answer.head.is_leaving, answer.relay);
     }
     match &answer.head.rate_limit {
@@ -66,6 +81,9 @@
     if source == Source::HealthCheck {
         note_cold(core, target, answer);
     }
+    if is_healthy && core.resting().end(core.now(), target.tag, answer.sent_at) {
+        log::info!(target_id = target.id.as_str(); "target asks for rest no more");
+    }
     note_rest(core, target, answer);
 }
 
@@ -87,16 +105,25 @@
 }
 
 /// Records that another target has the address of this one, unless a helper was misdirected.
-fn note_misdirected<D: Dialect, S: Store, C: Clock>(
+fn note_another<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     target: &Target,
     answer: &Answer<'_>,
 ) {
-    let address = target.entry.address;
-    if answer.head.refusing_target.is_none_or(|refusing| refusing == address) {
+    if !is_at_fault(target, answer) {
+        return;
+    }
+    if !core.is_leaving(target.tag) {
+        let address = target.entry.address;
         log::info!(target_id = target.id.as_str(), address:%; "another target has its address");
-        core.note_leaving(target, answer.sent_at, true, answer.relay);
     }
+    core.note_leaving(target, answer.sent_at, true, answer.relay);
+}
+
+/// Returns whether an answer names no helper as the one at fault.
+fn is_at_fault(target: &Target, answer: &Answer<'_>) -> bool {
+    let refusing = answer.head.refusing_target;
+    refusing.is_none_or(|refusing| refusing == target.entry.address)
 }
 
 fn note_rest<D: Dialect, S: Store, C: Clock>(
--- a/crates/policy/src/leave.rs
+++ b/crates/policy/src/leave.rs
@@ -9,7 +9,8 @@
 //! before the end of the outage holds for the next incarnation, too, for a while.
 //!
 //! A statement is withdrawn by an answer. Only an answer to a request that was sent
-//! after the statement was received can withdraw it, since answers overtake each other.
+//! after the statement was received can withdraw it, since answers overtake each other. As the target
+//! gets no requests, health checks ask it; see [`crate::recheck`].
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -89,7 +90,7 @@
 
     /// Returns whether a target has stated that it leaves.
     pub fn is_leaving(&self, now: Instant, target: K) -> bool {
-        self.statements.get(&target).is_some_and(|known| known.is_leaving && is_valid(known, now))
+        self.leaving_since(now, target).is_some()
     }
 
     /// Returns the statements in force that were received within `max_age`.
@@ -101,6 +102,34 @@
         known.filter(move |(_, statement)| is_recent(statement))
     }
 
+    /// Returns the withdrawals that were received within `max_age`.
+    pub fn recent_withdrawals(
+        &self,
+        now: Instant,
+        max_age: Duration,
+    ) -> impl Iterator<Item = (K, Statement)> {
+        let is_recent = move |statement: &Statement| {
+            !statement.is_leaving && now.saturating_duration_since(statement.received_at) <= max_age
+        };
+        let known = self.statements.iter().map(|(target, statement)| (*target, *statement));
+        known.filter(move |(_, statement)| is_recent(statement))
+    }
+
+    /// Returns since when a target counts as leaving, if it does.
+    pub fn leaving_since(&self, now: Instant, target: K) -> Option<Instant> {
+        let known = self.statements.get(&target).filter(|known| known.is_leaving);
+        known.filter(|known| is_valid(known, now)).map(|known| known.received_at)
+    }
+
+    /// Returns the targets that count as leaving, each with the time since when it does.
+    pub fn leaving(&self, now: Instant) -> impl Iterator<Item = (K, Instant)> {
+        let in_force = move |known: &&Statement| known.is_leaving && is_valid(known, now);
+        let known = self.statements.iter();
+        known
+            .filter(move |(_, known)| in_force(known))
+            .map(|(target, known)| (*target, known.received_at))
+    }
+
     /// Returns the number of targets that have stated that they leave.
     pub fn count(&self) -> usize {
         self.statements.values().filter(|statement| statement.is_leaving).count()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,7 +9,8 @@
 //! learns the speed and the concurrency limit of each target, and [`ejection`] avoids failing
 //! targets, [`doubt`] zones that fail. [`rate_limit`] keeps to the request rates that targets state,
 //! and [`links`] tells a node's own broken links from broken targets.
-//! [`leave`] keeps the targets that state that they leave,
+//! [`leave`] keeps the targets that state that they leave, [`misdirection`] says what their refusals mean,
+//! [`recheck`] when they are asked again,
 //! and [`rest`] those that ask a node for rest. [`stall`] says when a silent target is given up.
 //! [`drain`] says which requests a stopping node still takes.
 //! [`part`] quarantines prompt parts under which engines crash.
@@ -42,6 +43,7 @@
 pub mod links;
 pub mod member;
 pub mod membership;
+pub mod misdirection;
 pub mod part;
 pub mod permit;
 pub mod place;
@@ -53,6 +55,7 @@
 pub mod queue;
 pub mod ramp;
 pub mod rate_limit;
+pub mod recheck;
 pub mod refuse;
 pub mod replica;
 pub mod reserve;
