--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -39,7 +39,7 @@
         let tokens = prompt.0 as f64;
         let linear = tokens / self.prefill_rate.max(1.0);
         let megapairs = tokens * tokens / 2.0 / 1e6;
-        Duration::from_secs_f64(linear + megapairs * self.attention_time_per_megapair.as_secs_f64())
+        saturating_time(linear + megapairs * self.attention_time_per_megapair.as_secs_f64())
     }
 
     /// Returns the time of an iteration with this many decoding streams and this much context.
@@ -48,17 +48,18 @@
             return self.base_step_time;
         }
         let context_time = self.step_time_per_kilotoken.as_secs_f64() * context.0 as f64 / 1e3;
-        let step = self.base_step_time
-            + self.step_time_per_stream * streams
-            + Duration::from_secs_f64(context_time);
-        step * self.steps_per_iteration.max(1)
+        let step = self
+            .base_step_time
+            .saturating_add(self.step_time_per_stream.saturating_mul(streams))
+            .saturating_add(saturating_time(context_time));
+        step.saturating_mul(self.steps_per_iteration.max(1))
     }
 
     /// Returns the decode time of an answer of mean length beside `other_streams`.
     pub fn stream_time(&self, other_streams: u32) -> Duration {
-        let step =
-            self.iteration_time(other_streams + 1, Tokens(0)) / self.steps_per_iteration.max(1);
-        step * self.mean_answer.0 as u32
+        let step = self.iteration_time(other_streams.saturating_add(1), Tokens(0))
+            / self.steps_per_iteration.max(1);
+        step.saturating_mul(u32::try_from(self.mean_answer.0).unwrap_or(u32::MAX))
     }
 
     /// Returns the KV memory that a request uses at its end.
@@ -66,3 +67,8 @@
         prompt + answer
     }
 }
+
+/// Converts seconds, which may be beyond any duration.
+fn saturating_time(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
