A panic in a long-lived task fails the node and ends the process

A panic in one of the node's tasks, such as the one that receives datagrams, ended that task for good, without a log line of ours: the node went on answering callers, deaf to its peers, the store or its targets.

Each long-lived task (datagrams, membership, announcements, owner, prompt parts, leaving targets, store watch, discovery, fetchers, link probes, health checks, traffic log, listeners, the planned stop) now runs under a supervisor that logs the panic with the task's name. Node::failed returns the name, and hickory-entry ends with it. Tasks of single requests and connections are not concerned: their panics end the one request.

The registration in the store (hickory-state, Member) is not supervised.

--- a/apps/hickory-entry/src/main.rs
+++ b/apps/hickory-entry/src/main.rs
@@ -78,6 +78,7 @@
         let is_stopping = tokio::select! {
             _ = terminate.recv() => true,
             _ = interrupt.recv() => true,
+            task = node.failed() => return Err(task_failed(task)),
             _ = hang_up.recv() => false,
             () = tokio::time::sleep(SETTINGS_POLL_INTERVAL) => false,
         };
@@ -97,8 +98,15 @@
         }
     }
     node.drain();
-    node.closed().await;
+    tokio::select! {
+        () = node.closed() => {}
+        task = node.failed() => return Err(task_failed(task)),
+    }
     // Let connections send their last bytes before the process ends.
     tokio::time::sleep(CLOSE_GRACE_PERIOD).await;
     Ok(())
 }
+
+fn task_failed(task: &str) -> eyre::Report {
+    eyre::eyre!("the task `{task}` has panicked; the process ends, so that it is started again")
+}
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -120,6 +120,8 @@
     /// Queued prompts may be placeable now.
     pub(crate) queue_notify: Notify,
     pub(crate) stage: watch::Sender<Stage>,
+    /// The name of a long-lived task that has panicked.
+    pub(crate) failed_task: watch::Sender<Option<&'static str>>,
     active_requests: AtomicUsize,
     open_connections: AtomicUsize,
     dialect: PhantomData<fn() -> D>,
@@ -189,6 +191,7 @@
             revision_notify: Notify::new(),
             queue_notify: Notify::new(),
             stage: watch::channel(Stage::Serving).0,
+            failed_task: watch::channel(None).0,
             active_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             dialect: PhantomData,
--- a/crates/path/src/drain.rs
+++ b/crates/path/src/drain.rs
@@ -8,6 +8,7 @@
 use crate::dialect::Dialect;
 use crate::refusal::Refusal;
 use crate::serve::Job;
+use crate::supervisor;
 use hickory_policy::drain::Nominal;
 use hickory_policy::refuse::{Ran, Reason};
 use hickory_store::store::Store;
@@ -46,7 +47,7 @@
         core.begin_draining();
         log::info!(active = core.active_requests(); "planned stop begun");
         core.update_contact();
-        tokio::spawn(finish(core.clone()));
+        supervisor::spawn(core, "planned stop", finish(core.clone()));
     }
 }
 
--- a/crates/path/src/fetch.rs
+++ b/crates/path/src/fetch.rs
@@ -6,6 +6,7 @@
 use crate::items::Update;
 use crate::peer_state::Keyspace;
 use crate::store_watch;
+use crate::supervisor;
 use crate::sync_server::{BusyReply, CHUNKS_PATH, COMPLETE_PARAMETER, UPDATES_PATH};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
@@ -91,7 +92,7 @@
             sources: Sources::default(),
             partial: None,
         };
-        tokio::spawn(async move { fetcher.run().await });
+        supervisor::spawn(core, "item fetcher", async move { fetcher.run().await });
     }
 }
 
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -16,6 +16,7 @@
 use crate::part;
 use crate::placement::{Answer, Origin};
 use crate::rate_limit;
+use crate::supervisor;
 use hickory_policy::membership::{StateCounts, TICK_INTERVAL};
 use hickory_store::store::{Revision, Store};
 use hickory_telemetry::label::Datagram as Content;
@@ -54,17 +55,17 @@
     core: &Arc<Core<D, S, C>>,
     socket: Arc<UdpSocket>,
 ) {
-    tokio::spawn(receive(core.clone(), socket.clone()));
+    supervisor::spawn(core, "datagram receiver", receive(core.clone(), socket.clone()));
     if let Some(outgoing) = core.take_outgoing_receiver() {
-        tokio::spawn(run_sender(core.clone(), socket, outgoing));
+        supervisor::spawn(core, "datagram sender", run_sender(core.clone(), socket, outgoing));
     }
-    tokio::spawn(maintain_membership(core.clone()));
-    tokio::spawn(push_member_updates(core.clone()));
-    tokio::spawn(announce_revisions(core.clone()));
-    tokio::spawn(announce_allocations(core.clone()));
-    tokio::spawn(owner::run(core.clone()));
-    tokio::spawn(part::run(core.clone()));
-    tokio::spawn(leave::run(core.clone()));
+    supervisor::spawn(core, "membership", maintain_membership(core.clone()));
+    supervisor::spawn(core, "membership updates", push_member_updates(core.clone()));
+    supervisor::spawn(core, "revision announcements", announce_revisions(core.clone()));
+    supervisor::spawn(core, "allocation announcements", announce_allocations(core.clone()));
+    supervisor::spawn(core, "owner", owner::run(core.clone()));
+    supervisor::spawn(core, "prompt parts", part::run(core.clone()));
+    supervisor::spawn(core, "leaving targets", leave::run(core.clone()));
 }
 
 async fn receive<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>, socket: Arc<UdpSocket>) {
--- a/crates/path/src/intake.rs
+++ b/crates/path/src/intake.rs
@@ -8,7 +8,7 @@
 use crate::relay::{self, RELAY_PATH};
 use crate::reply::{self, Reply};
 use crate::settings::Settings;
-use crate::{directory, serve, sync_server};
+use crate::{directory, serve, supervisor, sync_server};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -110,18 +110,38 @@
     };
     let control =
         |_: &Core<D, S, C>| Limits { idle_timeout: CONTROL_IDLE_TIMEOUT, ..Limits::default() };
-    tokio::spawn(accept(core.clone(), sockets.callers, limits, serve::serve));
-    tokio::spawn(accept(core.clone(), sockets.ready, control, answer_ready));
-    tokio::spawn(accept(core.clone(), sockets.directory, control, answer_directory));
+    supervisor::spawn(
+        core,
+        "listener for callers",
+        accept(core.clone(), sockets.callers, limits, serve::serve),
+    );
+    supervisor::spawn(
+        core,
+        "listener for readiness",
+        accept(core.clone(), sockets.ready, control, answer_ready),
+    );
+    supervisor::spawn(
+        core,
+        "listener for directory",
+        accept(core.clone(), sockets.directory, control, answer_directory),
+    );
     // The accepted connections inherit this option.
     if let Err(error) =
         socket2::SockRef::from(&sockets.sync).set_send_buffer_size(PEER_SEND_BUFFER_BYTES)
     {
         log::warn!("send buffer of peer connections can't be set: {error}");
     }
-    tokio::spawn(accept(core.clone(), sockets.sync, control, answer_sync));
+    supervisor::spawn(
+        core,
+        "listener for peers",
+        accept(core.clone(), sockets.sync, control, answer_sync),
+    );
     if let Some(metrics) = sockets.metrics {
-        tokio::spawn(accept(core.clone(), metrics, control, answer_metrics));
+        supervisor::spawn(
+            core,
+            "listener for metrics",
+            accept(core.clone(), metrics, control, answer_metrics),
+        );
     }
 }
 
--- a/crates/path/src/lib.rs
+++ b/crates/path/src/lib.rs
@@ -58,6 +58,7 @@
 mod statement;
 mod store_watch;
 mod stream;
+mod supervisor;
 mod sync_server;
 mod traffic;
 mod update;
@@ -106,8 +107,8 @@
         gossip::spawn(&core, sockets.peers.clone());
         intake::spawn(&core, sockets);
         traffic::spawn(&core);
-        tokio::spawn(links::probe(core.clone()));
-        tokio::spawn(health::run(core.clone()));
+        supervisor::spawn(&core, "link probes", links::probe(core.clone()));
+        supervisor::spawn(&core, "health checks", health::run(core.clone()));
         Ok(Self { core })
     }
 
@@ -121,6 +122,18 @@
         drain::begin(&self.core);
     }
 
+    /// Waits until one of the node's long-lived tasks has panicked, and returns its name. The node
+    /// then can't do its work any more, and its process has to end.
+    pub async fn failed(&self) -> &'static str {
+        let mut failed_task = self.core.failed_task.subscribe();
+        let failed = failed_task.wait_for(Option::is_some).await.ok().and_then(|name| *name);
+        match failed {
+            Some(name) => name,
+            // The sender lives as long as the node.
+            None => std::future::pending().await,
+        }
+    }
+
     /// Waits until the node accepts no more requests and its last request has ended.
     pub async fn closed(&self) {
         self.core.wait_for_stage(Stage::Closed).await;
--- a/crates/path/src/store_watch.rs
+++ b/crates/path/src/store_watch.rs
@@ -3,6 +3,7 @@
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
 use crate::outage::Outage;
+use crate::supervisor;
 use crate::watcher::{self, Candidate, StartWait, is_leader, is_selected, takeover_delay};
 use hickory_state::follow::{self, Follower};
 use hickory_state::member::{self, Info, Member};
@@ -61,8 +62,8 @@
 
 /// Starts watching the store.
 pub(crate) fn spawn<D: Dialect, S: Store, C: Clock>(core: &Arc<Core<D, S, C>>) {
-    tokio::spawn(start(core.clone()));
-    tokio::spawn(discover_nodes(core.clone()));
+    supervisor::spawn(core, "store watch start", start(core.clone()));
+    supervisor::spawn(core, "node discovery", discover_nodes(core.clone()));
 }
 
 /// Waits until this node knows its peers, and then starts the watches of both prefixes. They start
@@ -73,7 +74,7 @@
         tokio::time::sleep(START_POLL_INTERVAL).await;
     }
     for prefix in [D::OPERATOR_PREFIX, D::TARGET_PREFIX] {
-        tokio::spawn(watch_store(core.clone(), prefix));
+        supervisor::spawn(&core, "store watch", watch_store(core.clone(), prefix));
     }
 }
 
--- a/crates/path/src/traffic.rs
+++ b/crates/path/src/traffic.rs
@@ -2,6 +2,7 @@
 
 use crate::core::{Core, Stage};
 use crate::dialect::Dialect;
+use crate::supervisor;
 use hickory_store::store::Store;
 use hickory_telemetry::label::{Datagram, TransferDirection};
 use hickory_telemetry::metrics::Metrics;
@@ -14,7 +15,7 @@
 
 /// Starts logging this node's control traffic.
 pub(crate) fn spawn<D: Dialect, S: Store, C: Clock>(core: &Arc<Core<D, S, C>>) {
-    tokio::spawn(run(core.clone()));
+    supervisor::spawn(core, "traffic log", run(core.clone()));
 }
 
 async fn run<D: Dialect, S: Store, C: Clock>(core: Arc<Core<D, S, C>>) {
