Rests of up to ten seconds are kept in full

A target that asks for rest and answers health checks with success was asked again after 3 s, which ended every longer rest. A rest is a wish of the target, and health checks don't say that it has passed. Resting targets are asked after 10 s, so that a rest of minutes that one caller's requests have caused still ends within seconds.

--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -20,7 +20,7 @@
 use futures::StreamExt;
 use hickory_client::Call;
 use hickory_policy::cold::Statement;
-use hickory_policy::recheck;
+use hickory_policy::recheck::Hold;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
@@ -139,12 +139,13 @@
     fn due_rechecks(&self, now: Instant, checked_at: &HashMap<Tag, Instant>) -> Vec<Due> {
         let view = self.view();
         let Some(configuration) = &view.configuration else { return Vec::new() };
-        let is_due = |tag: &Tag, since| recheck::is_due(now, since, checked_at.get(tag).copied());
+        let is_due =
+            |hold: Hold, tag: &Tag, since| hold.is_due(now, since, checked_at.get(tag).copied());
         let leaving: Vec<(Tag, Instant)> = self.leaving().leaving(now).collect();
-        let leaving = leaving.into_iter().filter(|(tag, since)| is_due(tag, *since));
+        let leaving = leaving.into_iter().filter(|(tag, since)| is_due(Hold::Leaving, tag, *since));
         let leaving = leaving.filter(|(tag, _)| self.owns_group_of(&view, *tag));
         let resting: Vec<(Tag, Instant)> = self.resting().resting(now).collect();
-        let resting = resting.into_iter().filter(|(tag, since)| is_due(tag, *since));
+        let resting = resting.into_iter().filter(|(tag, since)| is_due(Hold::Resting, tag, *since));
         let held = leaving.chain(resting).map(|(tag, _)| tag).take(MAX_CHECKS_PER_ROUND);
         let doubtful = self.doubtful().take(now, MAX_DOUBTFUL_PER_ROUND);
         let mut tags: Vec<Tag> = held.chain(doubtful).collect();
--- a/crates/policy/src/recheck.rs
+++ b/crates/policy/src/recheck.rs
@@ -12,6 +12,9 @@
 /// withdrawn within seconds. Most targets that do leave are gone by then.
 const MIN_INTERVAL: Duration = Duration::from_secs(3);
 
+/// The time after a statement until a resting target is asked. Rests of this length are kept in full.
+const MIN_REST_INTERVAL: Duration = Duration::from_secs(10);
+
 /// The longest interval between two checks of a target.
 const MAX_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -22,12 +25,31 @@
 /// Maximum number of targets in doubt, about 100 KB.
 const MAX_TARGETS: usize = 4_096;
 
-/// Returns whether a target that has been kept from requests for a time has to be checked. Checks
-/// become rarer as a statement turns out to be true.
-pub fn is_due(now: Instant, held_since: Instant, checked_at: Option<Instant>) -> bool {
-    let held = now.saturating_duration_since(held_since);
-    let since = checked_at.map_or(held_since, |at| at.max(held_since));
-    now.saturating_duration_since(since) >= (held / 2).clamp(MIN_INTERVAL, MAX_INTERVAL)
+/// Why a target is kept from requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hold {
+    /// It stated that it leaves, or another target has its address.
+    Leaving,
+    /// It asked for rest.
+    Resting,
+}
+
+impl Hold {
+    fn min_interval(self) -> Duration {
+        match self {
+            Self::Leaving => MIN_INTERVAL,
+            Self::Resting => MIN_REST_INTERVAL,
+        }
+    }
+
+    /// Returns whether a target that is kept from requests has to be checked. Checks become rarer as
+    /// a statement turns out to be true.
+    pub fn is_due(self, now: Instant, held_since: Instant, checked_at: Option<Instant>) -> bool {
+        let held = now.saturating_duration_since(held_since);
+        let since = checked_at.map_or(held_since, |at| at.max(held_since));
+        let interval = (held / 2).clamp(self.min_interval(), MAX_INTERVAL);
+        now.saturating_duration_since(since) >= interval
+    }
 }
 
 /// The targets of which a request has left in doubt whether they still have their address.
