attempt: pass a target's redirect on to the caller

A redirect or a 304 of a target reached the caller as 502, also of an order that had run. Such a status was taken for one that no target gives. It is now an answer like any other error status; an informational one stays invalid.

Measured: 'redirects_reach_the_caller_unchanged' (302, 304 and 307; lookup, order, stream) failed on the code before with 502 in place of 302; now it passes, as do all 28 tests of serve. A body over 4 MB is still reported as 502.

--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -215,7 +215,7 @@
     if status.is_success() && head.is_encoded {
         return Err(Failure::InvalidAnswer("its body is encoded"));
     }
-    if status.is_informational() || status.is_redirection() {
+    if status.is_informational() {
         return Err(Failure::InvalidAnswer("no target answers so"));
     }
     Ok(())
