--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -132,7 +132,8 @@
         loop {
             let (start, place) = self.begin_answer().await?;
             let Start::Head(response) = start else {
-                return Err(Refusal::new(Reason::TargetFailed, "events outside of a stream"));
+                let refusal = Refusal::new(Reason::TargetFailed, "events outside of a stream");
+                return Err(refusal.after_possible_run(true));
             };
             self.writing_since = Some(self.core.now());
             match self.read_body(response).await {
