Figures of targets, peers and the store are checked where they are decoded

An entry with cold-left-ms from 9.3e21 on panicked in the node's view, in the task that watches the store. Times and loads in targets' answers and in peers' datagrams were not bounded either.

Times from outside are at most 1e9 s (MAX_TIME), whose sums stay within the clock; loads at most 1e9, token counts Tokens::MAX. Out of range, a target's entry or statement and a peer's datagram are ignored, with a log line and hickory_malformed_total{sender}. An unusable entry is logged once for each of its revisions and no more with each change of another target.

--- a/crates/path/src/capacity.rs
+++ b/crates/path/src/capacity.rs
@@ -44,8 +44,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct StatedLoad {
     target: Tag,
+    #[serde(deserialize_with = "hickory_unit::bounded::finite")]
     running: f32,
+    #[serde(deserialize_with = "hickory_unit::bounded::finite")]
     waiting: f32,
+    #[serde(deserialize_with = "hickory_unit::bounded::finite")]
     slots: f32,
 }
 
--- a/crates/path/src/datagram.rs
+++ b/crates/path/src/datagram.rs
@@ -53,11 +53,11 @@
     /// A target stated that it leaves, or doesn't any more. An extension.
     Leaving(StatedLeave),
     /// A target asks the receiver for rest, in an answer that the receiver relayed. An extension.
-    Rest(Tag, Duration),
+    Rest(Tag, #[serde(deserialize_with = "hickory_unit::bounded::time")] Duration),
     /// An engine crashed under a prompt. An extension, sent by older versions only.
     PartCrash(PartCrash),
     /// Answers on these parts of prompts were written, which began this long ago. An extension.
-    PartsSound(Vec<Part>, Duration),
+    PartsSound(Vec<Part>, #[serde(deserialize_with = "hickory_unit::bounded::time")] Duration),
     /// Parts are about to be quarantined unless they are known to be sound. An extension.
     PartProposal(PartQuarantine),
     /// Prompts that contain these parts are refused. An extension.
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -19,7 +19,7 @@
 use crate::supervisor;
 use hickory_policy::membership::{StateCounts, TICK_INTERVAL};
 use hickory_store::store::{Revision, Store};
-use hickory_telemetry::label::Datagram as Content;
+use hickory_telemetry::label::{Datagram as Content, Sender};
 use hickory_unit::clock::Clock;
 use hickory_unit::{id, size};
 use std::collections::HashMap;
@@ -75,7 +75,10 @@
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
         match datagram::decode(&buffer[..length]) {
             Ok(datagram) => handle_datagram(&core, datagram, from),
-            Err(error) => log::warn!(from:%; "can't decode a datagram: {error}"),
+            Err(error) => {
+                core.metrics.count_malformed(Sender::Peer, 1);
+                log::warn!(from:%; "can't decode a datagram: {error}");
+            }
         }
     }
 }
--- a/crates/path/src/health.rs
+++ b/crates/path/src/health.rs
@@ -52,8 +52,10 @@
 pub(crate) struct StatedCold {
     target: Tag,
     /// The time since the health check was sent.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     sent_age: Duration,
     /// The time for which the target stays cold.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     cold_time_left: Duration,
 }
 
--- a/crates/path/src/leave.rs
+++ b/crates/path/src/leave.rs
@@ -37,8 +37,10 @@
     target: Tag,
     is_leaving: bool,
     /// The time since the request of the answer was sent.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     sent_age: Duration,
     /// The time since the answer was received.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     received_age: Duration,
 }
 
--- a/crates/path/src/ledger.rs
+++ b/crates/path/src/ledger.rs
@@ -53,20 +53,25 @@
     /// Further engines that prefill parts of the prompt.
     pub helpers: Vec<Tag>,
     /// The time that each engine, including the target, spends on its part of the prefill.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     pub prefill_time: Duration,
     /// The number of prompt tokens.
+    #[serde(deserialize_with = "hickory_unit::bounded::tokens")]
     pub prompt: Tokens,
     /// The expected number of answer tokens.
+    #[serde(deserialize_with = "hickory_unit::bounded::tokens")]
     pub expected_answer: Tokens,
     /// Memory by engine; empty if the target holds all of it.
     pub memory: Vec<(Tag, Tokens)>,
     /// The longest inter-token latency that the stream should have.
+    #[serde(deserialize_with = "hickory_unit::bounded::optional_time")]
     pub max_token_gap: Option<Duration>,
     /// Whether the prompt is short.
     pub is_short: bool,
     /// The phase that the request is in.
     pub phase: Phase,
     /// The time since the request was placed.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     pub age: Duration,
 }
 
--- a/crates/path/src/part.rs
+++ b/crates/path/src/part.rs
@@ -60,8 +60,10 @@
     request: u64,
     parts: Vec<Part>,
     /// The time since the request was sent to the engine.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     sent_age: Duration,
     /// The time since the engine crashed.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     crash_age: Duration,
 }
 
@@ -93,8 +95,10 @@
 pub(crate) struct PartQuarantine {
     parts: Vec<Part>,
     /// The time since the first crash that counted.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     first_crash_age: Duration,
     /// The time since the last crash that counted.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     last_crash_age: Duration,
 }
 
--- a/crates/path/src/placement.rs
+++ b/crates/path/src/placement.rs
@@ -54,12 +54,16 @@
     /// The size of the prompt and its answer, for requests to engines.
     pub prompt: Option<Prompt>,
     /// The goal for the time to the first token or to the answer.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     pub goal: Duration,
     /// The time left until the goal.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     pub goal_left: Duration,
     /// The time left until the caller gives up on a first token.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     pub limit_left: Duration,
     /// The longest inter-token latency that the stream should have.
+    #[serde(deserialize_with = "hickory_unit::bounded::optional_time")]
     pub max_token_gap: Option<Duration>,
     /// The zone of the requesting node.
     pub zone: id::Zone,
@@ -93,6 +97,7 @@
     /// Whether it resumes a stream that was interrupted.
     pub is_resumed: bool,
     /// The time since the last event of that stream.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     pub pause: Duration,
 }
 
@@ -118,6 +123,7 @@
     /// The allocation to record in the ledger.
     pub allocation: Allocation,
     /// The expected time to the first token or to the answer.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     pub expected_time: Duration,
     /// The state of the targets that the choice was based on.
     pub survey: Survey,
@@ -131,7 +137,7 @@
     /// The prompt exceeds the memory of the targets.
     TooLong,
     /// All targets are busy; there may be capacity after this time.
-    Busy(Duration),
+    Busy(#[serde(deserialize_with = "hickory_unit::bounded::time")] Duration),
 }
 
 /// A rejected request for a place.
@@ -147,6 +153,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlannedStart {
     /// The time until the start.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     pub start: Duration,
     /// The number of engines.
     pub engines: u16,
--- a/crates/path/src/rate_limit.rs
+++ b/crates/path/src/rate_limit.rs
@@ -32,8 +32,10 @@
     target: Tag,
     limit: Option<RequestsPerSecond>,
     /// The time since the request of the answer was sent.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     sent_age: Duration,
     /// The time since the answer was received.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     received_age: Duration,
 }
 
--- a/crates/path/src/request.rs
+++ b/crates/path/src/request.rs
@@ -30,9 +30,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Prompt {
     /// The number of prompt tokens.
+    #[serde(deserialize_with = "hickory_unit::bounded::tokens")]
     pub tokens: Tokens,
     /// The maximum number of answer tokens.
+    #[serde(deserialize_with = "hickory_unit::bounded::tokens")]
     pub max_answer: Tokens,
     /// The caller's estimate of the number of answer tokens.
+    #[serde(deserialize_with = "hickory_unit::bounded::optional_tokens")]
     pub expected_answer: Option<Tokens>,
 }
--- a/crates/path/src/statement.rs
+++ b/crates/path/src/statement.rs
@@ -10,6 +10,7 @@
 use crate::view::{Tag, Target};
 use hickory_policy::misdirection::Misdirection;
 use hickory_store::store::Store;
+use hickory_telemetry::label::Sender;
 use hickory_unit::clock::Clock;
 use hickory_unit::finding::Finding;
 use hickory_unit::id;
@@ -71,12 +72,12 @@
         Stated::None if source != Source::Request => {}
         Stated::None => core.note_rate_limit(target, answer.sent_at, None),
         Stated::Value(limit) => core.note_rate_limit(target, answer.sent_at, Some(*limit)),
-        Stated::Malformed(finding) => warn_malformed(target, finding),
+        Stated::Malformed(finding) => warn_malformed(core, target, finding),
     }
     match &answer.head.load {
         Stated::None => {}
         Stated::Value(report) => core.note_load(target, *report),
-        Stated::Malformed(finding) => warn_malformed(target, finding),
+        Stated::Malformed(finding) => warn_malformed(core, target, finding),
     }
     if source == Source::HealthCheck {
         note_cold(core, target, answer);
@@ -100,7 +101,7 @@
             core.note_cold(target, answer.sent_at, Duration::ZERO);
         }
         Stated::None => {}
-        Stated::Malformed(finding) => warn_malformed(target, finding),
+        Stated::Malformed(finding) => warn_malformed(core, target, finding),
     }
 }
 
@@ -137,7 +138,7 @@
     let rest = match &answer.head.rest {
         Stated::None => return,
         Stated::Value(rest) => *rest,
-        Stated::Malformed(finding) => return warn_malformed(target, finding),
+        Stated::Malformed(finding) => return warn_malformed(core, target, finding),
     };
     core.note_rest(target.tag, rest, &core.settings.node);
     core.metrics.count_rest();
@@ -147,7 +148,12 @@
     }
 }
 
-fn warn_malformed(target: &Target, finding: &Finding) {
+fn warn_malformed<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    target: &Target,
+    finding: &Finding,
+) {
+    core.metrics.count_malformed(Sender::Target, 1);
     log::warn!(target_id = target.id.as_str(); "statement of a target ignored: {finding}");
 }
 
--- a/crates/path/src/update.rs
+++ b/crates/path/src/update.rs
@@ -5,6 +5,7 @@
 use crate::items::Items;
 use crate::view::View;
 use hickory_store::store::{Revision, Store};
+use hickory_telemetry::label::Sender;
 use hickory_unit::clock::Clock;
 use hickory_unit::id;
 use std::sync::{Arc, PoisonError};
@@ -33,6 +34,7 @@
         if next.configured_at != before.configured_at {
             self.note_configuration(&next, waited);
         }
+        self.metrics.count_malformed(Sender::Store, next.malformed);
         self.carry_over_leaving(&before, &next);
         let next = Arc::new(next);
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = next.clone();
--- a/crates/path/src/view.rs
+++ b/crates/path/src/view.rs
@@ -5,6 +5,7 @@
 use crate::group::{self, Group};
 use crate::items::{Item, Items};
 use hickory_store::store::Revision;
+use hickory_unit::clock::MAX_TIME;
 use hickory_unit::id;
 use std::collections::HashMap;
 use std::sync::{Arc, OnceLock};
@@ -125,6 +126,10 @@
     pub targets: HashMap<id::Service, Vec<Arc<Target>>>,
     /// The changes of targets since the previous view.
     pub changes: Vec<(Change, Arc<Target>)>,
+    /// The revisions of targets' entries that can't be used.
+    unusable: HashMap<id::Target, Revision>,
+    /// The number of items that the update before found unusable.
+    pub(crate) malformed: usize,
     /// The targets by tag and by group, built on first use.
     index: OnceLock<Index>,
     /// When the current configuration was applied.
@@ -157,6 +162,8 @@
             departed: self.departed.clone(),
             targets: HashMap::new(),
             changes: Vec::new(),
+            unusable: HashMap::new(),
+            malformed: 0,
             index: OnceLock::new(),
             configured_at: self.configured_at,
             config_revision: self.config_revision,
@@ -172,7 +179,11 @@
             let target = match &item.value {
                 Some(text) => {
                     let departed = next.departed.get(&id::Target::from(id));
-                    decode_target::<D>(id, text, item, previous_target, departed)
+                    let target = decode_target::<D>(id, text, item, previous_target, departed);
+                    if target.is_none() {
+                        next.note_unusable(id, item, self.unusable.get(&id::Target::from(id)));
+                    }
+                    target
                 }
                 None => {
                     next.note_departed(previous_target, item, may_have_lapsed);
@@ -205,12 +216,22 @@
                 self.config_revision = item.revision;
             }
             Err(finding) => {
+                self.malformed += 1;
                 log::error!(revision:% = item.revision;
                     "can't decode the configuration: {finding}");
             }
         }
     }
 
+    /// Records that a target's entry can't be used, and logs it once.
+    fn note_unusable(&mut self, id: &str, item: &Item, known: Option<&Revision>) {
+        self.unusable.insert(id.into(), item.revision);
+        if known != Some(&item.revision) {
+            log::warn!(target_id = id; "target entry ignored: it describes no usable target");
+            self.malformed += 1;
+        }
+    }
+
     /// Returns the zones that are out of service. One that only a copy of the store doesn't name
     /// stays out for a while.
     fn decode_zones<D: Dialect>(&self, items: &Items, now: Instant) -> HashMap<id::Zone, ZoneOut> {
@@ -320,10 +341,7 @@
     if let Some(previous) = previous.filter(|previous| previous.revision == item.revision) {
         return Some(previous.clone());
     }
-    let Some(entry) = D::parse_target(id, text) else {
-        log::warn!(target_id = id; "target entry ignored: it describes no usable target");
-        return None;
-    };
+    let entry = D::parse_target(id, text)?;
     let is_restored = |known: Revision| known.era() < item.revision.era();
     // The copy is older than the start of the incarnation that this node knows.
     let is_outdated = |previous: &&Arc<Target>| {
@@ -348,8 +366,8 @@
         let revision = item.revision;
         return Some(Arc::new(Target { revision, withheld_until, ..Target::clone(previous) }));
     }
-    let cold_until =
-        (!entry.cold_time_left.is_zero()).then(|| item.learned_at + entry.cold_time_left);
+    let cold_until = Some(entry.cold_time_left.min(MAX_TIME)).filter(|time| !time.is_zero());
+    let cold_until = cold_until.and_then(|time| item.learned_at.checked_add(time));
     let (tag, revision) = (Tag::compute(id, entry.incarnation), item.revision);
     let (id, lapsed_until) = (id.into(), None);
     Some(Arc::new(Target { id, tag, entry, cold_until, lapsed_until, withheld_until, revision }))
--- a/crates/path/tests/view.rs
+++ b/crates/path/tests/view.rs
@@ -31,8 +31,9 @@
     fn parse_target(_: &str, text: &str) -> Option<Entry> {
         DECODED_ENTRIES.set(DECODED_ENTRIES.get() + 1);
         let address = "10.1.0.1:80".parse().ok()?;
-        let (service, zone, slots) = ("model".into(), "a".into(), text.parse().ok()?);
-        let cold_left = Duration::ZERO;
+        let (slots, cold) = text.split_once('/').unwrap_or((text, "0"));
+        let (service, zone, slots) = ("model".into(), "a".into(), slots.parse().ok()?);
+        let cold_left = Duration::from_secs(cold.parse().ok()?);
         Some(Entry {
             service,
             address,
@@ -165,3 +166,12 @@
     assert!(view.targets_in_group(&service, groups).is_empty());
     assert!(view.targets_in_group(&"other".into(), 0).is_empty());
 }
+
+/// Guards against a panic by a target that is cold for longer than any clock runs.
+#[test]
+fn a_target_that_is_cold_without_end_is_cold() {
+    let (now, mut items) = (Instant::now(), Items::default());
+    write_entry(&mut items, 1, 1, &format!("8/{}", u64::MAX));
+    let view = View::default().updated::<TestDialect>(&items, now, false);
+    assert!(view.targets_of(&"model".into())[0].is_cold(now + Duration::from_secs(3_600)));
+}
--- a/crates/policy/src/survey.rs
+++ b/crates/policy/src/survey.rs
@@ -20,8 +20,10 @@
     /// Engines that failed recently.
     pub penalized: u32,
     /// Sum of the prefill backlogs of all engines.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     pub prefill_backlog: Duration,
     /// Sum of the prefill times of the long prompts ahead, each on one engine.
+    #[serde(deserialize_with = "hickory_unit::bounded::time")]
     pub ahead_prefill_time: Duration,
     /// Short prompts ahead.
     pub ahead_short_prompts: u32,
--- a/crates/telemetry/src/label.rs
+++ b/crates/telemetry/src/label.rs
@@ -193,6 +193,16 @@
         Received = "taken",
     }
 
+    /// Who sent something that this node can't use.
+    Sender {
+        /// A target, in its answer.
+        Target = "target",
+        /// A peer, in a datagram.
+        Peer = "peer",
+        /// The store, in an item.
+        Store = "store",
+    }
+
     /// The direction of tokens.
     TokenDirection {
         /// Prompt tokens received.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -4,7 +4,7 @@
 //! update on the request path is one atomic addition without a lock or a lookup.
 
 use crate::label::{
-    Call, Claim, Datagram, Decider, Fetch, Length, Order, Orphan, Ownership, Permit, Relay,
+    Call, Claim, Datagram, Decider, Fetch, Length, Order, Orphan, Ownership, Permit, Relay, Sender,
     TokenDirection, TransferDirection, Work,
 };
 use crate::register::{
@@ -80,6 +80,7 @@
     pub(crate) zone_doubts: IntCounter,
     pub(crate) leaving_targets: IntGauge,
     pub(crate) rests: IntCounter,
+    pub(crate) malformed: Vec<IntCounter>,
     pub(crate) cold_targets: IntGauge,
     pub(crate) health_checks: IntCounter,
     pub(crate) quarantined_parts: IntGauge,
@@ -261,13 +262,20 @@
             health_checks: add_counter(
                 r,
                 "health_checks_total",
-                "Health checks of targets while the store was down",
+                "Health checks of targets, while the store was down or a statement kept requests away",
             )?,
             rests: add_counter(
                 r,
                 "target_rests_total",
                 "Answers in which targets asked this node for rest",
             )?,
+            malformed: add_counters(
+                r,
+                "malformed_total",
+                "Statements, events and items that were ignored as malformed or out of range",
+                "sender",
+                Sender::ALL,
+            )?,
             quarantined_parts: add_gauge(
                 r,
                 "parts_quarantined",
--- a/crates/telemetry/src/update.rs
+++ b/crates/telemetry/src/update.rs
@@ -2,7 +2,7 @@
 
 use crate::label::{
     Call, Claim, Datagram, Decider, Fetch, Length, Order, Orphan, Outcome, Ownership, Permit,
-    Relay, TokenDirection, TransferDirection, Work,
+    Relay, Sender, TokenDirection, TransferDirection, Work,
 };
 use crate::metrics::{InFlightGuard, Metrics};
 use hickory_policy::refuse::{Ran, Reason, RetryReason};
@@ -186,6 +186,11 @@
         self.rests.inc();
     }
 
+    /// Counts what was ignored as malformed or out of range.
+    pub fn count_malformed(&self, sender: Sender, count: usize) {
+        self.malformed[sender as usize].inc_by(count as u64);
+    }
+
     /// Sets the number of requests and of combinations of prompt parts that are quarantined.
     pub fn set_quarantined_parts(&self, quarantines: usize) {
         self.quarantined_parts.set(quarantines as i64);
--- a/crates/unit/src/clock.rs
+++ b/crates/unit/src/clock.rs
@@ -5,6 +5,10 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// The longest time that is accepted from outside, about 31 years: sums of such times don't reach the
+/// end of the clock.
+pub const MAX_TIME: Duration = Duration::from_secs(1_000_000_000);
+
 /// A source of time.
 pub trait Clock: Clone + Send + Sync + 'static {
     /// Returns monotonic time, for durations and leases.
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(size::Tokens(3) + size::Tokens(4), size::Tokens(7));
 //! ```
 
+pub mod bounded;
 pub mod clock;
 pub mod finding;
 pub mod hash;
