The end of a relayed stream is stated by its relay

A stream ended for its caller when the relay's channel closed, so that each way to end the relay without an error, such as a panic, made a part of the stream look complete. The channel now carries the regular end as an item, and closes as an interruption otherwise.

--- a/crates/path/src/reply.rs
+++ b/crates/path/src/reply.rs
@@ -23,6 +23,15 @@
 
 impl std::error::Error for Interrupted {}
 
+/// A part of a stream of events.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Complete events.
+    Events(Bytes),
+    /// The regular end. A stream whose sender is dropped without it was interrupted.
+    End,
+}
+
 /// Length-prefixed chunks of a value. Each is encoded only when the connection is ready for it, so
 /// that a large value isn't copied as a whole for each peer that requests it.
 #[derive(Debug)]
@@ -71,7 +80,7 @@
     /// A complete body.
     Whole(Full<Bytes>),
     /// A stream of events.
-    Events(mpsc::Receiver<Result<Bytes, Interrupted>>),
+    Events(mpsc::Receiver<Part>),
     /// Chunks of a value, for a peer.
     Chunks(Chunks),
     /// A complete body of a target.
@@ -91,10 +100,11 @@
                 let frame = ready!(Pin::new(body).poll_frame(cx));
                 Poll::Ready(frame.map(|frame| frame.map_err(|never| match never {})))
             }
-            Self::Events(events) => {
-                let event = ready!(events.poll_recv(cx));
-                Poll::Ready(event.map(|event| event.map(Frame::data)))
-            }
+            Self::Events(events) => Poll::Ready(match ready!(events.poll_recv(cx)) {
+                Some(Part::Events(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Part::End) => None,
+                None => Some(Err(Interrupted)),
+            }),
             Self::Chunks(chunks) => Poll::Ready(chunks.next().map(|chunk| chunk.map(Frame::data))),
             Self::Blocks(blocks) => {
                 Poll::Ready(blocks.pop_front().map(|block| Ok(Frame::data(block))))
--- a/crates/path/src/stream.rs
+++ b/crates/path/src/stream.rs
@@ -8,7 +8,7 @@
 use crate::holding::{Hold, Holder};
 use crate::place::Place;
 use crate::refusal::Refusal;
-use crate::reply::{Interrupted, Reply};
+use crate::reply::{Part, Reply};
 use crate::run::{Run, take_head};
 use crate::silence::Winner;
 use bytes::Bytes;
@@ -176,7 +176,8 @@
 /// A stream that is being relayed to a caller.
 struct Relay<D: Dialect, S: Store, C: Clock> {
     run: Run<D, S, C>,
-    out: mpsc::Sender<Result<Bytes, Interrupted>>,
+    /// The caller's response. Dropping it without an end interrupts the response.
+    out: mpsc::Sender<Part>,
     /// Counts the request as in flight until the stream ends.
     active: ActiveRequest<D, S, C>,
 }
@@ -227,6 +228,8 @@
                     self.run.note_response(&place, StatusCode::OK);
                     self.run.log_answered(&place, StatusCode::OK);
                     reader.exchange.release(reader.keep_alive);
+                    // Sending fails if the caller has closed the connection.
+                    let _ = self.out.send(Part::End).await;
                     break;
                 }
                 End::CallerGone => {
@@ -235,12 +238,10 @@
                 }
                 End::DeadlineExceeded => {
                     self.log(&place, "the deadline passed within the stream");
-                    let _ = self.out.send(Err(Interrupted)).await;
                     break;
                 }
                 End::Stopped => {
                     self.log_interrupted(&place);
-                    let _ = self.out.send(Err(Interrupted)).await;
                     break;
                 }
                 End::Replaced(resumed) => Some(*resumed),
@@ -256,11 +257,7 @@
                     }
                 }
             };
-            let Some(resumed) = resumed else {
-                // Sending fails if the caller has closed the connection.
-                let _ = self.out.send(Err(Interrupted)).await;
-                break;
-            };
+            let Some(resumed) = resumed else { break };
             Resumed { reader, place, first: next } = resumed;
             place.begin_decode();
             self.run.writing_since = Some(self.run.core.now());
@@ -307,7 +304,7 @@
             {
                 return End::Failed(Failure::InvalidAnswer("its events don't follow on"));
             }
-            if self.out.send(Ok(chunk.bytes)).await.is_err() {
+            if self.out.send(Part::Events(chunk.bytes)).await.is_err() {
                 return End::CallerGone;
             }
             self.run.resume_after = chunk.last_id.or(self.run.resume_after);
