--- a/apps/hickory-soak/src/lost.rs
+++ b/apps/hickory-soak/src/lost.rs
@@ -111,9 +111,11 @@
     let from = request.sent_at.checked_sub(CONTACT_TIME).unwrap_or(request.sent_at);
     let is_target_disturbed = link.was_disturbed(from, record.ended_at)
         || run.had_outage(&Scope::Target(replica.name.clone()), from, record.ended_at);
-    // A stream that broke off may find no other target.
+    // A stream that broke off may find no other target, or only one when a stop has begun.
+    let stops = stops_around(run, record);
+    let has_no_other = !arrival.was_run || !stops.is_empty();
     let has_broken_off =
-        arrival.breaks_off || !arrival.was_run && arrivals.iter().any(|(_, a)| a.breaks_off);
+        arrival.breaks_off || has_no_other && arrivals.iter().any(|(_, a)| a.breaks_off);
     if has_broken_off || is_target_disturbed {
         return None;
     }
@@ -123,7 +125,7 @@
         let is_early = request.sent_at <= stop.begin + MAX_EXCUSED_DELAY;
         record.ended_at >= late && (request.is_read_slowly || (is_early && was_at_work))
     };
-    if stops_around(run, record).iter().any(is_excused) {
+    if stops.iter().any(is_excused) {
         return None;
     }
     let finished = arrival.finished_at.map(|at| run.format_time(at));
