A stopping node takes late requests only if its target may fall silent

Streams that callers sent more than 3 s after SIGTERM still ended in the middle, because their target fell silent for one to two seconds and the grace period ended meanwhile.

From a third of the stop on a request must leave room for a silence of 2 s, for which callers wait. Earlier requests are judged as before, so that a stopping node serves what most callers send. This takes the place of the wider margin of nodes that have answered few requests, with which such a node would take no long stream at all.

--- a/crates/path/src/drain.rs
+++ b/crates/path/src/drain.rs
@@ -9,7 +9,7 @@
 use crate::refusal::Refusal;
 use crate::serve::Job;
 use crate::supervisor;
-use hickory_policy::drain::{Answer, Nominal};
+use hickory_policy::drain::{Answer, Nominal, Stop};
 use hickory_policy::refuse::{Ran, Reason};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
@@ -101,13 +101,15 @@
     core: &Core<D, S, C>,
     job: &Job,
 ) -> Result<(), Refusal> {
-    let Some(grace_left) = grace_left(core) else { return Ok(()) };
+    let (Some(elapsed), Some(left)) = (core.draining_time(), grace_left(core)) else {
+        return Ok(());
+    };
     let time_left = job.deadline.saturating_duration_since(core.now());
     let expected = job.nominal().expected_time(core.slowness(&job.route), time_left);
-    if expected < grace_left {
+    if (Stop { elapsed, left }).fits(expected, time_left) {
         return Ok(());
     }
-    let (left_ms, expected_ms) = (grace_left.as_millis(), expected.as_millis());
+    let (left_ms, expected_ms) = (left.as_millis(), expected.as_millis());
     let detail = format!("this node stops in {left_ms} ms, the request may take {expected_ms} ms");
     Err(Refusal::new(Reason::Draining, detail).with_retry_after(RETRY_AFTER))
 }
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -28,14 +28,35 @@
 /// most take, and that of a stream is only a part of its time.
 const MIN_ANSWER_MULTIPLE: f64 = 5.0;
 
-/// The margin over the slowest of many recent requests, for the scatter of requests of the same length.
-const MARGIN: f64 = 1.05;
+/// The margin over the slowest recent request, for the scatter of requests of the same length.
+const SLOWNESS_MARGIN: f64 = 1.05;
 
-/// The margin over the slowest of few requests, which may all have been quick.
-const MARGIN_OF_FEW: f64 = 1.5;
+/// The longest silence of a target within an answer, for which callers wait.
+const MAX_SILENCE: Duration = Duration::from_secs(2);
 
-/// The number of recent requests that are many.
-const MANY_REQUESTS: u32 = 50;
+/// The part of a stop, as a divisor, after which a request must fit even if its target falls silent.
+/// By then most callers know of the stop. Earlier ones would often be refused in vain, as few targets
+/// fall silent.
+const SILENCE_MARGIN_DIVISOR: u32 = 3;
+
+/// The progress of a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stop {
+    /// The time since its begin.
+    pub elapsed: Duration,
+    /// The time for which requests may go on.
+    pub left: Duration,
+}
+
+impl Stop {
+    /// Returns whether a request that is expected to take `expected`, and ends at its deadline
+    /// after `time_left` in any case, can be expected to end in time.
+    pub fn fits(self, expected: Duration, time_left: Duration) -> bool {
+        let has_margin = self.elapsed >= (self.elapsed + self.left) / SILENCE_MARGIN_DIVISOR;
+        let silence = if has_margin { MAX_SILENCE } else { Duration::ZERO };
+        expected.saturating_add(silence).min(time_left) < self.left
+    }
+}
 
 /// What is known in advance of the time of a request; what takes longer is greater.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -122,7 +143,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Period {
     began: Instant,
-    requests: u32,
     largest: f64,
 }
 
@@ -131,9 +151,7 @@
     pub fn record(&mut self, now: Instant, nominal: Nominal, duration: Duration) {
         self.expire(now);
         let Some(multiple) = nominal.multiple(duration) else { return };
-        let new = Period { began: now, requests: 0, largest: 0.0 };
-        let period = self.current.get_or_insert(new);
-        period.requests += 1;
+        let period = self.current.get_or_insert(Period { began: now, largest: multiple });
         period.largest = period.largest.max(multiple);
     }
 
@@ -141,12 +159,8 @@
     pub fn multiple(&mut self, now: Instant) -> Option<f64> {
         self.expire(now);
         let periods = [self.current, self.previous].into_iter().flatten();
-        let requests: u32 = periods.clone().map(|period| period.requests).sum();
-        let largest = periods.map(|period| period.largest).max_by(f64::total_cmp)?;
-        Some(match requests {
-            MANY_REQUESTS.. => largest * MARGIN,
-            _ => largest.max(1.0) * MARGIN_OF_FEW,
-        })
+        let largest = periods.map(|period| period.largest).max_by(f64::total_cmp);
+        largest.map(|largest| largest * SLOWNESS_MARGIN)
     }
 
     fn expire(&mut self, now: Instant) {
