--- a/apps/hickory-soak/src/lost.rs
+++ b/apps/hickory-soak/src/lost.rs
@@ -198,8 +198,9 @@
         let Some(stop) = stop.filter(|_| request.kind == Kind::Stream && is_short) else {
             return false;
         };
-        // A connection that closes as the request arrives refuses nothing.
-        let is_answered = record.answer.status != 0;
+        // Neither a connection that closes as the request arrives nor a missing key counts.
+        let status = record.answer.status;
+        let is_answered = status == 200 || NOT_RUN.contains(&status);
         let (from, to) = (stop.begin + SERVING_TIME.0, stop.begin + SERVING_TIME.1);
         let served = records.iter().filter(|other| {
             other.request.host == request.host
--- a/apps/hickory-soak/src/planned.rs
+++ b/apps/hickory-soak/src/planned.rs
@@ -10,6 +10,7 @@
 use rustix::process::Signal;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::net::TcpStream;
 
 /// Grace periods between SIGTERM and the kill.
 pub(crate) const GRACE_PERIODS: [Duration; 3] =
@@ -35,9 +36,9 @@
     match kind {
         0..=2 => stop_any(run, random).await,
         3 => stop_series(run, random).await,
-        4 => hang_up(run, random),
-        5 => change_settings(run, random, true),
-        6 => change_settings(run, random, false),
+        4 => hang_up_any(run, random).await,
+        5 => change_settings(run, random, true).await,
+        6 => change_settings(run, random, false).await,
         _ => change_configuration(run, random),
     }
 }
@@ -51,7 +52,7 @@
     }
     if random.random_bool(0.3) {
         let is_signalled = random.random_bool(0.5);
-        reload(run, host, random, is_signalled);
+        reload(run, host, random, is_signalled).await;
         let lead = Duration::from_millis(random.random_range(0..MAX_RELOAD_LEAD_MS));
         if random.random_bool(0.5) {
             tokio::time::sleep(lead).await;
@@ -98,21 +99,31 @@
 }
 
 /// Sends SIGHUP without a change.
-fn hang_up(run: &Run, random: &mut StdRng) {
+async fn hang_up_any(run: &Run, random: &mut StdRng) {
     let Some(host) = run.hosts.choose(random) else { return };
     run.print_event(&format!("{} reloads", host.settings.node));
-    host.signal(Signal::HUP);
+    hang_up(host).await;
+}
+
+/// Sends SIGHUP to a process that listens. It ends one that has just started and doesn't handle
+/// signals yet.
+async fn hang_up(host: &Host) {
+    let incarnation = host.incarnation();
+    let is_listening = TcpStream::connect(host.settings.callers).await.is_ok();
+    if is_listening && host.incarnation() == incarnation {
+        host.signal(Signal::HUP);
+    }
 }
 
 /// Changes the settings of a host that isn't being stopped.
-fn change_settings(run: &Run, random: &mut StdRng, is_signalled: bool) {
+async fn change_settings(run: &Run, random: &mut StdRng, is_signalled: bool) {
     let Some(host) = run.hosts.choose(random) else { return };
     if let Ok(_guard) = host.restart_lock.try_lock() {
-        reload(run, host, random, is_signalled);
+        reload(run, host, random, is_signalled).await;
     }
 }
 
-fn reload(run: &Run, host: &Host, random: &mut StdRng, is_signalled: bool) {
+async fn reload(run: &Run, host: &Host, random: &mut StdRng, is_signalled: bool) {
     let bounds = host.bounds();
     let mut repeats = bounds.repeats;
     repeats.extra = random.random_range(50.0..200.0);
@@ -123,7 +134,7 @@
         run.print_event(&format!("{node} doesn't get its settings: {error}"));
     }
     if is_signalled {
-        host.signal(Signal::HUP);
+        hang_up(host).await;
     }
 }
 
