Revisions of the store keep all 64 bits of their number

A revision held its number in 40 bits and its era in the bits above. From 2^40 on each answer of the store was rejected: nodes kept the configuration and the targets that they had and heard of no change.

In memory a revision now has 64 bits for the number below its era. Between nodes numbers below 2^40 keep the encoding of older versions, in datagrams, updates and queries, so that both versions understand each other; larger ones have a long form, which is checked when it is decoded. The product's own peer protocol (hickory-state) carries the short form, which saturates.

All tests of hickory-store, hickory-path and hickory-state pass. Tests that built revisions from 64-bit numbers convert them now; what they check is unchanged.

--- a/crates/path/src/fetch.rs
+++ b/crates/path/src/fetch.rs
@@ -49,11 +49,11 @@
     /// Returns the path that requests the updates of this keyspace after a revision. Older
     /// nodes require a revision for both keyspaces; [`u64::MAX`] selects no updates.
     fn updates_path(self, after: Revision, complete: Revision) -> String {
-        let (operator, targets) = match self {
-            Self::Operator => (after.0, u64::MAX),
-            Self::Targets => (u64::MAX, after.0),
+        let (operator, targets): (u128, u128) = match self {
+            Self::Operator => (after.into(), u128::from(u64::MAX)),
+            Self::Targets => (u128::from(u64::MAX), after.into()),
         };
-        let complete = complete.0;
+        let complete = u128::from(complete);
         format!(
             "{UPDATES_PATH}?operator={operator}&targets={targets}&{COMPLETE_PARAMETER}={complete}"
         )
--- a/crates/path/src/items.rs
+++ b/crates/path/src/items.rs
@@ -156,7 +156,7 @@
                     let known = known.get_mut();
                     known.revision = read_at.max(update.revision);
                     // The store has written it at none of the revisions of this era.
-                    known.written_at = Revision(u64::MAX);
+                    known.written_at = Revision::MAX;
                 } else if is_newer && known.get().is_same_write(&update) {
                     known.get_mut().revision = update.revision;
                 } else if is_newer {
--- a/crates/path/src/sync_server.rs
+++ b/crates/path/src/sync_server.rs
@@ -89,13 +89,13 @@
     let max_bytes = if is_busy { MAX_UPDATE_BYTES_WHEN_BUSY } else { MAX_UPDATE_BYTES };
     // Older versions state nothing and don't know updates without values.
     let complete = match find_parameter(query, COMPLETE_PARAMETER) {
-        Some(_) => Some(Revision(parse_parameter(query, COMPLETE_PARAMETER)?)),
+        Some(_) => Some(parse_revision(query, COMPLETE_PARAMETER)?),
         None => None,
     };
     let mut updates: Vec<Update> = Vec::new();
     for (name, prefix) in [("operator", D::OPERATOR_PREFIX), ("targets", D::TARGET_PREFIX)] {
         if find_parameter(query, name).is_some() {
-            let after = Revision(parse_parameter(query, name)?);
+            let after = parse_revision(query, name)?;
             let items = core.items();
             updates.extend(match complete {
                 Some(complete) => items.changes_after(prefix, after, complete, max_bytes),
@@ -109,6 +109,11 @@
     Ok(reply::json(StatusCode::OK, body))
 }
 
+fn parse_revision(query: &str, name: &str) -> Result<Revision, String> {
+    let encoded: u128 = parse_parameter(query, name)?;
+    Revision::try_from(encoded).map_err(|error| format!("{name}: {error}"))
+}
+
 /// Answers with those of the requested chunks that this node has.
 fn answer_chunks<D: Dialect, S: Store, C: Clock>(
     core: &Arc<Core<D, S, C>>,
--- a/crates/path/tests/chunk.rs
+++ b/crates/path/tests/chunk.rs
@@ -106,7 +106,10 @@
     let mut items = Items::default();
     for number in 1..=600_u64 {
         let key = format!("servers/{}", number * 7 % 601);
-        items.apply(now, Update::full(key.into(), Revision(1 + number / 3), Some("x".repeat(200))));
+        items.apply(
+            now,
+            Update::full(key.into(), Revision::from(1 + number / 3), Some("x".repeat(200))),
+        );
     }
     let mut receiver = Items::default();
     let mut batches = 0;
--- a/crates/path/tests/items.rs
+++ b/crates/path/tests/items.rs
@@ -9,7 +9,7 @@
 const MAX_BYTES: size::Bytes = size::Bytes(24 << 10);
 
 fn update(key: &str, revision: u64, value: Option<&str>) -> Update {
-    Update::full(key.into(), Revision(revision), value.map(str::to_owned))
+    Update::full(key.into(), revision.into(), value.map(str::to_owned))
 }
 
 fn value(items: &Items, key: &str) -> Option<String> {
@@ -78,7 +78,7 @@
 }
 
 fn revision(era: u32, number: u64) -> Revision {
-    Revision::in_era(Era::new(era).unwrap(), number).unwrap()
+    Revision::in_era(Era::new(era).unwrap(), number)
 }
 
 fn entry(key: &str, value: &str, at: Revision) -> Entry {
@@ -113,7 +113,7 @@
     assert!(changes.iter().all(|update| !update.is_unchanged));
     // A node that knows another state of the key asks for all values.
     let mut other = Items::default();
-    other.apply(now, update("a/1", revision(1, 7).0, Some("z")));
+    other.apply(now, update("a/1", revision(1, 7).short(), Some("z")));
     other.note_complete("a/", revision(1, 8));
     let change = &items.changes_after("a/", revision(1, 8), complete, MAX_BYTES)[0];
     assert!(!other.check_known("a/", change));
@@ -149,6 +149,6 @@
         started.apply(now, update);
     }
     assert_eq!(value(&started, "a/1").as_deref(), Some("12"));
-    assert!(started.apply(now, update("a/1", revision(2, 7).0, Some("13"))));
+    assert!(started.apply(now, update("a/1", revision(2, 7).short(), Some("13"))));
     assert_eq!(value(&started, "a/1").as_deref(), Some("13"));
 }
--- a/crates/path/tests/lag.rs
+++ b/crates/path/tests/lag.rs
@@ -40,7 +40,7 @@
 #[test]
 fn an_announcement_that_is_not_repeated_expires() {
     let (begin, mut tracker) = (Instant::now(), LagTracker::default());
-    tracker.note_announced(begin, Revision(u64::MAX), Revision(5));
+    tracker.note_announced(begin, Revision::MAX, Revision(5));
     assert!(tracker.lag(begin + seconds(5), Revision(5)).is_some());
     assert_eq!(tracker.lag(begin + seconds(15), Revision(5)), None);
     tracker.note_announced(begin + seconds(20), Revision(6), Revision(5));
--- a/crates/path/tests/restore.rs
+++ b/crates/path/tests/restore.rs
@@ -68,7 +68,7 @@
 
 impl Store {
     fn revision(&self) -> Revision {
-        Revision::in_era(Era::new(self.era).unwrap(), self.number).unwrap()
+        Revision::in_era(Era::new(self.era).unwrap(), self.number)
     }
 
     /// Returns the store as it comes back from this copy: all revisions are of the new era.
@@ -76,7 +76,7 @@
         let mut store = Self { era, ..self.clone() };
         for entry in store.entries.values_mut() {
             let number = entry.revision.number();
-            entry.revision = Revision::in_era(Era::new(era).unwrap(), number).unwrap();
+            entry.revision = Revision::in_era(Era::new(era).unwrap(), number);
         }
         store
     }
--- a/crates/path/tests/view.rs
+++ b/crates/path/tests/view.rs
@@ -84,7 +84,8 @@
 
 fn write_entry(items: &mut Items, target: u64, revision: u64, entry: &str) {
     let key = format!("targets/{target}").into();
-    items.apply(Instant::now(), Update::full(key, Revision(revision), Some(entry.to_owned())));
+    items
+        .apply(Instant::now(), Update::full(key, Revision::from(revision), Some(entry.to_owned())));
 }
 
 fn slots(view: &View) -> Vec<u32> {
@@ -151,7 +152,7 @@
     let (mut items, now, service) = (Items::default(), Instant::now(), "model".into());
     (0..TARGETS).for_each(|target| write_entry(&mut items, target, target + 1, "12"));
     let mut view = View::default().updated::<TestDialect>(&items, now, false);
-    items.apply(now, Update::full("targets/3".into(), Revision(TARGETS + 1), None));
+    items.apply(now, Update::full("targets/3".into(), Revision::from(TARGETS + 1), None));
     view.targets_in_group(&service, 0);
     view = view.updated::<TestDialect>(&items, now, false);
     let groups = group::count_groups(view.targets_of(&service).len());
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -76,7 +76,7 @@
     pub fn changes(&mut self, now: Instant, prefix: &str, after: Revision) -> Option<Batch> {
         self.expire(now);
         let revision = self.revision();
-        if after.0 < self.compacted_revision {
+        if after.number() < self.compacted_revision {
             return Some(Batch { events: Vec::new(), revision, compacted: true });
         }
         let newer = self.history.iter().rev().take_while(|event| event.revision > after);
@@ -118,7 +118,7 @@
 
     /// Returns the revision of the last write.
     pub fn revision(&self) -> Revision {
-        Revision(self.revision)
+        Revision(u128::from(self.revision))
     }
 
     /// Returns when the next lease expires.
@@ -164,7 +164,7 @@
         if self.history.len() > MAX_HISTORY_EVENTS
             && let Some(oldest) = self.history.pop_front()
         {
-            self.compacted_revision = oldest.revision.0;
+            self.compacted_revision = oldest.revision.number();
         }
         revision
     }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -56,7 +56,7 @@
     pub fn with_core<T>(&self, act: impl FnOnce(&mut Core, Instant) -> T) -> T {
         let mut core = lock(&self.core);
         let result = act(&mut core, Instant::now());
-        let revision = core.revision().0;
+        let revision = core.revision().number();
         self.written.send_if_modified(|seen| std::mem::replace(seen, revision) != revision);
         result
     }
--- a/crates/state/src/owner.rs
+++ b/crates/state/src/owner.rs
@@ -127,7 +127,7 @@
 
     /// Returns the revision of the known document.
     pub fn revision(&self) -> u64 {
-        self.lock().revision().0
+        self.lock().revision().short()
     }
 
     /// Sets the targets that need an owner.
@@ -140,7 +140,7 @@
     pub fn document(&self) -> (u64, String) {
         let assigner = self.lock();
         let text = serde_json::to_string(assigner.document()).unwrap_or_default();
-        (assigner.revision().0, text)
+        (assigner.revision().short(), text)
     }
 
     /// Applies a document from a peer if its revision is higher than the known one;
@@ -150,7 +150,7 @@
             return false;
         };
         let now = self.clock.now();
-        let changed = self.lock().apply_if_newer(now, Revision(revision), document);
+        let changed = self.lock().apply_if_newer(now, Revision::from(revision), document);
         self.notify_if_changed(changed)
     }
 
@@ -161,7 +161,7 @@
     /// to see that its predecessor has stopped.
     pub fn record_peer_revision(&self, node: &id::Node, revision: u64) {
         let now = self.clock.now();
-        self.lock().record_peer_revision(now, node, Revision(revision));
+        self.lock().record_peer_revision(now, node, Revision::from(revision));
     }
 
     /// Hands all targets over at a planned stop; returns whether none is left. It can't
--- a/crates/state/tests/drive.rs
+++ b/crates/state/tests/drive.rs
@@ -178,7 +178,7 @@
     let others = || nodes.iter().filter(|node| !std::ptr::eq(*node, most));
     wait_for("the node is gone", || others().all(|(m, _)| m.nodes().len() == 2)).await;
     let entry = service.get("owners").await.unwrap().unwrap();
-    let known = || others().all(|(_, owners)| entry.revision.0 <= owners.revision());
+    let known = || others().all(|(_, owners)| entry.revision.short() <= owners.revision());
     wait_for("the others know the document", known).await;
 }
 
--- a/crates/state/tests/follow.rs
+++ b/crates/state/tests/follow.rs
@@ -49,22 +49,22 @@
                 let entry = |(key, revision): &(String, u64)| Entry {
                     key: key.clone(),
                     value: String::new(),
-                    revision: Revision(*revision),
+                    revision: Revision::from(*revision),
                 };
-                Reply::Listed(Ok((keys.iter().map(entry).collect(), Revision(*revision))))
+                Reply::Listed(Ok((keys.iter().map(entry).collect(), Revision::from(*revision))))
             }
             Command::Watched(revision, keys) => {
                 let event = |(key, revision): &(String, u64)| Event {
                     key: key.trim_start_matches("gone_").into(),
                     value: (!key.starts_with("gone_")).then(String::new),
-                    revision: Revision(*revision),
+                    revision: Revision::from(*revision),
                 };
                 let events = keys.iter().map(event).collect();
-                let revision = Revision(*revision);
+                let revision = Revision::from(*revision);
                 Reply::Watched(Ok(Batch { events, revision, compacted: false }))
             }
             Command::Compacted(revision) => {
-                let revision = Revision(*revision);
+                let revision = Revision::from(*revision);
                 Reply::Watched(Ok(Batch { events: Vec::new(), revision, compacted: true }))
             }
             Command::Failed => Reply::Watched(Err(Error::Unknown("lost".into()))),
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -11,7 +11,14 @@
 pub const MAX_VALUE_SIZE: size::Bytes = size::Bytes(1 << 20);
 
 /// The number of bits of a revision's number; its era has the bits above.
-const NUMBER_BITS: u32 = 40;
+const NUMBER_BITS: u32 = u64::BITS;
+
+/// The number of bits of a number in the short form in which nodes exchange most revisions; the era
+/// has the bits above, up to 64 in all. Older versions know this form alone.
+const SHORT_NUMBER_BITS: u32 = 40;
+
+/// The bit that marks the long form, which has the layout of [`Revision`].
+const LONG_FORM: u128 = 1 << 100;
 
 /// The number of times that the service was restored from a copy, as it counts them. After that it
 /// gives out revisions again.
@@ -22,7 +29,7 @@
 
 impl Era {
     /// The greatest era.
-    pub const MAX: Self = Self((1 << (u64::BITS - NUMBER_BITS)) - 1);
+    pub const MAX: Self = Self((1 << (u64::BITS - SHORT_NUMBER_BITS)) - 1);
 
     /// Creates an era; `None` if it is greater than [`Era::MAX`].
     pub fn new(era: u32) -> Option<Self> {
@@ -42,13 +49,61 @@
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-#[serde(transparent)]
-pub struct Revision(pub u64);
+#[serde(into = "u128", try_from = "u128")]
+pub struct Revision(pub u128);
+
+/// The error of decoding a revision that no node sends.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, derive_more::Error)]
+#[display("expected a revision, got {encoded}")]
+pub struct InvalidRevision {
+    encoded: u128,
+}
+
+impl From<Revision> for u128 {
+    /// Encodes a revision for other nodes.
+    fn from(revision: Revision) -> Self {
+        let (era, number) = (Self::from(revision.era().0), Self::from(revision.number()));
+        match number >> SHORT_NUMBER_BITS {
+            0 => era << SHORT_NUMBER_BITS | number,
+            _ => LONG_FORM | revision.0,
+        }
+    }
+}
+
+impl From<u64> for Revision {
+    /// Decodes the short form.
+    fn from(short: u64) -> Self {
+        let era = Era((short >> SHORT_NUMBER_BITS) as u32);
+        Self::in_era(era, short & ((1 << SHORT_NUMBER_BITS) - 1))
+    }
+}
+
+impl TryFrom<u128> for Revision {
+    type Error = InvalidRevision;
+
+    fn try_from(encoded: u128) -> Result<Self, InvalidRevision> {
+        if let Ok(short) = u64::try_from(encoded) {
+            return Ok(Self::from(short));
+        }
+        let revision = Self(encoded & !LONG_FORM);
+        let is_valid =
+            encoded & LONG_FORM != 0 && revision.0 >> NUMBER_BITS <= u128::from(Era::MAX.0);
+        if is_valid { Ok(revision) } else { Err(InvalidRevision { encoded }) }
+    }
+}
 
 impl Revision {
-    /// Creates a revision of an era; `None` if the number is out of range.
-    pub fn in_era(era: Era, number: u64) -> Option<Self> {
-        (number >> NUMBER_BITS == 0).then_some(Self(u64::from(era.0) << NUMBER_BITS | number))
+    /// The greatest revision.
+    pub const MAX: Self = Self((Era::MAX.0 as u128) << NUMBER_BITS | u64::MAX as u128);
+
+    /// Creates a revision of an era.
+    pub fn in_era(era: Era, number: u64) -> Self {
+        Self(u128::from(era.0) << NUMBER_BITS | u128::from(number))
+    }
+
+    /// Returns the short form, which saturates.
+    pub fn short(self) -> u64 {
+        u64::try_from(u128::from(self)).unwrap_or(u64::MAX)
     }
 
     /// Returns the era.
@@ -58,7 +113,7 @@
 
     /// Returns the number within the era.
     pub fn number(self) -> u64 {
-        self.0 & ((1 << NUMBER_BITS) - 1)
+        self.0 as u64
     }
 }
 
