path: cut paths to targets are not taken for crashes

Cause: a connection that was reset and refusals by this node and a peer counted as the death of the target under the request. They prove that the peer's other paths work, not the one to this target. Two such targets under one content within an hour ended an attempt at once, without the checks that quarantines make.

It reads how the connection ended: the target's host closing it is evidence on the process, a reset is not. After a reset, refusals by several nodes are a possible crash, of which a quarantine needs three in place of two.

--- a/crates/client/src/channel.rs
+++ b/crates/client/src/channel.rs
@@ -44,6 +44,8 @@
 pub struct SendError {
     /// The cause.
     pub error: Error,
+    /// Whether the other end closed the connection, as opposed to a reset or a timeout.
+    pub is_closed: bool,
     /// The request if no byte of it has been written.
     pub unsent: Option<http::Request<Full<Bytes>>>,
 }
@@ -79,7 +81,7 @@
     ) -> Result<Exchange, SendError> {
         let Some(connection) = &mut self.connection else {
             let error = Error::NotSent("no connection".into());
-            return Err(SendError { error, unsent: Some(request) });
+            return Err(SendError { error, is_closed: false, unsent: Some(request) });
         };
         self.is_used = true;
         match connection.send(request).await {
@@ -87,12 +89,13 @@
                 let (client, connection) = (self.client.clone(), self.connection.take());
                 Ok(Exchange::new(client, self.route, connection, response))
             }
-            Err(failure) => Err(match failure.unsent {
-                Some(_) => {
-                    SendError { error: Error::NotSent(failure.text), unsent: failure.unsent }
-                }
-                None => SendError { error: Error::Unknown(failure.text), unsent: None },
-            }),
+            Err(failure) => {
+                let error = match failure.unsent {
+                    Some(_) => Error::NotSent(failure.text),
+                    None => Error::Unknown(failure.text),
+                };
+                Err(SendError { error, is_closed: failure.is_closed, unsent: failure.unsent })
+            }
         }
     }
 
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -9,6 +9,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::TcpKeepalive;
+use std::error::Error as _;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,6 +39,8 @@
 /// A request that got no response.
 pub(crate) struct Failure {
     pub(crate) text: String,
+    /// Whether the other end closed the connection.
+    pub(crate) is_closed: bool,
     /// The request if no byte of it has been written.
     pub(crate) unsent: Option<Request>,
 }
@@ -143,15 +146,24 @@
         request: Request,
     ) -> Result<http::Response<Incoming>, Failure> {
         if let Err(error) = self.sender.ready().await {
-            return Err(Failure { text: error.to_string(), unsent: Some(request) });
+            let (text, is_closed) = (error.to_string(), is_closed(&error));
+            return Err(Failure { text, is_closed, unsent: Some(request) });
         }
         self.sender.try_send_request(request).await.map_err(|mut failure| {
-            let text = failure.error().to_string();
-            Failure { text, unsent: failure.take_message() }
+            let (text, is_closed) = (failure.error().to_string(), is_closed(failure.error()));
+            Failure { text, is_closed, unsent: failure.take_message() }
         })
     }
 }
 
+/// Returns whether the other end closed the connection before the end of a message, as opposed to a
+/// reset or a timeout.
+pub fn is_closed(error: &hyper::Error) -> bool {
+    let sources = std::iter::successors(error.source(), |&error| error.source());
+    let mut io_errors = sources.filter_map(|error| error.downcast_ref::<std::io::Error>());
+    error.is_incomplete_message() || io_errors.any(|error| error.kind() == ErrorKind::UnexpectedEof)
+}
+
 /// Creates the builder of connections, which read at most `max_head` bytes ahead of the caller. A
 /// longer head breaks its connection.
 fn builder(max_head: usize) -> http1::Builder {
--- a/crates/path/src/attempt.rs
+++ b/crates/path/src/attempt.rs
@@ -10,7 +10,8 @@
 use crate::view::Tag;
 use bytes::Bytes;
 use derive_more::Display;
-use hickory_client::{Error, Exchange, Reuse};
+use hickory_client::{Error, Exchange, Reuse, is_closed};
+use hickory_policy::crash::Ending;
 use hickory_policy::misdirection::Misdirection;
 use hickory_policy::refuse::RetryReason;
 use hickory_store::store::Store;
@@ -76,8 +77,8 @@
     #[display("not sent: {detail}")]
     NotReserved { target: Tag, detail: String },
     /// The connection failed; the request may have run.
-    #[display("no answer: {_0}")]
-    OutcomeUnknown(String),
+    #[display("no answer: {detail}")]
+    OutcomeUnknown { detail: String, ending: Ending },
     /// The response doesn't belong to the request or is malformed; the request may have run.
     #[display("not its answer: {_0}")]
     InvalidAnswer(&'static str),
@@ -94,6 +95,17 @@
 }
 
 impl Failure {
+    /// Creates the failure of a connection on which the answer was being read.
+    pub(crate) fn broken(error: &hyper::Error) -> Self {
+        let ending = if is_closed(error) { Ending::Closed } else { Ending::Broken };
+        Self::OutcomeUnknown { detail: error.to_string(), ending }
+    }
+
+    /// Creates the failure of an answer whose connection was closed before its end.
+    pub(crate) fn closed(detail: &str) -> Self {
+        Self::OutcomeUnknown { detail: detail.into(), ending: Ending::Closed }
+    }
+
     /// Returns the retry reason that metrics count the failure as.
     pub(crate) fn reason(&self) -> RetryReason {
         match self {
@@ -102,7 +114,7 @@
             | Self::LinkDown(_)
             | Self::NotReserved { .. } => RetryReason::NotSent,
             Self::NotRun { .. } | Self::RequestRejected { .. } => RetryReason::Refused,
-            Self::OutcomeUnknown(_) | Self::InvalidAnswer(_) => RetryReason::TargetFailed,
+            Self::OutcomeUnknown { .. } | Self::InvalidAnswer(_) => RetryReason::TargetFailed,
             Self::DeadlineExceeded | Self::Stalled => RetryReason::Stalled,
         }
     }
@@ -174,9 +186,11 @@
         CallError::NotConnected(
             error @ (ConnectError::Unconfirmed | ConnectError::LinkDown(_)),
         ) => Failure::LinkDown(error.to_string()),
-        CallError::Failed(Error::Refused) => Failure::ConnectionRefused,
-        CallError::Failed(Error::NotSent(text)) => Failure::NotSent(text),
-        CallError::Failed(Error::Unknown(text)) => Failure::OutcomeUnknown(text),
+        CallError::Failed(Error::Refused, _) => Failure::ConnectionRefused,
+        CallError::Failed(Error::NotSent(text), _) => Failure::NotSent(text),
+        CallError::Failed(Error::Unknown(detail), ending) => {
+            Failure::OutcomeUnknown { detail, ending }
+        }
     })?;
     let head = D::parse_response_head(&exchange.head.headers);
     let status = exchange.head.status;
--- a/crates/path/src/datagram.rs
+++ b/crates/path/src/datagram.rs
@@ -72,6 +72,8 @@
     Planned(AllocationId, PlannedStart),
     /// A target reported its load. An extension.
     Load(StatedLoad),
+    /// A target may have crashed under a request, whose whole is identified. An extension.
+    PossibleCrash(PartCrash, Part),
 }
 
 impl Event {
@@ -91,6 +93,7 @@
                 | Self::Origin(..)
                 | Self::Planned(..)
                 | Self::Load(_)
+                | Self::PossibleCrash(..)
         )
     }
 
@@ -117,7 +120,8 @@
             | Self::PartQuarantine(_)
             | Self::Cold(_)
             | Self::Crash(..)
-            | Self::Load(_) => Content::Finding,
+            | Self::Load(_)
+            | Self::PossibleCrash(..) => Content::Finding,
         }
     }
 }
--- a/crates/path/src/death.rs
+++ b/crates/path/src/death.rs
@@ -5,8 +5,10 @@
 use crate::links::{self, ConnectError};
 use crate::serve::Job;
 use crate::view::Target;
+use hickory_policy::crash::{Entry, Reach};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The timeout for finding out why a connection broke. A target or peer that answers does so within
@@ -24,35 +26,41 @@
     u64::from_le_bytes(*hasher.finalize().as_bytes().first_chunk().unwrap_or(&[0; 8]))
 }
 
-/// What became of a target whose connection broke.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fate {
-    /// It refuses connections, from a peer as well if there is one to ask.
-    Dead,
-    /// It refuses connections, also those of a peer, but no other target is left by which the two
-    /// could tell a crash from broken links.
-    PresumedDead,
-    /// This node's own link to it is down, or all links are.
-    LinkDown,
-    /// It accepts connections, or doesn't answer.
-    Alive,
-}
-
-/// Finds out why a connection to a target broke.
+/// Finds out what new connections to a target meet after one of its connections failed.
 pub(crate) async fn examine<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     target: &Target,
-) -> Fate {
+) -> Reach {
     core.client.close_idle(target.entry.address);
     match tokio::time::timeout(PROBE_TIMEOUT, links::examine(core, target)).await {
-        Ok(Ok(channel)) if channel.is_relayed() => Fate::LinkDown,
+        Ok(Ok(channel)) if channel.is_relayed() => Reach::AcceptedByPeer,
         Ok(Ok(channel)) => {
             channel.release();
-            Fate::Alive
+            Reach::Accepted
         }
-        Ok(Err(ConnectError::Refused)) => Fate::Dead,
-        Ok(Err(ConnectError::Unconfirmed)) => Fate::PresumedDead,
-        Ok(Err(ConnectError::LinkDown(_))) => Fate::LinkDown,
-        Ok(Err(ConnectError::Unreachable(_))) | Err(_) => Fate::Alive,
+        Ok(Err(ConnectError::Refused)) => Reach::Refused,
+        Ok(Err(ConnectError::Unconfirmed)) => Reach::RefusedLikeOthers,
+        Ok(Err(ConnectError::LinkDown(_))) => Reach::Unconfirmed,
+        Ok(Err(ConnectError::Unreachable(_))) | Err(_) => Reach::Unanswered,
+    }
+}
+
+/// Returns what the entry of a target says of the process that it named.
+pub(crate) fn read_entry<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    target: &Target,
+) -> Entry {
+    let view = core.view();
+    let current = view.find_target(target.tag);
+    let is_draining = target.entry.is_draining || current.is_some_and(|t| t.entry.is_draining);
+    let mut others = view.targets_of(&target.entry.service).iter();
+    let is_successor =
+        |other: &Arc<Target>| other.id == target.id || other.entry.address == target.entry.address;
+    if is_draining || core.is_leaving(target.tag) {
+        Entry::Leaving
+    } else if current.is_none() && others.any(is_successor) {
+        Entry::Replaced
+    } else {
+        Entry::Same
     }
 }
--- a/crates/path/src/failure.rs
+++ b/crates/path/src/failure.rs
@@ -2,12 +2,13 @@
 //! target.
 
 use crate::attempt::Failure;
-use crate::death::{self, Fate};
+use crate::death;
 use crate::dialect::Dialect;
 use crate::place::Place;
 use crate::refusal::{NO_TARGET_RETRY_AFTER, Refusal};
 use crate::run::Run;
 use crate::view::Tag;
+use hickory_policy::crash::{self, Cause, Ending, Finding};
 use hickory_policy::refuse::{Ran, Reason};
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
@@ -91,7 +92,7 @@
                     .with_retry_after(OVERLOADED_RETRY_AFTER);
                 return Err(refusal.after_possible_run(self.may_have_run));
             }
-            Failure::OutcomeUnknown(_) => self.examine_target(place).await?,
+            Failure::OutcomeUnknown { ending, .. } => self.examine_target(place, ending).await?,
             Failure::InvalidAnswer(_) | Failure::DeadlineExceeded | Failure::Stalled => {}
         }
         self.may_have_run = true;
@@ -107,33 +108,38 @@
         }
     }
 
-    /// Finds out why the connection to a target broke. A dead target isn't used again, and its crash
-    /// counts against the request, which ends after the second one.
-    async fn examine_target(&mut self, place: &Place<D, S, C>) -> Result<(), Refusal> {
-        match death::examine(&self.core, &place.target).await {
-            Fate::Dead => {
-                place.note_connection_refused();
-                self.note_crash(&place.target);
-            }
-            // A request is quarantined only after several crashes, and cleared by sound answers.
-            Fate::PresumedDead => {
-                self.note_crash(&place.target);
-                return Ok(());
-            }
-            Fate::LinkDown => return Ok(()),
-            Fate::Alive => {
-                place.note_outcome(false);
-                return Ok(());
-            }
+    /// Finds out why the connection to a target failed, and what follows from it. The request ends if
+    /// it is the most likely cause of crashes.
+    async fn examine_target(
+        &mut self,
+        place: &Place<D, S, C>,
+        ending: Ending,
+    ) -> Result<(), Refusal> {
+        let progress = self.progress();
+        let reach = death::examine(&self.core, &place.target).await;
+        let entry = death::read_entry(&self.core, &place.target);
+        let finding = Finding { ending, reach, entry, progress };
+        let verdict = crash::judge(finding);
+        log::debug!(
+            request = self.job.head.attempt.as_str(), target_id = place.target.id.as_str();
+            "connection failed: {finding:?}, {:?}", verdict.cause
+        );
+        if verdict.is_refusing {
+            place.note_connection_refused();
         }
-        // The decision on a quarantine takes longer than the next attempt.
-        if self.core.parts().has_crashed_again(self.whole) {
-            let refusal = Refusal::new(Reason::Quarantined, "it crashed the targets that ran it");
-            return Err(Refusal { ran: Ran::Unknown, ..refusal });
+        if verdict.cause == Cause::Target {
+            place.note_outcome(false);
         }
-        if !std::mem::replace(&mut self.has_target_died, true) {
+        if !verdict.is_counted && !std::mem::replace(&mut self.has_spared_send, true) {
             self.counted_sends -= 1;
         }
+        let Some(certainty) = verdict.against_request else { return Ok(()) };
+        self.note_crash(&place.target, certainty, verdict.is_against_parts);
+        // The decision on a quarantine takes longer than the next attempt.
+        if self.core.parts().is_cause(self.core.now(), self.whole) {
+            let refusal = Refusal::new(Reason::Quarantined, "it crashed the targets that ran it");
+            return Err(refusal.after_possible_run(true));
+        }
         Ok(())
     }
 
@@ -147,9 +153,9 @@
     /// Records the failure of a target whose answer another one goes on with.
     pub(crate) async fn note_replaced(&mut self, place: &Place<D, S, C>, failure: &Failure) {
         self.note_failure(place, failure);
-        if let Failure::OutcomeUnknown(_) = failure {
+        if let Failure::OutcomeUnknown { ending, .. } = failure {
             // The answer goes on even if the request is now known to crash targets.
-            let _ = self.examine_target(place).await;
+            let _ = self.examine_target(place, *ending).await;
         }
     }
 
@@ -159,8 +165,9 @@
         self.log_failed_attempt(place, &failure.to_string());
         match failure {
             Failure::ConnectionRefused => place.note_connection_refused(),
-            Failure::LinkDown(_) | Failure::OutcomeUnknown(_) | Failure::RequestRejected { .. } => {
-            }
+            Failure::LinkDown(_)
+            | Failure::OutcomeUnknown { .. }
+            | Failure::RequestRejected { .. } => {}
             Failure::Stalled | Failure::DeadlineExceeded => place.note_silence(),
             _ => place.note_outcome(false),
         }
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -17,6 +17,7 @@
 use crate::placement::{Answer, Origin};
 use crate::rate_limit;
 use crate::supervisor;
+use hickory_policy::crash::Certainty;
 use hickory_policy::membership::{StateCounts, TICK_INTERVAL};
 use hickory_store::store::{Revision, Store};
 use hickory_telemetry::label::{Datagram as Content, Sender};
@@ -163,8 +164,15 @@
         Event::Leaving(stated) => core.handle_leaving(now, node, &stated),
         Event::Cold(stated) => core.handle_cold(now, node, &stated),
         Event::Rest(target, rest) => core.note_rest(target, rest, node),
-        Event::PartCrash(stated) => core.handle_crash(now, from, stated, None),
-        Event::Crash(stated, whole) => core.handle_crash(now, from, stated, Some(whole)),
+        Event::PartCrash(stated) => {
+            core.handle_crash(now, from, stated, None, Certainty::Likely);
+        }
+        Event::Crash(stated, whole) => {
+            core.handle_crash(now, from, stated, Some(whole), Certainty::Likely);
+        }
+        Event::PossibleCrash(stated, whole) => {
+            core.handle_crash(now, from, stated, Some(whole), Certainty::Possible);
+        }
         Event::PartsSound(parts, age) => core.handle_sound_parts(now, from, parts, age),
         Event::PartProposal(stated) => core.handle_part_proposal(now, from, stated),
         Event::PartQuarantine(stated) => core.handle_part_quarantine(now, node, from, stated),
--- a/crates/path/src/links.rs
+++ b/crates/path/src/links.rs
@@ -11,6 +11,7 @@
 use derive_more::Display;
 use futures::StreamExt;
 use hickory_client::{Call, Channel, Error, Exchange, RelayError, Response, Reuse, SendError};
+use hickory_policy::crash::Ending;
 use hickory_policy::links::Change;
 use hickory_store::store::Store;
 use hickory_unit::clock::Clock;
@@ -62,7 +63,14 @@
     /// No byte was sent.
     NotConnected(ConnectError),
     /// The call failed on an open connection.
-    Failed(Error),
+    Failed(Error, Ending),
+}
+
+impl From<SendError> for CallError {
+    fn from(failure: SendError) -> Self {
+        let ending = if failure.is_closed { Ending::Closed } else { Ending::Broken };
+        Self::Failed(failure.error, ending)
+    }
 }
 
 /// Sends a request to a target and waits for the head of the response. It is sent on at most one
@@ -80,7 +88,7 @@
         match channel.send(request).await {
             Ok(exchange) => return Ok(exchange),
             Err(SendError { unsent: Some(unsent), .. }) => request = unsent,
-            Err(SendError { error, .. }) => return Err(CallError::Failed(error)),
+            Err(failure) => return Err(failure.into()),
         }
     }
     let channel = connect(core, target).await.map_err(CallError::NotConnected)?;
@@ -88,7 +96,7 @@
         let target_id = target.id.as_str();
         log::info!(request = attempt, target_id; "sent through a peer, own link down");
     }
-    channel.send(request).await.map_err(|failure| CallError::Failed(failure.error))
+    channel.send(request).await.map_err(CallError::from)
 }
 
 /// The bound of a target's answer to an order or a health check, which are short JSON documents.
--- a/crates/path/src/part.rs
+++ b/crates/path/src/part.rs
@@ -11,6 +11,7 @@
 use crate::run::Run;
 use crate::serve::Job;
 use crate::view::{Tag, Target};
+use hickory_policy::crash::{Certainty, Progress};
 use hickory_policy::membership::TICK_INTERVAL;
 use hickory_policy::part::{
     Change, Crash, MAX_DECISION_WAIT, MAX_PARTS, MIN_WRITING_TIME, Part, Quarantine,
@@ -78,7 +79,7 @@
         }
     }
 
-    fn crash(self, now: Instant, whole: Option<Part>) -> Crash<Tag> {
+    fn crash(self, now: Instant, whole: Option<Part>, certainty: Certainty) -> Crash<Tag> {
         Crash {
             target: self.target,
             request: self.request,
@@ -86,6 +87,7 @@
             whole,
             sent_at: before(now, self.sent_age),
             crashed_at: before(now, self.crash_age),
+            certainty,
         }
     }
 }
@@ -180,50 +182,45 @@
         }
     }
 
-    /// Records that a target crashed while it held the request, unless it had written the answer for
-    /// a while, or was about to end anyway.
-    pub(crate) fn note_crash(&self, target: &Target) {
+    /// Records that a target crashed while it held the request.
+    pub(crate) fn note_crash(&self, target: &Target, certainty: Certainty, is_against_parts: bool) {
         let now = self.core.now();
-        let may_end = target.entry.is_draining || self.core.is_leaving(target.tag);
-        if self.has_written(now) || may_end {
-            return;
-        }
         let crash = Crash {
             target: target.tag,
             request: hash(&[self.job.head.attempt.as_bytes()]),
-            parts: self.parts.clone(),
+            parts: if is_against_parts { self.parts.clone() } else { vec![self.whole] },
             whole: Some(self.whole),
             sent_at: self.sent_at,
             crashed_at: now,
+            certainty,
         };
         log::info!(
             request = self.job.head.attempt.as_str(),
             target_id = target.id.as_str(),
             whole:% = format_parts(&[self.whole]),
-            parts:% = format_parts(&crash.parts);
+            parts:% = format_parts(&crash.parts),
+            certainty:? = certainty;
             "a target crashed under a request"
         );
         self.core.metrics.count_part_crash();
-        let event = Event::Crash(PartCrash::new(now, &crash), self.whole);
+        let event = write_crash(PartCrash::new(now, &crash), crash.whole, certainty);
         if self.core.parts().record_crash(now, crash).is_new {
             self.core.pass_on(&event);
         }
     }
 
-    /// Records that the request and the parts of its prompt are sound once its answer has been
-    /// written for a while, or is complete.
+    /// Records that the parts of the prompt are sound once its answer has been written for a while,
+    /// and that the request is once it is complete.
     pub(crate) fn note_written(&mut self, is_complete: bool) {
-        let now = self.core.now();
-        let Some(began_at) = self.writing_since.filter(|_| is_complete || self.has_written(now))
-        else {
-            return;
-        };
-        if std::mem::replace(&mut self.are_parts_sound, true) {
+        if !is_complete && (self.are_parts_sound || self.progress() < Progress::Written) {
             return;
         }
+        let Some(began_at) = self.writing_since else { return };
+        self.are_parts_sound = true;
+        let now = self.core.now();
         let (parts, change) = {
             let mut evidence = self.core.parts();
-            let parts = evidence.parts_to_clear(&self.parts, self.whole);
+            let parts = evidence.parts_to_clear(&self.parts, self.whole, is_complete);
             let change = evidence.record_sound(now, &parts, began_at);
             (parts, change)
         };
@@ -234,9 +231,14 @@
         }
     }
 
-    fn has_written(&self, now: Instant) -> bool {
-        self.writing_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= MIN_WRITING_TIME)
+    /// Returns how far the answer of the current attempt has come.
+    pub(crate) fn progress(&self) -> Progress {
+        let since = self.writing_since;
+        match since.map(|since| self.core.now().saturating_duration_since(since)) {
+            None => Progress::Sent,
+            Some(time) if time < MIN_WRITING_TIME => Progress::Begun,
+            Some(_) => Progress::Written,
+        }
     }
 }
 
@@ -257,10 +259,11 @@
         from: SocketAddr,
         stated: PartCrash,
         whole: Option<Part>,
+        certainty: Certainty,
     ) {
-        let event = write_crash(stated.clone(), whole);
+        let event = write_crash(stated.clone(), whole, certainty);
         let is_repeated = stated.crash_age > MAX_PASSED_ON_CRASH_AGE;
-        let mut change = self.parts().record_crash(now, stated.crash(now, whole));
+        let mut change = self.parts().record_crash(now, stated.crash(now, whole, certainty));
         change.is_new &= !is_repeated;
         self.handle_part_change(now, from, &event, change);
     }
@@ -368,7 +371,9 @@
             let evidence = self.parts();
             let recent = evidence.recent_crashes(now, MAX_REPEATED_CRASH_AGE).into_iter();
             let repeated = recent.choose_multiple(&mut rand::rng(), MAX_REPEATED_CRASHES);
-            let write = |crash: &Crash<Tag>| write_crash(PartCrash::new(now, crash), crash.whole);
+            let write = |crash: &Crash<Tag>| {
+                write_crash(PartCrash::new(now, crash), crash.whole, crash.certainty)
+            };
             repeated.into_iter().map(write).collect()
         };
         if crashes.is_empty() {
@@ -382,10 +387,11 @@
     }
 }
 
-fn write_crash(stated: PartCrash, whole: Option<Part>) -> Event {
-    match whole {
-        Some(whole) => Event::Crash(stated, whole),
-        None => Event::PartCrash(stated),
+fn write_crash(stated: PartCrash, whole: Option<Part>, certainty: Certainty) -> Event {
+    match (whole, certainty) {
+        (Some(whole), Certainty::Likely) => Event::Crash(stated, whole),
+        (Some(whole), Certainty::Possible) => Event::PossibleCrash(stated, whole),
+        (None, _) => Event::PartCrash(stated),
     }
 }
 
--- a/crates/path/src/run.rs
+++ b/crates/path/src/run.rs
@@ -51,15 +51,15 @@
     pub(crate) tried: Vec<Tag>,
     /// Targets that are silent and may still answer.
     pub(crate) silent: Vec<Tag>,
-    /// Whether a target has died while it ran the request. The first death doesn't count as a send.
-    pub(crate) has_target_died: bool,
+    /// Whether a send was not counted because its target ended or may have.
+    pub(crate) has_spared_send: bool,
     /// Whether the request may have run.
     pub(crate) may_have_run: bool,
     /// When the request was last sent to a target.
     pub(crate) sent_at: Instant,
     /// When the target began to write the answer, in the current attempt.
     pub(crate) writing_since: Option<Instant>,
-    /// Whether the parts are known to be sound.
+    /// Whether the parts that other prompts may share are known to be sound.
     pub(crate) are_parts_sound: bool,
     /// The ID of the last event that the caller has received.
     pub(crate) resume_after: Option<u64>,
@@ -105,7 +105,7 @@
         not_run_attempts: 0,
         tried: Vec::new(),
         silent: Vec::new(),
-        has_target_died: false,
+        has_spared_send: false,
         may_have_run: false,
         sent_at: core.now(),
         writing_since: None,
@@ -364,7 +364,7 @@
         match tokio::time::timeout(self.time_left(), body).await {
             Ok(Ok(body)) => Ok((exchange, head.keep_alive, body)),
             Ok(Err(body::Error::TooLong)) => Err(Failure::InvalidAnswer("its body is too long")),
-            Ok(Err(body::Error::Broken(error))) => Err(Failure::OutcomeUnknown(error.to_string())),
+            Ok(Err(body::Error::Broken(error))) => Err(Failure::broken(&error)),
             Err(_) => Err(Failure::DeadlineExceeded),
         }
     }
--- a/crates/path/src/stream.rs
+++ b/crates/path/src/stream.rs
@@ -100,12 +100,12 @@
                         return Ok(Next::Chunk(Chunk { bytes, first_id, last_id }));
                     }
                 }
-                Some(Err(error)) => return Err(Failure::OutcomeUnknown(error.to_string())),
+                Some(Err(error)) => return Err(Failure::broken(&error)),
                 None if self.needs_event && self.buffer.is_empty() => {
-                    return Err(Failure::OutcomeUnknown("ended before its first event".into()));
+                    return Err(Failure::closed("ended before its first event"));
                 }
                 None if self.buffer.is_empty() => return Ok(Next::End),
-                None => return Err(Failure::OutcomeUnknown("ended within an event".into())),
+                None => return Err(Failure::closed("ended within an event")),
             }
         }
     }
--- a/crates/policy/src/cause.rs
+++ b/crates/policy/src/cause.rs
@@ -1,9 +1,10 @@
 //! Finds the request or the prompt parts that explain crashes of targets.
 
+use crate::crash::Certainty;
 use crate::part::{Crash, Evidence, Part, Quarantine, SETTLING_TIME};
 use std::collections::{HashMap, HashSet};
 use std::hash::Hash;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Number of crashes in series after which a part is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
@@ -20,6 +21,14 @@
 /// needed to tell the causes apart.
 const WHOLE_QUARANTINE_CRASHES: usize = 2;
 
+/// The same if one of them is only a possible crash: its path may have been cut, or its answer had been
+/// written for long. A third target rarely fails under the same sound request before it is answered.
+const POSSIBLE_WHOLE_QUARANTINE_CRASHES: usize = 3;
+
+/// How far the times of crashes that other nodes state may be off: each is stated by its age, so that
+/// the time on the way adds to it. A stream is resumed within a few milliseconds after a crash.
+const MAX_TIME_ERROR: Duration = Duration::from_millis(20);
+
 impl<K: Copy + Eq + Hash> Evidence<K> {
     /// Returns the quarantine that explains the most crashes in series, and then the most targets.
     /// Parts that were never sound come first: a part that most prompts share is on most engines that
@@ -62,10 +71,12 @@
             let rival = rival.whole.filter(|rival| *rival != whole);
             rival.is_some_and(|rival| others.iter().all(|crash| was_on(rival, crash.target)))
         });
-        let min_crashes = match is_known {
-            true => KNOWN_PART_QUARANTINE_CRASHES,
-            false if has_rival || self.is_in_burst(whole, series) => QUARANTINE_CRASHES,
-            false => WHOLE_QUARANTINE_CRASHES,
+        let is_likely = series.iter().all(|crash| crash.certainty == Certainty::Likely);
+        let needs_more = has_rival || self.is_in_burst(whole, series);
+        let min_crashes = match is_likely {
+            _ if is_known => KNOWN_PART_QUARANTINE_CRASHES,
+            true => WHOLE_QUARANTINE_CRASHES + usize::from(needs_more),
+            false => POSSIBLE_WHOLE_QUARANTINE_CRASHES + usize::from(needs_more),
         };
         series.len() >= min_crashes
     }
@@ -92,9 +103,9 @@
         for crash in self.crashes.iter().filter(|crash| crash.parts.contains(&part)) {
             let is_cleared = cleared_until.is_some_and(|until| crash.crashed_at < *until);
             let is_settled = crash.crashed_at + SETTLING_TIME <= now;
-            let is_next = series
-                .last()
-                .is_none_or(|last| last.crashed_at <= crash.sent_at && last.target != crash.target);
+            let is_next = series.last().is_none_or(|last| {
+                last.crashed_at <= crash.sent_at + MAX_TIME_ERROR && last.target != crash.target
+            });
             if !is_cleared && is_settled && is_next {
                 series.push(crash);
             }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 mod cause;
 pub mod cold;
 pub mod cost;
+pub mod crash;
 mod curve;
 pub mod directory;
 pub mod doubt;
--- a/crates/policy/src/part.rs
+++ b/crates/policy/src/part.rs
@@ -13,10 +13,12 @@
 //! have in common and that weren't cleared: a sound request that shares only some of them is
 //! served, and clears those. Prompts that a quarantine would cover wait while it is decided on.
 //!
-//! A whole request counts as one more part of itself, which only its repetitions share. Each crash
-//! is identified by its target and its request, so it counts once on each node, whichever node saw
-//! it and however often it is reported.
+//! A whole request counts as one more part of itself, which only its repetitions share. Crashes count
+//! against it however long its answer had been written, and only its complete answer clears it. Each
+//! crash is identified by its target and its request, so it counts once on each node, whichever node
+//! saw it and however often it is reported.
 
+use crate::crash::Certainty;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
 use std::hash::Hash;
@@ -58,6 +60,11 @@
 /// Maximum number of quarantines.
 const MAX_QUARANTINES: usize = 64;
 
+/// Maximum number of crashes that are only possible and not repeated that are passed on at once, and
+/// the rate per second afterwards. Each stream that is lost with an engine is one.
+const MAX_POSSIBLE_CRASH_BURST: f64 = 4.0;
+const MAX_POSSIBLE_CRASHES_PER_SECOND: f64 = 0.2;
+
 /// Maximum number of crashes that are recorded at once, and the rate per second afterwards. Nodes
 /// pass on what they record.
 const MAX_CRASH_BURST: f64 = 32.0;
@@ -82,6 +89,8 @@
     pub sent_at: Instant,
     /// When the engine crashed.
     pub crashed_at: Instant,
+    /// How much it counts against the whole request.
+    pub certainty: Certainty,
 }
 
 /// A combination of parts. Prompts that contain all of them are refused.
@@ -126,6 +135,21 @@
     pub imposed: Vec<Quarantine>,
 }
 
+/// A number of events that grows with time up to a limit, and the time at which it was counted.
+#[derive(Clone, Copy, Debug, Default)]
+struct Allowance(Option<(f64, Instant)>);
+
+impl Allowance {
+    fn spend(&mut self, now: Instant, max: f64, per_second: f64) -> bool {
+        let (left, at) = self.0.unwrap_or((max, now));
+        let earned = now.saturating_duration_since(at).as_secs_f64() * per_second;
+        let left = (left + earned).min(max);
+        let is_allowed = left >= 1.0;
+        self.0 = Some((if is_allowed { left - 1.0 } else { left }, now));
+        is_allowed
+    }
+}
+
 /// What a node knows of crashes of engines and of sound parts.
 #[derive(Clone, Debug)]
 pub struct Evidence<K> {
@@ -135,8 +159,10 @@
     pub(crate) quarantines: Vec<Quarantine>,
     /// Combinations of parts that are proposed for a quarantine, and since when.
     proposals: Vec<(Vec<Part>, Instant)>,
-    /// The number of crashes that may be recorded, at a time.
-    allowance: Option<(f64, Instant)>,
+    /// The number of crashes that may be recorded.
+    allowance: Allowance,
+    /// The number of possible crashes that may be passed on.
+    possible_allowance: Allowance,
     /// Whether crashes were recorded that have not been considered yet.
     is_pending: bool,
 }
@@ -148,7 +174,8 @@
             sound: HashMap::new(),
             quarantines: Vec::new(),
             proposals: Vec::new(),
-            allowance: None,
+            allowance: Allowance::default(),
+            possible_allowance: Allowance::default(),
             is_pending: false,
         }
     }
@@ -172,32 +199,52 @@
         self.is_pending && self.find_cause(now + SETTLING_TIME).is_some_and(|q| q.covers(parts))
     }
 
-    /// Records a crash, unless it is known, explained by a quarantine, or one of too many.
+    /// Records a crash, unless it is known, explained by a quarantine, or one of too many. A known one
+    /// may become more certain.
     pub fn record_crash(&mut self, now: Instant, crash: Crash<K>) -> Change {
-        let is_known = |known: &Crash<K>| {
+        let is_known = |known: &&mut Crash<K>| {
             known.target == crash.target
                 && known.request == crash.request
                 && known.parts == crash.parts
         };
-        if crash.parts.is_empty() || self.crashes.iter().any(is_known) {
+        if crash.parts.is_empty() {
             return Change::default();
         }
+        if let Some(known) = self.crashes.iter_mut().find(is_known) {
+            let is_new = crash.certainty > known.certainty;
+            known.certainty = known.certainty.max(crash.certainty);
+            self.is_pending |= is_new;
+            return Change { is_new, ..Change::default() };
+        }
         if let Some(quarantine) = self.quarantines.iter_mut().find(|q| q.covers(&crash.parts)) {
             quarantine.last_crash = quarantine.last_crash.max(crash.crashed_at);
             return Change::default();
         }
         let sound = self.sound_since(&crash.parts, crash.crashed_at);
-        let is_repetition = crash.whole.is_some_and(|whole| self.count_crashes_of(whole) > 0);
-        if sound.len() == crash.parts.len() || !is_repetition && !self.spend_allowance(now) {
+        if sound.len() == crash.parts.len() {
             return Change { sound, ..Change::default() };
         }
+        let is_repetition = crash.whole.is_some_and(|whole| self.count_crashes_of(whole) > 0);
+        let is_new = match crash.certainty {
+            _ if is_repetition => true,
+            Certainty::Likely if !self.spend_allowance(now) => {
+                return Change { sound, ..Change::default() };
+            }
+            Certainty::Likely => true,
+            // It is kept all the same: its repetition shows that it matters.
+            Certainty::Possible => self.possible_allowance.spend(
+                now,
+                MAX_POSSIBLE_CRASH_BURST,
+                MAX_POSSIBLE_CRASHES_PER_SECOND,
+            ),
+        };
         self.crashes.push(crash);
         if self.crashes.len() > MAX_CRASHES {
-            self.crashes.sort_by_key(|crash| crash.crashed_at);
+            self.crashes.sort_by_key(|crash| (crash.certainty, crash.crashed_at));
             self.crashes.drain(..MAX_CRASHES / 8);
         }
         self.is_pending = true;
-        Change { is_new: true, sound, lifted: Vec::new() }
+        Change { is_new, sound, lifted: Vec::new() }
     }
 
     /// Records that answers on these parts, which began to be written at `began_at`, were written
@@ -304,10 +351,10 @@
             || self.quarantines.iter().any(|quarantine| quarantine.parts.contains(&part))
     }
 
-    /// Returns the parts of a request to record as sound: the whole request only if it is suspect,
-    /// since each request has its own.
-    pub fn parts_to_clear(&self, parts: &[Part], whole: Part) -> Vec<Part> {
-        let is_recorded = |part: &Part| *part != whole || self.is_suspect(whole);
+    /// Returns the parts of a request to record as sound: the whole request only if its answer is
+    /// complete, and it is suspect, since each request has its own.
+    pub fn parts_to_clear(&self, parts: &[Part], whole: Part, is_complete: bool) -> Vec<Part> {
+        let is_recorded = |part: &Part| *part != whole || is_complete && self.is_suspect(whole);
         parts.iter().copied().filter(is_recorded).collect()
     }
 
@@ -321,10 +368,11 @@
         self.crashes.len()
     }
 
-    /// Returns whether more than one target crashed under a request, as far as isn't explained.
-    pub fn has_crashed_again(&self, whole: Part) -> bool {
-        let crashes = self.crashes.iter().filter(|crash| crash.whole == Some(whole));
-        crashes.map(|crash| crash.target).collect::<HashSet<K>>().len() > 1
+    /// Returns whether a request explains the crashes of the targets that ran it. A quarantine follows
+    /// once the crashes have settled.
+    pub fn is_cause(&self, now: Instant, whole: Part) -> bool {
+        let cause = self.find_cause(now + SETTLING_TIME);
+        cause.is_some_and(|quarantine| quarantine.parts.contains(&whole))
     }
 
     fn count_crashes_of(&self, whole: Part) -> usize {
@@ -412,11 +460,6 @@
     }
 
     fn spend_allowance(&mut self, now: Instant) -> bool {
-        let (left, at) = self.allowance.unwrap_or((MAX_CRASH_BURST, now));
-        let earned = now.saturating_duration_since(at).as_secs_f64() * MAX_CRASHES_PER_SECOND;
-        let left = (left + earned).min(MAX_CRASH_BURST);
-        let is_allowed = left >= 1.0;
-        self.allowance = Some((if is_allowed { left - 1.0 } else { left }, now));
-        is_allowed
+        self.allowance.spend(now, MAX_CRASH_BURST, MAX_CRASHES_PER_SECOND)
     }
 }
--- a/crates/policy/tests/crash/event.rs
+++ b/crates/policy/tests/crash/event.rs
@@ -1,6 +1,6 @@
 //! What happens in a replay, and what nodes state.
 
-use super::{CRASHING, CRASHING_WHOLE, ms};
+use super::{CRASH_DELAY, CRASHING, CRASHING_WHOLE, LATE_CRASH_DELAY, ms};
 use hickory_policy::part::{Crash, Part, Quarantine};
 use std::time::{Duration, Instant};
 
@@ -35,13 +35,15 @@
     Part,
     /// A request that comes again.
     Whole,
+    /// The same, some time after its answer has begun.
+    LateWhole,
 }
 
 impl Cause {
     pub(super) fn is_in(self, parts: &[Part]) -> bool {
         parts.contains(match self {
             Self::Part => &CRASHING,
-            Self::Whole => &CRASHING_WHOLE,
+            Self::Whole | Self::LateWhole => &CRASHING_WHOLE,
         })
     }
 
@@ -49,7 +51,15 @@
     pub(super) fn max_crashes(self) -> usize {
         match self {
             Self::Part => 5,
-            Self::Whole => 3,
+            Self::Whole | Self::LateWhole => 3,
+        }
+    }
+
+    /// Returns the time from the beginning of an answer until its engine crashes.
+    pub(super) fn crash_delay(self) -> Duration {
+        match self {
+            Self::Part | Self::Whole => CRASH_DELAY,
+            Self::LateWhole => LATE_CRASH_DELAY,
         }
     }
 }
--- a/crates/policy/tests/crash/mod.rs
+++ b/crates/policy/tests/crash/mod.rs
@@ -4,6 +4,7 @@
 
 pub use event::{Cause, Fault};
 use event::{Event, Request, Statement};
+use hickory_policy::crash::Certainty;
 use hickory_policy::part::{
     Change, Crash, Evidence, MAX_DECISION_WAIT, MIN_WRITING_TIME, Part, Quarantine,
 };
@@ -40,8 +41,9 @@
 /// When all nodes restart, if they do.
 const ALL_RESTART_AT: Duration = ms(18_500);
 
-/// Time from the beginning of an answer until its engine crashes.
+/// Time from the beginning of an answer until its engine crashes, early or late in the answer.
 const CRASH_DELAY: Duration = ms(60);
+const LATE_CRASH_DELAY: Duration = ms(900);
 
 /// Time for which an answer is written.
 const WRITING_TIME: Duration = ms(1_200);
@@ -160,7 +162,10 @@
                 held.began_at = Some(now);
                 let is_crashing = cause.is_in(&held.parts);
                 match is_crashing {
-                    true => self.schedule(CRASH_DELAY, Event::Crash { engine }),
+                    true => {
+                        self.schedule(MIN_WRITING_TIME, Event::Write { engine, request });
+                        self.schedule(cause.crash_delay(), Event::Crash { engine });
+                    }
                     false => {
                         self.schedule(MIN_WRITING_TIME, Event::Write { engine, request });
                         self.schedule(WRITING_TIME, Event::End { engine, request });
@@ -170,15 +175,14 @@
             Event::Write { engine, request } => {
                 let now = self.clock();
                 let Some(held) = self.held(engine, request).cloned() else { return };
-                let began_at = held.began_at.unwrap();
-                let evidence = &mut self.nodes[held.node];
-                let parts = evidence.parts_to_clear(&held.parts, held.whole);
-                let change = evidence.record_sound(now, &parts, began_at);
-                let statement = Statement::Sound(parts, began_at);
-                self.pass_on(held.node, &statement, &change);
+                self.record_sound(now, &held, false);
             }
             Event::End { engine, request } => {
-                self.engines.get_mut(&engine).and_then(|held| held.remove(&request));
+                let now = self.clock();
+                let ended = self.engines.get_mut(&engine).and_then(|held| held.remove(&request));
+                if let Some(held) = ended {
+                    self.record_sound(now, &held, true);
+                }
             }
             Event::Crash { engine } => self.crash(engine),
             Event::Restart => {
@@ -198,6 +202,14 @@
         }
     }
 
+    fn record_sound(&mut self, now: Instant, held: &Request, is_complete: bool) {
+        let began_at = held.began_at.unwrap();
+        let evidence = &mut self.nodes[held.node];
+        let parts = evidence.parts_to_clear(&held.parts, held.whole, is_complete);
+        let change = evidence.record_sound(now, &parts, began_at);
+        self.pass_on(held.node, &Statement::Sound(parts, began_at), &change);
+    }
+
     fn held(&mut self, engine: u32, request: u64) -> Option<&mut Request> {
         self.engines.get_mut(&engine)?.get_mut(&request)
     }
@@ -208,7 +220,9 @@
         let own_whole = Part(1_000_000 + self.last_request);
         let (parts, whole) = match (is_crashing, self.cause) {
             (true, Cause::Part) => (vec![FIRST, subject, CRASHING, own_whole], own_whole),
-            (true, Cause::Whole) => (vec![FIRST, Part(100), CRASHING_WHOLE], CRASHING_WHOLE),
+            (true, Cause::Whole | Cause::LateWhole) => {
+                (vec![FIRST, Part(100), CRASHING_WHOLE], CRASHING_WHOLE)
+            }
             (false, _) => (vec![FIRST, subject, own_whole], own_whole),
         };
         let node = self.random.random_range(0..self.nodes.len());
@@ -259,18 +273,21 @@
         held.sort_by_key(|request| request.id);
         for request in held {
             let written = request.began_at.map_or(Duration::ZERO, |began_at| now - began_at);
-            if written < MIN_WRITING_TIME {
-                let crash = Crash {
-                    target: engine,
-                    request: request.id,
-                    parts: request.parts.clone(),
-                    whole: Some(request.whole),
-                    sent_at: request.sent_at,
-                    crashed_at: now,
-                };
-                let change = self.nodes[request.node].record_crash(now, crash.clone());
-                self.pass_on(request.node, &Statement::Crash(crash), &change);
-            }
+            let (parts, certainty) = match written < MIN_WRITING_TIME {
+                true => (request.parts.clone(), Certainty::Likely),
+                false => (vec![request.whole], Certainty::Possible),
+            };
+            let crash = Crash {
+                target: engine,
+                request: request.id,
+                parts,
+                whole: Some(request.whole),
+                sent_at: request.sent_at,
+                crashed_at: now,
+                certainty,
+            };
+            let change = self.nodes[request.node].record_crash(now, crash.clone());
+            self.pass_on(request.node, &Statement::Crash(crash), &change);
             if request.sends < 2 {
                 self.send(request);
             }
--- a/crates/policy/tests/part.rs
+++ b/crates/policy/tests/part.rs
@@ -1,5 +1,6 @@
 //! Quarantine of requests and prompt parts: single decisions.
 
+use hickory_policy::crash::Certainty;
 use hickory_policy::part::{Crash, Evidence, Part, Quarantine};
 use std::time::{Duration, Instant};
 
@@ -13,7 +14,8 @@
 /// Returns the crash of an engine at `at` under a request that was sent 100 ms before.
 fn crash(target: u32, request: u64, parts: &[Part], at: Instant) -> Crash<u32> {
     let sent_at = at - ms(100);
-    Crash { target, request, parts: parts.to_vec(), whole: None, sent_at, crashed_at: at }
+    let (parts, certainty) = (parts.to_vec(), Certainty::Likely);
+    Crash { target, request, parts, whole: None, sent_at, crashed_at: at, certainty }
 }
 
 /// Records crashes of different engines and requests, one each second, and decides.
@@ -221,9 +223,75 @@
         evidence.record_crash(start, crash_of_whole(1, BAD, start));
     }
     assert_eq!(evidence.count_crashes(), 1);
-    assert_eq!(evidence.parts_to_clear(&[FIRST, BAD], BAD), [FIRST, BAD]);
-    assert_eq!(evidence.parts_to_clear(&[FIRST, SOUND], SOUND), [FIRST]);
+    assert_eq!(evidence.parts_to_clear(&[FIRST, BAD], BAD, true), [FIRST, BAD]);
+    assert_eq!(evidence.parts_to_clear(&[FIRST, SOUND], SOUND, true), [FIRST]);
     evidence.record_sound(start, &[BAD], start + ms(500));
     evidence.record_crash(start, crash_of_whole(2, BAD, start + ms(1_000)));
     assert_eq!(settle(&mut evidence, start + ms(60_000)), []);
 }
+
+/// Returns whether a request is refused after crashes of different targets, one a second. Another
+/// request was on the first `shared` targets with it.
+fn is_refused_after(crashes: &[Certainty], shared: usize) -> bool {
+    let start = Instant::now() + ms(1_000);
+    let mut evidence = Evidence::default();
+    for (index, certainty) in crashes.iter().enumerate() {
+        let at = start + ms(1_000) * index as u32;
+        let requests = [Some(BAD), (index < shared).then_some(SOUND)];
+        for whole in requests.into_iter().flatten() {
+            let crash = crash_of_whole(index as u32, whole, at);
+            evidence.record_crash(at, Crash { certainty: *certainty, ..crash });
+        }
+    }
+    settle(&mut evidence, start + ms(60_000));
+    assert!(!evidence.is_quarantined(Instant::now(), &[SOUND]));
+    evidence.is_quarantined(Instant::now(), &[BAD])
+}
+
+/// Guards against refusing a request after two cut paths or two crashes of other causes, and against
+/// never refusing one whose crashes are only possible ones.
+#[test]
+fn a_request_is_refused_after_more_crashes_if_one_is_only_possible() {
+    use Certainty::{Likely, Possible};
+    assert!(is_refused_after(&[Likely, Likely], 0));
+    assert!(!is_refused_after(&[Likely, Possible], 0));
+    assert!(!is_refused_after(&[Possible, Possible], 0));
+    assert!(is_refused_after(&[Possible, Possible, Possible], 0));
+    assert!(!is_refused_after(&[Possible, Possible, Possible], 3));
+    assert!(is_refused_after(&[Possible, Possible, Possible, Possible], 3));
+}
+
+/// Guards against crashes that are left out of a series since other nodes stated their times a few
+/// milliseconds late.
+#[test]
+fn crashes_of_a_stream_that_is_resumed_at_once_count_in_series() {
+    let start = Instant::now() + ms(1_000);
+    let mut evidence = Evidence::default();
+    for (target, late_ms) in [(1, 8), (2, 0), (3, 4)] {
+        let crashed_at = start + ms(600 * u64::from(target) + late_ms);
+        let sent_at = start + ms(600 * u64::from(target - 1) + late_ms + 2);
+        let crash = Crash { sent_at, ..crash_of_whole(target, BAD, crashed_at) };
+        evidence.record_crash(crashed_at, Crash { certainty: Certainty::Possible, ..crash });
+    }
+    settle(&mut evidence, start + ms(60_000));
+    assert!(evidence.is_quarantined(Instant::now(), &[BAD]));
+}
+
+/// Guards against possible crashes, of which each lost stream is one, that crowd out the others or fill
+/// the links between nodes.
+#[test]
+fn possible_crashes_crowd_out_no_others() {
+    let start = Instant::now() + ms(1_000);
+    let mut evidence = Evidence::default();
+    evidence.record_crash(start, crash_of_whole(1, BAD, start));
+    let mut passed_on = 0;
+    for number in 0..10_000_u32 {
+        let at = start + ms(1) * number;
+        let crash = crash_of_whole(10 + number, Part(1_000 + u64::from(number)), at);
+        let crash = Crash { certainty: Certainty::Possible, ..crash };
+        passed_on += usize::from(evidence.record_crash(at, crash).is_new);
+    }
+    assert!(passed_on <= 4 + 2, "{passed_on} crashes in 10 s");
+    assert!(evidence.count_crashes() <= 512);
+    assert!(evidence.is_suspect(BAD));
+}
--- a/crates/policy/tests/part_replay.rs
+++ b/crates/policy/tests/part_replay.rs
@@ -44,3 +44,10 @@
 fn a_fleet_refuses_a_crashing_request_and_nothing_else() {
     assert_refused(Cause::Whole);
 }
+
+/// Guards against nodes that never learn of a request under which engines crash late in the answer, or
+/// refuse sound requests that were lost with it.
+#[test]
+fn a_fleet_refuses_a_request_that_crashes_late_and_nothing_else() {
+    assert_refused(Cause::LateWhole);
+}
