A relay that breaks off is no evidence on the target

The error of a relayed connection without a stated end had the kind of a connection that its other end closed, which counts as evidence that the target's process ended. It has a kind of its own now.

--- a/crates/client/src/tunnel.rs
+++ b/crates/client/src/tunnel.rs
@@ -126,7 +126,7 @@
             ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
             if buffer.filled().len() == start {
                 let error = "the relay closed the connection before its end";
-                return Poll::Ready(Err(io::Error::new(ErrorKind::UnexpectedEof, error)));
+                return Poll::Ready(Err(io::Error::new(ErrorKind::ConnectionAborted, error)));
             }
             let length = self.decode(&mut buffer.filled_mut()[start..]);
             buffer.set_filled(start + length);
--- a/crates/client/tests/tunnel.rs
+++ b/crates/client/tests/tunnel.rs
@@ -64,7 +64,7 @@
         let bytes = [encode(&data, 100), END.to_vec()].concat();
         for length in (0..bytes.len()).rev().take(400) {
             let error = read(&bytes[..length], 64).await.unwrap_err();
-            assert_eq!(error.kind(), ErrorKind::UnexpectedEof, "{length} of {}", bytes.len());
+            assert_eq!(error.kind(), ErrorKind::ConnectionAborted, "{length} of {}", bytes.len());
         }
     }
 }
