--- a/apps/hickory-soak/src/lost.rs
+++ b/apps/hickory-soak/src/lost.rs
@@ -100,23 +100,25 @@
     if is_timed_out || was_disturbed(run, record) {
         return None;
     }
-    let Some((target, arrival)) = arrivals.iter().max_by_key(|(_, arrival)| arrival.received_at)
-    else {
+    let Some(last) = arrivals.iter().max_by_key(|(_, arrival)| arrival.received_at) else {
         let lag = run.lag.max_between(request.sent_at, record.ended_at);
         let took = record.answer.closed_at?.duration_since(request.sent_at);
         let is_late = took > CROSSING_TIME + lag * 2;
         return is_late.then(|| format!("read, closed after {took:?}, not passed on"));
     };
-    let (replica, link) = &run.replicas[*target];
     let from = request.sent_at.checked_sub(CONTACT_TIME).unwrap_or(request.sent_at);
-    let is_target_disturbed = link.was_disturbed(from, record.ended_at)
-        || run.had_outage(&Scope::Target(replica.name.clone()), from, record.ended_at);
+    let breaks_off = |(target, arrival): &(usize, Arrival)| {
+        let (replica, link) = &run.replicas[*target];
+        let scope = Scope::Target(replica.name.clone());
+        arrival.breaks_off
+            || link.was_disturbed(from, record.ended_at)
+            || run.had_outage(&scope, from, record.ended_at)
+    };
+    let (target, arrival) = last;
     // A stream that broke off may find no other target, or only one when a stop has begun.
     let stops = stops_around(run, record);
     let has_no_other = !arrival.was_run || !stops.is_empty();
-    let has_broken_off =
-        arrival.breaks_off || has_no_other && arrivals.iter().any(|(_, a)| a.breaks_off);
-    if has_broken_off || is_target_disturbed {
+    if breaks_off(last) || has_no_other && arrivals.iter().any(breaks_off) {
         return None;
     }
     let is_excused = |stop: &Stop| {
@@ -130,7 +132,7 @@
     }
     let finished = arrival.finished_at.map(|at| run.format_time(at));
     let finished = finished.unwrap_or_else(|| "not yet".to_owned());
-    let (name, status) = (&replica.name, record.answer.status);
+    let (name, status) = (&run.replicas[*target].0.name, record.answer.status);
     Some(format!("status {status}, not whole, though {name} finished it at {finished}"))
 }
 
