SIGHUP doesn't end a daemon that is starting

They are installed first now. a_reload_during_the_start_does_not_end_the_daemon failed before with the signal's exit status, and passes.

--- a/apps/hickory-entry/src/main.rs
+++ b/apps/hickory-entry/src/main.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// The timeout of a call to the platform's store: about a hundred times its usual duration.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -42,6 +42,10 @@
 
 fn main() -> eyre::Result<()> {
     let options = Options::parse();
+    // A single thread is enough for a quarter of a core, and each further thread costs
+    // memory for its stack and its allocations.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let signals = runtime.block_on(async { Signals::open() })?;
     let path = options.settings.clone().unwrap_or_else(settings_path);
     let mut settings = read_settings(&path)?;
     settings.metrics = options.metrics.map(|port| SocketAddr::new(settings.callers.ip(), port));
@@ -51,10 +55,26 @@
     }
     hickory_telemetry::logs::open_stdout(options.log)?;
     hickory_telemetry::logs::set_node(&settings.node);
-    // A single thread is enough for a quarter of a core, and each further thread costs
-    // memory for its stack and its allocations.
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(run(settings, &path))
+    runtime.block_on(run(settings, &path, signals))
+}
+
+/// The signals to the daemon. They are handled before the settings are read, as SIGHUP, which states
+/// that these have changed, would otherwise end a process that is starting.
+#[derive(Debug)]
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn open() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
 }
 
 fn settings_path() -> PathBuf {
@@ -66,20 +86,17 @@
     settings::read(&text).map_err(|finding| eyre::eyre!(finding.in_file(&path.display())))
 }
 
-async fn run(settings: Settings, path: &Path) -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
+async fn run(settings: Settings, path: &Path, mut signals: Signals) -> eyre::Result<()> {
     let store = store::Store::open(settings.store, STORE_TIMEOUT);
     log::info!(node = settings.node.as_str(), callers:% = settings.callers; "started");
     let mut active = settings.clone();
     let node: Node<Platform, _, _> = Node::spawn(settings, store, clock::BootTime::start()).await?;
     loop {
         let is_stopping = tokio::select! {
-            _ = terminate.recv() => true,
-            _ = interrupt.recv() => true,
+            _ = signals.terminate.recv() => true,
+            _ = signals.interrupt.recv() => true,
             task = node.failed() => return Err(task_failed(task)),
-            _ = hang_up.recv() => false,
+            _ = signals.hang_up.recv() => false,
             () = tokio::time::sleep(SETTINGS_POLL_INTERVAL) => false,
         };
         // The settings are read on each of these: the grace period that counts from SIGTERM may
--- a/apps/hickory-entry/tests/reload.rs
+++ b/apps/hickory-entry/tests/reload.rs
@@ -105,3 +105,54 @@
     assert!(daemon.wait_for_exit().await.success());
     assert!(start.elapsed() < GRACE, "{:?}", start.elapsed());
 }
+
+/// Guards against a daemon that SIGHUP ends while it starts. Its settings come through a pipe, on which
+/// it waits for them.
+#[tokio::test]
+async fn a_reload_during_the_start_does_not_end_the_daemon() {
+    let store = Store::spawn().await;
+    store.put_configuration(CONFIG);
+    let settings = settings("node-1", store.address);
+    let pipe = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("reload-start.json");
+    // It is left over from an earlier run.
+    let _ = std::fs::remove_file(&pipe);
+    assert!(Command::new("mkfifo").arg(&pipe).status().unwrap().success());
+    let process = Command::new(env!("CARGO_BIN_EXE_hickory-entry"))
+        .arg(&pipe)
+        .stdout(Stdio::null())
+        .stdin(Stdio::null())
+        .spawn()
+        .unwrap();
+    // Opening the pipe waits until the daemon reads it.
+    let file = pipe.clone();
+    let writer = tokio::task::spawn_blocking(move || std::fs::File::create(file).unwrap());
+    let mut writer = writer.await.unwrap();
+    let mut daemon = Starting(process);
+    daemon.signal("-HUP");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(daemon.0.try_wait().unwrap(), None, "ended by SIGHUP");
+    // The daemon reads a file when it reloads.
+    std::fs::remove_file(&pipe).unwrap();
+    std::fs::write(&pipe, write_settings(&settings)).unwrap();
+    std::io::Write::write_all(&mut writer, write_settings(&settings).as_bytes()).unwrap();
+    drop(writer);
+    wait_until_ready(settings.ready).await;
+}
+
+/// A daemon that is killed when this is dropped.
+struct Starting(Child);
+
+impl Starting {
+    fn signal(&self, signal: &str) {
+        let id = self.0.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+}
+
+impl Drop for Starting {
+    fn drop(&mut self) {
+        // This fails if the daemon has already ended.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
