--- a/crates/path/src/drain.rs
+++ b/crates/path/src/drain.rs
@@ -105,11 +105,12 @@
         return Ok(());
     };
     let time_left = job.deadline.saturating_duration_since(core.now());
-    let expected = job.nominal().expected_time(core.slowness(&job.route), time_left);
-    if (Stop { elapsed, left }).fits(expected, time_left) {
+    let (nominal, slowness) = (job.nominal(), core.slowness(&job.route));
+    if (Stop { elapsed, left }).fits(nominal, slowness, time_left) {
         return Ok(());
     }
-    let (left_ms, expected_ms) = (left.as_millis(), expected.as_millis());
+    let expected_ms = nominal.expected_time(slowness, time_left).as_millis();
+    let left_ms = left.as_millis();
     let detail = format!("this node stops in {left_ms} ms, the request may take {expected_ms} ms");
     Err(Refusal::new(Reason::Draining, detail).with_retry_after(RETRY_AFTER))
 }
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -31,10 +31,10 @@
 /// The margin over the slowest recent request, for the scatter of requests of the same length.
 const SLOWNESS_MARGIN: f64 = 1.05;
 
-/// The longest silence of a target within an answer, for which callers wait.
+/// The longest silence of a target within a stream, for which callers wait.
 const MAX_SILENCE: Duration = Duration::from_secs(2);
 
-/// The part of a stop, as a divisor, after which a request must fit even if its target falls silent.
+/// The part of a stop, as a divisor, after which a stream must fit even if its target falls silent.
 /// By then most callers know of the stop. Earlier ones would often be refused in vain, as few targets
 /// fall silent.
 const SILENCE_MARGIN_DIVISOR: u32 = 3;
@@ -49,11 +49,15 @@
 }
 
 impl Stop {
-    /// Returns whether a request that is expected to take `expected`, and ends at its deadline
-    /// after `time_left` in any case, can be expected to end in time.
-    pub fn fits(self, expected: Duration, time_left: Duration) -> bool {
-        let has_margin = self.elapsed >= (self.elapsed + self.left) / SILENCE_MARGIN_DIVISOR;
-        let silence = if has_margin { MAX_SILENCE } else { Duration::ZERO };
+    /// Returns whether a request can be expected to end in time, by the recent ones of its route. Its
+    /// deadline ends it in any case, `time_left` from now.
+    pub fn fits(self, nominal: Nominal, slowness: Option<f64>, time_left: Duration) -> bool {
+        let expected = nominal.expected_time(slowness, time_left);
+        let is_late = self.elapsed >= (self.elapsed + self.left) / SILENCE_MARGIN_DIVISOR;
+        let silence = match nominal {
+            Nominal::Stream { .. } | Nominal::Unknown if is_late => MAX_SILENCE,
+            _ => Duration::ZERO,
+        };
         expected.saturating_add(silence).min(time_left) < self.left
     }
 }
--- a/crates/policy/tests/drain.rs
+++ b/crates/policy/tests/drain.rs
@@ -131,19 +131,28 @@
 /// silent for a while.
 #[test]
 fn a_late_request_fits_even_if_its_target_falls_silent() {
-    let late = Stop { elapsed: ms(3_100), left: ms(1_400) };
-    assert!(!late.fits(ms(500), ms(5_000)));
-    assert!(late.fits(ms(500), ms(1_300)), "it ends at its deadline");
-    let long = Stop { elapsed: ms(3_100), left: ms(4_400) };
-    assert!(long.fits(ms(2_300), ms(5_000)));
-    assert!(!long.fits(ms(2_400), ms(5_000)));
-    let early = Stop { elapsed: ms(1_200), left: ms(3_300) };
-    assert!(early.fits(ms(3_200), ms(5_000)));
-    assert!(!early.fits(ms(3_300), ms(5_000)));
+    let fits = |elapsed: u64, left: u64, expected: u64, time_left: u64| {
+        let nominal = Nominal::Stream { expected: ms(expected), max: ms(expected) };
+        Stop { elapsed: ms(elapsed), left: ms(left) }.fits(nominal, Some(1.0), ms(time_left))
+    };
+    assert!(!fits(3_100, 1_400, 500, 5_000));
+    assert!(fits(3_100, 1_400, 500, 1_300), "it ends at its deadline");
+    assert!(fits(3_100, 4_400, 2_300, 5_000));
+    assert!(!fits(3_100, 4_400, 2_400, 5_000));
+    assert!(fits(1_200, 3_300, 3_200, 5_000), "it is early");
+    assert!(!fits(1_200, 3_300, 3_300, 5_000));
+}
+
+/// Guards against refusing short answers for most of the grace period.
+#[test]
+fn a_late_answer_leaves_no_room_for_a_silence() {
+    let late = Stop { elapsed: ms(3_600), left: ms(900) };
+    assert!(late.fits(Nominal::Answer(ms(100)), None, ms(2_000)));
+    assert!(!late.fits(Nominal::Answer(ms(200)), None, ms(2_000)));
 }
 
 #[test]
 fn nothing_fits_at_the_end_of_a_stop() {
     let ended = Stop { elapsed: ms(4_500), left: ms(0) };
-    assert!(!ended.fits(ms(0), ms(0)));
+    assert!(!ended.fits(Nominal::Answer(ms(0)), None, ms(0)));
 }
