--- a/apps/hickory-entry/tests/relay.rs
+++ b/apps/hickory-entry/tests/relay.rs
@@ -198,7 +198,7 @@
 
 /// Returns whether a response is an error that doesn't say that the request wasn't run.
 fn is_unknown(response: &Response) -> bool {
-    response.status == 502 && response.header("x-not-executed").is_none()
+    response.status == 502 && !response.states_not_run()
 }
 
 /// Guards against half of an answer that is handed out as whole because the relay was killed.
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -42,7 +42,7 @@
 /// The progress of a stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stop {
-    /// The time since its begin.
+    /// The time since its start.
     pub elapsed: Duration,
     /// The time for which requests may go on.
     pub left: Duration,
