--- a/crates/path/src/serve.rs
+++ b/crates/path/src/serve.rs
@@ -18,6 +18,7 @@
 use hickory_unit::size::{self, Tokens};
 use http::{Request, Response};
 use hyper::body::Incoming;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -66,11 +67,14 @@
     let attempt = D::parse_attempt(request.headers());
     let holder = request.extensions().get().cloned();
     let holder: Holder = holder.unwrap_or_else(|| Holder::open(&core.holdings));
-    let read = holder.run(Ran::No, read_job(&core, arrived, request, &holder));
+    // Futures are pinned here, as each function that takes one by value doubles its size.
+    let read = pin!(read_job(&core, arrived, request, &holder));
+    let read = holder.run(Ran::No, read);
     let outcome = match drain::run_until_interrupted(&core, Ran::No, read).await {
         Ok(job) => {
             let prompt = job.head.prompt.map_or(Tokens(0), |prompt| prompt.tokens);
-            let run = holder.run(Ran::Unknown, run::run(&core, job, active));
+            let run = pin!(run::run(&core, job, active));
+            let run = holder.run(Ran::Unknown, run);
             let outcome = drain::run_until_interrupted(&core, Ran::Unknown, run).await;
             outcome.map_err(|refusal| refusal.with_prompt(prompt))
         }
