The test of a refusal's log line sends a request before

Its line shows config_age_ms=7 and age_ms=6: it was the first request of a node that had just become ready, which waits for the node's targets. The other tests of the file send a first request for that reason. The test still asks for no wait at all.

--- a/apps/hickory-entry/tests/logs.rs
+++ b/apps/hickory-entry/tests/logs.rs
@@ -147,6 +147,8 @@
 #[tokio::test]
 async fn a_refusal_is_logged_with_the_inputs_of_its_decision() {
     let harness = Harness::open("refused").await;
+    // A node is ready before it knows its targets, for which the first request waits.
+    assert_eq!(harness.request("first-1", "/once/1").await.status, 200);
     let text = caller::request_with_attempt_id("refused-1", "POST", "/long/1", "body")
         .replace("1460,80", "400000,80")
         .replace("3000", "15000");
