--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # nothing to compile; the daemon comes from the build of the deploy file.
 set -eu
 cd "$(dirname "$0")"
-python3 - stand2.py 6/case.py 7/case.py 8/case.py 9/case.py 10/case.py <<'CHECK'
+python3 - stand2.py drain-after-cut-watch.py 6/case.py 7/case.py 8/case.py 9/case.py 10/case.py <<'CHECK'
 import sys
 
 if sys.version_info < (3, 8):
