A node that starts anew gets no answers to requests of its earlier process

Cause: placement requests are numbered from 0 in each process, and answers name this number alone. The owner of a group forgets its answers to a node that starts anew, but granted places to the prompts it had queued for the process before, and the new process took these grants for its own. It checked neither the process nor the service.

- The owner's tickets name the incarnation of the requester, and its queued prompts go when the node starts anew.
- Replies (answers, planned starts, answers to trial requests) name the incarnation that they are for.
Another one discards and logs them.
The field follows the extensions of a datagram, which older versions ignore.
- A datagram of an earlier process that arrives after one of a later process is discarded.
It made the owner forget what the new process runs.
- A granted target must be one of the requested service.
- The first number is random, for owners of an older version, which don't say which process they answer.

--- a/crates/path/src/ask.rs
+++ b/crates/path/src/ask.rs
@@ -123,6 +123,12 @@
         }
     }
 
+    fn ticket(&self) -> Ticket {
+        let core = &self.run.core;
+        let (node, incarnation) = (core.settings.node.clone(), core.incarnation);
+        Ticket { node, incarnation, id: self.id }
+    }
+
     fn request(&self) -> Request {
         let (run, now) = (self.run, self.run.core.now());
         Request {
@@ -232,8 +238,7 @@
         let core = &self.run.core;
         let request = self.request();
         if *owner == core.settings.node {
-            let ticket = Ticket { node: owner.clone(), id: self.id };
-            let requester = Requester { ticket, address: core.settings.peers };
+            let requester = Requester { ticket: self.ticket(), address: core.settings.peers };
             owner::handle_request(core, requester, request, self.origin());
         } else if let Some(address) = core.peer_address(owner) {
             core.send(address, Event::Request(self.id, request));
@@ -283,7 +288,8 @@
     fn open_place(&mut self, grant: Grant, decider: Decider) -> Option<Place<D, S, C>> {
         let core = &self.run.core;
         let view = core.view();
-        let unusable = find_unusable(core, &view, &grant).or_else(|| self.find_over_limit(&grant));
+        let unusable = find_unusable(core, &view, &self.group.service, &grant)
+            .or_else(|| self.find_over_limit(&grant));
         let group = self.group.clone();
         let place = Place::open(core, &view, group, self.id, grant, decider);
         let Some(place) = place.filter(|_| unusable.is_none()) else {
@@ -345,8 +351,7 @@
         let core = &self.run.core;
         core.forget_answer(self.id);
         core.ledger().finish(core.now(), self.id);
-        let ticket = Ticket { node: core.settings.node.clone(), id: self.id };
-        core.owner().withdraw(core.now(), &ticket);
+        core.owner().withdraw(core.now(), &self.ticket());
         core.send_to_owners(&self.group, &Event::Ended(self.id));
     }
 }
@@ -360,15 +365,17 @@
     }
 }
 
-/// Returns a target of the grant that this node knows to be unusable.
+/// Returns a target of the grant that isn't one of the service, or that this node knows to be
+/// unusable.
 fn find_unusable<D: Dialect, S: Store, C: Clock>(
     core: &Core<D, S, C>,
     view: &View,
+    service: &id::Service,
     grant: &Grant,
 ) -> Option<Tag> {
     let now = core.now();
     let is_usable = |tag: &Tag| {
-        let target = view.find_target(*tag);
+        let target = view.find_target(*tag).filter(|target| target.entry.service == *service);
         target.is_some_and(|target| view.can_send(target, now)) && core.may_send(*tag)
     };
     grant.allocation.engines().find(|tag| !is_usable(tag))
--- a/crates/path/src/core.rs
+++ b/crates/path/src/core.rs
@@ -168,7 +168,7 @@
             lag_tracker: Mutex::default(),
             transfers: Mutex::default(),
             view: RwLock::default(),
-            ledger: Mutex::default(),
+            ledger: Mutex::new(Ledger::open(rand::random())),
             membership: Mutex::new(membership),
             peer_states: Mutex::default(),
             owner: Mutex::default(),
--- a/crates/path/src/datagram.rs
+++ b/crates/path/src/datagram.rs
@@ -1,7 +1,8 @@
 //! The content of datagrams between nodes, and its encoding.
 //!
 //! A datagram is followed by its extensions: events that older versions don't know. Older versions
-//! ignore these bytes, and a version that doesn't know one of the events skips it.
+//! ignore these bytes, and a version that doesn't know one of the events skips it. If the datagram
+//! holds replies, the incarnation of the node that they are for follows.
 
 use crate::capacity::StatedLoad;
 use crate::crash_event::{PartCrash, PartQuarantine};
@@ -152,6 +153,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Outgoing {
     pub(crate) to: SocketAddr,
+    /// The only incarnation that may handle the event; any if `None`.
+    pub(crate) recipient: Option<id::Incarnation>,
     pub(crate) event: Option<Event>,
 }
 
@@ -168,15 +171,22 @@
     /// Whether the sender's version knows extensions.
     #[serde(skip)]
     pub(crate) has_extensions: bool,
+    /// The only incarnation of the receiver that may handle the events; any if `None`. Older
+    /// versions state none.
+    #[serde(skip)]
+    pub(crate) recipient: Option<id::Incarnation>,
 }
 
 /// Decodes a datagram and its extensions.
 pub(crate) fn decode(bytes: &[u8]) -> Result<Datagram, postcard::Error> {
     let (mut datagram, rest) = postcard::take_from_bytes::<Datagram>(bytes)?;
     if !rest.is_empty() {
-        let extensions: Vec<Vec<u8>> = postcard::from_bytes(rest)?;
+        let (extensions, rest) = postcard::take_from_bytes::<Vec<Vec<u8>>>(rest)?;
         datagram.events.extend(extensions.iter().filter_map(|bytes| decode_extension(bytes)));
         datagram.has_extensions = true;
+        if !rest.is_empty() {
+            datagram.recipient = Some(postcard::from_bytes(rest)?);
+        }
     }
     Ok(datagram)
 }
@@ -201,6 +211,9 @@
     loop {
         let mut bytes = postcard::to_stdvec(&datagram)?;
         bytes.extend(encode_extensions(&extensions)?);
+        if let Some(recipient) = &datagram.recipient {
+            bytes.extend(postcard::to_stdvec(recipient)?);
+        }
         if bytes.len() <= MAX_DATAGRAM_BYTES || datagram.events.len() + extensions.len() <= 1 {
             return Ok((bytes, left));
         }
--- a/crates/path/src/fleet.rs
+++ b/crates/path/src/fleet.rs
@@ -121,12 +121,17 @@
 
     /// Sends an event to a node.
     pub(crate) fn send(&self, to: SocketAddr, event: Event) {
-        self.enqueue(Outgoing { to, event: Some(event) });
+        self.enqueue(Outgoing { to, recipient: None, event: Some(event) });
+    }
+
+    /// Answers a request of one incarnation of a node. Another one discards the answer.
+    pub(crate) fn reply(&self, to: SocketAddr, recipient: id::Incarnation, event: Event) {
+        self.enqueue(Outgoing { to, recipient: Some(recipient), event: Some(event) });
     }
 
     /// Sends a node the newest revisions that this node has.
     pub(crate) fn send_revisions(&self, to: SocketAddr) {
-        self.enqueue(Outgoing { to, event: None });
+        self.enqueue(Outgoing { to, recipient: None, event: None });
     }
 
     /// Passes an event on to a few peers. Each of them does the same if the event is new to it.
--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -15,13 +15,14 @@
 use crate::ledger::AllocationId;
 use crate::owner::{self, Requester, Ticket};
 use crate::part;
+use crate::peer_state::Arrival;
 use crate::placement::{Answer, Origin};
 use crate::rate_limit;
 use crate::supervisor;
 use hickory_policy::crash::Certainty;
 use hickory_policy::membership::{StateCounts, TICK_INTERVAL};
 use hickory_store::store::{Revision, Store};
-use hickory_telemetry::label::{Datagram as Content, Sender};
+use hickory_telemetry::label::{self, Datagram as Content};
 use hickory_unit::clock::Clock;
 use hickory_unit::{id, size};
 use std::collections::HashMap;
@@ -78,13 +79,27 @@
         match datagram::decode(&buffer[..length]) {
             Ok(datagram) => handle_datagram(&core, datagram, from),
             Err(error) => {
-                core.metrics.count_malformed(Sender::Peer, 1);
+                core.metrics.count_malformed(label::Sender::Peer, 1);
                 log::warn!(from:%; "can't decode a datagram: {error}");
             }
         }
     }
 }
 
+/// The process that sent a datagram.
+#[derive(Clone, Copy, Debug)]
+struct Sender<'a> {
+    node: &'a id::Node,
+    incarnation: id::Incarnation,
+    address: SocketAddr,
+}
+
+impl Sender<'_> {
+    fn ticket(&self, id: AllocationId) -> Ticket {
+        Ticket { node: self.node.clone(), incarnation: self.incarnation, id }
+    }
+}
+
 fn handle_datagram<D: Dialect, S: Store, C: Clock>(
     core: &Arc<Core<D, S, C>>,
     mut datagram: Datagram,
@@ -94,23 +109,37 @@
         return;
     }
     let now = core.now();
-    if core.peer_states().record(now, &datagram) {
-        log::info!(peer:% = datagram.node; "peer started anew");
-        core.ledger().forget_node(&datagram.node);
-        core.owner().forget_node(&datagram.node);
+    let arrival = core.peer_states().record(now, &datagram);
+    match arrival {
+        Arrival::Current => {}
+        Arrival::Restarted => {
+            log::info!(peer:% = datagram.node; "peer started anew");
+            core.ledger().forget_node(&datagram.node);
+            core.owner().forget_node(&datagram.node);
+        }
+        Arrival::Outdated => {
+            log::info!(peer:% = datagram.node; "discarded a datagram of an earlier process");
+            return;
+        }
+    }
+    if datagram.recipient.is_some_and(|recipient| recipient != core.incarnation) {
+        log::info!(peer:% = datagram.node, events = datagram.events.len();
+            "discarded replies to an earlier process of this node");
+        datagram.events.clear();
     }
     handle_operator_revision(core, &datagram.node, datagram.operator_revision);
     // With address translation the source differs from the address that the node receives at.
     let from = core.peer_address(&datagram.node).unwrap_or(from);
     let mut origins = take_origins(&mut datagram.events);
+    let sender = Sender { node: &datagram.node, incarnation: datagram.incarnation, address: from };
     for event in datagram.events {
         match event {
             Event::Request(id, request) => {
-                let ticket = Ticket { node: datagram.node.clone(), id };
+                let requester = Requester { ticket: sender.ticket(id), address: from };
                 let origin = origins.remove(&id).unwrap_or_default();
-                owner::handle_request(core, Requester { ticket, address: from }, request, origin);
+                owner::handle_request(core, requester, request, origin);
             }
-            event => handle_event(core, now, &datagram.node, from, event),
+            event => handle_event(core, now, &sender, event),
         }
     }
 }
@@ -129,11 +158,10 @@
 fn handle_event<D: Dialect, S: Store, C: Clock>(
     core: &Arc<Core<D, S, C>>,
     now: Instant,
-    node: &id::Node,
-    from: SocketAddr,
+    sender: &Sender<'_>,
     event: Event,
 ) {
-    let ticket = |id| Ticket { node: node.clone(), id };
+    let &Sender { node, incarnation, address: from } = sender;
     match event {
         Event::Member(message) => {
             let out = core.membership().receive(now, node, from, message);
@@ -150,7 +178,7 @@
         }
         Event::Ended(id) => {
             core.ledger().finish_peer(now, node, id);
-            core.owner().withdraw(now, &ticket(id));
+            core.owner().withdraw(now, &sender.ticket(id));
             core.queue_notify.notify_one();
         }
         Event::Outcome { target, served } => {
@@ -180,7 +208,7 @@
         Event::PartsSound(parts, age) => core.handle_sound_parts(now, from, parts, age),
         Event::PartProposal(stated) => core.handle_part_proposal(now, from, stated),
         Event::PartQuarantine(stated) => core.handle_part_quarantine(now, node, from, stated),
-        Event::TrialRequest(stated) => core.handle_trial_request(now, from, stated),
+        Event::TrialRequest(stated) => core.handle_trial_request(now, from, incarnation, stated),
         Event::TrialAnswer(whole, is_resumed, answer) => {
             core.deliver_trial_answer(whole, is_resumed, answer);
         }
@@ -321,12 +349,12 @@
 ) {
     let mut batch = Vec::new();
     while outgoing.recv_many(&mut batch, MAX_BATCHED_EVENTS).await > 0 {
-        let mut by_peer: HashMap<SocketAddr, Vec<Event>> = HashMap::new();
-        for outgoing in batch.drain(..) {
-            by_peer.entry(outgoing.to).or_default().extend(outgoing.event);
+        let mut by_recipient: HashMap<_, Vec<Event>> = HashMap::new();
+        for Outgoing { to, recipient, event } in batch.drain(..) {
+            by_recipient.entry((to, recipient)).or_default().extend(event);
         }
-        for (to, events) in by_peer {
-            send_events(&core, &socket, to, events).await;
+        for ((to, recipient), events) in by_recipient {
+            send_events(&core, &socket, to, recipient, events).await;
         }
     }
 }
@@ -336,6 +364,7 @@
     core: &Core<D, S, C>,
     socket: &UdpSocket,
     to: SocketAddr,
+    recipient: Option<id::Incarnation>,
     events: Vec<Event>,
 ) {
     let mut remaining = events;
@@ -351,6 +380,7 @@
             targets_revision,
             events,
             has_extensions: true,
+            recipient,
         };
         let (bytes, left) = match datagram::encode(datagram) {
             Ok(encoded) => encoded,
--- a/crates/path/src/ledger.rs
+++ b/crates/path/src/ledger.rs
@@ -131,6 +131,13 @@
 }
 
 impl Ledger {
+    /// Opens a ledger whose IDs follow `last_id`. If that is random, answers to an earlier process of
+    /// this node match none of its requests, even if they come from an older version, which doesn't
+    /// state which process they are for.
+    pub fn open(last_id: u32) -> Self {
+        Self { last_id, ..Self::default() }
+    }
+
     /// Returns an ID for a new request of this node.
     pub fn next_id(&mut self) -> AllocationId {
         self.last_id = self.last_id.wrapping_add(1);
--- a/crates/path/src/owner.rs
+++ b/crates/path/src/owner.rs
@@ -30,10 +30,12 @@
 /// The maximum number of interrupted streams that a pass leaves waiting before it skips the others.
 const MAX_WAITING_STREAMS: usize = 16;
 
-/// Identifies a node's request for a place.
+/// Identifies a node's request for a place. The incarnation is part of it because a node that starts
+/// anew numbers its requests from the start.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Ticket {
     pub(crate) node: id::Node,
+    pub(crate) incarnation: id::Incarnation,
     pub(crate) id: AllocationId,
 }
 
@@ -71,8 +73,9 @@
         }
     }
 
-    /// Removes the answers to a node that has restarted.
+    /// Removes the queued requests of a node that has restarted, and the answers to it.
     pub(crate) fn forget_node(&mut self, node: &id::Node) {
+        self.queues.values_mut().for_each(|queue| queue.retain(|ticket| ticket.node != *node));
         self.recent_answers.retain(|ticket, _| ticket.node != *node);
     }
 
@@ -298,7 +301,7 @@
     requester: &Requester,
     answer: Answer,
 ) {
-    let Ticket { node, id } = &requester.ticket;
+    let Ticket { node, id, .. } = &requester.ticket;
     if let Answer::Placed(grant) = &answer {
         let allocation = grant.allocation.clone();
         match *node == core.settings.node {
@@ -317,7 +320,7 @@
 ) {
     match requester.ticket.node == core.settings.node {
         true => core.deliver_answer(requester.ticket.id, answer),
-        false => core.send(requester.address, Event::Answer(requester.ticket.id, answer)),
+        false => reply(core, requester, Event::Answer(requester.ticket.id, answer)),
     }
 }
 
@@ -328,6 +331,14 @@
 ) {
     match requester.ticket.node == core.settings.node {
         true => core.deliver_answer(requester.ticket.id, Answer::Planned(planned)),
-        false => core.send(requester.address, Event::Planned(requester.ticket.id, planned)),
+        false => reply(core, requester, Event::Planned(requester.ticket.id, planned)),
     }
 }
+
+fn reply<D: Dialect, S: Store, C: Clock>(
+    core: &Core<D, S, C>,
+    requester: &Requester,
+    event: Event,
+) {
+    core.reply(requester.address, requester.ticket.incarnation, event);
+}
--- a/crates/path/src/peer_state.rs
+++ b/crates/path/src/peer_state.rs
@@ -13,10 +13,28 @@
 /// How long a peer's revisions remain valid after its last datagram.
 const PEER_STATE_TTL: Duration = Duration::from_secs(10);
 
+/// The number of earlier incarnations of a peer that are remembered. Their datagrams may be delayed by
+/// seconds, within which a process is seldom started more often.
+const MAX_EARLIER_INCARNATIONS: usize = 8;
+
+/// What a datagram tells about the process that sent it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Arrival {
+    /// It is the node's latest known process, or its first.
+    Current,
+    /// It is a new process of a node that was known.
+    Restarted,
+    /// A later process of the node is known.
+    Outdated,
+}
+
 /// The state in a node's last datagram.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct PeerState {
     incarnation: id::Incarnation,
+    /// The incarnations before it, the latest last. The clock may have been set back between them, so
+    /// that their order doesn't follow from their values.
+    earlier: Vec<id::Incarnation>,
     operator_revision: Revision,
     targets_revision: Revision,
     has_extensions: bool,
@@ -43,17 +61,31 @@
 }
 
 impl PeerStates {
-    /// Records a datagram's state. Returns whether its node has restarted.
-    pub(crate) fn record(&mut self, now: Instant, datagram: &Datagram) -> bool {
+    /// Records a datagram's state, unless the datagram is outdated.
+    pub(crate) fn record(&mut self, now: Instant, datagram: &Datagram) -> Arrival {
+        let (mut arrival, mut earlier) = (Arrival::Current, Vec::new());
+        if let Some(known) = self.peers.get(&datagram.node) {
+            if known.earlier.contains(&datagram.incarnation) {
+                return Arrival::Outdated;
+            }
+            earlier.clone_from(&known.earlier);
+            if known.incarnation != datagram.incarnation {
+                arrival = Arrival::Restarted;
+                earlier.push(known.incarnation);
+                let excess = earlier.len().saturating_sub(MAX_EARLIER_INCARNATIONS);
+                earlier.drain(..excess);
+            }
+        }
         let state = PeerState {
             incarnation: datagram.incarnation,
+            earlier,
             operator_revision: datagram.operator_revision,
             targets_revision: datagram.targets_revision,
             has_extensions: datagram.has_extensions,
             received_at: now,
         };
-        let previous = self.peers.insert(datagram.node.clone(), state);
-        previous.is_some_and(|previous| previous.incarnation != datagram.incarnation)
+        self.peers.insert(datagram.node.clone(), state);
+        arrival
     }
 
     /// Returns whether a node's version knows the extensions of datagrams.
--- a/crates/path/src/trial.rs
+++ b/crates/path/src/trial.rs
@@ -310,12 +310,13 @@
         &self,
         now: Instant,
         from: SocketAddr,
+        incarnation: id::Incarnation,
         stated: TrialRequest,
     ) {
         let TrialRequest { whole, id, is_resumed, crash_age } = stated;
         let attempt = Attempt { whole, id, is_resumed };
         let answer = self.respond(now, attempt, before(now, crash_age));
-        self.send(from, Event::TrialAnswer(whole, is_resumed, answer));
+        self.reply(from, incarnation, Event::TrialAnswer(whole, is_resumed, answer));
     }
 
     /// Delivers an answer to the attempt that asks for a trial. Renewals expect none.
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -96,6 +96,11 @@
         Some(now.saturating_duration_since(entry.queued_at))
     }
 
+    /// Keeps the prompts whose keys match.
+    pub fn retain(&mut self, mut is_match: impl FnMut(&K) -> bool) {
+        self.entries.retain(|entry| is_match(&entry.key));
+    }
+
     /// Drops entries that weren't refreshed in time.
     pub fn expire(&mut self, now: Instant) {
         self.entries.retain(|entry| now.saturating_duration_since(entry.refreshed_at) < ENTRY_TTL);
