A late ack to an earlier process answers no probe

Probes are numbered from 1 in each process, and an ack names the number alone, so a late one could count as the answer of another, silent node. They start at a random number now.

--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -84,7 +84,7 @@
         Self {
             roster: Roster::new(own),
             rumors: Rumors::default(),
-            probes: Probes::default(),
+            probes: Probes::open(random.random()),
             probe_round: Vec::new(),
             seeds: Seeds::new(seeds, &mut random),
             pulls: Pulls::new(now),
--- a/crates/policy/src/probe.rs
+++ b/crates/policy/src/probe.rs
@@ -38,6 +38,12 @@
 }
 
 impl Probes {
+    /// Opens the probes with a random sequence number, so that a late ack to an earlier process of
+    /// this node answers none of them.
+    pub(crate) fn open(sequence: u32) -> Self {
+        Self { sequence, ..Self::default() }
+    }
+
     /// Registers a probe and returns its sequence number.
     pub(crate) fn begin(&mut self, now: Instant, node: id::Node) -> u32 {
         let sequence = self.next_sequence();
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -2,8 +2,13 @@
 
 mod network;
 
+use hickory_policy::gossip::{Exchange, Message};
+use hickory_policy::member::{Capacity, Contact, Record, State};
+use hickory_policy::membership::{Membership, TICK_INTERVAL};
+use hickory_unit::id;
 use network::Network;
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 const FLEET_SIZES: [usize; 4] = [2, 9, 79, 195];
 
@@ -199,3 +204,45 @@
     let known = network.run_until(secs(3), |network| network.unknown_pairs() == 0);
     assert!(known.is_ok(), "{} pairs unknown", network.unknown_pairs());
 }
+
+/// Guards against a late ack to an earlier process, which counted as the answer of a silent node to the
+/// first probe of the new process.
+#[test]
+fn an_ack_to_an_earlier_process_answers_no_probe() {
+    let now = Instant::now();
+    let address = |host: u8| SocketAddr::from(([10, 0, 0, host], 7_340));
+    let record = |name: &str, host: u8| {
+        let at = address(host);
+        let contact = Contact {
+            peer_address: at,
+            caller_address: at,
+            sync_address: at,
+            is_ready: true,
+            is_synced: true,
+            is_store_unreachable: false,
+            capacity: Capacity(1),
+        };
+        let incarnation = id::Incarnation(1);
+        Record { node: name.into(), incarnation, version: 0, state: State::Alive, contact }
+    };
+    let start = |seed: u64| {
+        let mut membership = Membership::new(now, record("own", 1), Vec::new(), seed);
+        let peer: id::Node = "silent".into();
+        membership.receive(now, &peer, address(2), Message::Pull(record("silent", 2)));
+        let out = membership.tick(now);
+        let sequence = out.into_iter().find_map(|(_, message)| match message {
+            Message::Ping(exchange) => Some(exchange.sequence),
+            _ => None,
+        });
+        (membership, sequence.expect("the peer is probed"))
+    };
+    let (_, earlier) = start(1);
+    let (mut membership, _) = start(2);
+    let ack = Exchange { sequence: earlier, digest: 0, records: Vec::new() };
+    membership.receive(now, &"other".into(), address(3), Message::Ack(ack));
+    // The first probe times out, but not the second one.
+    for tick in 1..=7 {
+        membership.tick(now + TICK_INTERVAL * tick);
+    }
+    assert_eq!(membership.take_new_suspects(), [id::Node::from("silent")]);
+}
