A node that is left takes over the store's watch however many are lost

Cause: three nodes watch the store. Another one takes over once it suspects all but two of those before it by rank, and it probes one node every 200 ms and suspects it after 600 ms. The time grows with the nodes that are lost for each one that is left.

- A node most of whose probes go unanswered probes twice as many in the next interval, up to 64, and fewer again once most are answered.
- It then asks the first 16 nodes by rank directly.
Those that don't answer within 300 ms are passed over when it decides whether it watches, without a suspicion.
If none answers, it watches.

--- a/crates/path/src/gossip.rs
+++ b/crates/path/src/gossip.rs
@@ -18,6 +18,7 @@
 use crate::peer_state::Arrival;
 use crate::placement::{Answer, Origin};
 use crate::rate_limit;
+use crate::store_watch;
 use crate::supervisor;
 use hickory_policy::crash::Certainty;
 use hickory_policy::membership::{StateCounts, TICK_INTERVAL};
@@ -246,6 +247,7 @@
         core.update_contact();
         let out = core.membership().tick(now);
         core.send_membership(out);
+        store_watch::check_watchers(&core);
         core.ledger().expire(now);
         capacity::maintain(&core, now);
         core.metrics.set_rate_limited_targets(core.ledger().rate_limits().count_limited(now));
--- a/crates/path/src/store_watch.rs
+++ b/crates/path/src/store_watch.rs
@@ -171,16 +171,30 @@
     core: &Core<D, S, C>,
     decide: fn(&id::Node, &[Candidate<'_>]) -> T,
 ) -> T {
-    let me = &core.settings.node;
-    let own = Candidate { node: me, is_store_unreachable: core.is_store_unreachable() };
+    let (me, now) = (&core.settings.node, core.now());
+    let is_store_unreachable = core.is_store_unreachable();
+    let own = Candidate { node: me, is_store_unreachable, is_silent: false };
     let membership = core.membership();
-    let peers = membership.alive();
-    let peers = peers
-        .map(|r| Candidate { node: &r.node, is_store_unreachable: r.contact.is_store_unreachable });
+    let peers = membership.alive().map(|record| Candidate {
+        node: &record.node,
+        is_store_unreachable: record.contact.is_store_unreachable,
+        is_silent: membership.is_silent(now, &record.node),
+    });
     let nodes: Vec<Candidate<'_>> = peers.chain([own]).collect();
     decide(me, &nodes)
 }
 
+/// Checks the nodes that watch, or would watch next, if so few nodes answer that this one might be the
+/// only one left.
+pub(crate) fn check_watchers<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) {
+    if core.membership().is_check_due(core.now()) {
+        let checked = decide_with_candidates(core, watcher::choose_checked);
+        log::info!(checked = checked.len(); "few nodes answer; checking those that watch the store");
+        let out = core.membership().check(core.now(), &checked);
+        core.send_membership(out);
+    }
+}
+
 /// Returns whether the store is down, as far as the nodes can tell.
 pub(crate) fn is_store_down<D: Dialect, S: Store, C: Clock>(core: &Core<D, S, C>) -> bool {
     decide_with_candidates(core, |_, nodes| watcher::is_store_down(nodes))
--- a/crates/path/src/watcher.rs
+++ b/crates/path/src/watcher.rs
@@ -16,6 +16,10 @@
 /// two at once must be tolerated.
 const WATCHER_COUNT: usize = 3;
 
+/// The number of nodes, the first by rank, that a node checks whose probes go unanswered. If none of
+/// them is left, each other node watches by itself: the more are checked, the fewer these are.
+const CHECKED_COUNT: usize = 16;
+
 /// The delay before a node takes over from watching nodes that the store rejected, doubled
 /// for each further [`WATCHER_COUNT`] rejected nodes.
 const MIN_TAKEOVER_DELAY: Duration = Duration::from_millis(500);
@@ -82,12 +86,43 @@
     pub node: &'a id::Node,
     /// Whether the node can't reach the store.
     pub is_store_unreachable: bool,
+    /// Whether the node was checked and hasn't answered.
+    pub is_silent: bool,
+}
+
+/// Returns the nodes that a node checks if its probes go unanswered: those that watch before it does.
+pub fn choose_checked(node: &id::Node, nodes: &[Candidate<'_>]) -> Vec<id::Node> {
+    let others = nodes.iter().map(|candidate| candidate.node).filter(|other| *other != node);
+    rank_nodes(&"watch".into(), others).into_iter().take(CHECKED_COUNT).cloned().collect()
+}
+
+fn has_silent(nodes: &[Candidate<'_>]) -> bool {
+    nodes.iter().any(|candidate| candidate.is_silent)
+}
+
+/// Returns the nodes that may watch as far as the node itself has found: without those that are silent,
+/// and only itself if all that it has checked are.
+fn find_responsive<'a>(node: &id::Node, nodes: &[Candidate<'a>]) -> Vec<Candidate<'a>> {
+    if !has_silent(nodes) {
+        return nodes.to_vec();
+    }
+    let is_silent = |node: &id::Node| nodes.iter().any(|c| c.node == node && c.is_silent);
+    let checked = choose_checked(node, nodes);
+    let is_isolated = !checked.is_empty() && checked.iter().all(is_silent);
+    let is_responsive =
+        |candidate: &&Candidate<'a>| candidate.node == node || !is_isolated && !candidate.is_silent;
+    nodes.iter().filter(is_responsive).copied().collect()
 }
 
 /// Returns whether a node watches, given all live nodes including itself. The first
 /// `WATCHER_COUNT` nodes by rank watch, and the first `WATCHER_COUNT` of those that reach
-/// the store.
+/// the store. Nodes that are silent are replaced before they are suspected.
 pub fn is_selected(node: &id::Node, nodes: &[Candidate<'_>]) -> bool {
+    is_selected_among(node, nodes)
+        || has_silent(nodes) && is_selected_among(node, &find_responsive(node, nodes))
+}
+
+fn is_selected_among(node: &id::Node, nodes: &[Candidate<'_>]) -> bool {
     let connected = nodes.iter().filter(|candidate| !candidate.is_store_unreachable);
     is_among_first(node, nodes.iter().map(|candidate| candidate.node))
         || is_among_first(node, connected.map(|candidate| candidate.node))
@@ -97,6 +132,7 @@
 /// that the store has rejected. Without this delay all nodes in turn would call a store
 /// that is down.
 pub fn takeover_delay(node: &id::Node, nodes: &[Candidate<'_>]) -> Duration {
+    let nodes = find_responsive(node, nodes);
     if is_among_first(node, nodes.iter().map(|candidate| candidate.node)) {
         return Duration::ZERO;
     }
@@ -112,6 +148,7 @@
 /// receives each change immediately and announces it, so that the watches of the others
 /// only serve as a fallback.
 pub fn is_leader(node: &id::Node, nodes: &[Candidate<'_>]) -> bool {
+    let nodes = find_responsive(node, nodes);
     let connected = nodes.iter().filter(|candidate| !candidate.is_store_unreachable);
     let ranked = rank_nodes(&"watch".into(), connected.map(|candidate| candidate.node));
     ranked.first().is_some_and(|first| *first == node)
--- a/crates/path/tests/watcher.rs
+++ b/crates/path/tests/watcher.rs
@@ -14,7 +14,11 @@
     let candidates: Vec<Candidate<'_>> = nodes
         .iter()
         .enumerate()
-        .map(|(index, node)| Candidate { node, is_store_unreachable: rejected.contains(&index) })
+        .map(|(index, node)| Candidate {
+            node,
+            is_store_unreachable: rejected.contains(&index),
+            is_silent: false,
+        })
         .collect();
     (0..nodes.len()).filter(|&index| is_selected(&nodes[index], &candidates)).collect()
 }
@@ -47,6 +51,7 @@
         let candidate = |index: usize| Candidate {
             node: &nodes[index],
             is_store_unreachable: rejected.contains(&index),
+            is_silent: false,
         };
         is_store_down(&(0..nodes.len()).map(candidate).collect::<Vec<_>>())
     };
@@ -65,6 +70,7 @@
         let candidate = |index: usize| Candidate {
             node: &nodes[index],
             is_store_unreachable: rejected.contains(&index),
+            is_silent: false,
         };
         let candidates: Vec<Candidate<'_>> = (0..nodes.len()).map(candidate).collect();
         takeover_delay(&nodes[me], &candidates)
@@ -83,7 +89,10 @@
 fn an_isolated_node_watches() {
     let all = nodes(9);
     for node in &all {
-        assert!(is_selected(node, &[Candidate { node, is_store_unreachable: true }]));
+        assert!(is_selected(
+            node,
+            &[Candidate { node, is_store_unreachable: true, is_silent: false }]
+        ));
     }
 }
 
@@ -93,8 +102,11 @@
 fn exactly_one_watcher_leads() {
     let nodes = nodes(9);
     let leading = |rejected: &[usize]| -> Vec<usize> {
-        let candidate =
-            |(index, node)| Candidate { node, is_store_unreachable: rejected.contains(&index) };
+        let candidate = |(index, node)| Candidate {
+            node,
+            is_store_unreachable: rejected.contains(&index),
+            is_silent: false,
+        };
         let candidates: Vec<Candidate<'_>> = nodes.iter().enumerate().map(candidate).collect();
         (0..nodes.len()).filter(|&index| is_leader(&nodes[index], &candidates)).collect()
     };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,7 +4,7 @@
 //! A request passes through [`cost`], [`place`], [`limit`] (which uses [`fair`], [`room`], [`ramp`]
 //! and [`throughput`]), then [`retry`] and [`poison`]. [`reserve`] and [`preempt`] handle long
 //! prompts, [`layout`] the placement of weights on engines. [`spread`] distributes large documents between
-//! nodes, [`membership`] tracks which nodes are alive, [`directory`] names nodes to callers,
+//! nodes, [`membership`] tracks which nodes are alive (with `isolation` for the death of most), [`directory`] names nodes to callers,
 //! [`queue`] orders waiting prompts, [`replica`] chooses a replica of a plain service, [`capacity`]
 //! learns the speed and the concurrency limit of each target, and [`ejection`] avoids failing
 //! targets, [`doubt`] zones that fail. [`rate_limit`] keeps to the request rates that targets state,
@@ -36,6 +36,7 @@
 pub mod gossip;
 mod grant;
 pub mod holding;
+mod isolation;
 pub mod iteration;
 mod join;
 mod lane;
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -8,6 +8,7 @@
 //! Load pattern: hundreds of nodes of which many die, freeze, are cut off or start at once.
 
 use crate::gossip::{Exchange, Message, Outgoing};
+use crate::isolation::Isolation;
 use crate::join::Seeds;
 use crate::member::{Contact, Record, State};
 use crate::probe::Probes;
@@ -65,6 +66,7 @@
     roster: Roster,
     rumors: Rumors,
     probes: Probes,
+    isolation: Isolation,
     /// Nodes still to be probed in this round.
     probe_round: Vec<id::Node>,
     seeds: Seeds,
@@ -85,6 +87,7 @@
             roster: Roster::new(own),
             rumors: Rumors::default(),
             probes: Probes::open(random.random()),
+            isolation: Isolation::default(),
             probe_round: Vec::new(),
             seeds: Seeds::new(seeds, &mut random),
             pulls: Pulls::new(now),
@@ -149,6 +152,31 @@
         addresses.choose_multiple(&mut self.random, count)
     }
 
+    /// Returns whether so few probes were answered that the nodes on which this one relies should be
+    /// checked.
+    pub fn is_check_due(&self, now: Instant) -> bool {
+        self.isolation.is_check_due(now)
+    }
+
+    /// Asks nodes directly whether they are alive.
+    pub fn check(&mut self, now: Instant, nodes: &[id::Node]) -> Vec<Outgoing> {
+        self.isolation.begin_check(now, nodes.iter());
+        let mut out = Vec::new();
+        for node in nodes {
+            let Some(to) = self.get(node).map(|record| record.contact.peer_address) else {
+                continue;
+            };
+            let sequence = self.probes.begin_check(now, node.clone());
+            out.push((to, self.ping(sequence)));
+        }
+        out
+    }
+
+    /// Returns whether a node was checked and hasn't answered.
+    pub fn is_silent(&self, now: Instant, node: &id::Node) -> bool {
+        self.isolation.is_silent(now, node)
+    }
+
     /// Returns whether there are updates that were not sent to any node yet.
     pub fn has_unsent_updates(&self) -> bool {
         self.rumors.has_unsent()
@@ -179,7 +207,7 @@
         self.reconnect(now, &mut out);
         if is_due(self.last_probe, now, PROBE_INTERVAL) {
             self.last_probe = Some(now);
-            out.extend(self.probe_next(now));
+            self.probe_next(now, &mut out);
         }
         out
     }
@@ -192,6 +220,7 @@
         from: SocketAddr,
         message: Message,
     ) -> Vec<Outgoing> {
+        self.isolation.note_heard(node);
         match message {
             Message::Ping(Exchange { sequence, digest, records }) => {
                 self.apply_all(now, records);
@@ -205,8 +234,12 @@
             Message::Ack(Exchange { sequence, digest, records }) => {
                 self.apply_all(now, records);
                 self.record_equal_digest(digest);
+                if let Some(probed) = self.probes.take_answered(sequence) {
+                    self.isolation.note_answer();
+                    self.isolation.note_heard(&probed);
+                }
                 let mut out: Vec<Outgoing> =
-                    self.probes.acknowledge(sequence, digest).into_iter().collect();
+                    self.probes.forward_ack(sequence, digest).into_iter().collect();
                 out.extend(self.pull(now, from, digest));
                 out
             }
@@ -339,6 +372,7 @@
     /// Discards unanswered probes and restarts the timers of suspects.
     fn reset_suspicions(&mut self, now: Instant) {
         self.probes.clear();
+        self.isolation.reset();
         for peer in
             self.roster.peers.values_mut().filter(|peer| peer.record.state == State::Suspect)
         {
@@ -351,6 +385,7 @@
             self.suspect(now, &node, out);
         }
         for (sequence, node) in self.probes.take_unanswered(now) {
+            self.isolation.note_unanswered();
             let Some(to) = self.get(&node).map(|r| r.contact.peer_address) else { continue };
             out.push((to, self.ping(sequence)));
             let relays = self.pick_alive(INDIRECT_PROBES).into_iter().filter(|relay| *relay != to);
@@ -422,18 +457,31 @@
         }
     }
 
-    fn probe_next(&mut self, now: Instant) -> Option<Outgoing> {
-        if self.probe_round.is_empty() {
-            self.probe_round = self.present().map(|record| record.node.clone()).collect();
-            self.probe_round.shuffle(&mut self.random);
-        }
-        while let Some(node) = self.probe_round.pop() {
-            let Some(record) = self.get(&node).filter(|r| r.state != State::Dead) else { continue };
+    /// Probes the next node that isn't dead, and further ones that are alive if the last probes weren't
+    /// answered.
+    fn probe_next(&mut self, now: Instant, out: &mut Vec<Outgoing>) {
+        let count = self.isolation.count_probes();
+        let (mut sent, mut has_refilled) = (0, false);
+        while sent < count {
+            let Some(node) = self.probe_round.pop() else {
+                if std::mem::replace(&mut has_refilled, true) {
+                    return;
+                }
+                self.probe_round = self.present().map(|record| record.node.clone()).collect();
+                self.probe_round.shuffle(&mut self.random);
+                continue;
+            };
+            let is_further = sent > 0;
+            let is_probed = |r: &Record| match is_further {
+                true => r.state == State::Alive && !self.probes.is_probed(&r.node),
+                false => r.state != State::Dead,
+            };
+            let Some(record) = self.get(&node).filter(|record| is_probed(record)) else { continue };
             let to = record.contact.peer_address;
             let sequence = self.probes.begin(now, node);
-            return Some((to, self.ping(sequence)));
+            out.push((to, self.ping(sequence)));
+            sent += 1;
         }
-        None
     }
 
     fn ping(&mut self, sequence: u32) -> Message {
--- a/crates/policy/src/probe.rs
+++ b/crates/policy/src/probe.rs
@@ -18,6 +18,8 @@
     node: id::Node,
     sent: Instant,
     has_indirect_probes: bool,
+    /// Whether only an answer matters, and silence raises no suspicion.
+    is_check: bool,
 }
 
 /// A probe sent on behalf of another node.
@@ -47,10 +49,24 @@
     /// Registers a probe and returns its sequence number.
     pub(crate) fn begin(&mut self, now: Instant, node: id::Node) -> u32 {
         let sequence = self.next_sequence();
-        self.own.push(Probe { sequence, node, sent: now, has_indirect_probes: false });
+        let (has_indirect_probes, is_check) = (false, false);
+        self.own.push(Probe { sequence, node, sent: now, has_indirect_probes, is_check });
         sequence
     }
 
+    /// Registers a probe whose failure raises no suspicion, and returns its sequence number.
+    pub(crate) fn begin_check(&mut self, now: Instant, node: id::Node) -> u32 {
+        let sequence = self.next_sequence();
+        let (has_indirect_probes, is_check) = (true, true);
+        self.own.push(Probe { sequence, node, sent: now, has_indirect_probes, is_check });
+        sequence
+    }
+
+    /// Returns whether a probe of a node is unanswered yet.
+    pub(crate) fn is_probed(&self, node: &id::Node) -> bool {
+        self.own.iter().any(|probe| !probe.is_check && probe.node == *node)
+    }
+
     /// Registers a probe requested by another node and returns its sequence number.
     pub(crate) fn begin_relayed(
         &mut self,
@@ -63,9 +79,14 @@
         sequence
     }
 
-    /// Processes an ack; returns the ack to forward if another node requested the probe.
-    pub(crate) fn acknowledge(&mut self, sequence: u32, digest: u64) -> Option<Outgoing> {
-        self.own.retain(|probe| probe.sequence != sequence);
+    /// Removes an answered probe of this node, and returns the probed node.
+    pub(crate) fn take_answered(&mut self, sequence: u32) -> Option<id::Node> {
+        let answered = self.own.iter().position(|probe| probe.sequence == sequence)?;
+        Some(self.own.swap_remove(answered).node)
+    }
+
+    /// Returns the ack to forward if another node requested the probe.
+    pub(crate) fn forward_ack(&mut self, sequence: u32, digest: u64) -> Option<Outgoing> {
         let answered = self.relayed.iter().position(|relayed| relayed.sequence == sequence)?;
         let RelayedProbe { requester_sequence, requester, .. } = self.relayed.swap_remove(answered);
         let exchange = Exchange { sequence: requester_sequence, digest, records: Vec::new() };
@@ -77,7 +98,7 @@
         let is_over = |sent| now.saturating_duration_since(sent) >= SUSPECT_AFTER;
         self.relayed.retain(|relayed| !is_over(relayed.sent));
         let failed = self.own.extract_if(.., |probe| is_over(probe.sent));
-        failed.map(|probe| probe.node).collect()
+        failed.filter(|probe| !probe.is_check).map(|probe| probe.node).collect()
     }
 
     /// Returns the unanswered probes for which other nodes should be asked to probe too, once each.
--- a/crates/policy/tests/network/mod.rs
+++ b/crates/policy/tests/network/mod.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
@@ -20,19 +20,21 @@
 /// Number of seed nodes that are known to the others at start.
 const SEEDS: usize = 3;
 
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Tick(usize),
     Push(usize),
     Deliver(usize),
 }
 
+#[derive(Clone)]
 struct Datagram {
     to: usize,
     from: usize,
     message: Message,
 }
 
+#[derive(Clone)]
 struct Node {
     membership: Membership,
     is_running: bool,
@@ -42,6 +44,7 @@
     starts: u64,
 }
 
+#[derive(Clone)]
 pub struct Network {
     origin: Instant,
     pub now: Duration,
@@ -54,6 +57,10 @@
     pub loss_rate: f64,
     /// Nodes below this index are cut off from the others.
     pub partition_boundary: usize,
+    /// Nodes that are cut off from all others.
+    pub isolated: HashSet<usize>,
+    /// Returns the nodes to check if a node's probes go unanswered.
+    pub choose_checked: fn(&Membership) -> Vec<id::Node>,
     /// Number of datagrams sent.
     pub datagrams_sent: u64,
     /// Number of records in these datagrams.
@@ -91,6 +98,8 @@
             random: StdRng::seed_from_u64(seed),
             loss_rate: 0.0,
             partition_boundary: 0,
+            isolated: HashSet::new(),
+            choose_checked: |_| Vec::new(),
             datagrams_sent: 0,
             records_sent: 0,
             bytes_by_node: vec![0; nodes],
@@ -183,7 +192,13 @@
         let out = match event {
             Event::Tick(node) => {
                 self.schedule(self.now + TICK_INTERVAL, Event::Tick(node));
-                self.nodes[node].membership.tick(now)
+                let membership = &mut self.nodes[node].membership;
+                let mut out = membership.tick(now);
+                if membership.is_check_due(now) {
+                    let checked = (self.choose_checked)(membership);
+                    out.extend(membership.check(now, &checked));
+                }
+                out
             }
             Event::Push(node) => {
                 self.nodes[node].is_push_due = false;
@@ -211,6 +226,8 @@
             let to = index_of(to);
             if to >= self.nodes.len()
                 || (to < self.partition_boundary) != (from < self.partition_boundary)
+                || self.isolated.contains(&to)
+                || self.isolated.contains(&from)
             {
                 continue;
             }
@@ -223,6 +240,18 @@
         }
     }
 
+    /// Returns the tables of the running nodes, with the time.
+    pub fn tables(&self) -> impl Iterator<Item = (Instant, &Membership)> {
+        self.running().map(|node| (self.origin + self.now, &node.membership))
+    }
+
+    /// Sets whether a node states that it can't reach the store.
+    pub fn set_store_unreachable(&mut self, node: &id::Node, is_store_unreachable: bool) {
+        let own = self.nodes.iter_mut().find(|n| n.membership.own_record().node == *node).unwrap();
+        let contact = own.membership.own_record().contact.clone();
+        own.membership.set_contact(Contact { is_store_unreachable, ..contact });
+    }
+
     /// Returns the bytes sent by all nodes.
     pub fn bytes_sent(&self) -> u64 {
         self.bytes_by_node.iter().sum()
