A node that starts anew sends its peers the states of its targets

In the product's own interface, peers acknowledge the version of a node's target states, which is counted from 0 in each process. A peer that started the first exchange acknowledged a version of the process before, and got no states until the new process had reached it. The count starts at a random number now, and a version of an earlier process counts as none.

Test: states_are_sent_to_peers_that_acknowledge_a_version_of_an_earlier_process failed before.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -74,7 +74,8 @@
 
 /// Returns the gossip for a peer.
 fn make_gossip(core: &Core, peer: &id::Node) -> Gossip {
-    let (seen, since) = core.view.versions(peer);
+    let (seen, acknowledged) = core.view.versions(peer);
+    let since = core.table.acknowledged_version(acknowledged);
     let (version, targets) = core.table.states_since(since);
     Gossip {
         version,
--- a/crates/node/src/table.rs
+++ b/crates/node/src/table.rs
@@ -20,8 +20,11 @@
 const SHARDS: usize = 8;
 
 /// The targets that a node owns.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Table {
+    /// Version before the first change. It is random, so that peers that acknowledge a version of an
+    /// earlier process acknowledge none of this one.
+    base_version: u64,
     /// Version of the published states, incremented by each change.
     version: AtomicU64,
     shards: [Mutex<HashMap<id::Target, Target>>; SHARDS],
@@ -29,7 +32,27 @@
     pub(crate) ask_queued: Notify,
 }
 
+impl Default for Table {
+    fn default() -> Self {
+        // Half of the range is left for changes.
+        let base_version = rand::random::<u64>() >> 1;
+        Self {
+            base_version,
+            version: AtomicU64::new(base_version),
+            shards: Default::default(),
+            ask_queued: Notify::default(),
+        }
+    }
+}
+
 impl Table {
+    /// Returns the version that a peer has acknowledged; 0 if it is one of an earlier process, whose
+    /// states the peer has dropped.
+    pub(crate) fn acknowledged_version(&self, stated: u64) -> u64 {
+        let current = self.version.load(Ordering::Acquire);
+        if (self.base_version..=current).contains(&stated) { stated } else { 0 }
+    }
+
     /// Adds a target under an epoch; a target that is owned under the same epoch is kept
     /// unchanged.
     pub(crate) fn open(&self, target: &id::Target, epoch: id::Epoch) {
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -49,6 +49,11 @@
     release: AtomicU64,
     /// The revision of the ownership table that they announce.
     owners: AtomicU64,
+    /// The version of the node's target states that they acknowledge.
+    acknowledged: AtomicU64,
+    /// The number of exchanges, and of target states in the answer to the last one.
+    exchanges: AtomicUsize,
+    received_states: AtomicUsize,
     /// The configuration that they return.
     document: Mutex<Option<Document>>,
     /// The delay before a document is returned.
@@ -100,7 +105,7 @@
             owners_revision: self.owners.load(Ordering::SeqCst),
             is_draining: false,
             version: 0,
-            acknowledged_version: 0,
+            acknowledged_version: self.acknowledged.load(Ordering::SeqCst),
             targets: Vec::new(),
             suspects: Vec::new(),
             active_requests: 0,
@@ -311,7 +316,11 @@
         // Keeps the peer registered while this task runs.
         let _member = member;
         while !peers.is_stopped.load(Ordering::SeqCst) {
-            let _ = links.exchange(to, peers.make_gossip(&name), Duration::from_secs(1)).await;
+            let own = peers.make_gossip(&name);
+            if let Ok(answer) = links.exchange(to, own, Duration::from_secs(1)).await {
+                peers.received_states.store(answer.targets.len(), Ordering::SeqCst);
+                peers.exchanges.fetch_add(1, Ordering::SeqCst);
+            }
             tokio::time::sleep(Duration::from_millis(GOSSIP_MS)).await;
         }
         links.close();
@@ -439,3 +448,18 @@
     assert_ne!(model.reason, "behind", "{model:?}");
     drop(fixture.standins);
 }
+
+/// Guards against a node that has started anew and sends its peers no states of its targets, since they
+/// acknowledge a version that its earlier process reached.
+#[tokio::test(flavor = "multi_thread")]
+async fn states_are_sent_to_peers_that_acknowledge_a_version_of_an_earlier_process() {
+    const EARLIER_VERSION: u64 = 1_000_000;
+    let fixture = Fixture::start(1).await;
+    let peers = &fixture.peers;
+    peers.acknowledged.store(EARLIER_VERSION, Ordering::SeqCst);
+    let before = peers.exchanges.load(Ordering::SeqCst);
+    eventually("some exchanges", || async { peers.exchanges.load(Ordering::SeqCst) > before + 5 })
+        .await;
+    assert!(peers.received_states.load(Ordering::SeqCst) > 0, "states in the last answer");
+    peers.is_stopped.store(true, Ordering::SeqCst);
+}
