--- a/crates/path/src/death.rs
+++ b/crates/path/src/death.rs
@@ -19,31 +19,23 @@
 /// Identifies a repeated request, to recognize one that crashes targets.
 pub(crate) fn identify_request(job: &Job) -> Part {
     let uri = &job.message.uri;
-    let mut hasher = hash_path(job);
-    hasher.update(&[0]).update(job.message.method.as_str().as_bytes()).update(&[0]);
-    // An empty query is sent on like any other.
-    if let Some(query) = uri.query() {
-        hasher.update(b"?").update(query.as_bytes());
-    }
-    finish(&hasher)
+    let target = uri.path_and_query().map_or_else(|| uri.path(), |target| target.as_str());
+    identify(job, &[job.message.method.as_str(), target])
 }
 
 /// Identifies the requests of an account that have the same path and body, whatever their query. It is
 /// how older versions identify a request.
 pub(crate) fn identify_path(job: &Job) -> Part {
-    finish(&hash_path(job))
+    identify(job, &[job.message.uri.path()])
 }
 
-fn hash_path(job: &Job) -> blake3::Hasher {
+fn identify(job: &Job, fields: &[&str]) -> Part {
     let mut hasher = blake3::Hasher::new();
     let account = job.account.as_ref().map_or("", |account| account.name.as_str());
-    hasher.update(account.as_bytes()).update(&[0]);
-    hasher.update(job.message.uri.path().as_bytes()).update(&[0]);
+    for field in [account].iter().chain(fields) {
+        hasher.update(field.as_bytes()).update(&[0]);
+    }
     hasher.update(&job.message.body);
-    hasher
-}
-
-fn finish(hasher: &blake3::Hasher) -> Part {
     Part(u64::from_le_bytes(*hasher.finalize().as_bytes().first_chunk().unwrap_or(&[0; 8])))
 }
 
