--- a/apps/hickory-entry/tests/restart.rs
+++ b/apps/hickory-entry/tests/restart.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::Daemon;
-use hickory_adapter_standin::caller::{Response, request_with_attempt_id, send, wait_until_ready};
+use hickory_adapter_standin::caller::{
+    Response, request_with_attempt_id, send, wait_until, wait_until_ready,
+};
 use hickory_adapter_standin::fleet::{node_settings, wait_until_connected};
 use hickory_adapter_standin::replica::{Action, Replica};
 use hickory_adapter_standin::store::Store;
@@ -23,9 +25,6 @@
 /// The time after which a node owns the target groups assigned to it.
 const SETTLING_TIME: Duration = Duration::from_millis(1_800);
 
-/// The time in which a request that was sent waits at a node, or runs.
-const ARRIVAL_TIME: Duration = Duration::from_millis(200);
-
 /// The time that an engine takes for a stream in which the owner has to grant the place of another.
 const STREAM_TIME: Duration = Duration::from_millis(500);
 
@@ -90,8 +89,7 @@
     async fn fill(&self, engine: &Replica, path: &str) -> Vec<JoinHandle<Response>> {
         (0..SLOTS).for_each(|_| engine.enqueue(Action::HeldStream(1, 3)));
         let sent = (0..SLOTS).map(|number| self.send(&self.owner, path, number)).collect();
-        tokio::time::sleep(ARRIVAL_TIME).await;
-        assert_eq!(engine.requests().len(), SLOTS, "requests for {path} that run");
+        wait_until("all slots are taken", || engine.requests().len() == SLOTS).await;
         sent
     }
 
@@ -99,13 +97,20 @@
     async fn restart_daemon(&mut self) {
         let waiting: Vec<_> =
             (0..WAITING).map(|number| self.send(&self.settings, "/a/waiting", number)).collect();
-        tokio::time::sleep(ARRIVAL_TIME).await;
+        self.wait_for_queued().await;
         self.daemon = None;
         waiting.iter().for_each(JoinHandle::abort);
         let daemon = Daemon::start(&format!("{}-after", self.name), &self.settings).await;
         self.daemon = Some(daemon);
     }
 
+    /// Waits until the daemon's prompts are queued at the owner.
+    async fn wait_for_queued(&self) {
+        let daemon = self.daemon.as_ref().unwrap();
+        let is_queued = |line: &Value| line["message"] == "waits for engines";
+        wait_until("prompts wait", || daemon.log_lines(is_queued).len() == WAITING).await;
+    }
+
     fn check_services(&self) {
         for (engine, path) in self.engines.iter().zip(["/a/", "/b/"]) {
             for request in engine.requests() {
@@ -131,9 +136,7 @@
     fleet.restart_daemon().await;
     (0..WAITING).for_each(|_| b.enqueue(Action::Stream(3)));
     running.extend((0..WAITING).map(|number| fleet.send(&fleet.settings, "/b/late", number)));
-    tokio::time::sleep(ARRIVAL_TIME / 4).await;
-    let is_waiting = |line: &Value| line["message"] == "waits for engines";
-    assert_eq!(fleet.daemon.as_ref().unwrap().log_lines(is_waiting).len(), WAITING);
+    fleet.wait_for_queued().await;
     a.release();
     tokio::time::sleep(STREAM_TIME).await;
     fleet.check_services();
--- a/crates/path/tests/takeover.rs
+++ b/crates/path/tests/takeover.rs
@@ -19,8 +19,8 @@
 /// force everywhere 2 s after its acknowledgement, and a quarter of that is left to read and spread it.
 const MAX_TAKEOVER_TIME: Duration = Duration::from_millis(1_500);
 
-/// The maximum number of nodes that watch at the same time: the usual three, those that take over from
-/// them, and as many again that haven't been relieved yet.
+/// The maximum number of nodes that watch at the same time: a few sets of the usual three, of which some
+/// haven't been relieved yet.
 const MAX_WATCHERS: usize = 12;
 
 /// The time after which more than three answers of the directory may not name a dead node any more, less
